base: status, log, counters, clock, hashes; contracts of the packages

Cause: a new tree. Every package needs the same outcome codes, logger and clock, and the packages that meet (policy and node, wire and node) need their contracts before either side is written. Ruled out: CLOCK_MONOTONIC for leases; it stands still while a machine is suspended, so a paused holder would believe in a lapsed lease. Conclusion: headers first, sources follow by package.

--- /dev/null
+++ b/base/counters.c
@@ -0,0 +1,169 @@
+#include "base/counters.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/json_text.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  LABELS_MAX = 4,
+  SERIES_MAX_DEFAULT = 1024,
+  LABELS_TEXT_SIZE = 512,
+};
+
+struct series
+{
+  struct counter counter; /* first: its address is the series' own */
+  char *labels;           /* as exposed, without the braces */
+  UT_hash_handle hh;
+};
+
+struct counter_family
+{
+  char *name;
+  char *help;
+  enum counter_kind kind;
+  char *label_names[LABELS_MAX];
+  uint32_t series_max;
+  struct series *series; /* by labels */
+  UT_hash_handle hh;
+};
+
+struct counters
+{
+  struct counter_family *families; /* by name */
+};
+
+struct counters *
+counters_create (void)
+{
+  return xcalloc (1, sizeof (struct counters));
+}
+
+static void
+family_destroy (struct counter_family *family)
+{
+  struct series *series;
+  struct series *next;
+  HASH_ITER (hh, family->series, series, next)
+  {
+    HASH_DEL (family->series, series);
+    free (series->labels);
+    free (series);
+  }
+  for (int i = 0; i < LABELS_MAX; i++)
+    free (family->label_names[i]);
+  free (family->help);
+  free (family->name);
+  free (family);
+}
+
+void
+counters_destroy (struct counters *counters)
+{
+  if (counters == NULL)
+    return;
+  struct counter_family *family;
+  struct counter_family *next;
+  HASH_ITER (hh, counters->families, family, next)
+  {
+    HASH_DEL (counters->families, family);
+    family_destroy (family);
+  }
+  free (counters);
+}
+
+struct counter_family *
+counters_family (struct counters *counters,
+                 const struct counter_family_options *options)
+{
+  struct counter_family *family;
+  HASH_FIND_STR (counters->families, options->name, family);
+  if (family != NULL)
+    return family;
+  family = xcalloc (1, sizeof *family);
+  family->name = xstrdup (options->name);
+  family->help = xstrdup (options->help);
+  family->kind = options->kind;
+  family->series_max
+      = options->series_max ? options->series_max : SERIES_MAX_DEFAULT;
+  for (int i = 0; i < LABELS_MAX; i++)
+    family->label_names[i] = xstrdup (options->label_names[i]);
+  HASH_ADD_KEYPTR (hh, counters->families, family->name,
+                   strlen (family->name), family);
+  return family;
+}
+
+static void
+format_labels (const struct counter_family *family,
+               const char *const *label_values, char text[LABELS_TEXT_SIZE])
+{
+  size_t used = 0;
+  text[0] = '\0';
+  for (int i = 0; i < LABELS_MAX && family->label_names[i] != NULL; i++)
+    {
+      const char *value = label_values == NULL ? "other" : label_values[i];
+      const size_t room = LABELS_TEXT_SIZE - used;
+      const int length = snprintf (text + used, room, "%s%s=",
+                                   i > 0 ? "," : "", family->label_names[i]);
+      if (length < 0 || (size_t)length + 3 > room)
+        return;
+      used += (size_t)length;
+      used += json_text_quote (text + used, LABELS_TEXT_SIZE - used, value);
+    }
+}
+
+struct counter *
+counter_series (struct counter_family *family, const char *const *label_values)
+{
+  char labels[LABELS_TEXT_SIZE];
+  format_labels (family, label_values, labels);
+  struct series *series;
+  HASH_FIND_STR (family->series, labels, series);
+  if (series != NULL)
+    return &series->counter;
+  if (label_values != NULL && HASH_COUNT (family->series) >= family->series_max)
+    return counter_series (family, NULL);
+  series = xcalloc (1, sizeof *series);
+  series->labels = xstrdup (labels);
+  HASH_ADD_KEYPTR (hh, family->series, series->labels,
+                   strlen (series->labels), series);
+  return &series->counter;
+}
+
+static void
+expose_family (FILE *out, const struct counter_family *family)
+{
+  fprintf (out, "# HELP %s %s\n", family->name, family->help);
+  fprintf (out, "# TYPE %s %s\n", family->name,
+           family->kind == COUNTER_SUM ? "counter" : "gauge");
+  for (const struct series *series = family->series; series != NULL;
+       series = series->hh.next)
+    {
+      const long long value = (long long)series->counter.value;
+      if (series->labels[0] == '\0')
+        fprintf (out, "%s %lld\n", family->name, value);
+      else
+        fprintf (out, "%s{%s} %lld\n", family->name, series->labels, value);
+    }
+}
+
+char *
+counters_expose (const struct counters *counters)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  if (out == NULL)
+    return xstrdup ("");
+  for (const struct counter_family *family = counters->families;
+       family != NULL; family = family->hh.next)
+    expose_family (out, family);
+  fclose (out);
+  return text;
+}
--- /dev/null
+++ b/node/bus.h
@@ -0,0 +1,94 @@
+/** @file
+ * Messages between the tasks of a host.
+ *
+ * A task owns its sockets and its state; what another task must know it is
+ * told by a message.  Messages are delivered on the loop, after the callback
+ * that posted them has returned, in the order posted.  Pointers in a message
+ * are owned by the message and released after the last subscriber has seen
+ * it; a subscriber that keeps something copies it.
+ */
+#ifndef NODE_BUS_H
+#define NODE_BUS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "wire/service_spec.h"
+
+enum bus_topic
+{
+  BUS_SERVICE_IN_FORCE, /**< a service appeared or changed */
+  BUS_SERVICE_REMOVED,
+  BUS_EJECTIONS,     /**< the enforced ejections of a service changed */
+  BUS_HOST_SET,      /**< the hosts to hand out for a service changed */
+  BUS_MEMBERS,       /**< what is believed of the other hosts changed */
+  BUS_SHUTDOWN,      /**< this host is leaving */
+  BUS_TOPIC_COUNT
+};
+
+struct bus_service_in_force
+{
+  struct service_spec *spec;
+};
+
+struct bus_service_removed
+{
+  char name[SERVICE_NAME_SIZE];
+  uint64_t version;
+};
+
+/** Targets of a service that get no work by ejection, by name. */
+struct bus_ejections
+{
+  char service[SERVICE_NAME_SIZE];
+  uint64_t epoch;
+  char (*targets)[SERVICE_NAME_SIZE];
+  size_t count;
+};
+
+/** One host to hand out to callers. */
+struct bus_set_host
+{
+  char name[SERVICE_NAME_SIZE];
+  char dc[SERVICE_NAME_SIZE];
+  char caller_address[SERVICE_ADDRESS_SIZE];
+};
+
+/** The live hosts that serve a service, best placed first. */
+struct bus_host_set
+{
+  char service[SERVICE_NAME_SIZE];
+  bool self; /**< this host is in the set */
+  struct bus_set_host *hosts;
+  size_t count;
+};
+
+struct bus_message
+{
+  enum bus_topic topic;
+  union
+  {
+    struct bus_service_in_force service_in_force;
+    struct bus_service_removed service_removed;
+    struct bus_ejections ejections;
+    struct bus_host_set host_set;
+  };
+};
+
+struct bus;
+
+typedef void bus_handler (void *owner, const struct bus_message *message);
+
+struct bus *bus_create (struct ev_loop *loop);
+void bus_destroy (struct bus *bus);
+void bus_subscribe (struct bus *bus, enum bus_topic topic,
+                    bus_handler *handler, void *owner);
+/** Drop every subscription of OWNER. */
+void bus_unsubscribe (struct bus *bus, void *owner);
+/** Queue MESSAGE; the bus takes over what it points to. */
+void bus_post (struct bus *bus, const struct bus_message *message);
+
+#endif
--- /dev/null
+++ b/node/host_settings.h
@@ -0,0 +1,75 @@
+/** @file
+ * The settings file of one host (`jaystaird --settings FILE`).
+ *
+ * All defaults are those of examples/host.json; a test holds the two equal.
+ */
+#ifndef NODE_HOST_SETTINGS_H
+#define NODE_HOST_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/log.h"
+#include "base/status.h"
+
+#define HOST_NAME_SIZE 64
+#define HOST_ADDRESS_SIZE 56
+#define HOST_PATH_SIZE 256
+#define HOST_PLATFORM_ADDRESSES_MAX 8
+
+/** Bounds of the caller side. */
+struct caller_limits
+{
+  uint32_t connections;
+  uint32_t header_bytes; /**< most memory of one request's head */
+  uint32_t idle_timeout_ms;
+  uint32_t stream_buffer_bytes; /**< per direction of one request */
+  uint32_t keep_answer_ms; /**< how long callers keep an address answer */
+};
+
+/** Times of the control plane. */
+struct control_times
+{
+  uint32_t heartbeat_ms;
+  uint32_t suspect_after_ms; /**< silence until a host isn't handed out */
+  uint32_t dead_after_ms;
+  uint32_t enforce_ms; /**< how long an ejection holds without refresh */
+  uint32_t owner_lease_ms; /**< an owner not heard from so long is replaced */
+  uint32_t watch_ms;       /**< one waiting watch at the platform */
+  uint32_t platform_timeout_ms;
+  uint32_t evidence_ms;     /**< between reports to a service's owner */
+  uint32_t shutdown_ms;     /**< most time a graceful shutdown takes */
+  uint32_t stale_after_ms;  /**< without settings news: leaves answers */
+};
+
+struct host_settings
+{
+  char name[HOST_NAME_SIZE];
+  char dc[HOST_NAME_SIZE];
+  char caller_address[HOST_ADDRESS_SIZE];
+  char peer_address[HOST_ADDRESS_SIZE];
+  char operator_address[HOST_ADDRESS_SIZE];
+  /** Exactly one of platform_addresses and platform_file is given. */
+  char platform_addresses[HOST_PLATFORM_ADDRESSES_MAX][HOST_ADDRESS_SIZE];
+  size_t platform_address_count;
+  char platform_file[HOST_PATH_SIZE];
+  char secret_file[HOST_PATH_SIZE]; /**< shared key; "" is none */
+  uint32_t set_hosts_per_dc; /**< smallest host set of a service, per dc */
+  uint32_t relays_per_dc;
+  struct caller_limits limits;
+  struct control_times times;
+  enum log_level log_level;
+  bool log_json;
+  uint32_t log_repeats_per_second;
+};
+
+/** The defaults; name, dc and addresses are empty. */
+void host_settings_defaults (struct host_settings *settings);
+
+/** Read and check PATH.  On failure the message gives file, place, what was
+ * expected and the remedy. */
+enum status host_settings_load (const char *path,
+                                struct host_settings *settings);
+
+#endif
--- /dev/null
+++ b/wire/service_spec.h
@@ -0,0 +1,128 @@
+/** @file
+ * A service as operators declare it: the value of a `service` object.
+ *
+ * JSON shape (comments allowed; every member but `name` and `targets` has a
+ * default, see service_spec_defaults()):
+ *
+ *     { "name": "holds",
+ *       "prefer": "fewer-false-ejections",   // or "faster-detection"
+ *       "ejection": "automatic",             // or "paused"
+ *       "floor_capacity": 24,                // healthy capacity to keep
+ *       "targets": [ { "name": "holds-1", "address": "127.0.0.1:9001",
+ *                      "dc": "north-a", "slots": 4, "capacity": 4,
+ *                      "connections": 200, "state": "active" } ],
+ *       "routes": [ { "host": "", "path_prefix": "/holds",
+ *                     "methods": ["POST"], "repeatable": false } ],
+ *       "limits": { "queue_requests": 64, "queue_bytes": 1048576,
+ *                   "body_bytes": 1048576, "timeout_ms": 10000,
+ *                   "connect_timeout_ms": 1000, "retry_percent": 10,
+ *                   "attempts": 3 } }
+ */
+#ifndef WIRE_SERVICE_SPEC_H
+#define WIRE_SERVICE_SPEC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+
+#define SERVICE_NAME_SIZE 64
+#define SERVICE_ADDRESS_SIZE 56
+#define SERVICE_PATH_SIZE 256
+#define SERVICE_TARGETS_MAX 1024
+#define SERVICE_ROUTES_MAX 1024
+
+/** Which error of ejection costs this service more. */
+enum service_prefer
+{
+  SERVICE_PREFER_FEWER_FALSE_EJECTIONS,
+  SERVICE_PREFER_FASTER_DETECTION
+};
+
+/** What operators want of a target. */
+enum target_state
+{
+  TARGET_STATE_ACTIVE,
+  TARGET_STATE_DRAINED /**< leaving: finishes its work, gets no new */
+};
+
+/** One target of a service. */
+struct target_spec
+{
+  char name[SERVICE_NAME_SIZE];
+  char address[SERVICE_ADDRESS_SIZE]; /**< IP:PORT */
+  char dc[SERVICE_NAME_SIZE];
+  uint32_t slots;       /**< requests it works on at once */
+  uint32_t capacity;    /**< what it counts towards the floor; its slots
+                             unless set */
+  uint32_t connections; /**< most open connections */
+  enum target_state state;
+};
+
+/** Methods of a route, as bits; 0 means any. */
+enum route_method
+{
+  ROUTE_METHOD_GET = 1,
+  ROUTE_METHOD_HEAD = 2,
+  ROUTE_METHOD_POST = 4,
+  ROUTE_METHOD_PUT = 8,
+  ROUTE_METHOD_DELETE = 16,
+  ROUTE_METHOD_PATCH = 32,
+  ROUTE_METHOD_OPTIONS = 64
+};
+
+/** Which requests go to the service, and whether they may run twice. */
+struct route_spec
+{
+  char host[SERVICE_NAME_SIZE]; /**< Host header without port; "" is any */
+  char path_prefix[SERVICE_PATH_SIZE];
+  uint32_t methods; /**< bits of enum route_method */
+  /** Default: GET, HEAD, OPTIONS routes are, all others are not. */
+  bool repeatable;
+};
+
+/** Bounds of a service at one host. */
+struct service_limits
+{
+  uint32_t queue_requests;
+  uint32_t queue_bytes;
+  uint32_t body_bytes;
+  uint32_t timeout_ms;         /**< when the caller names no deadline */
+  uint32_t connect_timeout_ms; /**< to a target */
+  uint32_t retry_percent;      /**< retries per 100 recent requests */
+  uint32_t attempts;           /**< most tries of one request */
+};
+
+/** A service in force. */
+struct service_spec
+{
+  char name[SERVICE_NAME_SIZE];
+  uint64_t version; /**< of the platform's object */
+  enum service_prefer prefer;
+  bool ejection_paused;
+  uint32_t floor_capacity;
+  struct service_limits limits;
+  struct target_spec *targets;
+  size_t target_count;
+  struct route_spec *routes;
+  size_t route_count;
+};
+
+/** Parse and check TEXT; FILE is what messages call it.  On failure the
+ * message names file, place, what was expected and the remedy.
+ * @return in *SPEC a service that service_spec_destroy() releases. */
+enum status service_spec_parse (const char *file, const char *text,
+                                uint64_t version, struct service_spec **spec);
+
+/** The JSON text of SPEC, in new memory; parses to an equal service. */
+char *service_spec_format (const struct service_spec *spec);
+
+struct service_spec *service_spec_copy (const struct service_spec *spec);
+void service_spec_destroy (struct service_spec *spec);
+
+/** The target called NAME, or NULL. */
+const struct target_spec *
+service_spec_target (const struct service_spec *spec, const char *name);
+
+#endif
