--- /dev/null
+++ b/node/bus.c
@@ -0,0 +1,172 @@
+#include "node/bus.h"
+
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "base/xmalloc.h"
+
+struct subscription
+{
+  enum bus_topic topic;
+  bus_handler *handler;
+  void *owner; /* NULL once dropped */
+  struct subscription *next;
+};
+
+struct pending
+{
+  struct bus_message message;
+  struct pending *prev;
+  struct pending *next;
+};
+
+struct bus
+{
+  struct ev_loop *loop;
+  struct ev_prepare deliver;
+  struct ev_idle awake; /* keeps the loop from sleeping on queued messages */
+  struct subscription *subscriptions;
+  struct pending *queue;
+  bool delivering;
+};
+
+static void
+message_release (struct bus_message *message)
+{
+  switch (message->topic)
+    {
+    case BUS_SERVICE_IN_FORCE:
+      service_spec_destroy (message->service_in_force.spec);
+      break;
+    case BUS_EJECTIONS:
+      free (message->ejections.targets);
+      break;
+    case BUS_HOST_SET:
+      free (message->host_set.hosts);
+      break;
+    case BUS_SERVICE_REMOVED:
+    case BUS_MEMBERS:
+    case BUS_SHUTDOWN:
+    case BUS_TOPIC_COUNT:
+      break;
+    }
+}
+
+/* A handler may drop subscriptions, its own included, while the list is
+   walked; they are only marked then and freed here. */
+static void
+sweep (struct bus *bus)
+{
+  struct subscription *subscription;
+  struct subscription *next;
+  LL_FOREACH_SAFE (bus->subscriptions, subscription, next)
+  {
+    if (subscription->owner != NULL)
+      continue;
+    LL_DELETE (bus->subscriptions, subscription);
+    free (subscription);
+  }
+}
+
+static void
+hand_out (struct bus *bus, const struct bus_message *message)
+{
+  const struct subscription *subscription;
+  LL_FOREACH (bus->subscriptions, subscription)
+  {
+    if (subscription->topic == message->topic && subscription->owner != NULL)
+      subscription->handler (subscription->owner, message);
+  }
+}
+
+static void
+deliver_cb (struct ev_loop *loop, struct ev_prepare *watcher, int events)
+{
+  struct bus *bus = watcher->data;
+  bus->delivering = true;
+  while (bus->queue != NULL)
+    {
+      struct pending *pending = bus->queue;
+      DL_DELETE (bus->queue, pending);
+      hand_out (bus, &pending->message);
+      message_release (&pending->message);
+      free (pending);
+    }
+  bus->delivering = false;
+  sweep (bus);
+  ev_idle_stop (loop, &bus->awake);
+}
+
+static void
+awake_cb (struct ev_loop *loop, struct ev_idle *watcher, int events)
+{
+}
+
+struct bus *
+bus_create (struct ev_loop *loop)
+{
+  struct bus *bus = xcalloc (1, sizeof *bus);
+  bus->loop = loop;
+  ev_prepare_init (&bus->deliver, deliver_cb);
+  bus->deliver.data = bus;
+  ev_prepare_start (loop, &bus->deliver);
+  ev_idle_init (&bus->awake, awake_cb);
+  return bus;
+}
+
+void
+bus_destroy (struct bus *bus)
+{
+  if (bus == NULL)
+    return;
+  ev_prepare_stop (bus->loop, &bus->deliver);
+  ev_idle_stop (bus->loop, &bus->awake);
+  while (bus->queue != NULL)
+    {
+      struct pending *pending = bus->queue;
+      DL_DELETE (bus->queue, pending);
+      message_release (&pending->message);
+      free (pending);
+    }
+  while (bus->subscriptions != NULL)
+    {
+      struct subscription *subscription = bus->subscriptions;
+      LL_DELETE (bus->subscriptions, subscription);
+      free (subscription);
+    }
+  free (bus);
+}
+
+void
+bus_subscribe (struct bus *bus, enum bus_topic topic, bus_handler *handler,
+               void *owner)
+{
+  struct subscription *subscription = xcalloc (1, sizeof *subscription);
+  subscription->topic = topic;
+  subscription->handler = handler;
+  subscription->owner = owner;
+  LL_APPEND (bus->subscriptions, subscription);
+}
+
+void
+bus_unsubscribe (struct bus *bus, void *owner)
+{
+  struct subscription *subscription;
+  LL_FOREACH (bus->subscriptions, subscription)
+  {
+    if (subscription->owner == owner)
+      subscription->owner = NULL;
+  }
+  if (!bus->delivering)
+    sweep (bus);
+}
+
+void
+bus_post (struct bus *bus, const struct bus_message *message)
+{
+  struct pending *pending = xcalloc (1, sizeof *pending);
+  pending->message = *message;
+  DL_APPEND (bus->queue, pending);
+  ev_idle_start (bus->loop, &bus->awake);
+}
