--- a/node/mhd_loop.c
+++ b/node/mhd_loop.c
@@ -136,8 +136,7 @@
   if (*end != '\0' || port < 0 || port > PORT_MAX)
     return 0;
   size_t length = (size_t)(colon - address);
-  const bool bracketed
-      = length >= 2 && address[0] == '[' && colon[-1] == ']';
+  const bool bracketed = length >= 2 && address[0] == '[' && colon[-1] == ']';
   if (bracketed)
     {
       address++;
