--- /dev/null
+++ b/node/caller/caller_task.h
@@ -0,0 +1,64 @@
+/** @file
+ * The caller side of a host: takes requests over HTTP, decides with the
+ * policy of their service, and carries each to a target and its answer back.
+ *
+ * The task owns the listening socket, the connections to targets, and for
+ * each service in force its policy.  It learns services, ejections and host
+ * sets from the bus, and runs on the loop alone.
+ */
+#ifndef NODE_CALLER_CALLER_TASK_H
+#define NODE_CALLER_CALLER_TASK_H
+
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "base/counters.h"
+#include "node/bus.h"
+#include "node/host_settings.h"
+
+struct caller_task;
+struct evidence_recorder;
+struct tables;
+struct ticket_ledger;
+
+/** What the task stands on; all of it outlives the task. */
+struct caller_task_options
+{
+  struct ev_loop *loop;
+  struct bus *bus;
+  const struct host_settings *settings;
+  struct counters *counters;
+  struct tables *tables; /**< operator rows are added here; may be NULL */
+  uint64_t seed;         /**< of the choices; 0 takes one from the system */
+};
+
+/** Start serving on the caller address of the settings (port 0 takes a free
+ * one).
+ * @return NULL on failure; status_message() names the remedy. */
+struct caller_task *
+caller_task_create (const struct caller_task_options *options);
+
+/** Stop at once: whatever is still in flight is cut. */
+void caller_task_destroy (struct caller_task *task);
+
+/** IP:PORT where the task listens. */
+const char *caller_task_address (const struct caller_task *task);
+
+typedef void caller_task_done (void *owner);
+
+/** Leave gracefully: address answers leave this host out, answers close their
+ * connections, and requests are served until the longest kept address answer
+ * is over and nothing is in flight.  Then DONE is called, once. */
+void caller_task_begin_leaving (struct caller_task *task,
+                                caller_task_done *done, void *owner);
+
+/** Requests taken in and not yet answered to the end. */
+uint32_t caller_task_in_flight (const struct caller_task *task);
+
+/** Outcomes by target since they were last drained, of the service called
+ * NAME; NULL when there is no such service in force. */
+struct evidence_recorder *caller_task_recorder (struct caller_task *task,
+                                                const char *name);
+
+#endif
