base: checked reading of settings; node: settings of a host

Cause: every settings error must name file, place, what was expected and the remedy, and half a file must never pass for the whole. Ruled out: json-c's line numbers for members; the tokener keeps none, so a member is named by its path and only syntax errors carry line and column. Conclusion: one reader for all settings.

--- a/base/counters.c
+++ b/base/counters.c
@@ -94,8 +94,8 @@
       = options->series_max ? options->series_max : SERIES_MAX_DEFAULT;
   for (int i = 0; i < LABELS_MAX; i++)
     family->label_names[i] = xstrdup (options->label_names[i]);
-  HASH_ADD_KEYPTR (hh, counters->families, family->name,
-                   strlen (family->name), family);
+  HASH_ADD_KEYPTR (hh, counters->families, family->name, strlen (family->name),
+                   family);
   return family;
 }
 
@@ -109,8 +109,9 @@
     {
       const char *value = label_values == NULL ? "other" : label_values[i];
       const size_t room = LABELS_TEXT_SIZE - used;
-      const int length = snprintf (text + used, room, "%s%s=",
-                                   i > 0 ? "," : "", family->label_names[i]);
+      const int length
+          = snprintf (text + used, room, "%s%s=", i > 0 ? "," : "",
+                      family->label_names[i]);
       if (length < 0 || (size_t)length + 3 > room)
         return;
       used += (size_t)length;
@@ -127,12 +128,13 @@
   HASH_FIND_STR (family->series, labels, series);
   if (series != NULL)
     return &series->counter;
-  if (label_values != NULL && HASH_COUNT (family->series) >= family->series_max)
+  if (label_values != NULL
+      && HASH_COUNT (family->series) >= family->series_max)
     return counter_series (family, NULL);
   series = xcalloc (1, sizeof *series);
   series->labels = xstrdup (labels);
-  HASH_ADD_KEYPTR (hh, family->series, series->labels,
-                   strlen (series->labels), series);
+  HASH_ADD_KEYPTR (hh, family->series, series->labels, strlen (series->labels),
+                   series);
   return &series->counter;
 }
 
--- a/base/log.c
+++ b/base/log.c
@@ -36,11 +36,10 @@
     = { .level = LOG_LEVEL_INFO, .fd = STDERR_FILENO };
 static struct repeat repeats[REPEAT_SLOTS];
 
-static const char *const level_names[]
-    = { [LOG_LEVEL_ERROR] = "error",
-        [LOG_LEVEL_WARNING] = "warning",
-        [LOG_LEVEL_INFO] = "info",
-        [LOG_LEVEL_DEBUG] = "debug" };
+static const char *const level_names[] = { [LOG_LEVEL_ERROR] = "error",
+                                           [LOG_LEVEL_WARNING] = "warning",
+                                           [LOG_LEVEL_INFO] = "info",
+                                           [LOG_LEVEL_DEBUG] = "debug" };
 
 void
 log_configure (const struct log_options *options)
@@ -177,9 +176,9 @@
 {
   char time_text[STAMP_SIZE];
   stamp (time_text);
-  const struct log_field head[] = { LOG_STR ("level", level_names[level]),
-                                    LOG_STR ("module", module),
-                                    LOG_STR ("event", event) };
+  const struct log_field head[]
+      = { LOG_STR ("level", level_names[level]), LOG_STR ("module", module),
+          LOG_STR ("event", event) };
   line_add (line, "{\"time\":");
   line_add_quoted (line, time_text);
   add_json_fields (line, head, sizeof head / sizeof head[0]);
--- a/base/log.h
+++ b/base/log.h
@@ -38,12 +38,12 @@
 /** A text field; a NULL value is written as "-". */
 #define LOG_STR(name, value)                                                  \
   {                                                                           \
-    .key = (name), .text = (value) ? (value) : "-"                            \
+    .key = (name), .text = (value) ? (value) : "-", .number = 0               \
   }
 /** A whole-number field. */
 #define LOG_INT(name, value)                                                  \
   {                                                                           \
-    .key = (name), .number = (int64_t)(value)                                 \
+    .key = (name), .text = NULL, .number = (int64_t)(value)                   \
   }
 
 /** How the logger behaves; the defaults are those of a zeroed struct. */
@@ -72,7 +72,8 @@
       if (log_enabled (level))                                                \
         {                                                                     \
           const struct log_field log_fields_[]                                \
-              = { { .key = NULL }, ##__VA_ARGS__ };                           \
+              = { { .key = NULL, .text = NULL, .number = 0 },                 \
+                  ##__VA_ARGS__ };                                            \
           log_write (level, LOG_MODULE, event, log_fields_,                   \
                      sizeof log_fields_ / sizeof log_fields_[0]);             \
         }                                                                     \
--- /dev/null
+++ b/base/options.c
@@ -0,0 +1,473 @@
+#include "base/options.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+
+#include "base/xmalloc.h"
+
+enum
+{
+  FILE_MAX_BYTES = 8 * 1024 * 1024,
+  PARSE_DEPTH_MAX = 32,
+  FOUND_SIZE = 64,
+};
+
+/* Line and column, both from 1, of the byte at OFFSET. */
+static void
+locate (const char *text, size_t offset, unsigned *line, unsigned *column)
+{
+  *line = 1;
+  *column = 1;
+  for (size_t i = 0; i < offset; i++)
+    {
+      *column += 1;
+      if (text[i] == '\n')
+        {
+          *line += 1;
+          *column = 1;
+        }
+    }
+}
+
+static bool
+only_space (const char *text, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    if (strchr (" \t\r\n", text[i]) == NULL || text[i] == '\0')
+      return false;
+  return true;
+}
+
+enum status
+options_parse (const char *file, const char *text, size_t size,
+               struct json_object **tree)
+{
+  *tree = NULL;
+  struct json_tokener *tokener = json_tokener_new_ex (PARSE_DEPTH_MAX);
+  if (tokener == NULL)
+    abort ();
+  if (size > FILE_MAX_BYTES)
+    {
+      json_tokener_free (tokener);
+      return status_set (STATUS_INVALID,
+                         "%s: %zu bytes are more than the %d that settings "
+                         "may have; split the file",
+                         file, size, FILE_MAX_BYTES);
+    }
+  /* The final NUL, passed on, tells the tokener that the text has ended. */
+  char *copy = xmemdup0 (text, size);
+  struct json_object *node
+      = json_tokener_parse_ex (tokener, copy, (int)size + 1);
+  const enum json_tokener_error error = json_tokener_get_error (tokener);
+  const size_t end = json_tokener_get_parse_end (tokener);
+  json_tokener_free (tokener);
+  enum status status = STATUS_OK;
+  unsigned line;
+  unsigned column;
+  locate (copy, end < size ? end : size, &line, &column);
+  if (error != json_tokener_success)
+    status = status_set (STATUS_INVALID,
+                         "%s:%u:%u: not JSON (%s); mend the text at or "
+                         "before this place",
+                         file, line, column,
+                         error == json_tokener_continue
+                             ? "it ends too early"
+                             : json_tokener_error_desc (error));
+  else if (end < size && !only_space (copy + end, size - end))
+    status = status_set (STATUS_INVALID,
+                         "%s:%u:%u: text behind the end of the settings; "
+                         "remove it or mend the braces before it",
+                         file, line, column);
+  free (copy);
+  if (status != STATUS_OK)
+    {
+      json_object_put (node);
+      return status;
+    }
+  *tree = node;
+  return STATUS_OK;
+}
+
+static enum status
+read_file (const char *path, char **text, size_t *size)
+{
+  FILE *in = fopen (path, "rbe");
+  if (in == NULL)
+    return status_errno ("%s: can't be opened; check the path and its rights",
+                         path);
+  char *block = xmalloc (FILE_MAX_BYTES + 1);
+  const size_t got = fread (block, 1, FILE_MAX_BYTES + 1, in);
+  enum status status = STATUS_OK;
+  if (ferror (in))
+    status = status_errno ("%s: can't be read", path);
+  fclose (in);
+  if (status != STATUS_OK)
+    {
+      free (block);
+      return status;
+    }
+  *text = block;
+  *size = got;
+  return STATUS_OK;
+}
+
+enum status
+options_parse_file (const char *path, struct json_object **tree)
+{
+  char *text = NULL;
+  size_t size = 0;
+  *tree = NULL;
+  const enum status status = read_file (path, &text, &size);
+  if (status != STATUS_OK)
+    return status;
+  const enum status parsed = options_parse (path, text, size, tree);
+  free (text);
+  return parsed;
+}
+
+static const char *
+describe (struct json_object *node, char text[FOUND_SIZE])
+{
+  switch (json_object_get_type (node))
+    {
+    case json_type_object:
+      return "an object";
+    case json_type_array:
+      return "an array";
+    case json_type_null:
+      return "null";
+    default:
+      snprintf (text, FOUND_SIZE, "%.60s",
+                json_object_to_json_string_ext (node, JSON_C_TO_STRING_PLAIN));
+      return text;
+    }
+}
+
+static void
+join_place (char *place, size_t size, const char *parent, const char *key)
+{
+  if (parent[0] == '\0')
+    snprintf (place, size, "%s", key);
+  else
+    snprintf (place, size, "%s.%s", parent, key);
+}
+
+void
+options_begin (struct options *options, const char *file, const char *place,
+               struct json_object *node)
+{
+  *options = (struct options){ .file = file, .node = node };
+  snprintf (options->place, sizeof options->place, "%s", place);
+  if (json_object_is_type (node, json_type_object))
+    return;
+  char found[FOUND_SIZE];
+  options->status = status_set (
+      STATUS_INVALID,
+      "%s: %s: expected an object { ... }, found %s; write the "
+      "options as members of one object",
+      file, place[0] == '\0' ? "top" : place, describe (node, found));
+  options->node = NULL;
+}
+
+void
+options_fail (struct options *options, const char *key, const char *format,
+              ...)
+{
+  if (options->status != STATUS_OK)
+    return;
+  char what[256];
+  va_list args;
+  va_start (args, format);
+  vsnprintf (what, sizeof what, format, args);
+  va_end (args);
+  char place[sizeof options->place];
+  join_place (place, sizeof place, options->place, key);
+  options->status
+      = status_set (STATUS_INVALID, "%s: %s: %s", options->file, place, what);
+}
+
+/* Find member KEY and remember that it was asked for. */
+static struct json_object *
+member (struct options *options, const char *key)
+{
+  if (options->status != STATUS_OK)
+    return NULL;
+  if (options->asked_count < OPTIONS_MEMBERS_MAX)
+    options->asked[options->asked_count++] = key;
+  struct json_object *node = NULL;
+  json_object_object_get_ex (options->node, key, &node);
+  return node;
+}
+
+/* Does the object hold KEY at all, even as null? */
+static bool
+present (const struct options *options, const char *key)
+{
+  return options->status == STATUS_OK
+         && json_object_object_get_ex (options->node, key, NULL);
+}
+
+static void
+fail_found (struct options *options, const char *key, const char *expected,
+            struct json_object *node)
+{
+  char found[FOUND_SIZE];
+  options_fail (options, key,
+                "expected %s, found %s; set it so or leave it "
+                "out",
+                expected, describe (node, found));
+}
+
+bool
+options_object (struct options *parent, const char *key, bool required,
+                struct options *child)
+{
+  struct json_object *node = member (parent, key);
+  if (!present (parent, key))
+    {
+      if (required)
+        options_fail (parent, key,
+                      "expected an object, found nothing; add "
+                      "it");
+      return false;
+    }
+  if (!json_object_is_type (node, json_type_object))
+    {
+      fail_found (parent, key, "an object { ... }", node);
+      return false;
+    }
+  char place[sizeof parent->place];
+  join_place (place, sizeof place, parent->place, key);
+  options_begin (child, parent->file, place, node);
+  return true;
+}
+
+struct json_object *
+options_array (struct options *options, const char *key, size_t max)
+{
+  struct json_object *node = member (options, key);
+  if (!present (options, key))
+    return NULL;
+  if (!json_object_is_type (node, json_type_array))
+    {
+      fail_found (options, key, "an array [ ... ]", node);
+      return NULL;
+    }
+  if (json_object_array_length (node) > max)
+    {
+      options_fail (options, key,
+                    "expected at most %zu elements, found %zu; split them",
+                    max, json_object_array_length (node));
+      return NULL;
+    }
+  return node;
+}
+
+void
+options_element (struct options *parent, const char *key,
+                 struct json_object *array, size_t index,
+                 struct options *child)
+{
+  char name[sizeof parent->place];
+  char place[sizeof parent->place];
+  snprintf (name, sizeof name, "%s[%zu]", key, index);
+  join_place (place, sizeof place, parent->place, name);
+  options_begin (child, parent->file, place,
+                 json_object_array_get_idx (array, index));
+}
+
+void
+options_int (struct options *options, const char *key, int64_t min,
+             int64_t max, int64_t *value)
+{
+  struct json_object *node = member (options, key);
+  if (!present (options, key))
+    return;
+  errno = 0;
+  const int64_t number = json_object_get_int64 (node);
+  char expected[96];
+  snprintf (expected, sizeof expected, "a whole number from %lld to %lld",
+            (long long)min, (long long)max);
+  if (!json_object_is_type (node, json_type_int) || number < min
+      || number > max)
+    fail_found (options, key, expected, node);
+  else
+    *value = number;
+}
+
+void
+options_double (struct options *options, const char *key, double min,
+                double max, double *value)
+{
+  struct json_object *node = member (options, key);
+  if (!present (options, key))
+    return;
+  const bool is_number = json_object_is_type (node, json_type_int)
+                         || json_object_is_type (node, json_type_double);
+  const double number = is_number ? json_object_get_double (node) : 0;
+  char expected[96];
+  snprintf (expected, sizeof expected, "a number from %g to %g", min, max);
+  if (!is_number || !(number >= min && number <= max))
+    fail_found (options, key, expected, node);
+  else
+    *value = number;
+}
+
+void
+options_bool (struct options *options, const char *key, bool *value)
+{
+  struct json_object *node = member (options, key);
+  if (!present (options, key))
+    return;
+  if (!json_object_is_type (node, json_type_boolean))
+    fail_found (options, key, "true or false", node);
+  else
+    *value = json_object_get_boolean (node);
+}
+
+void
+options_string (struct options *options, const char *key, bool required,
+                char *value, size_t size)
+{
+  struct json_object *node = member (options, key);
+  if (!present (options, key))
+    {
+      if (required)
+        options_fail (options, key,
+                      "expected a string, found nothing; add "
+                      "it");
+      return;
+    }
+  char expected[96];
+  snprintf (expected, sizeof expected, "a string of %s%zu bytes",
+            required ? "1 to " : "at most ", size - 1);
+  if (!json_object_is_type (node, json_type_string))
+    {
+      fail_found (options, key, expected, node);
+      return;
+    }
+  const char *text = json_object_get_string (node);
+  const size_t length = (size_t)json_object_get_string_len (node);
+  if (length >= size || strlen (text) != length || (required && length == 0))
+    {
+      fail_found (options, key, expected, node);
+      return;
+    }
+  memcpy (value, text, length + 1);
+}
+
+void
+options_enum (struct options *options, const char *key,
+              const char *const *names, size_t count, int *value)
+{
+  struct json_object *node = member (options, key);
+  if (!present (options, key))
+    return;
+  char expected[160] = "one of";
+  size_t used = strlen (expected);
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *text = json_object_get_string (node);
+      if (json_object_is_type (node, json_type_string)
+          && strcmp (text, names[i]) == 0)
+        {
+          *value = (int)i;
+          return;
+        }
+      if (used < sizeof expected)
+        used += (size_t)snprintf (expected + used, sizeof expected - used,
+                                  "%s \"%s\"", i > 0 ? "," : "", names[i]);
+    }
+  fail_found (options, key, expected, node);
+}
+
+static bool
+is_port (const char *text)
+{
+  char *end;
+  if (*text < '0' || *text > '9')
+    return false;
+  const unsigned long port = strtoul (text, &end, 10);
+  return *end == '\0' && port <= 65535;
+}
+
+static bool
+is_address (const char *text)
+{
+  char ip[64];
+  unsigned char parsed[sizeof (struct in6_addr)];
+  const char *colon = strrchr (text, ':');
+  if (colon == NULL || (size_t)(colon - text) >= sizeof ip)
+    return false;
+  const size_t length = (size_t)(colon - text);
+  memcpy (ip, text, length);
+  ip[length] = '\0';
+  if (!is_port (colon + 1))
+    return false;
+  if (ip[0] == '[' && length > 2 && ip[length - 1] == ']')
+    {
+      ip[length - 1] = '\0';
+      return inet_pton (AF_INET6, ip + 1, parsed) == 1;
+    }
+  return inet_pton (AF_INET, ip, parsed) == 1;
+}
+
+void
+options_address (struct options *options, const char *key, bool required,
+                 char *value, size_t size)
+{
+  const bool given = present (options, key);
+  options_string (options, key, required, value, size);
+  if (!given || options->status != STATUS_OK)
+    return;
+  if (!required && value[0] == '\0')
+    return;
+  if (!is_address (value))
+    options_fail (options, key,
+                  "expected IP:PORT by number (127.0.0.1:8080 or "
+                  "[::1]:8080), found \"%s\"; host names aren't looked up",
+                  value);
+}
+
+static bool
+was_asked (const struct options *options, const char *key)
+{
+  for (size_t i = 0; i < options->asked_count; i++)
+    if (strcmp (options->asked[i], key) == 0)
+      return true;
+  return false;
+}
+
+enum status
+options_end (struct options *options)
+{
+  if (options->status != STATUS_OK)
+    return options->status;
+  json_object_object_foreach (options->node, key, node)
+  {
+    (void)node;
+    if (was_asked (options, key))
+      continue;
+    char known[256] = "";
+    size_t used = 0;
+    for (size_t i = 0; i < options->asked_count && used < sizeof known; i++)
+      used += (size_t)snprintf (known + used, sizeof known - used, "%s%s",
+                                i > 0 ? ", " : "", options->asked[i]);
+    options_fail (options, key, "no such option; known here: %s", known);
+    break;
+  }
+  return options->status;
+}
+
+void
+options_close (struct options *parent, struct options *child)
+{
+  const enum status status = options_end (child);
+  if (parent->status == STATUS_OK)
+    parent->status = status;
+}
--- /dev/null
+++ b/base/tests/log_test.cc
@@ -0,0 +1,99 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <unistd.h>
+
+#include <json-c/json.h>
+
+#define LOG_MODULE "test"
+extern "C"
+{
+#include "base/log.h"
+}
+
+namespace
+{
+
+class Log : public testing::Test
+{
+protected:
+  int ends[2];
+
+  void
+  configure (bool json, uint32_t repeats)
+  {
+    ASSERT_EQ (pipe (ends), 0);
+    log_options options{};
+    options.level = LOG_LEVEL_INFO;
+    options.json = json;
+    options.fd = ends[1];
+    options.repeats_per_second = repeats;
+    log_configure (&options);
+  }
+
+  std::string
+  finish ()
+  {
+    log_options options{};
+    options.level = LOG_LEVEL_INFO;
+    log_configure (&options);
+    close (ends[1]);
+    std::string text;
+    char block[4096];
+    for (ssize_t n; (n = read (ends[0], block, sizeof block)) > 0;)
+      text.append (block, (size_t)n);
+    close (ends[0]);
+    return text;
+  }
+};
+
+TEST_F (Log, TextQuotesWhatAReaderCouldSplit)
+{
+  configure (false, 0);
+  LOG_INFO ("route", LOG_STR ("why", "a \"b\"\nc"), LOG_INT ("attempt", 2));
+  const std::string text = finish ();
+  EXPECT_NE (text.find (" info test route why=\"a \\\"b\\\"\\u000ac\" "
+                        "attempt=2\n"),
+             std::string::npos)
+      << text;
+}
+
+TEST_F (Log, JsonLineParsesWhateverTheValue)
+{
+  configure (true, 0);
+  const std::string wide (3000, '"');
+  LOG_WARN ("cut", LOG_STR ("text", wide.c_str ()));
+  const std::string text = finish ();
+  json_object *line = json_tokener_parse (text.c_str ());
+  ASSERT_NE (line, nullptr) << text;
+  EXPECT_STREQ (
+      json_object_get_string (json_object_object_get (line, "event")), "cut");
+  json_object_put (line);
+}
+
+TEST_F (Log, LevelsBelowAreNotWritten)
+{
+  configure (false, 0);
+  EXPECT_FALSE (log_enabled (LOG_LEVEL_DEBUG));
+  LOG_AT (LOG_LEVEL_DEBUG, "hidden");
+  EXPECT_EQ (finish (), "");
+}
+
+/* One event repeats for every request.  Past the limit the lines are counted
+   and not written, so the log doesn't drown its reader. */
+TEST_F (Log, RepeatsAreWithheld)
+{
+  configure (false, 3);
+  for (int i = 0; i < 100; i++)
+    LOG_INFO ("again");
+  LOG_INFO ("other");
+  const std::string text = finish ();
+  size_t again = 0;
+  for (size_t at = text.find ("test again"); at != std::string::npos;
+       at = text.find ("test again", at + 1))
+    again++;
+  EXPECT_LE (again, 6u); /* a second may turn over in between */
+  EXPECT_NE (text.find ("test other"), std::string::npos);
+}
+
+} // namespace
--- /dev/null
+++ b/node/host_settings.c
@@ -0,0 +1,235 @@
+#include "node/host_settings.h"
+
+#include <stdio.h>
+
+#include "base/options.h"
+
+enum
+{
+  HOUR_MS = 3600 * 1000,
+  KIBIBYTE = 1024,
+};
+
+void
+host_settings_defaults (struct host_settings *settings)
+{
+  *settings = (struct host_settings){
+    .set_hosts_per_dc = 2,
+    .relays_per_dc = 3,
+    .limits = {
+      .connections = 1000,
+      .header_bytes = 32 * KIBIBYTE,
+      .idle_timeout_ms = 30000,
+      .stream_buffer_bytes = 64 * KIBIBYTE,
+      .keep_answer_ms = 5000,
+    },
+    .times = {
+      .heartbeat_ms = 500,
+      .suspect_after_ms = 1500,
+      .dead_after_ms = 5000,
+      .enforce_ms = 3000,
+      .owner_lease_ms = 5000,
+      .watch_ms = 20000,
+      .platform_timeout_ms = 2000,
+      .evidence_ms = 250,
+      .shutdown_ms = 30000,
+      .stale_after_ms = 60000,
+    },
+    .log_level = LOG_LEVEL_INFO,
+    .log_repeats_per_second = 50,
+  };
+}
+
+static void
+read_uint32 (struct options *options, const char *key, int64_t min,
+             int64_t max, uint32_t *value)
+{
+  int64_t number = *value;
+  options_int (options, key, min, max, &number);
+  *value = (uint32_t)number;
+}
+
+static void
+read_limits (struct options *top, struct caller_limits *limits)
+{
+  struct options options;
+  if (!options_object (top, "limits", false, &options))
+    return;
+  read_uint32 (&options, "connections", 1, 1000000, &limits->connections);
+  read_uint32 (&options, "header_bytes", 4 * KIBIBYTE, 1024 * KIBIBYTE,
+               &limits->header_bytes);
+  read_uint32 (&options, "idle_timeout_ms", 1000, HOUR_MS,
+               &limits->idle_timeout_ms);
+  read_uint32 (&options, "stream_buffer_bytes", 4 * KIBIBYTE,
+               16 * 1024 * KIBIBYTE, &limits->stream_buffer_bytes);
+  read_uint32 (&options, "keep_answer_ms", 100, HOUR_MS,
+               &limits->keep_answer_ms);
+  options_close (top, &options);
+}
+
+/* Times that contradict one another would break a promise later and quietly,
+   so they are refused here. */
+static void
+check_times (struct options *options, const struct control_times *times)
+{
+  if (times->suspect_after_ms < 2 * times->heartbeat_ms)
+    options_fail (options, "suspect_after_ms",
+                  "expected at least two heartbeats (%u ms), found %u; one "
+                  "lost heartbeat must not make a host suspect",
+                  2 * times->heartbeat_ms, times->suspect_after_ms);
+  if (times->dead_after_ms <= times->suspect_after_ms)
+    options_fail (options, "dead_after_ms",
+                  "expected more than suspect_after_ms (%u), found %u; raise "
+                  "it",
+                  times->suspect_after_ms, times->dead_after_ms);
+  if (times->enforce_ms < 3 * times->evidence_ms)
+    options_fail (options, "enforce_ms",
+                  "expected at least three evidence_ms (%u ms), found %u; "
+                  "one lost refresh must not end an ejection",
+                  3 * times->evidence_ms, times->enforce_ms);
+  if (times->owner_lease_ms <= times->enforce_ms)
+    options_fail (options, "owner_lease_ms",
+                  "expected more than enforce_ms (%u), found %u; a new owner "
+                  "must find the old one's ejections lapsed",
+                  times->enforce_ms, times->owner_lease_ms);
+}
+
+static void
+read_times (struct options *top, struct control_times *times)
+{
+  struct options options;
+  if (!options_object (top, "times", false, &options))
+    return;
+  const struct
+  {
+    const char *key;
+    uint32_t *value;
+  } members[] = {
+    { "heartbeat_ms", &times->heartbeat_ms },
+    { "suspect_after_ms", &times->suspect_after_ms },
+    { "dead_after_ms", &times->dead_after_ms },
+    { "enforce_ms", &times->enforce_ms },
+    { "owner_lease_ms", &times->owner_lease_ms },
+    { "watch_ms", &times->watch_ms },
+    { "platform_timeout_ms", &times->platform_timeout_ms },
+    { "evidence_ms", &times->evidence_ms },
+    { "shutdown_ms", &times->shutdown_ms },
+    { "stale_after_ms", &times->stale_after_ms },
+  };
+  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
+    read_uint32 (&options, members[i].key, 10, HOUR_MS, members[i].value);
+  check_times (&options, times);
+  options_close (top, &options);
+}
+
+static void
+read_log (struct options *top, struct host_settings *settings)
+{
+  static const char *const levels[] = { "error", "warning", "info", "debug" };
+  struct options options;
+  if (!options_object (top, "log", false, &options))
+    return;
+  int level = (int)settings->log_level;
+  options_enum (&options, "level", levels, 4, &level);
+  settings->log_level = (enum log_level)level;
+  options_bool (&options, "json", &settings->log_json);
+  read_uint32 (&options, "repeats_per_second", 0, 1000000,
+               &settings->log_repeats_per_second);
+  options_close (top, &options);
+}
+
+/* Read the array KEY of addresses into rows of HOST_ADDRESS_SIZE. */
+static size_t
+read_addresses (struct options *options, const char *key,
+                char (*rows)[HOST_ADDRESS_SIZE], size_t max)
+{
+  struct json_object *array = options_array (options, key, max);
+  if (array == NULL)
+    return 0;
+  const size_t count = json_object_array_length (array);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (array, i);
+      struct json_object *holder = json_object_new_object ();
+      json_object_object_add (holder, "address", json_object_get (item));
+      char place[96];
+      snprintf (place, sizeof place, "%s%s%s[%zu]", options->place,
+                options->place[0] == '\0' ? "" : ".", key, i);
+      struct options element;
+      options_begin (&element, options->file, place, holder);
+      options_address (&element, "address", true, rows[i], HOST_ADDRESS_SIZE);
+      options_close (options, &element);
+      json_object_put (holder);
+    }
+  return count;
+}
+
+static void
+read_platform (struct options *top, struct host_settings *settings)
+{
+  struct options options;
+  if (!options_object (top, "platform", true, &options))
+    return;
+  settings->platform_address_count
+      = read_addresses (&options, "addresses", settings->platform_addresses,
+                        HOST_PLATFORM_ADDRESSES_MAX);
+  options_string (&options, "file", false, settings->platform_file,
+                  sizeof settings->platform_file);
+  const bool has_file = settings->platform_file[0] != '\0';
+  if ((settings->platform_address_count > 0) == has_file)
+    options_fail (&options, "addresses",
+                  "expected either addresses of the platform or a file, "
+                  "found %s; give exactly one",
+                  has_file ? "both" : "neither");
+  options_close (top, &options);
+}
+
+static void
+read_addresses_of_host (struct options *top, struct host_settings *settings)
+{
+  struct options options;
+  if (!options_object (top, "addresses", true, &options))
+    return;
+  options_address (&options, "caller", true, settings->caller_address,
+                   sizeof settings->caller_address);
+  options_address (&options, "peer", true, settings->peer_address,
+                   sizeof settings->peer_address);
+  options_address (&options, "operator", true, settings->operator_address,
+                   sizeof settings->operator_address);
+  options_close (top, &options);
+}
+
+static enum status
+read_host (const char *path, struct json_object *tree,
+           struct host_settings *settings)
+{
+  struct options top;
+  options_begin (&top, path, "", tree);
+  options_string (&top, "name", true, settings->name, sizeof settings->name);
+  options_string (&top, "dc", true, settings->dc, sizeof settings->dc);
+  read_addresses_of_host (&top, settings);
+  read_platform (&top, settings);
+  settings->peer_seed_count = read_addresses (
+      &top, "peers", settings->peer_seeds, HOST_PEER_SEEDS_MAX);
+  options_string (&top, "secret_file", false, settings->secret_file,
+                  sizeof settings->secret_file);
+  read_uint32 (&top, "set_hosts_per_dc", 1, 64, &settings->set_hosts_per_dc);
+  read_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
+  read_limits (&top, &settings->limits);
+  read_times (&top, &settings->times);
+  read_log (&top, settings);
+  return options_end (&top);
+}
+
+enum status
+host_settings_load (const char *path, struct host_settings *settings)
+{
+  host_settings_defaults (settings);
+  struct json_object *tree;
+  const enum status status = options_parse_file (path, &tree);
+  if (status != STATUS_OK)
+    return status;
+  const enum status read = read_host (path, tree, settings);
+  json_object_put (tree);
+  return read;
+}
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -17,6 +17,7 @@
 #define HOST_ADDRESS_SIZE 56
 #define HOST_PATH_SIZE 256
 #define HOST_PLATFORM_ADDRESSES_MAX 8
+#define HOST_PEER_SEEDS_MAX 16
 
 /** Bounds of the caller side. */
 struct caller_limits
@@ -25,7 +26,7 @@
   uint32_t header_bytes; /**< most memory of one request's head */
   uint32_t idle_timeout_ms;
   uint32_t stream_buffer_bytes; /**< per direction of one request */
-  uint32_t keep_answer_ms; /**< how long callers keep an address answer */
+  uint32_t keep_answer_ms;      /**< how long callers keep an address answer */
 };
 
 /** Times of the control plane. */
@@ -34,13 +35,13 @@
   uint32_t heartbeat_ms;
   uint32_t suspect_after_ms; /**< silence until a host isn't handed out */
   uint32_t dead_after_ms;
-  uint32_t enforce_ms; /**< how long an ejection holds without refresh */
+  uint32_t enforce_ms;     /**< how long an ejection holds without refresh */
   uint32_t owner_lease_ms; /**< an owner not heard from so long is replaced */
   uint32_t watch_ms;       /**< one waiting watch at the platform */
   uint32_t platform_timeout_ms;
-  uint32_t evidence_ms;     /**< between reports to a service's owner */
-  uint32_t shutdown_ms;     /**< most time a graceful shutdown takes */
-  uint32_t stale_after_ms;  /**< without settings news: leaves answers */
+  uint32_t evidence_ms;    /**< between reports to a service's owner */
+  uint32_t shutdown_ms;    /**< most time a graceful shutdown takes */
+  uint32_t stale_after_ms; /**< without settings news: leaves answers */
 };
 
 struct host_settings
@@ -54,6 +55,9 @@
   char platform_addresses[HOST_PLATFORM_ADDRESSES_MAX][HOST_ADDRESS_SIZE];
   size_t platform_address_count;
   char platform_file[HOST_PATH_SIZE];
+  /** Peer addresses to load settings from while the platform is down. */
+  char peer_seeds[HOST_PEER_SEEDS_MAX][HOST_ADDRESS_SIZE];
+  size_t peer_seed_count;
   char secret_file[HOST_PATH_SIZE]; /**< shared key; "" is none */
   uint32_t set_hosts_per_dc; /**< smallest host set of a service, per dc */
   uint32_t relays_per_dc;
