wire: libcurl transfers on the libev loop; contracts of the platform clients

Cause: targets and platform both need libcurl multi on the one loop, and libcurl forbids adding and removing handles within its own callbacks. curl_loop defers both, so owners may start and cancel anywhere; each transfer ends with exactly one done. service_spec gains write_id, by which a writer whose answer was lost reads back whether its write took effect.

--- /dev/null
+++ b/wire/curl_loop.c
@@ -0,0 +1,345 @@
+#include "wire/curl_loop.h"
+
+#include <assert.h>
+#include <stdbool.h>
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "base/xmalloc.h"
+
+static const double MS_PER_SECOND = 1000.0;
+
+/* One handle between curl_loop_start() and its done. */
+struct curl_transfer
+{
+  CURL *easy;
+  curl_loop_done *done;
+  void *owner;
+  bool added;     /* is in the multi handle */
+  bool cancelled; /* done is due from run_deferred() */
+  struct curl_transfer *prev;
+  struct curl_transfer *next;
+};
+
+/* One socket that libcurl wants watched. */
+struct curl_socket
+{
+  struct curl_loop *cl;
+  ev_io io;
+  struct curl_socket *prev;
+  struct curl_socket *next;
+};
+
+struct curl_loop
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  ev_prepare deferred; /* never started; only fed */
+  uint32_t depth;      /* of our calls into libcurl */
+  uint32_t running;
+  struct curl_transfer *transfers;
+  struct curl_socket *sockets;
+};
+
+static void
+defer (struct curl_loop *cl)
+{
+  ev_feed_event (cl->loop, &cl->deferred, EV_CUSTOM);
+}
+
+static void
+add (struct curl_loop *cl, struct curl_transfer *transfer)
+{
+  cl->depth++;
+  const CURLMcode code = curl_multi_add_handle (cl->multi, transfer->easy);
+  cl->depth--;
+  assert (code == CURLM_OK);
+  (void)code;
+  transfer->added = true;
+}
+
+static void
+drop (struct curl_loop *cl, struct curl_transfer *transfer)
+{
+  if (!transfer->added)
+    return;
+  cl->depth++;
+  curl_multi_remove_handle (cl->multi, transfer->easy);
+  cl->depth--;
+  transfer->added = false;
+}
+
+/* TRANSFER is out of the multi handle: hand it back. */
+static void
+finish (struct curl_loop *cl, struct curl_transfer *transfer, CURLcode code)
+{
+  CURL *easy = transfer->easy;
+  curl_loop_done *done = transfer->done;
+  void *owner = transfer->owner;
+  DL_DELETE (cl->transfers, transfer);
+  cl->running--;
+  free (transfer);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, NULL);
+  done (owner, code, easy);
+}
+
+static struct curl_transfer *
+transfer_of (CURL *easy)
+{
+  char *data = NULL;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &data);
+  return (struct curl_transfer *)data;
+}
+
+/* The done of a transfer may start, cancel and so free others: each round
+   begins at libcurl's own queue, which forgets removed handles. */
+static void
+finish_completed (struct curl_loop *cl)
+{
+  int left;
+  const CURLMsg *message;
+  while ((message = curl_multi_info_read (cl->multi, &left)) != NULL)
+    {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      const CURLcode code = message->data.result;
+      struct curl_transfer *transfer = transfer_of (message->easy_handle);
+      const bool cancelled = transfer->cancelled;
+      drop (cl, transfer);
+      finish (cl, transfer, cancelled ? CURLE_ABORTED_BY_CALLBACK : code);
+    }
+}
+
+static void
+act (struct curl_loop *cl, curl_socket_t fd, int events)
+{
+  int running;
+  cl->depth++;
+  curl_multi_socket_action (cl->multi, fd, events, &running);
+  cl->depth--;
+  finish_completed (cl);
+}
+
+static void
+on_socket (struct ev_loop *loop, ev_io *io, int events)
+{
+  const struct curl_socket *socket = io->data;
+  const int bits = ((events & EV_READ) ? CURL_CSELECT_IN : 0)
+                   | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+  act (socket->cl, io->fd, bits);
+}
+
+static void
+arm (struct curl_loop *cl, long timeout_ms)
+{
+  ev_timer_stop (cl->loop, &cl->timer);
+  if (timeout_ms < 0)
+    return;
+  ev_timer_set (&cl->timer, (double)timeout_ms / MS_PER_SECOND, 0.);
+  ev_timer_start (cl->loop, &cl->timer);
+}
+
+/* The loop's idea of now can be a little behind, so the timer may fire before
+   libcurl thinks it is time.  libcurl then does nothing and names no new
+   timeout, since its own hasn't changed, and the transfer would hang: ask for
+   the time left and arm again. */
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct curl_loop *cl = timer->data;
+  act (cl, CURL_SOCKET_TIMEOUT, 0);
+  if (ev_is_active (timer))
+    return;
+  long timeout_ms = -1;
+  curl_multi_timeout (cl->multi, &timeout_ms);
+  arm (cl, timeout_ms);
+}
+
+static int
+set_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  arm (data, timeout_ms);
+  return 0;
+}
+
+static void
+forget_socket (struct curl_loop *cl, struct curl_socket *socket)
+{
+  ev_io_stop (cl->loop, &socket->io);
+  DL_DELETE (cl->sockets, socket);
+  free (socket);
+}
+
+static struct curl_socket *
+new_socket (struct curl_loop *cl, curl_socket_t fd)
+{
+  struct curl_socket *socket = xcalloc (1, sizeof *socket);
+  socket->cl = cl;
+  ev_io_init (&socket->io, on_socket, fd, 0);
+  socket->io.data = socket;
+  DL_APPEND (cl->sockets, socket);
+  curl_multi_assign (cl->multi, fd, socket);
+  return socket;
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t fd, int what, void *data,
+              void *socket_data)
+{
+  struct curl_loop *cl = data;
+  struct curl_socket *socket = socket_data;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (socket != NULL)
+        forget_socket (cl, socket);
+      curl_multi_assign (cl->multi, fd, NULL);
+      return 0;
+    }
+  if (socket == NULL)
+    socket = new_socket (cl, fd);
+  const int events = ((what & CURL_POLL_IN) ? EV_READ : 0)
+                     | ((what & CURL_POLL_OUT) ? EV_WRITE : 0);
+  ev_io_stop (cl->loop, &socket->io);
+  ev_io_set (&socket->io, fd, events);
+  ev_io_start (cl->loop, &socket->io);
+  return 0;
+}
+
+static struct curl_transfer *
+first_cancelled (const struct curl_loop *cl)
+{
+  struct curl_transfer *transfer;
+  DL_FOREACH (cl->transfers, transfer)
+  {
+    if (transfer->cancelled)
+      return transfer;
+  }
+  return NULL;
+}
+
+/* What couldn't be done within a callback of libcurl.  A done may change the
+   list, so each round looks from its head. */
+static void
+run_deferred (struct ev_loop *loop, ev_prepare *deferred, int events)
+{
+  struct curl_loop *cl = deferred->data;
+  struct curl_transfer *transfer;
+  while ((transfer = first_cancelled (cl)) != NULL)
+    {
+      drop (cl, transfer);
+      finish (cl, transfer, CURLE_ABORTED_BY_CALLBACK);
+    }
+  DL_FOREACH (cl->transfers, transfer)
+  {
+    if (!transfer->added)
+      add (cl, transfer);
+  }
+}
+
+struct curl_loop *
+curl_loop_create (struct ev_loop *loop,
+                  const struct curl_loop_options *options)
+{
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  struct curl_loop *cl = xcalloc (1, sizeof *cl);
+  cl->loop = loop;
+  cl->multi = curl_multi_init ();
+  ev_timer_init (&cl->timer, on_timer, 0., 0.);
+  cl->timer.data = cl;
+  ev_prepare_init (&cl->deferred, run_deferred);
+  cl->deferred.data = cl;
+  curl_multi_setopt (cl->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (cl->multi, CURLMOPT_SOCKETDATA, cl);
+  curl_multi_setopt (cl->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  curl_multi_setopt (cl->multi, CURLMOPT_TIMERDATA, cl);
+  curl_multi_setopt (cl->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+  curl_multi_setopt (cl->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                     (long)options->connections_max);
+  curl_multi_setopt (cl->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     (long)options->connections_host_max);
+  if (options->connections_idle_max > 0)
+    curl_multi_setopt (cl->multi, CURLMOPT_MAXCONNECTS,
+                       (long)options->connections_idle_max);
+  return cl;
+}
+
+void
+curl_loop_destroy (struct curl_loop *cl)
+{
+  if (cl == NULL)
+    return;
+  assert (cl->depth == 0);
+  while (cl->transfers != NULL)
+    {
+      struct curl_transfer *transfer = cl->transfers;
+      drop (cl, transfer);
+      finish (cl, transfer, CURLE_ABORTED_BY_CALLBACK);
+    }
+  cl->depth++;
+  curl_multi_cleanup (cl->multi);
+  while (cl->sockets != NULL)
+    forget_socket (cl, cl->sockets);
+  ev_timer_stop (cl->loop, &cl->timer);
+  ev_clear_pending (cl->loop, &cl->deferred);
+  free (cl);
+  curl_global_cleanup ();
+}
+
+CURL *
+curl_loop_easy (void)
+{
+  CURL *easy = curl_easy_init ();
+  if (easy == NULL)
+    abort ();
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  return easy;
+}
+
+void
+curl_loop_start (struct curl_loop *cl, CURL *easy, curl_loop_done *done,
+                 void *owner)
+{
+  struct curl_transfer *transfer = xcalloc (1, sizeof *transfer);
+  transfer->easy = easy;
+  transfer->done = done;
+  transfer->owner = owner;
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
+  DL_APPEND (cl->transfers, transfer);
+  cl->running++;
+  if (cl->depth == 0)
+    add (cl, transfer);
+  else
+    defer (cl);
+}
+
+void
+curl_loop_cancel (struct curl_loop *cl, CURL *easy)
+{
+  struct curl_transfer *transfer = transfer_of (easy);
+  assert (transfer != NULL);
+  transfer->cancelled = true;
+  if (cl->depth == 0)
+    drop (cl, transfer);
+  defer (cl);
+}
+
+void
+curl_loop_pause (struct curl_loop *cl, CURL *easy, int bitmask)
+{
+  cl->depth++;
+  curl_easy_pause (easy, bitmask);
+  cl->depth--;
+}
+
+uint32_t
+curl_loop_running (const struct curl_loop *cl)
+{
+  return cl->running;
+}
--- a/wire/service_spec.h
+++ b/wire/service_spec.h
@@ -5,6 +5,7 @@
  * default, see service_spec_defaults()):
  *
  *     { "name": "holds",
+ *       "write_id": "",                      // of the last writer
  *       "prefer": "fewer-false-ejections",   // or "faster-detection"
  *       "ejection": "automatic",             // or "paused"
  *       "floor_capacity": 24,                // healthy capacity to keep
@@ -32,6 +33,7 @@
 #define SERVICE_PATH_SIZE 256
 #define SERVICE_TARGETS_MAX 1024
 #define SERVICE_ROUTES_MAX 1024
+#define SERVICE_WRITE_ID_SIZE 40
 
 /** Which error of ejection costs this service more. */
 enum service_prefer
@@ -99,6 +101,9 @@
 {
   char name[SERVICE_NAME_SIZE];
   uint64_t version; /**< of the platform's object */
+  /** Chosen anew by each writer, so that one whose answer was lost can read
+   * back whether its write took effect; "" when none. */
+  char write_id[SERVICE_WRITE_ID_SIZE];
   enum service_prefer prefer;
   bool ejection_paused;
   uint32_t floor_capacity;
@@ -109,6 +114,10 @@
   size_t route_count;
 };
 
+/** Set *SPEC to a service without name, targets and routes, all else as when
+ * it isn't set. */
+void service_spec_defaults (struct service_spec *spec);
+
 /** Parse and check TEXT; FILE is what messages call it.  On failure the
  * message names file, place, what was expected and the remedy.
  * @return in *SPEC a service that service_spec_destroy() releases. */
@@ -122,7 +131,7 @@
 void service_spec_destroy (struct service_spec *spec);
 
 /** The target called NAME, or NULL. */
-const struct target_spec *
-service_spec_target (const struct service_spec *spec, const char *name);
+const struct target_spec *service_spec_target (const struct service_spec *spec,
+                                               const char *name);
 
 #endif
