--- /dev/null
+++ b/node/tests/host_settings_test.cc
@@ -0,0 +1,115 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+
+extern "C"
+{
+#include "node/host_settings.h"
+}
+
+namespace
+{
+
+const char *const minimal
+    = "{\"name\":\"h\",\"dc\":\"d\",\"addresses\":{\"caller\":"
+      "\"127.0.0.1:1\",\"peer\":\"127.0.0.1:2\",\"operator\":"
+      "\"127.0.0.1:3\"},\"platform\":{\"addresses\":[\"127.0.0.1:4\"]}";
+
+class HostSettings : public testing::Test
+{
+protected:
+  char path[64] = "/tmp/jaystair-settings-XXXXXX";
+  host_settings settings{};
+
+  enum status
+  load (const std::string &text)
+  {
+    const int fd = mkstemp (path);
+    EXPECT_GE (fd, 0);
+    close (fd);
+    std::ofstream (path) << text;
+    const enum status status = host_settings_load (path, &settings);
+    unlink (path);
+    strcpy (path, "/tmp/jaystair-settings-XXXXXX");
+    return status;
+  }
+
+  void
+  expect_refused (const std::string &members, const char *part)
+  {
+    EXPECT_EQ (load (minimal + ("," + members) + "}"), STATUS_INVALID);
+    EXPECT_NE (strstr (status_message (), part), nullptr) << status_message ();
+  }
+};
+
+/* The shipped example tells operators the defaults.  If it drifts from the
+   code, a setting they rely on isn't what the file says. */
+TEST_F (HostSettings, ExampleMatchesTheDefaults)
+{
+  ASSERT_EQ (host_settings_load (SOURCE_DIR "/examples/host.json", &settings),
+             STATUS_OK)
+      << status_message ();
+  host_settings expected;
+  host_settings_defaults (&expected);
+  EXPECT_EQ (
+      memcmp (&settings.limits, &expected.limits, sizeof expected.limits), 0);
+  EXPECT_EQ (memcmp (&settings.times, &expected.times, sizeof expected.times),
+             0);
+  EXPECT_EQ (settings.set_hosts_per_dc, expected.set_hosts_per_dc);
+  EXPECT_EQ (settings.relays_per_dc, expected.relays_per_dc);
+  EXPECT_EQ (settings.log_level, expected.log_level);
+  EXPECT_EQ (settings.log_json, expected.log_json);
+  EXPECT_EQ (settings.log_repeats_per_second, expected.log_repeats_per_second);
+}
+
+TEST_F (HostSettings, MinimalFileIsEnough)
+{
+  EXPECT_EQ (load (std::string (minimal) + "}"), STATUS_OK)
+      << status_message ();
+  EXPECT_STREQ (settings.platform_addresses[0], "127.0.0.1:4");
+}
+
+TEST_F (HostSettings, PeersAreRead)
+{
+  EXPECT_EQ (load (std::string (minimal) + ",\"peers\":[\"127.0.0.1:9\"]}"),
+             STATUS_OK);
+  EXPECT_EQ (settings.peer_seed_count, 1u);
+  EXPECT_STREQ (settings.peer_seeds[0], "127.0.0.1:9");
+}
+
+TEST_F (HostSettings, WrongValuesNameTheRemedy)
+{
+  expect_refused ("\"nmae\":1", "nmae: no such option");
+  expect_refused ("\"peers\":[\"h:1\"]", "peers[0].address: expected IP");
+  expect_refused ("\"log\":{\"level\":\"loud\"}", "log.level: expected one");
+  expect_refused ("\"times\":{\"suspect_after_ms\":600}",
+                  "at least two heartbeats");
+  expect_refused ("\"times\":{\"dead_after_ms\":1500}",
+                  "more than suspect_after_ms");
+  expect_refused ("\"times\":{\"enforce_ms\":500}", "three evidence_ms");
+  expect_refused ("\"times\":{\"owner_lease_ms\":3000}",
+                  "more than enforce_ms");
+  expect_refused ("\"limits\":{\"connections\":0}",
+                  "limits.connections: expected a whole number");
+}
+
+TEST_F (HostSettings, PlatformIsGivenOnce)
+{
+  std::string both = minimal;
+  both.insert (both.rfind ('}'), ",\"file\":\"f.json\"");
+  EXPECT_EQ (load (both + "}"), STATUS_INVALID);
+  EXPECT_NE (strstr (status_message (), "give exactly one"), nullptr);
+}
+
+TEST_F (HostSettings, MissingFileIsNamed)
+{
+  EXPECT_EQ (host_settings_load ("/nonexistent/file", &settings),
+             STATUS_SYSTEM);
+  EXPECT_NE (strstr (status_message (), "/nonexistent/file"), nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/harness/fleet.cc
@@ -0,0 +1,290 @@
+#include "tests/harness/fleet.h"
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace
+{
+
+constexpr int caller_port = 8080;
+constexpr int peer_port = 8081;
+constexpr int operator_port = 8082;
+constexpr int platform_port = 9000;
+constexpr int target_port = 9100;
+constexpr int claim_port = 7001;
+/* Last bytes of addresses: hosts from 10 on, targets from 110 on. */
+constexpr int platform_last = 2;
+constexpr int hosts_from = 10;
+constexpr int targets_from = 110;
+
+int
+try_claim (const std::string &ip)
+{
+  const int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons (claim_port);
+  inet_pton (AF_INET, ip.c_str (), &address.sin_addr);
+  if (bind (fd, reinterpret_cast<sockaddr *> (&address), sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+} // namespace
+
+AddressBlock::AddressBlock ()
+{
+  const int start = getpid ();
+  for (int i = 0; claim_ < 0 && i < 30000; i++)
+    {
+      const int block = (start + i) % 30000;
+      prefix_ = "127." + std::to_string (1 + block / 250) + "."
+                + std::to_string (1 + block % 250) + ".";
+      claim_ = try_claim (prefix_ + "1");
+    }
+  if (claim_ < 0)
+    abort ();
+}
+
+AddressBlock::~AddressBlock ()
+{
+  close (claim_);
+}
+
+std::string
+AddressBlock::at (int last, int port) const
+{
+  return prefix_ + std::to_string (last) + ":" + std::to_string (port);
+}
+
+Fleet::Fleet (FleetOptions options) : options_ (std::move (options))
+{
+  char folder[] = "/tmp/jaystair-fleet-XXXXXX";
+  if (mkdtemp (folder) == nullptr)
+    abort ();
+  folder_ = folder;
+  hosts.resize (static_cast<size_t> (options_.hosts));
+  targets.resize (static_cast<size_t> (options_.targets));
+}
+
+Fleet::~Fleet ()
+{
+  hosts.clear ();
+  targets.clear ();
+  platform.reset ();
+  std::filesystem::remove_all (folder_);
+}
+
+std::string
+Fleet::dc_of (int number) const
+{
+  return std::string ("north-")
+         + static_cast<char> ('a' + (number - 1) % options_.dcs);
+}
+
+std::string
+Fleet::address_of (const std::string &name, const std::string &real) const
+{
+  const auto found = options_.through.find (name);
+  return found == options_.through.end () ? real : found->second;
+}
+
+std::string
+Fleet::caller_url (int host, const std::string &path) const
+{
+  return "http://" + addresses.at (hosts_from + host, caller_port) + path;
+}
+
+std::string
+Fleet::operator_url (int host, const std::string &path) const
+{
+  return "http://" + addresses.at (hosts_from + host, operator_port) + path;
+}
+
+std::string
+Fleet::target_url (int target, const std::string &path) const
+{
+  return "http://" + addresses.at (targets_from + target, target_port) + path;
+}
+
+std::string
+Fleet::platform_url (const std::string &path) const
+{
+  return "http://" + addresses.at (platform_last, platform_port) + path;
+}
+
+std::string
+Fleet::write_settings (int number)
+{
+  const std::string name = "host-" + std::to_string (number);
+  const std::string path = folder_ + "/" + name + ".json";
+  const int last = hosts_from + number;
+  std::ofstream out (path);
+  out << "{ \"name\": \"" << name << "\", \"dc\": \"" << dc_of (number)
+      << "\",\n\"addresses\": { \"caller\": \""
+      << addresses.at (last, caller_port) << "\", \"peer\": \""
+      << addresses.at (last, peer_port) << "\", \"operator\": \""
+      << addresses.at (last, operator_port) << "\" },\n"
+      << "\"platform\": { \"addresses\": [\""
+      << address_of ("platform", addresses.at (platform_last, platform_port))
+      << "\"] },\n\"peers\": [";
+  for (int other = 1; other <= options_.hosts && other <= 16; other++)
+    out << (other > 1 ? "," : "") << "\""
+        << addresses.at (hosts_from + other, peer_port) << "\"";
+  out << "],\n\"log\": { \"json\": true, \"repeats_per_second\": 0 },\n";
+  if (options_.secret)
+    {
+      std::ofstream (folder_ + "/secret") << "fleet-test-key\n";
+      out << "\"secret_file\": \"" << folder_ << "/secret\",\n";
+    }
+  out << "\"times\": {" << options_.times << "} }\n";
+  return path;
+}
+
+std::string
+Fleet::service_json () const
+{
+  std::ostringstream out;
+  out << "{\"name\":\"holds\",\"prefer\":\"" << options_.prefer
+      << "\",\"floor_capacity\":" << options_.floor << ",\"targets\":[";
+  for (int number = 1; number <= options_.targets; number++)
+    {
+      const std::string name = "target-" + std::to_string (number);
+      out << (number > 1 ? "," : "") << "{\"name\":\"" << name
+          << "\",\"address\":\""
+          << address_of (name,
+                         addresses.at (targets_from + number, target_port))
+          << "\",\"dc\":\"" << dc_of (number)
+          << "\",\"slots\":" << options_.slots << "}";
+    }
+  out << "],\"routes\":[{\"path_prefix\":\"/calendar\",\"methods\":[\"GET\"]},"
+      << "{\"path_prefix\":\"/holds\",\"methods\":[\"POST\"],"
+      << "\"repeatable\":false}]}";
+  return out.str ();
+}
+
+void
+Fleet::start_platform ()
+{
+  platform = std::make_unique<Process> (
+      std::vector<std::string>{ STANDIN_PLATFORM, "--listen",
+                                addresses.at (platform_last, platform_port) });
+}
+
+void
+Fleet::start_target (int number)
+{
+  targets[static_cast<size_t> (number - 1)]
+      = std::make_unique<Process> (std::vector<std::string>{
+          STANDIN_TARGET, "--listen",
+          addresses.at (targets_from + number, target_port), "--name",
+          "target-" + std::to_string (number) });
+}
+
+void
+Fleet::start_host (int number)
+{
+  hosts[static_cast<size_t> (number - 1)]
+      = std::make_unique<Process> (std::vector<std::string>{
+          JAYSTAIRD, "--settings", write_settings (number) });
+}
+
+bool
+Fleet::wait_serving (int number)
+{
+  const std::string url
+      = caller_url (number, "/.well-known/jaystair/addresses?service=holds");
+  return wait_until ([&] { return http_get (url).status == 200; });
+}
+
+bool
+Fleet::declare (const std::string &service_json)
+{
+  const std::string url = platform_url ("/objects/service/holds");
+  const std::string version = json_at (http_get (url).body, "version");
+  HttpRequest request;
+  request.method = "PUT";
+  request.url = url;
+  request.body = service_json;
+  request.headers
+      = { version.empty () ? "If-None-Match: *" : "If-Match: " + version };
+  return http (request).status == 200;
+}
+
+bool
+Fleet::start ()
+{
+  start_platform ();
+  for (int number = 1; number <= options_.targets; number++)
+    start_target (number);
+  bool ready = platform->wait_line ({ "listening" });
+  for (const auto &target : targets)
+    ready = ready && target->wait_line ({ "listening" });
+  ready = ready && declare (service_json ());
+  for (int number = 1; ready && number <= options_.hosts; number++)
+    start_host (number);
+  for (int number = 1; ready && number <= options_.hosts; number++)
+    ready = wait_serving (number);
+  if (!ready)
+    std::cerr << "the fleet didn't start\n" << logs ();
+  return ready;
+}
+
+bool
+Fleet::control (const std::string &url)
+{
+  HttpRequest request;
+  request.method = "POST";
+  request.url = url;
+  return http (request).status == 200;
+}
+
+int
+Fleet::runs_of (const std::string &id)
+{
+  int runs = 0;
+  for (int number = 1; number <= options_.targets; number++)
+    {
+      const HttpAnswer answer
+          = http_get (target_url (number, "/control/runs?id=" + id));
+      runs += atoi (json_at (answer.body, id).c_str ());
+    }
+  return runs;
+}
+
+std::string
+Fleet::jaystair (int host, std::vector<std::string> args, int *exit_code)
+{
+  std::vector<std::string> all
+      = { JAYSTAIR, "--host",
+          addresses.at (hosts_from + host, operator_port) };
+  if (options_.secret)
+    all.insert (all.end (), { "--secret-file", folder_ + "/secret" });
+  all.insert (all.end (), args.begin (), args.end ());
+  Process run (all);
+  const int code = run.wait ();
+  if (exit_code != nullptr)
+    *exit_code = code;
+  return run.tail (1000);
+}
+
+std::string
+Fleet::logs ()
+{
+  std::string text;
+  for (size_t i = 0; i < hosts.size (); i++)
+    if (hosts[i] != nullptr)
+      text += "--- host-" + std::to_string (i + 1) + "\n" + hosts[i]->tail ();
+  for (size_t i = 0; i < targets.size (); i++)
+    if (targets[i] != nullptr)
+      text += "--- target-" + std::to_string (i + 1) + "\n"
+              + targets[i]->tail (5);
+  return text;
+}
--- /dev/null
+++ b/tests/harness/fleet.h
@@ -0,0 +1,102 @@
+/** @file
+ * A whole small system as separate processes on loopback addresses of its
+ * own: the stand-in platform, stand-in targets, and hosts.
+ */
+#ifndef TESTS_HARNESS_FLEET_H
+#define TESTS_HARNESS_FLEET_H
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/harness/http.h"
+#include "tests/harness/process.h"
+
+/** A /24 of loopback addresses that no other test program uses. */
+class AddressBlock
+{
+public:
+  AddressBlock ();
+  ~AddressBlock ();
+  AddressBlock (const AddressBlock &) = delete;
+  AddressBlock &operator= (const AddressBlock &) = delete;
+  /** The address with the last byte LAST and this port. */
+  std::string at (int last, int port) const;
+
+private:
+  int claim_ = -1;
+  std::string prefix_;
+};
+
+/** What differs between fleets of the tests. */
+struct FleetOptions
+{
+  int hosts = 3;
+  int targets = 3;
+  int dcs = 1;
+  int slots = 4;
+  int floor = 4;
+  std::string prefer = "faster-detection";
+  /** Members added to each host's "times", as JSON members. */
+  std::string times;
+  /** Addresses put in place of the real ones ("host-1.peer", "target-2",
+   * "platform"), so that a relay can stand between. */
+  std::map<std::string, std::string> through;
+  bool secret = false;
+};
+
+class Fleet
+{
+public:
+  explicit Fleet (FleetOptions options = {});
+  ~Fleet ();
+
+  /** Start the platform and the targets, declare the service "holds"
+   * (GET /calendar repeatable, POST /holds not), start the hosts and wait
+   * until each serves it.  False with the reason on standard error. */
+  bool start ();
+
+  void start_platform ();
+  void start_target (int number);
+  void start_host (int number);
+  /** Wait until the host has the service in force. */
+  bool wait_serving (int number);
+
+  /** Change the declared service by a write at the platform itself. */
+  bool declare (const std::string &service_json);
+  /** The service "holds" as first declared. */
+  std::string service_json () const;
+
+  std::string caller_url (int host, const std::string &path) const;
+  std::string operator_url (int host, const std::string &path) const;
+  std::string target_url (int target, const std::string &path) const;
+  std::string platform_url (const std::string &path) const;
+
+  /** POST to a control endpoint of a stand-in. */
+  bool control (const std::string &url);
+  /** How often the request ID was run, over all targets. */
+  int runs_of (const std::string &id);
+  /** Run the operator program against HOST; its output, and its exit code. */
+  std::string jaystair (int host, std::vector<std::string> args,
+                        int *exit_code = nullptr);
+
+  /** The last log lines of every process, for a failure's message. */
+  std::string logs ();
+
+  AddressBlock addresses;
+  std::unique_ptr<Process> platform;
+  std::vector<std::unique_ptr<Process> > targets; /**< [number - 1] */
+  std::vector<std::unique_ptr<Process> > hosts;   /**< [number - 1] */
+
+private:
+  std::string write_settings (int number);
+  std::string dc_of (int number) const;
+  std::string address_of (const std::string &name,
+                          const std::string &real) const;
+
+  FleetOptions options_;
+  std::string folder_;
+};
+
+#endif
--- /dev/null
+++ b/tests/harness/process.cc
@@ -0,0 +1,184 @@
+#include "tests/harness/process.h"
+
+#include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace
+{
+
+constexpr std::chrono::seconds line_limit{ 60 };
+/* Conditions that no line announces (a counter at a stand-in) are looked at
+   this often. */
+constexpr std::chrono::milliseconds look_again{ 50 };
+
+std::mutex growth_mutex;
+std::condition_variable growth;
+
+bool
+holds_all (const std::string &line, const std::vector<std::string> &parts)
+{
+  for (const std::string &part : parts)
+    if (line.find (part) == std::string::npos)
+      return false;
+  return true;
+}
+
+[[noreturn]] void
+run_child (const std::vector<std::string> &args, int out)
+{
+  /* A test program that is killed must not leave its children behind. */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  dup2 (out, STDOUT_FILENO);
+  dup2 (out, STDERR_FILENO);
+  std::vector<char *> argv;
+  for (const std::string &arg : args)
+    argv.push_back (const_cast<char *> (arg.c_str ()));
+  argv.push_back (nullptr);
+  execv (argv[0], argv.data ());
+  perror (argv[0]);
+  _exit (127);
+}
+
+} // namespace
+
+void
+lines_grew ()
+{
+  growth.notify_all ();
+}
+
+bool
+wait_until (const std::function<bool ()> &condition, int limit_s)
+{
+  const auto end
+      = std::chrono::steady_clock::now () + std::chrono::seconds (limit_s);
+  while (!condition ())
+    {
+      if (std::chrono::steady_clock::now () > end)
+        return false;
+      std::unique_lock<std::mutex> lock (growth_mutex);
+      growth.wait_for (lock, look_again);
+    }
+  return true;
+}
+
+Process::Process (std::vector<std::string> args)
+{
+  int ends[2];
+  if (pipe2 (ends, O_CLOEXEC) != 0)
+    abort ();
+  pid_ = fork ();
+  if (pid_ == 0)
+    run_child (args, ends[1]);
+  close (ends[1]);
+  reader_ = std::thread ([this, fd = ends[0]] { read_lines (fd); });
+}
+
+Process::~Process ()
+{
+  kill ();
+}
+
+void
+Process::read_lines (int fd)
+{
+  FILE *in = fdopen (fd, "r");
+  char *line = nullptr;
+  size_t size = 0;
+  for (ssize_t n; (n = getline (&line, &size, in)) > 0;)
+    {
+      std::lock_guard<std::mutex> lock (mutex_);
+      lines_.emplace_back (line, static_cast<size_t> (n));
+      grown_.notify_all ();
+      lines_grew ();
+    }
+  free (line);
+  fclose (in);
+  std::lock_guard<std::mutex> lock (mutex_);
+  ended_ = true;
+  grown_.notify_all ();
+}
+
+bool
+Process::wait_line (const std::vector<std::string> &parts, size_t *from)
+{
+  std::unique_lock<std::mutex> lock (mutex_);
+  size_t at = from != nullptr ? *from : 0;
+  const auto end = std::chrono::steady_clock::now () + line_limit;
+  for (;;)
+    {
+      for (; at < lines_.size (); at++)
+        if (holds_all (lines_[at], parts))
+          {
+            if (from != nullptr)
+              *from = at + 1;
+            return true;
+          }
+      if (ended_ || grown_.wait_until (lock, end) == std::cv_status::timeout)
+        return false;
+    }
+}
+
+size_t
+Process::count_lines (const std::vector<std::string> &parts)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  size_t count = 0;
+  for (const std::string &line : lines_)
+    count += holds_all (line, parts);
+  return count;
+}
+
+size_t
+Process::line_count ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return lines_.size ();
+}
+
+std::string
+Process::tail (size_t lines)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::string text;
+  const size_t first = lines_.size () > lines ? lines_.size () - lines : 0;
+  for (size_t i = first; i < lines_.size (); i++)
+    text += lines_[i];
+  return text;
+}
+
+void
+Process::signal (int number)
+{
+  if (pid_ > 0)
+    ::kill (pid_, number);
+}
+
+int
+Process::wait ()
+{
+  if (pid_ > 0)
+    {
+      int state;
+      while (waitpid (pid_, &state, 0) < 0 && errno == EINTR)
+        continue;
+      exit_code_ = WIFEXITED (state) ? WEXITSTATUS (state) : -WTERMSIG (state);
+      pid_ = -1;
+    }
+  if (reader_.joinable ())
+    reader_.join ();
+  return exit_code_;
+}
+
+void
+Process::kill ()
+{
+  signal (SIGKILL);
+  wait ();
+}
