node/operator: the operator's side of a host

Tables, counters and commands over HTTP on the host's loop. A command needs the shared secret (compared in constant time), or loopback where there is none; it must be JSON by content type, so that a browser's form on the same machine isn't one. A command whose outcome isn't known is answered "lost-answer" and never "not accepted", also when the host leaves meanwhile.

--- /dev/null
+++ b/node/operator/operator_answer.c
@@ -0,0 +1,111 @@
+#include "node/operator/operator_answer.h"
+
+#include <stdbool.h>
+
+#include <microhttpd.h>
+
+#include "node/operator/operator_request.h"
+
+static void
+add (struct json_object *object, const char *key, struct json_object *value)
+{
+  json_object_object_add (object, key, value);
+}
+
+static void
+add_string (struct json_object *object, const char *key, const char *value)
+{
+  add (object, key, json_object_new_string (value));
+}
+
+static void
+add_version (struct json_object *object, const char *key, uint64_t version)
+{
+  if (version != OPERATOR_ANY_VERSION)
+    add (object, key, json_object_new_uint64 (version));
+}
+
+struct json_object *
+operator_answer_table (const struct operator_table_answer *answer)
+{
+  struct json_object *object = json_object_new_object ();
+  add_string (object, "host", answer->host);
+  add_string (object, "table", answer->table);
+  add (object, "rows", answer->rows);
+  add (object, "age_ms", json_object_new_int64 (answer->age_ms));
+  add (object, "not_heard_from", answer->not_heard_from);
+  return object;
+}
+
+struct json_object *
+operator_answer_failure (const char *name, const char *message)
+{
+  struct json_object *object = json_object_new_object ();
+  add_string (object, "status", name);
+  add_string (object, "message", message);
+  return object;
+}
+
+struct json_object *
+operator_answer_command (const struct operator_command *command,
+                         const struct operator_result *result)
+{
+  struct json_object *object = json_object_new_object ();
+  add_string (object, "status", status_name (result->status));
+  if (result->status != STATUS_OK)
+    add_string (object, "message",
+                result->message == NULL ? "" : result->message);
+  add_string (object, "command", operator_verb_name (command->verb));
+  add_string (object, "service", command->service);
+  if (command->target[0] != '\0')
+    add_string (object, "target", command->target);
+  if (result->status != STATUS_LOST_ANSWER)
+    add (object, "accepted",
+         json_object_new_boolean (result->status == STATUS_OK));
+  add_version (object, "acted_on_version", result->acted_on_version);
+  add_version (object, "version", result->version);
+  if (result->changed != NULL)
+    add_string (object, "changed", result->changed);
+  return object;
+}
+
+void
+operator_answer_add_in_force (struct json_object *answer,
+                              const struct operator_in_force *report)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *names = json_object_new_array ();
+  for (size_t i = 0; i < report->not_heard_from_count; i++)
+    json_object_array_add (names,
+                           json_object_new_string (report->not_heard_from[i]));
+  add (object, "hosts", json_object_new_int64 (report->hosts));
+  add (object, "in_force", json_object_new_int64 (report->in_force));
+  add (object, "not_heard_from", names);
+  add (answer, "in_force", object);
+}
+
+unsigned int
+operator_answer_http_code (enum status status)
+{
+  switch (status)
+    {
+    case STATUS_OK:
+      return MHD_HTTP_OK;
+    case STATUS_INVALID:
+      return MHD_HTTP_BAD_REQUEST;
+    case STATUS_NOT_FOUND:
+      return MHD_HTTP_NOT_FOUND;
+    case STATUS_REFUSED:
+      return MHD_HTTP_CONFLICT;
+    case STATUS_LOST_ANSWER:
+    case STATUS_TIMEOUT:
+      return MHD_HTTP_GATEWAY_TIMEOUT;
+    case STATUS_UNREACHABLE:
+    case STATUS_LIMIT:
+    case STATUS_CANCELLED:
+      return MHD_HTTP_SERVICE_UNAVAILABLE;
+    case STATUS_SYSTEM:
+      break;
+    }
+  return MHD_HTTP_INTERNAL_SERVER_ERROR;
+}
--- a/node/operator/operator_backend.h
+++ b/node/operator/operator_backend.h
@@ -12,6 +12,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <json-c/json.h>
+
 #include "base/status.h"
 #include "wire/service_spec.h"
 
@@ -80,11 +82,17 @@
   void (*change_ejection) (struct operator_backend *backend,
                            const struct operator_command *command,
                            operator_result_done *done, void *owner);
-  /** Ask the other hosts whether they have VERSION of SERVICE or a later
-   * one, for at most WITHIN_MS. */
-  void (*ask_in_force) (struct operator_backend *backend, const char *service,
+  /** Ask the other hosts whether they have what COMMAND wrote as VERSION, or
+   * a later one, for at most WITHIN_MS. */
+  void (*ask_in_force) (struct operator_backend *backend,
+                        const struct operator_command *command,
                         uint64_t version, uint32_t within_ms,
                         operator_in_force_done *done, void *owner);
+  /** How old this host's news from the platform or its relays is. */
+  int64_t (*news_age_ms) (struct operator_backend *backend);
+  /** The names of hosts believed live and not heard from lately, as a new
+   * JSON array. */
+  struct json_object *(*not_heard_from) (struct operator_backend *backend);
   /** End every call of OWNER without calling back. */
   void (*cancel) (struct operator_backend *backend, void *owner);
 };
--- /dev/null
+++ b/node/operator/operator_exchange.c
@@ -0,0 +1,145 @@
+#define LOG_MODULE "operator"
+#include "node/operator/operator_exchange.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "node/mhd_loop.h"
+#include "node/operator/operator_answer.h"
+#include "node/operator/operator_request.h"
+
+enum
+{
+  IN_FORCE_WITHIN_MS = 2000,
+};
+
+void
+operator_exchange_add_body (struct operator_exchange *exchange,
+                            const char *data, size_t size)
+{
+  const size_t room = sizeof exchange->body - exchange->body_size;
+  if (size > room)
+    {
+      exchange->body_too_large = true;
+      size = room;
+    }
+  memcpy (exchange->body + exchange->body_size, data, size);
+  exchange->body_size += size;
+}
+
+void
+operator_exchange_answer (struct operator_exchange *exchange,
+                          unsigned int http_code, struct json_object *answer)
+{
+  exchange->http_code = http_code;
+  exchange->answer = answer;
+}
+
+void
+operator_exchange_fail (struct operator_exchange *exchange, enum status status)
+{
+  operator_exchange_answer (
+      exchange, operator_answer_http_code (status),
+      operator_answer_failure (status_name (status), status_message ()));
+}
+
+static void
+wake (struct operator_exchange *exchange)
+{
+  exchange->waiting = false;
+  MHD_resume_connection (exchange->connection);
+  mhd_loop_kick (exchange->mhd_loop);
+}
+
+static void
+on_in_force (void *owner, const struct operator_in_force *report)
+{
+  struct operator_exchange *exchange = owner;
+  operator_answer_add_in_force (exchange->answer, report);
+  wake (exchange);
+}
+
+static void
+on_result (void *owner, const struct operator_result *result)
+{
+  struct operator_exchange *exchange = owner;
+  const struct operator_command *command = &exchange->command;
+  LOG_INFO ("command", LOG_STR ("command", operator_verb_name (command->verb)),
+            LOG_STR ("service", command->service),
+            LOG_STR ("target", command->target),
+            LOG_STR ("status", status_name (result->status)),
+            LOG_INT ("acted_on_version", result->acted_on_version),
+            LOG_INT ("version", result->version));
+  operator_exchange_answer (exchange,
+                            operator_answer_http_code (result->status),
+                            operator_answer_command (command, result));
+  if (result->status != STATUS_OK)
+    {
+      wake (exchange);
+      return;
+    }
+  exchange->backend->ops->ask_in_force (exchange->backend, command,
+                                        result->version, IN_FORCE_WITHIN_MS,
+                                        on_in_force, exchange);
+}
+
+void
+operator_exchange_command (struct operator_exchange *exchange)
+{
+  const struct operator_backend_ops *ops = exchange->backend->ops;
+  exchange->waiting = true;
+  exchange->suspended = true;
+  MHD_suspend_connection (exchange->connection);
+  if (operator_verb_is_ejection (exchange->command.verb))
+    ops->change_ejection (exchange->backend, &exchange->command, on_result,
+                          exchange);
+  else
+    ops->change_service (exchange->backend, &exchange->command, on_result,
+                         exchange);
+}
+
+/* Guards against telling an operator "not done" of a command that was: the
+   write may have left already, so a host that leaves can only say that it
+   doesn't know, unless the write's own answer was seen. */
+void
+operator_exchange_abandon (struct operator_exchange *exchange)
+{
+  if (!exchange->waiting)
+    return;
+  exchange->backend->ops->cancel (exchange->backend, exchange);
+  if (exchange->answer == NULL)
+    operator_exchange_fail (
+        exchange,
+        status_set (STATUS_LOST_ANSWER,
+                    "this host is leaving and the command may have taken "
+                    "effect: ask another host what is in force"));
+  wake (exchange);
+}
+
+enum MHD_Result
+operator_exchange_send (struct operator_exchange *exchange)
+{
+  const char *text = json_object_to_json_string_ext (
+      exchange->answer,
+      JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  if (response == NULL)
+    return MHD_NO;
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           "application/json");
+  const enum MHD_Result queued = MHD_queue_response (
+      exchange->connection, exchange->http_code, response);
+  MHD_destroy_response (response);
+  return queued;
+}
+
+void
+operator_exchange_destroy (struct operator_exchange *exchange)
+{
+  if (exchange->waiting)
+    exchange->backend->ops->cancel (exchange->backend, exchange);
+  json_object_put (exchange->answer);
+  free (exchange);
+}
--- /dev/null
+++ b/node/operator/operator_guard.c
@@ -0,0 +1,102 @@
+#define LOG_MODULE "operator"
+#include "node/operator/operator_guard.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <openssl/crypto.h>
+
+#include "base/log.h"
+
+static const char scheme[] = "Bearer ";
+
+static void
+warn_if_others_read (FILE *file, const char *path)
+{
+  struct stat info;
+  if (fstat (fileno (file), &info) == 0 && (info.st_mode & S_IROTH) != 0)
+    LOG_WARN ("secret-file-readable-by-others", LOG_STR ("path", path),
+              LOG_STR ("remedy", "chmod o-r"));
+}
+
+enum status
+operator_guard_load (struct operator_guard *guard, const char *path)
+{
+  memset (guard, 0, sizeof *guard);
+  if (path[0] == '\0')
+    return STATUS_OK;
+  FILE *file = fopen (path, "re");
+  if (file == NULL)
+    return status_errno ("secret_file %s can't be read: create it or leave "
+                         "the option out",
+                         path);
+  warn_if_others_read (file, path);
+  if (fgets (guard->secret, sizeof guard->secret, file) == NULL)
+    guard->secret[0] = '\0';
+  fclose (file);
+  guard->secret[strcspn (guard->secret, "\r\n")] = '\0';
+  if (strlen (guard->secret) < OPERATOR_SECRET_MIN_BYTES)
+    return status_set (STATUS_INVALID,
+                       "secret_file %s: expected a first line of at least %d "
+                       "bytes; write one with \"openssl rand -hex 32\"",
+                       path, OPERATOR_SECRET_MIN_BYTES);
+  return STATUS_OK;
+}
+
+static bool
+is_loopback (const struct sockaddr *peer)
+{
+  if (peer == NULL)
+    return false;
+  if (peer->sa_family == AF_INET)
+    {
+      const struct sockaddr_in *in = (const struct sockaddr_in *)peer;
+      return ntohl (in->sin_addr.s_addr) >> 24 == IN_LOOPBACKNET;
+    }
+  if (peer->sa_family == AF_INET6)
+    {
+      const struct sockaddr_in6 *in = (const struct sockaddr_in6 *)peer;
+      return IN6_IS_ADDR_LOOPBACK (&in->sin6_addr);
+    }
+  return false;
+}
+
+/* Guards against a secret found byte by byte: a comparison that ends at the
+   first difference takes the longer the more of a guess is right, which shows
+   in the answer times.  CRYPTO_memcmp() looks at every byte always; only the
+   length can be told from the time. */
+static bool
+same_secret (const char *secret, const char *guess)
+{
+  const size_t size = strlen (secret);
+  return strlen (guess) == size && CRYPTO_memcmp (secret, guess, size) == 0;
+}
+
+enum status
+operator_guard_check (const struct operator_guard *guard,
+                      const char *authorization, const struct sockaddr *peer)
+{
+  if (guard->secret[0] == '\0')
+    {
+      if (is_loopback (peer))
+        return STATUS_OK;
+      return status_set (STATUS_REFUSED,
+                         "this host has no secret and takes commands from "
+                         "its own machine only: set secret_file in its "
+                         "settings, or run jaystair there");
+    }
+  if (authorization == NULL)
+    return status_set (STATUS_REFUSED,
+                       "commands need the shared secret: give the file that "
+                       "holds it with --secret-file");
+  if (strncmp (authorization, scheme, sizeof scheme - 1) != 0
+      || !same_secret (guard->secret, authorization + sizeof scheme - 1))
+    return status_set (STATUS_REFUSED,
+                       "the secret isn't this host's: compare --secret-file "
+                       "with secret_file in its settings");
+  return STATUS_OK;
+}
--- /dev/null
+++ b/node/operator/operator_task.c
@@ -0,0 +1,346 @@
+#define LOG_MODULE "operator"
+#include "node/operator/operator_task.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <microhttpd.h>
+#include <utlist.h>
+
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/mhd_loop.h"
+#include "node/operator/operator_answer.h"
+#include "node/operator/operator_exchange.h"
+#include "node/operator/operator_guard.h"
+#include "node/operator/operator_request.h"
+
+enum
+{
+  CONNECTIONS_MAX = 64,
+  CONNECTION_MEMORY_BYTES = 16384,
+  CONNECTION_TIMEOUT_S = 30,
+  TABLE_NAME_SIZE = 32,
+};
+
+static const char command_path[] = "/v1/command";
+static const char metrics_path[] = "/metrics";
+static const char table_prefix[] = "/v1/";
+static const char json_content_type[] = "application/json";
+static const char metrics_content_type[] = "text/plain; version=0.0.4";
+
+struct operator_task
+{
+  struct operator_task_options options;
+  struct operator_guard guard;
+  struct MHD_Daemon *daemon;
+  struct mhd_loop *mhd_loop;
+  struct counter_family *requests;
+  struct operator_exchange *exchanges;
+};
+
+static void
+count_request (struct operator_task *task, const char *kind,
+               unsigned int http_code)
+{
+  char code[12];
+  snprintf (code, sizeof code, "%u", http_code);
+  const char *const labels[] = { kind, code };
+  counter_add (counter_series (task->requests, labels), 1);
+}
+
+static void
+answer_unknown_table (struct operator_task *task,
+                      struct operator_exchange *exchange, const char *name)
+{
+  struct json_object *names = tables_names (task->options.tables);
+  char table[TABLE_NAME_SIZE];
+  snprintf (table, sizeof table, "%s", name);
+  operator_exchange_fail (
+      exchange, status_set (STATUS_NOT_FOUND,
+                            "there is no table \"%s\": ask for one of %s",
+                            table, json_object_to_json_string (names)));
+  json_object_put (names);
+}
+
+static void
+answer_table (struct operator_task *task, struct operator_exchange *exchange,
+              const char *name)
+{
+  struct operator_backend *backend = task->options.backend;
+  struct json_object *rows = tables_read (task->options.tables, name);
+  if (rows == NULL)
+    {
+      answer_unknown_table (task, exchange, name);
+      return;
+    }
+  const struct operator_table_answer answer
+      = { .host = task->options.settings->name,
+          .table = name,
+          .rows = rows,
+          .age_ms = backend->ops->news_age_ms (backend),
+          .not_heard_from = backend->ops->not_heard_from (backend) };
+  operator_exchange_answer (exchange, MHD_HTTP_OK,
+                            operator_answer_table (&answer));
+}
+
+static enum MHD_Result
+answer_metrics (struct operator_task *task, struct MHD_Connection *connection)
+{
+  char *text = counters_expose (task->options.counters);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_FREE);
+  if (response == NULL)
+    {
+      free (text);
+      return MHD_NO;
+    }
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           metrics_content_type);
+  const enum MHD_Result queued
+      = MHD_queue_response (connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  count_request (task, "metrics", MHD_HTTP_OK);
+  return queued;
+}
+
+static bool
+is_authorised (struct operator_task *task, struct operator_exchange *exchange)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      exchange->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  const char *authorization = MHD_lookup_connection_value (
+      exchange->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+  if (operator_guard_check (&task->guard, authorization,
+                            info == NULL ? NULL : info->client_addr)
+      == STATUS_OK)
+    return true;
+  LOG_WARN ("command-not-authorised", LOG_STR ("why", status_message ()));
+  operator_exchange_answer (
+      exchange, MHD_HTTP_UNAUTHORIZED,
+      operator_answer_failure ("not-authorised", status_message ()));
+  return false;
+}
+
+/* Guards against a web page that an operator's browser shows on the same
+   machine: it can send a form to a loopback port, which would pass as a local
+   command where no secret is set.  A browser doesn't send this content type
+   across origins without asking first, and the question is refused here. */
+static bool
+is_json (struct operator_exchange *exchange)
+{
+  const char *type = MHD_lookup_connection_value (
+      exchange->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_TYPE);
+  if (type != NULL
+      && strncmp (type, json_content_type, sizeof json_content_type - 1) == 0)
+    return true;
+  operator_exchange_fail (exchange,
+                          status_set (STATUS_INVALID,
+                                      "commands are JSON: send Content-Type: "
+                                      "application/json"));
+  return false;
+}
+
+static enum status
+read_command (struct operator_task *task, struct operator_exchange *exchange)
+{
+  if (exchange->body_too_large)
+    return status_set (STATUS_INVALID,
+                       "the command is longer than %d bytes: send one command "
+                       "a request",
+                       OPERATOR_BODY_MAX_BYTES);
+  const enum status status = operator_request_parse (
+      exchange->body, exchange->body_size, &exchange->command);
+  if (status != STATUS_OK || exchange->command.service[0] != '\0')
+    return status;
+  struct json_object *rows = tables_read (task->options.tables, "targets");
+  const enum status found
+      = operator_request_resolve (rows, &exchange->command);
+  json_object_put (rows);
+  return found;
+}
+
+static void
+start_command (struct operator_task *task, struct operator_exchange *exchange)
+{
+  if (!is_authorised (task, exchange) || !is_json (exchange))
+    return;
+  const enum status status = read_command (task, exchange);
+  if (status != STATUS_OK)
+    operator_exchange_fail (exchange, status);
+  else
+    operator_exchange_command (exchange);
+}
+
+static void
+refuse_method (struct operator_exchange *exchange, const char *url)
+{
+  status_set (STATUS_INVALID,
+              "%.64s doesn't take this method: GET a table, "
+              "POST %s",
+              url, command_path);
+  operator_exchange_answer (
+      exchange, MHD_HTTP_METHOD_NOT_ALLOWED,
+      operator_answer_failure (status_name (STATUS_INVALID),
+                               status_message ()));
+}
+
+/* The whole request is there: answer it, or leave that to the backend. */
+static void
+start (struct operator_task *task, struct operator_exchange *exchange,
+       const char *url, const char *method)
+{
+  const bool is_command = strcmp (url, command_path) == 0;
+  const char *expected
+      = is_command ? MHD_HTTP_METHOD_POST : MHD_HTTP_METHOD_GET;
+  if (strcmp (method, expected) != 0)
+    refuse_method (exchange, url);
+  else if (is_command)
+    start_command (task, exchange);
+  else if (strncmp (url, table_prefix, sizeof table_prefix - 1) == 0)
+    answer_table (task, exchange, url + sizeof table_prefix - 1);
+  else
+    operator_exchange_fail (
+        exchange, status_set (STATUS_NOT_FOUND,
+                              "there is no such path: GET %sTABLE or %s, POST "
+                              "%s",
+                              table_prefix, metrics_path, command_path));
+}
+
+static struct operator_exchange *
+exchange_create (struct operator_task *task, struct MHD_Connection *connection)
+{
+  struct operator_exchange *exchange = xcalloc (1, sizeof *exchange);
+  exchange->connection = connection;
+  exchange->backend = task->options.backend;
+  exchange->mhd_loop = task->mhd_loop;
+  DL_APPEND (task->exchanges, exchange);
+  return exchange;
+}
+
+static enum MHD_Result
+on_request (void *owner, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *upload_data,
+            size_t *upload_data_size, void **request)
+{
+  struct operator_task *task = owner;
+  struct operator_exchange *exchange = *request;
+  if (exchange == NULL)
+    {
+      *request = exchange_create (task, connection);
+      return MHD_YES;
+    }
+  if (*upload_data_size > 0)
+    {
+      operator_exchange_add_body (exchange, upload_data, *upload_data_size);
+      *upload_data_size = 0;
+      return MHD_YES;
+    }
+  if (strcmp (url, metrics_path) == 0
+      && strcmp (method, MHD_HTTP_METHOD_GET) == 0)
+    return answer_metrics (task, connection);
+  if (exchange->answer == NULL)
+    start (task, exchange, url, method);
+  if (exchange->suspended)
+    {
+      /* Called again, with the answer there, once the wait is over. */
+      exchange->suspended = false;
+      return MHD_YES;
+    }
+  count_request (task, strcmp (url, command_path) == 0 ? "command" : "table",
+                 exchange->http_code);
+  return operator_exchange_send (exchange);
+}
+
+static void
+on_completed (void *owner, struct MHD_Connection *connection, void **request,
+              enum MHD_RequestTerminationCode why)
+{
+  struct operator_task *task = owner;
+  struct operator_exchange *exchange = *request;
+  if (exchange == NULL)
+    return;
+  *request = NULL;
+  DL_DELETE (task->exchanges, exchange);
+  operator_exchange_destroy (exchange);
+}
+
+static enum status
+listen_on (struct operator_task *task, const char *address)
+{
+  struct sockaddr_storage storage;
+  if (mhd_loop_address (address, &storage) == 0)
+    return status_set (STATUS_INVALID,
+                       "operator_address \"%s\": expected IP:PORT by number",
+                       address);
+  unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+  if (storage.ss_family == AF_INET6)
+    flags |= MHD_USE_IPv6;
+  task->daemon = MHD_start_daemon (
+      flags, 0, NULL, NULL, on_request, task, MHD_OPTION_SOCK_ADDR, &storage,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, task,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CONNECTION_TIMEOUT_S,
+      MHD_OPTION_END);
+  if (task->daemon == NULL)
+    return status_errno ("operator_address %s can't be bound: free the port "
+                         "or choose another",
+                         address);
+  task->mhd_loop = mhd_loop_create (task->options.loop, task->daemon);
+  return task->mhd_loop == NULL ? STATUS_SYSTEM : STATUS_OK;
+}
+
+enum status
+operator_task_create (const struct operator_task_options *options,
+                      struct operator_task **created)
+{
+  const struct host_settings *settings = options->settings;
+  const struct counter_family_options requests
+      = { .name = "jaystair_operator_requests_total",
+          .help = "Requests at the operator address, by kind and HTTP code.",
+          .kind = COUNTER_SUM,
+          .label_names = { "kind", "code" } };
+  struct operator_task *task = xcalloc (1, sizeof *task);
+  task->options = *options;
+  task->requests = counters_family (options->counters, &requests);
+  enum status status
+      = operator_guard_load (&task->guard, settings->secret_file);
+  if (status == STATUS_OK)
+    status = listen_on (task, settings->operator_address);
+  if (status != STATUS_OK)
+    {
+      operator_task_destroy (task);
+      return status;
+    }
+  LOG_INFO ("listening", LOG_STR ("address", settings->operator_address),
+            LOG_INT ("port", mhd_loop_port (task->daemon)));
+  *created = task;
+  return STATUS_OK;
+}
+
+void
+operator_task_destroy (struct operator_task *task)
+{
+  if (task == NULL)
+    return;
+  struct operator_exchange *exchange;
+  DL_FOREACH (task->exchanges, exchange)
+  {
+    operator_exchange_abandon (exchange);
+  }
+  if (task->daemon != NULL && task->exchanges != NULL)
+    MHD_run (task->daemon);
+  mhd_loop_destroy (task->mhd_loop);
+  if (task->daemon != NULL)
+    MHD_stop_daemon (task->daemon);
+  free (task);
+}
+
+uint16_t
+operator_task_port (const struct operator_task *task)
+{
+  return mhd_loop_port (task->daemon);
+}
