choice: per-service decisions, first whole version

Best of two random targets by expected cost, suspects by standing against the median of their peers, bounded queue with refusal at once, retry budget, slot shares, rules of what may be sent again.

--- /dev/null
+++ b/policy/choice/attempt_rules.c
@@ -0,0 +1,37 @@
+#include "policy/choice/attempt_rules.h"
+
+enum attempt_stage
+attempt_stage_of (enum attempt_end end)
+{
+  switch (end)
+    {
+    case ATTEMPT_NOT_SENT:
+    case ATTEMPT_SHED:
+      return STAGE_NOT_RUN;
+    case ATTEMPT_ANSWERED:
+    case ATTEMPT_FAILED:
+      return STAGE_ANSWERED;
+    case ATTEMPT_CUT:
+    case ATTEMPT_TIMED_OUT:
+    case ATTEMPT_CANCELLED:
+      return STAGE_PERHAPS_SENT;
+    }
+  return STAGE_PERHAPS_SENT;
+}
+
+bool
+attempt_may_say_not_run (enum attempt_end end)
+{
+  return attempt_stage_of (end) == STAGE_NOT_RUN;
+}
+
+/* Guards at-most-once: an unrepeatable request whose fate is unknown would
+ * run twice (two holds, two wires) if it were sent again; only a stage in
+ * which nothing ran leaves that out. */
+bool
+attempt_may_retry (enum attempt_end end, bool repeatable)
+{
+  if (end == ATTEMPT_ANSWERED || end == ATTEMPT_CANCELLED)
+    return false;
+  return repeatable || attempt_stage_of (end) == STAGE_NOT_RUN;
+}
--- /dev/null
+++ b/policy/choice/chooser.c
@@ -0,0 +1,164 @@
+#include "policy/choice/chooser.h"
+
+#include <math.h>
+
+enum
+{
+  UNKNOWN_LATENCY_US = 1000, /* of a target when nothing was measured yet */
+  FAILURE_COST = 8,          /* a failure costs so many latencies */
+  FAILURE_COST_UNREPEATABLE = 64,
+};
+
+static const double failure_cap = 0.95;
+static const double hopeless_failure = 0.9;
+
+/* The candidates: the lists of some tiers, one after the other, without the
+ * positions of targets that were tried. */
+struct candidates
+{
+  const struct target_set *set;
+  unsigned tiers;
+  uint32_t count;
+  uint32_t tried_at[POLICY_TRIED_MAX]; /* ascending */
+  uint32_t tried_count;
+};
+
+static double
+latency_us (const struct target_set *set, const struct target_state *t)
+{
+  if (t->estimate.latency_samples > 0)
+    return t->estimate.latency_us;
+  const double known_us = set->baseline.latency_us > 0
+                              ? set->baseline.latency_us
+                              : UNKNOWN_LATENCY_US;
+  return known_us + 2.0 * t->config.distance_us;
+}
+
+double
+chooser_cost_us (const struct target_set *set, const struct target_state *t,
+                 int64_t now_us, bool repeatable)
+{
+  const double busy = (double)t->in_flight / t->config.slots;
+  const double f = fmin (t->estimate.failure, failure_cap);
+  const double per_failure
+      = repeatable ? FAILURE_COST : FAILURE_COST_UNREPEATABLE;
+  const double expected_failures = f / (1 - f);
+  const double cost_us
+      = latency_us (set, t) * (1 + busy + expected_failures * per_failure);
+  return cost_us / target_state_warmth (t, now_us);
+}
+
+double
+chooser_answer_us (const struct target_set *set, const struct target_state *t)
+{
+  if (t->estimate.failure > hopeless_failure)
+    return INFINITY;
+  return latency_us (set, t) / (1 - t->estimate.failure);
+}
+
+static void
+leave_out (struct candidates *c, uint32_t at)
+{
+  uint32_t i = c->tried_count;
+  for (; i > 0 && c->tried_at[i - 1] >= at; i--)
+    if (c->tried_at[i - 1] == at)
+      return;
+  for (uint32_t j = c->tried_count; j > i; j--)
+    c->tried_at[j] = c->tried_at[j - 1];
+  c->tried_at[i] = at;
+  c->tried_count++;
+}
+
+static void
+leave_out_tried (struct candidates *c, const struct policy_request *r)
+{
+  const struct target_set *set = c->set;
+  for (uint32_t i = 0; i < r->tried_count && i < POLICY_TRIED_MAX; i++)
+    {
+      if (r->tried[i] >= set->count)
+        continue;
+      const struct target_state *t = &set->targets[r->tried[i]];
+      if (t->tier == TIER_NONE || !(c->tiers & (1u << t->tier)))
+        continue;
+      uint32_t before = 0;
+      for (unsigned tier = 0; tier < (unsigned)t->tier; tier++)
+        if (c->tiers & (1u << tier))
+          before += set->listed_count[tier];
+      leave_out (c, before + t->tier_at);
+    }
+}
+
+static struct candidates
+candidates_of (const struct target_set *set, unsigned tiers,
+               const struct policy_request *r)
+{
+  struct candidates c = { .set = set, .tiers = tiers };
+  for (unsigned tier = 0; tier < TIER_COUNT; tier++)
+    if (tiers & (1u << tier))
+      c.count += set->listed_count[tier];
+  leave_out_tried (&c, r);
+  c.count -= c.tried_count;
+  return c;
+}
+
+static uint32_t
+candidate (const struct candidates *c, uint32_t n)
+{
+  for (uint32_t i = 0; i < c->tried_count && c->tried_at[i] <= n; i++)
+    n++;
+  for (unsigned tier = 0; tier < TIER_COUNT; tier++)
+    {
+      if (!(c->tiers & (1u << tier)))
+        continue;
+      if (n < c->set->listed_count[tier])
+        return c->set->listed[tier][n];
+      n -= c->set->listed_count[tier];
+    }
+  return POLICY_NO_TARGET;
+}
+
+static uint32_t
+cheaper (const struct target_set *set, uint32_t a, uint32_t b, int64_t now_us,
+         bool repeatable)
+{
+  const double cost_a
+      = chooser_cost_us (set, &set->targets[a], now_us, repeatable);
+  const double cost_b
+      = chooser_cost_us (set, &set->targets[b], now_us, repeatable);
+  return cost_b < cost_a ? b : a;
+}
+
+struct chooser_pick
+chooser_choose (const struct target_set *set, struct rng *rng, unsigned tiers,
+                const struct policy_request *r, int64_t now_us)
+{
+  const struct candidates c = candidates_of (set, tiers, r);
+  if (c.count == 0)
+    return (struct chooser_pick){ .target = POLICY_NO_TARGET };
+  if (c.count == 1)
+    return (struct chooser_pick){ .target = candidate (&c, 0), .only = true };
+  const uint32_t first = (uint32_t)rng_below (rng, c.count);
+  uint32_t second = (uint32_t)rng_below (rng, c.count - 1);
+  if (second >= first)
+    second++;
+  return (struct chooser_pick){
+    .target = cheaper (set, candidate (&c, first), candidate (&c, second),
+                       now_us, r->repeatable),
+  };
+}
+
+bool
+chooser_all_tried (const struct target_set *set,
+                   const struct policy_request *r)
+{
+  uint32_t tried = 0;
+  for (uint32_t i = 0; i < r->tried_count && i < POLICY_TRIED_MAX; i++)
+    {
+      bool again = r->tried[i] >= set->count
+                   || !target_state_is_eligible (&set->targets[r->tried[i]]);
+      for (uint32_t j = 0; j < i; j++)
+        again = again || r->tried[j] == r->tried[i];
+      tried += (uint32_t)!again;
+    }
+  return tried == set->eligible;
+}
--- /dev/null
+++ b/policy/choice/service_rate.c
@@ -0,0 +1,48 @@
+#include "policy/choice/service_rate.h"
+
+enum
+{
+  RATE_MIN_SAMPLES = 8,
+  RATE_STALE_US = 5000000, /* an old measurement of a busy time is no use */
+  UNKNOWN_LATENCY_US = 10000,
+};
+
+static const double rate_gain = 1.0 / 32;
+
+void
+service_rate_init (struct service_rate *rate)
+{
+  *rate = (struct service_rate){ 0 };
+}
+
+void
+service_rate_end (struct service_rate *rate, int64_t now_us, bool waiting)
+{
+  const int64_t passed_us = now_us - rate->last_end_us;
+  if (passed_us >= RATE_STALE_US)
+    rate->samples = 0;
+  if (rate->busy && waiting)
+    {
+      if (rate->samples == 0)
+        rate->interval_us = (double)passed_us;
+      else
+        rate->interval_us
+            += rate_gain * ((double)passed_us - rate->interval_us);
+      rate->samples++;
+    }
+  rate->busy = waiting;
+  rate->last_end_us = now_us;
+}
+
+double
+service_rate_interval_us (const struct service_rate *rate, int64_t now_us,
+                          uint32_t in_flight, double latency_us)
+{
+  const double since_us = (double)(now_us - rate->last_end_us);
+  const bool stale = since_us >= RATE_STALE_US;
+  if (rate->samples >= RATE_MIN_SAMPLES && !stale)
+    return rate->busy && since_us > rate->interval_us ? since_us
+                                                      : rate->interval_us;
+  const double known_us = latency_us > 0 ? latency_us : UNKNOWN_LATENCY_US;
+  return known_us / (in_flight > 0 ? in_flight : 1);
+}
--- /dev/null
+++ b/policy/choice/slot_shares.c
@@ -0,0 +1,63 @@
+#include "policy/choice/slot_shares.h"
+
+#include <stdbool.h>
+
+static uint64_t
+demand_of (const uint64_t *demand, size_t i, bool equal)
+{
+  return equal ? 1 : demand[i];
+}
+
+static uint64_t
+demand_sum (const uint64_t *demand, size_t count)
+{
+  uint64_t sum = 0;
+  for (size_t i = 0; i < count; i++)
+    sum += demand[i];
+  return sum;
+}
+
+/* The host furthest below its exact share of SPARE; the first of equals, so
+ * that every host that divides gets the same result. */
+static size_t
+furthest_below (const uint64_t *demand, size_t count, bool equal,
+                uint64_t spare, uint64_t sum, const uint32_t *shares)
+{
+  size_t best = 0;
+  __int128 best_lack = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const __int128 due = (__int128)spare * demand_of (demand, i, equal);
+      const __int128 lack = due - (__int128)(shares[i] - 1) * sum;
+      if (i == 0 || lack > best_lack)
+        {
+          best = i;
+          best_lack = lack;
+        }
+    }
+  return best;
+}
+
+void
+slot_shares_divide (const struct slot_shares_options *options,
+                    const uint64_t *demand, size_t count, uint32_t *shares)
+{
+  if (count == 0)
+    return;
+  const uint64_t given
+      = (uint64_t)options->total * (100 + options->overcommit_percent) / 100;
+  const uint64_t spare = given > count ? given - count : 0;
+  const bool equal = demand_sum (demand, count) == 0;
+  const uint64_t sum = equal ? count : demand_sum (demand, count);
+  uint64_t left = spare;
+  for (size_t i = 0; i < count; i++)
+    {
+      const unsigned __int128 due
+          = (unsigned __int128)spare * demand_of (demand, i, equal);
+      const uint32_t whole = (uint32_t)(due / sum);
+      shares[i] = 1 + whole;
+      left -= whole;
+    }
+  for (; left > 0; left--)
+    shares[furthest_below (demand, count, equal, spare, sum, shares)]++;
+}
--- /dev/null
+++ b/policy/choice/target_set.c
@@ -0,0 +1,319 @@
+#include "policy/choice/target_set.h"
+
+#include <assert.h>
+#include <math.h>
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+
+static const double coldest = 0.1;
+
+bool
+target_state_is_eligible (const struct target_state *t)
+{
+  return t->config.accepts_work && !t->ejected;
+}
+
+bool
+target_state_is_suspect (const struct target_state *t)
+{
+  return t->failing || t->slow;
+}
+
+double
+target_state_warmth (const struct target_state *t, int64_t now_us)
+{
+  if (t->warm_from_us == INT64_MIN)
+    return 1;
+  const double share = (double)(now_us - t->warm_from_us) / TARGET_WARM_UP_US;
+  if (share >= 1)
+    return 1;
+  return share > coldest ? share : coldest;
+}
+
+static uint32_t
+slow_start_slots (const struct target_state *t, int64_t now_us)
+{
+  return (uint32_t)ceil (t->config.slots * target_state_warmth (t, now_us));
+}
+
+static enum target_tier
+tier_of (const struct target_state *t, int64_t now_us)
+{
+  if (!target_state_is_eligible (t) || t->in_flight >= t->config.slots)
+    return TIER_NONE;
+  if (target_state_is_suspect (t))
+    return TIER_SUSPECT;
+  if (t->in_flight >= slow_start_slots (t, now_us))
+    return TIER_WARMING;
+  return TIER_CLEAR;
+}
+
+static void
+unlist (struct target_set *set, struct target_state *t)
+{
+  if (t->tier == TIER_NONE)
+    return;
+  uint32_t *list = set->listed[t->tier];
+  const uint32_t last = list[--set->listed_count[t->tier]];
+  list[t->tier_at] = last;
+  set->targets[last].tier_at = t->tier_at;
+  t->tier = TIER_NONE;
+}
+
+static void
+place (struct target_set *set, int64_t now_us, uint32_t number)
+{
+  struct target_state *t = &set->targets[number];
+  if (t->warm_from_us != INT64_MIN
+      && now_us - t->warm_from_us >= TARGET_WARM_UP_US)
+    t->warm_from_us = INT64_MIN;
+  const enum target_tier tier = tier_of (t, now_us);
+  if (tier == t->tier)
+    return;
+  unlist (set, t);
+  if (tier == TIER_NONE)
+    return;
+  t->tier = tier;
+  t->tier_at = set->listed_count[tier]++;
+  set->listed[tier][t->tier_at] = number;
+}
+
+static void
+judge (struct target_set *set, struct target_state *t)
+{
+  const bool counted
+      = target_state_is_eligible (t) && target_state_is_suspect (t);
+  t->failing = standing_is_failing (&t->estimate, &set->baseline, t->failing,
+                                    set->prefer_faster_detection);
+  /* A cold target is slow for a while; slow start bounds what it gets. */
+  t->slow = t->warm_from_us == INT64_MIN
+            && standing_is_slow (&t->estimate, &set->baseline, t->slow,
+                                 t->config.distance_us);
+  const bool counts
+      = target_state_is_eligible (t) && target_state_is_suspect (t);
+  set->suspects += (uint32_t)counts;
+  set->suspects -= (uint32_t)counted;
+}
+
+static void
+measure_baseline (struct target_set *set)
+{
+  uint32_t used = 0;
+  for (uint32_t i = 0; i < set->count; i++)
+    {
+      const struct target_state *t = &set->targets[i];
+      if (target_state_is_eligible (t) && t->estimate.samples > 0)
+        set->scratch[used++] = t->estimate.failure;
+    }
+  set->baseline.failure = standing_median (set->scratch, used);
+  used = 0;
+  for (uint32_t i = 0; i < set->count; i++)
+    {
+      const struct target_state *t = &set->targets[i];
+      if (target_state_is_eligible (t) && t->estimate.latency_samples > 0)
+        set->scratch[used++]
+            = standing_own_latency_us (&t->estimate, t->config.distance_us);
+    }
+  set->baseline.latency_us = standing_median (set->scratch, used);
+}
+
+static void
+advance (struct target_set *set, struct target_state *t, int64_t now_us)
+{
+  double peers_us = set->baseline.latency_us;
+  if (peers_us > 0)
+    peers_us += 2.0 * t->config.distance_us;
+  target_estimate_advance (&t->estimate, now_us, peers_us);
+}
+
+static void
+refresh_all (struct target_set *set, int64_t now_us)
+{
+  set->refreshed_us = now_us;
+  set->outcomes = 0;
+  for (uint32_t i = 0; i < set->count; i++)
+    advance (set, &set->targets[i], now_us);
+  measure_baseline (set);
+  for (uint32_t i = 0; i < set->count; i++)
+    {
+      judge (set, &set->targets[i]);
+      place (set, now_us, i);
+    }
+}
+
+void
+target_set_refresh (struct target_set *set, int64_t now_us)
+{
+  uint32_t bound = TARGET_REFRESH_OUTCOMES;
+  if (bound < set->count)
+    bound = set->count;
+  if (set->outcomes >= bound
+      || now_us - set->refreshed_us >= TARGET_REFRESH_US)
+    refresh_all (set, now_us);
+}
+
+void
+target_set_init (struct target_set *set)
+{
+  *set = (struct target_set){ .refreshed_us = INT64_MIN / 2 };
+}
+
+void
+target_set_clear (struct target_set *set)
+{
+  free (set->targets);
+  free (set->scratch);
+  key_index_clear (&set->index);
+  for (int i = 0; i < TIER_COUNT; i++)
+    free (set->listed[i]);
+  target_set_init (set);
+}
+
+/* State of a target that stays; work it refused before makes it start slowly
+ * again. */
+static struct target_state
+follow (const struct target_state *old, const struct policy_target *config,
+        int64_t now_us)
+{
+  struct target_state t = *old;
+  if (config->accepts_work && !old->config.accepts_work)
+    t.warm_from_us = now_us;
+  t.config = *config;
+  return t;
+}
+
+static struct target_state
+begin (const struct policy_target *config, int64_t warm_from_us,
+       int64_t now_us)
+{
+  struct target_state t = {
+    .config = *config,
+    .warm_from_us = warm_from_us,
+  };
+  target_estimate_init (&t.estimate, now_us);
+  return t;
+}
+
+static void
+add (struct target_set *set, const struct target_state *state, uint32_t number)
+{
+  struct target_state *t = &set->targets[number];
+  *t = *state;
+  if (t->config.slots == 0)
+    t->config.slots = 1;
+  t->tier = TIER_NONE;
+  set->in_flight += t->in_flight;
+  set->eligible += (uint32_t)target_state_is_eligible (t);
+  set->suspects += (uint32_t)(target_state_is_eligible (t)
+                              && target_state_is_suspect (t));
+  key_index_add (&set->index, t->config.key, number);
+}
+
+static void
+allocate (struct target_set *set, uint32_t count)
+{
+  set->count = count;
+  set->targets = xcalloc (count + 1, sizeof *set->targets);
+  set->scratch = xcalloc (count + 1, sizeof *set->scratch);
+  for (int i = 0; i < TIER_COUNT; i++)
+    set->listed[i] = xcalloc (count + 1, sizeof *set->listed[i]);
+  key_index_init (&set->index, count);
+}
+
+void
+target_set_replace (struct target_set *set, int64_t now_us,
+                    const struct policy_target *targets, uint32_t count,
+                    uint32_t **renumbered)
+{
+  struct target_set old = *set;
+  target_set_init (set);
+  set->prefer_faster_detection = old.prefer_faster_detection;
+  set->baseline = old.baseline;
+  allocate (set, count);
+  uint32_t *numbers = xcalloc (old.count + 1, sizeof *numbers);
+  for (uint32_t i = 0; i < old.count; i++)
+    numbers[i] = POLICY_NO_TARGET;
+  /* The first targets were there before this host: they are taken as warm. */
+  const int64_t warm_from_us = old.count == 0 ? INT64_MIN : now_us;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const uint32_t before = key_index_find (&old.index, targets[i].key);
+      struct target_state t = begin (&targets[i], warm_from_us, now_us);
+      if (before != POLICY_NO_TARGET)
+        {
+          t = follow (&old.targets[before], &targets[i], now_us);
+          numbers[before] = i;
+        }
+      add (set, &t, i);
+    }
+  refresh_all (set, now_us);
+  target_set_clear (&old);
+  if (renumbered != NULL)
+    *renumbered = numbers;
+  else
+    free (numbers);
+}
+
+void
+target_set_eject (struct target_set *set, int64_t now_us, uint32_t number,
+                  bool ejected)
+{
+  struct target_state *t = &set->targets[number];
+  if (t->ejected == ejected)
+    return;
+  const uint32_t was = target_state_is_eligible (t);
+  t->ejected = ejected;
+  if (!ejected)
+    t->warm_from_us = now_us;
+  const uint32_t is = target_state_is_eligible (t);
+  set->eligible += is - was;
+  if (target_state_is_suspect (t))
+    set->suspects += is - was;
+  place (set, now_us, number);
+}
+
+void
+target_set_take (struct target_set *set, int64_t now_us, uint32_t number)
+{
+  struct target_state *t = &set->targets[number];
+  assert (target_state_is_eligible (t) && t->in_flight < t->config.slots);
+  t->in_flight++;
+  set->in_flight++;
+  place (set, now_us, number);
+}
+
+static void
+count_outcome (struct target_state *t, enum attempt_end end)
+{
+  if (end == ATTEMPT_CANCELLED)
+    return;
+  t->requests++;
+  t->failures += (uint64_t)(end != ATTEMPT_ANSWERED);
+}
+
+void
+target_set_release (struct target_set *set, int64_t now_us,
+                    const struct policy_outcome *outcome)
+{
+  struct target_state *t = &set->targets[outcome->target];
+  /* A target that left and came back while attempts were under way has lost
+   * their count; their ends must not free slots taken since. */
+  if (t->in_flight > 0)
+    {
+      t->in_flight--;
+      set->in_flight--;
+    }
+  advance (set, t, now_us);
+  target_estimate_observe (&t->estimate, outcome->end, outcome->latency_us);
+  count_outcome (t, outcome->end);
+  set->outcomes++;
+  judge (set, t);
+  place (set, now_us, outcome->target);
+}
+
+bool
+target_set_avoids_suspects (const struct target_set *set)
+{
+  return set->suspects * 2 <= set->eligible;
+}
--- /dev/null
+++ b/policy/choice/target_set.h
@@ -0,0 +1,100 @@
+/** @file
+ * The targets of one service at this host: their slots, estimates and
+ * standing, kept in tiers so that a choice costs the same for ten targets
+ * and for a thousand.
+ */
+#ifndef POLICY_CHOICE_TARGET_SET_H
+#define POLICY_CHOICE_TARGET_SET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "policy/choice/key_index.h"
+#include "policy/choice/target_estimate.h"
+#include "policy/choice/target_standing.h"
+#include "policy/service_policy.h"
+
+enum
+{
+  TARGET_WARM_UP_US = 10000000, /**< slow start of a new or returned target */
+  TARGET_REFRESH_US = 250000,   /**< most time between two looks at all */
+  TARGET_REFRESH_OUTCOMES = 32, /**< or so many outcomes, or one a target */
+};
+
+/** Where an eligible target with a free slot is listed. */
+enum target_tier
+{
+  TIER_CLEAR,   /**< in good standing */
+  TIER_WARMING, /**< at the bound of its slow start, though it has slots */
+  TIER_SUSPECT, /**< stands out from its peers */
+  TIER_COUNT,
+  TIER_NONE = TIER_COUNT, /**< not eligible, or no free slot */
+};
+
+/** One target. */
+struct target_state
+{
+  struct policy_target config;
+  struct target_estimate estimate;
+  uint32_t in_flight;
+  bool ejected;
+  bool failing;         /**< its failure share stands out */
+  bool slow;            /**< its latency stands out */
+  int64_t warm_from_us; /**< start of its warm-up; INT64_MIN: warm */
+  uint64_t requests;
+  uint64_t failures;
+  enum target_tier tier;
+  uint32_t tier_at; /**< index in the tier's list */
+};
+
+/** All targets of the service. */
+struct target_set
+{
+  struct target_state *targets;
+  uint32_t count;
+  struct key_index index;
+  uint32_t *listed[TIER_COUNT];
+  uint32_t listed_count[TIER_COUNT];
+  uint32_t eligible;
+  uint32_t suspects; /**< among the eligible, with or without room */
+  uint32_t in_flight;
+  bool prefer_faster_detection;
+  struct standing_baseline baseline;
+  int64_t refreshed_us;
+  uint32_t outcomes; /**< since the refresh */
+  double *scratch;
+};
+
+/** A set without targets. */
+void target_set_init (struct target_set *set);
+void target_set_clear (struct target_set *set);
+
+/** Replace the targets, state following the keys.  RENUMBERED, if not NULL,
+ * receives a new array from old to new numbers, for the caller to free. */
+void target_set_replace (struct target_set *set, int64_t now_us,
+                         const struct policy_target *targets, uint32_t count,
+                         uint32_t **renumbered);
+
+void target_set_eject (struct target_set *set, int64_t now_us, uint32_t number,
+                       bool ejected);
+
+/** Take a free slot of the target. */
+void target_set_take (struct target_set *set, int64_t now_us, uint32_t number);
+
+/** Give the slot back and learn from the outcome. */
+void target_set_release (struct target_set *set, int64_t now_us,
+                         const struct policy_outcome *outcome);
+
+/** Judge all targets anew when it is time; cheap otherwise. */
+void target_set_refresh (struct target_set *set, int64_t now_us);
+
+/** Are suspects avoided?  Not when they are most of the eligible. */
+bool target_set_avoids_suspects (const struct target_set *set);
+
+bool target_state_is_eligible (const struct target_state *t);
+bool target_state_is_suspect (const struct target_state *t);
+/** From 0.1 when cold to 1 when warm. */
+double target_state_warmth (const struct target_state *t, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/policy/choice/target_standing.c
@@ -0,0 +1,82 @@
+#include "policy/choice/target_standing.h"
+
+enum
+{
+  SLOW_MIN_SAMPLES = 4, /* one slow answer says little of a target */
+  SLOW_SLACK_US = 1000, /* below it, differences are noise of the network */
+};
+
+static const double failing_enter = 0.25;
+static const double failing_enter_faster = 0.18;
+static const double failing_leave = 0.10;
+static const double slow_enter = 3.0;
+static const double slow_leave = 2.0;
+
+static void
+swap (double *a, double *b)
+{
+  const double kept = *a;
+  *a = *b;
+  *b = kept;
+}
+
+/* Hoare's selection: what is left of MIDDLE is no greater than it. */
+double
+standing_median (double *values, uint32_t count)
+{
+  if (count == 0)
+    return 0;
+  const int64_t middle = (count - 1) / 2;
+  int64_t low = 0;
+  int64_t high = (int64_t)count - 1;
+  while (low < high)
+    {
+      const double pivot = values[low + (high - low) / 2];
+      int64_t i = low;
+      int64_t j = high;
+      while (i <= j)
+        {
+          while (values[i] < pivot)
+            i++;
+          while (values[j] > pivot)
+            j--;
+          if (i <= j)
+            swap (&values[i++], &values[j--]);
+        }
+      if (middle <= j)
+        high = j;
+      else if (middle >= i)
+        low = i;
+      else
+        break;
+    }
+  return values[middle];
+}
+
+bool
+standing_is_failing (const struct target_estimate *e,
+                     const struct standing_baseline *baseline, bool was,
+                     bool faster)
+{
+  const double enter = faster ? failing_enter_faster : failing_enter;
+  return e->failure - baseline->failure > (was ? failing_leave : enter);
+}
+
+double
+standing_own_latency_us (const struct target_estimate *e, uint32_t distance_us)
+{
+  const double own = e->latency_us - 2.0 * distance_us;
+  return own > 0 ? own : 0;
+}
+
+bool
+standing_is_slow (const struct target_estimate *e,
+                  const struct standing_baseline *baseline, bool was,
+                  uint32_t distance_us)
+{
+  if (e->latency_samples < SLOW_MIN_SAMPLES || baseline->latency_us <= 0)
+    return false;
+  const double own = standing_own_latency_us (e, distance_us);
+  const double ratio = was ? slow_leave : slow_enter;
+  return own > ratio * baseline->latency_us + SLOW_SLACK_US;
+}
--- /dev/null
+++ b/policy/choice/target_standing.h
@@ -0,0 +1,42 @@
+/** @file
+ * Which targets stand out from their peers.
+ *
+ * The measure is the median of the service's targets, so that a fault common
+ * to most of them (upstream, in the requests, at this host) raises the
+ * measure and makes nobody a suspect.
+ */
+#ifndef POLICY_CHOICE_TARGET_STANDING_H
+#define POLICY_CHOICE_TARGET_STANDING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "policy/choice/target_estimate.h"
+
+/** What the service's targets show in the middle; 0 before any outcome. */
+struct standing_baseline
+{
+  double latency_us;
+  double failure;
+};
+
+/** The lower median of COUNT values, which are reordered; 0 when empty. */
+double standing_median (double *values, uint32_t count);
+
+/** Does the failure share stand out?  WAS gives hysteresis; FASTER lowers
+ * the threshold. */
+bool standing_is_failing (const struct target_estimate *e,
+                          const struct standing_baseline *baseline, bool was,
+                          bool faster);
+
+/** Does the latency, without the way of DISTANCE_US there and back, stand
+ * out? */
+bool standing_is_slow (const struct target_estimate *e,
+                       const struct standing_baseline *baseline, bool was,
+                       uint32_t distance_us);
+
+/** Latency without the way to another dc and back. */
+double standing_own_latency_us (const struct target_estimate *e,
+                                uint32_t distance_us);
+
+#endif
--- /dev/null
+++ b/policy/choice/wait_queue.c
@@ -0,0 +1,201 @@
+#include "policy/choice/wait_queue.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+
+enum wait_lane
+wait_lane_of (const struct policy_request *r)
+{
+  return r->repeatable ? LANE_REPEATABLE : LANE_UNREPEATABLE;
+}
+
+void
+wait_queue_init (struct wait_queue *queue)
+{
+  *queue = (struct wait_queue){ .unused = WAIT_QUEUE_NONE };
+  for (int i = 0; i < LANE_COUNT; i++)
+    {
+      queue->oldest[i] = WAIT_QUEUE_NONE;
+      queue->newest[i] = WAIT_QUEUE_NONE;
+    }
+}
+
+void
+wait_queue_clear (struct wait_queue *queue)
+{
+  free (queue->entries);
+  free (queue->heap);
+  wait_queue_init (queue);
+}
+
+void
+wait_queue_bound (struct wait_queue *queue, uint32_t requests, uint32_t bytes)
+{
+  queue->requests_bound = requests;
+  queue->bytes_bound = bytes;
+  if (requests <= queue->size)
+    return;
+  queue->entries
+      = xreallocarray (queue->entries, requests, sizeof *queue->entries);
+  queue->heap = xreallocarray (queue->heap, requests, sizeof *queue->heap);
+  for (uint32_t i = queue->size; i < requests; i++)
+    {
+      queue->entries[i].newer = queue->unused;
+      queue->unused = i;
+    }
+  queue->size = requests;
+}
+
+bool
+wait_queue_has_room (const struct wait_queue *queue, uint32_t bytes)
+{
+  return queue->count < queue->requests_bound
+         && queue->bytes + bytes <= queue->bytes_bound;
+}
+
+static void
+heap_put (struct wait_queue *queue, uint32_t at, uint32_t entry)
+{
+  queue->heap[at] = entry;
+  queue->entries[entry].heap_at = at;
+}
+
+static int64_t
+heap_time (const struct wait_queue *queue, uint32_t at)
+{
+  return queue->entries[queue->heap[at]].give_up_us;
+}
+
+static void
+heap_up (struct wait_queue *queue, uint32_t at)
+{
+  const uint32_t entry = queue->heap[at];
+  const int64_t time_us = queue->entries[entry].give_up_us;
+  while (at > 0 && heap_time (queue, (at - 1) / 2) > time_us)
+    {
+      heap_put (queue, at, queue->heap[(at - 1) / 2]);
+      at = (at - 1) / 2;
+    }
+  heap_put (queue, at, entry);
+}
+
+static void
+heap_down (struct wait_queue *queue, uint32_t at)
+{
+  const uint32_t entry = queue->heap[at];
+  const int64_t time_us = queue->entries[entry].give_up_us;
+  for (;;)
+    {
+      uint32_t child = 2 * at + 1;
+      if (child >= queue->count)
+        break;
+      if (child + 1 < queue->count
+          && heap_time (queue, child + 1) < heap_time (queue, child))
+        child++;
+      if (heap_time (queue, child) >= time_us)
+        break;
+      heap_put (queue, at, queue->heap[child]);
+      at = child;
+    }
+  heap_put (queue, at, entry);
+}
+
+void
+wait_queue_push (struct wait_queue *queue, const struct policy_request *r,
+                 int64_t give_up_us)
+{
+  assert (queue->unused != WAIT_QUEUE_NONE);
+  const uint32_t at = queue->unused;
+  struct wait_entry *e = &queue->entries[at];
+  queue->unused = e->newer;
+  const enum wait_lane lane = wait_lane_of (r);
+  *e = (struct wait_entry){
+    .request = *r,
+    .give_up_us = give_up_us,
+    .order = queue->next_order++,
+    .newer = WAIT_QUEUE_NONE,
+    .older = queue->newest[lane],
+  };
+  if (e->older != WAIT_QUEUE_NONE)
+    queue->entries[e->older].newer = at;
+  else
+    queue->oldest[lane] = at;
+  queue->newest[lane] = at;
+  queue->bytes += r->queued_bytes;
+  queue->heap[queue->count] = at;
+  heap_up (queue, queue->count++);
+}
+
+uint32_t
+wait_queue_oldest (const struct wait_queue *queue, enum wait_lane lane)
+{
+  return queue->oldest[lane];
+}
+
+uint32_t
+wait_queue_first_given_up (const struct wait_queue *queue)
+{
+  return queue->count > 0 ? queue->heap[0] : WAIT_QUEUE_NONE;
+}
+
+uint32_t
+wait_queue_find (const struct wait_queue *queue, uint64_t request_id)
+{
+  for (uint32_t i = 0; i < queue->count; i++)
+    if (queue->entries[queue->heap[i]].request.id == request_id)
+      return queue->heap[i];
+  return WAIT_QUEUE_NONE;
+}
+
+static void
+heap_remove (struct wait_queue *queue, uint32_t at)
+{
+  const uint32_t last = queue->heap[--queue->count];
+  if (at == queue->count)
+    return;
+  heap_put (queue, at, last);
+  heap_up (queue, at);
+  heap_down (queue, queue->entries[last].heap_at);
+}
+
+void
+wait_queue_remove (struct wait_queue *queue, uint32_t entry)
+{
+  struct wait_entry *e = &queue->entries[entry];
+  const enum wait_lane lane = wait_lane_of (&e->request);
+  if (e->older != WAIT_QUEUE_NONE)
+    queue->entries[e->older].newer = e->newer;
+  else
+    queue->oldest[lane] = e->newer;
+  if (e->newer != WAIT_QUEUE_NONE)
+    queue->entries[e->newer].older = e->older;
+  else
+    queue->newest[lane] = e->older;
+  queue->bytes -= e->request.queued_bytes;
+  heap_remove (queue, e->heap_at);
+  e->newer = queue->unused;
+  queue->unused = entry;
+}
+
+static void
+renumber (struct policy_request *r, const uint32_t *numbers, uint32_t count)
+{
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < r->tried_count; i++)
+    {
+      const uint32_t old = r->tried[i];
+      if (old < count && numbers[old] != POLICY_NO_TARGET)
+        r->tried[kept++] = numbers[old];
+    }
+  r->tried_count = kept;
+}
+
+void
+wait_queue_renumber (struct wait_queue *queue, const uint32_t *numbers,
+                     uint32_t count)
+{
+  for (uint32_t i = 0; i < queue->count; i++)
+    renumber (&queue->entries[queue->heap[i]].request, numbers, count);
+}
