wire: services are parsed, checked and formatted

Every bad value names its place, what was expected and the remedy; targets of one name or address and routes that overlap are refused, since which of two routes decides on `repeatable` must not depend on their order.

--- /dev/null
+++ b/wire/service_spec.c
@@ -0,0 +1,449 @@
+#include "wire/service_spec.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "base/options.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  FLOOR_MAX = 1000000000,
+  SLOTS_MAX = 100000,
+  CONNECTIONS_MAX = 100000,
+  QUEUE_REQUESTS_MAX = 65536,
+  QUEUE_BYTES_MAX = 64 * 1024 * 1024,
+  BODY_BYTES_MAX = 1024 * 1024 * 1024,
+  TIMEOUT_MAX_MS = 60 * 60 * 1000,
+  CONNECT_TIMEOUT_MAX_MS = 60 * 1000,
+  PERCENT_MAX = 100,
+  ATTEMPTS_MAX = 8,
+
+  SLOTS_DEFAULT = 4,
+  CONNECTIONS_DEFAULT = 200,
+};
+
+static const char *const prefer_names[]
+    = { [SERVICE_PREFER_FEWER_FALSE_EJECTIONS] = "fewer-false-ejections",
+        [SERVICE_PREFER_FASTER_DETECTION] = "faster-detection" };
+
+static const char *const ejection_names[] = { "automatic", "paused" };
+
+static const char *const state_names[]
+    = { [TARGET_STATE_ACTIVE] = "active", [TARGET_STATE_DRAINED] = "drained" };
+
+/* Bit N of enum route_method is called method_names[N]. */
+static const char *const method_names[]
+    = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
+
+#define COUNT_OF(array) (sizeof (array) / sizeof (array)[0])
+
+void
+service_spec_defaults (struct service_spec *spec)
+{
+  *spec = (struct service_spec){
+    .prefer = SERVICE_PREFER_FEWER_FALSE_EJECTIONS,
+    .limits = { .queue_requests = 64,
+                .queue_bytes = 1024 * 1024,
+                .body_bytes = 1024 * 1024,
+                .timeout_ms = 10000,
+                .connect_timeout_ms = 1000,
+                .retry_percent = 10,
+                .attempts = 3 },
+  };
+}
+
+static void
+read_u32 (struct options *options, const char *key, uint32_t min, uint32_t max,
+          uint32_t *value)
+{
+  int64_t number = *value;
+  options_int (options, key, min, max, &number);
+  *value = (uint32_t)number;
+}
+
+/* Names stand in paths of URLs and in keys of logs, so they are plain. */
+static void
+read_name (struct options *options, const char *key, bool required,
+           char value[SERVICE_NAME_SIZE])
+{
+  options_string (options, key, required, value, SERVICE_NAME_SIZE);
+  for (const char *c = value; *c != '\0'; c++)
+    if (!isalnum ((unsigned char)*c) && strchr ("._-", *c) == NULL)
+      {
+        options_fail (options, key,
+                      "expected letters, digits, '.', '_' and '-', found "
+                      "\"%s\"; choose another name",
+                      value);
+        return;
+      }
+}
+
+static void
+read_target (struct options *options, struct target_spec *target)
+{
+  int state = TARGET_STATE_ACTIVE;
+  *target = (struct target_spec){ .slots = SLOTS_DEFAULT,
+                                  .connections = CONNECTIONS_DEFAULT };
+  read_name (options, "name", true, target->name);
+  options_address (options, "address", true, target->address,
+                   sizeof target->address);
+  const char *port = strrchr (target->address, ':');
+  if (port != NULL && strtoul (port + 1, NULL, 10) == 0)
+    options_fail (options, "address",
+                  "expected a port from 1 to 65535, found \"%s\"; name the "
+                  "port that the target listens on",
+                  target->address);
+  read_name (options, "dc", false, target->dc);
+  read_u32 (options, "slots", 1, SLOTS_MAX, &target->slots);
+  target->capacity = target->slots;
+  read_u32 (options, "capacity", 1, FLOOR_MAX, &target->capacity);
+  read_u32 (options, "connections", 1, CONNECTIONS_MAX, &target->connections);
+  options_enum (options, "state", state_names, COUNT_OF (state_names), &state);
+  target->state = (enum target_state)state;
+}
+
+static void
+refuse_same_target (struct options *options, const struct service_spec *spec,
+                    const struct target_spec *target)
+{
+  for (size_t i = 0; i < spec->target_count; i++)
+    {
+      const struct target_spec *other = &spec->targets[i];
+      if (strcmp (other->name, target->name) == 0)
+        options_fail (options, "name",
+                      "expected a name of its own, found \"%s\" of targets"
+                      "[%zu] again; rename or remove one",
+                      target->name, i);
+      if (strcmp (other->address, target->address) == 0)
+        options_fail (options, "address",
+                      "expected an address of its own, found \"%s\" of "
+                      "targets[%zu] again; mend or remove one",
+                      target->address, i);
+    }
+}
+
+static void
+read_targets (struct options *top, struct service_spec *spec)
+{
+  struct json_object *array
+      = options_array (top, "targets", SERVICE_TARGETS_MAX);
+  if (array == NULL)
+    {
+      options_fail (top, "targets",
+                    "expected an array of targets, found nothing; add it");
+      return;
+    }
+  const size_t count = json_object_array_length (array);
+  spec->targets = xcalloc (count + 1, sizeof *spec->targets);
+  for (size_t i = 0; i < count && top->status == STATUS_OK; i++)
+    {
+      struct options child;
+      options_element (top, "targets", array, i, &child);
+      read_target (&child, &spec->targets[i]);
+      refuse_same_target (&child, spec, &spec->targets[i]);
+      options_close (top, &child);
+      spec->target_count++;
+    }
+}
+
+static uint32_t
+method_bit (const char *name)
+{
+  for (size_t i = 0; i < COUNT_OF (method_names); i++)
+    if (strcmp (method_names[i], name) == 0)
+      return 1U << i;
+  return 0;
+}
+
+static void
+read_methods (struct options *options, struct route_spec *route)
+{
+  struct json_object *array
+      = options_array (options, "methods", COUNT_OF (method_names));
+  const size_t count = array == NULL ? 0 : json_object_array_length (array);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *node = json_object_array_get_idx (array, i);
+      const char *name = json_object_is_type (node, json_type_string)
+                             ? json_object_get_string (node)
+                             : "";
+      const uint32_t bit = method_bit (name);
+      if (bit == 0 || (route->methods & bit) != 0)
+        options_fail (options, "methods",
+                      "expected GET, HEAD, POST, PUT, DELETE, PATCH or "
+                      "OPTIONS, each once, found \"%.40s\"; leave all out "
+                      "for any method",
+                      name);
+      route->methods |= bit;
+    }
+}
+
+/* Host names compare without regard to case: keep them in one. */
+static void
+read_host (struct options *options, struct route_spec *route)
+{
+  options_string (options, "host", false, route->host, sizeof route->host);
+  for (char *c = route->host; *c != '\0'; c++)
+    {
+      *c = (char)tolower ((unsigned char)*c);
+      if (*c == ':' || *c == '/' || isspace ((unsigned char)*c))
+        {
+          options_fail (options, "host",
+                        "expected a host name without port, found \"%s\"; "
+                        "remove what isn't part of the name",
+                        route->host);
+          return;
+        }
+    }
+}
+
+static void
+read_path_prefix (struct options *options, struct route_spec *route)
+{
+  strcpy (route->path_prefix, "/");
+  options_string (options, "path_prefix", false, route->path_prefix,
+                  sizeof route->path_prefix);
+  if (route->path_prefix[0] != '/'
+      || strpbrk (route->path_prefix, "?# \t\r\n") != NULL)
+    options_fail (options, "path_prefix",
+                  "expected a path that begins with '/' and has no query, "
+                  "found \"%s\"; mend it or leave it out for \"/\"",
+                  route->path_prefix);
+}
+
+static void
+read_route (struct options *options, struct route_spec *route)
+{
+  const uint32_t safe
+      = ROUTE_METHOD_GET | ROUTE_METHOD_HEAD | ROUTE_METHOD_OPTIONS;
+  *route = (struct route_spec){ .methods = 0 };
+  read_host (options, route);
+  read_path_prefix (options, route);
+  read_methods (options, route);
+  route->repeatable = route->methods != 0 && (route->methods & ~safe) == 0;
+  options_bool (options, "repeatable", &route->repeatable);
+}
+
+static bool
+routes_overlap (const struct route_spec *a, const struct route_spec *b)
+{
+  const bool methods
+      = a->methods == 0 || b->methods == 0 || (a->methods & b->methods) != 0;
+  return methods && strcmp (a->host, b->host) == 0
+         && strcmp (a->path_prefix, b->path_prefix) == 0;
+}
+
+/* Two routes for one request could differ in `repeatable`, and which of them
+   decides would depend on their order. */
+static void
+refuse_same_route (struct options *options, const struct service_spec *spec,
+                   const struct route_spec *route)
+{
+  for (size_t i = 0; i < spec->route_count; i++)
+    if (routes_overlap (&spec->routes[i], route))
+      options_fail (options, "path_prefix",
+                    "expected one route for a host, path and method, found "
+                    "\"%s\" of routes[%zu] again; name methods that differ "
+                    "or remove one",
+                    route->path_prefix, i);
+}
+
+static void
+read_routes (struct options *top, struct service_spec *spec)
+{
+  struct json_object *array
+      = options_array (top, "routes", SERVICE_ROUTES_MAX);
+  const size_t count = array == NULL ? 0 : json_object_array_length (array);
+  spec->routes = xcalloc (count + 1, sizeof *spec->routes);
+  for (size_t i = 0; i < count && top->status == STATUS_OK; i++)
+    {
+      struct options child;
+      options_element (top, "routes", array, i, &child);
+      read_route (&child, &spec->routes[i]);
+      refuse_same_route (&child, spec, &spec->routes[i]);
+      options_close (top, &child);
+      spec->route_count++;
+    }
+}
+
+static void
+read_limits (struct options *top, struct service_limits *limits)
+{
+  struct options child;
+  if (!options_object (top, "limits", false, &child))
+    return;
+  read_u32 (&child, "queue_requests", 0, QUEUE_REQUESTS_MAX,
+            &limits->queue_requests);
+  read_u32 (&child, "queue_bytes", 0, QUEUE_BYTES_MAX, &limits->queue_bytes);
+  read_u32 (&child, "body_bytes", 0, BODY_BYTES_MAX, &limits->body_bytes);
+  read_u32 (&child, "timeout_ms", 1, TIMEOUT_MAX_MS, &limits->timeout_ms);
+  read_u32 (&child, "connect_timeout_ms", 1, CONNECT_TIMEOUT_MAX_MS,
+            &limits->connect_timeout_ms);
+  read_u32 (&child, "retry_percent", 0, PERCENT_MAX, &limits->retry_percent);
+  read_u32 (&child, "attempts", 1, ATTEMPTS_MAX, &limits->attempts);
+  options_close (top, &child);
+}
+
+static void
+read_service (struct options *top, struct service_spec *spec)
+{
+  int prefer = spec->prefer;
+  int ejection = spec->ejection_paused;
+  read_name (top, "name", true, spec->name);
+  options_string (top, "write_id", false, spec->write_id,
+                  sizeof spec->write_id);
+  options_enum (top, "prefer", prefer_names, COUNT_OF (prefer_names), &prefer);
+  options_enum (top, "ejection", ejection_names, COUNT_OF (ejection_names),
+                &ejection);
+  read_u32 (top, "floor_capacity", 0, FLOOR_MAX, &spec->floor_capacity);
+  read_targets (top, spec);
+  read_routes (top, spec);
+  read_limits (top, &spec->limits);
+  spec->prefer = (enum service_prefer)prefer;
+  spec->ejection_paused = ejection != 0;
+}
+
+enum status
+service_spec_parse (const char *file, const char *text, uint64_t version,
+                    struct service_spec **spec)
+{
+  struct json_object *tree;
+  *spec = NULL;
+  enum status status = options_parse (file, text, strlen (text), &tree);
+  if (status != STATUS_OK)
+    return status;
+  struct service_spec *service = xmalloc (sizeof *service);
+  service_spec_defaults (service);
+  service->version = version;
+  struct options top;
+  options_begin (&top, file, "", tree);
+  read_service (&top, service);
+  status = options_end (&top);
+  json_object_put (tree);
+  if (status != STATUS_OK)
+    {
+      service_spec_destroy (service);
+      return status;
+    }
+  *spec = service;
+  return STATUS_OK;
+}
+
+static void
+add_string (struct json_object *node, const char *key, const char *value)
+{
+  json_object_object_add (node, key, json_object_new_string (value));
+}
+
+static void
+add_u32 (struct json_object *node, const char *key, uint32_t value)
+{
+  json_object_object_add (node, key, json_object_new_int64 (value));
+}
+
+static struct json_object *
+format_target (const struct target_spec *target)
+{
+  struct json_object *node = json_object_new_object ();
+  add_string (node, "name", target->name);
+  add_string (node, "address", target->address);
+  add_string (node, "dc", target->dc);
+  add_u32 (node, "slots", target->slots);
+  add_u32 (node, "capacity", target->capacity);
+  add_u32 (node, "connections", target->connections);
+  add_string (node, "state", state_names[target->state]);
+  return node;
+}
+
+static struct json_object *
+format_route (const struct route_spec *route)
+{
+  struct json_object *node = json_object_new_object ();
+  struct json_object *methods = json_object_new_array ();
+  for (size_t i = 0; i < COUNT_OF (method_names); i++)
+    if ((route->methods & (1U << i)) != 0)
+      json_object_array_add (methods,
+                             json_object_new_string (method_names[i]));
+  add_string (node, "host", route->host);
+  add_string (node, "path_prefix", route->path_prefix);
+  json_object_object_add (node, "methods", methods);
+  json_object_object_add (node, "repeatable",
+                          json_object_new_boolean (route->repeatable));
+  return node;
+}
+
+static struct json_object *
+format_limits (const struct service_limits *limits)
+{
+  struct json_object *node = json_object_new_object ();
+  add_u32 (node, "queue_requests", limits->queue_requests);
+  add_u32 (node, "queue_bytes", limits->queue_bytes);
+  add_u32 (node, "body_bytes", limits->body_bytes);
+  add_u32 (node, "timeout_ms", limits->timeout_ms);
+  add_u32 (node, "connect_timeout_ms", limits->connect_timeout_ms);
+  add_u32 (node, "retry_percent", limits->retry_percent);
+  add_u32 (node, "attempts", limits->attempts);
+  return node;
+}
+
+char *
+service_spec_format (const struct service_spec *spec)
+{
+  struct json_object *top = json_object_new_object ();
+  struct json_object *targets = json_object_new_array ();
+  struct json_object *routes = json_object_new_array ();
+  for (size_t i = 0; i < spec->target_count; i++)
+    json_object_array_add (targets, format_target (&spec->targets[i]));
+  for (size_t i = 0; i < spec->route_count; i++)
+    json_object_array_add (routes, format_route (&spec->routes[i]));
+  add_string (top, "name", spec->name);
+  if (spec->write_id[0] != '\0')
+    add_string (top, "write_id", spec->write_id);
+  add_string (top, "prefer", prefer_names[spec->prefer]);
+  add_string (top, "ejection", ejection_names[spec->ejection_paused]);
+  add_u32 (top, "floor_capacity", spec->floor_capacity);
+  json_object_object_add (top, "targets", targets);
+  json_object_object_add (top, "routes", routes);
+  json_object_object_add (top, "limits", format_limits (&spec->limits));
+  char *text = xstrdup (json_object_to_json_string_ext (
+      top, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  json_object_put (top);
+  return text;
+}
+
+struct service_spec *
+service_spec_copy (const struct service_spec *spec)
+{
+  struct service_spec *copy = xmalloc (sizeof *copy);
+  *copy = *spec;
+  copy->targets = xcalloc (spec->target_count + 1, sizeof *copy->targets);
+  copy->routes = xcalloc (spec->route_count + 1, sizeof *copy->routes);
+  for (size_t i = 0; i < spec->target_count; i++)
+    copy->targets[i] = spec->targets[i];
+  for (size_t i = 0; i < spec->route_count; i++)
+    copy->routes[i] = spec->routes[i];
+  return copy;
+}
+
+void
+service_spec_destroy (struct service_spec *spec)
+{
+  if (spec == NULL)
+    return;
+  free (spec->targets);
+  free (spec->routes);
+  free (spec);
+}
+
+const struct target_spec *
+service_spec_target (const struct service_spec *spec, const char *name)
+{
+  for (size_t i = 0; i < spec->target_count; i++)
+    if (strcmp (spec->targets[i].name, name) == 0)
+      return &spec->targets[i];
+  return NULL;
+}
--- /dev/null
+++ b/wire/tests/service_spec_test.cc
@@ -0,0 +1,243 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <string>
+
+extern "C"
+{
+#include "wire/service_spec.h"
+}
+
+namespace
+{
+
+const char *const full = R"({
+  // what an operator writes
+  "name": "holds", "write_id": "w-1", "prefer": "faster-detection",
+  "ejection": "paused", "floor_capacity": 24,
+  "targets": [
+    { "name": "holds-1", "address": "127.0.0.1:9001", "dc": "north-a",
+      "slots": 5, "capacity": 7, "connections": 100, "state": "drained" },
+    { "name": "holds-2", "address": "[::1]:9002" } ],
+  "routes": [
+    { "host": "Holds.Example", "path_prefix": "/holds", "methods": ["POST"] },
+    { "host": "holds.example", "path_prefix": "/holds", "methods": ["GET"] },
+    { "path_prefix": "/any" },
+    { "methods": ["PUT"], "repeatable": true } ],
+  "limits":
+{
+  "queue_requests" : 1, "queue_bytes" : 2, "body_bytes" : 3, "timeout_ms" : 4,
+      "connect_timeout_ms" : 5, "retry_percent" : 6, "attempts" : 7
+}
+})";
+
+void
+expect_full (const struct service_spec *spec)
+{
+  EXPECT_STREQ (spec->name, "holds");
+  EXPECT_STREQ (spec->write_id, "w-1");
+  EXPECT_EQ (spec->prefer, SERVICE_PREFER_FASTER_DETECTION);
+  EXPECT_TRUE (spec->ejection_paused);
+  EXPECT_EQ (spec->floor_capacity, 24u);
+  ASSERT_EQ (spec->target_count, 2u);
+  const struct target_spec *target = service_spec_target (spec, "holds-1");
+  ASSERT_NE (target, nullptr);
+  EXPECT_STREQ (target->address, "127.0.0.1:9001");
+  EXPECT_STREQ (target->dc, "north-a");
+  EXPECT_EQ (target->slots, 5u);
+  EXPECT_EQ (target->capacity, 7u);
+  EXPECT_EQ (target->connections, 100u);
+  EXPECT_EQ (target->state, TARGET_STATE_DRAINED);
+  EXPECT_STREQ (spec->targets[1].address, "[::1]:9002");
+  EXPECT_EQ (service_spec_target (spec, "holds-3"), nullptr);
+  ASSERT_EQ (spec->route_count, 4u);
+  EXPECT_STREQ (spec->routes[0].host, "holds.example");
+  EXPECT_EQ (spec->routes[0].methods, unsigned{ ROUTE_METHOD_POST });
+  EXPECT_FALSE (spec->routes[0].repeatable);
+  EXPECT_TRUE (spec->routes[1].repeatable);
+  EXPECT_EQ (spec->routes[2].methods, 0u);
+  EXPECT_FALSE (spec->routes[2].repeatable);
+  EXPECT_TRUE (spec->routes[3].repeatable);
+  const uint32_t limits[] = { spec->limits.queue_requests,
+                              spec->limits.queue_bytes,
+                              spec->limits.body_bytes,
+                              spec->limits.timeout_ms,
+                              spec->limits.connect_timeout_ms,
+                              spec->limits.retry_percent,
+                              spec->limits.attempts };
+  for (uint32_t i = 0; i < 7; i++)
+    EXPECT_EQ (limits[i], i + 1);
+}
+
+TEST (ServiceSpec, ReadsEveryMember)
+{
+  struct service_spec *spec;
+  ASSERT_EQ (service_spec_parse ("f", full, 9, &spec), STATUS_OK)
+      << status_message ();
+  EXPECT_EQ (spec->version, 9u);
+  expect_full (spec);
+  service_spec_destroy (spec);
+}
+
+TEST (ServiceSpec, FormattedTextAndCopyAreEqual)
+{
+  struct service_spec *spec;
+  struct service_spec *again;
+  ASSERT_EQ (service_spec_parse ("f", full, 9, &spec), STATUS_OK);
+  struct service_spec *copy = service_spec_copy (spec);
+  service_spec_destroy (spec);
+  expect_full (copy);
+  char *text = service_spec_format (copy);
+  service_spec_destroy (copy);
+  ASSERT_EQ (service_spec_parse ("f", text, 9, &again), STATUS_OK)
+      << status_message ();
+  expect_full (again);
+  char *text_again = service_spec_format (again);
+  EXPECT_STREQ (text, text_again);
+  free (text);
+  free (text_again);
+  service_spec_destroy (again);
+}
+
+TEST (ServiceSpec, EveryOtherMemberHasItsDefault)
+{
+  struct service_spec *spec;
+  ASSERT_EQ (service_spec_parse ("f",
+                                 R"({"name":"a","targets":[{"name":"t",
+                                     "address":"127.0.0.1:1"
+}],
+                                     "routes":[{}]
+})",
+                                 1, &spec),
+             STATUS_OK)
+      << status_message ();
+EXPECT_STREQ (spec->write_id, "");
+EXPECT_EQ (spec->prefer, SERVICE_PREFER_FEWER_FALSE_EJECTIONS);
+EXPECT_FALSE (spec->ejection_paused);
+EXPECT_EQ (spec->floor_capacity, 0u);
+EXPECT_STREQ (spec->targets[0].dc, "");
+EXPECT_EQ (spec->targets[0].slots, 4u);
+EXPECT_EQ (spec->targets[0].capacity, 4u);
+EXPECT_EQ (spec->targets[0].connections, 200u);
+EXPECT_EQ (spec->targets[0].state, TARGET_STATE_ACTIVE);
+EXPECT_STREQ (spec->routes[0].host, "");
+EXPECT_STREQ (spec->routes[0].path_prefix, "/");
+EXPECT_EQ (spec->routes[0].methods, 0u);
+EXPECT_FALSE (spec->routes[0].repeatable);
+EXPECT_EQ (spec->limits.queue_requests, 64u);
+EXPECT_EQ (spec->limits.queue_bytes, 1048576u);
+EXPECT_EQ (spec->limits.body_bytes, 1048576u);
+EXPECT_EQ (spec->limits.timeout_ms, 10000u);
+EXPECT_EQ (spec->limits.connect_timeout_ms, 1000u);
+EXPECT_EQ (spec->limits.retry_percent, 10u);
+EXPECT_EQ (spec->limits.attempts, 3u);
+service_spec_destroy (spec);
+}
+
+TEST (ServiceSpec, CapacityIsTheSlotsUnlessSet)
+{
+  struct service_spec *spec;
+  ASSERT_EQ (service_spec_parse ("f",
+                                 R"({"name":"a","targets":[{"name":"t",
+                                     "address":"127.0.0.1:1","slots":9
+}]
+})",
+                                 1, &spec),
+             STATUS_OK);
+EXPECT_EQ (spec->targets[0].capacity, 9u);
+EXPECT_EQ (spec->route_count, 0u);
+service_spec_destroy (spec);
+}
+
+/* A service object cut short on its way must never be taken for a whole one
+   with fewer targets. */
+TEST (ServiceSpec, EveryCutTextIsRefused)
+{
+  const std::string whole = full;
+  for (size_t size = 0; size < whole.size (); size++)
+    {
+      struct service_spec *spec;
+      EXPECT_EQ (
+          service_spec_parse ("f", whole.substr (0, size).c_str (), 1, &spec),
+          STATUS_INVALID)
+          << size;
+      EXPECT_EQ (spec, nullptr);
+    }
+}
+
+struct bad_value
+{
+  const char *members; /* beside a good name and target */
+  const char *message_part;
+};
+
+class BadService : public testing::TestWithParam<bad_value>
+{
+};
+
+TEST_P (BadService, NamesPlaceAndRemedy)
+{
+  struct service_spec *spec;
+  const std::string text = std::string ("{") + GetParam ().members + "}";
+  EXPECT_EQ (service_spec_parse ("f.json", text.c_str (), 1, &spec),
+             STATUS_INVALID);
+  EXPECT_NE (strstr (status_message (), GetParam ().message_part), nullptr)
+      << status_message ();
+  EXPECT_EQ (strncmp (status_message (), "f.json: ", 8), 0);
+  EXPECT_NE (strchr (status_message (), ';'), nullptr) << status_message ();
+}
+
+#define GOOD "\"name\":\"a\",\"targets\":[]"
+#define TARGET(members)                                                       \
+  "\"name\":\"a\",\"targets\":[{\"name\":\"t\",\"address\":\"127.0.0.1:1\"}," \
+  "{" members "}]"
+#define ROUTE(members) GOOD ",\"routes\":[{" members "}]"
+#define LIMIT(member) GOOD ",\"limits\":{" member "}"
+
+INSTANTIATE_TEST_SUITE_P (
+    All, BadService,
+    testing::Values (
+        bad_value{ "\"targets\":[]",
+                   "name: expected a string, found nothing" },
+        bad_value{ "\"name\":\"a\"", "targets: expected an array" },
+        bad_value{ "\"name\":\"a/b\",\"targets\":[]",
+                   "name: expected letters" },
+        bad_value{ GOOD ",\"prefer\":\"speed\"", "prefer: expected one of" },
+        bad_value{ GOOD ",\"ejection\":\"off\"", "ejection: expected one of" },
+        bad_value{ GOOD ",\"floor_capacity\":-1", "floor_capacity: expected" },
+        bad_value{ GOOD ",\"write_id\":7", "write_id: expected a string" },
+        bad_value{ TARGET ("\"name\":\"t\",\"address\":\"127.0.0.1:2\""),
+                   "targets[1].name: expected a name of its own" },
+        bad_value{ TARGET ("\"name\":\"u\",\"address\":\"127.0.0.1:1\""),
+                   "targets[1].address: expected an address of its own" },
+        bad_value{ TARGET ("\"name\":\"u\",\"address\":\"localhost:1\""),
+                   "targets[1].address: expected IP:PORT" },
+        bad_value{ TARGET ("\"name\":\"u\",\"address\":\"127.0.0.1:0\""),
+                   "targets[1].address: expected a port" },
+        bad_value{ TARGET ("\"name\":\"u\""), "targets[1].address: expected" },
+        bad_value{ TARGET ("\"name\":\"u\",\"address\":\"127.0.0.1:2\","
+                           "\"slots\":0"),
+                   "targets[1].slots: expected" },
+        bad_value{ TARGET ("\"name\":\"u\",\"address\":\"127.0.0.1:2\","
+                           "\"capacity\":0"),
+                   "targets[1].capacity: expected" },
+        bad_value{ TARGET ("\"name\":\"u\",\"address\":\"127.0.0.1:2\","
+                           "\"state\":\"gone\""),
+                   "targets[1].state: expected one of" },
+        bad_value{ ROUTE ("\"host\":\"a:80\""), "routes[0].host: expected" },
+        bad_value{ ROUTE ("\"path_prefix\":\"x\""),
+                   "routes[0].path_prefix: expected a path" },
+        bad_value{ ROUTE ("\"methods\":[\"get\"]"),
+                   "routes[0].methods: expected GET" },
+        bad_value{ ROUTE ("\"methods\":[\"GET\",\"GET\"]"),
+                   "routes[0].methods: expected GET" },
+        bad_value{ ROUTE ("\"methods\":[\"POST\"]},{"),
+                   "routes[1].path_prefix: expected one route" },
+        bad_value{ ROUTE ("\"repeatble\":true"),
+                   "routes[0].repeatble: no such option" },
+        bad_value{ LIMIT ("\"attempts\":9"), "limits.attempts: expected" },
+        bad_value{ LIMIT ("\"timeout_ms\":0"), "limits.timeout_ms: expected" },
+        bad_value{ LIMIT ("\"queue\":1"), "limits.queue: no such option" }));
+
+} // namespace
