ctl: jaystair, the operators' program

A command that was sent and not answered ends with its own exit code, never as "unreachable": the write may have taken effect.

--- /dev/null
+++ b/ctl/addresses.h
@@ -0,0 +1,12 @@
+/** @file
+ * `addresses`: what a host answers its callers who ask which addresses to use.
+ */
+#ifndef CTL_ADDRESSES_H
+#define CTL_ADDRESSES_H
+
+#include "ctl/commands.h"
+
+enum exit_code addresses_run (const struct commands *commands,
+                              const struct statement *statement);
+
+#endif
--- /dev/null
+++ b/ctl/statement.h
@@ -0,0 +1,56 @@
+/** @file
+ * The query and command language of `jaystair`.
+ *
+ *     show TABLE [where FIELD OP VALUE [[and] FIELD OP VALUE]...]
+ *     explain target TARGET
+ *     addresses SERVICE
+ *     drain|undrain|eject|reinstate TARGET [at version N]
+ *     pause|resume ejection SERVICE [at version N]
+ *     set floor SERVICE CAPACITY [at version N]
+ *
+ * TABLE is services, targets, hosts, routes, settings, decisions, counters or
+ * ejections; OP is one of = != < > ~ (contains), with or without blanks
+ * around it.  TARGET is a target's name, or SERVICE/NAME where several
+ * services have one of that name.  Words of the language may be written in
+ * any case; names are taken as they are.
+ */
+#ifndef CTL_STATEMENT_H
+#define CTL_STATEMENT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "ctl/filter.h"
+
+#define STATEMENT_NAME_SIZE 64
+#define STATEMENT_FILTERS_MAX 16
+#define STATEMENT_WORDS_MAX 128
+
+enum statement_kind
+{
+  STATEMENT_SHOW,
+  STATEMENT_EXPLAIN,
+  STATEMENT_ADDRESSES,
+  STATEMENT_COMMAND,
+};
+
+struct statement
+{
+  enum statement_kind kind;
+  const char *table;   /**< show: the table's name in lower case */
+  const char *command; /**< command: its name in the operator's protocol */
+  struct filter filters[STATEMENT_FILTERS_MAX];
+  size_t filter_count;
+  char service[STATEMENT_NAME_SIZE]; /**< "" where the target tells it */
+  char target[STATEMENT_NAME_SIZE];  /**< "" where there is none */
+  int64_t floor;                     /**< set floor; -1: none */
+  uint64_t version;                  /**< 0: whatever is found */
+};
+
+/** Parse the COUNT words of a command line.  On failure the message says
+ * which word was met and what was expected in its place. */
+enum status statement_parse (const char *const *words, size_t count,
+                             struct statement *statement);
+
+#endif
--- a/node/tables.h
+++ b/node/tables.h
@@ -2,7 +2,10 @@
  * What a host believes, as tables that operators can read.
  *
  * Each task registers the tables it can fill; the operator side reads them by
- * name.  Rows are JSON objects with flat members.
+ * name.  Rows are JSON objects with flat members, which are called the same
+ * in all tables, so that one condition fits several: `host`, `service`,
+ * `target`, `dc`, `state`, `why`, `since_ms` (ago), `owner`, `epoch`,
+ * `version`; in "hosts" also `caller_address`.
  */
 #ifndef NODE_TABLES_H
 #define NODE_TABLES_H
