node/operator: counters as a table; ctl: explain reads newest decisions first

`show counters where counter~queue` works like any other table. Decisions come newest first, so explain shows the first rows and not the last.

--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -56,15 +56,16 @@
   return rows;
 }
 
+/** The first MOST of ROWS: decisions come newest first. */
 static struct json_object *
-last_rows (struct json_object *rows, size_t most)
+first_rows (struct json_object *rows, size_t most)
 {
-  struct json_object *last = json_object_new_array ();
+  struct json_object *first = json_object_new_array ();
   const size_t count = rows == NULL ? 0 : json_object_array_length (rows);
-  for (size_t i = count > most ? count - most : 0; i < count; i++)
+  for (size_t i = 0; i < count && i < most; i++)
     json_object_array_add (
-        last, json_object_get (json_object_array_get_idx (rows, i)));
-  return last;
+        first, json_object_get (json_object_array_get_idx (rows, i)));
+  return first;
 }
 
 static enum status
@@ -107,7 +108,9 @@
     return xasprintf ("good answers to its trial requests, or \"jaystair "
                       "reinstate %s/%s\"",
                       service, target);
-  if (strcmp (state, "suspect") == 0)
+  if (strcmp (state, "leaving") == 0)
+    return xstrdup ("the target itself, when it no longer says it is leaving");
+  if (json_member_int (findings->target, "suspect") != 0)
     return xstrdup ("good answers: it still gets a trickle of requests");
   return xstrdup ("nothing to do: it gets work");
 }
@@ -168,7 +171,7 @@
 {
   struct json_object *decisions
       = read_optional (commands, "/v1/decisions", statement);
-  findings->decisions = last_rows (decisions, DECISIONS_SHOWN);
+  findings->decisions = first_rows (decisions, DECISIONS_SHOWN);
   findings->ejections = read_optional (commands, "/v1/ejections", statement);
   json_object_put (decisions);
 }
--- a/ctl/statement.c
+++ b/ctl/statement.c
@@ -128,7 +128,7 @@
 static enum status
 take_version (struct cursor *cursor, struct statement *statement)
 {
-  int64_t version;
+  int64_t version = 0;
   if (!take_keyword (cursor, "at"))
     return STATUS_OK;
   enum status status = take_keyword_or_fail (cursor, "version");
--- a/ctl/tests/program_test.cc
+++ b/ctl/tests/program_test.cc
@@ -88,7 +88,8 @@
       "\"slots\":4},"
       "{\"service\":\"holds\",\"target\":\"holds-2\",\"state\":\"active\","
       "\"slots\":12},"
-      "{\"service\":\"a\",\"target\":\"both\",\"state\":\"active\"},"
+      "{\"service\":\"a\",\"target\":\"both\",\"state\":\"active\","
+      "\"suspect\":true},"
       "{\"service\":\"b\",\"target\":\"both\",\"state\":\"drained\"}]";
 
 TEST (Program, HelpVersionAndUsage)
@@ -140,6 +141,8 @@
   EXPECT_TRUE (contains (result.text, "EPOCH")) << result.text;
   EXPECT_TRUE (contains (run (fixture, "explain target b/both").text,
                          "jaystair undrain b/both"));
+  EXPECT_TRUE (
+      contains (run (fixture, "explain target a/both").text, "trickle"));
   EXPECT_EQ (run (fixture, "explain target both").code, EXIT_CODE_USAGE);
   EXPECT_EQ (run (fixture, "explain target x").code, EXIT_CODE_NOT_FOUND);
   EXPECT_TRUE (contains (run (fixture, "--json explain target holds-1").text,
--- /dev/null
+++ b/node/operator/counter_rows.c
@@ -0,0 +1,48 @@
+#include "node/operator/counter_rows.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counters.h"
+
+/** LINE is `name{labels} value` or `name value`; it is cut up in place. */
+static struct json_object *
+row_of (char *line)
+{
+  char *blank = strrchr (line, ' ');
+  if (blank == NULL)
+    return NULL;
+  *blank = '\0';
+  char *labels = strchr (line, '{');
+  if (labels != NULL)
+    {
+      *labels++ = '\0';
+      char *end = strrchr (labels, '}');
+      if (end != NULL)
+        *end = '\0';
+    }
+  struct json_object *row = json_object_new_object ();
+  json_object_object_add (row, "counter", json_object_new_string (line));
+  json_object_object_add (
+      row, "labels", json_object_new_string (labels == NULL ? "" : labels));
+  json_object_object_add (
+      row, "value", json_object_new_int64 (strtoll (blank + 1, NULL, 10)));
+  return row;
+}
+
+struct json_object *
+counter_rows (void *counters)
+{
+  struct json_object *rows = json_object_new_array ();
+  char *text = counters_expose (counters);
+  char *state = NULL;
+  for (char *line = strtok_r (text, "\n", &state); line != NULL;
+       line = strtok_r (NULL, "\n", &state))
+    {
+      struct json_object *row = line[0] == '#' ? NULL : row_of (line);
+      if (row != NULL)
+        json_object_array_add (rows, row);
+    }
+  free (text);
+  return rows;
+}
--- a/node/operator/operator_task.c
+++ b/node/operator/operator_task.c
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/mhd_loop.h"
+#include "node/operator/counter_rows.h"
 #include "node/operator/operator_answer.h"
 #include "node/operator/operator_exchange.h"
 #include "node/operator/operator_guard.h"
@@ -317,6 +318,8 @@
     }
   LOG_INFO ("listening", LOG_STR ("address", settings->operator_address),
             LOG_INT ("port", mhd_loop_port (task->daemon)));
+  tables_register (options->tables, "counters", counter_rows,
+                   options->counters);
   *created = task;
   return STATUS_OK;
 }
@@ -331,6 +334,7 @@
   {
     operator_exchange_abandon (exchange);
   }
+  tables_unregister (task->options.tables, task->options.counters);
   if (task->daemon != NULL && task->exchanges != NULL)
     MHD_run (task->daemon);
   mhd_loop_destroy (task->mhd_loop);
--- a/node/operator/tests/operator_task_test.cc
+++ b/node/operator/tests/operator_task_test.cc
@@ -78,6 +78,12 @@
   EXPECT_NE (answer.body.find ("jaystair_operator_requests_total{kind=\"table"
                                "\",code=\"200\"} 1\n"),
              std::string::npos);
+  const struct answer table = ask (fixture, "/v1/counters");
+  EXPECT_NE (table.body.find ("{\"counter\":\"jaystair_operator_requests_total"
+                              "\",\"labels\":\"kind=\\\"table\\\",code="
+                              "\\\"200\\\"\",\"value\":1}"),
+             std::string::npos)
+      << table.body;
 }
 
 TEST (OperatorTask, AcceptedCommandSaysWhereItIsInForce)
