detection: evidence, learned baseline, CUSUM, observers, readmission

Hosts record outcomes without allocating; the owner of a service merges their reports, learns what is normal from all targets (better half, then all that are no outliers), and tests each target by three cumulative sums: some failures, many failures, slow. A fault that one host or dc sees alone is a path fault, one that most targets show at once is upstream; neither ejects. Return is by trial requests, after probes where a service has no repeatable routes, with back-off that doubles and is forgiven.

--- /dev/null
+++ b/policy/detection/detector_state.h
@@ -0,0 +1,33 @@
+/** @file
+ * The fields of a detector, shared by its sources.  Internal.
+ */
+#ifndef POLICY_DETECTION_DETECTOR_STATE_H
+#define POLICY_DETECTION_DETECTOR_STATE_H
+
+#include "policy/detection/detector.h"
+#include "policy/detection/target.h"
+
+struct detection_detector
+{
+  struct detection_detector_options options;
+  struct readmission_options readmission;
+  struct detection_target *targets; /* by key */
+  struct baseline baseline;
+  struct detection_tests tests;
+  int64_t faded_us;
+  int64_t upstream_until_us;
+  size_t room; /* elements of each array below */
+  const struct baseline_target **learned_from;
+  struct baseline_rank *order;
+  struct detection_ejection *eject;
+  uint64_t *probe;
+  struct detection_share *shares;
+  uint64_t *reinstate;
+  struct detection_path *paths;
+  size_t path_room;
+};
+
+/** Set the tests by the baseline and the preference as they stand. */
+void detection_detector_set_tests (struct detection_detector *detector);
+
+#endif
