--- /dev/null
+++ b/node/caller/caller_context.h
@@ -0,0 +1,51 @@
+/** @file
+ * What the parts of the caller task share.
+ */
+#ifndef NODE_CALLER_CALLER_CONTEXT_H
+#define NODE_CALLER_CALLER_CONTEXT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "node/caller/caller_counters.h"
+#include "node/caller/caller_service.h"
+#include "node/caller/decision_ring.h"
+#include "node/caller/hangup_watch.h"
+#include "node/caller/host_directory.h"
+#include "node/caller/route_table.h"
+#include "node/caller/ticket_desk.h"
+#include "node/host_settings.h"
+#include "node/mhd_loop.h"
+#include "wire/curl_loop.h"
+
+struct exchange;
+
+struct caller_context
+{
+  struct ev_loop *loop;
+  const struct host_settings *settings;
+  struct curl_loop *curl;
+  struct mhd_loop *mhd_loop;
+  struct hangup_watch *hangup;
+  struct route_table *routes;
+  struct caller_service *services; /**< by name */
+  struct host_directory *directory;
+  struct ticket_desk *tickets;
+  struct caller_counters counters;
+  struct decision_ring decisions;
+  struct exchange *exchanges;          /**< all that are alive */
+  char own_address[HOST_ADDRESS_SIZE]; /**< where callers reach this host */
+  size_t address_answers;              /**< given so far */
+  uint64_t last_request_id;
+  uint32_t in_flight;
+  bool leaving;
+};
+
+/** The service called NAME, or NULL. */
+struct caller_service *
+caller_context_service (const struct caller_context *context,
+                        const char *name);
+
+#endif
--- /dev/null
+++ b/node/caller/caller_counters.c
@@ -0,0 +1,45 @@
+#include "node/caller/caller_counters.h"
+
+void
+caller_counters_init (struct caller_counters *own, struct counters *counters)
+{
+  const struct counter_family_options requests
+      = { .name = "jaystair_requests_total",
+          .help = "Requests answered, by what became of them.",
+          .label_names = { "service", "outcome" } };
+  const struct counter_family_options attempts
+      = { .name = "jaystair_attempts_total",
+          .help = "Attempts at targets, by how they ended.",
+          .label_names = { "service", "end" } };
+  const struct counter_family_options retries
+      = { .name = "jaystair_retries_total",
+          .help = "Attempts after the first one of a request.",
+          .label_names = { "service" } };
+  const struct counter_family_options refusals
+      = { .name = "jaystair_refusals_total",
+          .help = "Requests answered by the fleet itself, by reason.",
+          .label_names = { "service", "reason" } };
+  const struct counter_family_options in_flight
+      = { .name = "jaystair_requests_in_flight",
+          .help = "Requests taken in and not yet answered to the end.",
+          .kind = COUNTER_GAUGE };
+  const struct counter_family_options addresses
+      = { .name = "jaystair_address_answers_total",
+          .help = "Address answers given to callers." };
+  own->requests = counters_family (counters, &requests);
+  own->attempts = counters_family (counters, &attempts);
+  own->retries = counters_family (counters, &retries);
+  own->refusals = counters_family (counters, &refusals);
+  own->in_flight
+      = counter_series (counters_family (counters, &in_flight), NULL);
+  own->address_answers
+      = counter_series (counters_family (counters, &addresses), NULL);
+}
+
+void
+caller_counters_add (struct counter_family *family, const char *first,
+                     const char *second)
+{
+  const char *const labels[] = { first, second };
+  counter_add (counter_series (family, labels), 1);
+}
--- /dev/null
+++ b/node/caller/caller_counters.h
@@ -0,0 +1,28 @@
+/** @file
+ * What the caller side counts.
+ */
+#ifndef NODE_CALLER_CALLER_COUNTERS_H
+#define NODE_CALLER_CALLER_COUNTERS_H
+
+#include "base/counters.h"
+
+/** The families; series are looked up by their labels at each use. */
+struct caller_counters
+{
+  struct counter_family *requests; /**< by service and outcome */
+  struct counter_family *attempts; /**< by service and end */
+  struct counter_family *retries;  /**< by service */
+  struct counter_family *refusals; /**< by service and reason */
+  struct counter *in_flight;
+  struct counter *address_answers;
+};
+
+void caller_counters_init (struct caller_counters *own,
+                           struct counters *counters);
+
+/** Add one to the series of FAMILY with labels FIRST and SECOND; SECOND is
+ * NULL for a family with one label. */
+void caller_counters_add (struct counter_family *family, const char *first,
+                          const char *second);
+
+#endif
--- /dev/null
+++ b/node/caller/caller_rows.c
@@ -0,0 +1,123 @@
+#include "node/caller/caller_rows.h"
+
+static void
+add_text (struct json_object *row, const char *key, const char *text)
+{
+  json_object_object_add (row, key, json_object_new_string (text));
+}
+
+static void
+add_number (struct json_object *row, const char *key, int64_t number)
+{
+  json_object_object_add (row, key, json_object_new_int64 (number));
+}
+
+static void
+add_flag (struct json_object *row, const char *key, bool flag)
+{
+  json_object_object_add (row, key, json_object_new_boolean (flag));
+}
+
+static const char *
+target_state_name (const struct target_spec *target,
+                   const struct caller_target *state)
+{
+  if (target->state == TARGET_STATE_DRAINED)
+    return "drained";
+  if (state->leaving)
+    return "leaving";
+  return state->ejected ? "ejected" : "active";
+}
+
+static struct json_object *
+target_row (const struct caller_service *service, size_t i)
+{
+  const struct target_spec *target = &service->spec->targets[i];
+  const struct caller_target *state = &service->targets[i];
+  const struct policy_belief belief
+      = service_policy_belief (service->policy, (uint32_t)i);
+  struct json_object *row = json_object_new_object ();
+  add_text (row, "service", service->name);
+  add_text (row, "target", target->name);
+  add_text (row, "address", target->address);
+  add_text (row, "dc", target->dc);
+  add_text (row, "state", target_state_name (target, state));
+  add_number (row, "in_flight", belief.in_flight);
+  add_number (row, "latency_us", belief.latency_us);
+  add_number (row, "failure_permille", belief.failure_permille);
+  add_flag (row, "suspect", belief.suspect);
+  add_flag (row, "warming", belief.warming);
+  add_flag (row, "ejected", belief.ejected);
+  add_number (row, "requests", (int64_t)belief.requests);
+  add_number (row, "failures", (int64_t)belief.failures);
+  return row;
+}
+
+static struct json_object *
+target_rows (void *owner)
+{
+  const struct caller_context *context = owner;
+  struct json_object *rows = json_object_new_array ();
+  for (const struct caller_service *service = context->services;
+       service != NULL; service = service->hh.next)
+    for (size_t i = 0;
+         service->spec != NULL && i < service->spec->target_count; i++)
+      json_object_array_add (rows, target_row (service, i));
+  return rows;
+}
+
+static struct json_object *
+service_row (const struct caller_service *service)
+{
+  const struct service_spec *spec = service->spec;
+  struct json_object *row = json_object_new_object ();
+  add_text (row, "service", service->name);
+  add_number (row, "version", (int64_t)spec->version);
+  add_text (row, "prefer",
+            spec->prefer == SERVICE_PREFER_FASTER_DETECTION
+                ? "faster-detection"
+                : "fewer-false-ejections");
+  add_text (row, "ejection", spec->ejection_paused ? "paused" : "automatic");
+  add_number (row, "floor_capacity", spec->floor_capacity);
+  add_number (row, "targets", (int64_t)spec->target_count);
+  add_number (row, "routes", (int64_t)spec->route_count);
+  add_number (row, "hosts", (int64_t)service->host_count);
+  add_number (row, "queued", service_policy_queued (service->policy));
+  add_number (row, "in_use", service->users - 1);
+  return row;
+}
+
+static struct json_object *
+service_rows (void *owner)
+{
+  const struct caller_context *context = owner;
+  struct json_object *rows = json_object_new_array ();
+  for (const struct caller_service *service = context->services;
+       service != NULL; service = service->hh.next)
+    if (service->spec != NULL)
+      json_object_array_add (rows, service_row (service));
+  return rows;
+}
+
+static struct json_object *
+route_rows (void *owner)
+{
+  const struct caller_context *context = owner;
+  return route_table_rows (context->routes);
+}
+
+static struct json_object *
+decision_rows (void *owner)
+{
+  const struct caller_context *context = owner;
+  return decision_ring_rows (&context->decisions);
+}
+
+void
+caller_rows_register (struct tables *tables, struct caller_context *context)
+{
+  tables_register (tables, "targets", target_rows, context);
+  tables_register (tables, "services", service_rows, context);
+  tables_register (tables, "routes", route_rows, context);
+  tables_register (tables, "decisions", decision_rows, context);
+}
--- /dev/null
+++ b/node/caller/caller_server.c
@@ -0,0 +1,188 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/caller_server.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <microhttpd.h>
+#include <utlist.h>
+
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/caller/address_answer.h"
+#include "node/caller/exchange.h"
+#include "node/caller/exchange_caller.h"
+
+enum
+{
+  MS_PER_SECOND = 1000,
+  LOG_TEXT_SIZE = 256
+};
+
+struct caller_server
+{
+  struct caller_context *context;
+  struct MHD_Daemon *daemon;
+};
+
+/* The path must reach the target as the caller wrote it; this is the only
+   place where the library shows it so. */
+static void *
+on_request_line (void *owner, const char *uri,
+                 struct MHD_Connection *connection)
+{
+  return exchange_create (owner, connection, uri);
+}
+
+static enum MHD_Result
+on_head (struct exchange *x, struct MHD_Connection *connection,
+         const char *method, const char *version)
+{
+  if (address_answer_asked (x->uri))
+    {
+      x->state = EXCHANGE_OVER;
+      x->plain = true;
+      return address_answer_queue (x->context, connection, method);
+    }
+  exchange_begin (x, method, version);
+  /* A caller that waits for leave to send its body is told at once. */
+  size_t nothing = 0;
+  if (x->state == EXCHANGE_OWN && x->head.expects_continue)
+    return exchange_on_request (x, NULL, &nothing);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_access (void *owner, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload_data,
+           size_t *upload_data_size, void **state)
+{
+  struct exchange *x = *state;
+  if (x->state == EXCHANGE_NEW)
+    return on_head (x, connection, method, version);
+  return exchange_on_request (x, upload_data, upload_data_size);
+}
+
+static void
+on_completed (void *owner, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  struct exchange *x = *state;
+  *state = NULL;
+  if (x != NULL)
+    exchange_released (x, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+}
+
+static void
+on_gone (void *watched)
+{
+  struct exchange *x = watched;
+  x->caller_gone = true;
+  exchange_kick (x);
+}
+
+static void
+on_log (void *owner, const char *format, va_list arguments)
+{
+  char text[LOG_TEXT_SIZE];
+  vsnprintf (text, sizeof text, format, arguments);
+  text[strcspn (text, "\r\n")] = '\0';
+  const char *message = text;
+  LOG_WARN ("http", LOG_STR ("message", message));
+}
+
+/* Seconds are the library's unit; less than one would mean no timeout. */
+static unsigned int
+idle_seconds (const struct caller_limits *limits)
+{
+  return (limits->idle_timeout_ms + MS_PER_SECOND - 1) / MS_PER_SECOND;
+}
+
+static struct MHD_Daemon *
+start_daemon (struct caller_context *context,
+              const struct sockaddr_storage *address)
+{
+  const struct caller_limits *limits = &context->settings->limits;
+  const unsigned int family
+      = address->ss_family == AF_INET6 ? MHD_USE_IPv6 : 0;
+  /* The memory of a connection holds a request's head and an answer's. */
+  const size_t memory_bytes = (size_t)limits->header_bytes * 2;
+  return MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG | family, 0,
+      NULL, NULL, on_access, context, MHD_OPTION_EXTERNAL_LOGGER, on_log,
+      context, MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned int)limits->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      memory_bytes, MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds (limits),
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
+      on_request_line, context, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      context, MHD_OPTION_END);
+}
+
+static void
+note_address (struct caller_context *context, struct MHD_Daemon *daemon)
+{
+  const char *wanted = context->settings->caller_address;
+  const char *colon = strrchr (wanted, ':');
+  snprintf (context->own_address, sizeof context->own_address, "%.*s:%u",
+            (int)(colon - wanted), wanted, mhd_loop_port (daemon));
+}
+
+struct caller_server *
+caller_server_create (struct caller_context *context)
+{
+  const char *wanted = context->settings->caller_address;
+  struct sockaddr_storage address;
+  if (mhd_loop_address (wanted, &address) == 0)
+    {
+      status_set (STATUS_INVALID,
+                  "caller address \"%s\" is not IP:PORT: mend it", wanted);
+      return NULL;
+    }
+  struct MHD_Daemon *daemon = start_daemon (context, &address);
+  if (daemon == NULL)
+    {
+      status_errno ("can't listen for callers on %s: free the address or "
+                    "choose another",
+                    wanted);
+      return NULL;
+    }
+  context->hangup = hangup_watch_create (context->loop, on_gone);
+  context->mhd_loop = mhd_loop_create (context->loop, daemon);
+  if (context->hangup == NULL || context->mhd_loop == NULL)
+    {
+      mhd_loop_destroy (context->mhd_loop);
+      hangup_watch_destroy (context->hangup);
+      MHD_stop_daemon (daemon);
+      return NULL;
+    }
+  note_address (context, daemon);
+  struct caller_server *server = xcalloc (1, sizeof *server);
+  server->context = context;
+  server->daemon = daemon;
+  return server;
+}
+
+void
+caller_server_destroy (struct caller_server *server)
+{
+  if (server == NULL)
+    return;
+  struct caller_context *context = server->context;
+  struct exchange *x;
+  DL_FOREACH (context->exchanges, x)
+  {
+    x->caller_gone = true;
+    exchange_wake_caller (x);
+  }
+  mhd_loop_destroy (context->mhd_loop);
+  MHD_stop_daemon (server->daemon);
+  struct exchange *next;
+  DL_FOREACH_SAFE (context->exchanges, x, next)
+  {
+    exchange_released (x, false);
+  }
+  hangup_watch_destroy (context->hangup);
+  free (server);
+}
--- /dev/null
+++ b/node/caller/caller_service.c
@@ -0,0 +1,315 @@
+#include "node/caller/caller_service.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  DC_DISTANCE_US = 1500,
+  OVERCOMMIT_PERCENT = 150
+};
+
+static const double US_PER_SECOND = 1e6;
+
+static void arm_wake (struct caller_service *service);
+
+/* Hand on what the policy has decided for requests that waited. */
+static void
+run_queue (struct caller_service *service)
+{
+  struct policy_decision decision;
+  while (service_policy_next (service->policy, clock_now_us (), &decision))
+    {
+      struct caller_waiter *waiter;
+      HASH_FIND (hh, service->waiters, &decision.request_id,
+                 sizeof decision.request_id, waiter);
+      if (waiter == NULL)
+        continue;
+      HASH_DEL (service->waiters, waiter);
+      waiter->waiting = false;
+      waiter->decided (waiter, &decision);
+    }
+  arm_wake (service);
+}
+
+static void
+on_wake (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  run_queue (timer->data);
+}
+
+static void
+arm_wake (struct caller_service *service)
+{
+  ev_timer_stop (service->loop, &service->wake);
+  const int64_t wake_us = service_policy_wake_us (service->policy);
+  if (wake_us == INT64_MAX)
+    return;
+  const int64_t left_us = wake_us - clock_now_us ();
+  const double left = left_us > 0 ? (double)left_us / US_PER_SECOND : 0.;
+  ev_now_update (service->loop);
+  ev_timer_set (&service->wake, left, 0.);
+  ev_timer_start (service->loop, &service->wake);
+}
+
+struct caller_service *
+caller_service_create (struct ev_loop *loop, const char *name,
+                       const char *own_dc, uint64_t seed)
+{
+  struct caller_service *service = xcalloc (1, sizeof *service);
+  service->loop = loop;
+  strncpy (service->name, name, sizeof service->name - 1);
+  strncpy (service->own_dc, own_dc, sizeof service->own_dc - 1);
+  service->seed = hash_pair (seed, hash_string (name));
+  service->users = 1;
+  service->recorder = detection_recorder_create ();
+  ev_timer_init (&service->wake, on_wake, 0., 0.);
+  service->wake.data = service;
+  return service;
+}
+
+void
+caller_service_use (struct caller_service *service)
+{
+  service->users++;
+}
+
+void
+caller_service_leave (struct caller_service *service)
+{
+  if (--service->users > 0)
+    return;
+  ev_timer_stop (service->loop, &service->wake);
+  service_policy_destroy (service->policy);
+  detection_recorder_destroy (service->recorder);
+  service_spec_destroy (service->spec);
+  free (service->targets);
+  free (service->hosts);
+  free (service);
+}
+
+void
+caller_service_remove (struct caller_service *service)
+{
+  service->removed = true;
+  caller_service_leave (service);
+}
+
+static struct service_policy_options
+policy_options (const struct caller_service *service)
+{
+  const struct service_limits *limits = &service->spec->limits;
+  return (struct service_policy_options){
+    .seed = service->seed,
+    .queue_requests = limits->queue_requests,
+    .queue_bytes = limits->queue_bytes,
+    .retry_percent = limits->retry_percent,
+    .attempts = limits->attempts,
+    .prefer_faster_detection
+    = service->spec->prefer == SERVICE_PREFER_FASTER_DETECTION,
+  };
+}
+
+/* This host's part of TARGET's slots, when all hosts of the set ask alike. */
+static uint32_t
+slot_share (const struct caller_service *service,
+            const struct target_spec *target)
+{
+  const uint64_t hosts = service->host_count > 0 ? service->host_count : 1;
+  if (hosts == 1)
+    return target->slots > 0 ? target->slots : 1;
+  const uint64_t given = (uint64_t)target->slots * OVERCOMMIT_PERCENT / 100;
+  const uint64_t share = (given + hosts - 1) / hosts;
+  const uint64_t most = share < target->slots ? share : target->slots;
+  return most > 0 ? (uint32_t)most : 1;
+}
+
+static void
+apply_targets (struct caller_service *service)
+{
+  const size_t count = service->spec->target_count;
+  struct policy_target *targets = xcalloc (count + 1, sizeof *targets);
+  uint64_t *keys = xcalloc (count + 1, sizeof *keys);
+  const char *own_dc = service->own_dc;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct target_spec *target = &service->spec->targets[i];
+      const struct caller_target *state = &service->targets[i];
+      const bool near = strcmp (target->dc, own_dc) == 0;
+      targets[i] = (struct policy_target){
+        .key = state->key,
+        .slots = slot_share (service, target),
+        .distance_us = near ? 0 : DC_DISTANCE_US,
+        .accepts_work
+        = target->state == TARGET_STATE_ACTIVE && !state->leaving,
+      };
+      keys[i] = state->key;
+    }
+  service_policy_set_targets (service->policy, clock_now_us (), targets,
+                              count);
+  detection_recorder_set_targets (service->recorder, keys, count);
+  free (keys);
+  free (targets);
+  run_queue (service);
+}
+
+uint32_t
+caller_service_find (const struct caller_service *service, uint64_t key)
+{
+  for (size_t i = 0; i < service->spec->target_count; i++)
+    if (service->targets[i].key == key)
+      return (uint32_t)i;
+  return POLICY_NO_TARGET;
+}
+
+/* What was known of the targets of SPEC that were there before. */
+static struct caller_target *
+carry_over (const struct caller_service *service,
+            const struct service_spec *spec)
+{
+  struct caller_target *targets
+      = xcalloc (spec->target_count + 1, sizeof *targets);
+  const uint64_t service_hash = hash_string (spec->name);
+  for (size_t i = 0; i < spec->target_count; i++)
+    {
+      const uint64_t key
+          = hash_pair (service_hash, hash_string (spec->targets[i].name));
+      const uint32_t before = service->spec != NULL
+                                  ? caller_service_find (service, key)
+                                  : POLICY_NO_TARGET;
+      if (before != POLICY_NO_TARGET)
+        targets[i] = service->targets[before];
+      targets[i].key = key;
+    }
+  return targets;
+}
+
+static bool
+any_unrepeatable (const struct service_spec *spec)
+{
+  for (size_t i = 0; i < spec->route_count; i++)
+    if (!spec->routes[i].repeatable)
+      return true;
+  return false;
+}
+
+void
+caller_service_set_spec (struct caller_service *service,
+                         const struct service_spec *spec)
+{
+  struct caller_target *targets = carry_over (service, spec);
+  service_spec_destroy (service->spec);
+  free (service->targets);
+  service->targets = targets;
+  service->spec = service_spec_copy (spec);
+  service->has_unrepeatable = any_unrepeatable (spec);
+  const struct service_policy_options options = policy_options (service);
+  if (service->policy == NULL)
+    service->policy = service_policy_create (&options);
+  else
+    service_policy_configure (service->policy, &options);
+  apply_targets (service);
+}
+
+void
+caller_service_set_hosts (struct caller_service *service,
+                          const struct bus_host_set *set)
+{
+  free (service->hosts);
+  service->hosts = xcalloc (set->count + 1, sizeof *service->hosts);
+  if (set->count > 0)
+    memcpy (service->hosts, set->hosts, set->count * sizeof *service->hosts);
+  service->host_count = set->count;
+  if (service->spec != NULL)
+    apply_targets (service);
+}
+
+static bool
+is_listed (const struct bus_ejections *ejections, const char *name)
+{
+  for (size_t i = 0; i < ejections->count; i++)
+    if (strcmp (ejections->targets[i], name) == 0)
+      return true;
+  return false;
+}
+
+void
+caller_service_set_ejections (struct caller_service *service,
+                              const struct bus_ejections *ejections)
+{
+  if (service->spec == NULL)
+    return;
+  for (size_t i = 0; i < service->spec->target_count; i++)
+    {
+      struct caller_target *target = &service->targets[i];
+      const bool ejected
+          = is_listed (ejections, service->spec->targets[i].name);
+      if (ejected == target->ejected)
+        continue;
+      target->ejected = ejected;
+      service_policy_set_ejected (service->policy, clock_now_us (),
+                                  (uint32_t)i, ejected);
+    }
+  run_queue (service);
+}
+
+void
+caller_service_set_leaving (struct caller_service *service, uint64_t key,
+                            bool leaving)
+{
+  const uint32_t target = caller_service_find (service, key);
+  if (target == POLICY_NO_TARGET
+      || service->targets[target].leaving == leaving)
+    return;
+  service->targets[target].leaving = leaving;
+  apply_targets (service);
+}
+
+struct policy_decision
+caller_service_admit (struct caller_service *service,
+                      const struct policy_request *r,
+                      struct caller_waiter *waiter)
+{
+  const struct policy_decision decision
+      = service_policy_admit (service->policy, clock_now_us (), r);
+  if (decision.verdict == POLICY_QUEUE)
+    {
+      waiter->id = r->id;
+      waiter->waiting = true;
+      HASH_ADD (hh, service->waiters, id, sizeof waiter->id, waiter);
+      arm_wake (service);
+    }
+  return decision;
+}
+
+void
+caller_service_forget (struct caller_service *service,
+                       struct caller_waiter *waiter)
+{
+  if (!waiter->waiting)
+    return;
+  HASH_DEL (service->waiters, waiter);
+  waiter->waiting = false;
+  service_policy_forget (service->policy, waiter->id);
+}
+
+void
+caller_service_outcome (struct caller_service *service, uint64_t key,
+                        enum attempt_end end, int64_t latency_us,
+                        bool repeatable)
+{
+  detection_recorder_record (service->recorder, key, end, latency_us);
+  const uint32_t target = service_policy_find (service->policy, key);
+  if (target == POLICY_NO_TARGET)
+    return;
+  const struct policy_outcome outcome = { .target = target,
+                                          .end = end,
+                                          .latency_us = latency_us,
+                                          .repeatable = repeatable };
+  service_policy_outcome (service->policy, clock_now_us (), &outcome);
+  run_queue (service);
+}
--- /dev/null
+++ b/node/caller/caller_service.h
@@ -0,0 +1,102 @@
+/** @file
+ * A service in force at this host: its settings, policy, evidence and the
+ * requests that wait for a target.
+ */
+#ifndef NODE_CALLER_CALLER_SERVICE_H
+#define NODE_CALLER_CALLER_SERVICE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+#include <uthash.h>
+
+#include "node/bus.h"
+#include "policy/detection/recorder.h"
+#include "policy/service_policy.h"
+#include "wire/service_spec.h"
+
+/** What this host holds of a target besides its settings. */
+struct caller_target
+{
+  uint64_t key;
+  bool leaving; /**< it said so itself */
+  bool ejected;
+  bool probing; /**< it is being asked whether it still leaves */
+};
+
+/** A request that waits; embedded in what waits. */
+struct caller_waiter
+{
+  uint64_t id;
+  bool waiting;
+  /** What the policy decided for it, from the loop. */
+  void (*decided) (struct caller_waiter *waiter,
+                   const struct policy_decision *decision);
+  UT_hash_handle hh;
+};
+
+struct caller_service
+{
+  struct ev_loop *loop;
+  char name[SERVICE_NAME_SIZE];
+  char own_dc[SERVICE_NAME_SIZE]; /**< of this host */
+  struct service_spec *spec;
+  struct caller_target *targets; /**< as many as the spec's, same order */
+  struct service_policy *policy;
+  struct detection_recorder *recorder;
+  struct bus_set_host *hosts;
+  size_t host_count;
+  bool has_unrepeatable;
+  uint32_t users; /**< exchanges that hold it */
+  bool removed;   /**< goes with its last user */
+  uint64_t seed;
+  struct caller_waiter *waiters; /**< by id */
+  ev_timer wake;
+  UT_hash_handle hh;
+};
+
+struct caller_service *caller_service_create (struct ev_loop *loop,
+                                              const char *name,
+                                              const char *own_dc,
+                                              uint64_t seed);
+
+/** Hold on to SERVICE, or let it go again. */
+void caller_service_use (struct caller_service *service);
+void caller_service_leave (struct caller_service *service);
+
+/** The service is no longer in force. */
+void caller_service_remove (struct caller_service *service);
+
+/** Put SPEC in force. */
+void caller_service_set_spec (struct caller_service *service,
+                              const struct service_spec *spec);
+void caller_service_set_hosts (struct caller_service *service,
+                               const struct bus_host_set *set);
+void caller_service_set_ejections (struct caller_service *service,
+                                   const struct bus_ejections *ejections);
+
+/** Target KEY says itself that it leaves, or is back. */
+void caller_service_set_leaving (struct caller_service *service, uint64_t key,
+                                 bool leaving);
+
+/** The number of the target with KEY in the spec, or POLICY_NO_TARGET. */
+uint32_t caller_service_find (const struct caller_service *service,
+                              uint64_t key);
+
+/** Ask the policy about R; when it says POLICY_QUEUE, WAITER waits. */
+struct policy_decision caller_service_admit (struct caller_service *service,
+                                             const struct policy_request *r,
+                                             struct caller_waiter *waiter);
+
+/** WAITER no longer waits. */
+void caller_service_forget (struct caller_service *service,
+                            struct caller_waiter *waiter);
+
+/** An attempt at target KEY ended. */
+void caller_service_outcome (struct caller_service *service, uint64_t key,
+                             enum attempt_end end, int64_t latency_us,
+                             bool repeatable);
+
+#endif
--- /dev/null
+++ b/node/caller/caller_task.c
@@ -0,0 +1,240 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/caller_task.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/rng.h"
+#include "base/xmalloc.h"
+#include "node/caller/caller_context.h"
+#include "node/caller/caller_rows.h"
+#include "node/caller/caller_server.h"
+#include "node/caller/leaving_probe.h"
+#include "node/tables.h"
+
+static const double LEAVING_CHECK_SECONDS = 0.05;
+
+struct caller_task
+{
+  struct caller_context context;
+  struct bus *bus;
+  struct tables *tables;
+  struct caller_server *server;
+  struct leaving_probe *probe;
+  uint64_t seed;
+  ev_timer leaving_check;
+  int64_t leave_after_ms;
+  caller_task_done *done;
+  void *done_owner;
+};
+
+static struct caller_service *
+find_entry (const struct caller_context *context, const char *name)
+{
+  struct caller_service *service;
+  HASH_FIND_STR (context->services, name, service);
+  return service;
+}
+
+struct caller_service *
+caller_context_service (const struct caller_context *context, const char *name)
+{
+  struct caller_service *service = find_entry (context, name);
+  return service != NULL && service->spec != NULL ? service : NULL;
+}
+
+/* The entry of NAME; hosts and ejections may be heard of before the service
+   itself. */
+static struct caller_service *
+entry_of (struct caller_task *task, const char *name)
+{
+  struct caller_context *context = &task->context;
+  struct caller_service *service = find_entry (context, name);
+  if (service != NULL)
+    return service;
+  service = caller_service_create (context->loop, name, context->settings->dc,
+                                   task->seed);
+  HASH_ADD_STR (context->services, name, service);
+  return service;
+}
+
+static void
+drop_entry (struct caller_context *context, struct caller_service *service)
+{
+  route_table_remove (context->routes, service->name);
+  HASH_DEL (context->services, service);
+  caller_service_remove (service);
+}
+
+static void
+on_in_force (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  const struct service_spec *spec = message->service_in_force.spec;
+  struct caller_service *service = entry_of (task, spec->name);
+  if (service->spec != NULL && spec->version < service->spec->version)
+    return;
+  caller_service_set_spec (service, spec);
+  route_table_set (task->context.routes, spec);
+}
+
+static void
+on_removed (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  const struct bus_service_removed *removed = &message->service_removed;
+  struct caller_service *service = find_entry (&task->context, removed->name);
+  if (service == NULL || service->spec == NULL
+      || removed->version < service->spec->version)
+    return;
+  drop_entry (&task->context, service);
+}
+
+static void
+on_host_set (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  const struct bus_host_set *set = &message->host_set;
+  host_directory_learn (task->context.directory, set);
+  caller_service_set_hosts (entry_of (task, set->service), set);
+}
+
+static void
+on_ejections (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  struct caller_service *service
+      = find_entry (&task->context, message->ejections.service);
+  if (service != NULL)
+    caller_service_set_ejections (service, &message->ejections);
+}
+
+static void
+on_leaving_check (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct caller_task *task = timer->data;
+  if (clock_now_ms () < task->leave_after_ms || task->context.in_flight > 0)
+    return;
+  ev_timer_stop (loop, timer);
+  LOG_INFO ("left");
+  task->done (task->done_owner);
+}
+
+static void
+subscribe (struct caller_task *task)
+{
+  bus_subscribe (task->bus, BUS_SERVICE_IN_FORCE, on_in_force, task);
+  bus_subscribe (task->bus, BUS_SERVICE_REMOVED, on_removed, task);
+  bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
+  bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
+}
+
+static void
+init_context (struct caller_context *context,
+              const struct caller_task_options *options)
+{
+  const struct curl_loop_options curl = { 0 };
+  context->loop = options->loop;
+  context->settings = options->settings;
+  context->curl = curl_loop_create (options->loop, &curl);
+  context->routes = route_table_create ();
+  context->directory = host_directory_create ();
+  context->tickets
+      = ticket_desk_create (options->settings->name, options->incarnation);
+  caller_counters_init (&context->counters, options->counters);
+}
+
+struct caller_task *
+caller_task_create (const struct caller_task_options *options)
+{
+  struct caller_task *task = xcalloc (1, sizeof *task);
+  task->bus = options->bus;
+  task->tables = options->tables;
+  task->seed = options->seed;
+  if (task->seed == 0)
+    rng_secret (&task->seed, sizeof task->seed);
+  init_context (&task->context, options);
+  ev_timer_init (&task->leaving_check, on_leaving_check, 0.,
+                 LEAVING_CHECK_SECONDS);
+  task->leaving_check.data = task;
+  task->server = caller_server_create (&task->context);
+  if (task->server == NULL)
+    {
+      caller_task_destroy (task);
+      return NULL;
+    }
+  task->probe = leaving_probe_create (&task->context);
+  subscribe (task);
+  if (task->tables != NULL)
+    caller_rows_register (task->tables, &task->context);
+  const char *address = task->context.own_address;
+  LOG_INFO ("listening", LOG_STR ("address", address));
+  return task;
+}
+
+void
+caller_task_destroy (struct caller_task *task)
+{
+  if (task == NULL)
+    return;
+  struct caller_context *context = &task->context;
+  bus_unsubscribe (task->bus, task);
+  if (task->tables != NULL)
+    tables_unregister (task->tables, context);
+  ev_timer_stop (context->loop, &task->leaving_check);
+  leaving_probe_destroy (task->probe);
+  caller_server_destroy (task->server);
+  curl_loop_destroy (context->curl);
+  struct caller_service *service;
+  struct caller_service *next;
+  HASH_ITER (hh, context->services, service, next)
+  {
+    drop_entry (context, service);
+  }
+  ticket_desk_destroy (context->tickets);
+  host_directory_destroy (context->directory);
+  route_table_destroy (context->routes);
+  free (task);
+}
+
+const char *
+caller_task_address (const struct caller_task *task)
+{
+  return task->context.own_address;
+}
+
+void
+caller_task_begin_leaving (struct caller_task *task, caller_task_done *done,
+                           void *owner)
+{
+  struct caller_context *context = &task->context;
+  const struct host_settings *settings = context->settings;
+  task->done = done;
+  task->done_owner = owner;
+  if (context->leaving)
+    return;
+  context->leaving = true;
+  /* Another host may hand this one out until it hears of the leaving, at the
+     latest when it misses the heartbeats; callers keep that answer. */
+  task->leave_after_ms = clock_now_ms () + settings->limits.keep_answer_ms
+                         + settings->times.suspect_after_ms;
+  LOG_INFO ("leaving", LOG_INT ("in_flight", context->in_flight));
+  ev_timer_again (context->loop, &task->leaving_check);
+}
+
+uint32_t
+caller_task_in_flight (const struct caller_task *task)
+{
+  return task->context.in_flight;
+}
+
+struct detection_recorder *
+caller_task_recorder (struct caller_task *task, const char *name)
+{
+  const struct caller_service *service
+      = caller_context_service (&task->context, name);
+  return service != NULL ? service->recorder : NULL;
+}
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -18,9 +18,8 @@
 #include "node/host_settings.h"
 
 struct caller_task;
-struct evidence_recorder;
+struct detection_recorder;
 struct tables;
-struct ticket_ledger;
 
 /** What the task stands on; all of it outlives the task. */
 struct caller_task_options
@@ -31,6 +30,7 @@
   struct counters *counters;
   struct tables *tables; /**< operator rows are added here; may be NULL */
   uint64_t seed;         /**< of the choices; 0 takes one from the system */
+  uint64_t incarnation;  /**< of this process, in tickets; 0: a random one */
 };
 
 /** Start serving on the caller address of the settings (port 0 takes a free
@@ -58,7 +58,7 @@
 
 /** Outcomes by target since they were last drained, of the service called
  * NAME; NULL when there is no such service in force. */
-struct evidence_recorder *caller_task_recorder (struct caller_task *task,
-                                                const char *name);
+struct detection_recorder *caller_task_recorder (struct caller_task *task,
+                                                 const char *name);
 
 #endif
--- /dev/null
+++ b/node/caller/decision_note.c
@@ -0,0 +1,49 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/decision_note.h"
+
+#include <stdio.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+static void
+note (struct exchange *x, const char *verdict, const char *target,
+      const char *why)
+{
+  struct decision *kept = decision_ring_add (&x->context->decisions);
+  const uint32_t attempt = x->attempts + 1;
+  kept->at_ms = clock_now_ms ();
+  kept->request_id = x->id;
+  kept->attempt = attempt;
+  snprintf (kept->service, sizeof kept->service, "%s", x->service->name);
+  snprintf (kept->route, sizeof kept->route, "%s", x->route);
+  snprintf (kept->target, sizeof kept->target, "%s", target);
+  snprintf (kept->verdict, sizeof kept->verdict, "%s", verdict);
+  snprintf (kept->why, sizeof kept->why, "%s", why);
+  const char *service = x->service->name;
+  const char *route = x->route;
+  LOG_INFO ("route", LOG_STR ("service", service), LOG_STR ("route", route),
+            LOG_INT ("request", x->id), LOG_INT ("attempt", attempt),
+            LOG_STR ("verdict", verdict), LOG_STR ("target", target),
+            LOG_STR ("why", why));
+}
+
+void
+decision_note (struct exchange *x, const struct policy_decision *decision)
+{
+  static const char *const verdicts[] = { [POLICY_SEND] = "send",
+                                          [POLICY_QUEUE] = "queue",
+                                          [POLICY_REFUSE] = "refuse" };
+  const char *target = "-";
+  if (decision->verdict == POLICY_SEND)
+    target = x->service->spec->targets[decision->target].name;
+  note (x, verdicts[decision->verdict], target,
+        policy_reason_name (decision->reason));
+}
+
+void
+decision_note_relay (struct exchange *x, const char *host)
+{
+  note (x, "relay", host, "ticket-of-that-host");
+}
--- /dev/null
+++ b/node/caller/decision_ring.h
@@ -0,0 +1,44 @@
+/** @file
+ * The newest routing decisions of a host, for operators.
+ */
+#ifndef NODE_CALLER_DECISION_RING_H
+#define NODE_CALLER_DECISION_RING_H
+
+#include <stdint.h>
+
+#include <json-c/json.h>
+
+#include "wire/service_spec.h"
+
+enum
+{
+  DECISION_RING_SIZE = 256,
+  DECISION_WHY_SIZE = 32
+};
+
+/** One decision. */
+struct decision
+{
+  int64_t at_ms; /**< since boot */
+  uint64_t request_id;
+  uint32_t attempt;
+  char service[SERVICE_NAME_SIZE];
+  char route[SERVICE_NAME_SIZE];  /**< its prefix, cut to fit */
+  char target[SERVICE_NAME_SIZE]; /**< "" when none was chosen */
+  char verdict[DECISION_WHY_SIZE];
+  char why[DECISION_WHY_SIZE];
+};
+
+struct decision_ring
+{
+  struct decision decisions[DECISION_RING_SIZE];
+  uint64_t count; /**< ever noted */
+};
+
+/** A blank entry in place of the oldest. */
+struct decision *decision_ring_add (struct decision_ring *ring);
+
+/** Rows for operators, the newest first. */
+struct json_object *decision_ring_rows (const struct decision_ring *ring);
+
+#endif
--- /dev/null
+++ b/node/caller/exchange.h
@@ -0,0 +1,141 @@
+/** @file
+ * One request's life at this host, from its head to the last byte of its
+ * answer.
+ *
+ * An exchange is driven from three sides: libmicrohttpd's callbacks (the
+ * caller), libcurl's (the target) and the policy.  Each of them only changes
+ * state and buffers and then kicks the exchange; what follows from the new
+ * state is done by exchange_pump(), which runs from the loop and so never
+ * within one of the libraries.
+ *
+ * An answer is bound to its exchange by the attempt that it came from; an
+ * attempt that was given up tells no more events, so a late answer goes
+ * nowhere.
+ */
+#ifndef NODE_CALLER_EXCHANGE_H
+#define NODE_CALLER_EXCHANGE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+#include <microhttpd.h>
+
+#include "node/caller/caller_context.h"
+#include "node/caller/caller_service.h"
+#include "node/caller/own_answer.h"
+#include "node/caller/request_head.h"
+#include "node/caller/stream_buffer.h"
+#include "node/caller/target_call.h"
+
+enum exchange_state
+{
+  EXCHANGE_NEW,       /**< its head was not looked at yet */
+  EXCHANGE_WAITING,   /**< for the policy to name a target */
+  EXCHANGE_SENT,      /**< an attempt is under way, no answer chosen */
+  EXCHANGE_ANSWERING, /**< a target's answer is chosen */
+  EXCHANGE_OWN,       /**< an answer of the fleet's own is chosen */
+  EXCHANGE_OVER       /**< nothing more happens but its release */
+};
+
+/** The attempt under way, or the one that was answered. */
+struct exchange_attempt
+{
+  struct target_call *call; /**< NULL once it ended */
+  uint64_t key;             /**< of the target */
+  char target[SERVICE_NAME_SIZE];
+  int64_t started_us;
+  int64_t head_us;
+  bool relay;     /**< to another host, which decides in our place */
+  bool head_seen; /**< status, length_bytes and headers are good */
+  bool open;      /**< the policy waits for its end */
+  bool held_back; /**< the caller was slower than the target */
+  uint32_t status;
+  int64_t length_bytes;
+  struct header_list headers;
+};
+
+struct exchange
+{
+  struct caller_waiter waiter;
+  struct caller_context *context;
+  uint64_t id;
+  enum exchange_state state;
+  bool counted; /**< as in flight */
+  bool plain;   /**< answered without a route, not counted by service */
+
+  struct MHD_Connection *connection; /**< NULL once released by the library */
+  int fd;
+  char *uri;
+  struct request_head head;
+  bool watched; /**< for the caller's going away */
+  bool suspended;
+  bool upload_complete; /**< the library has all of the body */
+  bool queued;          /**< a response was handed to the library */
+  bool answered_raw;    /**< an own answer was written past the library */
+  bool caller_gone;
+  bool answer_cut; /**< what was buffered of it is all that comes */
+
+  struct caller_service *service;
+  char route[SERVICE_NAME_SIZE]; /**< its prefix, cut to fit */
+  bool repeatable;
+  bool ticket_claimed;
+  uint64_t ticket_sequence;
+
+  int64_t deadline_us;
+  int64_t progress_us; /**< when bytes of the answer last came */
+  ev_timer timer;
+  ev_prepare kick; /**< never started; only fed */
+  bool kicked;
+
+  struct stream_buffer upload;
+  struct stream_buffer answer;
+  uint64_t upload_bytes; /**< of the body, as read so far */
+
+  struct exchange_attempt attempt;
+  uint32_t attempts;
+  uint64_t tried[POLICY_TRIED_MAX];
+  uint32_t tried_count;
+  bool perhaps_ran; /**< an attempt that was given up may have run */
+  struct own_answer own;
+
+  struct exchange *prev;
+  struct exchange *next;
+};
+
+/** A new exchange for the request that begins on CONNECTION. */
+struct exchange *exchange_create (struct caller_context *context,
+                                  struct MHD_Connection *connection,
+                                  const char *uri);
+
+/** Count X as in flight from now on. */
+void exchange_count (struct exchange *x);
+
+/** The head is complete: choose a route, check limits, ask the policy. */
+void exchange_begin (struct exchange *x, const char *method,
+                     const char *version);
+
+/** The library has released the request.  OK says that all of a response was
+ * written. */
+void exchange_released (struct exchange *x, bool ok);
+
+/** Have exchange_pump() run from the loop. */
+void exchange_kick (struct exchange *x);
+
+/** The caller can't be answered any more: give up all work. */
+void exchange_abandon (struct exchange *x);
+
+/** Choose an answer of the fleet's own. */
+void exchange_answer_own (struct exchange *x, const struct own_answer *own);
+
+/** What may truly be said of the request when no answer is had. */
+enum answer_outcome exchange_outcome (const struct exchange *x);
+
+/** An answer of the target is chosen. */
+void exchange_answer_target (struct exchange *x);
+
+/** The deadline's timer, in AFTER_US. */
+void exchange_arm (struct exchange *x, int64_t after_us);
+
+#endif
--- /dev/null
+++ b/node/caller/exchange_attempt.c
@@ -0,0 +1,425 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/exchange_attempt.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "node/caller/decision_note.h"
+#include "node/caller/exchange_ticket.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  DEADLINE_FIELD_SIZE = 64,
+  SMALL_ANSWER_BYTES = 16 * 1024,
+  SERVER_ERROR_MIN = 500
+};
+
+static const char *
+end_name (enum attempt_end end)
+{
+  static const char *const names[] = { [ATTEMPT_ANSWERED] = "answered",
+                                       [ATTEMPT_FAILED] = "failed",
+                                       [ATTEMPT_SHED] = "shed",
+                                       [ATTEMPT_NOT_SENT] = "not-sent",
+                                       [ATTEMPT_CUT] = "cut",
+                                       [ATTEMPT_TIMED_OUT] = "timed-out",
+                                       [ATTEMPT_CANCELLED] = "cancelled" };
+  return names[end];
+}
+
+/* Tell the policy how the attempt ended, once.  A caller that reads slowly
+   must not make its target look slow, so the time then runs to the head. */
+static void
+settle (struct exchange *x, enum attempt_end end)
+{
+  struct exchange_attempt *attempt = &x->attempt;
+  if (!attempt->open)
+    return;
+  attempt->open = false;
+  if (end == ATTEMPT_CUT || end == ATTEMPT_TIMED_OUT || end == ATTEMPT_FAILED)
+    x->perhaps_ran = true;
+  if (attempt->relay)
+    return;
+  caller_counters_add (x->context->counters.attempts, x->service->name,
+                       end_name (end));
+  const bool to_head = attempt->held_back && attempt->head_seen;
+  const int64_t end_us = to_head ? attempt->head_us : clock_now_us ();
+  caller_service_outcome (x->service, attempt->key, end,
+                          end_us - attempt->started_us, x->repeatable);
+}
+
+void
+exchange_drop_attempt (struct exchange *x, enum attempt_end end)
+{
+  struct target_call *call = x->attempt.call;
+  if (call != NULL)
+    {
+      const bool harmless = end == ATTEMPT_SHED || end == ATTEMPT_NOT_SENT;
+      if (!harmless && target_call_perhaps_sent (call))
+        x->perhaps_ran = true;
+      x->attempt.call = NULL;
+      target_call_cancel (call);
+    }
+  settle (x, end);
+}
+
+void
+exchange_go_on (struct exchange *x)
+{
+  const bool send = x->upload.whole || stream_buffer_waiting (&x->upload) > 0;
+  const bool receive = stream_buffer_room (&x->answer) >= CURL_MAX_WRITE_SIZE;
+  target_call_go_on (x->attempt.call, send, receive);
+}
+
+static size_t
+on_read (void *owner, char *data, size_t size)
+{
+  struct exchange *x = owner;
+  const size_t taken = stream_buffer_take (&x->upload, data, size);
+  if (taken > 0)
+    {
+      exchange_kick (x);
+      return taken;
+    }
+  return x->upload.whole ? 0 : TARGET_CALL_WAIT;
+}
+
+static void
+on_head (void *owner, const struct target_head *head)
+{
+  struct exchange *x = owner;
+  struct exchange_attempt *attempt = &x->attempt;
+  attempt->head_seen = true;
+  attempt->head_us = clock_now_us ();
+  attempt->status = head->status;
+  attempt->length_bytes = head->length_bytes;
+  header_list_clear (&attempt->headers);
+  for (size_t i = 0; i < head->headers->count; i++)
+    {
+      const char *name = header_list_name (head->headers, i);
+      const char *value = header_list_value (head->headers, i);
+      header_list_add (&attempt->headers, name, strlen (name), value,
+                       strlen (value));
+    }
+  exchange_kick (x);
+}
+
+static bool
+on_body (void *owner, const char *data, size_t size)
+{
+  struct exchange *x = owner;
+  x->progress_us = clock_now_us ();
+  if (stream_buffer_room (&x->answer) < size)
+    {
+      x->attempt.held_back = true;
+      return false;
+    }
+  stream_buffer_append (&x->answer, data, size);
+  exchange_kick (x);
+  return true;
+}
+
+/* No answer is had and none will be asked for. */
+static void
+give_up (struct exchange *x, enum attempt_end end, const char *message)
+{
+  struct own_answer own = { .outcome = exchange_outcome (x) };
+  const bool unknown = own.outcome == ANSWER_UNKNOWN;
+  own.status = unknown ? MHD_HTTP_BAD_GATEWAY : MHD_HTTP_SERVICE_UNAVAILABLE;
+  own.reason = end_name (end);
+  snprintf (own.message, sizeof own.message, "%s: %.120s",
+            unknown ? "the answer was lost, find out whether the request has "
+                      "run before sending it again"
+                    : "no target took the request, send it again later",
+            message);
+  exchange_answer_own (x, &own);
+}
+
+/* After an attempt that ended as END without an answer to pass on. */
+static void
+try_again (struct exchange *x, enum attempt_end end, const char *message)
+{
+  const bool may = !x->attempt.relay
+                   && service_policy_may_retry (end, x->repeatable)
+                   && !x->upload.dropped;
+  x->attempt.head_seen = false;
+  if (may)
+    exchange_admit (x);
+  else
+    give_up (x, end, message);
+}
+
+static bool
+is_server_error (const struct exchange *x)
+{
+  return x->attempt.status >= SERVER_ERROR_MIN;
+}
+
+static void
+on_whole (struct exchange *x)
+{
+  if (x->state == EXCHANGE_SENT)
+    exchange_judge (x);
+  if (x->state != EXCHANGE_ANSWERING || x->attempt.call != NULL)
+    return;
+  x->answer.whole = true;
+  exchange_ticket_finish (x);
+  settle (x, is_server_error (x) ? ATTEMPT_FAILED : ATTEMPT_ANSWERED);
+}
+
+static void
+on_broken (struct exchange *x, enum attempt_end end, const char *message)
+{
+  const char *service = x->service->name;
+  const char *target = x->attempt.target;
+  LOG_INFO ("attempt-broken", LOG_STR ("service", service),
+            LOG_INT ("request", x->id), LOG_STR ("target", target),
+            LOG_STR ("end", end_name (end)), LOG_STR ("why", message));
+  settle (x, end);
+  if (x->queued)
+    {
+      x->answer_cut = true;
+      exchange_ticket_finish (x);
+      return;
+    }
+  x->state = EXCHANGE_SENT;
+  try_again (x, end, message);
+}
+
+static void
+on_end (void *owner, enum target_call_end end, const char *message)
+{
+  struct exchange *x = owner;
+  x->attempt.call = NULL;
+  x->progress_us = clock_now_us ();
+  if (end == TARGET_CALL_WHOLE)
+    on_whole (x);
+  else
+    on_broken (x, end == TARGET_CALL_CUT ? ATTEMPT_CUT : ATTEMPT_NOT_SENT,
+               message);
+  exchange_kick (x);
+}
+
+static const struct target_call_events events
+    = { .read = on_read, .head = on_head, .body = on_body, .end = on_end };
+
+/* Send X to ADDRESS; the fields of the attempt that name it are set. */
+static void
+send_to (struct exchange *x, const char *address, const char *const *extra)
+{
+  struct exchange_attempt *attempt = &x->attempt;
+  const struct service_limits *limits = &x->service->spec->limits;
+  attempt->head_seen = false;
+  attempt->held_back = false;
+  attempt->open = true;
+  attempt->started_us = clock_now_us ();
+  stream_buffer_rewind (&x->upload);
+  x->answer.taken = 0;
+  x->answer.used = 0;
+  x->state = EXCHANGE_SENT;
+  const struct target_call_options options = {
+    .curl = x->context->curl,
+    .events = &events,
+    .owner = x,
+    .address = address,
+    .method = x->head.method,
+    .uri = x->uri,
+    .headers = &x->head.headers,
+    .extra = extra,
+    .has_body = x->head.body != REQUEST_BODY_NONE,
+    .body_bytes = x->head.body == REQUEST_BODY_SIZED ? x->head.body_bytes : -1,
+    .fresh = !x->repeatable,
+    .connect_timeout_ms = limits->connect_timeout_ms,
+  };
+  attempt->call = target_call_start (&options);
+}
+
+static void
+format_deadline (const struct exchange *x, char text[DEADLINE_FIELD_SIZE])
+{
+  const int64_t left_ms = (x->deadline_us - clock_now_us ()) / US_PER_MS;
+  snprintf (text, DEADLINE_FIELD_SIZE, "Jaystair-Deadline-Ms: %lld",
+            (long long)(left_ms > 0 ? left_ms : 0));
+}
+
+static void
+start_attempt (struct exchange *x, uint32_t number)
+{
+  const struct target_spec *target = &x->service->spec->targets[number];
+  struct exchange_attempt *attempt = &x->attempt;
+  char deadline[DEADLINE_FIELD_SIZE];
+  format_deadline (x, deadline);
+  const char *const extra[] = { deadline, NULL };
+  attempt->key = x->service->targets[number].key;
+  attempt->relay = false;
+  strcpy (attempt->target, target->name);
+  if (x->tried_count < POLICY_TRIED_MAX)
+    x->tried[x->tried_count++] = attempt->key;
+  x->attempts++;
+  if (x->attempts > 1)
+    caller_counters_add (x->context->counters.retries, x->service->name, NULL);
+  send_to (x, target->address, extra);
+}
+
+void
+exchange_relay (struct exchange *x, const char *host, const char *address)
+{
+  char deadline[DEADLINE_FIELD_SIZE];
+  char ticket[REQUEST_TICKET_SIZE + 32];
+  format_deadline (x, deadline);
+  snprintf (ticket, sizeof ticket, "Jaystair-Ticket: %s", x->head.ticket);
+  const char *const extra[]
+      = { deadline, ticket, "Jaystair-Relayed: 1", NULL };
+  /* The ticket may have run at its own host before. */
+  x->perhaps_ran = true;
+  x->attempt.relay = true;
+  snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host);
+  decision_note_relay (x, host);
+  send_to (x, address, extra);
+}
+
+static struct policy_request
+policy_request_of (const struct exchange *x)
+{
+  struct policy_request r = {
+    .id = x->id,
+    .deadline_us = x->deadline_us,
+    .queued_bytes = x->head.head_bytes + (uint32_t)x->upload.used,
+    .repeatable = x->repeatable,
+    .attempt = x->attempts + 1,
+  };
+  for (uint32_t i = 0; i < x->tried_count; i++)
+    {
+      const uint32_t target
+          = service_policy_find (x->service->policy, x->tried[i]);
+      if (target != POLICY_NO_TARGET)
+        r.tried[r.tried_count++] = target;
+    }
+  return r;
+}
+
+static void
+refuse (struct exchange *x, const struct policy_decision *decision)
+{
+  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                            .outcome = exchange_outcome (x),
+                            .reason = policy_reason_name (decision->reason),
+                            .retry_after_ms = decision->retry_after_ms };
+  if (own.outcome == ANSWER_UNKNOWN)
+    own.status = MHD_HTTP_BAD_GATEWAY;
+  snprintf (own.message, sizeof own.message, "%s",
+            own.outcome == ANSWER_UNKNOWN
+                ? "an attempt was lost and none further is allowed: find out "
+                  "whether it has run before sending it again"
+                : "the service can't take the request now: come back after "
+                  "the time given, or ask for other addresses");
+  exchange_answer_own (x, &own);
+}
+
+void
+exchange_decided (struct exchange *x, const struct policy_decision *decision)
+{
+  decision_note (x, decision);
+  switch (decision->verdict)
+    {
+    case POLICY_SEND:
+      start_attempt (x, decision->target);
+      break;
+    case POLICY_QUEUE:
+      x->state = EXCHANGE_WAITING;
+      break;
+    case POLICY_REFUSE:
+      refuse (x, decision);
+      break;
+    }
+}
+
+void
+exchange_admit (struct exchange *x)
+{
+  const struct policy_request r = policy_request_of (x);
+  const struct policy_decision decision
+      = caller_service_admit (x->service, &r, &x->waiter);
+  exchange_decided (x, &decision);
+}
+
+/* A target's failure may be passed on, so another target is tried only if one
+   can be had at once. */
+static bool
+tried_elsewhere (struct exchange *x)
+{
+  if (!service_policy_may_retry (ATTEMPT_FAILED, x->repeatable)
+      || x->upload.dropped)
+    return false;
+  struct target_call *failed = x->attempt.call;
+  settle (x, ATTEMPT_FAILED);
+  const struct policy_request r = policy_request_of (x);
+  const struct policy_decision decision
+      = caller_service_admit (x->service, &r, &x->waiter);
+  caller_service_forget (x->service, &x->waiter);
+  if (decision.verdict != POLICY_SEND)
+    return false;
+  if (failed != NULL)
+    target_call_cancel (failed);
+  exchange_decided (x, &decision);
+  return true;
+}
+
+/* Only a target's own word tells that a request was not run. */
+static bool
+is_shed (const struct exchange *x)
+{
+  const char *outcome
+      = header_list_find (&x->attempt.headers, "Jaystair-Outcome");
+  const uint32_t status = x->attempt.status;
+  return outcome != NULL && strcasecmp (outcome, "not-run") == 0
+         && (status == MHD_HTTP_SERVICE_UNAVAILABLE
+             || status == MHD_HTTP_TOO_MANY_REQUESTS);
+}
+
+static void
+note_leaving (struct exchange *x)
+{
+  const char *leaving
+      = header_list_find (&x->attempt.headers, "Jaystair-Leaving");
+  if (leaving != NULL && strcmp (leaving, "1") == 0)
+    caller_service_set_leaving (x->service, x->attempt.key, true);
+}
+
+/* The rest of a short answer is worth its time, since the connection can then
+   be kept. */
+static bool
+ends_soon (const struct exchange *x)
+{
+  const int64_t length = x->attempt.length_bytes;
+  return x->attempt.call != NULL && length >= 0 && length <= SMALL_ANSWER_BYTES
+         && x->upload.whole;
+}
+
+void
+exchange_judge (struct exchange *x)
+{
+  if (x->attempt.relay)
+    {
+      exchange_answer_target (x);
+      return;
+    }
+  note_leaving (x);
+  if (is_shed (x))
+    {
+      if (ends_soon (x))
+        return;
+      exchange_drop_attempt (x, ATTEMPT_SHED);
+      try_again (x, ATTEMPT_SHED, "the target sheds load");
+      return;
+    }
+  if (is_server_error (x) && tried_elsewhere (x))
+    return;
+  exchange_answer_target (x);
+}
--- /dev/null
+++ b/node/caller/exchange_caller.c
@@ -0,0 +1,235 @@
+#include "node/caller/exchange_caller.h"
+
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "node/caller/exchange_attempt.h"
+
+enum
+{
+  ANSWER_BLOCK_BYTES = 16 * 1024,
+  HEADER_VALUE_SIZE = 1024
+};
+
+static void
+suspend (struct exchange *x)
+{
+  if (!x->watched)
+    hangup_watch_add (x->context->hangup, x->fd, x);
+  x->watched = true;
+  x->suspended = true;
+  MHD_suspend_connection (x->connection);
+}
+
+static bool
+answer_chosen (const struct exchange *x)
+{
+  return x->state == EXCHANGE_OWN || x->state == EXCHANGE_ANSWERING;
+}
+
+/* Nobody needs the rest of the body. */
+static bool
+discards_upload (const struct exchange *x)
+{
+  return x->state == EXCHANGE_OWN
+         || (x->state == EXCHANGE_ANSWERING && x->attempt.call == NULL);
+}
+
+static bool
+can_go_on (const struct exchange *x)
+{
+  if (x->caller_gone || x->state == EXCHANGE_OVER)
+    return true;
+  if (x->queued)
+    return x->answer_cut || x->answer.whole
+           || stream_buffer_waiting (&x->answer) > 0;
+  if (x->upload_complete)
+    return answer_chosen (x);
+  return discards_upload (x) || stream_buffer_room (&x->upload) > 0;
+}
+
+void
+exchange_wake_caller (struct exchange *x)
+{
+  if (x->connection == NULL || !x->suspended || !can_go_on (x))
+    return;
+  x->suspended = false;
+  MHD_resume_connection (x->connection);
+  mhd_loop_kick (x->context->mhd_loop);
+}
+
+/* Guards against a cut answer that looks whole: an HTTP/1.0 caller takes the
+   connection's end for the body's end when no length was announced.  To
+   dissolve the association makes the kernel send a reset, which no caller
+   can take for an end in good order. */
+static void
+reset_connection (const struct exchange *x)
+{
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+  connect (x->fd, &none, sizeof none);
+}
+
+static ssize_t
+read_answer (void *owner, uint64_t position, char *data, size_t size)
+{
+  struct exchange *x = owner;
+  const size_t taken = stream_buffer_take (&x->answer, data, size);
+  if (taken > 0)
+    {
+      if (x->attempt.held_back)
+        exchange_kick (x);
+      return (ssize_t)taken;
+    }
+  if (x->answer_cut || x->caller_gone)
+    {
+      if (x->head.http_1_0)
+        reset_connection (x);
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+  if (x->answer.whole)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  suspend (x);
+  return 0;
+}
+
+static uint64_t
+answer_bytes (const struct exchange *x)
+{
+  if (x->attempt.length_bytes >= 0)
+    return (uint64_t)x->attempt.length_bytes;
+  if (x->answer.whole && strcmp (x->head.method, "HEAD") != 0)
+    return stream_buffer_waiting (&x->answer);
+  return MHD_SIZE_UNKNOWN;
+}
+
+static void
+add_header (struct MHD_Response *response, const char *name, const char *value)
+{
+  char spaced[HEADER_VALUE_SIZE];
+  const char *tab = strchr (value, '\t');
+  /* The library refuses tabs, which mean the same as spaces. */
+  if (tab != NULL && strlen (value) < sizeof spaced)
+    {
+      strcpy (spaced, value);
+      for (char *c = spaced; *c != '\0'; c++)
+        if (*c == '\t')
+          *c = ' ';
+      value = spaced;
+    }
+  MHD_add_response_header (response, name, value);
+}
+
+static void
+add_headers (struct MHD_Response *response, struct exchange *x)
+{
+  struct header_list *headers = &x->attempt.headers;
+  header_list_remove_hop_by_hop (headers);
+  if (!x->attempt.relay)
+    header_list_remove_prefix (headers, "Jaystair-");
+  for (size_t i = 0; i < headers->count; i++)
+    add_header (response, header_list_name (headers, i),
+                header_list_value (headers, i));
+  if (!x->attempt.relay)
+    MHD_add_response_header (response, "Jaystair-Outcome",
+                             answer_outcome_name (ANSWER_RAN));
+  if (x->context->leaving)
+    MHD_add_response_header (response, "Connection", "close");
+}
+
+static struct MHD_Response *
+target_response (struct exchange *x)
+{
+  const uint32_t status = x->attempt.status;
+  struct MHD_Response *response;
+  if (status == MHD_HTTP_NO_CONTENT)
+    response = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
+  else
+    response = MHD_create_response_from_callback (
+        answer_bytes (x), ANSWER_BLOCK_BYTES, read_answer, x, NULL);
+  add_headers (response, x);
+  return response;
+}
+
+static enum MHD_Result
+queue (struct exchange *x)
+{
+  const bool own = x->state == EXCHANGE_OWN;
+  struct MHD_Response *response
+      = own ? own_answer_response (&x->own, x->context->leaving)
+            : target_response (x);
+  const uint32_t status = own ? x->own.status : x->attempt.status;
+  x->queued = true;
+  const enum MHD_Result result
+      = MHD_queue_response (x->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+body_too_large (struct exchange *x)
+{
+  exchange_drop_attempt (x, ATTEMPT_CANCELLED);
+  struct own_answer own = { .status = MHD_HTTP_CONTENT_TOO_LARGE,
+                            .outcome = exchange_outcome (x),
+                            .reason = "body-too-large" };
+  strcpy (own.message, "the body is larger than the service takes: send less");
+  exchange_answer_own (x, &own);
+}
+
+static enum MHD_Result
+take_upload (struct exchange *x, const char *data, size_t *size)
+{
+  if (discards_upload (x))
+    {
+      *size = 0;
+      return MHD_YES;
+    }
+  const size_t taken = stream_buffer_append (&x->upload, data, *size);
+  x->upload_bytes += taken;
+  if (x->upload_bytes > x->service->spec->limits.body_bytes)
+    {
+      body_too_large (x);
+      *size = 0;
+      return MHD_YES;
+    }
+  *size -= taken;
+  exchange_kick (x);
+  if (*size > 0)
+    suspend (x);
+  return MHD_YES;
+}
+
+enum MHD_Result
+exchange_on_request (struct exchange *x, const char *upload_data,
+                     size_t *upload_data_size)
+{
+  if (x->caller_gone || x->state == EXCHANGE_OVER)
+    return MHD_NO;
+  if (*upload_data_size > 0)
+    return take_upload (x, upload_data, upload_data_size);
+  if (!x->upload_complete)
+    {
+      x->upload_complete = true;
+      x->upload.whole = true;
+      exchange_kick (x);
+    }
+  if (x->answered_raw)
+    return MHD_NO;
+  if (answer_chosen (x))
+    return queue (x);
+  suspend (x);
+  return MHD_YES;
+}
+
+void
+exchange_answer_raw (struct exchange *x)
+{
+  char text[OWN_ANSWER_TEXT_SIZE];
+  const size_t size = own_answer_bytes (&x->own, text);
+  const ssize_t sent = send (x->fd, text, size, MSG_DONTWAIT | MSG_NOSIGNAL);
+  (void)sent;
+  shutdown (x->fd, SHUT_WR);
+  x->answered_raw = true;
+  exchange_wake_caller (x);
+}
--- /dev/null
+++ b/node/caller/exchange_ticket.c
@@ -0,0 +1,135 @@
+#include "node/caller/exchange_ticket.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "node/caller/exchange_attempt.h"
+
+enum
+{
+  FULL_RETRY_AFTER_MS = 1000,
+  RUNNING_RETRY_AFTER_MS = 1000
+};
+
+/* A ticket that isn't run here and now may have run before, so nothing but
+   "unknown" is true of it, whatever this host did not do. */
+static void
+answer_unknown (struct exchange *x, uint32_t status, const char *reason,
+                const char *message)
+{
+  struct own_answer own
+      = { .status = status, .outcome = ANSWER_UNKNOWN, .reason = reason };
+  snprintf (own.message, sizeof own.message, "%s", message);
+  exchange_answer_own (x, &own);
+}
+
+static void
+answer_duplicate (struct exchange *x, enum ticket_claim claim,
+                  const struct ticket *ticket)
+{
+  struct own_answer own = { .status = MHD_HTTP_CONFLICT,
+                            .outcome = ANSWER_UNKNOWN,
+                            .reason = "ticket-duplicate" };
+  const uint32_t status
+      = ticket_desk_status (x->context->tickets, ticket->sequence);
+  if (claim == TICKET_CLAIM_DUPLICATE_ANSWERED)
+    snprintf (own.message, sizeof own.message,
+              "this ticket has been run and answered with status %u: don't "
+              "send it again",
+              status);
+  else if (claim == TICKET_CLAIM_DUPLICATE_RUNNING)
+    snprintf (own.message, sizeof own.message,
+              "this ticket is being run: wait for its own answer");
+  else
+    snprintf (own.message, sizeof own.message,
+              "this ticket has perhaps been run: find out before asking for "
+              "the same with a new one");
+  if (claim == TICKET_CLAIM_DUPLICATE_RUNNING)
+    own.retry_after_ms = RUNNING_RETRY_AFTER_MS;
+  exchange_answer_own (x, &own);
+}
+
+static void
+answer_not_run (struct exchange *x, enum ticket_claim claim)
+{
+  const bool full = claim == TICKET_CLAIM_FULL;
+  struct own_answer own
+      = { .status = full ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_BAD_REQUEST,
+          .outcome = ANSWER_NOT_RUN,
+          .reason = full ? "tickets-full" : "ticket-forged",
+          .retry_after_ms = full ? FULL_RETRY_AFTER_MS : 0 };
+  snprintf (own.message, sizeof own.message, "%s",
+            full ? "too many tickets are in use at this host: come back later"
+                 : "this ticket was never handed out: take one from an "
+                   "address answer");
+  exchange_answer_own (x, &own);
+}
+
+static void
+pass_on (struct exchange *x, const struct ticket *ticket)
+{
+  const char *address
+      = host_directory_find (x->context->directory, ticket->host);
+  const bool can = address != NULL && address[0] != '\0' && !x->head.relayed;
+  if (can)
+    exchange_relay (x, ticket->host, address);
+  else
+    answer_unknown (x, MHD_HTTP_BAD_GATEWAY, "ticket-elsewhere",
+                    "the host that handed out this ticket can't be reached "
+                    "from here: find out whether it has run before asking "
+                    "for the same with a new one");
+}
+
+bool
+exchange_ticket_claim (struct exchange *x)
+{
+  struct ticket ticket;
+  const enum ticket_claim claim
+      = ticket_desk_claim (x->context->tickets, x->head.ticket, &ticket);
+  switch (claim)
+    {
+    case TICKET_CLAIM_RUN:
+      x->ticket_claimed = true;
+      x->ticket_sequence = ticket.sequence;
+      return true;
+    case TICKET_CLAIM_NOT_ISSUED_HERE:
+      pass_on (x, &ticket);
+      return false;
+    case TICKET_CLAIM_DUPLICATE_RUNNING:
+    case TICKET_CLAIM_DUPLICATE_ANSWERED:
+    case TICKET_CLAIM_DUPLICATE_UNKNOWN:
+      answer_duplicate (x, claim, &ticket);
+      return false;
+    case TICKET_CLAIM_EXPIRED:
+    case TICKET_CLAIM_WRONG_INCARNATION:
+      answer_unknown (x, MHD_HTTP_CONFLICT,
+                      claim == TICKET_CLAIM_EXPIRED ? "ticket-expired"
+                                                    : "ticket-restarted",
+                      "this host no longer knows the ticket: find out "
+                      "whether it has run before asking for the same with a "
+                      "new one");
+      return false;
+    case TICKET_CLAIM_FORGED:
+    case TICKET_CLAIM_FULL:
+      answer_not_run (x, claim);
+      return false;
+    }
+  return false;
+}
+
+void
+exchange_ticket_finish (struct exchange *x)
+{
+  if (!x->ticket_claimed)
+    return;
+  x->ticket_claimed = false;
+  enum ticket_end end = TICKET_END_UNKNOWN;
+  if (x->state == EXCHANGE_ANSWERING && x->answer.whole)
+    end = TICKET_END_ANSWERED;
+  else if (x->state == EXCHANGE_OWN && x->own.outcome == ANSWER_NOT_RUN)
+    end = TICKET_END_NOT_RUN;
+  else if (x->state != EXCHANGE_ANSWERING && !x->perhaps_ran)
+    end = TICKET_END_NOT_RUN;
+  ticket_desk_finish (x->context->tickets, x->ticket_sequence, end,
+                      x->attempt.status);
+}
--- /dev/null
+++ b/node/caller/host_directory.c
@@ -0,0 +1,78 @@
+#include "node/caller/host_directory.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/xmalloc.h"
+
+enum
+{
+  HOSTS_MAX = 8192
+};
+
+struct entry
+{
+  struct bus_set_host host;
+  UT_hash_handle hh;
+};
+
+struct host_directory
+{
+  struct entry *entries; /* by name, the longest unheard first */
+};
+
+struct host_directory *
+host_directory_create (void)
+{
+  return xcalloc (1, sizeof (struct host_directory));
+}
+
+static void
+forget (struct host_directory *directory, struct entry *entry)
+{
+  HASH_DEL (directory->entries, entry);
+  free (entry);
+}
+
+void
+host_directory_destroy (struct host_directory *directory)
+{
+  if (directory == NULL)
+    return;
+  struct entry *entry;
+  struct entry *next;
+  HASH_ITER (hh, directory->entries, entry, next) forget (directory, entry);
+  free (directory);
+}
+
+static void
+learn_one (struct host_directory *directory, const struct bus_set_host *host)
+{
+  struct entry *entry;
+  HASH_FIND_STR (directory->entries, host->name, entry);
+  if (entry != NULL)
+    forget (directory, entry);
+  if (HASH_COUNT (directory->entries) >= HOSTS_MAX)
+    forget (directory, directory->entries);
+  entry = xcalloc (1, sizeof *entry);
+  entry->host = *host;
+  HASH_ADD_STR (directory->entries, host.name, entry);
+}
+
+void
+host_directory_learn (struct host_directory *directory,
+                      const struct bus_host_set *set)
+{
+  for (size_t i = 0; i < set->count; i++)
+    learn_one (directory, &set->hosts[i]);
+}
+
+const char *
+host_directory_find (const struct host_directory *directory, const char *name)
+{
+  const struct entry *entry;
+  HASH_FIND_STR (directory->entries, name, entry);
+  return entry != NULL ? entry->host.caller_address : NULL;
+}
--- /dev/null
+++ b/node/caller/request_head.c
@@ -0,0 +1,142 @@
+#include "node/caller/request_head.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "node/caller/route_table.h"
+
+enum
+{
+  DEADLINE_MAX_MS = 60 * 60 * 1000
+};
+
+static enum MHD_Result
+collect (void *owner, enum MHD_ValueKind kind, const char *name,
+         size_t name_size, const char *value, size_t value_size)
+{
+  struct header_list *headers = owner;
+  const enum status status = header_list_add (
+      headers, name, name_size, value != NULL ? value : "", value_size);
+  return status == STATUS_OK ? MHD_YES : MHD_NO;
+}
+
+/* The host of AUTHORITY in lower case; an IPv6 number keeps its brackets. */
+static void
+read_host (struct request_head *head, const char *authority)
+{
+  if (authority == NULL)
+    return;
+  const char *bracket = authority[0] == '[' ? strchr (authority, ']') : NULL;
+  const size_t size = bracket != NULL ? (size_t)(bracket + 1 - authority)
+                                      : strcspn (authority, ":");
+  for (size_t i = 0; i < size && i < sizeof head->host - 1; i++)
+    head->host[i] = (char)tolower ((unsigned char)authority[i]);
+}
+
+static enum status
+read_number (const char *name, const char *text, int64_t *number)
+{
+  char *end;
+  errno = 0;
+  const long long value = strtoll (text, &end, 10);
+  if (!isdigit ((unsigned char)text[0]) || *end != '\0' || errno != 0)
+    return status_set (STATUS_INVALID,
+                       "%s is not a whole number: send digits only", name);
+  *number = value;
+  return STATUS_OK;
+}
+
+static enum status
+read_body (struct request_head *head)
+{
+  const char *coding = header_list_find (&head->headers, "Transfer-Encoding");
+  const char *length = header_list_find (&head->headers, "Content-Length");
+  if (coding != NULL && length != NULL)
+    return status_set (STATUS_INVALID,
+                       "both Content-Length and Transfer-Encoding are given: "
+                       "send one of them");
+  if (coding != NULL)
+    {
+      head->body = REQUEST_BODY_CHUNKED;
+      if (strcasecmp (coding, "chunked") != 0)
+        return status_set (STATUS_INVALID,
+                           "this Transfer-Encoding is not supported: send "
+                           "chunked or Content-Length");
+    }
+  if (length == NULL)
+    return STATUS_OK;
+  head->body = REQUEST_BODY_SIZED;
+  return read_number ("Content-Length", length, &head->body_bytes);
+}
+
+static enum status
+read_own_fields (struct request_head *head)
+{
+  const char *ticket = header_list_find (&head->headers, "Jaystair-Ticket");
+  if (ticket != NULL && strlen (ticket) >= sizeof head->ticket)
+    return status_set (STATUS_INVALID, "Jaystair-Ticket is too long: send a "
+                                       "ticket as it was handed out");
+  if (ticket != NULL)
+    strcpy (head->ticket, ticket);
+  head->relayed
+      = header_list_find (&head->headers, "Jaystair-Relayed") != NULL;
+  const char *deadline
+      = header_list_find (&head->headers, "Jaystair-Deadline-Ms");
+  if (deadline == NULL)
+    return STATUS_OK;
+  const enum status status
+      = read_number ("Jaystair-Deadline-Ms", deadline, &head->deadline_ms);
+  if (head->deadline_ms > DEADLINE_MAX_MS)
+    head->deadline_ms = DEADLINE_MAX_MS;
+  return status;
+}
+
+static uint32_t
+head_bytes (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  return info == NULL ? 0 : (uint32_t)info->header_size;
+}
+
+static enum status
+read_fields (struct request_head *head, const char *uri)
+{
+  read_host (head, header_list_find (&head->headers, "Host"));
+  enum status status = read_body (head);
+  if (status == STATUS_OK)
+    status = read_own_fields (head);
+  if (status == STATUS_OK)
+    status = route_path_normalise (uri, head->path, sizeof head->path);
+  const char *expect = header_list_find (&head->headers, "Expect");
+  head->expects_continue
+      = expect != NULL && strcasecmp (expect, "100-continue") == 0;
+  header_list_remove_hop_by_hop (&head->headers);
+  header_list_remove_prefix (&head->headers, "Jaystair-");
+  return status;
+}
+
+enum status
+request_head_read (struct request_head *head,
+                   struct MHD_Connection *connection, const char *uri,
+                   const char *method, const char *version)
+{
+  head->deadline_ms = -1;
+  head->http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
+  head->head_bytes = head_bytes (connection);
+  MHD_get_connection_values_n (connection, MHD_HEADER_KIND, collect,
+                               &head->headers);
+  if (strlen (method) >= sizeof head->method)
+    return status_set (STATUS_INVALID, "the method is too long");
+  strcpy (head->method, method);
+  return read_fields (head, uri);
+}
+
+void
+request_head_release (struct request_head *head)
+{
+  header_list_release (&head->headers);
+}
--- /dev/null
+++ b/node/caller/route_table.c
@@ -0,0 +1,263 @@
+#include "node/caller/route_table.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <uthash.h>
+
+#include "base/xmalloc.h"
+
+enum
+{
+  KEY_SIZE = SERVICE_NAME_SIZE + SERVICE_PATH_SIZE
+};
+
+/* The routes of one host and prefix, the most specific first. */
+struct bucket
+{
+  char key[KEY_SIZE]; /* host, a NUL, prefix without a last "/" */
+  size_t key_size;
+  struct route *routes;
+  UT_hash_handle hh;
+};
+
+struct route_table
+{
+  struct bucket *buckets;
+};
+
+struct route_table *
+route_table_create (void)
+{
+  return xcalloc (1, sizeof (struct route_table));
+}
+
+static void
+bucket_destroy (struct route_table *table, struct bucket *bucket)
+{
+  while (bucket->routes != NULL)
+    {
+      struct route *route = bucket->routes;
+      bucket->routes = route->next;
+      free (route);
+    }
+  HASH_DEL (table->buckets, bucket);
+  free (bucket);
+}
+
+void
+route_table_destroy (struct route_table *table)
+{
+  if (table == NULL)
+    return;
+  struct bucket *bucket;
+  struct bucket *next;
+  HASH_ITER (hh, table->buckets, bucket, next) bucket_destroy (table, bucket);
+  free (table);
+}
+
+static size_t
+make_key (char key[KEY_SIZE], const char *host, const char *prefix,
+          size_t prefix_size)
+{
+  const size_t host_size = strnlen (host, SERVICE_NAME_SIZE - 1);
+  if (prefix_size >= SERVICE_PATH_SIZE)
+    return 0;
+  for (size_t i = 0; i < host_size; i++)
+    key[i] = (char)tolower ((unsigned char)host[i]);
+  key[host_size] = '\0';
+  memcpy (key + host_size + 1, prefix, prefix_size);
+  return host_size + 1 + prefix_size;
+}
+
+/* Less than 0 when A goes before B. */
+static int
+compare (const struct route *a, const struct route *b)
+{
+  const bool a_any = a->spec.methods == 0;
+  const bool b_any = b->spec.methods == 0;
+  if (a_any != b_any)
+    return a_any ? 1 : -1;
+  if (a->spec.repeatable != b->spec.repeatable)
+    return a->spec.repeatable ? 1 : -1;
+  return strcmp (a->service, b->service);
+}
+
+static void
+bucket_insert (struct bucket *bucket, struct route *route)
+{
+  struct route **place = &bucket->routes;
+  while (*place != NULL && compare (*place, route) <= 0)
+    place = &(*place)->next;
+  route->next = *place;
+  *place = route;
+}
+
+static void
+add_route (struct route_table *table, const char *service,
+           const struct route_spec *spec)
+{
+  size_t prefix_size = strlen (spec->path_prefix);
+  while (prefix_size > 0 && spec->path_prefix[prefix_size - 1] == '/')
+    prefix_size--;
+  char key[KEY_SIZE];
+  const size_t key_size
+      = make_key (key, spec->host, spec->path_prefix, prefix_size);
+  struct bucket *bucket;
+  HASH_FIND (hh, table->buckets, key, key_size, bucket);
+  if (bucket == NULL)
+    {
+      bucket = xcalloc (1, sizeof *bucket);
+      memcpy (bucket->key, key, key_size);
+      bucket->key_size = key_size;
+      HASH_ADD (hh, table->buckets, key, bucket->key_size, bucket);
+    }
+  struct route *route = xcalloc (1, sizeof *route);
+  strcpy (route->service, service);
+  route->spec = *spec;
+  bucket_insert (bucket, route);
+}
+
+void
+route_table_set (struct route_table *table, const struct service_spec *spec)
+{
+  route_table_remove (table, spec->name);
+  for (size_t i = 0; i < spec->route_count; i++)
+    add_route (table, spec->name, &spec->routes[i]);
+}
+
+static void
+bucket_remove (struct bucket *bucket, const char *service)
+{
+  struct route **place = &bucket->routes;
+  while (*place != NULL)
+    {
+      struct route *route = *place;
+      if (strcmp (route->service, service) != 0)
+        {
+          place = &route->next;
+          continue;
+        }
+      *place = route->next;
+      free (route);
+    }
+}
+
+void
+route_table_remove (struct route_table *table, const char *service)
+{
+  struct bucket *bucket;
+  struct bucket *next;
+  HASH_ITER (hh, table->buckets, bucket, next)
+  {
+    bucket_remove (bucket, service);
+    if (bucket->routes == NULL)
+      bucket_destroy (table, bucket);
+  }
+}
+
+uint32_t
+route_method_bit (const char *method)
+{
+  static const char *const names[]
+      = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcmp (method, names[i]) == 0)
+      return 1U << i;
+  return 0;
+}
+
+static const struct route *
+bucket_match (const struct route_table *table, const char *host,
+              const char *path, size_t prefix_size, uint32_t method)
+{
+  char key[KEY_SIZE];
+  const size_t key_size = make_key (key, host, path, prefix_size);
+  if (key_size == 0)
+    return NULL;
+  const struct bucket *bucket;
+  HASH_FIND (hh, table->buckets, key, key_size, bucket);
+  if (bucket == NULL)
+    return NULL;
+  for (const struct route *route = bucket->routes; route != NULL;
+       route = route->next)
+    if (route->spec.methods == 0 || (route->spec.methods & method) != 0)
+      return route;
+  return NULL;
+}
+
+/* The size of the prefix of PATH that is one segment shorter than SIZE. */
+static size_t
+shorter (const char *path, size_t size)
+{
+  while (size > 0 && path[size - 1] != '/')
+    size--;
+  return size > 0 ? size - 1 : 0;
+}
+
+const struct route *
+route_table_match (const struct route_table *table, const char *host,
+                   const char *path, uint32_t method)
+{
+  size_t size = strlen (path);
+  if (size > 0 && path[size - 1] == '/')
+    size--;
+  for (;;)
+    {
+      const struct route *route = NULL;
+      if (host[0] != '\0')
+        route = bucket_match (table, host, path, size, method);
+      if (route == NULL)
+        route = bucket_match (table, "", path, size, method);
+      if (route != NULL || size == 0)
+        return route;
+      size = shorter (path, size);
+    }
+}
+
+static struct json_object *
+method_names (uint32_t methods)
+{
+  static const char *const names[]
+      = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
+  char text[64] = "";
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    {
+      if ((methods & (1U << i)) == 0)
+        continue;
+      if (text[0] != '\0')
+        strcat (text, ",");
+      strcat (text, names[i]);
+    }
+  return json_object_new_string (text[0] != '\0' ? text : "any");
+}
+
+static struct json_object *
+route_row (const struct route *route)
+{
+  struct json_object *row = json_object_new_object ();
+  json_object_object_add (row, "service",
+                          json_object_new_string (route->service));
+  json_object_object_add (row, "host",
+                          json_object_new_string (route->spec.host));
+  json_object_object_add (row, "path_prefix",
+                          json_object_new_string (route->spec.path_prefix));
+  json_object_object_add (row, "methods", method_names (route->spec.methods));
+  json_object_object_add (row, "repeatable",
+                          json_object_new_boolean (route->spec.repeatable));
+  return row;
+}
+
+struct json_object *
+route_table_rows (const struct route_table *table)
+{
+  struct json_object *rows = json_object_new_array ();
+  for (const struct bucket *bucket = table->buckets; bucket != NULL;
+       bucket = bucket->hh.next)
+    for (const struct route *route = bucket->routes; route != NULL;
+         route = route->next)
+      json_object_array_add (rows, route_row (route));
+  return rows;
+}
--- /dev/null
+++ b/node/caller/target_call.c
@@ -0,0 +1,284 @@
+#include "node/caller/target_call.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/xmalloc.h"
+
+enum
+{
+  URL_SIZE = 96,
+  STATUS_FINAL_MIN = 200,
+  FIELD_SIZE = 1024
+};
+
+struct target_call
+{
+  const struct target_call_events *events;
+  void *owner; /* NULL once given up */
+  struct curl_loop *curl;
+  CURL *easy;
+  struct curl_slist *fields;
+  struct header_list answer;
+  bool head_only;
+  bool head_told;
+  bool too_large;
+  bool read_paused;
+  bool body_paused;
+  uint32_t sendings;
+  char message[CURL_ERROR_SIZE];
+};
+
+static int
+on_before_send (void *owner, char *remote_ip, char *local_ip, int remote_port,
+                int local_port)
+{
+  struct target_call *call = owner;
+  if (call->sendings > 0)
+    return CURL_PREREQFUNC_ABORT;
+  call->sendings++;
+  return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+on_read (char *data, size_t size, size_t count, void *owner)
+{
+  struct target_call *call = owner;
+  if (call->owner == NULL)
+    return CURL_READFUNC_ABORT;
+  const size_t got = call->events->read (call->owner, data, size * count);
+  call->read_paused = got == TARGET_CALL_WAIT;
+  return call->read_paused ? CURL_READFUNC_PAUSE : got;
+}
+
+/* The final answer's head is complete at its empty line.  1xx heads before it
+   and trailers behind the body come through the same callback. */
+static void
+end_of_head (struct target_call *call)
+{
+  long status = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (status < STATUS_FINAL_MIN)
+    return;
+  curl_off_t length = -1;
+  const char *announced = header_list_find (&call->answer, "Content-Length");
+  if (announced != NULL)
+    length = strtoll (announced, NULL, 10);
+  call->head_told = true;
+  const struct target_head head = { .status = (uint32_t)status,
+                                    .length_bytes = length,
+                                    .headers = &call->answer };
+  call->events->head (call->owner, &head);
+}
+
+static bool
+add_field (struct target_call *call, const char *line, size_t size)
+{
+  const char *colon = memchr (line, ':', size);
+  if (colon == NULL)
+    return true;
+  const char *value = colon + 1;
+  const char *end = line + size;
+  while (value < end && (*value == ' ' || *value == '\t'))
+    value++;
+  while (end > value && strchr ("\r\n \t", end[-1]) != NULL)
+    end--;
+  const size_t name_size = (size_t)(colon - line);
+  return header_list_add (&call->answer, line, name_size, value,
+                          (size_t)(end - value))
+         == STATUS_OK;
+}
+
+static size_t
+on_header (char *line, size_t size, size_t count, void *owner)
+{
+  struct target_call *call = owner;
+  const size_t total = size * count;
+  if (call->owner == NULL)
+    return 0;
+  if (call->head_told)
+    return total;
+  if (total >= 5 && memcmp (line, "HTTP/", 5) == 0)
+    header_list_clear (&call->answer);
+  else if (line[0] == '\r' || line[0] == '\n')
+    end_of_head (call);
+  else if (!add_field (call, line, total))
+    {
+      call->too_large = true;
+      return 0;
+    }
+  return total;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *owner)
+{
+  struct target_call *call = owner;
+  if (call->owner == NULL)
+    return 0;
+  call->body_paused = !call->events->body (call->owner, data, size * count);
+  return call->body_paused ? CURL_WRITEFUNC_PAUSE : size * count;
+}
+
+static void
+call_destroy (struct target_call *call)
+{
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->fields);
+  header_list_release (&call->answer);
+  free (call);
+}
+
+static void
+on_done (void *owner, CURLcode code, CURL *easy)
+{
+  struct target_call *call = owner;
+  const char *message = call->message;
+  if (message[0] == '\0')
+    message = curl_easy_strerror (code);
+  if (call->too_large)
+    message = "the answer's header fields are too large";
+  enum target_call_end end = TARGET_CALL_CUT;
+  if (call->sendings == 0)
+    end = TARGET_CALL_NOT_SENT;
+  else if (code == CURLE_OK && call->head_told)
+    end = TARGET_CALL_WHOLE;
+  if (call->owner != NULL)
+    call->events->end (call->owner, end, message);
+  call_destroy (call);
+}
+
+static void
+add_line (struct target_call *call, const char *line)
+{
+  call->fields = curl_slist_append (call->fields, line);
+}
+
+/* libcurl takes "Name:" as an order to leave its own field out, and "Name;"
+   for a field with no value. */
+static void
+add_header (struct target_call *call, const char *name, const char *value)
+{
+  char stack[FIELD_SIZE];
+  const size_t size = strlen (name) + strlen (value) + 3;
+  char *line = size <= sizeof stack ? stack : xmalloc (size);
+  if (value[0] == '\0')
+    snprintf (line, size, "%s;", name);
+  else
+    snprintf (line, size, "%s: %s", name, value);
+  add_line (call, line);
+  if (line != stack)
+    free (line);
+}
+
+static void
+add_headers (struct target_call *call,
+             const struct target_call_options *options)
+{
+  const struct header_list *headers = options->headers;
+  for (size_t i = 0; i < headers->count; i++)
+    add_header (call, header_list_name (headers, i),
+                header_list_value (headers, i));
+  for (const char *const *extra = options->extra;
+       extra != NULL && *extra != NULL; extra++)
+    add_line (call, *extra);
+  if (header_list_find (headers, "Accept") == NULL)
+    add_line (call, "Accept:");
+  add_line (call, "Expect:");
+}
+
+static void
+set_method (struct target_call *call,
+            const struct target_call_options *options)
+{
+  CURL *easy = call->easy;
+  if (options->has_body)
+    {
+      curl_easy_setopt (easy, CURLOPT_UPLOAD, 1L);
+      curl_easy_setopt (easy, CURLOPT_INFILESIZE_LARGE,
+                        (curl_off_t)options->body_bytes);
+      curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_read);
+      curl_easy_setopt (easy, CURLOPT_READDATA, call);
+    }
+  call->head_only = strcmp (options->method, "HEAD") == 0;
+  if (call->head_only)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  else
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
+}
+
+static void
+set_place (struct target_call *call, const struct target_call_options *options)
+{
+  CURL *easy = call->easy;
+  char url[URL_SIZE];
+  snprintf (url, sizeof url, "http://%s/", options->address);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, options->uri);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)options->connect_timeout_ms);
+  if (options->fresh)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      /* Else each such call would leave one more open connection behind. */
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+}
+
+static void
+set_callbacks (struct target_call *call)
+{
+  CURL *easy = call->easy;
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->message);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+}
+
+struct target_call *
+target_call_start (const struct target_call_options *options)
+{
+  struct target_call *call = xcalloc (1, sizeof *call);
+  call->events = options->events;
+  call->owner = options->owner;
+  call->curl = options->curl;
+  call->easy = curl_loop_easy ();
+  set_place (call, options);
+  set_callbacks (call);
+  set_method (call, options);
+  add_headers (call, options);
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->fields);
+  curl_loop_start (call->curl, call->easy, on_done, call);
+  return call;
+}
+
+void
+target_call_cancel (struct target_call *call)
+{
+  call->owner = NULL;
+  curl_loop_cancel (call->curl, call->easy);
+}
+
+bool
+target_call_perhaps_sent (const struct target_call *call)
+{
+  return call->sendings > 0;
+}
+
+void
+target_call_go_on (struct target_call *call, bool send, bool receive)
+{
+  const bool send_again = send && call->read_paused;
+  const bool receive_again = receive && call->body_paused;
+  if (!send_again && !receive_again)
+    return;
+  call->read_paused = call->read_paused && !send_again;
+  call->body_paused = call->body_paused && !receive_again;
+  const int still = (call->read_paused ? CURLPAUSE_SEND : 0)
+                    | (call->body_paused ? CURLPAUSE_RECV : 0);
+  curl_loop_pause (call->curl, call->easy, still);
+}
--- /dev/null
+++ b/node/caller/tests/caller_fixture.cc
@@ -0,0 +1,313 @@
+#include "node/caller/tests/caller_fixture.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+const char *const usual_routes
+    = "[ { 'path_prefix': '/', 'methods': ['GET', 'HEAD', 'OPTIONS'],"
+      "    'repeatable': true },"
+      "  { 'path_prefix': '/', 'methods': ['PUT'], 'repeatable': true },"
+      "  { 'path_prefix': '/', 'methods': ['POST'], 'repeatable': false } ]";
+
+std::string
+Call::field (const std::string &name) const
+{
+  const auto found = answer_fields.find (name);
+  return found == answer_fields.end () ? "" : found->second;
+}
+
+void
+RawCaller::write (const std::string &bytes)
+{
+  ASSERT_EQ (send (fd, bytes.data (), bytes.size (), MSG_NOSIGNAL),
+             (ssize_t)bytes.size ());
+}
+
+void
+RawCaller::hang_up ()
+{
+  if (fd < 0)
+    return;
+  ev_io_stop (loop, &io);
+  close (fd);
+  fd = -1;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *io, int events)
+{
+  auto *raw = static_cast<RawCaller *> (io->data);
+  char data[65536];
+  const ssize_t got = recv (raw->fd, data, sizeof data, 0);
+  if (got > 0)
+    {
+      raw->received.append (data, (size_t)got);
+      return;
+    }
+  raw->closed = true;
+  raw->reset = got < 0;
+  ev_io_stop (loop, io);
+}
+
+void
+CallerTest::SetUp ()
+{
+  write_log_to (open ("/dev/null", O_WRONLY));
+  loop = ev_loop_new (EVFLAG_AUTO);
+  host_settings_defaults (&settings);
+  strcpy (settings.name, "host-1");
+  strcpy (settings.dc, "dc-a");
+  strcpy (settings.caller_address, "127.0.0.1:0");
+  the_bus = bus_create (loop);
+  the_counters = counters_create ();
+  the_tables = tables_create ();
+  const curl_loop_options options = {};
+  client = curl_loop_create (loop, &options);
+}
+
+void
+CallerTest::TearDown ()
+{
+  curl_loop_destroy (client);
+  caller_task_destroy (task);
+  for (target_server *target : targets)
+    target_server_destroy (target);
+  tables_destroy (the_tables);
+  counters_destroy (the_counters);
+  bus_destroy (the_bus);
+  ev_loop_destroy (loop);
+}
+
+void
+CallerTest::write_log_to (int fd)
+{
+  const log_options options = { LOG_LEVEL_INFO, false, fd, 0 };
+  log_configure (&options);
+}
+
+bool
+CallerTest::run_until (const std::function<bool ()> &ready)
+{
+  ev_timer guard;
+  bool late = false;
+  ev_timer_init (
+      &guard,
+      [] (struct ev_loop *, ev_timer *timer, int) {
+        *static_cast<bool *> (timer->data) = true;
+      },
+      10., 0.);
+  guard.data = &late;
+  ev_now_update (loop);
+  ev_timer_start (loop, &guard);
+  while (!ready () && !late)
+    ev_run (loop, EVRUN_ONCE);
+  ev_timer_stop (loop, &guard);
+  return !late;
+}
+
+target_server *
+CallerTest::add_target (const std::string &name)
+{
+  target_server *target
+      = target_server_create (loop, "127.0.0.1:0", name.c_str ());
+  targets.push_back (target);
+  target_names.push_back (name);
+  return target;
+}
+
+void
+CallerTest::put_service (const std::string &routes, const std::string &members)
+{
+  std::string text = "{ 'name': 'holds', 'targets': [";
+  for (size_t i = 0; i < targets.size (); i++)
+    text += std::string (i > 0 ? "," : "") + "{ 'name': '" + target_names[i]
+            + "', 'address': '" + target_server_address (targets[i])
+            + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200"
+            + target_options + "}";
+  text += "], 'routes': " + routes + members + "}";
+  for (char &c : text)
+    if (c == '\'')
+      c = '"';
+  bus_message message = {};
+  message.topic = BUS_SERVICE_IN_FORCE;
+  ASSERT_EQ (service_spec_parse ("test", text.c_str (), ++version,
+                                 &message.service_in_force.spec),
+             STATUS_OK)
+      << status_message () << text;
+  bus_post (the_bus, &message);
+}
+
+void
+CallerTest::put_hosts (const std::vector<bus_set_host> &hosts)
+{
+  bus_message message = {};
+  message.topic = BUS_HOST_SET;
+  strcpy (message.host_set.service, "holds");
+  message.host_set.count = hosts.size ();
+  message.host_set.hosts = static_cast<bus_set_host *> (
+      calloc (hosts.size () + 1, sizeof (bus_set_host)));
+  for (size_t i = 0; i < hosts.size (); i++)
+    message.host_set.hosts[i] = hosts[i];
+  bus_post (the_bus, &message);
+}
+
+void
+CallerTest::start ()
+{
+  caller_task_options options = {};
+  options.loop = loop;
+  options.bus = the_bus;
+  options.settings = &settings;
+  options.counters = the_counters;
+  options.tables = the_tables;
+  options.seed = 1;
+  task = caller_task_create (&options);
+  ASSERT_NE (task, nullptr) << status_message ();
+  ev_run (loop, EVRUN_NOWAIT);
+}
+
+std::unique_ptr<Call>
+CallerTest::make (const std::string &method, const std::string &path,
+                  const std::string &id)
+{
+  auto call = std::make_unique<Call> ();
+  call->method = method;
+  call->url = std::string ("http://") + caller_task_address (task) + path;
+  if (!id.empty ())
+    call->fields.push_back ("X-Request-Id: " + id);
+  return call;
+}
+
+static size_t
+on_answer (char *data, size_t size, size_t count, void *owner)
+{
+  static_cast<Call *> (owner)->answer.append (data, size * count);
+  return size * count;
+}
+
+static size_t
+on_field (char *data, size_t size, size_t count, void *owner)
+{
+  std::string line (data, size * count);
+  const size_t colon = line.find (": ");
+  if (colon == std::string::npos)
+    return size * count;
+  std::string name = line.substr (0, colon);
+  for (char &c : name)
+    c = (char)tolower (c);
+  while (!line.empty () && (line.back () == '\n' || line.back () == '\r'))
+    line.pop_back ();
+  static_cast<Call *> (owner)->answer_fields[name] = line.substr (colon + 2);
+  return size * count;
+}
+
+static size_t
+on_send (char *data, size_t size, size_t count, void *owner)
+{
+  auto *call = static_cast<Call *> (owner);
+  const size_t left = call->body.size () - call->sent;
+  const size_t taken = left < size * count ? left : size * count;
+  memcpy (data, call->body.data () + call->sent, taken);
+  call->sent += taken;
+  return taken;
+}
+
+static void
+on_call_done (void *owner, CURLcode code, CURL *easy)
+{
+  auto *call = static_cast<Call *> (owner);
+  call->code = code;
+  call->done = true;
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &call->status);
+  curl_easy_cleanup (easy);
+  curl_slist_free_all (call->list);
+  call->easy = nullptr;
+}
+
+static void
+set_body (Call *call)
+{
+  if (!call->chunked)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE,
+                        (long)call->body.size ());
+      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, call->body.data ());
+      return;
+    }
+  curl_easy_setopt (call->easy, CURLOPT_UPLOAD, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_READFUNCTION, on_send);
+  curl_easy_setopt (call->easy, CURLOPT_READDATA, call);
+}
+
+void
+CallerTest::begin (Call *call)
+{
+  call->easy = curl_loop_easy ();
+  curl_easy_setopt (call->easy, CURLOPT_URL, call->url.c_str ());
+  curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_answer);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_field);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERDATA, call);
+  if (call->http_1_0)
+    curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION,
+                      (long)CURL_HTTP_VERSION_1_0);
+  if (!call->body.empty () || call->method == "POST")
+    set_body (call);
+  if (call->method == "HEAD")
+    curl_easy_setopt (call->easy, CURLOPT_NOBODY, 1L);
+  else
+    curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST,
+                      call->method.c_str ());
+  call->list = curl_slist_append (call->list, "Expect:");
+  for (const std::string &field : call->fields)
+    call->list = curl_slist_append (call->list, field.c_str ());
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->list);
+  curl_loop_start (client, call->easy, on_call_done, call);
+}
+
+void
+CallerTest::finish (Call *call)
+{
+  begin (call);
+  ASSERT_TRUE (run_until ([call] { return call->done; })) << call->url;
+}
+
+std::unique_ptr<Call>
+CallerTest::get (const std::string &path, const std::string &id)
+{
+  auto call = make ("GET", path, id);
+  finish (call.get ());
+  return call;
+}
+
+std::unique_ptr<RawCaller>
+CallerTest::connect_raw ()
+{
+  auto raw = std::make_unique<RawCaller> ();
+  const std::string address = caller_task_address (task);
+  sockaddr_in in = {};
+  in.sin_family = AF_INET;
+  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  in.sin_port
+      = htons ((uint16_t)std::stoi (address.substr (address.rfind (':') + 1)));
+  raw->fd = socket (AF_INET, SOCK_STREAM, 0);
+  EXPECT_EQ (connect (raw->fd, (sockaddr *)&in, sizeof in), 0);
+  fcntl (raw->fd, F_SETFL, O_NONBLOCK);
+  raw->loop = loop;
+  ev_io_init (&raw->io, on_readable, raw->fd, EV_READ);
+  raw->io.data = raw.get ();
+  ev_io_start (loop, &raw->io);
+  return raw;
+}
+
+std::string
+CallerTest::exposed () const
+{
+  char *text = counters_expose (the_counters);
+  std::string copy = text;
+  free (text);
+  return copy;
+}
--- /dev/null
+++ b/node/caller/tests/caller_fixture.h
@@ -0,0 +1,109 @@
+/** @file
+ * A caller task with stand-in targets and callers, all on one loop of the
+ * test: nothing runs but what the test waits for.
+ */
+#ifndef NODE_CALLER_TESTS_CALLER_FIXTURE_H
+#define NODE_CALLER_TESTS_CALLER_FIXTURE_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "base/log.h"
+#include "node/caller/caller_task.h"
+#include "node/tables.h"
+#include "tests/standins/target_server.h"
+#include "wire/curl_loop.h"
+}
+
+/** One request of a caller through libcurl. */
+struct Call
+{
+  std::string method = "GET";
+  std::string url;
+  std::string body;
+  bool chunked = false;
+  bool http_1_0 = false;
+  std::vector<std::string> fields;
+
+  bool done = false;
+  CURLcode code = CURLE_OK;
+  long status = 0;
+  std::string answer;
+  std::map<std::string, std::string> answer_fields; /**< names in lower case */
+
+  CURL *easy = nullptr;
+  curl_slist *list = nullptr;
+  size_t sent = 0;
+
+  std::string field (const std::string &name) const;
+};
+
+/** A connection of a caller that writes bytes of its own making. */
+struct RawCaller
+{
+  int fd = -1;
+  std::string received;
+  bool closed = false;
+  bool reset = false;
+  ev_io io;
+  struct ev_loop *loop = nullptr;
+
+  void write (const std::string &bytes);
+  void hang_up ();
+};
+
+class CallerTest : public testing::Test
+{
+protected:
+  void SetUp () override;
+  void TearDown () override;
+
+  /** Turn the loop until READY says so; false after ten seconds. */
+  bool run_until (const std::function<bool ()> &ready);
+
+  target_server *add_target (const std::string &name);
+  /** Put a service in force that has all targets; MEMBERS are more of its
+   * JSON members, begun by a comma.  Quotes are written as apostrophes. */
+  void put_service (const std::string &routes,
+                    const std::string &members = "");
+  void put_hosts (const std::vector<bus_set_host> &hosts);
+  void start ();
+
+  std::unique_ptr<Call> make (const std::string &method,
+                              const std::string &path,
+                              const std::string &id = "");
+  void begin (Call *call);
+  /** Begin CALL and wait for its end. */
+  void finish (Call *call);
+  std::unique_ptr<Call> get (const std::string &path,
+                             const std::string &id = "");
+
+  std::unique_ptr<RawCaller> connect_raw ();
+
+  std::string exposed () const;
+  void write_log_to (int fd);
+
+  struct ev_loop *loop = nullptr;
+  host_settings settings;
+  bus *the_bus = nullptr;
+  counters *the_counters = nullptr;
+  tables *the_tables = nullptr;
+  curl_loop *client = nullptr;
+  caller_task *task = nullptr;
+  std::vector<target_server *> targets;
+  std::vector<std::string> target_names;
+  std::string target_options; /**< more members of each target's JSON */
+  uint64_t version = 0;
+};
+
+/** Routes of the usual service: all is repeatable but POST. */
+extern const char *const usual_routes;
+
+#endif
--- /dev/null
+++ b/tests/standins/target_server.c
@@ -0,0 +1,558 @@
+#include "tests/standins/target_server.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+#include <microhttpd.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "base/hash.h"
+#include "base/rng.h"
+#include "base/xmalloc.h"
+#include "node/caller/hangup_watch.h"
+#include "node/mhd_loop.h"
+
+enum
+{
+  ADDRESS_SIZE = 64,
+  NAME_SIZE = 64,
+  SEED = 7,
+  CUT_ANNOUNCED_BYTES = 4096,
+  BLOCK_BYTES = 4096
+};
+
+struct run
+{
+  char *id;
+  uint32_t times;
+  UT_hash_handle hh;
+};
+
+struct request
+{
+  struct target_server *server;
+  struct MHD_Connection *connection;
+  char method[NAME_SIZE];
+  char *url;
+  char *body;
+  size_t body_bytes;
+  bool started;
+  bool complete;
+  bool answered;
+  bool suspended;
+  bool watched;
+  bool gone;
+  bool due; /* the delay is over */
+  int fd;
+  uint64_t left; /* of a cut answer */
+  ev_timer delay;
+  struct request *prev;
+  struct request *next;
+};
+
+struct target_server
+{
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  struct mhd_loop *mhd_loop;
+  struct hangup_watch *hangup;
+  char name[NAME_SIZE];
+  char address[ADDRESS_SIZE];
+  struct target_faults faults;
+  struct target_counts counts;
+  struct run *runs;
+  struct request *requests;
+  struct rng rng;
+};
+
+static bool
+strikes (struct target_server *server, uint32_t percent)
+{
+  return percent > 0 && rng_below (&server->rng, 100) < percent;
+}
+
+static const char *
+field (const struct request *request, const char *name)
+{
+  const char *value = MHD_lookup_connection_value (request->connection,
+                                                   MHD_HEADER_KIND, name);
+  return value != NULL ? value : "-";
+}
+
+static void
+note_run (struct request *request)
+{
+  struct target_server *server = request->server;
+  const char *id = field (request, "X-Request-Id");
+  struct run *run;
+  HASH_FIND_STR (server->runs, id, run);
+  if (run == NULL)
+    {
+      run = xcalloc (1, sizeof *run);
+      run->id = xstrdup (id);
+      HASH_ADD_KEYPTR (hh, server->runs, run->id, strlen (run->id), run);
+    }
+  run->times++;
+  server->counts.runs++;
+}
+
+static enum MHD_Result
+queue (struct request *request, unsigned int status,
+       struct MHD_Response *response)
+{
+  const struct target_server *server = request->server;
+  MHD_add_response_header (response, "X-Target", server->name);
+  MHD_add_response_header (response, "X-Request-Id",
+                           field (request, "X-Request-Id"));
+  MHD_add_response_header (response, "X-Deadline-Ms",
+                           field (request, "Jaystair-Deadline-Ms"));
+  if (server->faults.leave != 0)
+    MHD_add_response_header (response, "Jaystair-Leaving", "1");
+  request->answered = true;
+  const enum MHD_Result result
+      = MHD_queue_response (request->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+queue_text (struct request *request, unsigned int status, const char *text,
+            size_t size)
+{
+  return queue (request, status,
+                MHD_create_response_from_buffer (size, (void *)(uintptr_t)text,
+                                                 MHD_RESPMEM_MUST_COPY));
+}
+
+static ssize_t
+read_half (void *owner, uint64_t position, char *data, size_t size)
+{
+  struct request *request = owner;
+  if (request->left == 0)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (size > request->left)
+    size = request->left;
+  memset (data, 'h', size);
+  request->left -= size;
+  return (ssize_t)size;
+}
+
+static enum MHD_Result
+queue_half (struct request *request)
+{
+  request->left = CUT_ANNOUNCED_BYTES / 2;
+  return queue (request, MHD_HTTP_OK,
+                MHD_create_response_from_callback (CUT_ANNOUNCED_BYTES,
+                                                   BLOCK_BYTES, read_half,
+                                                   request, NULL));
+}
+
+static ssize_t
+read_pattern (void *owner, uint64_t position, char *data, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    data[i] = (char)('a' + (position + i) % 26);
+  return (ssize_t)size;
+}
+
+static enum MHD_Result
+add_field_line (void *owner, enum MHD_ValueKind kind, const char *name,
+                const char *value)
+{
+  fprintf (owner, "%s: %s\n", name, value);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+queue_fields (struct request *request)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  MHD_get_connection_values (request->connection, MHD_HEADER_KIND,
+                             add_field_line, out);
+  fclose (out);
+  const enum MHD_Result result = queue_text (request, MHD_HTTP_OK, text, size);
+  free (text);
+  return result;
+}
+
+static enum MHD_Result
+queue_usual (struct request *request)
+{
+  char text[256];
+  const uint64_t hash = hash_bytes (request->body, request->body_bytes);
+  const int size
+      = snprintf (text, sizeof text, "%s %.64s %016llx %zu\n",
+                  request->server->name, field (request, "X-Request-Id"),
+                  (unsigned long long)hash, request->body_bytes);
+  return queue_text (request, MHD_HTTP_OK, text, (size_t)size);
+}
+
+static enum MHD_Result
+queue_by_path (struct request *request)
+{
+  const char *url = request->url;
+  if (strcmp (url, "/echo") == 0)
+    return queue_text (request, MHD_HTTP_OK, request->body,
+                       request->body_bytes);
+  if (strcmp (url, "/headers") == 0)
+    return queue_fields (request);
+  if (strcmp (url, "/no-content") == 0)
+    return queue_text (request, MHD_HTTP_NO_CONTENT, "", 0);
+  if (strcmp (url, "/not-modified") == 0)
+    return queue_text (request, MHD_HTTP_NOT_MODIFIED, "", 0);
+  const bool chunked = strncmp (url, "/chunked/", 9) == 0;
+  if (!chunked && strncmp (url, "/bytes/", 7) != 0)
+    return queue_usual (request);
+  const uint64_t size = strtoull (strrchr (url, '/') + 1, NULL, 10);
+  if (chunked)
+    {
+      request->left = size;
+      return queue (request, MHD_HTTP_OK,
+                    MHD_create_response_from_callback (MHD_SIZE_UNKNOWN,
+                                                       BLOCK_BYTES, read_half,
+                                                       request, NULL));
+    }
+  return queue (request, MHD_HTTP_OK,
+                MHD_create_response_from_callback (size, BLOCK_BYTES,
+                                                   read_pattern, NULL, NULL));
+}
+
+static void
+suspend (struct request *request)
+{
+  if (!request->watched)
+    hangup_watch_add (request->server->hangup, request->fd, request);
+  request->watched = true;
+  request->suspended = true;
+  MHD_suspend_connection (request->connection);
+}
+
+static void
+wake (struct request *request)
+{
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  MHD_resume_connection (request->connection);
+  mhd_loop_kick (request->server->mhd_loop);
+}
+
+static void
+on_delay (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct request *request = timer->data;
+  request->due = true;
+  wake (request);
+}
+
+static void
+on_gone (void *watched)
+{
+  struct request *request = watched;
+  request->gone = true;
+  wake (request);
+}
+
+static bool
+is_reused (const struct request *request)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      request->connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  uint64_t *carried = info->socket_context;
+  return (*carried)++ > 0;
+}
+
+static enum MHD_Result
+answer (struct request *request)
+{
+  struct target_server *server = request->server;
+  if (strikes (server, server->faults.fail))
+    return queue_text (request, MHD_HTTP_INTERNAL_SERVER_ERROR, "failed\n", 7);
+  if (strikes (server, server->faults.cut))
+    return queue_half (request);
+  return queue_by_path (request);
+}
+
+/* All of the request was read: run it, or shed it. */
+static enum MHD_Result
+run (struct request *request)
+{
+  struct target_server *server = request->server;
+  const struct target_faults *faults = &server->faults;
+  const bool reused = is_reused (request);
+  if (strcmp (request->method, "OPTIONS") == 0)
+    return queue_text (request, MHD_HTTP_OK, "", 0);
+  if (faults->leave != 0 || strikes (server, faults->shed))
+    {
+      struct MHD_Response *response = MHD_create_response_from_buffer (
+          5, "shed\n", MHD_RESPMEM_PERSISTENT);
+      MHD_add_response_header (response, "Jaystair-Outcome", "not-run");
+      return queue (request, MHD_HTTP_SERVICE_UNAVAILABLE, response);
+    }
+  note_run (request);
+  if (strikes (server, faults->close) || (reused && faults->close_reused != 0))
+    return MHD_NO;
+  if (strikes (server, faults->hang))
+    {
+      suspend (request);
+      return MHD_YES;
+    }
+  if (faults->delay_ms == 0)
+    return answer (request);
+  ev_now_update (server->loop);
+  ev_timer_set (&request->delay, faults->delay_ms / 1000.0, 0.);
+  ev_timer_start (server->loop, &request->delay);
+  suspend (request);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+set_fault (void *owner, enum MHD_ValueKind kind, const char *name,
+           const char *value)
+{
+  struct target_faults *faults = owner;
+  const struct
+  {
+    const char *name;
+    uint32_t *value;
+  } known[] = { { "fail", &faults->fail },
+                { "hang", &faults->hang },
+                { "cut", &faults->cut },
+                { "close", &faults->close },
+                { "shed", &faults->shed },
+                { "delay_ms", &faults->delay_ms },
+                { "close_reused", &faults->close_reused },
+                { "leave", &faults->leave } };
+  for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
+    if (strcmp (name, known[i].name) == 0)
+      *known[i].value = (uint32_t)strtoul (value, NULL, 10);
+  return MHD_YES;
+}
+
+static struct json_object *
+counts_json (const struct target_counts *counts)
+{
+  struct json_object *body = json_object_new_object ();
+  const struct
+  {
+    const char *name;
+    uint64_t value;
+  } members[] = { { "runs", counts->runs },
+                  { "cancelled", counts->cancelled },
+                  { "cut_uploads", counts->cut_uploads },
+                  { "connections", counts->connections } };
+  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
+    json_object_object_add (body, members[i].name,
+                            json_object_new_int64 ((int64_t)members[i].value));
+  return body;
+}
+
+static enum MHD_Result
+control (struct request *request)
+{
+  struct target_server *server = request->server;
+  struct json_object *body = NULL;
+  if (strcmp (request->url, "/control/set") == 0)
+    MHD_get_connection_values (request->connection, MHD_GET_ARGUMENT_KIND,
+                               set_fault, &server->faults);
+  if (strcmp (request->url, "/control/runs") == 0)
+    {
+      body = json_object_new_object ();
+      for (const struct run *run = server->runs; run != NULL;
+           run = run->hh.next)
+        json_object_object_add (body, run->id,
+                                json_object_new_int64 (run->times));
+    }
+  if (body == NULL)
+    body = counts_json (&server->counts);
+  const char *text = json_object_to_json_string (body);
+  const enum MHD_Result result
+      = queue_text (request, MHD_HTTP_OK, text, strlen (text));
+  json_object_put (body);
+  return result;
+}
+
+static struct request *
+request_create (struct target_server *server,
+                struct MHD_Connection *connection, const char *url,
+                const char *method)
+{
+  struct request *request = xcalloc (1, sizeof *request);
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  request->server = server;
+  request->connection = connection;
+  request->fd = info->connect_fd;
+  request->url = xstrdup (url);
+  snprintf (request->method, sizeof request->method, "%s", method);
+  ev_timer_init (&request->delay, on_delay, 0., 0.);
+  request->delay.data = request;
+  DL_APPEND (server->requests, request);
+  return request;
+}
+
+static enum MHD_Result
+on_access (void *owner, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload_data,
+           size_t *upload_data_size, void **state)
+{
+  struct target_server *server = owner;
+  struct request *request = *state;
+  if (request == NULL)
+    {
+      *state = request_create (server, connection, url, method);
+      return MHD_YES;
+    }
+  if (*upload_data_size > 0)
+    {
+      request->body = xreallocarray (
+          request->body, request->body_bytes + *upload_data_size, 1);
+      memcpy (request->body + request->body_bytes, upload_data,
+              *upload_data_size);
+      request->body_bytes += *upload_data_size;
+      *upload_data_size = 0;
+      return MHD_YES;
+    }
+  if (request->gone)
+    return MHD_NO;
+  const bool first = !request->complete;
+  request->complete = true;
+  if (first && strncmp (request->url, "/control/", 9) == 0)
+    return control (request);
+  if (first)
+    return run (request);
+  if (request->due)
+    return answer (request);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *owner, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  struct target_server *server = owner;
+  struct request *request = *state;
+  if (request == NULL)
+    return;
+  *state = NULL;
+  if (request->watched)
+    hangup_watch_remove (server->hangup, request->fd);
+  ev_timer_stop (server->loop, &request->delay);
+  if (request->gone)
+    server->counts.cancelled++;
+  if (!request->complete)
+    server->counts.cut_uploads++;
+  DL_DELETE (server->requests, request);
+  free (request->body);
+  free (request->url);
+  free (request);
+}
+
+static void
+on_connection (void *owner, struct MHD_Connection *connection,
+               void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+  struct target_server *server = owner;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      server->counts.connections++;
+      *socket_context = xcalloc (1, sizeof (uint64_t));
+      return;
+    }
+  free (*socket_context);
+  *socket_context = NULL;
+}
+
+struct target_server *
+target_server_create (struct ev_loop *loop, const char *address,
+                      const char *name)
+{
+  struct sockaddr_storage storage;
+  if (mhd_loop_address (address, &storage) == 0)
+    return NULL;
+  struct target_server *server = xcalloc (1, sizeof *server);
+  server->loop = loop;
+  snprintf (server->name, sizeof server->name, "%s", name);
+  rng_seed (&server->rng, SEED);
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
+      server, MHD_OPTION_SOCK_ADDR, &storage, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, server, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
+      server, MHD_OPTION_END);
+  if (server->daemon == NULL)
+    {
+      free (server);
+      return NULL;
+    }
+  server->mhd_loop = mhd_loop_create (loop, server->daemon);
+  server->hangup = hangup_watch_create (loop, on_gone);
+  snprintf (server->address, sizeof server->address, "%.*s:%u",
+            (int)(strrchr (address, ':') - address), address,
+            mhd_loop_port (server->daemon));
+  return server;
+}
+
+void
+target_server_destroy (struct target_server *server)
+{
+  if (server == NULL)
+    return;
+  struct request *request;
+  DL_FOREACH (server->requests, request)
+  {
+    request->gone = true;
+    wake (request);
+  }
+  mhd_loop_destroy (server->mhd_loop);
+  MHD_stop_daemon (server->daemon);
+  hangup_watch_destroy (server->hangup);
+  struct run *run;
+  struct run *next;
+  HASH_ITER (hh, server->runs, run, next)
+  {
+    HASH_DEL (server->runs, run);
+    free (run->id);
+    free (run);
+  }
+  free (server);
+}
+
+const char *
+target_server_address (const struct target_server *server)
+{
+  return server->address;
+}
+
+struct target_faults *
+target_server_faults (struct target_server *server)
+{
+  return &server->faults;
+}
+
+struct target_counts
+target_server_counts (const struct target_server *server)
+{
+  return server->counts;
+}
+
+uint32_t
+target_server_runs (const struct target_server *server, const char *id)
+{
+  const struct run *run;
+  HASH_FIND_STR (server->runs, id, run);
+  return run != NULL ? run->times : 0;
+}
+
+uint32_t
+target_server_most_runs (const struct target_server *server)
+{
+  uint32_t most = 0;
+  for (const struct run *run = server->runs; run != NULL; run = run->hh.next)
+    most = run->times > most ? run->times : most;
+  return most;
+}
