choice: differential test against a naive version

A retry now waits half its time for another target before the one that failed it will do; entries held back so don't keep free slots from the rest.

--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -80,14 +80,14 @@
 }
 
 static void
-judge (struct target_set *set, struct target_state *t)
+judge (struct target_set *set, struct target_state *t, int64_t now_us)
 {
   const bool counted
       = target_state_is_eligible (t) && target_state_is_suspect (t);
   t->failing = standing_is_failing (&t->estimate, &set->baseline, t->failing,
                                     set->prefer_faster_detection);
   /* A cold target is slow for a while; slow start bounds what it gets. */
-  t->slow = t->warm_from_us == INT64_MIN
+  t->slow = target_state_warmth (t, now_us) >= 1
             && standing_is_slow (&t->estimate, &set->baseline, t->slow,
                                  t->config.distance_us);
   const bool counts
@@ -137,7 +137,7 @@
   measure_baseline (set);
   for (uint32_t i = 0; i < set->count; i++)
     {
-      judge (set, &set->targets[i]);
+      judge (set, &set->targets[i], now_us);
       place (set, now_us, i);
     }
 }
@@ -308,7 +308,7 @@
   target_estimate_observe (&t->estimate, outcome->end, outcome->latency_us);
   count_outcome (t, outcome->end);
   set->outcomes++;
-  judge (set, t);
+  judge (set, t, now_us);
   place (set, now_us, outcome->target);
 }
 
--- /dev/null
+++ b/policy/choice/tests/naive_choice.h
@@ -0,0 +1,289 @@
+/** @file
+ * The decisions of a service written as plainly as possible: every question
+ * is answered by going through all targets and the whole queue.
+ *
+ * It makes no choice of its own.  It says of each decision whether it was
+ * allowed, since which two targets are drawn is chance.
+ */
+#ifndef POLICY_CHOICE_TESTS_NAIVE_CHOICE_H
+#define POLICY_CHOICE_TESTS_NAIVE_CHOICE_H
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "policy/service_policy.h"
+}
+
+struct naive_target
+{
+  policy_target config;
+  uint32_t in_flight = 0;
+  bool ejected = false, failing = false, slow = false;
+  double latency = 0, failure = 0;
+  uint32_t latencies = 0, samples = 0;
+  int64_t updated = 0;
+  int64_t warm_from = INT64_MIN;
+  int64_t placed = 0; /* when its slow start was last looked at */
+
+  bool
+  eligible () const
+  {
+    return config.accepts_work && !ejected;
+  }
+  bool
+  suspect () const
+  {
+    return failing || slow;
+  }
+  bool
+  room () const
+  {
+    return eligible () && in_flight < config.slots;
+  }
+  double
+  own_latency () const
+  {
+    return std::max (latency - 2.0 * config.distance_us, 0.0);
+  }
+  double
+  warmth (int64_t now) const
+  {
+    if (warm_from == INT64_MIN || now - warm_from >= 10000000)
+      return 1;
+    return std::max ((double)(now - warm_from) / 10000000, 0.1);
+  }
+};
+
+struct naive_waiting
+{
+  policy_request r;
+  int64_t give_up, again;
+};
+
+struct naive_choice
+{
+  service_policy_options options;
+  std::vector<naive_target> targets;
+  std::vector<naive_waiting> queue;
+  double base_latency = 0, base_failure = 0;
+  int64_t refreshed = INT64_MIN / 2, now = 0;
+  uint32_t outcomes = 0;
+  double trickle = 0;
+  double interval = 0;
+  int64_t last_end = 0, faded = 0;
+  uint32_t intervals = 0;
+  bool busy = false;
+  double requests = 0, retries = 0;
+
+  /* Standing. */
+  static double
+  median (std::vector<double> v)
+  {
+    std::sort (v.begin (), v.end ());
+    return v.empty () ? 0 : v[(v.size () - 1) / 2];
+  }
+  uint32_t
+  eligible () const
+  {
+    return std::count_if (targets.begin (), targets.end (),
+                          [] (auto &t) { return t.eligible (); });
+  }
+  uint32_t
+  suspects () const
+  {
+    return std::count_if (targets.begin (), targets.end (), [] (auto &t) {
+      return t.eligible () && t.suspect ();
+    });
+  }
+  bool
+  avoids () const
+  {
+    return suspects () * 2 <= eligible ();
+  }
+  void
+  advance (naive_target &t)
+  {
+    if (now <= t.updated)
+      return;
+    const double kept = std::exp2 (-(double)(now - t.updated) / 10000000);
+    t.updated = now;
+    t.failure *= kept;
+    const double peers = base_latency + 2.0 * t.config.distance_us;
+    if (t.latencies > 0 && base_latency > 0)
+      t.latency = peers + (t.latency - peers) * kept;
+  }
+  void
+  judge (naive_target &t)
+  {
+    const double enter = options.prefer_faster_detection ? 0.18 : 0.25;
+    t.failing = t.failure - base_failure > (t.failing ? 0.10 : enter);
+    t.slow = t.warmth (now) == 1 && t.latencies >= 4 && base_latency > 0
+             && t.own_latency () > (t.slow ? 2.0 : 3.0) * base_latency + 1000;
+  }
+  void
+  refresh ()
+  {
+    if (outcomes < std::max<size_t> (32, targets.size ())
+        && now - refreshed < 250000)
+      return;
+    refreshed = now;
+    outcomes = 0;
+    std::vector<double> failures, latencies;
+    for (auto &t : targets)
+      {
+        advance (t);
+        if (t.eligible () && t.samples > 0)
+          failures.push_back (t.failure);
+        if (t.eligible () && t.latencies > 0)
+          latencies.push_back (t.own_latency ());
+      }
+    base_failure = median (failures);
+    base_latency = median (latencies);
+    for (auto &t : targets)
+      {
+        judge (t);
+        t.placed = now;
+      }
+  }
+
+  /* Candidates and costs. */
+  enum tier
+  {
+    CLEAR,
+    WARMING,
+    SUSPECT
+  };
+  tier
+  tier_of (const naive_target &t) const
+  {
+    if (t.suspect ())
+      return avoids () ? SUSPECT : CLEAR;
+    const double slots = std::ceil (t.config.slots * t.warmth (t.placed));
+    return t.in_flight >= (uint32_t)slots ? WARMING : CLEAR;
+  }
+  std::vector<uint32_t>
+  candidates (tier of, const policy_request &r, bool again = false) const
+  {
+    std::vector<uint32_t> found;
+    for (uint32_t i = 0; i < targets.size (); i++)
+      {
+        const bool tried
+            = std::count (r.tried, r.tried + r.tried_count, i) > 0;
+        if (targets[i].room () && tier_of (targets[i]) == of
+            && (again || !tried))
+          found.push_back (i);
+      }
+    return found;
+  }
+  double
+  latency_of (const naive_target &t) const
+  {
+    if (t.latencies > 0)
+      return t.latency;
+    return (base_latency > 0 ? base_latency : 1000)
+           + 2.0 * t.config.distance_us;
+  }
+  double
+  cost (const naive_target &t, bool repeatable) const
+  {
+    const double f = std::min (t.failure, 0.95);
+    return latency_of (t)
+           * (1 + (double)t.in_flight / t.config.slots
+              + f / (1 - f) * (repeatable ? 8 : 64))
+           / t.warmth (now);
+  }
+  /* Of two or more, the one that costs strictly most can't win. */
+  std::vector<uint32_t>
+  winners (std::vector<uint32_t> of, const policy_request &r) const
+  {
+    if (of.size () < 2)
+      return of;
+    std::sort (of.begin (), of.end (), [&] (uint32_t a, uint32_t b) {
+      return cost (targets[a], r.repeatable) < cost (targets[b], r.repeatable);
+    });
+    const size_t n = of.size ();
+    if (cost (targets[of[n - 2]], r.repeatable)
+        < cost (targets[of[n - 1]], r.repeatable))
+      of.pop_back ();
+    return of;
+  }
+  double
+  answer_time (const naive_target &t) const
+  {
+    return t.failure > 0.9 ? INFINITY : latency_of (t) / (1 - t.failure);
+  }
+
+  /* Time and rate. */
+  double
+  mean_interval () const
+  {
+    const double since = now - last_end;
+    if (intervals >= 8 && since < 5000000)
+      return busy ? std::max (since, interval) : interval;
+    uint32_t flying = 0;
+    for (auto &t : targets)
+      flying += t.in_flight;
+    return (base_latency > 0 ? base_latency : 10000) / std::max (flying, 1u);
+  }
+  double
+  wait () const
+  {
+    return (queue.size () + 1) * mean_interval ();
+  }
+  double
+  kept_for_answer (const policy_request &r) const
+  {
+    return std::min (base_latency, (double)(r.deadline_us - now) / 2);
+  }
+  bool
+  room_in_queue (const policy_request &r) const
+  {
+    uint64_t bytes = r.queued_bytes;
+    for (auto &w : queue)
+      bytes += w.r.queued_bytes;
+    return queue.size () < options.queue_requests
+           && bytes <= options.queue_bytes;
+  }
+  bool
+  fits (const policy_request &r) const
+  {
+    return wait () <= r.deadline_us - now - kept_for_answer (r)
+           && room_in_queue (r);
+  }
+  bool
+  worth (const policy_request &r, uint32_t i, bool fit, double w) const
+  {
+    const double left = r.deadline_us - now;
+    const double answer = answer_time (targets[i]);
+    if (!r.repeatable)
+      return !fit && !targets[i].failing && 2 * answer <= left;
+    return answer <= (fit ? w + base_latency : left);
+  }
+  bool
+  all_tried (const policy_request &r) const
+  {
+    for (uint32_t i = 0; i < targets.size (); i++)
+      if (targets[i].eligible ()
+          && std::count (r.tried, r.tried + r.tried_count, i) == 0)
+        return false;
+    return true;
+  }
+  void
+  fade ()
+  {
+    if (now - faded < 100000)
+      return;
+    const double kept = std::exp2 (-(double)(now - faded) / 10000000);
+    requests *= kept;
+    retries *= kept;
+    faded = now;
+  }
+};
+
+#endif
--- a/policy/choice/wait_queue.c
+++ b/policy/choice/wait_queue.c
@@ -104,7 +104,7 @@
 
 void
 wait_queue_push (struct wait_queue *queue, const struct policy_request *r,
-                 int64_t give_up_us)
+                 int64_t give_up_us, int64_t again_us)
 {
   assert (queue->unused != WAIT_QUEUE_NONE);
   const uint32_t at = queue->unused;
@@ -114,6 +114,7 @@
   *e = (struct wait_entry){
     .request = *r,
     .give_up_us = give_up_us,
+    .again_us = again_us,
     .order = queue->next_order++,
     .newer = WAIT_QUEUE_NONE,
     .older = queue->newest[lane],
--- a/policy/choice/wait_queue.h
+++ b/policy/choice/wait_queue.h
@@ -28,8 +28,9 @@
 {
   struct policy_request request;
   int64_t give_up_us;
-  uint64_t order; /**< of arrival, over both lanes */
-  uint32_t newer; /**< in its lane, or among the unused */
+  int64_t again_us; /**< from when targets tried before will do */
+  uint64_t order;   /**< of arrival, over both lanes */
+  uint32_t newer;   /**< in its lane, or among the unused */
   uint32_t older;
   uint32_t heap_at;
 };
@@ -61,7 +62,7 @@
 
 /** Append; there must be room. */
 void wait_queue_push (struct wait_queue *queue, const struct policy_request *r,
-                      int64_t give_up_us);
+                      int64_t give_up_us, int64_t again_us);
 
 /** The oldest entry of LANE, or WAIT_QUEUE_NONE. */
 uint32_t wait_queue_oldest (const struct wait_queue *queue,
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -18,6 +18,7 @@
   TRICKLE_DIVISOR = 20, /* a suspect gets a 20th of its fair share */
   TRICKLE_MOST = 2,     /* chances kept for later */
   POLL_US = 20000,      /* a suspect may clear, or become worth its cost */
+  LOOK_PAST = 4,        /* entries held back for another target */
   RETRY_AFTER_MOST_MS = 60000,
 };
 
@@ -30,7 +31,9 @@
   struct service_rate rate;
   struct retry_budget budget;
   double trickle;
-  int64_t now_us; /* of the last event */
+  int64_t now_us;   /* of the last event */
+  int64_t asked_us; /* when nothing queued could be decided, until an event
+                       that may change that; INT64_MIN: ask */
 };
 
 /* What waiting would mean for a request that joins the queue's end. */
@@ -68,6 +71,7 @@
   wait_queue_init (&policy->queue);
   service_rate_init (&policy->rate);
   retry_budget_init (&policy->budget);
+  policy->asked_us = INT64_MIN;
   service_policy_configure (policy, options);
   return policy;
 }
@@ -97,6 +101,7 @@
                             const struct policy_target *targets, size_t count)
 {
   policy->now_us = now_us;
+  policy->asked_us = INT64_MIN;
   const uint32_t old_count = policy->set.count;
   uint32_t *numbers;
   target_set_replace (&policy->set, now_us, targets, (uint32_t)count,
@@ -116,6 +121,7 @@
                             uint32_t target, bool ejected)
 {
   policy->now_us = now_us;
+  policy->asked_us = INT64_MIN;
   if (target < policy->set.count)
     target_set_eject (&policy->set, now_us, target, ejected);
 }
@@ -281,6 +287,14 @@
   };
 }
 
+/* Those who wait may be held back from the free slots; R may be not. */
+static bool
+has_free_good_slot (const struct service_policy *policy)
+{
+  return policy->set.listed_count[TIER_CLEAR] > 0
+         || policy->set.listed_count[TIER_WARMING] > 0;
+}
+
 static struct policy_decision
 wait_or_refuse (struct service_policy *policy, const struct policy_request *r,
                 const struct wait_outlook *outlook)
@@ -289,7 +303,11 @@
     return refuse (policy, r, POLICY_REASON_QUEUE_FULL);
   if (!outlook->fits)
     return refuse (policy, r, POLICY_REASON_TOO_LATE);
-  wait_queue_push (&policy->queue, r, outlook->give_up_us);
+  const int64_t left_us = outlook->give_up_us - policy->now_us;
+  wait_queue_push (&policy->queue, r, outlook->give_up_us,
+                   policy->now_us + left_us / 2);
+  if (has_free_good_slot (policy))
+    policy->asked_us = INT64_MIN;
   const bool avoids = !r->repeatable
                       && target_set_avoids_suspects (&policy->set)
                       && policy->set.listed_count[TIER_SUSPECT] > 0;
@@ -347,6 +365,7 @@
                         const struct policy_outcome *outcome)
 {
   policy->now_us = now_us;
+  policy->asked_us = INT64_MIN;
   if (outcome->target >= policy->set.count)
     return;
   target_set_release (&policy->set, now_us, outcome);
@@ -363,21 +382,49 @@
   return refuse (policy, &r, reason);
 }
 
+/* Guards a retry against the target that just failed it: for half of its time
+ * it waits for another, unless there is none. */
 static bool
-try_entry (struct service_policy *policy, uint32_t e,
+may_try_again (const struct service_policy *policy, const struct wait_entry *e)
+{
+  return policy->now_us >= e->again_us
+         || chooser_all_tried (&policy->set, &e->request);
+}
+
+static bool
+try_entry (struct service_policy *policy, const struct wait_entry *e,
            struct policy_decision *d)
 {
-  const struct policy_request *r = &policy->queue.entries[e].request;
   const struct wait_outlook outlook = {
     .wait_us = interval_us (policy),
-    .give_up_us = policy->queue.entries[e].give_up_us,
+    .give_up_us = e->give_up_us,
     .fits = true,
   };
-  if (!try_good (policy, r, d) && !try_suspects (policy, r, &outlook, d)
-      && !try_again (policy, r, d))
-    return false;
-  wait_queue_remove (&policy->queue, e);
-  return true;
+  return try_good (policy, &e->request, d)
+         || try_suspects (policy, &e->request, &outlook, d)
+         || (may_try_again (policy, e) && try_again (policy, &e->request, d));
+}
+
+/* The oldest of LANE goes first; past those that are held back for another
+ * target, so that they don't keep free slots from the rest. */
+static bool
+try_lane (struct service_policy *policy, enum wait_lane lane,
+          struct policy_decision *d)
+{
+  uint32_t at = wait_queue_oldest (&policy->queue, lane);
+  for (int i = 0; i < LOOK_PAST && at != WAIT_QUEUE_NONE; i++)
+    {
+      const struct wait_entry *e = &policy->queue.entries[at];
+      if (try_entry (policy, e, d))
+        {
+          wait_queue_remove (&policy->queue, at);
+          return true;
+        }
+      if (e->request.tried_count == 0)
+        return false;
+      at = e->newer;
+    }
+  return false;
 }
 
 static enum wait_lane
@@ -413,15 +460,11 @@
       return true;
     }
   const enum wait_lane older = older_lane (&policy->queue);
-  const enum wait_lane lanes[]
-      = { older,
-          older == LANE_REPEATABLE ? LANE_UNREPEATABLE : LANE_REPEATABLE };
-  for (int i = 0; i < LANE_COUNT; i++)
-    {
-      const uint32_t e = wait_queue_oldest (&policy->queue, lanes[i]);
-      if (e != WAIT_QUEUE_NONE && try_entry (policy, e, decision))
-        return true;
-    }
+  const enum wait_lane other
+      = older == LANE_REPEATABLE ? LANE_UNREPEATABLE : LANE_REPEATABLE;
+  if (try_lane (policy, older, decision) || try_lane (policy, other, decision))
+    return true;
+  policy->asked_us = now_us;
   return false;
 }
 
@@ -431,14 +474,13 @@
   const uint32_t first = wait_queue_first_given_up (&policy->queue);
   if (first == WAIT_QUEUE_NONE)
     return INT64_MAX;
-  const struct target_set *set = &policy->set;
-  if (set->eligible == 0 || set->listed_count[TIER_CLEAR] > 0
-      || set->listed_count[TIER_WARMING] > 0)
+  if (policy->asked_us == INT64_MIN)
     return policy->now_us;
   const int64_t give_up_us = policy->queue.entries[first].give_up_us;
-  const int64_t poll_us = policy->now_us + POLL_US;
-  if (set->listed_count[TIER_SUSPECT] > 0 && poll_us < give_up_us)
-    return poll_us;
+  const int64_t poll_us = policy->asked_us + POLL_US;
+  for (int tier = 0; tier < TIER_COUNT; tier++)
+    if (policy->set.listed_count[tier] > 0 && poll_us < give_up_us)
+      return poll_us;
   return give_up_us;
 }
 
