wire: client of the platform's object API, and its stand-in

Refused, lost answer and unreachable are told apart; writes take a connection that never carried a request, since libcurl sends again on its own when a kept one closes before the first byte of an answer.

--- /dev/null
+++ b/tests/standins/platform.c
@@ -0,0 +1,404 @@
+/* The stand-in platform: docs/PLATFORM-API.md says what it answers and how it
+   is told to fail. */
+#include <getopt.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <microhttpd.h>
+
+#include "base/clock.h"
+#include "base/options.h"
+#include "base/xmalloc.h"
+#include "node/mhd_loop.h"
+#include "tests/standins/platform_store.h"
+#include "wire/platform.h"
+
+enum
+{
+  LAG_POLL_MS = 5,
+  ADDRESS_SIZE = 64,
+};
+
+/* Guarded by `lock`; `changed` is signalled at every write and control. */
+static struct
+{
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  struct platform_store *store;
+  bool down;
+  int64_t slow_ms;
+  int64_t lag_ms;
+  int64_t lose_answers;
+  uint64_t reads;
+  uint64_t writes;
+  uint64_t watches;
+} state = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+/* Only control changes these, and only one control runs at a time. */
+static pthread_mutex_t control_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct MHD_Daemon *api;
+static char api_address[ADDRESS_SIZE];
+static bool has_control;
+
+struct request
+{
+  char *body;
+  size_t body_bytes;
+};
+
+/* Wait until a change, an outage or UNTIL_MS. */
+static void
+wait_until (int64_t until_ms)
+{
+  const int64_t now_ms = clock_now_ms ();
+  int64_t wait_ms = until_ms > now_ms ? until_ms - now_ms : 0;
+  if (state.lag_ms > 0 && wait_ms > LAG_POLL_MS)
+    wait_ms = LAG_POLL_MS;
+  struct timespec at;
+  clock_gettime (CLOCK_REALTIME, &at);
+  at.tv_nsec += (wait_ms % 1000) * 1000000;
+  at.tv_sec += wait_ms / 1000 + at.tv_nsec / 1000000000;
+  at.tv_nsec %= 1000000000;
+  pthread_cond_timedwait (&state.changed, &state.lock, &at);
+}
+
+static enum MHD_Result
+answer (struct MHD_Connection *connection, unsigned code, char *text)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_FREE);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  const enum MHD_Result result
+      = MHD_queue_response (connection, code, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+answer_error (struct MHD_Connection *connection, unsigned code,
+              const char *why)
+{
+  return answer (connection, code, xasprintf ("{\"error\":\"%s\"}", why));
+}
+
+static int64_t
+argument (struct MHD_Connection *connection, const char *name,
+          int64_t otherwise)
+{
+  const char *text
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+  return text == NULL ? otherwise : strtoll (text, NULL, 10);
+}
+
+static int64_t
+as_of_ms (const char *kind)
+{
+  const bool lags = strcmp (kind, PLATFORM_KIND_HOST) == 0;
+  return clock_now_ms () - (lags ? state.lag_ms : 0);
+}
+
+static enum MHD_Result
+serve_read (struct MHD_Connection *connection, const char *kind,
+            const char *name)
+{
+  uint64_t count;
+  state.reads++;
+  if (name == NULL)
+    return answer (
+        connection, MHD_HTTP_OK,
+        platform_store_list (state.store, kind, 0, as_of_ms (kind), &count));
+  const struct store_entry *entry
+      = platform_store_get (state.store, kind, name, as_of_ms (kind));
+  return answer (connection, entry == NULL ? MHD_HTTP_NOT_FOUND : MHD_HTTP_OK,
+                 platform_store_text (name, entry));
+}
+
+static enum MHD_Result
+serve_watch (struct MHD_Connection *connection, const char *kind)
+{
+  const uint64_t since = (uint64_t)argument (connection, "since", 0);
+  const int64_t until_ms
+      = clock_now_ms () + argument (connection, "timeout_ms", 0);
+  state.watches++;
+  for (;;)
+    {
+      uint64_t count;
+      if (state.down)
+        return MHD_NO;
+      if (since > platform_store_revision (state.store, kind, INT64_MAX - 1))
+        return answer_error (connection, MHD_HTTP_GONE, "unknown revision");
+      char *text = platform_store_list (state.store, kind, since,
+                                        as_of_ms (kind), &count);
+      if (count > 0 || clock_now_ms () >= until_ms)
+        return answer (connection, MHD_HTTP_OK, text);
+      free (text);
+      wait_until (until_ms);
+    }
+}
+
+/* The version that a write expects; false when it names no condition. */
+static bool
+read_condition (struct MHD_Connection *connection, uint64_t *expected)
+{
+  const char *match = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                   MHD_HTTP_HEADER_IF_MATCH);
+  const char *none = MHD_lookup_connection_value (
+      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_IF_NONE_MATCH);
+  *expected = PLATFORM_VERSION_NONE;
+  if (match != NULL)
+    *expected = strtoull (match + (*match == '"'), NULL, 10);
+  return match != NULL ? *expected > 0 : none != NULL;
+}
+
+static enum MHD_Result
+serve_write (struct MHD_Connection *connection, const char *kind,
+             const char *name, const char *value)
+{
+  uint64_t expected;
+  if (!read_condition (connection, &expected))
+    return answer_error (connection, MHD_HTTP_PRECONDITION_REQUIRED,
+                         "send If-Match or If-None-Match: *");
+  const uint64_t version = platform_store_put (
+      state.store, kind, name, expected, value, clock_now_ms ());
+  pthread_cond_broadcast (&state.changed);
+  if (state.lose_answers > 0)
+    {
+      state.lose_answers--;
+      return MHD_NO;
+    }
+  if (version == 0)
+    return answer (
+        connection, MHD_HTTP_PRECONDITION_FAILED,
+        platform_store_text (name, platform_store_get (state.store, kind, name,
+                                                       clock_now_ms ())));
+  const struct store_entry written = { .version = version };
+  return answer (connection, MHD_HTTP_OK,
+                 platform_store_text (name, &written));
+}
+
+static enum MHD_Result
+serve_put (struct MHD_Connection *connection, const char *kind,
+           const char *name, const struct request *request)
+{
+  struct json_object *tree;
+  state.writes++;
+  if (request->body_bytes > PLATFORM_VALUE_MAX_BYTES)
+    return answer_error (connection, MHD_HTTP_CONTENT_TOO_LARGE,
+                         "the value is too large");
+  if (options_parse ("body", request->body == NULL ? "" : request->body,
+                     request->body_bytes, &tree)
+          != STATUS_OK
+      || tree == NULL)
+    return answer_error (connection, MHD_HTTP_BAD_REQUEST,
+                         "the value isn't JSON");
+  const enum MHD_Result result = serve_write (
+      connection, kind, name,
+      json_object_to_json_string_ext (
+          tree, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  json_object_put (tree);
+  return result;
+}
+
+static enum MHD_Result
+serve_api (struct MHD_Connection *connection, const char *url,
+           const char *method, const struct request *request)
+{
+  char kind[PLATFORM_NAME_SIZE];
+  const int64_t until_ms = clock_now_ms () + state.slow_ms;
+  while (!state.down && clock_now_ms () < until_ms)
+    wait_until (until_ms);
+  if (state.down)
+    return MHD_NO;
+  const bool watch = strncmp (url, "/watch/", strlen ("/watch/")) == 0;
+  if (!watch && strncmp (url, "/objects/", strlen ("/objects/")) != 0)
+    return answer_error (connection, MHD_HTTP_NOT_FOUND, "no such path");
+  url += watch ? strlen ("/watch/") : strlen ("/objects/");
+  const size_t length = strcspn (url, "/");
+  if (length == 0 || length >= sizeof kind)
+    return answer_error (connection, MHD_HTTP_BAD_REQUEST, "no kind");
+  snprintf (kind, sizeof kind, "%.*s", (int)length, url);
+  const char *name = url[length] == '/' ? url + length + 1 : NULL;
+  if (strcmp (method, MHD_HTTP_METHOD_GET) == 0)
+    return watch ? serve_watch (connection, kind)
+                 : serve_read (connection, kind, name);
+  if (name == NULL || watch)
+    return answer_error (connection, MHD_HTTP_BAD_REQUEST, "no name");
+  if (strcmp (method, MHD_HTTP_METHOD_PUT) == 0)
+    return serve_put (connection, kind, name, request);
+  if (strcmp (method, MHD_HTTP_METHOD_DELETE) != 0)
+    return answer_error (connection, MHD_HTTP_METHOD_NOT_ALLOWED, "method");
+  state.writes++;
+  return serve_write (connection, kind, name, NULL);
+}
+
+static struct MHD_Daemon *start_daemon (const char *address);
+
+/* With a control address of its own an outage closes the other one. */
+static void
+close_or_open (bool down)
+{
+  if (!has_control)
+    return;
+  if (down && api != NULL)
+    {
+      MHD_stop_daemon (api);
+      api = NULL;
+    }
+  else if (!down && api == NULL)
+    api = start_daemon (api_address);
+}
+
+static enum MHD_Result
+serve_control (struct MHD_Connection *connection, const char *url,
+               const char *method)
+{
+  pthread_mutex_lock (&control_lock);
+  pthread_mutex_lock (&state.lock);
+  state.down = argument (connection, "down", state.down) != 0;
+  state.slow_ms = argument (connection, "slow_ms", state.slow_ms);
+  state.lag_ms = argument (connection, "lag_ms", state.lag_ms);
+  state.lose_answers
+      = argument (connection, "lose_answers", state.lose_answers);
+  const bool down = state.down;
+  char *text = xasprintf ("{\"reads\":%" PRIu64 ",\"writes\":%" PRIu64
+                          ",\"watches\":%" PRIu64 "}",
+                          state.reads, state.writes, state.watches);
+  pthread_cond_broadcast (&state.changed);
+  pthread_mutex_unlock (&state.lock);
+  close_or_open (down);
+  pthread_mutex_unlock (&control_lock);
+  return answer (connection, MHD_HTTP_OK, text);
+}
+
+static void
+take_body (struct request *request, const char *data, size_t size)
+{
+  if (request->body_bytes > PLATFORM_VALUE_MAX_BYTES)
+    return;
+  request->body
+      = xreallocarray (request->body, request->body_bytes + size + 1, 1);
+  memcpy (request->body + request->body_bytes, data, size);
+  request->body_bytes += size;
+}
+
+static enum MHD_Result
+on_request (void *owner, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *upload,
+            size_t *upload_bytes, void **request)
+{
+  if (*request == NULL)
+    {
+      *request = xcalloc (1, sizeof (struct request));
+      return MHD_YES;
+    }
+  if (*upload_bytes > 0)
+    {
+      take_body (*request, upload, *upload_bytes);
+      *upload_bytes = 0;
+      return MHD_YES;
+    }
+  if (strncmp (url, "/control", strlen ("/control")) == 0)
+    return serve_control (connection, url, method);
+  pthread_mutex_lock (&state.lock);
+  const enum MHD_Result result = serve_api (connection, url, method, *request);
+  pthread_mutex_unlock (&state.lock);
+  return result;
+}
+
+static void
+on_completed (void *owner, struct MHD_Connection *connection, void **request,
+              enum MHD_RequestTerminationCode how)
+{
+  struct request *ended = *request;
+  if (ended == NULL)
+    return;
+  free (ended->body);
+  free (ended);
+  *request = NULL;
+}
+
+static struct MHD_Daemon *
+start_daemon (const char *address)
+{
+  struct sockaddr_storage storage;
+  if (mhd_loop_address (address, &storage) == 0)
+    return NULL;
+  return MHD_start_daemon (
+      MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION
+          | MHD_USE_POLL | MHD_USE_ITC,
+      0, NULL, NULL, on_request, NULL, MHD_OPTION_SOCK_ADDR, &storage,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+}
+
+/* Start at ADDRESS and print the address as it is, under LABEL. */
+static struct MHD_Daemon *
+listen_at (const char *label, const char *address, char actual[ADDRESS_SIZE])
+{
+  struct MHD_Daemon *daemon = start_daemon (address);
+  if (daemon == NULL)
+    {
+      fprintf (stderr, "can't listen at %s: choose a free IP:PORT\n", address);
+      exit (EXIT_FAILURE);
+    }
+  snprintf (actual, ADDRESS_SIZE, "%.*s:%u",
+            (int)(strrchr (address, ':') - address), address,
+            (unsigned)mhd_loop_port (daemon));
+  printf ("%s %s\n", label, actual);
+  return daemon;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct option names[]
+      = { { "listen", required_argument, NULL, 'l' },
+          { "control", required_argument, NULL, 'c' },
+          { NULL, 0, NULL, 0 } };
+  const char *listen_address = NULL;
+  const char *control_address = NULL;
+  char actual[ADDRESS_SIZE];
+  int option;
+  while ((option = getopt_long (argc, argv, "", names, NULL)) != -1)
+    if (option == 'l')
+      listen_address = optarg;
+    else if (option == 'c')
+      control_address = optarg;
+    else
+      return EXIT_FAILURE;
+  if (listen_address == NULL)
+    {
+      fputs ("usage: standin_platform --listen IP:PORT [--control IP:PORT]\n",
+             stderr);
+      return EXIT_FAILURE;
+    }
+  sigset_t ends;
+  int signal_number;
+  sigemptyset (&ends);
+  sigaddset (&ends, SIGTERM);
+  sigaddset (&ends, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &ends, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  pthread_cond_init (&state.changed, NULL);
+  state.store = platform_store_create ();
+  has_control = control_address != NULL;
+  api = listen_at ("listening", listen_address, api_address);
+  struct MHD_Daemon *control
+      = has_control ? listen_at ("control", control_address, actual) : NULL;
+  fflush (stdout);
+  sigwait (&ends, &signal_number);
+  pthread_mutex_lock (&state.lock);
+  state.down = true;
+  pthread_cond_broadcast (&state.changed);
+  pthread_mutex_unlock (&state.lock);
+  if (control != NULL)
+    MHD_stop_daemon (control);
+  if (api != NULL)
+    MHD_stop_daemon (api);
+  platform_store_destroy (state.store);
+  return EXIT_SUCCESS;
+}
--- a/wire/platform.h
+++ b/wire/platform.h
@@ -11,6 +11,7 @@
  *  - STATUS_UNREACHABLE: never sent, surely without effect;
  *  - STATUS_LOST_ANSWER: sent, no answer seen.  A write may have taken effect:
  *    read back by its write id, never repeat it blindly;
+ *  - STATUS_LIMIT: the platform takes no more calls now; without effect;
  *  - STATUS_INVALID: an answer that can't be understood, or a bad request.
  *
  * Implementations: platform_http.h (the object API over HTTP and JSON) and
@@ -69,7 +70,9 @@
   /** All objects of KIND, with the revision to watch from. */
   void (*list) (struct platform *platform, const char *kind,
                 platform_done *done, void *owner);
-  /** Write VALUE if the object's version is EXPECTED_VERSION. */
+  /** Write VALUE if the object's version is EXPECTED_VERSION; a VALUE of NULL
+   * removes the object.  Versions of a kind come from one sequence, so a name
+   * that is used again never gets an old version. */
   void (*put) (struct platform *platform, const char *kind, const char *name,
                uint64_t expected_version, const char *value,
                platform_done *done, void *owner);
@@ -79,8 +82,10 @@
   void (*watch) (struct platform *platform, const char *kind,
                  uint64_t revision, uint32_t timeout_ms, platform_done *done,
                  void *owner);
-  /** End every call of OWNER without calling back. */
+  /** End every call of OWNER without calling back.  A write under way may
+   * still take effect. */
   void (*cancel) (struct platform *platform, void *owner);
+  /** End every call without calling back.  Not within a callback. */
   void (*destroy) (struct platform *platform);
 };
 
--- /dev/null
+++ b/wire/platform_http.c
@@ -0,0 +1,450 @@
+#include "wire/platform_http.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "base/xmalloc.h"
+#include "wire/curl_loop.h"
+#include "wire/platform_http_reply.h"
+
+enum
+{
+  TIMEOUT_DEFAULT_MS = 2000,
+  CONNECT_TIMEOUT_DEFAULT_MS = 1000,
+  RESPONSE_MAX_BYTES = 64 * 1024 * 1024,
+
+  HTTP_NOT_FOUND = 404,
+  HTTP_CONFLICT = 409,
+  HTTP_GONE = 410,
+  HTTP_PRECONDITION_FAILED = 412,
+  HTTP_TOO_MANY_REQUESTS = 429,
+};
+
+enum call_kind
+{
+  CALL_GET,
+  CALL_LIST,
+  CALL_PUT,
+  CALL_WATCH
+};
+
+struct platform_http
+{
+  struct platform platform;
+  struct curl_loop *cl;
+  char *addresses[PLATFORM_HTTP_ADDRESSES_MAX];
+  size_t count;
+  size_t preferred; /* the address that calls begin with */
+  uint32_t timeout_ms;
+  uint32_t connect_timeout_ms;
+  struct http_call *calls;
+};
+
+struct http_call
+{
+  struct platform_http *http;
+  enum call_kind kind;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *path;
+  char *name;
+  char *value; /* PUT: NULL removes the object */
+  size_t address;
+  size_t attempts;
+  uint32_t timeout_ms;
+  char *body;
+  size_t body_bytes;
+  platform_done *done; /* NULL once cancelled */
+  void *owner;
+  struct http_call *prev;
+  struct http_call *next;
+};
+
+static void
+free_call (struct http_call *call)
+{
+  DL_DELETE (call->http->calls, call);
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  free (call->path);
+  free (call->name);
+  free (call->value);
+  free (call->body);
+  free (call);
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *owner)
+{
+  struct http_call *call = owner;
+  const size_t more = size * count;
+  if (call->body_bytes + more > RESPONSE_MAX_BYTES)
+    return 0;
+  call->body = xreallocarray (call->body, call->body_bytes + more + 1, 1);
+  memcpy (call->body + call->body_bytes, data, more);
+  call->body_bytes += more;
+  call->body[call->body_bytes] = '\0';
+  return more;
+}
+
+/* The owner may cancel all of its calls within its callback: this one must no
+   longer count as under way then. */
+static void
+end (struct http_call *call, const struct platform_reply *reply)
+{
+  platform_done *done = call->done;
+  call->done = NULL;
+  done (call->owner, reply);
+  free_call (call);
+}
+
+static void
+end_failed (struct http_call *call, enum status status, const char *message)
+{
+  const struct platform_reply reply = { .status = status, .message = message };
+  end (call, &reply);
+}
+
+/* The answer to a write tells the version only: the value is known here. */
+static void
+end_written (struct http_call *call)
+{
+  struct platform_http_reply parsed;
+  if (platform_http_reply_object (&parsed, call->body, call->body_bytes)
+      != STATUS_OK)
+    {
+      platform_http_reply_release (&parsed);
+      end_failed (call, STATUS_LOST_ANSWER,
+                  "the platform took the write but its answer can't be "
+                  "understood; read the object back");
+      return;
+    }
+  parsed.objects[0].value = call->value;
+  const struct platform_reply reply = { .status = STATUS_OK,
+                                        .objects = parsed.objects,
+                                        .count = parsed.count };
+  end (call, &reply);
+  platform_http_reply_release (&parsed);
+}
+
+static void
+end_read (struct http_call *call)
+{
+  struct platform_http_reply parsed;
+  const enum status status
+      = call->kind == CALL_GET
+            ? platform_http_reply_object (&parsed, call->body,
+                                          call->body_bytes)
+            : platform_http_reply_list (&parsed, call->body, call->body_bytes);
+  const struct platform_reply reply
+      = { .status = status,
+          .message = status == STATUS_OK ? NULL : status_message (),
+          .revision = parsed.revision,
+          .objects = parsed.objects,
+          .count = parsed.count };
+  end (call, &reply);
+  platform_http_reply_release (&parsed);
+}
+
+static void
+end_conflict (struct http_call *call)
+{
+  struct platform_http_reply parsed;
+  platform_http_reply_object (&parsed, call->body, call->body_bytes);
+  const bool exists = parsed.count > 0 && parsed.objects[0].value != NULL;
+  const struct platform_reply reply
+      = { .status = STATUS_REFUSED,
+          .message = exists ? "the object was changed meanwhile; look at it "
+                              "and decide again"
+                            : "there is no such object any more",
+          .objects = parsed.objects,
+          .count = exists ? 1 : 0 };
+  end (call, &reply);
+  platform_http_reply_release (&parsed);
+}
+
+static void
+end_refused (struct http_call *call, long code)
+{
+  char message[160];
+  snprintf (message, sizeof message,
+            "the platform answered %ld to %s; check that it and this program "
+            "speak the same API",
+            code, call->path);
+  switch (code)
+    {
+    case HTTP_NOT_FOUND:
+      end_failed (call, STATUS_NOT_FOUND, "the platform has no such object");
+      return;
+    case HTTP_CONFLICT:
+    case HTTP_PRECONDITION_FAILED:
+      end_conflict (call);
+      return;
+    case HTTP_GONE:
+      end_failed (call, STATUS_REFUSED,
+                  "the platform no longer knows that revision; list again");
+      return;
+    case HTTP_TOO_MANY_REQUESTS:
+      end_failed (call, STATUS_LIMIT,
+                  "the platform takes no more calls now; come back later");
+      return;
+    default:
+      end_failed (call, STATUS_INVALID, message);
+    }
+}
+
+static void start (struct http_call *call);
+
+/* A write is connected afresh, so a transfer that never connected has sent no
+   byte of it.  All else may have reached the platform. */
+static bool
+surely_not_sent (struct http_call *call, CURLcode code)
+{
+  curl_off_t connect_us = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  return code != CURLE_OK
+         && (code == CURLE_COULDNT_CONNECT || connect_us == 0);
+}
+
+static void
+fail_over (struct http_call *call, CURLcode code, long http_code)
+{
+  struct platform_http *http = call->http;
+  const bool unsent = surely_not_sent (call, code);
+  if (http->preferred == call->address)
+    http->preferred = (call->address + 1) % http->count;
+  if ((unsent || call->kind != CALL_PUT) && call->attempts < http->count)
+    {
+      call->address = (call->address + 1) % http->count;
+      start (call);
+      return;
+    }
+  char why[64];
+  char message[192];
+  snprintf (why, sizeof why, "answered %ld", http_code);
+  snprintf (message, sizeof message, "the platform at %s %s (%s); %s",
+            http->addresses[call->address],
+            unsent ? "can't be reached" : "gave no answer",
+            code == CURLE_OK ? why : curl_easy_strerror (code),
+            unsent || call->kind != CALL_PUT
+                ? "wait until it is back, or check platform addresses"
+                : "the write may have taken effect: read it back");
+  end_failed (call, unsent ? STATUS_UNREACHABLE : STATUS_LOST_ANSWER, message);
+}
+
+static void
+on_done (void *owner, CURLcode code, CURL *easy)
+{
+  struct http_call *call = owner;
+  long http_code = 0;
+  if (call->done == NULL)
+    {
+      free_call (call);
+      return;
+    }
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http_code);
+  if (code != CURLE_OK || http_code >= 500)
+    fail_over (call, code, http_code);
+  else if (http_code != 200)
+    end_refused (call, http_code);
+  else if (call->kind == CALL_PUT)
+    end_written (call);
+  else
+    end_read (call);
+}
+
+static void
+start (struct http_call *call)
+{
+  struct platform_http *http = call->http;
+  char *url
+      = xasprintf ("http://%s%s", http->addresses[call->address], call->path);
+  curl_easy_setopt (call->easy, CURLOPT_URL, url);
+  free (url);
+  free (call->body);
+  call->body = xstrdup ("");
+  call->body_bytes = 0;
+  call->attempts++;
+  http->platform.calls++;
+  curl_loop_start (http->cl, call->easy, on_done, call);
+}
+
+static struct http_call *
+new_call (struct platform *platform, enum call_kind kind, char *path,
+          platform_done *done, void *owner)
+{
+  struct platform_http *http = (struct platform_http *)platform;
+  struct http_call *call = xcalloc (1, sizeof *call);
+  call->http = http;
+  call->kind = kind;
+  call->path = path;
+  call->address = http->preferred;
+  call->timeout_ms = http->timeout_ms;
+  call->done = done;
+  call->owner = owner;
+  call->easy = curl_loop_easy ();
+  DL_APPEND (http->calls, call);
+  return call;
+}
+
+static void
+configure_and_start (struct http_call *call)
+{
+  CURL *easy = call->easy;
+  call->headers = curl_slist_append (call->headers, "Expect:");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)call->http->connect_timeout_ms);
+  start (call);
+}
+
+/* `PREFIX/KIND` or `PREFIX/KIND/NAME`, in new memory. */
+static char *
+make_path (const char *prefix, const char *kind, const char *name)
+{
+  char *kind_escaped = curl_easy_escape (NULL, kind, 0);
+  char *name_escaped = curl_easy_escape (NULL, name == NULL ? "" : name, 0);
+  char *path = xasprintf ("/%s/%s%s%s", prefix, kind_escaped,
+                          name == NULL ? "" : "/", name_escaped);
+  curl_free (kind_escaped);
+  curl_free (name_escaped);
+  return path;
+}
+
+static void
+get (struct platform *platform, const char *kind, const char *name,
+     platform_done *done, void *owner)
+{
+  configure_and_start (new_call (
+      platform, CALL_GET, make_path ("objects", kind, name), done, owner));
+}
+
+static void
+list (struct platform *platform, const char *kind, platform_done *done,
+      void *owner)
+{
+  configure_and_start (new_call (
+      platform, CALL_LIST, make_path ("objects", kind, NULL), done, owner));
+}
+
+static void
+watch (struct platform *platform, const char *kind, uint64_t revision,
+       uint32_t timeout_ms, platform_done *done, void *owner)
+{
+  char *base = make_path ("watch", kind, NULL);
+  char *path = xasprintf ("%s?since=%" PRIu64 "&timeout_ms=%" PRIu32, base,
+                          revision, timeout_ms);
+  free (base);
+  struct http_call *call = new_call (platform, CALL_WATCH, path, done, owner);
+  call->timeout_ms += timeout_ms;
+  configure_and_start (call);
+}
+
+static void
+set_condition (struct http_call *call, uint64_t expected_version)
+{
+  char header[64];
+  if (expected_version == PLATFORM_VERSION_NONE)
+    snprintf (header, sizeof header, "If-None-Match: *");
+  else
+    snprintf (header, sizeof header, "If-Match: \"%" PRIu64 "\"",
+              expected_version);
+  call->headers = curl_slist_append (call->headers, header);
+}
+
+static void
+put (struct platform *platform, const char *kind, const char *name,
+     uint64_t expected_version, const char *value, platform_done *done,
+     void *owner)
+{
+  struct http_call *call = new_call (
+      platform, CALL_PUT, make_path ("objects", kind, name), done, owner);
+  CURL *easy = call->easy;
+  call->value = xstrdup (value);
+  set_condition (call, expected_version);
+  call->headers
+      = curl_slist_append (call->headers, "Content-Type: application/json");
+  if (value != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)strlen (value));
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->value);
+    }
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST,
+                    value == NULL ? "DELETE" : "PUT");
+  /* Guards against a write that is sent twice: when a kept connection closes
+     before the first byte of the answer, libcurl takes the request for unsent
+     and sends it again.  The first may have taken effect; the second is then
+     refused, and a write in force would be reported as a conflict.  On a
+     connection that never carried a request libcurl doesn't send again. */
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  configure_and_start (call);
+}
+
+static void
+cancel (struct platform *platform, void *owner)
+{
+  struct platform_http *http = (struct platform_http *)platform;
+  struct http_call *call;
+  DL_FOREACH (http->calls, call)
+  {
+    if (call->owner != owner || call->done == NULL)
+      continue;
+    call->done = NULL;
+    curl_loop_cancel (http->cl, call->easy);
+  }
+}
+
+static void
+destroy (struct platform *platform)
+{
+  struct platform_http *http = (struct platform_http *)platform;
+  struct http_call *call;
+  DL_FOREACH (http->calls, call)
+  {
+    call->done = NULL;
+  }
+  curl_loop_destroy (http->cl);
+  for (size_t i = 0; i < http->count; i++)
+    free (http->addresses[i]);
+  free (http);
+}
+
+static const struct platform_ops http_ops = { .get = get,
+                                              .list = list,
+                                              .put = put,
+                                              .watch = watch,
+                                              .cancel = cancel,
+                                              .destroy = destroy };
+
+struct platform *
+platform_http_create (const struct platform_http_options *options)
+{
+  if (options->count == 0 || options->count > PLATFORM_HTTP_ADDRESSES_MAX)
+    {
+      status_set (STATUS_INVALID,
+                  "expected 1 to %d platform addresses, found %zu; name some "
+                  "of them",
+                  PLATFORM_HTTP_ADDRESSES_MAX, options->count);
+      return NULL;
+    }
+  struct platform_http *http = xcalloc (1, sizeof *http);
+  http->platform.ops = &http_ops;
+  http->cl
+      = curl_loop_create (options->loop, &(struct curl_loop_options){ 0 });
+  http->count = options->count;
+  for (size_t i = 0; i < http->count; i++)
+    http->addresses[i] = xstrdup (options->addresses[i]);
+  http->timeout_ms
+      = options->timeout_ms > 0 ? options->timeout_ms : TIMEOUT_DEFAULT_MS;
+  http->connect_timeout_ms = options->connect_timeout_ms > 0
+                                 ? options->connect_timeout_ms
+                                 : CONNECT_TIMEOUT_DEFAULT_MS;
+  return &http->platform;
+}
