peer: messages, frames and links between hosts

Typed messages as MessagePack arrays in length-prefixed frames; decoding is strict and bounded. A trap of the codec: it allocates what the head of an array claims before it reads an element, so five bytes cost gigabytes; the claims are checked against the bytes that follow first.

Links prove a shared secret by HMAC over both HELLOs, reconnect with back-off, queue a bounded number of bytes and don't talk to another host that took over an address.

Guards checked by taking them out: the check of the client's proof (AStrangersMessageIsNotActedOn red), of claims (AClaimBeyondTheBytesIsRefusedUnallocated red), of the name at an address (AnotherHostAtTheAddressIsNotTalkedTo red).

--- /dev/null
+++ b/wire/peer/peer_buffer.h
@@ -0,0 +1,31 @@
+/** @file
+ * Bytes waiting to be written, as a growing buffer with a bound.
+ */
+#ifndef WIRE_PEER_PEER_BUFFER_H
+#define WIRE_PEER_PEER_BUFFER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+struct peer_buffer
+{
+  char *bytes;
+  size_t start;
+  size_t used;
+  size_t room;
+};
+
+/** How many bytes wait. */
+static inline size_t
+peer_buffer_size (const struct peer_buffer *buffer)
+{
+  return buffer->used - buffer->start;
+}
+
+void peer_buffer_add (struct peer_buffer *buffer, const void *data,
+                      size_t size);
+/** The first SIZE bytes were written. */
+void peer_buffer_skip (struct peer_buffer *buffer, size_t size);
+void peer_buffer_release (struct peer_buffer *buffer);
+
+#endif
--- /dev/null
+++ b/wire/peer/peer_link.h
@@ -0,0 +1,52 @@
+/** @file
+ * A connection that this host keeps open to another one, made again with
+ * back-off when it breaks.
+ */
+#ifndef WIRE_PEER_PEER_LINK_H
+#define WIRE_PEER_PEER_LINK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "wire/peer/peer_conn.h"
+
+struct peer_link;
+
+struct peer_link_events
+{
+  void (*ready) (void *owner, struct peer_link *link);
+  void (*message) (void *owner, struct peer_link *link,
+                   const struct peer_message *message);
+};
+
+struct peer_link_options
+{
+  struct ev_loop *loop;
+  struct peer_identity *identity;
+  const struct peer_link_events *events;
+  void *owner;
+  const char *address; /**< IP:PORT; copied */
+  /** Who must answer there; "" for a seed, where anybody may. Copied. */
+  const char *name;
+  uint64_t seed; /**< spreads reconnections */
+  uint32_t idle_ms;
+};
+
+/** Starts to connect at once. */
+struct peer_link *peer_link_create (const struct peer_link_options *options);
+void peer_link_destroy (struct peer_link *link);
+
+/** Queue MESSAGE.  STATUS_UNREACHABLE while the link is down,
+ * STATUS_LIMIT when too much waits. */
+enum status peer_link_send (struct peer_link *link,
+                            const struct peer_message *message);
+
+bool peer_link_is_ready (const struct peer_link *link);
+/** Who answered, once ready. */
+const struct peer_hello *peer_link_hello (const struct peer_link *link);
+/** The address it connects to. */
+const char *peer_link_address (const struct peer_link *link);
+
+#endif
--- /dev/null
+++ b/wire/peer/peer_server.c
@@ -0,0 +1,194 @@
+#define LOG_MODULE "peer"
+
+#include "wire/peer/peer_server.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <utlist.h>
+
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "wire/peer/peer_address.h"
+
+enum
+{
+  BACKLOG = 128,
+  ACCEPTS_PER_WAKE = 16,
+};
+
+struct accepted
+{
+  struct peer_server *server;
+  struct peer_conn *conn;
+  struct accepted *prev;
+  struct accepted *next;
+};
+
+struct peer_server
+{
+  struct peer_server_options options;
+  struct ev_io listener;
+  int fd;
+  struct accepted *accepted;
+  uint32_t count;
+};
+
+static void
+conn_ready (void *owner, struct peer_conn *conn)
+{
+  const struct peer_server_options *options
+      = &((struct accepted *)owner)->server->options;
+  if (options->events->ready != NULL)
+    options->events->ready (options->owner, conn);
+}
+
+static void
+conn_message (void *owner, struct peer_conn *conn,
+              const struct peer_message *message)
+{
+  const struct peer_server_options *options
+      = &((struct accepted *)owner)->server->options;
+  options->events->message (options->owner, conn, message);
+}
+
+static void
+drop (struct accepted *accepted)
+{
+  struct peer_server *server = accepted->server;
+  DL_DELETE (server->accepted, accepted);
+  server->count--;
+  peer_conn_destroy (accepted->conn);
+  free (accepted);
+}
+
+static void
+conn_closed (void *owner, struct peer_conn *conn)
+{
+  struct accepted *accepted = owner;
+  const struct peer_server_options *options = &accepted->server->options;
+  if (options->events->closed != NULL)
+    options->events->closed (options->owner, conn);
+  drop (accepted);
+}
+
+static const struct peer_conn_events conn_events
+    = { .ready = conn_ready, .message = conn_message, .closed = conn_closed };
+
+static void
+adopt (struct peer_server *server, int fd)
+{
+  if (server->count == PEER_SERVER_CONNECTIONS_MAX)
+    {
+      LOG_WARN ("connection-limit", LOG_INT ("open", server->count));
+      close (fd);
+      return;
+    }
+  const int on = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  struct accepted *accepted = xcalloc (1, sizeof *accepted);
+  accepted->server = server;
+  const struct peer_conn_options options
+      = { .loop = server->options.loop,
+          .identity = server->options.identity,
+          .events = &conn_events,
+          .owner = accepted,
+          .fd = fd,
+          .idle_ms = server->options.idle_ms };
+  accepted->conn = peer_conn_create (&options);
+  DL_APPEND (server->accepted, accepted);
+  server->count++;
+}
+
+static void
+accept_cb (struct ev_loop *loop, struct ev_io *watcher, int events)
+{
+  struct peer_server *server = watcher->data;
+  for (int i = 0; i < ACCEPTS_PER_WAKE; i++)
+    {
+      const int fd
+          = accept4 (server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        return;
+      adopt (server, fd);
+    }
+}
+
+static enum status
+listen_on (const char *text, int *listener)
+{
+  struct sockaddr_storage address;
+  socklen_t size;
+  const enum status status = peer_address_parse (text, &address, &size);
+  if (status != STATUS_OK)
+    return status;
+  const int fd = socket (address.ss_family,
+                         SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return status_errno ("peer_address %s", text);
+  const int on = 1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *)&address, size) < 0
+      || listen (fd, BACKLOG) < 0)
+    {
+      const enum status failed = status_errno (
+          "peer_address %s can't be listened on; choose another, or end "
+          "what uses it",
+          text);
+      close (fd);
+      return failed;
+    }
+  *listener = fd;
+  return STATUS_OK;
+}
+
+enum status
+peer_server_create (const struct peer_server_options *options,
+                    struct peer_server **server)
+{
+  int fd = -1;
+  const enum status status = listen_on (options->address, &fd);
+  if (status != STATUS_OK)
+    return status;
+  struct peer_server *created = xcalloc (1, sizeof *created);
+  created->options = *options;
+  created->fd = fd;
+  ev_io_init (&created->listener, accept_cb, fd, EV_READ);
+  created->listener.data = created;
+  ev_io_start (options->loop, &created->listener);
+  *server = created;
+  return STATUS_OK;
+}
+
+void
+peer_server_destroy (struct peer_server *server)
+{
+  if (server == NULL)
+    return;
+  ev_io_stop (server->options.loop, &server->listener);
+  close (server->fd);
+  struct accepted *accepted;
+  struct accepted *next;
+  DL_FOREACH_SAFE (server->accepted, accepted, next)
+  {
+    drop (accepted);
+  }
+  free (server);
+}
+
+uint16_t
+peer_server_port (const struct peer_server *server)
+{
+  struct sockaddr_storage address;
+  socklen_t size = sizeof address;
+  if (getsockname (server->fd, (struct sockaddr *)&address, &size) != 0)
+    return 0;
+  if (address.ss_family == AF_INET6)
+    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port);
+  return ntohs (((struct sockaddr_in *)&address)->sin_port);
+}
