choice: the hopeless refused early, steadier latency; benches of cost and load

A queue that shrinking capacity can't serve in time refuses its newest entry at once. A gap in ends counts as a standstill only beyond 8 means: single gaps made waits look three times too long. A failure costs 3 latencies instead of 8: a target with two failures got nothing at 30 % load, so nothing could clear it.

--- /dev/null
+++ b/bench/load_run.c
@@ -0,0 +1,273 @@
+#include "bench/load_run.h"
+
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  REPEATABLE_PERCENT = 70,
+  QUICK_FAILURE_US = 2000,
+  SHARE_WINDOW = 200, /* attempts over which a share is taken */
+  SHARE_LEAST = 2,    /* a tenth of a fair share of ten targets */
+};
+
+struct attempt_record
+{
+  int64_t at_us;
+  bool gray;
+};
+
+struct flight
+{
+  int64_t end_us;
+  int64_t sent_us;
+  uint32_t request;
+  uint32_t target;
+  enum attempt_end end;
+};
+
+struct request_state
+{
+  struct policy_request r;
+  bool waited;
+  bool counted;
+};
+
+struct run
+{
+  const struct load_case *c;
+  struct load_balancer *balancer;
+  struct rng arrivals;
+  struct rng rng;
+  int64_t now_us;
+  struct request_state *requests;
+  uint32_t request_count;
+  struct flight *flying; /* unordered; a few dozen */
+  uint32_t flying_count;
+  struct attempt_record *records;
+  uint32_t record_count;
+  struct load_result result;
+};
+
+/* How an attempt at a target that is fine, or gray, will go. */
+static void
+decide_fate (struct run *run, struct flight *f)
+{
+  const bool gray = f->target == 0 && run->now_us >= run->c->onset_us;
+  const enum gray_kind kind = gray ? run->c->gray : GRAY_NONE;
+  double took_us = 1000 + rng_exponential (&run->rng, LOAD_SERVICE_US - 1000);
+  const uint64_t roll = rng_below (&run->rng, 100);
+  f->end = ATTEMPT_ANSWERED;
+  if (kind == GRAY_FAILS_ALL || (kind == GRAY_FAILS_40 && roll < 40))
+    {
+      f->end = ATTEMPT_FAILED;
+      took_us = QUICK_FAILURE_US;
+    }
+  if (kind == GRAY_SLOW_10)
+    took_us *= 10;
+  if (kind == GRAY_TIMES_OUT_HALF && roll < 50)
+    took_us = 1e9;
+  f->end_us = run->now_us + (int64_t)took_us;
+  const int64_t deadline_us = run->requests[f->request].r.deadline_us;
+  if (f->end_us >= deadline_us)
+    {
+      f->end_us = deadline_us;
+      f->end = ATTEMPT_TIMED_OUT;
+    }
+}
+
+static void
+send_attempt (struct run *run, uint32_t request, uint32_t target)
+{
+  struct flight *f = &run->flying[run->flying_count++];
+  *f = (struct flight){
+    .request = request,
+    .target = target,
+    .sent_us = run->now_us,
+  };
+  decide_fate (run, f);
+  if (!run->requests[request].counted)
+    return;
+  run->result.attempts++;
+  run->result.gray_attempts += (uint64_t)(target == 0);
+  run->records[run->record_count++]
+      = (struct attempt_record){ run->now_us, target == 0 };
+}
+
+static void
+apply (struct run *run, const struct policy_decision *d)
+{
+  struct request_state *s = &run->requests[d->request_id];
+  switch (d->verdict)
+    {
+    case POLICY_SEND:
+      send_attempt (run, (uint32_t)d->request_id, d->target);
+      break;
+    case POLICY_QUEUE:
+      s->waited = true;
+      break;
+    case POLICY_REFUSE:
+      if (!s->counted)
+        break;
+      if (s->r.attempt > 1)
+        run->result.failed++;
+      else
+        {
+          run->result.refused++;
+          run->result.refused_waiting += (uint64_t)s->waited;
+        }
+      break;
+    }
+}
+
+static void
+admit (struct run *run, uint32_t request)
+{
+  run->requests[request].waited = false;
+  const struct policy_decision d = run->balancer->admit (
+      run->balancer, run->now_us, &run->requests[request].r);
+  apply (run, &d);
+}
+
+static void
+arrive (struct run *run)
+{
+  const uint32_t i = run->request_count++;
+  run->requests[i] = (struct request_state){
+    .r = {
+      .id = i,
+      .deadline_us = run->now_us + LOAD_DEADLINE_US,
+      .queued_bytes = 1000,
+      .repeatable = rng_below (&run->arrivals, 100) < REPEATABLE_PERCENT,
+      .attempt = 1,
+    },
+    .counted = run->now_us >= run->c->onset_us,
+  };
+  run->result.requests += (uint64_t)run->requests[i].counted;
+  admit (run, i);
+}
+
+static void
+ask_next (struct run *run)
+{
+  struct policy_decision d;
+  while (run->balancer->next (run->balancer, run->now_us, &d))
+    apply (run, &d);
+}
+
+static void
+retry_or_fail (struct run *run, const struct flight *f)
+{
+  struct request_state *s = &run->requests[f->request];
+  if (service_policy_may_retry (f->end, s->r.repeatable)
+      && run->now_us < s->r.deadline_us && s->r.tried_count < POLICY_TRIED_MAX)
+    {
+      s->r.tried[s->r.tried_count++] = f->target;
+      s->r.attempt++;
+      admit (run, f->request);
+      return;
+    }
+  run->result.failed += (uint64_t)s->counted;
+}
+
+static void
+finish (struct run *run, uint32_t at)
+{
+  const struct flight f = run->flying[at];
+  run->flying[at] = run->flying[--run->flying_count];
+  const struct request_state *s = &run->requests[f.request];
+  const struct policy_outcome o = {
+    .target = f.target,
+    .end = f.end,
+    .latency_us = run->now_us - f.sent_us,
+    .repeatable = s->r.repeatable,
+  };
+  run->balancer->outcome (run->balancer, run->now_us, &o);
+  ask_next (run);
+  if (f.end == ATTEMPT_ANSWERED)
+    run->result.good += (uint64_t)s->counted;
+  else
+    retry_or_fail (run, &f);
+}
+
+static uint32_t
+first_to_end (const struct run *run)
+{
+  uint32_t first = UINT32_MAX;
+  for (uint32_t i = 0; i < run->flying_count; i++)
+    if (first == UINT32_MAX
+        || run->flying[i].end_us < run->flying[first].end_us)
+      first = i;
+  return first;
+}
+
+/* The first attempt from which on a window holds less than a tenth of the
+ * fair share. */
+static void
+find_avoided (struct run *run)
+{
+  struct load_result *r = &run->result;
+  r->avoided_requests = -1;
+  uint32_t gray = 0;
+  for (uint32_t i = 0; i < run->record_count; i++)
+    {
+      gray += (uint32_t)run->records[i].gray;
+      if (i >= SHARE_WINDOW)
+        gray -= (uint32_t)run->records[i - SHARE_WINDOW].gray;
+      if (i + 1 < SHARE_WINDOW || gray >= SHARE_LEAST)
+        continue;
+      r->avoided_requests = i + 1 - SHARE_WINDOW;
+      const int64_t at_us = run->records[r->avoided_requests].at_us;
+      r->avoided_ms = (double)(at_us - run->c->onset_us) / 1000;
+      return;
+    }
+}
+
+struct load_result
+load_run (const struct load_case *c, struct load_balancer *balancer)
+{
+  const double gap_us
+      = (double)LOAD_SERVICE_US / (10 * LOAD_SLOTS) * 100 / c->load_percent;
+  const uint32_t most = (uint32_t)((double)c->end_us / gap_us * 1.2) + 1000;
+  struct run run = { .c = c, .balancer = balancer, .now_us = 1 };
+  rng_seed (&run.arrivals, c->seed);
+  rng_seed (&run.rng, c->seed + 1);
+  run.requests = xcalloc (most, sizeof *run.requests);
+  run.flying = xcalloc ((size_t)c->targets * LOAD_SLOTS, sizeof *run.flying);
+  run.records = xcalloc (most * 4UL, sizeof *run.records);
+  int64_t arrival_us = 1;
+  for (;;)
+    {
+      const uint32_t at = first_to_end (&run);
+      const int64_t end_us
+          = at == UINT32_MAX ? INT64_MAX : run.flying[at].end_us;
+      const int64_t wake_us = balancer->wake_us (balancer);
+      if (arrival_us >= c->end_us && end_us == INT64_MAX
+          && wake_us == INT64_MAX)
+        break;
+      const int64_t next_us = arrival_us < c->end_us ? arrival_us : INT64_MAX;
+      if (wake_us < end_us && wake_us < next_us)
+        {
+          run.now_us = wake_us > run.now_us ? wake_us : run.now_us;
+          ask_next (&run);
+          continue;
+        }
+      if (end_us <= next_us)
+        {
+          run.now_us = end_us;
+          finish (&run, at);
+          continue;
+        }
+      run.now_us = arrival_us;
+      arrive (&run);
+      arrival_us += 1 + (int64_t)rng_exponential (&run.arrivals, gap_us - 1);
+    }
+  run.result.seconds = (double)(c->end_us - c->onset_us) / 1e6;
+  find_avoided (&run);
+  free (run.requests);
+  free (run.flying);
+  free (run.records);
+  return run.result;
+}
--- /dev/null
+++ b/bench/load_run.h
@@ -0,0 +1,60 @@
+/** @file
+ * One run of the load benchmark: seeded arrivals, fakes of targets, events in
+ * the order of a simulated clock.
+ */
+#ifndef BENCH_LOAD_RUN_H
+#define BENCH_LOAD_RUN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bench/load_balancer.h"
+
+enum
+{
+  LOAD_SLOTS = 5,
+  LOAD_SERVICE_US = 10000, /**< mean time of a good answer */
+  LOAD_DEADLINE_US = 300000,
+};
+
+/** What is wrong with target 0 from the onset on. */
+enum gray_kind
+{
+  GRAY_NONE,
+  GRAY_FAILS_ALL,
+  GRAY_FAILS_40,
+  GRAY_SLOW_10,
+  GRAY_TIMES_OUT_HALF,
+  GRAY_KINDS,
+};
+
+/** One case. */
+struct load_case
+{
+  uint32_t targets;
+  uint32_t load_percent; /**< of the slots of ten targets */
+  enum gray_kind gray;
+  int64_t onset_us;
+  int64_t end_us;
+  uint64_t seed;
+};
+
+/** What came of it; requests that arrived before the onset don't count. */
+struct load_result
+{
+  uint64_t requests;
+  uint64_t good; /**< answered well within the deadline */
+  uint64_t refused;
+  uint64_t refused_waiting; /**< of them, after having waited */
+  uint64_t failed;
+  uint64_t attempts;
+  uint64_t gray_attempts;
+  double seconds;
+  int64_t avoided_requests; /**< until the gray target's share fell; -1 */
+  double avoided_ms;
+};
+
+struct load_result load_run (const struct load_case *c,
+                             struct load_balancer *balancer);
+
+#endif
--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -5,8 +5,8 @@
 enum
 {
   UNKNOWN_LATENCY_US = 1000, /* of a target when nothing was measured yet */
-  FAILURE_COST = 8,          /* a failure costs so many latencies */
-  FAILURE_COST_UNREPEATABLE = 64,
+  FAILURE_COST = 3, /* a failure costs so many latencies: another try */
+  FAILURE_COST_UNREPEATABLE = 24,
 };
 
 static const double failure_cap = 0.95;
--- a/policy/choice/service_rate.c
+++ b/policy/choice/service_rate.c
@@ -5,6 +5,7 @@
   RATE_MIN_SAMPLES = 8,
   RATE_STALE_US = 5000000, /* an old measurement of a busy time is no use */
   UNKNOWN_LATENCY_US = 10000,
+  STANDSTILL = 8, /* a gap of so many means is hardly chance (e^-8) */
 };
 
 static const double rate_gain = 1.0 / 32;
@@ -40,9 +41,9 @@
 {
   const double since_us = (double)(now_us - rate->last_end_us);
   const bool stale = since_us >= RATE_STALE_US;
+  const double gap_us = rate->busy ? since_us / STANDSTILL : 0;
   if (rate->samples >= RATE_MIN_SAMPLES && !stale)
-    return rate->busy && since_us > rate->interval_us ? since_us
-                                                      : rate->interval_us;
+    return gap_us > rate->interval_us ? gap_us : rate->interval_us;
   const double known_us = latency_us > 0 ? latency_us : UNKNOWN_LATENCY_US;
   return known_us / (in_flight > 0 ? in_flight : 1);
 }
--- a/policy/choice/service_rate.h
+++ b/policy/choice/service_rate.h
@@ -26,8 +26,9 @@
 void service_rate_end (struct service_rate *rate, int64_t now_us,
                        bool waiting);
 
-/** Mean time between two ends, in microseconds; at least the time since the
- * last one, so that a standstill shows before it ends. */
+/** Mean time between two ends, in microseconds; longer when the last one is
+ * so long ago that it can't be chance, so that a standstill shows before it
+ * ends. */
 double service_rate_interval_us (const struct service_rate *rate,
                                  int64_t now_us, uint32_t in_flight,
                                  double latency_us);
--- a/policy/choice/target_estimate.c
+++ b/policy/choice/target_estimate.c
@@ -2,7 +2,8 @@
 
 #include <math.h>
 
-static const double gain = 1.0 / (1 << ESTIMATE_GAIN_SHIFT);
+static const double failure_gain = 1.0 / (1 << ESTIMATE_FAILURE_SHIFT);
+static const double latency_gain = 1.0 / (1 << ESTIMATE_LATENCY_SHIFT);
 
 void
 target_estimate_init (struct target_estimate *e, int64_t now_us)
@@ -47,7 +48,7 @@
   if (e->latency_samples == 0)
     e->latency_us = latency_us;
   else
-    e->latency_us += gain * (latency_us - e->latency_us);
+    e->latency_us += latency_gain * (latency_us - e->latency_us);
   e->latency_samples++;
 }
 
@@ -58,7 +59,7 @@
   if (end == ATTEMPT_CANCELLED)
     return;
   e->samples++;
-  e->failure += gain * (failure_of (end) - e->failure);
+  e->failure += failure_gain * (failure_of (end) - e->failure);
   /* A quick failure must not make the target look fast: an end without an
    * answer only says that an answer takes at least as long. */
   if (end == ATTEMPT_ANSWERED || (double)latency_us > e->latency_us)
--- a/policy/choice/target_estimate.h
+++ b/policy/choice/target_estimate.h
@@ -15,7 +15,8 @@
 enum
 {
   ESTIMATE_HALF_LIFE_US = 10000000, /**< of what isn't confirmed */
-  ESTIMATE_GAIN_SHIFT = 3,          /**< an outcome weighs 1/8 */
+  ESTIMATE_FAILURE_SHIFT = 3, /**< an outcome weighs 1/8 in the failures */
+  ESTIMATE_LATENCY_SHIFT = 4, /**< and 1/16 in the latency: its tail is long */
 };
 
 /** What the outcomes of one target say. */
--- a/policy/choice/tests/naive_choice.h
+++ b/policy/choice/tests/naive_choice.h
@@ -195,7 +195,7 @@
     const double f = std::min (t.failure, 0.95);
     return latency_of (t)
            * (1 + (double)t.in_flight / t.config.slots
-              + f / (1 - f) * (repeatable ? 8 : 64))
+              + f / (1 - f) * (repeatable ? 3 : 24))
            / t.warmth (now);
   }
   /* Of two or more, the one that costs strictly most can't win. */
@@ -225,7 +225,7 @@
   {
     const double since = now - last_end;
     if (intervals >= 8 && since < 5000000)
-      return busy ? std::max (since, interval) : interval;
+      return busy ? std::max (since / 8, interval) : interval;
     uint32_t flying = 0;
     for (auto &t : targets)
       flying += t.in_flight;
--- a/policy/choice/tests/naive_judge.h
+++ b/policy/choice/tests/naive_judge.h
@@ -176,6 +176,14 @@
       first = std::min (first, w.give_up);
     if (eligible () == 0 || first <= now)
       return given_up (some, d, first);
+    const naive_waiting last = queue.back ();
+    if (queue.size () * mean_interval () > 2.0 * (last.give_up - now))
+      {
+        queue.pop_back ();
+        if (!some || d.request_id != last.r.id)
+          return "the hopeless one still waits";
+        return refused (d, POLICY_REASON_TOO_LATE);
+      }
     const bool older = queue[0].r.repeatable;
     for (bool lane : { older, !older })
       {
@@ -234,7 +242,7 @@
         if (o.end == ATTEMPT_ANSWERED || o.latency_us > t.latency)
           t.latency = t.latencies++ == 0
                           ? o.latency_us
-                          : t.latency + (o.latency_us - t.latency) / 8;
+                          : t.latency + (o.latency_us - t.latency) / 16;
       }
     outcomes++;
     judge (t);
--- a/policy/choice/wait_queue.c
+++ b/policy/choice/wait_queue.c
@@ -135,6 +135,29 @@
   return queue->oldest[lane];
 }
 
+uint32_t
+wait_queue_newest (const struct wait_queue *queue)
+{
+  const uint32_t a = queue->newest[LANE_REPEATABLE];
+  const uint32_t b = queue->newest[LANE_UNREPEATABLE];
+  if (a == WAIT_QUEUE_NONE || b == WAIT_QUEUE_NONE)
+    return a == WAIT_QUEUE_NONE ? b : a;
+  return queue->entries[a].order > queue->entries[b].order ? a : b;
+}
+
+enum wait_lane
+wait_queue_older_lane (const struct wait_queue *queue)
+{
+  const uint32_t a = queue->oldest[LANE_REPEATABLE];
+  const uint32_t b = queue->oldest[LANE_UNREPEATABLE];
+  if (a == WAIT_QUEUE_NONE)
+    return LANE_UNREPEATABLE;
+  if (b == WAIT_QUEUE_NONE)
+    return LANE_REPEATABLE;
+  return queue->entries[a].order < queue->entries[b].order ? LANE_REPEATABLE
+                                                           : LANE_UNREPEATABLE;
+}
+
 uint32_t
 wait_queue_first_given_up (const struct wait_queue *queue)
 {
--- a/policy/choice/wait_queue.h
+++ b/policy/choice/wait_queue.h
@@ -68,6 +68,12 @@
 uint32_t wait_queue_oldest (const struct wait_queue *queue,
                             enum wait_lane lane);
 
+/** The newest entry of both lanes, or WAIT_QUEUE_NONE. */
+uint32_t wait_queue_newest (const struct wait_queue *queue);
+
+/** The lane whose oldest entry has waited longer. */
+enum wait_lane wait_queue_older_lane (const struct wait_queue *queue);
+
 /** The entry to be given up first, or WAIT_QUEUE_NONE. */
 uint32_t wait_queue_first_given_up (const struct wait_queue *queue);
 
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -1,47 +1,17 @@
 #include "policy/service_policy.h"
 
-#include <assert.h>
 #include <math.h>
 #include <stdlib.h>
 
-#include "base/rng.h"
 #include "base/xmalloc.h"
 #include "policy/choice/attempt_rules.h"
-#include "policy/choice/chooser.h"
-#include "policy/choice/retry_budget.h"
-#include "policy/choice/service_rate.h"
-#include "policy/choice/target_set.h"
-#include "policy/choice/wait_queue.h"
+#include "policy/choice/placement.h"
+#include "policy/choice/service_state.h"
 
 enum
 {
-  TRICKLE_DIVISOR = 20, /* a suspect gets a 20th of its fair share */
-  TRICKLE_MOST = 2,     /* chances kept for later */
-  POLL_US = 20000,      /* a suspect may clear, or become worth its cost */
-  LOOK_PAST = 4,        /* entries held back for another target */
-  RETRY_AFTER_MOST_MS = 60000,
-};
-
-struct service_policy
-{
-  struct service_policy_options options;
-  struct rng rng;
-  struct target_set set;
-  struct wait_queue queue;
-  struct service_rate rate;
-  struct retry_budget budget;
-  double trickle;
-  int64_t now_us;   /* of the last event */
-  int64_t asked_us; /* when nothing queued could be decided, until an event
-                       that may change that; INT64_MIN: ask */
-};
-
-/* What waiting would mean for a request that joins the queue's end. */
-struct wait_outlook
-{
-  double wait_us;
-  int64_t give_up_us;
-  bool fits;
+  POLL_US = 20000, /* standings change and standstills show with time */
+  LOOK_PAST = 4,   /* entries held back for another target */
 };
 
 const char *
@@ -126,219 +96,6 @@
     target_set_eject (&policy->set, now_us, target, ejected);
 }
 
-static double
-interval_us (const struct service_policy *policy)
-{
-  return service_rate_interval_us (&policy->rate, policy->now_us,
-                                   policy->set.in_flight,
-                                   policy->set.baseline.latency_us);
-}
-
-static struct policy_decision
-refuse (const struct service_policy *policy, const struct policy_request *r,
-        enum policy_reason reason)
-{
-  struct policy_decision d = {
-    .verdict = POLICY_REFUSE,
-    .reason = reason,
-    .target = POLICY_NO_TARGET,
-    .request_id = r->id,
-  };
-  if (reason == POLICY_REASON_NO_TARGET)
-    return d;
-  const double wait_us = (policy->queue.count + 1) * interval_us (policy);
-  const double wait_ms = ceil (wait_us / 1000);
-  d.expected_wait_us = (int64_t)wait_us;
-  d.retry_after_ms = (uint32_t)fmin (fmax (wait_ms, 1), RETRY_AFTER_MOST_MS);
-  return d;
-}
-
-static struct policy_decision
-send_to (struct service_policy *policy, const struct policy_request *r,
-         uint32_t target, enum policy_reason reason)
-{
-  target_set_take (&policy->set, policy->now_us, target);
-  return (struct policy_decision){
-    .verdict = POLICY_SEND,
-    .reason = reason,
-    .target = target,
-    .request_id = r->id,
-  };
-}
-
-static bool
-try_tiers (struct service_policy *policy, const struct policy_request *r,
-           unsigned tiers, struct policy_decision *d)
-{
-  const struct chooser_pick pick
-      = chooser_choose (&policy->set, &policy->rng, tiers, r, policy->now_us);
-  if (pick.target == POLICY_NO_TARGET)
-    return false;
-  *d = send_to (policy, r, pick.target,
-                pick.only ? POLICY_REASON_ONLY_CHOICE
-                          : POLICY_REASON_BEST_OF_TWO);
-  return true;
-}
-
-/* Targets in good standing; when most look bad, standing says nothing. */
-static unsigned
-good_tiers (const struct service_policy *policy)
-{
-  return target_set_avoids_suspects (&policy->set)
-             ? CHOOSE_CLEAR
-             : CHOOSE_CLEAR | CHOOSE_SUSPECT;
-}
-
-static bool
-try_good (struct service_policy *policy, const struct policy_request *r,
-          struct policy_decision *d)
-{
-  return try_tiers (policy, r, good_tiers (policy), d)
-         || try_tiers (policy, r, CHOOSE_WARMING, d);
-}
-
-/* Targets tried before, once nothing else is left to R. */
-static bool
-try_again (struct service_policy *policy, const struct policy_request *r,
-           struct policy_decision *d)
-{
-  if (r->tried_count == 0)
-    return false;
-  struct policy_request fresh = *r;
-  fresh.tried_count = 0;
-  return try_good (policy, &fresh, d);
-}
-
-/* Guards an unrepeatable request against a target that fails: its attempt
- * there could not be made good.  One that is only slow will do when waiting
- * for another would break the deadline. */
-static bool
-is_worth_it (const struct service_policy *policy,
-             const struct policy_request *r, const struct target_state *t,
-             const struct wait_outlook *outlook)
-{
-  const double left_us = (double)(r->deadline_us - policy->now_us);
-  const double answer_us = chooser_answer_us (&policy->set, t);
-  if (!r->repeatable)
-    return !outlook->fits && !t->failing && 2 * answer_us <= left_us;
-  if (!outlook->fits)
-    return answer_us <= left_us;
-  return answer_us <= outlook->wait_us + policy->set.baseline.latency_us;
-}
-
-/* Real work for suspects when the others have no room. */
-static bool
-try_suspects (struct service_policy *policy, const struct policy_request *r,
-              const struct wait_outlook *outlook, struct policy_decision *d)
-{
-  if (!target_set_avoids_suspects (&policy->set))
-    return false;
-  const struct chooser_pick pick = chooser_choose (
-      &policy->set, &policy->rng, CHOOSE_SUSPECT, r, policy->now_us);
-  if (pick.target == POLICY_NO_TARGET)
-    return false;
-  const struct target_state *t = &policy->set.targets[pick.target];
-  if (!is_worth_it (policy, r, t, outlook))
-    return false;
-  *d = send_to (policy, r, pick.target,
-                pick.only ? POLICY_REASON_ONLY_CHOICE
-                          : POLICY_REASON_BEST_OF_TWO);
-  return true;
-}
-
-/* A bounded trickle of repeatable requests shows whether a suspect is good
- * again; without it, one that gets no work could never clear itself. */
-static bool
-try_trickle (struct service_policy *policy, const struct policy_request *r,
-             struct policy_decision *d)
-{
-  const struct target_set *set = &policy->set;
-  if (!r->repeatable || r->attempt > 1 || set->suspects == 0
-      || !target_set_avoids_suspects (set))
-    return false;
-  policy->trickle += (double)set->suspects / set->eligible / TRICKLE_DIVISOR;
-  policy->trickle = fmin (policy->trickle, TRICKLE_MOST);
-  if (policy->trickle < 1 || set->listed_count[TIER_SUSPECT] == 0)
-    return false;
-  const uint32_t n
-      = (uint32_t)rng_below (&policy->rng, set->listed_count[TIER_SUSPECT]);
-  const uint32_t target = set->listed[TIER_SUSPECT][n];
-  if (set->targets[target].in_flight > 0)
-    return false;
-  policy->trickle -= 1;
-  *d = send_to (policy, r, target, POLICY_REASON_TRICKLE);
-  return true;
-}
-
-static struct wait_outlook
-outlook_of (const struct service_policy *policy,
-            const struct policy_request *r)
-{
-  const double left_us = (double)(r->deadline_us - policy->now_us);
-  const double wait_us = (policy->queue.count + 1) * interval_us (policy);
-  /* At most half the time is kept for the answer: an estimate gone wrong
-   * must not refuse everything and so never be corrected. */
-  const double answer_us = fmin (policy->set.baseline.latency_us, left_us / 2);
-  return (struct wait_outlook){
-    .wait_us = wait_us,
-    .give_up_us = r->deadline_us - (int64_t)answer_us,
-    .fits = wait_us <= left_us - answer_us
-            && wait_queue_has_room (&policy->queue, r->queued_bytes),
-  };
-}
-
-/* Those who wait may be held back from the free slots; R may be not. */
-static bool
-has_free_good_slot (const struct service_policy *policy)
-{
-  return policy->set.listed_count[TIER_CLEAR] > 0
-         || policy->set.listed_count[TIER_WARMING] > 0;
-}
-
-static struct policy_decision
-wait_or_refuse (struct service_policy *policy, const struct policy_request *r,
-                const struct wait_outlook *outlook)
-{
-  if (!wait_queue_has_room (&policy->queue, r->queued_bytes))
-    return refuse (policy, r, POLICY_REASON_QUEUE_FULL);
-  if (!outlook->fits)
-    return refuse (policy, r, POLICY_REASON_TOO_LATE);
-  const int64_t left_us = outlook->give_up_us - policy->now_us;
-  wait_queue_push (&policy->queue, r, outlook->give_up_us,
-                   policy->now_us + left_us / 2);
-  if (has_free_good_slot (policy))
-    policy->asked_us = INT64_MIN;
-  const bool avoids = !r->repeatable
-                      && target_set_avoids_suspects (&policy->set)
-                      && policy->set.listed_count[TIER_SUSPECT] > 0;
-  return (struct policy_decision){
-    .verdict = POLICY_QUEUE,
-    .reason
-    = avoids ? POLICY_REASON_WAIT_FOR_GOOD : POLICY_REASON_NO_FREE_SLOT,
-    .target = POLICY_NO_TARGET,
-    .request_id = r->id,
-    .expected_wait_us = (int64_t)outlook->wait_us,
-  };
-}
-
-static struct policy_decision
-place_request (struct service_policy *policy, const struct policy_request *r)
-{
-  struct policy_decision d;
-  if (try_trickle (policy, r, &d))
-    return d;
-  const bool may_pass = policy->queue.count == 0;
-  if (may_pass && try_good (policy, r, &d))
-    return d;
-  const struct wait_outlook outlook = outlook_of (policy, r);
-  if (try_suspects (policy, r, &outlook, &d))
-    return d;
-  const bool no_other = !outlook.fits || chooser_all_tried (&policy->set, r);
-  if (may_pass && no_other && try_again (policy, r, &d))
-    return d;
-  return wait_or_refuse (policy, r, &outlook);
-}
-
 struct policy_decision
 service_policy_admit (struct service_policy *policy, int64_t now_us,
                       const struct policy_request *r)
@@ -348,16 +105,16 @@
   if (r->attempt <= 1)
     retry_budget_request (&policy->budget, now_us);
   if (policy->set.eligible == 0)
-    return refuse (policy, r, POLICY_REASON_NO_TARGET);
+    return placement_refuse (policy, r, POLICY_REASON_NO_TARGET);
   if (r->deadline_us <= now_us)
-    return refuse (policy, r, POLICY_REASON_TOO_LATE);
+    return placement_refuse (policy, r, POLICY_REASON_TOO_LATE);
   if (r->attempt > 1 && r->attempt > policy->options.attempts)
-    return refuse (policy, r, POLICY_REASON_ATTEMPTS);
+    return placement_refuse (policy, r, POLICY_REASON_ATTEMPTS);
   if (r->attempt > 1
       && !retry_budget_take (&policy->budget, now_us,
                              policy->options.retry_percent))
-    return refuse (policy, r, POLICY_REASON_RETRY_BUDGET);
-  return place_request (policy, r);
+    return placement_refuse (policy, r, POLICY_REASON_RETRY_BUDGET);
+  return placement_request (policy, r);
 }
 
 void
@@ -379,30 +136,7 @@
 {
   const struct policy_request r = policy->queue.entries[e].request;
   wait_queue_remove (&policy->queue, e);
-  return refuse (policy, &r, reason);
-}
-
-/* Guards a retry against the target that just failed it: for half of its time
- * it waits for another, unless there is none. */
-static bool
-may_try_again (const struct service_policy *policy, const struct wait_entry *e)
-{
-  return policy->now_us >= e->again_us
-         || chooser_all_tried (&policy->set, &e->request);
-}
-
-static bool
-try_entry (struct service_policy *policy, const struct wait_entry *e,
-           struct policy_decision *d)
-{
-  const struct wait_outlook outlook = {
-    .wait_us = interval_us (policy),
-    .give_up_us = e->give_up_us,
-    .fits = true,
-  };
-  return try_good (policy, &e->request, d)
-         || try_suspects (policy, &e->request, &outlook, d)
-         || (may_try_again (policy, e) && try_again (policy, &e->request, d));
+  return placement_refuse (policy, &r, reason);
 }
 
 /* The oldest of LANE goes first; past those that are held back for another
@@ -415,7 +149,7 @@
   for (int i = 0; i < LOOK_PAST && at != WAIT_QUEUE_NONE; i++)
     {
       const struct wait_entry *e = &policy->queue.entries[at];
-      if (try_entry (policy, e, d))
+      if (placement_entry (policy, e, d))
         {
           wait_queue_remove (&policy->queue, at);
           return true;
@@ -427,17 +161,15 @@
   return false;
 }
 
-static enum wait_lane
-older_lane (const struct wait_queue *queue)
+/* Who joined last may have no chance any more: targets went out of service
+ * or became slow.  Refused now, the caller can come back in time; half of the
+ * expected wait is allowed for error. */
+static bool
+is_hopeless (const struct service_policy *policy, const struct wait_entry *e)
 {
-  const uint32_t a = wait_queue_oldest (queue, LANE_REPEATABLE);
-  const uint32_t b = wait_queue_oldest (queue, LANE_UNREPEATABLE);
-  if (a == WAIT_QUEUE_NONE)
-    return LANE_UNREPEATABLE;
-  if (b == WAIT_QUEUE_NONE)
-    return LANE_REPEATABLE;
-  return queue->entries[a].order < queue->entries[b].order ? LANE_REPEATABLE
-                                                           : LANE_UNREPEATABLE;
+  const double left_us = (double)(e->give_up_us - policy->now_us);
+  return policy->queue.count * service_state_interval_us (policy)
+         > 2 * left_us;
 }
 
 bool
@@ -459,7 +191,13 @@
       *decision = give_up (policy, first, POLICY_REASON_TOO_LATE);
       return true;
     }
-  const enum wait_lane older = older_lane (&policy->queue);
+  const uint32_t newest = wait_queue_newest (&policy->queue);
+  if (is_hopeless (policy, &policy->queue.entries[newest]))
+    {
+      *decision = give_up (policy, newest, POLICY_REASON_TOO_LATE);
+      return true;
+    }
+  const enum wait_lane older = wait_queue_older_lane (&policy->queue);
   const enum wait_lane other
       = older == LANE_REPEATABLE ? LANE_UNREPEATABLE : LANE_REPEATABLE;
   if (try_lane (policy, older, decision) || try_lane (policy, other, decision))
@@ -478,10 +216,7 @@
     return policy->now_us;
   const int64_t give_up_us = policy->queue.entries[first].give_up_us;
   const int64_t poll_us = policy->asked_us + POLL_US;
-  for (int tier = 0; tier < TIER_COUNT; tier++)
-    if (policy->set.listed_count[tier] > 0 && poll_us < give_up_us)
-      return poll_us;
-  return give_up_us;
+  return poll_us < give_up_us ? poll_us : give_up_us;
 }
 
 void
