node/operator: no "not accepted" unless that is known

A command that timed out at the platform was answered "accepted": false, as if surely without effect; now the member is left out unless the end is known. The test asks for lost answer, timeout and system error; with the guard off OperatorTask.ALostAnswerIsNeverCalledNotAccepted goes red. The test of a too long body now begins with a whole command: before, it passed with the bound's flag off.

--- a/node/operator/operator_answer.c
+++ b/node/operator/operator_answer.c
@@ -46,6 +46,17 @@
   return object;
 }
 
+/* Guards against an operator who is told "not accepted", sends the command
+   again and finds it done twice: where the end of the write isn't known for
+   sure, the answer says neither yes nor no. */
+static bool
+is_known (enum status status)
+{
+  return status == STATUS_OK || status == STATUS_REFUSED
+         || status == STATUS_NOT_FOUND || status == STATUS_INVALID
+         || status == STATUS_UNREACHABLE;
+}
+
 struct json_object *
 operator_answer_command (const struct operator_command *command,
                          const struct operator_result *result)
@@ -59,7 +70,7 @@
   add_string (object, "service", command->service);
   if (command->target[0] != '\0')
     add_string (object, "target", command->target);
-  if (result->status != STATUS_LOST_ANSWER)
+  if (is_known (result->status))
     add (object, "accepted",
          json_object_new_boolean (result->status == STATUS_OK));
   add_version (object, "acted_on_version", result->acted_on_version);
--- a/node/operator/tests/operator_task_test.cc
+++ b/node/operator/tests/operator_task_test.cc
@@ -131,9 +131,14 @@
 TEST (OperatorTask, ALostAnswerIsNeverCalledNotAccepted)
 {
   OperatorFixture fixture;
-  fixture.backend.status = STATUS_LOST_ANSWER;
-  const struct answer answer = ask (fixture, "/v1/command", drain);
-  EXPECT_EQ (answer.body.find ("accepted"), std::string::npos) << answer.body;
+  for (const enum status status :
+       { STATUS_LOST_ANSWER, STATUS_TIMEOUT, STATUS_SYSTEM })
+    {
+      fixture.backend.status = status;
+      const struct answer answer = ask (fixture, "/v1/command", drain);
+      EXPECT_EQ (answer.body.find ("accepted"), std::string::npos)
+          << answer.body;
+    }
 }
 
 /* An operator on another team's machine drains a target by mistake: the port
@@ -181,7 +186,8 @@
              400);
   EXPECT_EQ (ask (fixture, "/v1/command", "").code, 400);
   EXPECT_EQ (
-      ask (fixture, "/v1/command", std::string (20000, ' ').c_str ()).code,
+      ask (fixture, "/v1/command", (drain + std::string (20000, ' ')).c_str ())
+          .code,
       400);
   EXPECT_EQ (
       ask (fixture, "/v1/command", "{\"command\":\"drain\",\"target\":\"x\"}")
