choice: unit tests; a dearer target is not starved

Costs are now compared with up to half as much added at random, and a failure costs 2 latencies instead of 3.

--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -5,10 +5,11 @@
 enum
 {
   UNKNOWN_LATENCY_US = 1000, /* of a target when nothing was measured yet */
-  FAILURE_COST = 3, /* a failure costs so many latencies: another try */
+  FAILURE_COST = 2, /* a failure costs so many latencies: another try */
   FAILURE_COST_UNREPEATABLE = 24,
 };
 
+static const double blur = 0.5;
 static const double failure_cap = 0.95;
 static const double hopeless_failure = 0.9;
 
@@ -117,15 +118,24 @@
   return POLICY_NO_TARGET;
 }
 
+/* Guards a target that is a little dearer than the rest against never being
+ * chosen: nothing more would be learnt of it, and its estimate could stay
+ * wrong for ever.  Up to half as dear again, it has some chance. */
+static double
+blurred (double cost_us, struct rng *rng)
+{
+  return cost_us * (1 + rng_unit (rng) * blur);
+}
+
 static uint32_t
-cheaper (const struct target_set *set, uint32_t a, uint32_t b, int64_t now_us,
-         bool repeatable)
+cheaper (const struct target_set *set, struct rng *rng, uint32_t a, uint32_t b,
+         const struct policy_request *r, int64_t now_us)
 {
   const double cost_a
-      = chooser_cost_us (set, &set->targets[a], now_us, repeatable);
+      = chooser_cost_us (set, &set->targets[a], now_us, r->repeatable);
   const double cost_b
-      = chooser_cost_us (set, &set->targets[b], now_us, repeatable);
-  return cost_b < cost_a ? b : a;
+      = chooser_cost_us (set, &set->targets[b], now_us, r->repeatable);
+  return blurred (cost_b, rng) < blurred (cost_a, rng) ? b : a;
 }
 
 struct chooser_pick
@@ -142,8 +152,8 @@
   if (second >= first)
     second++;
   return (struct chooser_pick){
-    .target = cheaper (set, candidate (&c, first), candidate (&c, second),
-                       now_us, r->repeatable),
+    .target = cheaper (set, rng, candidate (&c, first), candidate (&c, second),
+                       r, now_us),
   };
 }
 
--- /dev/null
+++ b/policy/choice/tests/attempt_rules_test.cc
@@ -0,0 +1,40 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "policy/choice/attempt_rules.h"
+}
+
+namespace
+{
+
+struct rule
+{
+  attempt_end end;
+  bool unrepeatable;
+  bool repeatable;
+  bool not_run;
+};
+
+/* A date hold times out, is sent to another target and runs at both: two
+ * holds.  Only an attempt that surely ran nothing may be tried again. */
+TEST (attempt_rules, each_end_allows_what_is_written_here)
+{
+  const rule rules[] = {
+    { ATTEMPT_ANSWERED, false, false, false },
+    { ATTEMPT_FAILED, false, true, false },
+    { ATTEMPT_SHED, true, true, true },
+    { ATTEMPT_NOT_SENT, true, true, true },
+    { ATTEMPT_CUT, false, true, false },
+    { ATTEMPT_TIMED_OUT, false, true, false },
+    { ATTEMPT_CANCELLED, false, false, false },
+  };
+  for (const rule &r : rules)
+    {
+      EXPECT_EQ (service_policy_may_retry (r.end, false), r.unrepeatable);
+      EXPECT_EQ (service_policy_may_retry (r.end, true), r.repeatable);
+      EXPECT_EQ (attempt_may_say_not_run (r.end), r.not_run);
+    }
+}
+
+}
--- /dev/null
+++ b/policy/choice/tests/chooser_test.cc
@@ -0,0 +1,104 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C"
+{
+#include "policy/choice/chooser.h"
+}
+
+namespace
+{
+
+class chooser_test : public ::testing::Test
+{
+protected:
+  target_set set;
+  struct rng random;
+  std::vector<int> got;
+
+  void
+  start (uint32_t count)
+  {
+    rng_seed (&random, 23);
+    target_set_init (&set);
+    std::vector<policy_target> targets;
+    for (uint32_t i = 0; i < count; i++)
+      targets.push_back ({ i + 1, 10, 0, true });
+    target_set_replace (&set, 0, targets.data (), count, nullptr);
+    for (uint32_t i = 0; i < count; i++)
+      set.targets[i].estimate = { 10000, 0, 0, 100, 100 };
+    got.assign (count, 0);
+  }
+  void
+  TearDown () override
+  {
+    target_set_clear (&set);
+  }
+
+  void
+  choose (int times, std::vector<uint32_t> tried = {})
+  {
+    policy_request r = {};
+    r.repeatable = true;
+    for (uint32_t t : tried)
+      r.tried[r.tried_count++] = t;
+    for (int i = 0; i < times; i++)
+      got[chooser_choose (&set, &random, CHOOSE_CLEAR, &r, 0).target]++;
+  }
+};
+
+TEST_F (chooser_test, equals_share_evenly)
+{
+  start (10);
+  choose (100000);
+  for (int n : got)
+    EXPECT_NEAR (n, 10000, 500);
+}
+
+TEST_F (chooser_test, the_cheaper_gets_more_but_the_other_is_not_starved)
+{
+  start (2);
+  set.targets[0].estimate.latency_us = 12500;
+  choose (10000);
+  EXPECT_GT (got[0], 500);
+  EXPECT_GT (got[1], 2 * got[0]);
+}
+
+TEST_F (chooser_test, one_twice_as_dear_is_not_chosen)
+{
+  start (3);
+  set.targets[0].in_flight = 10;
+  choose (10000);
+  EXPECT_EQ (got[0], 0);
+}
+
+TEST_F (chooser_test, what_was_tried_is_left_out_and_the_rest_share)
+{
+  start (5);
+  choose (30000, { 4, 1, 4 });
+  EXPECT_EQ (got[1] + got[4], 0);
+  for (int i : { 0, 2, 3 })
+    EXPECT_NEAR (got[i], 10000, 500);
+}
+
+TEST_F (chooser_test, each_part_of_the_cost_counts)
+{
+  start (2);
+  const target_state *t = &set.targets[0];
+  const double plain = chooser_cost_us (&set, t, 0, true);
+  set.targets[0].estimate.failure = 0.5;
+  const double failing = chooser_cost_us (&set, t, 0, true);
+  EXPECT_GT (failing, plain);
+  EXPECT_GT (chooser_cost_us (&set, t, 0, false), failing);
+  EXPECT_EQ (chooser_answer_us (&set, t), 20000);
+  set.targets[0].warm_from_us = 0;
+  EXPECT_NEAR (chooser_cost_us (&set, t, TARGET_WARM_UP_US / 2, true),
+               2 * failing, 1);
+  set.targets[0].estimate = {};
+  set.targets[0].config.distance_us = 1500;
+  EXPECT_NEAR (chooser_cost_us (&set, t, TARGET_WARM_UP_US, true),
+               1000 + 2 * 1500, 1);
+}
+
+}
--- /dev/null
+++ b/policy/choice/tests/service_policy_test.cc
@@ -0,0 +1,194 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C"
+{
+#include "policy/service_policy.h"
+}
+
+namespace
+{
+
+class service_policy_test : public ::testing::Test
+{
+protected:
+  service_policy *policy = nullptr;
+  int64_t now = 1000000;
+  uint64_t next_id = 1;
+
+  void
+  start (uint32_t count, uint32_t slots, uint32_t queue = 100)
+  {
+    const service_policy_options options = { 1, queue, 1000000, 20, 3, false };
+    policy = service_policy_create (&options);
+    std::vector<policy_target> targets;
+    for (uint32_t i = 0; i < count; i++)
+      targets.push_back ({ i + 1, slots, 0, true });
+    service_policy_set_targets (policy, now, targets.data (), count);
+  }
+  void
+  TearDown () override
+  {
+    service_policy_destroy (policy);
+  }
+
+  policy_decision
+  ask (bool repeatable, int64_t left_us = 1000000,
+       std::vector<uint32_t> tried = {})
+  {
+    policy_request r = {};
+    r.id = next_id++;
+    r.deadline_us = now + left_us;
+    r.repeatable = repeatable;
+    r.attempt = 1 + (uint32_t)tried.size ();
+    for (uint32_t t : tried)
+      r.tried[r.tried_count++] = t;
+    return service_policy_admit (policy, now, &r);
+  }
+  void
+  end (uint32_t target, attempt_end how, int64_t latency_us = 10000)
+  {
+    const policy_outcome o = { target, how, latency_us, true };
+    service_policy_outcome (policy, now, &o);
+  }
+  /* Waves of ten requests at once; BAD fails each.  How many BAD got. */
+  int
+  traffic (int waves, uint32_t bad, bool repeatable)
+  {
+    int got = 0;
+    for (int i = 0; i < waves; i++)
+      {
+        now += 10000;
+        std::vector<uint32_t> sent;
+        for (int j = 0; j < 10; j++)
+          sent.push_back (ask (repeatable).target);
+        for (uint32_t t : sent)
+          {
+            EXPECT_NE (t, POLICY_NO_TARGET);
+            got += t == bad;
+            end (t, t == bad ? ATTEMPT_FAILED : ATTEMPT_ANSWERED);
+          }
+      }
+    return got;
+  }
+};
+
+/* A target answers its health checks and fails all real work.  Callers see
+ * errors until it is taken out; avoidance must not wait for that. */
+TEST_F (service_policy_test, a_failing_target_gets_a_trickle_only)
+{
+  start (10, 5);
+  traffic (100, 3, true);
+  ASSERT_TRUE (service_policy_belief (policy, 3).suspect);
+  const int got = traffic (200, 3, true);
+  EXPECT_GT (got, 0);
+  EXPECT_LT (got, 20);
+}
+
+/* A disbursement sent to a half-dead target can't be sent again, so nobody
+ * learns what became of it.  It must not be what tests the target. */
+TEST_F (service_policy_test, an_unrepeatable_request_is_no_test_of_a_suspect)
+{
+  start (10, 5);
+  traffic (100, 3, true);
+  ASSERT_TRUE (service_policy_belief (policy, 3).suspect);
+  EXPECT_EQ (traffic (50, 3, false), 0);
+}
+
+/* A fault upstream makes most targets fail.  If all of them were avoided,
+ * nothing would be left to serve. */
+TEST_F (service_policy_test, nobody_is_a_suspect_when_most_fail)
+{
+  start (4, 5);
+  for (int i = 0; i < 400; i++)
+    {
+      now += 1000;
+      const policy_decision d = ask (true);
+      ASSERT_EQ (d.verdict, POLICY_SEND);
+      end (d.target, d.target == 0 ? ATTEMPT_ANSWERED : ATTEMPT_FAILED);
+    }
+  for (uint32_t i = 0; i < 4; i++)
+    EXPECT_FALSE (service_policy_belief (policy, i).suspect) << i;
+}
+
+TEST_F (service_policy_test, a_suspect_gets_real_work_when_the_rest_is_full)
+{
+  start (2, 1, 0);
+  for (int i = 0; i < 8; i++)
+    {
+      const policy_decision a = ask (true);
+      ASSERT_EQ (a.verdict, POLICY_SEND);
+      const policy_decision b = ask (true);
+      end (a.target, ATTEMPT_ANSWERED, a.target == 0 ? 50000 : 1000);
+      end (b.target, ATTEMPT_ANSWERED, b.target == 0 ? 50000 : 1000);
+      now += 100000;
+    }
+  ASSERT_TRUE (service_policy_belief (policy, 0).suspect);
+  EXPECT_EQ (ask (true).target, 1u);
+  const policy_decision d = ask (true);
+  EXPECT_EQ (d.verdict, POLICY_SEND);
+  EXPECT_EQ (d.target, 0u);
+}
+
+TEST_F (service_policy_test, a_retry_goes_to_another_target)
+{
+  start (2, 50);
+  for (int i = 0; i < 3; i++)
+    EXPECT_EQ (ask (true, 1000000, { 0 }).target, 1u);
+}
+
+/* All slots are taken and the queue is as long as the deadline allows.  A
+ * caller kept waiting would get the same refusal, only later. */
+TEST_F (service_policy_test, what_can_not_finish_is_refused_at_once)
+{
+  start (1, 1);
+  EXPECT_EQ (ask (true).verdict, POLICY_SEND);
+  now += 10000;
+  end (0, ATTEMPT_ANSWERED);
+  EXPECT_EQ (ask (true).verdict, POLICY_SEND);
+  EXPECT_EQ (ask (true, 100000).verdict, POLICY_QUEUE);
+  const policy_decision d = ask (true, 15000);
+  EXPECT_EQ (d.verdict, POLICY_REFUSE);
+  EXPECT_EQ (d.reason, POLICY_REASON_TOO_LATE);
+  EXPECT_EQ (d.retry_after_ms, 20u);
+}
+
+/* The only target is ejected while requests wait for it.  Each of them must
+ * hear so now and not at its deadline. */
+TEST_F (service_policy_test, those_who_wait_hear_that_no_target_is_left)
+{
+  start (1, 1);
+  ASSERT_EQ (ask (true).verdict, POLICY_SEND);
+  ASSERT_EQ (ask (true).verdict, POLICY_QUEUE);
+  ASSERT_EQ (ask (false).verdict, POLICY_QUEUE);
+  service_policy_set_ejected (policy, now, 0, true);
+  EXPECT_EQ (service_policy_wake_us (policy), now);
+  policy_decision d;
+  for (int i = 0; i < 2; i++)
+    {
+      ASSERT_TRUE (service_policy_next (policy, now, &d));
+      EXPECT_EQ (d.verdict, POLICY_REFUSE);
+      EXPECT_EQ (d.reason, POLICY_REASON_NO_TARGET);
+    }
+  EXPECT_FALSE (service_policy_next (policy, now, &d));
+  EXPECT_EQ (service_policy_wake_us (policy), INT64_MAX);
+}
+
+/* A target that was out comes back cold.  Given its full share at once, it
+ * fails again at once. */
+TEST_F (service_policy_test, a_returned_target_starts_slowly)
+{
+  start (4, 10);
+  service_policy_set_ejected (policy, now, 0, true);
+  traffic (10, POLICY_NO_TARGET, true);
+  service_policy_set_ejected (policy, now, 0, false);
+  EXPECT_TRUE (service_policy_belief (policy, 0).warming);
+  for (int i = 0; i < 30; i++)
+    ask (true);
+  EXPECT_LE (service_policy_belief (policy, 0).in_flight, 1u);
+  for (int i = 0; i < 9; i++)
+    EXPECT_EQ (ask (true).verdict, POLICY_SEND);
+}
+
+}
--- /dev/null
+++ b/policy/choice/tests/target_standing_test.cc
@@ -0,0 +1,75 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+extern "C"
+{
+#include "base/rng.h"
+#include "policy/choice/target_standing.h"
+}
+
+namespace
+{
+
+target_estimate
+estimate (double latency_us, double failure)
+{
+  return { latency_us, failure, 0, 100, 100 };
+}
+
+TEST (target_standing, median_is_that_of_a_sorted_copy)
+{
+  struct rng rng;
+  rng_seed (&rng, 5);
+  for (int i = 0; i < 2000; i++)
+    {
+      std::vector<double> values (1 + rng_below (&rng, 40));
+      for (double &v : values)
+        v = (double)rng_below (&rng, 10);
+      std::vector<double> sorted = values;
+      std::sort (sorted.begin (), sorted.end ());
+      ASSERT_EQ (standing_median (values.data (), (uint32_t)values.size ()),
+                 sorted[(sorted.size () - 1) / 2])
+          << "seed 5, round " << i;
+    }
+  EXPECT_EQ (standing_median (nullptr, 0), 0);
+}
+
+TEST (target_standing, failing_is_more_than_the_peers)
+{
+  const standing_baseline quiet = { 10000, 0.0 };
+  const standing_baseline storm = { 10000, 0.4 };
+  const target_estimate e = estimate (10000, 0.4);
+  EXPECT_TRUE (standing_is_failing (&e, &quiet, false, false));
+  EXPECT_FALSE (standing_is_failing (&e, &storm, false, false));
+}
+
+TEST (target_standing, stays_until_clearly_better_and_enters_sooner_on_wish)
+{
+  const standing_baseline quiet = { 10000, 0.0 };
+  const target_estimate e = estimate (10000, 0.2);
+  EXPECT_FALSE (standing_is_failing (&e, &quiet, false, false));
+  EXPECT_TRUE (standing_is_failing (&e, &quiet, true, false));
+  EXPECT_TRUE (standing_is_failing (&e, &quiet, false, true));
+}
+
+/* Targets in another dc answer later by the way there and back.  Taken for
+ * slow, a whole dc would lose its work. */
+TEST (target_standing, the_way_to_another_dc_is_not_slowness)
+{
+  const standing_baseline near_ones = { 1000, 0.0 };
+  const target_estimate far_one = estimate (31000, 0);
+  EXPECT_TRUE (standing_is_slow (&far_one, &near_ones, false, 0));
+  EXPECT_FALSE (standing_is_slow (&far_one, &near_ones, false, 15000));
+}
+
+TEST (target_standing, few_answers_do_not_make_a_target_slow)
+{
+  const standing_baseline peers = { 1000, 0.0 };
+  target_estimate e = estimate (50000, 0);
+  e.latency_samples = 3;
+  EXPECT_FALSE (standing_is_slow (&e, &peers, false, 0));
+}
+
+}
