--- a/policy/detection/baseline.c
+++ b/policy/detection/baseline.c
@@ -10,14 +10,14 @@
 #define LONGER_US 120e6
 #define PRIOR_FAILURES 0.05
 #define PRIOR_WEIGHT 100.0
-#define RECENT_WEIGHT 200.0 /* of the longer memory within the recent one */
+#define RECENT_WEIGHT 1000.0 /* of the longer memory within the recent one */
 #define READY_REQUESTS 200.0
 #define FAILURES_LEAST 0.002
 #define FAILURES_MOST 0.2
 #define SLOW_SHARE 0.05
 #define SLOW_LEAST 0.02
 #define SLOW_MOST 0.2
-#define ESTIMATE_SIGMAS 2.0
+#define ESTIMATE_SIGMAS 1.0
 #define OUTLIER_SIGMAS 4.0
 #define OUTLIER_SLACK 3.0
 
--- a/policy/detection/detector.c
+++ b/policy/detection/detector.c
@@ -8,7 +8,7 @@
 
 /* Thresholds in log-likelihood: e^h requests or more lie between two false
    alarms. */
-#define THRESHOLD_FEWER 16.0
+#define THRESHOLD_FEWER 15.0
 #define THRESHOLD_FASTER 12.0
 
 enum
@@ -22,7 +22,7 @@
 /* The faulty shares tested against; at least a multiple of what is normal. */
 #define SOME_FAULTY 0.1
 #define SOME_TIMES_NORMAL 4.0
-#define MANY_FAULTY 0.5
+#define MANY_FAULTY 0.4
 #define MANY_TIMES_NORMAL 3.0
 #define SLOW_FAULTY 0.5
 #define FAULTY_MOST 0.6
@@ -125,8 +125,8 @@
   if (count <= d->room)
     return;
   d->room = count;
-  d->learned_from
-      = xreallocarray (d->learned_from, count, sizeof *d->learned_from);
+  /* NOLINTNEXTLINE(bugprone-sizeof-expression): it holds pointers */
+  d->learned_from = xreallocarray (d->learned_from, count, sizeof (void *));
   d->order = xreallocarray (d->order, count, sizeof *d->order);
   d->eject = xreallocarray (d->eject, count, sizeof *d->eject);
   d->probe = xreallocarray (d->probe, count, sizeof *d->probe);
--- a/policy/detection/judge.c
+++ b/policy/detection/judge.c
@@ -13,7 +13,7 @@
 
 #define TOUCHED_SHARE 0.1         /* of the threshold: a failure or two */
 #define RAISED_SHARE 0.25         /* of the threshold */
-#define CONFIRM_SHARE 0.25        /* of the threshold, by other observers */
+#define CONFIRM_SHARE 0.35        /* of the threshold, by other observers */
 #define HINT_SHARE 0.1            /* of the threshold, by a bad hint */
 #define OTHERS_SAW_IT_WELL (-3.0) /* log-likelihood ratio: 20 to 1 */
 
--- a/policy/detection/recorder.c
+++ b/policy/detection/recorder.c
@@ -8,7 +8,7 @@
 enum
 {
   FIRST_CAPACITY = 16, /* power of two */
-  URGENT_FAILURES = 2, /* since the last report */
+  URGENT_FAILURES = 1, /* since the last report */
   URGENT_SHARE = 8,    /* at least one failure in so many requests */
   SLOW_PERCENT = 5,    /* of all latencies are called slow */
   SLOW_EVIDENCE = 100  /* latencies needed to say what is slow */
--- a/policy/detection/target.h
+++ b/policy/detection/target.h
@@ -19,7 +19,7 @@
 enum
 {
   DETECTION_HOSTS_MAX = 32, /**< observed apart; further ones share places */
-  DETECTION_REFERENCE_REQUESTS = 5 /**< make a target a fresh reference */
+  DETECTION_REFERENCE_REQUESTS = 8 /**< make a target a fresh reference */
 };
 
 /** The service's tests as they stand now. */
