--- /dev/null
+++ b/node/control/control_internal.h
@@ -0,0 +1,261 @@
+/** @file
+ * What the sources of the control task share; no other folder includes it.
+ */
+#ifndef NODE_CONTROL_CONTROL_INTERNAL_H
+#define NODE_CONTROL_CONTROL_INTERNAL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+#include <uthash.h>
+
+#include "base/rng.h"
+#include "node/control/control_task.h"
+#include "node/control/host_record.h"
+#include "policy/fleet/host_set.h"
+#include "policy/fleet/membership.h"
+#include "policy/fleet/settings_index.h"
+#include "wire/peer/peer_link.h"
+#include "wire/peer/peer_server.h"
+
+enum control_limit
+{
+  /** A link that nothing was sent on for so long is closed. */
+  CONTROL_LINK_IDLE_MS = 30000,
+  CONTROL_WATCHED_MAX = 128,
+  CONTROL_DOUBTED_MAX = 16,
+  /** Verdicts sent along with one heartbeat. */
+  CONTROL_GOSSIP_MAX = 8,
+  CONTROL_HELPERS = 3,
+  /** Indirect checks kept open for others. */
+  CONTROL_CHECKS_MAX = 64,
+};
+
+/** Another host, or this one. */
+struct control_host
+{
+  uint64_t key;
+  struct host_record record;
+  bool is_listed; /**< the platform's list shows it */
+  struct peer_link *link;
+  int64_t used_ms; /**< when the link was last wanted */
+  struct control_task *task;
+  UT_hash_handle hh;
+};
+
+/** One object of the platform, as newest known here. */
+struct control_object
+{
+  uint64_t key; /**< settings_key() */
+  char kind[PEER_KIND_SIZE];
+  char name[PEER_NAME_SIZE];
+  uint64_t version;
+  char *value; /**< NULL: removed */
+  UT_hash_handle hh;
+};
+
+/** A service in force here. */
+struct control_service
+{
+  char name[PEER_NAME_SIZE];
+  uint64_t key;        /**< hash of the name */
+  uint64_t version;    /**< in force; a newer bad one may be held */
+  uint64_t generation; /**< of hosts that its set was chosen from */
+  bool is_posted;
+  bool has_self;
+  uint64_t set_hash; /**< of hosts and their incarnations */
+  uint64_t *set;     /**< keys of its hosts, best placed first */
+  size_t set_count;
+  UT_hash_handle hh;
+};
+
+/** Where a message came from; the answer goes back the same way. */
+struct control_source
+{
+  struct control_host *host;
+  struct peer_conn *conn; /**< one of both */
+  struct peer_link *link;
+};
+
+/** What is read of one kind from the platform. */
+struct control_feed
+{
+  struct control_task *task;
+  const char *kind;
+  uint64_t revision;
+  bool is_listed;  /**< revision is one to watch from */
+  bool is_waiting; /**< a call is under way */
+  int64_t answered_ms;
+  uint32_t backoff_ms;
+  struct ev_timer retry;
+};
+
+/** This host's own object at the platform. */
+struct control_registration
+{
+  struct control_task *task;
+  bool is_waiting;
+  bool is_done; /**< the platform holds our record as it is */
+  uint32_t backoff_ms;
+  struct ev_timer retry;
+};
+
+/** A heartbeat sent for another host that can't get an answer. */
+struct control_check
+{
+  uint64_t asker;
+  uint64_t subject;
+  int64_t asked_ms;
+};
+
+struct control_handler_entry
+{
+  control_handler *handler;
+  void *owner;
+};
+
+struct control_ask;
+struct control_local;
+
+struct control_task
+{
+  struct control_task_options options;
+  struct peer_identity identity;
+  struct control_host *self;
+  struct peer_server *server;
+  struct peer_link *seeds[HOST_PEER_SEEDS_MAX];
+  struct control_host *hosts;
+  struct control_object *objects;
+  struct control_service *services;
+  struct settings_index *index;
+  struct membership *membership;
+  struct rng random;
+  struct ev_timer beat;
+  struct ev_timer refresh; /**< soon after a change of hosts or services */
+  struct ev_timer deliver; /**< messages to this host itself */
+  struct control_feed feeds[2];
+  struct control_registration registration;
+  struct control_handler_entry handlers[PEER_TYPE_END];
+  struct control_local *local;
+  struct control_ask *asks;
+  uint64_t ask_id;
+  struct control_check checks[CONTROL_CHECKS_MAX];
+  size_t check_count;
+  struct fleet_host *fleet; /**< usable hosts, to choose from */
+  size_t fleet_count;
+  uint64_t generation; /**< of `fleet` */
+  struct fleet_choice relays;
+  bool is_relay;
+  bool is_leaving;
+  bool is_stale;
+  bool has_settings;
+  bool hosts_changed; /**< since `fleet` was gathered */
+  int64_t contact_ms; /**< when platform or relay was heard */
+  int64_t synced_ms;  /**< when buckets were last compared */
+  uint64_t probe;     /**< last host probed though believed dead */
+};
+
+/* control_hosts.c */
+struct control_host *control_hosts_find (const struct control_task *task,
+                                         uint64_t key);
+struct control_host *control_hosts_by_name (const struct control_task *task,
+                                            const char *name);
+/** Add a host, or take over its newer record. */
+struct control_host *control_hosts_learn (struct control_task *task,
+                                          const struct host_record *record);
+/** Send on the link to HOST, which is opened if need be. */
+enum status control_hosts_send (struct control_task *task,
+                                struct control_host *host,
+                                const struct peer_message *message);
+/** Close links that nobody needs. */
+void control_hosts_close_idle (struct control_task *task, int64_t now_ms);
+void control_hosts_release (struct control_task *task);
+/** Whether HOST is among the relays. */
+bool control_hosts_is_relay (const struct control_task *task, uint64_t key);
+
+/* control_task.c */
+/** Handle MESSAGE of SOURCE. */
+void control_receive (struct control_task *task,
+                      const struct control_source *source,
+                      const struct peer_message *message);
+/** Answer SOURCE; a full queue drops it: all answers are asked for again. */
+void control_reply (struct control_task *task,
+                    const struct control_source *source,
+                    const struct peer_message *message);
+/** Handle MESSAGE that came over LINK. */
+void control_link_receive (struct control_task *task, struct peer_link *link,
+                           const struct peer_message *message);
+/** Services have changed: choose the sets of new ones soon. */
+void control_refresh_soon (struct control_task *task);
+/** Hosts have changed: choose everything again soon. */
+void control_hosts_changed (struct control_task *task);
+extern const struct peer_link_events control_link_events;
+
+/* control_seeds.c */
+void control_seeds_open (struct control_task *task);
+void control_seeds_close (struct control_task *task);
+
+/* control_send.c */
+void control_send_prepare (struct control_task *task);
+void control_send_release (struct control_task *task);
+void control_call_handler (struct control_task *task, const char *from,
+                           const struct peer_message *message);
+
+/* control_members.c */
+void control_members_beat (struct control_task *task, int64_t now_ms);
+/** Send one heartbeat to HOST now. */
+void control_members_greet (struct control_task *task,
+                            struct control_host *host, int64_t now_ms);
+void control_members_receive (struct control_task *task,
+                              const struct control_source *source,
+                              const struct peer_message *message);
+/** Take up changes of the membership: log lines, refresh, gossip. */
+void control_members_take_changes (struct control_task *task);
+/** Platform or a relay was heard. */
+void control_members_contact (struct control_task *task, int64_t at_ms);
+/** Tell the watched hosts what is new at once. */
+void control_members_gossip (struct control_task *task);
+void control_members_leave (struct control_task *task);
+
+/* control_settings.c */
+/** Take in an object if its version is higher.
+ * @return whether it was. */
+bool control_settings_apply (struct control_task *task, const char *kind,
+                             const char *name, uint64_t version,
+                             const char *value);
+void control_settings_receive (struct control_task *task,
+                               const struct control_source *source,
+                               const struct peer_message *message);
+/** SOURCE holds settings with another hash: compare buckets. */
+void control_settings_compare (struct control_task *task,
+                               const struct control_source *source,
+                               uint64_t hash);
+void control_settings_release (struct control_task *task);
+
+/* control_platform.c */
+void control_platform_start (struct control_task *task);
+/** Relays watch; others stop. */
+void control_platform_wake (struct control_task *task);
+/** Write this host's record anew. */
+void control_platform_register (struct control_task *task);
+void control_platform_stop (struct control_task *task);
+
+/* control_sets.c */
+/** Choose relays, neighbours and host sets anew, a bounded number a turn.
+ * @return whether there is more to do. */
+bool control_sets_refresh (struct control_task *task);
+void control_sets_drop (struct control_service *service);
+
+/* control_ask.c */
+void control_ask_receive (struct control_task *task,
+                          const struct control_source *source,
+                          const struct peer_message *message);
+void control_ask_release (struct control_task *task);
+
+/* control_report.c */
+void control_report_register (struct control_task *task);
+void control_report_count (struct control_task *task);
+
+#endif
--- /dev/null
+++ b/node/control/control_members.c
@@ -0,0 +1,369 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+static uint32_t
+relay_age (const struct control_task *task, int64_t now_ms)
+{
+  if (task->is_relay && !task->is_stale)
+    return 0;
+  const int64_t age = now_ms - task->contact_ms;
+  return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+}
+
+/* The sequence is the time of sending: an answer proves that the host could
+   be reached then, however late it comes. */
+static struct peer_message
+heartbeat (const struct control_task *task, enum peer_type type,
+           uint64_t sequence)
+{
+  return (struct peer_message){
+    .type = type,
+    .heartbeat = { .sequence = sequence,
+                   .relay_age_ms = relay_age (task, clock_now_ms ()),
+                   .leaving = task->is_leaving,
+                   .settings_hash = settings_index_total (task->index) }
+  };
+}
+
+/* Hosts that the platform doesn't list are known by this only. */
+static void
+describe (const struct control_task *task, struct peer_verdict *verdict)
+{
+  const struct control_host *host
+      = control_hosts_find (task, verdict->host_key);
+  if (host == NULL || host->is_listed)
+    return;
+  const struct host_record *record = &host->record;
+  memcpy (verdict->name, record->name, sizeof verdict->name);
+  memcpy (verdict->dc, record->dc, sizeof verdict->dc);
+  memcpy (verdict->peer_address, record->peer_address,
+          sizeof verdict->peer_address);
+  memcpy (verdict->caller_address, record->caller_address,
+          sizeof verdict->caller_address);
+}
+
+static void
+send_gossip (struct control_task *task, struct control_host *host)
+{
+  struct member_verdict news[CONTROL_GOSSIP_MAX];
+  struct peer_verdict verdicts[CONTROL_GOSSIP_MAX] = { 0 };
+  const size_t count
+      = membership_gossip (task->membership, news, CONTROL_GOSSIP_MAX);
+  if (count == 0)
+    return;
+  for (size_t i = 0; i < count; i++)
+    {
+      verdicts[i].host_key = news[i].key;
+      verdicts[i].incarnation = news[i].incarnation;
+      verdicts[i].counter = news[i].counter;
+      verdicts[i].state = (uint8_t)news[i].state;
+      describe (task, &verdicts[i]);
+    }
+  const struct peer_message message
+      = { .type = PEER_MEMBERS,
+          .members = { .verdicts = verdicts, .count = count } };
+  control_hosts_send (task, host, &message);
+}
+
+void
+control_members_greet (struct control_task *task, struct control_host *host,
+                       int64_t now_ms)
+{
+  const struct peer_message message
+      = heartbeat (task, PEER_HEARTBEAT, (uint64_t)now_ms);
+  control_hosts_send (task, host, &message);
+}
+
+void
+control_members_gossip (struct control_task *task)
+{
+  uint64_t keys[CONTROL_WATCHED_MAX];
+  const size_t count
+      = membership_watched (task->membership, keys, CONTROL_WATCHED_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct control_host *host = control_hosts_find (task, keys[i]);
+      if (host != NULL && host->link != NULL)
+        send_gossip (task, host);
+    }
+}
+
+/* Guards against two halves of a fleet that never meet again: after a long
+   cut each believes the other dead and watches none of it.  Shows as two
+   fleets with host sets of their own.  One dead host a beat is asked. */
+static void
+probe_dead (struct control_task *task, int64_t now_ms)
+{
+  struct control_host *host = control_hosts_find (task, task->probe);
+  const size_t count = HASH_COUNT (task->hosts);
+  for (size_t i = 0; i < count; i++)
+    {
+      host = host == NULL ? NULL : host->hh.next;
+      if (host == NULL)
+        host = task->hosts;
+      if (membership_state (task->membership, host->key) != MEMBER_DEAD)
+        continue;
+      task->probe = host->key;
+      control_members_greet (task, host, now_ms);
+      return;
+    }
+}
+
+/* Ask a few others about the hosts that don't answer here. */
+static void
+ask_helpers (struct control_task *task, const uint64_t *watched, size_t count,
+             int64_t now_ms)
+{
+  uint64_t doubted[CONTROL_DOUBTED_MAX];
+  const size_t doubts
+      = membership_doubted (task->membership, doubted, CONTROL_DOUBTED_MAX);
+  for (size_t d = 0; d < doubts; d++)
+    {
+      const struct peer_message message
+          = { .type = PEER_INDIRECT_CHECK,
+              .indirect = { .host_key = doubted[d] } };
+      const size_t start = rng_below (&task->random, count);
+      size_t asked = 0;
+      for (size_t i = 0; i < count && asked < CONTROL_HELPERS; i++)
+        {
+          const uint64_t key = watched[(start + i) % count];
+          struct control_host *host = control_hosts_find (task, key);
+          if (host == NULL || key == doubted[d]
+              || !membership_reaches (task->membership, now_ms, key))
+            continue;
+          control_hosts_send (task, host, &message);
+          asked++;
+        }
+    }
+}
+
+static void
+judge_staleness (struct control_task *task, int64_t now_ms)
+{
+  const uint32_t limit_ms = task->options.settings->times.stale_after_ms;
+  const bool is_stale = now_ms - task->contact_ms >= limit_ms;
+  if (is_stale == task->is_stale)
+    return;
+  task->is_stale = is_stale;
+  if (is_stale)
+    LOG_WARN ("stale", LOG_INT ("silent_ms", now_ms - task->contact_ms),
+              LOG_STR ("effect", "this host isn't handed out"));
+  else
+    LOG_INFO ("not-stale", LOG_STR ("effect", "this host is handed out"));
+  control_hosts_changed (task);
+}
+
+void
+control_members_contact (struct control_task *task, int64_t at_ms)
+{
+  if (at_ms > task->contact_ms)
+    task->contact_ms = at_ms;
+}
+
+void
+control_members_beat (struct control_task *task, int64_t now_ms)
+{
+  uint64_t keys[CONTROL_WATCHED_MAX];
+  membership_tick (task->membership, now_ms);
+  control_members_take_changes (task);
+  const size_t count
+      = membership_watched (task->membership, keys, CONTROL_WATCHED_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct control_host *host = control_hosts_find (task, keys[i]);
+      if (host == NULL)
+        continue;
+      control_members_greet (task, host, now_ms);
+      send_gossip (task, host);
+    }
+  ask_helpers (task, keys, count, now_ms);
+  probe_dead (task, now_ms);
+  judge_staleness (task, now_ms);
+}
+
+void
+control_members_take_changes (struct control_task *task)
+{
+  struct member_verdict change;
+  bool is_changed = false;
+  while (membership_next_change (task->membership, &change))
+    {
+      const struct control_host *host = control_hosts_find (task, change.key);
+      is_changed = true;
+      if (host == NULL || host == task->self)
+        continue;
+      LOG_INFO ("member", LOG_STR ("host", host->record.name),
+                LOG_STR ("state", member_state_name (change.state)),
+                LOG_INT ("incarnation", change.incarnation),
+                LOG_INT ("usable",
+                         membership_is_usable (task->membership, change.key)));
+    }
+  if (!is_changed)
+    return;
+  control_hosts_changed (task);
+}
+
+/* A relay vouches for itself; others pass on how long ago they heard one.  A
+   relay takes no other host's word, which might come from itself. */
+static void
+note_relay (struct control_task *task, const struct control_source *source,
+            const struct peer_heartbeat *beat, int64_t now_ms)
+{
+  if (control_hosts_is_relay (task, source->host->key)
+      && beat->relay_age_ms == 0)
+    control_members_contact (task, now_ms);
+  else if (!task->is_relay)
+    control_members_contact (task, now_ms - beat->relay_age_ms);
+}
+
+static void
+handle_heartbeat (struct control_task *task,
+                  const struct control_source *source,
+                  const struct peer_heartbeat *beat)
+{
+  const int64_t now_ms = clock_now_ms ();
+  membership_heard (task->membership, now_ms, source->host->key,
+                    source->host->record.incarnation, beat->leaving);
+  const struct peer_message answer
+      = heartbeat (task, PEER_HEARTBEAT_ACK, beat->sequence);
+  control_reply (task, source, &answer);
+  note_relay (task, source, beat, now_ms);
+}
+
+static void
+answer_checks (struct control_task *task, uint64_t subject)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < task->check_count; i++)
+    {
+      const struct control_check check = task->checks[i];
+      if (check.subject != subject)
+        {
+          task->checks[kept++] = check;
+          continue;
+        }
+      struct control_host *asker = control_hosts_find (task, check.asker);
+      const struct peer_message message
+          = { .type = PEER_INDIRECT_RESULT,
+              .indirect = { .host_key = subject, .reachable = true } };
+      if (asker != NULL)
+        control_hosts_send (task, asker, &message);
+    }
+  task->check_count = kept;
+}
+
+static void
+handle_ack (struct control_task *task, const struct control_source *source,
+            const struct peer_heartbeat *beat)
+{
+  const int64_t now_ms = clock_now_ms ();
+  if (beat->sequence > (uint64_t)now_ms)
+    return;
+  membership_answered (task->membership, (int64_t)beat->sequence,
+                       source->host->key, source->host->record.incarnation);
+  note_relay (task, source, beat, now_ms);
+  answer_checks (task, source->host->key);
+}
+
+static void
+handle_check (struct control_task *task, const struct control_source *source,
+              uint64_t subject)
+{
+  const int64_t now_ms = clock_now_ms ();
+  struct control_host *host = control_hosts_find (task, subject);
+  if (host == NULL || host == task->self)
+    return;
+  size_t at = task->check_count;
+  if (at < CONTROL_CHECKS_MAX)
+    task->check_count++;
+  else
+    at = rng_below (&task->random, CONTROL_CHECKS_MAX);
+  task->checks[at] = (struct control_check){ .asker = source->host->key,
+                                             .subject = subject,
+                                             .asked_ms = now_ms };
+  control_members_greet (task, host, now_ms);
+}
+
+static void
+handle_verdict (struct control_task *task, const struct peer_verdict *verdict,
+                int64_t now_ms)
+{
+  if (verdict->state > MEMBER_LEAVING)
+    return;
+  struct host_record record = { .incarnation = verdict->incarnation };
+  memcpy (record.name, verdict->name, sizeof record.name);
+  memcpy (record.dc, verdict->dc, sizeof record.dc);
+  memcpy (record.peer_address, verdict->peer_address,
+          sizeof record.peer_address);
+  memcpy (record.caller_address, verdict->caller_address,
+          sizeof record.caller_address);
+  if (record.name[0] != '\0' && record.peer_address[0] != '\0'
+      && hash_string (record.name) == verdict->host_key
+      && verdict->host_key != task->self->key)
+    control_hosts_learn (task, &record);
+  if (control_hosts_find (task, verdict->host_key) == NULL)
+    return;
+  const struct member_verdict said
+      = { .key = verdict->host_key,
+          .incarnation = verdict->incarnation,
+          .counter = verdict->counter,
+          .state = (enum member_state)verdict->state };
+  membership_verdict (task->membership, now_ms, &said);
+}
+
+void
+control_members_receive (struct control_task *task,
+                         const struct control_source *source,
+                         const struct peer_message *message)
+{
+  switch (message->type)
+    {
+    case PEER_HEARTBEAT:
+      handle_heartbeat (task, source, &message->heartbeat);
+      control_settings_compare (task, source,
+                                message->heartbeat.settings_hash);
+      break;
+    case PEER_HEARTBEAT_ACK:
+      handle_ack (task, source, &message->heartbeat);
+      control_settings_compare (task, source,
+                                message->heartbeat.settings_hash);
+      break;
+    case PEER_INDIRECT_CHECK:
+      handle_check (task, source, message->indirect.host_key);
+      break;
+    case PEER_INDIRECT_RESULT:
+      if (message->indirect.reachable)
+        membership_vouched (task->membership, clock_now_ms (),
+                            message->indirect.host_key);
+      break;
+    case PEER_MEMBERS:
+      for (size_t i = 0; i < message->members.count; i++)
+        handle_verdict (task, &message->members.verdicts[i], clock_now_ms ());
+      break;
+    default:
+      break;
+    }
+  control_members_take_changes (task);
+}
+
+void
+control_members_leave (struct control_task *task)
+{
+  const int64_t now_ms = clock_now_ms ();
+  uint64_t keys[CONTROL_WATCHED_MAX];
+  membership_leave (task->membership);
+  const size_t count
+      = membership_watched (task->membership, keys, CONTROL_WATCHED_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct control_host *host = control_hosts_find (task, keys[i]);
+      if (host != NULL)
+        control_members_greet (task, host, now_ms);
+    }
+  control_members_take_changes (task);
+}
--- /dev/null
+++ b/node/control/control_platform.c
@@ -0,0 +1,338 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  BACKOFF_FIRST_MS = 200,
+  BACKOFF_MAX_MS = 5000,
+};
+
+static void
+retry_later (struct control_task *task, struct ev_timer *timer,
+             uint32_t *backoff_ms)
+{
+  const double part = 0.5 + 0.5 * rng_unit (&task->random);
+  if (*backoff_ms == 0)
+    *backoff_ms = BACKOFF_FIRST_MS;
+  ev_timer_stop (task->options.loop, timer);
+  ev_timer_set (timer, *backoff_ms * part / 1000.0, 0);
+  ev_timer_start (task->options.loop, timer);
+  *backoff_ms *= 2;
+  if (*backoff_ms > BACKOFF_MAX_MS)
+    *backoff_ms = BACKOFF_MAX_MS;
+}
+
+static void
+answered (struct control_feed *feed)
+{
+  feed->answered_ms = clock_now_ms ();
+  feed->backoff_ms = 0;
+  control_members_contact (feed->task, feed->answered_ms);
+}
+
+static void
+apply_reply (struct control_feed *feed, const struct platform_reply *reply)
+{
+  for (size_t i = 0; i < reply->count; i++)
+    control_settings_apply (feed->task, feed->kind, reply->objects[i].name,
+                            reply->objects[i].version,
+                            reply->objects[i].value);
+  if (reply->revision > feed->revision)
+    feed->revision = reply->revision;
+}
+
+static bool
+reply_holds (const struct platform_reply *reply, const char *name)
+{
+  for (size_t i = 0; i < reply->count; i++)
+    if (strcmp (reply->objects[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+/* Guards against a removal that nobody saw: it happened while no relay
+   watched, and a list doesn't show what is gone.  Shows as a removed service
+   that is served for ever.  Versions come from one growing sequence, so what
+   a list of REVISION lacks, at or below that revision, was removed by then;
+   what is newer than the list is left alone. */
+static void
+remove_missing (struct control_feed *feed, const struct platform_reply *reply)
+{
+  struct control_task *task = feed->task;
+  struct control_object *object;
+  struct control_object *next;
+  HASH_ITER (hh, task->objects, object, next)
+  {
+    if (object->value == NULL || object->version >= reply->revision
+        || strcmp (object->kind, feed->kind) != 0
+        || reply_holds (reply, object->name))
+      continue;
+    control_settings_apply (task, feed->kind, object->name, reply->revision,
+                            NULL);
+  }
+}
+
+static void feed_next (struct control_feed *feed);
+
+static void
+feed_failed (struct control_feed *feed, const struct platform_reply *reply)
+{
+  LOG_WARN ("platform-failed", LOG_STR ("kind", feed->kind),
+            LOG_STR ("status", status_name (reply->status)),
+            LOG_STR ("why", reply->message));
+  retry_later (feed->task, &feed->retry, &feed->backoff_ms);
+}
+
+static void
+list_done (void *owner, const struct platform_reply *reply)
+{
+  struct control_feed *feed = owner;
+  feed->is_waiting = false;
+  if (reply->status != STATUS_OK)
+    {
+      feed_failed (feed, reply);
+      return;
+    }
+  answered (feed);
+  apply_reply (feed, reply);
+  remove_missing (feed, reply);
+  feed->is_listed = true;
+  if (strcmp (feed->kind, PLATFORM_KIND_SERVICE) == 0)
+    feed->task->has_settings = true;
+  feed_next (feed);
+}
+
+static void
+watch_done (void *owner, const struct platform_reply *reply)
+{
+  struct control_feed *feed = owner;
+  feed->is_waiting = false;
+  if (reply->status == STATUS_REFUSED)
+    feed->is_listed = false;
+  else if (reply->status != STATUS_OK)
+    {
+      feed_failed (feed, reply);
+      return;
+    }
+  else
+    {
+      answered (feed);
+      apply_reply (feed, reply);
+    }
+  feed_next (feed);
+}
+
+/* All list once; then relays watch, and the others hear from them. */
+static void
+feed_next (struct control_feed *feed)
+{
+  struct control_task *task = feed->task;
+  if (feed->is_waiting || ev_is_active (&feed->retry))
+    return;
+  if (!feed->is_listed)
+    {
+      feed->is_waiting = true;
+      feed->revision = 0;
+      platform_list (task->options.platform, feed->kind, list_done, feed);
+      return;
+    }
+  /* A stale host watches for itself, to find back. */
+  if (!task->is_relay && !task->is_stale)
+    return;
+  feed->is_waiting = true;
+  platform_watch (task->options.platform, feed->kind, feed->revision,
+                  task->options.settings->times.watch_ms, watch_done, feed);
+}
+
+static void
+feed_retry_cb (struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+  feed_next (watcher->data);
+}
+
+static char *
+own_record (const struct control_task *task)
+{
+  struct host_record record = task->self->record;
+  record.leaving = task->is_leaving;
+  return host_record_format (&record);
+}
+
+static void
+registration_failed (struct control_registration *registration,
+                     const struct platform_reply *reply)
+{
+  LOG_WARN ("register-failed", LOG_STR ("status", status_name (reply->status)),
+            LOG_STR ("why", reply->message));
+  retry_later (registration->task, &registration->retry,
+               &registration->backoff_ms);
+}
+
+static void registration_next (struct control_registration *registration);
+
+static void
+registered (struct control_registration *registration, uint64_t version,
+            const char *value)
+{
+  struct control_task *task = registration->task;
+  registration->is_done = true;
+  registration->backoff_ms = 0;
+  control_members_contact (task, clock_now_ms ());
+  LOG_INFO ("registered", LOG_INT ("version", version),
+            LOG_STR ("state", task->is_leaving ? "leaving" : "live"));
+  control_settings_apply (task, PLATFORM_KIND_HOST, task->self->record.name,
+                          version, value);
+}
+
+static platform_done put_done;
+
+static void
+write_record (struct control_registration *registration, uint64_t expected)
+{
+  struct control_task *task = registration->task;
+  char *value = own_record (task);
+  registration->is_waiting = true;
+  platform_put (task->options.platform, PLATFORM_KIND_HOST,
+                task->self->record.name, expected, value, put_done,
+                registration);
+  free (value);
+}
+
+static bool
+is_ours (const struct control_task *task, const char *value)
+{
+  struct host_record record;
+  if (host_record_parse (task->self->record.name, value, &record) != STATUS_OK)
+    return false;
+  return record.incarnation == task->self->record.incarnation
+         && record.leaving == task->is_leaving;
+}
+
+/* Write over what the platform holds, unless that is ours already. */
+static void
+settle (struct control_registration *registration,
+        const struct platform_object *object)
+{
+  if (object->value == NULL)
+    write_record (registration, PLATFORM_VERSION_NONE);
+  else if (is_ours (registration->task, object->value))
+    registered (registration, object->version, object->value);
+  else
+    write_record (registration, object->version);
+}
+
+/* After a lost answer the object is read back: it holds our incarnation if
+   the write took effect. */
+static void
+put_done (void *owner, const struct platform_reply *reply)
+{
+  struct control_registration *registration = owner;
+  registration->is_waiting = false;
+  if (reply->status == STATUS_REFUSED && reply->count == 1)
+    {
+      settle (registration, &reply->objects[0]);
+      return;
+    }
+  if (reply->status == STATUS_OK && reply->count == 1)
+    {
+      char *value = own_record (registration->task);
+      registered (registration, reply->objects[0].version, value);
+      free (value);
+      return;
+    }
+  registration_failed (registration, reply);
+}
+
+static void
+get_done (void *owner, const struct platform_reply *reply)
+{
+  struct control_registration *registration = owner;
+  registration->is_waiting = false;
+  if (reply->status == STATUS_NOT_FOUND)
+    {
+      write_record (registration, PLATFORM_VERSION_NONE);
+      return;
+    }
+  if (reply->status != STATUS_OK || reply->count != 1)
+    {
+      registration_failed (registration, reply);
+      return;
+    }
+  settle (registration, &reply->objects[0]);
+}
+
+static void
+registration_next (struct control_registration *registration)
+{
+  struct control_task *task = registration->task;
+  if (registration->is_waiting || registration->is_done)
+    return;
+  registration->is_waiting = true;
+  platform_get (task->options.platform, PLATFORM_KIND_HOST,
+                task->self->record.name, get_done, registration);
+}
+
+static void
+registration_retry_cb (struct ev_loop *loop, struct ev_timer *watcher,
+                       int events)
+{
+  registration_next (watcher->data);
+}
+
+void
+control_platform_register (struct control_task *task)
+{
+  struct control_registration *registration = &task->registration;
+  ev_timer_stop (task->options.loop, &registration->retry);
+  if (registration->is_waiting)
+    platform_cancel (task->options.platform, registration);
+  registration->is_waiting = false;
+  registration->is_done = false;
+  registration_next (registration);
+}
+
+void
+control_platform_start (struct control_task *task)
+{
+  static const char *const kinds[]
+      = { PLATFORM_KIND_SERVICE, PLATFORM_KIND_HOST };
+  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+    {
+      struct control_feed *feed = &task->feeds[i];
+      feed->task = task;
+      feed->kind = kinds[i];
+      ev_timer_init (&feed->retry, feed_retry_cb, 0, 0);
+      feed->retry.data = feed;
+      feed_next (feed);
+    }
+  task->registration.task = task;
+  ev_timer_init (&task->registration.retry, registration_retry_cb, 0, 0);
+  task->registration.retry.data = &task->registration;
+  control_platform_register (task);
+}
+
+void
+control_platform_wake (struct control_task *task)
+{
+  for (size_t i = 0; i < sizeof task->feeds / sizeof task->feeds[0]; i++)
+    feed_next (&task->feeds[i]);
+}
+
+void
+control_platform_stop (struct control_task *task)
+{
+  for (size_t i = 0; i < sizeof task->feeds / sizeof task->feeds[0]; i++)
+    {
+      ev_timer_stop (task->options.loop, &task->feeds[i].retry);
+      platform_cancel (task->options.platform, &task->feeds[i]);
+    }
+  ev_timer_stop (task->options.loop, &task->registration.retry);
+  platform_cancel (task->options.platform, &task->registration);
+}
--- /dev/null
+++ b/node/control/control_report.c
@@ -0,0 +1,146 @@
+#include "node/control/control_internal.h"
+
+#include "base/clock.h"
+#include "node/tables.h"
+
+static void
+add_text (struct json_object *row, const char *key, const char *text)
+{
+  json_object_object_add (row, key, json_object_new_string (text));
+}
+
+static void
+add_number (struct json_object *row, const char *key, uint64_t number)
+{
+  json_object_object_add (row, key, json_object_new_uint64 (number));
+}
+
+static void
+add_bool (struct json_object *row, const char *key, bool value)
+{
+  json_object_object_add (row, key, json_object_new_boolean (value));
+}
+
+static const char *
+state_name (const struct control_task *task, const struct control_host *host)
+{
+  if (host == task->self && task->is_stale)
+    return "stale";
+  return member_state_name (membership_state (task->membership, host->key));
+}
+
+static struct json_object *
+hosts_rows (void *owner)
+{
+  const struct control_task *task = owner;
+  struct json_object *rows = json_object_new_array ();
+  const struct control_host *host;
+  for (host = task->hosts; host != NULL; host = host->hh.next)
+    {
+      struct json_object *row = json_object_new_object ();
+      add_text (row, "host", host->record.name);
+      add_text (row, "dc", host->record.dc);
+      add_text (row, "state", state_name (task, host));
+      add_bool (row, "handed_out",
+                control_host_is_live (task, host->record.name));
+      add_bool (row, "relay", control_hosts_is_relay (task, host->key));
+      add_bool (row, "listed", host->is_listed);
+      add_text (row, "caller_address", host->record.caller_address);
+      add_text (row, "operator_address", host->record.operator_address);
+      add_number (row, "incarnation", host->record.incarnation);
+      json_object_array_add (rows, row);
+    }
+  return rows;
+}
+
+static struct json_object *
+settings_rows (void *owner)
+{
+  const struct control_task *task = owner;
+  struct json_object *rows = json_object_new_array ();
+  const struct control_object *object;
+  for (object = task->objects; object != NULL; object = object->hh.next)
+    {
+      if (strcmp (object->kind, PLATFORM_KIND_SERVICE) != 0)
+        continue;
+      const struct control_service *service;
+      HASH_FIND_STR (task->services, object->name, service);
+      struct json_object *row = json_object_new_object ();
+      add_text (row, "service", object->name);
+      add_number (row, "version", object->version);
+      add_number (row, "in_force", service == NULL ? 0 : service->version);
+      add_bool (row, "removed", object->value == NULL);
+      add_bool (
+          row, "refused",
+          object->value != NULL
+              && (service == NULL || service->version != object->version));
+      json_object_array_add (rows, row);
+    }
+  return rows;
+}
+
+void
+control_report_register (struct control_task *task)
+{
+  if (task->options.tables == NULL)
+    return;
+  tables_register (task->options.tables, "hosts", hosts_rows, task);
+  tables_register (task->options.tables, "settings", settings_rows, task);
+}
+
+static void
+set_value (struct control_task *task, const char *name, const char *help,
+           enum counter_kind kind, const char *label_name, const char *label,
+           int64_t value)
+{
+  const struct counter_family_options options = {
+    .name = name, .help = help, .kind = kind, .label_names = { label_name }
+  };
+  struct counter_family *family
+      = counters_family (task->options.counters, &options);
+  counter_set (counter_series (family, &label), value);
+}
+
+static void
+count_hosts (struct control_task *task)
+{
+  int64_t counts[MEMBER_LEAVING + 1] = { 0 };
+  const struct control_host *host;
+  for (host = task->hosts; host != NULL; host = host->hh.next)
+    counts[membership_state (task->membership, host->key)]++;
+  for (int state = MEMBER_LIVE; state <= MEMBER_LEAVING; state++)
+    set_value (task, "jaystair_hosts", "Hosts by state as believed here",
+               COUNTER_GAUGE, "state",
+               member_state_name ((enum member_state)state), counts[state]);
+}
+
+void
+control_report_count (struct control_task *task)
+{
+  if (task->options.counters == NULL)
+    return;
+  const struct peer_traffic *traffic = &task->identity.traffic;
+  static const char bytes[] = "jaystair_peer_bytes_total";
+  static const char bytes_help[] = "Bytes on links between hosts";
+  static const char frames[] = "jaystair_peer_frames_total";
+  static const char frames_help[] = "Messages on links between hosts";
+  set_value (task, bytes, bytes_help, COUNTER_SUM, "direction", "in",
+             traffic->bytes_in);
+  set_value (task, bytes, bytes_help, COUNTER_SUM, "direction", "out",
+             traffic->bytes_out);
+  set_value (task, frames, frames_help, COUNTER_SUM, "direction", "in",
+             traffic->frames_in);
+  set_value (task, frames, frames_help, COUNTER_SUM, "direction", "out",
+             traffic->frames_out);
+  set_value (task, "jaystair_peer_refused_total",
+             "Connections closed for what they sent", COUNTER_SUM, NULL, NULL,
+             traffic->refused);
+  set_value (task, "jaystair_platform_calls_total", "Calls to the platform",
+             COUNTER_SUM, NULL, NULL, (int64_t)task->options.platform->calls);
+  set_value (task, "jaystair_stale",
+             "1: neither platform nor relay was heard for stale_after_ms",
+             COUNTER_GAUGE, NULL, NULL, task->is_stale);
+  set_value (task, "jaystair_relay", "1: this host watches the platform",
+             COUNTER_GAUGE, NULL, NULL, task->is_relay);
+  count_hosts (task);
+}
--- /dev/null
+++ b/node/control/control_sets.c
@@ -0,0 +1,231 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  /** Scores computed in one turn of the loop: about a millisecond, so that a
+   * change of hosts doesn't hold up requests at many services. */
+  SCORES_PER_TURN = 20000,
+};
+
+static bool
+is_candidate (const struct control_task *task, const struct control_host *host)
+{
+  if (host == task->self)
+    return !task->is_leaving && !task->is_stale;
+  return host->record.peer_address[0] != '\0'
+         && membership_is_usable (task->membership, host->key);
+}
+
+static struct fleet_host
+placed (const struct control_host *host)
+{
+  return (struct fleet_host){ .key = host->key,
+                              .dc = hash_string (host->record.dc),
+                              .weight = 1 };
+}
+
+static void
+gather (struct control_task *task)
+{
+  const struct control_host *host;
+  task->fleet = xreallocarray (task->fleet, HASH_COUNT (task->hosts),
+                               sizeof *task->fleet);
+  task->fleet_count = 0;
+  for (host = task->hosts; host != NULL; host = host->hh.next)
+    if (is_candidate (task, host))
+      task->fleet[task->fleet_count++] = placed (host);
+}
+
+/* With nobody believed live, beat to whoever is known: it may be us who was
+   cut off. */
+static size_t
+gather_all (const struct control_task *task, struct fleet_host *fleet)
+{
+  const struct control_host *host;
+  size_t count = 0;
+  for (host = task->hosts; host != NULL; host = host->hh.next)
+    if (host != task->self
+        && membership_state (task->membership, host->key) != MEMBER_LEAVING)
+      fleet[count++] = placed (host);
+  return count;
+}
+
+static bool
+knows_others (const struct control_task *task)
+{
+  for (size_t i = 0; i < task->fleet_count; i++)
+    if (task->fleet[i].key != task->self->key)
+      return true;
+  return false;
+}
+
+static void
+watch_neighbours (struct control_task *task)
+{
+  const struct fleet_host self = placed (task->self);
+  struct fleet_host *all = NULL;
+  const struct fleet_host *fleet = task->fleet;
+  size_t fleet_count = task->fleet_count;
+  if (!knows_others (task))
+    {
+      all = xcalloc (HASH_COUNT (task->hosts), sizeof *all);
+      fleet_count = gather_all (task, all);
+      fleet = all;
+    }
+  struct fleet_choice choice;
+  uint64_t keys[FLEET_DCS_MAX * FLEET_PER_DC_MAX];
+  neighbours_choose (&self, fleet, fleet_count, &choice);
+  for (uint32_t i = 0; i < choice.count; i++)
+    keys[i] = fleet[choice.hosts[i]].key;
+  free (all);
+  membership_watch (task->membership, clock_now_ms (), keys, choice.count);
+}
+
+static void
+choose_relays (struct control_task *task)
+{
+  uint32_t per_dc = task->options.settings->relays_per_dc;
+  if (per_dc > FLEET_PER_DC_MAX)
+    per_dc = FLEET_PER_DC_MAX;
+  relays_choose (task->fleet, task->fleet_count, per_dc, &task->relays);
+  const bool was_relay = task->is_relay;
+  task->is_relay = control_hosts_is_relay (task, task->self->key);
+  if (was_relay != task->is_relay)
+    LOG_INFO ("relay", LOG_INT ("is_relay", task->is_relay),
+              LOG_INT ("relays", task->relays.count));
+}
+
+static void
+post_set (struct control_task *task, const struct control_service *service)
+{
+  struct bus_message message = { .topic = BUS_HOST_SET,
+                                 .host_set = { .self = service->has_self,
+                                               .count = service->set_count } };
+  struct bus_host_set *posted = &message.host_set;
+  memcpy (posted->service, service->name, sizeof posted->service);
+  posted->hosts = xcalloc (service->set_count, sizeof *posted->hosts);
+  for (size_t i = 0; i < service->set_count; i++)
+    {
+      const struct host_record *record
+          = &control_hosts_find (task, service->set[i])->record;
+      memcpy (posted->hosts[i].name, record->name, sizeof record->name);
+      memcpy (posted->hosts[i].dc, record->dc, sizeof record->dc);
+      memcpy (posted->hosts[i].caller_address, record->caller_address,
+              sizeof record->caller_address);
+    }
+  bus_post (task->options.bus, &message);
+  LOG_INFO ("host-set", LOG_STR ("service", service->name),
+            LOG_INT ("hosts", service->set_count),
+            LOG_INT ("self", service->has_self));
+}
+
+/* Tells a set from another one with the same hosts started anew, whose
+   addresses may differ. */
+static uint64_t
+signature (const struct control_task *task, const struct fleet_choice *choice)
+{
+  uint64_t hash = choice->count;
+  for (uint32_t i = 0; i < choice->count; i++)
+    {
+      const uint64_t key = task->fleet[choice->hosts[i]].key;
+      hash = hash_pair (hash, key);
+      hash = hash_pair (hash,
+                        control_hosts_find (task, key)->record.incarnation);
+    }
+  return hash;
+}
+
+static void
+choose_set (struct control_task *task, struct control_service *service)
+{
+  uint32_t per_dc = task->options.settings->set_hosts_per_dc;
+  if (per_dc > FLEET_PER_DC_MAX)
+    per_dc = FLEET_PER_DC_MAX;
+  struct fleet_choice choice;
+  host_set_choose (service->key, task->fleet, task->fleet_count, per_dc,
+                   &choice);
+  service->generation = task->generation;
+  const uint64_t hash = signature (task, &choice);
+  if (service->is_posted && service->set_hash == hash)
+    return;
+  service->is_posted = true;
+  service->set_hash = hash;
+  service->set_count = choice.count;
+  service->has_self = false;
+  service->set
+      = xreallocarray (service->set, choice.count, sizeof *service->set);
+  for (uint32_t i = 0; i < choice.count; i++)
+    {
+      service->set[i] = task->fleet[choice.hosts[i]].key;
+      if (service->set[i] == task->self->key)
+        service->has_self = true;
+    }
+  post_set (task, service);
+}
+
+static void
+gather_anew (struct control_task *task)
+{
+  task->hosts_changed = false;
+  task->generation++;
+  gather (task);
+  choose_relays (task);
+  watch_neighbours (task);
+  control_platform_wake (task);
+  const struct bus_message message = { .topic = BUS_MEMBERS };
+  bus_post (task->options.bus, &message);
+}
+
+bool
+control_sets_refresh (struct control_task *task)
+{
+  if (task->hosts_changed || task->generation == 0)
+    gather_anew (task);
+  size_t scores = 0;
+  struct control_service *service;
+  for (service = task->services; service != NULL; service = service->hh.next)
+    {
+      if (service->generation == task->generation)
+        continue;
+      if (scores > SCORES_PER_TURN)
+        return true;
+      choose_set (task, service);
+      scores += task->fleet_count + 1;
+    }
+  return false;
+}
+
+void
+control_sets_drop (struct control_service *service)
+{
+  free (service->set);
+  free (service);
+}
+
+size_t
+control_host_set (const struct control_task *task, const char *service,
+                  const char **names, size_t max)
+{
+  const struct control_service *found;
+  HASH_FIND_STR (task->services, service, found);
+  if (found == NULL)
+    return 0;
+  size_t count = 0;
+  for (size_t i = 0; i < found->set_count && count < max; i++)
+    {
+      const struct control_host *host
+          = control_hosts_find (task, found->set[i]);
+      if (host != NULL)
+        names[count++] = host->record.name;
+    }
+  return count;
+}
--- /dev/null
+++ b/node/control/control_settings.c
@@ -0,0 +1,366 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+
+static struct control_object *
+find_object (const struct control_task *task, uint64_t key)
+{
+  struct control_object *object;
+  HASH_FIND (hh, task->objects, &key, sizeof key, object);
+  return object;
+}
+
+static struct control_service *
+find_service (const struct control_task *task, const char *name)
+{
+  struct control_service *service;
+  HASH_FIND_STR (task->services, name, service);
+  return service;
+}
+
+static void
+hold (struct control_task *task, uint64_t key, const char *kind,
+      const char *name, uint64_t version, const char *value)
+{
+  struct control_object *object = find_object (task, key);
+  if (object == NULL)
+    {
+      object = xcalloc (1, sizeof *object);
+      object->key = key;
+      strncpy (object->kind, kind, sizeof object->kind - 1);
+      strncpy (object->name, name, sizeof object->name - 1);
+      HASH_ADD (hh, task->objects, key, sizeof object->key, object);
+    }
+  free (object->value);
+  object->value = xstrdup (value);
+  object->version = version;
+}
+
+static void
+remove_service (struct control_task *task, const char *name, uint64_t version)
+{
+  struct control_service *service = find_service (task, name);
+  if (service == NULL)
+    return;
+  struct bus_message message = { .topic = BUS_SERVICE_REMOVED,
+                                 .service_removed = { .version = version } };
+  strncpy (message.service_removed.name, name,
+           sizeof message.service_removed.name - 1);
+  bus_post (task->options.bus, &message);
+  LOG_INFO ("service-removed", LOG_STR ("service", name),
+            LOG_INT ("version", version));
+  HASH_DEL (task->services, service);
+  control_sets_drop (service);
+}
+
+/* A value that can't be used is held, so that it isn't asked for again, but
+   the version in force stays. */
+static void
+enforce_service (struct control_task *task, const char *name, uint64_t version,
+                 const char *value)
+{
+  struct service_spec *spec;
+  if (service_spec_parse (name, value, version, &spec) != STATUS_OK)
+    {
+      LOG_WARN ("service-refused", LOG_STR ("service", name),
+                LOG_INT ("version", version),
+                LOG_STR ("why", status_message ()));
+      return;
+    }
+  struct control_service *service = find_service (task, name);
+  if (service == NULL)
+    {
+      service = xcalloc (1, sizeof *service);
+      strncpy (service->name, name, sizeof service->name - 1);
+      service->key = hash_string (name);
+      HASH_ADD_STR (task->services, name, service);
+    }
+  service->version = version;
+  const struct bus_message message = { .topic = BUS_SERVICE_IN_FORCE,
+                                       .service_in_force = { .spec = spec } };
+  bus_post (task->options.bus, &message);
+  LOG_INFO ("service-in-force", LOG_STR ("service", name),
+            LOG_INT ("version", version));
+  control_refresh_soon (task);
+}
+
+/* Another process with our name, or somebody who removed our record. */
+static void
+take_own_record (struct control_task *task, uint64_t version,
+                 const char *value)
+{
+  struct host_record record;
+  const char *name = task->self->record.name;
+  task->self->is_listed = value != NULL;
+  if (value == NULL)
+    {
+      LOG_WARN ("own-record-removed", LOG_INT ("version", version));
+      control_platform_register (task);
+    }
+  else if (host_record_parse (name, value, &record) == STATUS_OK
+           && record.incarnation > task->self->record.incarnation)
+    LOG_WARN ("name-taken", LOG_STR ("host", name),
+              LOG_STR ("remedy", "give each host a name of its own"));
+}
+
+static void
+take_host (struct control_task *task, const char *name, uint64_t version,
+           const char *value)
+{
+  struct control_host *host = control_hosts_by_name (task, name);
+  if (host == task->self)
+    {
+      take_own_record (task, version, value);
+      return;
+    }
+  if (value == NULL)
+    {
+      if (host == NULL)
+        return;
+      host->is_listed = false;
+      membership_unlisted (task->membership, host->key);
+      return;
+    }
+  struct host_record record;
+  if (host_record_parse (name, value, &record) != STATUS_OK)
+    {
+      LOG_WARN ("host-refused", LOG_STR ("host", name),
+                LOG_INT ("version", version),
+                LOG_STR ("why", status_message ()));
+      return;
+    }
+  host = control_hosts_learn (task, &record);
+  host->is_listed = true;
+  membership_introduce (task->membership, clock_now_ms (), host->key,
+                        record.incarnation, record.leaving);
+  control_members_take_changes (task);
+}
+
+/* Tell the hosts we have links to; they pull what they lack. */
+static void
+offer (struct control_task *task, uint64_t key, uint64_t version)
+{
+  struct peer_settings_entry entry = { .key = key, .version = version };
+  const struct peer_message message
+      = { .type = PEER_SETTINGS_OFFER,
+          .settings = { .entries = &entry, .count = 1 } };
+  uint64_t keys[CONTROL_WATCHED_MAX];
+  const size_t count
+      = membership_watched (task->membership, keys, CONTROL_WATCHED_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct control_host *host = control_hosts_find (task, keys[i]);
+      if (host != NULL)
+        control_hosts_send (task, host, &message);
+    }
+}
+
+bool
+control_settings_apply (struct control_task *task, const char *kind,
+                        const char *name, uint64_t version, const char *value)
+{
+  const bool is_service = strcmp (kind, PLATFORM_KIND_SERVICE) == 0;
+  const bool is_host = strcmp (kind, PLATFORM_KIND_HOST) == 0;
+  if ((!is_service && !is_host) || strlen (name) >= PEER_NAME_SIZE)
+    return false;
+  const uint64_t key = settings_key (kind, name);
+  if (!settings_index_raise (task->index, key, version))
+    return false;
+  hold (task, key, kind, name, version, value);
+  if (is_host)
+    take_host (task, name, version, value);
+  else if (value == NULL)
+    remove_service (task, name, version);
+  else
+    enforce_service (task, name, version, value);
+  offer (task, key, version);
+  return true;
+}
+
+static struct peer_message
+digest_message (const struct control_task *task, bool answer_wanted,
+                uint64_t buckets[SETTINGS_BUCKETS])
+{
+  for (uint32_t i = 0; i < SETTINGS_BUCKETS; i++)
+    buckets[i] = settings_index_bucket (task->index, i);
+  return (struct peer_message){ .type = PEER_SETTINGS_DIGEST,
+                                .digest = { .answer_wanted = answer_wanted,
+                                            .total = settings_index_total (
+                                                task->index),
+                                            .buckets = buckets,
+                                            .count = SETTINGS_BUCKETS } };
+}
+
+/* Two hosts that differ right after a change mostly have an offer under way;
+   comparing at once each time would cost 2 KB a heartbeat. */
+void
+control_settings_compare (struct control_task *task,
+                          const struct control_source *source, uint64_t hash)
+{
+  const int64_t now_ms = clock_now_ms ();
+  const uint32_t pause_ms = task->options.settings->times.heartbeat_ms;
+  if (hash == settings_index_total (task->index))
+    {
+      if (hash != 0)
+        task->has_settings = true;
+      return;
+    }
+  if (task->has_settings && now_ms - task->synced_ms < pause_ms)
+    return;
+  task->synced_ms = now_ms;
+  uint64_t buckets[SETTINGS_BUCKETS];
+  const struct peer_message message = digest_message (task, true, buckets);
+  control_reply (task, source, &message);
+}
+
+/** Entries gathered until a message is full. */
+struct batch
+{
+  struct control_task *task;
+  const struct control_source *source;
+  enum peer_type type;
+  struct peer_settings_entry entries[PEER_ENTRIES_MAX / 8];
+  size_t count;
+};
+
+static void
+batch_send (struct batch *batch)
+{
+  if (batch->count == 0)
+    return;
+  const struct peer_message message
+      = { .type = batch->type,
+          .settings = { .entries = batch->entries, .count = batch->count } };
+  control_reply (batch->task, batch->source, &message);
+  batch->count = 0;
+}
+
+static void
+batch_add (struct batch *batch, uint64_t key, uint64_t version)
+{
+  if (batch->count == sizeof batch->entries / sizeof batch->entries[0])
+    batch_send (batch);
+  batch->entries[batch->count++]
+      = (struct peer_settings_entry){ .key = key, .version = version };
+}
+
+static void
+offer_bucket (struct batch *batch, uint32_t bucket)
+{
+  const struct settings_index *index = batch->task->index;
+  const size_t count = settings_index_list (index, bucket, NULL, 0);
+  if (count == 0)
+    return;
+  struct settings_version *versions = xcalloc (count, sizeof *versions);
+  settings_index_list (index, bucket, versions, count);
+  for (size_t i = 0; i < count; i++)
+    batch_add (batch, versions[i].key, versions[i].version);
+  free (versions);
+}
+
+static void
+handle_digest (struct control_task *task, const struct control_source *source,
+               const struct peer_settings_digest *digest)
+{
+  if (digest->count != SETTINGS_BUCKETS)
+    return;
+  struct batch batch
+      = { .task = task, .source = source, .type = PEER_SETTINGS_OFFER };
+  for (uint32_t i = 0; i < SETTINGS_BUCKETS; i++)
+    if (digest->buckets[i] != settings_index_bucket (task->index, i))
+      offer_bucket (&batch, i);
+  batch_send (&batch);
+  if (!digest->answer_wanted)
+    return;
+  uint64_t buckets[SETTINGS_BUCKETS];
+  const struct peer_message message = digest_message (task, false, buckets);
+  control_reply (task, source, &message);
+}
+
+static void
+handle_offer (struct control_task *task, const struct control_source *source,
+              const struct peer_settings_entries *offered)
+{
+  struct batch batch
+      = { .task = task, .source = source, .type = PEER_SETTINGS_PULL };
+  for (size_t i = 0; i < offered->count; i++)
+    {
+      const struct peer_settings_entry *entry = &offered->entries[i];
+      const uint64_t held = settings_index_version (task->index, entry->key);
+      if (entry->version > held)
+        batch_add (&batch, entry->key, held);
+    }
+  batch_send (&batch);
+}
+
+static void
+handle_pull (struct control_task *task, const struct control_source *source,
+             const struct peer_settings_entries *wanted)
+{
+  for (size_t i = 0; i < wanted->count; i++)
+    {
+      const struct control_object *object
+          = find_object (task, wanted->entries[i].key);
+      if (object == NULL || object->version <= wanted->entries[i].version)
+        continue;
+      struct peer_message message
+          = { .type = PEER_SETTINGS_PUSH,
+              .push = { .version = object->version, .value = object->value } };
+      memcpy (message.push.kind, object->kind, sizeof message.push.kind);
+      memcpy (message.push.name, object->name, sizeof message.push.name);
+      control_reply (task, source, &message);
+    }
+}
+
+void
+control_settings_receive (struct control_task *task,
+                          const struct control_source *source,
+                          const struct peer_message *message)
+{
+  switch (message->type)
+    {
+    case PEER_SETTINGS_DIGEST:
+      handle_digest (task, source, &message->digest);
+      break;
+    case PEER_SETTINGS_OFFER:
+      handle_offer (task, source, &message->settings);
+      break;
+    case PEER_SETTINGS_PULL:
+      handle_pull (task, source, &message->settings);
+      break;
+    case PEER_SETTINGS_PUSH:
+      if (control_settings_apply (task, message->push.kind, message->push.name,
+                                  message->push.version, message->push.value))
+        task->has_settings = true;
+      break;
+    default:
+      break;
+    }
+}
+
+void
+control_settings_release (struct control_task *task)
+{
+  struct control_object *object;
+  struct control_object *next;
+  HASH_ITER (hh, task->objects, object, next)
+  {
+    HASH_DEL (task->objects, object);
+    free (object->value);
+    free (object);
+  }
+  struct control_service *service;
+  struct control_service *following;
+  HASH_ITER (hh, task->services, service, following)
+  {
+    HASH_DEL (task->services, service);
+    control_sets_drop (service);
+  }
+}
--- /dev/null
+++ b/node/control/control_task.c
@@ -0,0 +1,371 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include <stdlib.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/tables.h"
+
+enum
+{
+  /** Changes that come together are answered together. */
+  REFRESH_MS = 20,
+  REFRESH_MORE_MS = 1,
+  INCARNATION_CHANCE_BITS = 20,
+  /** Enough known hosts to need the seeds no more. */
+  SEEDS_UNTIL_HOSTS = 3,
+};
+
+void
+control_reply (struct control_task *task, const struct control_source *source,
+               const struct peer_message *message)
+{
+  if (source->conn != NULL)
+    peer_conn_send (source->conn, message);
+  else if (source->link != NULL)
+    peer_link_send (source->link, message);
+}
+
+void
+control_receive (struct control_task *task,
+                 const struct control_source *source,
+                 const struct peer_message *message)
+{
+  switch (message->type)
+    {
+    case PEER_HEARTBEAT:
+    case PEER_HEARTBEAT_ACK:
+    case PEER_INDIRECT_CHECK:
+    case PEER_INDIRECT_RESULT:
+    case PEER_MEMBERS:
+      control_members_receive (task, source, message);
+      break;
+    case PEER_SETTINGS_DIGEST:
+    case PEER_SETTINGS_OFFER:
+    case PEER_SETTINGS_PULL:
+    case PEER_SETTINGS_PUSH:
+      control_settings_receive (task, source, message);
+      break;
+    case PEER_IN_FORCE_ASK:
+    case PEER_IN_FORCE_ANSWER:
+      control_ask_receive (task, source, message);
+      break;
+    case PEER_EVIDENCE:
+    case PEER_DECISION:
+    case PEER_DEMAND:
+      control_call_handler (task, source->host->record.name, message);
+      break;
+    case PEER_HELLO:
+    case PEER_PROOF:
+    case PEER_TYPE_END:
+      break;
+    }
+}
+
+/* The host at the other end; NULL for our own name and for an earlier start
+   of a host that has been replaced. */
+static struct control_host *
+host_of (struct control_task *task, const struct peer_hello *hello)
+{
+  struct host_record record = { .incarnation = hello->incarnation };
+  memcpy (record.name, hello->name, sizeof record.name);
+  memcpy (record.dc, hello->dc, sizeof record.dc);
+  memcpy (record.peer_address, hello->peer_address,
+          sizeof record.peer_address);
+  memcpy (record.caller_address, hello->caller_address,
+          sizeof record.caller_address);
+  memcpy (record.operator_address, hello->operator_address,
+          sizeof record.operator_address);
+  if (strcmp (record.name, task->self->record.name) == 0)
+    return NULL;
+  struct control_host *host = control_hosts_learn (task, &record);
+  return host->record.incarnation == record.incarnation ? host : NULL;
+}
+
+static void
+conn_message (void *owner, struct peer_conn *conn,
+              const struct peer_message *message)
+{
+  struct control_task *task = owner;
+  const struct control_source source
+      = { .host = host_of (task, peer_conn_hello (conn)), .conn = conn };
+  if (source.host != NULL)
+    control_receive (task, &source, message);
+}
+
+void
+control_link_receive (struct control_task *task, struct peer_link *link,
+                      const struct peer_message *message)
+{
+  const struct control_source source
+      = { .host = host_of (task, peer_link_hello (link)), .link = link };
+  if (source.host != NULL)
+    control_receive (task, &source, message);
+}
+
+static void
+link_ready (void *owner, struct peer_link *link)
+{
+}
+
+static void
+link_message (void *owner, struct peer_link *link,
+              const struct peer_message *message)
+{
+  control_link_receive (((struct control_host *)owner)->task, link, message);
+}
+
+const struct peer_link_events control_link_events
+    = { .ready = link_ready, .message = link_message };
+
+void
+control_refresh_soon (struct control_task *task)
+{
+  if (ev_is_active (&task->refresh))
+    return;
+  ev_timer_set (&task->refresh, REFRESH_MS / 1000.0, 0);
+  ev_timer_start (task->options.loop, &task->refresh);
+}
+
+void
+control_hosts_changed (struct control_task *task)
+{
+  task->hosts_changed = true;
+  control_refresh_soon (task);
+}
+
+static void
+refresh_cb (struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+  struct control_task *task = watcher->data;
+  if (task->hosts_changed)
+    control_members_gossip (task);
+  if (!control_sets_refresh (task) || ev_is_active (watcher))
+    return;
+  ev_timer_set (watcher, REFRESH_MORE_MS / 1000.0, 0);
+  ev_timer_start (loop, watcher);
+}
+
+static void
+beat_cb (struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+  struct control_task *task = watcher->data;
+  const int64_t now_ms = clock_now_ms ();
+  control_members_beat (task, now_ms);
+  control_hosts_close_idle (task, now_ms);
+  if (task->has_settings && HASH_COUNT (task->hosts) >= SEEDS_UNTIL_HOSTS)
+    control_seeds_close (task);
+  control_report_count (task);
+}
+
+/* Guards against a host that is started again at once and isn't listened to:
+   its peers take what carries a lower incarnation for late words of the
+   former start.  Shows as a restarted host that nobody hands out.  The time
+   stands in the high part, in milliseconds: no two starts share one.  It
+   holds as long as clocks don't go back by more than lies between two starts
+   of a host. */
+static uint64_t
+make_incarnation (void)
+{
+  uint32_t chance;
+  struct timespec now;
+  rng_secret (&chance, sizeof chance);
+  clock_gettime (CLOCK_REALTIME, &now);
+  const uint64_t now_ms
+      = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+  const uint64_t bits = chance & ((1u << INCARNATION_CHANCE_BITS) - 1);
+  return now_ms << INCARNATION_CHANCE_BITS | bits;
+}
+
+static void
+describe_self (struct control_task *task)
+{
+  const struct host_settings *settings = task->options.settings;
+  struct host_record record = { .incarnation = task->options.incarnation };
+  memcpy (record.name, settings->name, sizeof record.name);
+  memcpy (record.dc, settings->dc, sizeof record.dc);
+  memcpy (record.caller_address, settings->caller_address,
+          sizeof record.caller_address);
+  memcpy (record.peer_address, settings->peer_address,
+          sizeof record.peer_address);
+  memcpy (record.operator_address, settings->operator_address,
+          sizeof record.operator_address);
+  if (record.incarnation == 0)
+    record.incarnation = make_incarnation ();
+  task->self = control_hosts_learn (task, &record);
+  struct peer_hello *hello = &task->identity.hello;
+  hello->incarnation = record.incarnation;
+  memcpy (hello->name, record.name, sizeof hello->name);
+  memcpy (hello->dc, record.dc, sizeof hello->dc);
+  memcpy (hello->caller_address, record.caller_address,
+          sizeof hello->caller_address);
+  memcpy (hello->peer_address, record.peer_address,
+          sizeof hello->peer_address);
+  memcpy (hello->operator_address, record.operator_address,
+          sizeof hello->operator_address);
+}
+
+static void
+shutdown_cb (void *owner, const struct bus_message *message)
+{
+  struct control_task *task = owner;
+  if (task->is_leaving)
+    return;
+  task->is_leaving = true;
+  LOG_INFO ("leaving", LOG_STR ("host", task->self->record.name));
+  control_members_leave (task);
+  control_hosts_changed (task);
+  control_platform_register (task);
+}
+
+static enum status
+listen_for_peers (struct control_task *task)
+{
+  static const struct peer_conn_events events = { .message = conn_message };
+  const struct peer_server_options options
+      = { .loop = task->options.loop,
+          .identity = &task->identity,
+          .events = &events,
+          .owner = task,
+          .address = task->options.settings->peer_address,
+          .idle_ms = 2 * CONTROL_LINK_IDLE_MS };
+  return peer_server_create (&options, &task->server);
+}
+
+static void
+start_timers (struct control_task *task)
+{
+  struct ev_loop *loop = task->options.loop;
+  const double beat_s = task->options.settings->times.heartbeat_ms / 1000.0;
+  ev_timer_init (&task->beat, beat_cb, beat_s * rng_unit (&task->random),
+                 beat_s);
+  task->beat.data = task;
+  ev_timer_start (loop, &task->beat);
+}
+
+static void
+make_membership (struct control_task *task)
+{
+  const struct control_times *times = &task->options.settings->times;
+  const struct membership_options options
+      = { .self = task->self->key,
+          .incarnation = task->self->record.incarnation,
+          .suspect_after_ms = times->suspect_after_ms,
+          .dead_after_ms = times->dead_after_ms };
+  task->membership = membership_create (&options);
+}
+
+enum status
+control_task_create (const struct control_task_options *options,
+                     struct control_task **created)
+{
+  struct control_task *task = xcalloc (1, sizeof *task);
+  uint64_t seed;
+  rng_secret (&seed, sizeof seed);
+  rng_seed (&task->random, seed);
+  task->options = *options;
+  task->contact_ms = clock_now_ms ();
+  task->index = settings_index_create ();
+  ev_timer_init (&task->refresh, refresh_cb, 0, 0);
+  task->refresh.data = task;
+  control_send_prepare (task);
+  describe_self (task);
+  make_membership (task);
+  enum status status = peer_secret_load (options->settings->secret_file,
+                                         &task->identity.secret);
+  if (status == STATUS_OK)
+    status = listen_for_peers (task);
+  if (status != STATUS_OK)
+    {
+      control_task_destroy (task);
+      return status;
+    }
+  bus_subscribe (options->bus, BUS_SHUTDOWN, shutdown_cb, task);
+  control_report_register (task);
+  start_timers (task);
+  control_seeds_open (task);
+  control_platform_start (task);
+  *created = task;
+  return STATUS_OK;
+}
+
+void
+control_task_destroy (struct control_task *task)
+{
+  if (task == NULL)
+    return;
+  struct ev_loop *loop = task->options.loop;
+  if (task->server != NULL)
+    {
+      bus_unsubscribe (task->options.bus, task);
+      if (task->options.tables != NULL)
+        tables_unregister (task->options.tables, task);
+      ev_timer_stop (loop, &task->beat);
+      control_platform_stop (task);
+    }
+  ev_timer_stop (loop, &task->refresh);
+  control_seeds_close (task);
+  peer_server_destroy (task->server);
+  control_send_release (task);
+  control_ask_release (task);
+  control_settings_release (task);
+  control_hosts_release (task);
+  membership_destroy (task->membership);
+  settings_index_destroy (task->index);
+  free (task->fleet);
+  free (task);
+}
+
+uint64_t
+control_incarnation (const struct control_task *task)
+{
+  return task->self->record.incarnation;
+}
+
+bool
+control_host_is_live (const struct control_task *task, const char *name)
+{
+  const struct control_host *host = control_hosts_by_name (task, name);
+  if (host == NULL)
+    return false;
+  if (host == task->self)
+    return !task->is_leaving && !task->is_stale;
+  return membership_is_usable (task->membership, host->key);
+}
+
+const char *
+control_caller_address (const struct control_task *task, const char *name)
+{
+  const struct control_host *host = control_hosts_by_name (task, name);
+  return host == NULL ? NULL : host->record.caller_address;
+}
+
+bool
+control_is_stale (const struct control_task *task)
+{
+  return task->is_stale;
+}
+
+bool
+control_has_settings (const struct control_task *task)
+{
+  return task->has_settings;
+}
+
+enum status
+control_apply_service (struct control_task *task, const char *name,
+                       uint64_t version, const char *value)
+{
+  if (control_settings_apply (task, PLATFORM_KIND_SERVICE, name, version,
+                              value))
+    return STATUS_OK;
+  return status_set (STATUS_REFUSED,
+                     "version %llu of service %s isn't newer than what is in "
+                     "force here",
+                     (unsigned long long)version, name);
+}
--- /dev/null
+++ b/node/control/host_record.h
@@ -0,0 +1,31 @@
+/** @file
+ * The value of a `host` object: what one host tells the fleet of itself.
+ */
+#ifndef NODE_CONTROL_HOST_RECORD_H
+#define NODE_CONTROL_HOST_RECORD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "wire/peer/peer_message.h"
+
+struct host_record
+{
+  char name[PEER_NAME_SIZE];
+  char dc[PEER_NAME_SIZE];
+  char caller_address[PEER_ADDRESS_SIZE];
+  char peer_address[PEER_ADDRESS_SIZE];
+  char operator_address[PEER_ADDRESS_SIZE];
+  uint64_t incarnation;
+  bool leaving;
+};
+
+/** Parse the JSON TEXT of object NAME, which its `name` must repeat. */
+enum status host_record_parse (const char *name, const char *text,
+                               struct host_record *record);
+
+/** The JSON text of RECORD, in new memory. */
+char *host_record_format (const struct host_record *record);
+
+#endif
--- /dev/null
+++ b/node/control/tests/fake_platform.h
@@ -0,0 +1,225 @@
+/** @file
+ * A platform in memory for tests: one store, and one client a host that can
+ * be cut off, see an old state or lose the answer to a write.
+ */
+#ifndef NODE_CONTROL_TESTS_FAKE_PLATFORM_H
+#define NODE_CONTROL_TESTS_FAKE_PLATFORM_H
+
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include <ev.h>
+
+#include "base/xmalloc.h"
+#include "wire/platform.h"
+}
+
+struct fake_object
+{
+  uint64_t version;
+  std::string value;
+  bool removed;
+};
+
+/* Versions come from one growing sequence, removals included. */
+struct fake_store
+{
+  uint64_t sequence = 0;
+  std::map<std::string, std::map<std::string, fake_object> > kinds;
+
+  uint64_t
+  put (const std::string &kind, const std::string &name,
+       const std::string &value)
+  {
+    kinds[kind][name] = { ++sequence, value, false };
+    return sequence;
+  }
+
+  uint64_t
+  remove (const std::string &kind, const std::string &name)
+  {
+    kinds[kind][name] = { ++sequence, "", true };
+    return sequence;
+  }
+};
+
+struct fake_platform
+{
+  struct platform base;
+  struct ev_loop *loop;
+  fake_store *store;
+  bool is_down;
+  bool forgets;     /* revisions to watch from */
+  int lost_answers; /* of the next writes */
+  int writes;
+  const fake_store *snapshot; /* an old state that is read instead */
+
+  struct call
+  {
+    std::string verb, kind, name, value;
+    uint64_t number;
+    platform_done *done;
+    void *owner;
+  };
+
+  std::list<call> calls;
+  ev_timer timer;
+
+  fake_platform (struct ev_loop *on, fake_store *from)
+      : base{ &ops, 0 }, loop (on), store (from), is_down (false),
+        forgets (false), lost_answers (0), writes (0), snapshot (nullptr)
+  {
+    ev_timer_init (&timer, poll, 0, 0.002);
+    timer.data = this;
+    ev_timer_start (loop, &timer);
+  }
+
+  ~fake_platform ()
+  {
+    ev_timer_stop (loop, &timer);
+  }
+
+  const fake_store &
+  view () const
+  {
+    return snapshot != nullptr ? *snapshot : *store;
+  }
+
+  void
+  reply (const call &c, status code, const std::vector<platform_object> &found,
+         uint64_t revision)
+  {
+    const platform_reply answer = { code, code == STATUS_OK ? nullptr : "fake",
+                                    revision, found.data (), found.size () };
+    c.done (c.owner, &answer);
+  }
+
+  /* What KIND holds after SINCE; removed ones only for a watch. */
+  std::vector<platform_object>
+  read (const call &c, uint64_t since, bool is_watch, uint64_t *revision)
+  {
+    std::vector<platform_object> found;
+    *revision = 0;
+    const auto kind = view ().kinds.find (c.kind);
+    if (kind == view ().kinds.end ())
+      return found;
+    for (const auto &[name, object] : kind->second)
+      {
+        *revision = std::max (*revision, object.version);
+        if (object.version > since && (is_watch || !object.removed))
+          found.push_back (
+              { name.c_str (), object.version,
+                object.removed ? nullptr : object.value.c_str () });
+      }
+    return found;
+  }
+
+  void
+  do_get (const call &c)
+  {
+    const auto kind = view ().kinds.find (c.kind);
+    if (kind == view ().kinds.end () || kind->second.count (c.name) == 0)
+      return reply (c, STATUS_NOT_FOUND, {}, 0);
+    const fake_object &object = kind->second.at (c.name);
+    reply (c, STATUS_OK,
+           { { c.name.c_str (), object.version, object.value.c_str () } }, 0);
+  }
+
+  void
+  do_put (const call &c)
+  {
+    auto &kind = store->kinds[c.kind];
+    const auto held = kind.find (c.name);
+    const uint64_t version = held == kind.end () ? 0 : held->second.version;
+    if (version != c.number)
+      return reply (
+          c, STATUS_REFUSED,
+          { { c.name.c_str (), version, held->second.value.c_str () } }, 0);
+    writes++;
+    const uint64_t now = store->put (c.kind, c.name, c.value);
+    if (lost_answers > 0)
+      {
+        lost_answers--;
+        return reply (c, STATUS_LOST_ANSWER, {}, 0);
+      }
+    reply (c, STATUS_OK, { { c.name.c_str (), now, nullptr } }, 0);
+  }
+
+  /* Answers C unless it is a watch that has nothing to tell yet. */
+  bool
+  answer (const call &c)
+  {
+    uint64_t revision;
+    if (is_down)
+      reply (c, STATUS_UNREACHABLE, {}, 0);
+    else if (c.verb == "get")
+      do_get (c);
+    else if (c.verb == "put")
+      do_put (c);
+    else if (c.verb == "list")
+      {
+        const auto found = read (c, 0, false, &revision);
+        reply (c, STATUS_OK, found, revision);
+      }
+    else if (forgets)
+      reply (c, STATUS_REFUSED, {}, 0);
+    else
+      {
+        const auto found = read (c, c.number, true, &revision);
+        if (found.empty ())
+          return false;
+        reply (c, STATUS_OK, found, revision);
+      }
+    return true;
+  }
+
+  static void
+  poll (struct ev_loop *loop, ev_timer *watcher, int events)
+  {
+    auto *self = (fake_platform *)watcher->data;
+    std::list<call> due;
+    due.swap (self->calls);
+    for (const auto &c : due)
+      if (!self->answer (c))
+        self->calls.push_back (c);
+  }
+
+  static void
+  add (struct platform *platform, const call &c)
+  {
+    platform->calls++;
+    ((fake_platform *)platform)->calls.push_back (c);
+  }
+
+  static const struct platform_ops ops;
+};
+
+inline const struct platform_ops fake_platform::ops = {
+  [] (struct platform *p, const char *kind, const char *name,
+      platform_done *done, void *owner) {
+    add (p, { "get", kind, name, "", 0, done, owner });
+  },
+  [] (struct platform *p, const char *kind, platform_done *done, void *owner) {
+    add (p, { "list", kind, "", "", 0, done, owner });
+  },
+  [] (struct platform *p, const char *kind, const char *name,
+      uint64_t expected, const char *value, platform_done *done, void *owner) {
+    add (p, { "put", kind, name, value, expected, done, owner });
+  },
+  [] (struct platform *p, const char *kind, uint64_t revision, uint32_t,
+      platform_done *done, void *owner) {
+    add (p, { "watch", kind, "", "", revision, done, owner });
+  },
+  [] (struct platform *p, void *owner) {
+    ((fake_platform *)p)->calls.remove_if ([=] (const call &c) {
+      return c.owner == owner;
+    });
+  },
+  [] (struct platform *) {},
+};
+
+#endif
--- a/policy/fleet/membership.c
+++ b/policy/fleet/membership.c
@@ -52,6 +52,7 @@
   struct member *bad;     /**< not live */
   struct member *changed; /**< to be told by membership_next_change() */
   uint32_t watched_back_count;
+  int64_t ticked_ms;
 };
 
 const char *
@@ -173,6 +174,7 @@
 {
   struct membership *membership = xcalloc (1, sizeof *membership);
   membership->options = *options;
+  membership->ticked_ms = never_ms;
   add (membership, options->self, options->incarnation);
   return membership;
 }
@@ -465,11 +467,31 @@
     }
 }
 
+/* Guards against a host that was frozen and thaws: it has heard nobody for
+   long, and would tell all others that its neighbours are dead.  Shows as
+   live hosts taken from callers whenever one process pauses.  A silence that
+   this host slept through says nothing, so the wait starts again. */
+static void
+excuse_pause (struct membership *membership, int64_t now_ms)
+{
+  const int64_t gap_ms = now_ms - membership->ticked_ms;
+  const bool is_paused = membership->ticked_ms != never_ms
+                         && gap_ms >= membership->options.suspect_after_ms;
+  membership->ticked_ms = now_ms;
+  if (!is_paused)
+    return;
+  struct member *member;
+  for (member = membership->members; member != NULL; member = member->hh.next)
+    if ((member->watched || member->watched_back) && !is_gone (member))
+      member->watched_ms = now_ms;
+}
+
 void
 membership_tick (struct membership *membership, int64_t now_ms)
 {
   struct member *member;
   struct member *next;
+  excuse_pause (membership, now_ms);
   HASH_ITER (hh, membership->members, member, next)
   {
     if (member->key == membership->options.self)
