daemon: a host put together; the whole path, thin, as separate processes

Ruled out: creating the control task first; what it posts at its start found no subscriber, so tasks that listen come before it.

--- /dev/null
+++ b/node/daemon/host.c
@@ -0,0 +1,220 @@
+#define LOG_MODULE "host"
+
+#include "node/daemon/host.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "base/rng.h"
+#include "base/xmalloc.h"
+#include "node/bus.h"
+#include "node/caller/caller_task.h"
+#include "node/control/control_task.h"
+#include "node/tables.h"
+#include "wire/platform_file.h"
+#include "wire/platform_http.h"
+
+enum host_phase
+{
+  HOST_SERVING,
+  HOST_LEAVING,
+  HOST_OVER,
+};
+
+struct host
+{
+  struct ev_loop *loop;
+  struct host_settings settings;
+  struct counters *counters;
+  struct tables *tables;
+  struct bus *bus;
+  struct platform *platform;
+  struct caller_task *caller;
+  struct control_task *control;
+  enum host_phase phase;
+  struct ev_timer leave_limit;
+  host_done *done;
+  void *done_owner;
+};
+
+static enum status
+create_platform (struct host *host)
+{
+  const struct host_settings *settings = &host->settings;
+  if (settings->platform_file[0] != '\0')
+    {
+      const struct platform_file_options options
+          = { .loop = host->loop, .path = settings->platform_file };
+      return platform_file_create (&options, &host->platform);
+    }
+  const char *addresses[HOST_PLATFORM_ADDRESSES_MAX];
+  for (size_t i = 0; i < settings->platform_address_count; i++)
+    addresses[i] = settings->platform_addresses[i];
+  const struct platform_http_options options = {
+    .loop = host->loop,
+    .addresses = addresses,
+    .count = settings->platform_address_count,
+    .timeout_ms = settings->times.platform_timeout_ms,
+  };
+  host->platform = platform_http_create (&options);
+  return host->platform == NULL ? STATUS_INVALID : STATUS_OK;
+}
+
+static enum status
+create_caller (struct host *host, uint64_t incarnation)
+{
+  const struct caller_task_options options = {
+    .loop = host->loop,
+    .bus = host->bus,
+    .settings = &host->settings,
+    .counters = host->counters,
+    .tables = host->tables,
+    .incarnation = incarnation,
+  };
+  host->caller = caller_task_create (&options);
+  return host->caller == NULL ? STATUS_SYSTEM : STATUS_OK;
+}
+
+static enum status
+create_control (struct host *host, uint64_t incarnation)
+{
+  const struct control_task_options options = {
+    .loop = host->loop,
+    .bus = host->bus,
+    .settings = &host->settings,
+    .platform = host->platform,
+    .counters = host->counters,
+    .tables = host->tables,
+    .incarnation = incarnation,
+  };
+  return control_task_create (&options, &host->control);
+}
+
+/* Tasks that hear the bus come before the control task, which speaks first:
+   what it posts at its start must find its subscribers. */
+static enum status
+create_tasks (struct host *host)
+{
+  uint64_t incarnation;
+  rng_secret (&incarnation, sizeof incarnation);
+  enum status status = create_platform (host);
+  if (status == STATUS_OK)
+    status = create_caller (host, incarnation);
+  if (status == STATUS_OK)
+    status = create_control (host, incarnation);
+  return status;
+}
+
+enum status
+host_create (const struct host_options *options, struct host **host)
+{
+  struct host *created = xcalloc (1, sizeof *created);
+  created->loop = options->loop;
+  created->settings = *options->settings;
+  created->counters = counters_create ();
+  created->tables = tables_create ();
+  created->bus = bus_create (created->loop);
+  const enum status status = create_tasks (created);
+  if (status != STATUS_OK)
+    {
+      host_destroy (created);
+      created = NULL;
+    }
+  *host = created;
+  return status;
+}
+
+void
+host_destroy (struct host *host)
+{
+  if (host == NULL)
+    return;
+  ev_timer_stop (host->loop, &host->leave_limit);
+  if (host->control != NULL)
+    control_task_destroy (host->control);
+  if (host->caller != NULL)
+    caller_task_destroy (host->caller);
+  platform_destroy (host->platform);
+  bus_destroy (host->bus);
+  tables_destroy (host->tables);
+  counters_destroy (host->counters);
+  free (host);
+}
+
+static void
+finish (struct host *host, const char *why)
+{
+  if (host->phase == HOST_OVER)
+    return;
+  host->phase = HOST_OVER;
+  ev_timer_stop (host->loop, &host->leave_limit);
+  LOG_INFO ("left", LOG_STR ("why", why),
+            LOG_INT ("in_flight", caller_task_in_flight (host->caller)));
+  host->done (host->done_owner);
+}
+
+static void
+caller_left (void *owner)
+{
+  finish (owner, "nothing in flight");
+}
+
+/* What is still in flight is told so before the end: a caller must not wait
+   for a connection that just breaks. */
+static void
+end_now (struct host *host, const char *why)
+{
+  finish (host, why);
+}
+
+static void
+leave_limit_cb (struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+  end_now (watcher->data, "shutdown_ms are over");
+}
+
+void
+host_begin_leaving (struct host *host, host_done *done, void *owner)
+{
+  if (host->phase == HOST_OVER)
+    return;
+  if (host->phase == HOST_LEAVING)
+    {
+      end_now (host, "asked a second time");
+      return;
+    }
+  host->phase = HOST_LEAVING;
+  host->done = done;
+  host->done_owner = owner;
+  const struct bus_message message = { .topic = BUS_SHUTDOWN };
+  bus_post (host->bus, &message);
+  const double limit_s = host->settings.times.shutdown_ms / 1000.0;
+  ev_timer_init (&host->leave_limit, leave_limit_cb, limit_s, 0);
+  host->leave_limit.data = host;
+  ev_timer_start (host->loop, &host->leave_limit);
+  caller_task_begin_leaving (host->caller, caller_left, host);
+}
+
+/* The logger's members apart, the two are alike when nothing needs a
+   restart. */
+static bool
+needs_restart (const struct host_settings *old,
+               const struct host_settings *new)
+{
+  struct host_settings same = *new;
+  same.log_level = old->log_level;
+  same.log_json = old->log_json;
+  same.log_repeats_per_second = old->log_repeats_per_second;
+  return memcmp (&same, old, sizeof same) != 0;
+}
+
+void
+host_reload (struct host *host, const struct host_settings *settings)
+{
+  const bool restart = needs_restart (&host->settings, settings);
+  LOG_INFO (
+      "reloaded", LOG_STR ("in_force", "log"),
+      LOG_STR ("needs_restart", restart ? "all else that changed" : "-"));
+}
--- /dev/null
+++ b/tests/fleet/cut_test.cc
@@ -0,0 +1,75 @@
+/** Connections that carry one way only. */
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+#include "tests/harness/caller.h"
+#include "tests/harness/relay.h"
+
+namespace
+{
+
+constexpr int callers = 4;
+constexpr size_t some = 150;
+
+/* Answers of one target no longer reach the hosts, though requests reach it.
+   Callers of holds there are told "unknown", never "not run", and the target
+   is avoided for the rest. */
+TEST (Cut, TargetHeardOneWayOnly)
+{
+  AddressBlock between;
+  FleetOptions options;
+  options.through["target-1"] = between.at (5, 9100);
+  Fleet fleet (options);
+  Relay relay (between.at (5, 9100),
+               fleet.target_url (1, "").substr (strlen ("http://")));
+  ASSERT_TRUE (fleet.start ());
+  Load load (fleet, callers);
+  ASSERT_TRUE (load.wait_more (some));
+  relay.cut_back = true;
+  ASSERT_TRUE (load.wait_more (some));
+  relay.cut_back = false;
+  load.stop ();
+  EXPECT_EQ (load.check (), "") << fleet.logs ();
+}
+
+/* The platform hears the hosts but they don't hear it, while an operator
+   changes the floor by another way.  After the cut the new settings are in
+   force on all hosts and stay so. */
+TEST (Cut, SettingsChangedDuringACutNeverRevert)
+{
+  AddressBlock between;
+  FleetOptions options;
+  options.through["platform"] = between.at (5, 9000);
+  options.times = "\"platform_timeout_ms\":300,\"watch_ms\":500";
+  Fleet fleet (options);
+  Relay relay (between.at (5, 9000),
+               fleet.platform_url ("").substr (strlen ("http://")));
+  ASSERT_TRUE (fleet.start ());
+  relay.cut_back = true;
+  std::string changed = fleet.service_json ();
+  changed.replace (changed.find ("\"floor_capacity\":4"), 18,
+                   "\"floor_capacity\":5");
+  ASSERT_TRUE (fleet.declare (changed));
+  relay.cut_back = false;
+  for (int number = 1; number <= 3; number++)
+    EXPECT_TRUE (wait_until ([&] {
+      return fleet
+                 .jaystair (number, { "--json", "show", "services", "where",
+                                      "floor_capacity=5" })
+                 .find ("holds")
+             != std::string::npos;
+    })) << fleet.logs ();
+  fleet.hosts[0]->kill ();
+  fleet.start_host (1);
+  ASSERT_TRUE (fleet.wait_serving (1));
+  for (int number = 1; number <= 3; number++)
+    EXPECT_EQ (fleet
+                   .jaystair (number, { "--json", "show", "services", "where",
+                                        "floor_capacity=4" })
+                   .find ("holds"),
+               std::string::npos)
+        << fleet.logs ();
+}
+
+} // namespace
--- /dev/null
+++ b/tests/harness/caller.h
@@ -0,0 +1,68 @@
+/** @file
+ * Callers of a fleet, and the account of what each was told.
+ */
+#ifndef TESTS_HARNESS_CALLER_H
+#define TESTS_HARNESS_CALLER_H
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/harness/fleet.h"
+
+/** What a caller was told about one request. */
+enum class Told
+{
+  ran,     /**< the whole right answer */
+  failed,  /**< a whole answer of the target that says failure */
+  not_run, /**< refused: surely not run */
+  unknown, /**< an honest "unknown", or the connection broke */
+  wrong,   /**< an answer that isn't its own, or cut but complete-looking */
+};
+
+struct Record
+{
+  bool unrepeatable;
+  Told told;
+  std::string detail;
+};
+
+/** Callers that ask for addresses, keep the answer, and send GET /calendar
+ * and POST /holds requests with ids of their own until stopped. */
+class Load
+{
+public:
+  Load (Fleet &fleet, int threads);
+  ~Load ();
+
+  /** Wait until COUNT more requests have ended. */
+  bool wait_more (size_t count);
+  void stop ();
+  size_t count ();
+  size_t count_told (Told told);
+  /** Every promise the users are given, against the targets' own account;
+   * "" when all are kept, else what broke.  After stop(). */
+  std::string check ();
+  std::string summary ();
+
+private:
+  void run (int thread);
+  void send_one (int thread, int number);
+  std::vector<std::string> ask_addresses (int thread);
+
+  Fleet &fleet_;
+  std::atomic<bool> stopping_{ false };
+  std::mutex mutex_;
+  std::map<std::string, Record> records_;
+  std::vector<std::thread> threads_;
+};
+
+/** Send one request through the host at CALLER_URL and judge the answer. */
+Record send_and_judge (const std::string &base_url, const std::string &id,
+                       bool unrepeatable,
+                       const std::vector<std::string> &headers = {});
+
+#endif
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -208,13 +208,15 @@
 Fleet::declare (const std::string &service_json)
 {
   const std::string url = platform_url ("/objects/service/holds");
-  const std::string version = json_at (http_get (url).body, "version");
+  const HttpAnswer now = http_get (url);
   HttpRequest request;
   request.method = "PUT";
   request.url = url;
   request.body = service_json;
   request.headers
-      = { version.empty () ? "If-None-Match: *" : "If-Match: " + version };
+      = { now.status == 200
+              ? "If-Match: \"" + json_at (now.body, "version") + "\""
+              : "If-None-Match: *" };
   return http (request).status == 200;
 }
 
@@ -246,17 +248,20 @@
   return http (request).status == 200;
 }
 
+std::map<std::string, int>
+Fleet::all_runs ()
+{
+  std::map<std::string, int> runs;
+  for (const auto &target : targets)
+    for (const std::string &line : target->lines_with ("run "))
+      runs[line.substr (4, line.find_first_of (" \n", 4) - 4)]++;
+  return runs;
+}
+
 int
 Fleet::runs_of (const std::string &id)
 {
-  int runs = 0;
-  for (int number = 1; number <= options_.targets; number++)
-    {
-      const HttpAnswer answer
-          = http_get (target_url (number, "/control/runs?id=" + id));
-      runs += atoi (json_at (answer.body, id).c_str ());
-    }
-  return runs;
+  return all_runs ()[id];
 }
 
 std::string
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -75,7 +75,9 @@
 
   /** POST to a control endpoint of a stand-in. */
   bool control (const std::string &url);
-  /** How often the request ID was run, over all targets. */
+  /** How often each request was run, by id, over all targets, by the lines
+   * they wrote: those of a killed target count too. */
+  std::map<std::string, int> all_runs ();
   int runs_of (const std::string &id);
   /** Run the operator program against HOST; its output, and its exit code. */
   std::string jaystair (int host, std::vector<std::string> args,
--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -135,6 +135,17 @@
   return count;
 }
 
+std::vector<std::string>
+Process::lines_with (const std::string &prefix)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::vector<std::string> found;
+  for (const std::string &line : lines_)
+    if (line.compare (0, prefix.size (), prefix) == 0)
+      found.push_back (line);
+  return found;
+}
+
 size_t
 Process::line_count ()
 {
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -29,6 +29,8 @@
                   size_t *from = nullptr);
   /** How many lines so far hold all PARTS. */
   size_t count_lines (const std::vector<std::string> &parts);
+  /** The lines so far that begin with PREFIX. */
+  std::vector<std::string> lines_with (const std::string &prefix);
   /** The number of lines so far: where to wait from for what comes next. */
   size_t line_count ();
   /** The last LINES lines, for a failure's message. */
--- a/tests/standins/target.c
+++ b/tests/standins/target.c
@@ -33,6 +33,7 @@
       fprintf (stderr, "can't listen on %s\n", listen);
       return 1;
     }
+  target_server_log_runs (server, stdout);
   ev_signal term;
   ev_signal interrupt;
   ev_signal_init (&term, on_signal, SIGTERM);
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -66,6 +66,7 @@
   struct run *runs;
   struct request *requests;
   struct rng rng;
+  FILE *run_log;
 };
 
 static bool
@@ -97,6 +98,17 @@
     }
   run->times++;
   server->counts.runs++;
+  if (server->run_log == NULL)
+    return;
+  /* Out before the answer, so that the account outlives a killed target. */
+  fprintf (server->run_log, "run %s\n", id);
+  fflush (server->run_log);
+}
+
+void
+target_server_log_runs (struct target_server *server, FILE *run_log)
+{
+  server->run_log = run_log;
 }
 
 static enum MHD_Result
@@ -304,8 +316,9 @@
     }
   if (faults->delay_ms == 0)
     return answer (request);
+  const double share = faults->jitter != 0 ? rng_unit (&server->rng) : 1.0;
   ev_now_update (server->loop);
-  ev_timer_set (&request->delay, faults->delay_ms / 1000.0, 0.);
+  ev_timer_set (&request->delay, share * faults->delay_ms / 1000.0, 0.);
   ev_timer_start (server->loop, &request->delay);
   suspend (request);
   return MHD_YES;
@@ -320,14 +333,13 @@
   {
     const char *name;
     uint32_t *value;
-  } known[] = { { "fail", &faults->fail },
-                { "hang", &faults->hang },
-                { "cut", &faults->cut },
-                { "close", &faults->close },
-                { "shed", &faults->shed },
-                { "delay_ms", &faults->delay_ms },
-                { "close_reused", &faults->close_reused },
-                { "leave", &faults->leave } };
+  } known[] = {
+    { "fail", &faults->fail },     { "hang", &faults->hang },
+    { "cut", &faults->cut },       { "close", &faults->close },
+    { "shed", &faults->shed },     { "delay_ms", &faults->delay_ms },
+    { "jitter", &faults->jitter }, { "close_reused", &faults->close_reused },
+    { "leave", &faults->leave }
+  };
   for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
     if (strcmp (name, known[i].name) == 0)
       *known[i].value = (uint32_t)strtoul (value, NULL, 10);
--- a/tests/standins/target_server.h
+++ b/tests/standins/target_server.h
@@ -15,6 +15,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #include <ev.h>
 
@@ -27,6 +28,7 @@
   uint32_t close;    /**< closed without an answer, after the request ran */
   uint32_t shed;     /**< refused with 503 and `Jaystair-Outcome: not-run` */
   uint32_t delay_ms; /**< before each answer */
+  uint32_t jitter;   /**< 1: the delay is any from 0 to delay_ms */
   /** 1: a request on a connection that carried one before runs and is then
    * closed without an answer. */
   uint32_t close_reused;
@@ -50,6 +52,9 @@
                                             const char *name);
 void target_server_destroy (struct target_server *server);
 
+/** Write a line `run ID` to RUN_LOG for each run, as it begins. */
+void target_server_log_runs (struct target_server *server, FILE *run_log);
+
 /** IP:PORT. */
 const char *target_server_address (const struct target_server *server);
 struct target_faults *target_server_faults (struct target_server *server);
