operator: one change of a service as a conditional write

Of two commands at one moment the second is refused with what the first changed (service_spec_diff).

--- a/wire/tests/service_spec_test.cc
+++ b/wire/tests/service_spec_test.cc
@@ -7,6 +7,7 @@
 extern "C"
 {
 #include "wire/service_spec.h"
+#include "wire/service_spec_diff.h"
 }
 
 namespace
@@ -166,6 +167,40 @@
     }
 }
 
+TEST (ServiceSpecDiff, NamesWhatDiffers)
+{
+  struct service_spec *before;
+  struct service_spec *after;
+  char text[512];
+  char cut[16];
+  ASSERT_EQ (service_spec_parse (
+                 "f",
+                 "{\"name\":\"holds\",\"floor_capacity\":4,\"targets\":["
+                 "{\"name\":\"h1\",\"address\":\"127.0.0.1:1\"},"
+                 "{\"name\":\"h2\",\"address\":\"127.0.0.1:2\"}]}",
+                 0, &before),
+             STATUS_OK);
+  ASSERT_EQ (service_spec_parse (
+                 "f",
+                 "{\"name\":\"holds\",\"prefer\":\"faster-detection\","
+                 "\"targets\":[{\"name\":\"h1\",\"address\":\"127.0.0.1:3\","
+                 "\"dc\":\"a\",\"slots\":5},{\"name\":\"h3\","
+                 "\"address\":\"127.0.0.1:4\"}],\"routes\":[{}],"
+                 "\"limits\":{\"attempts\":1}}",
+                 0, &after),
+             STATUS_OK);
+  EXPECT_EQ (service_spec_diff (before, after, text, sizeof text), 10u);
+  EXPECT_STREQ (text, "prefer to faster-detection; floor_capacity 4 to 0; "
+                      "target h1: address 127.0.0.1:1 to 127.0.0.1:3; "
+                      "target h1: dc  to a; target h1: slots 4 to 5; "
+                      "target h1: capacity 4 to 5; target h2 removed; "
+                      "target h3 added; routes changed; limits changed");
+  EXPECT_EQ (service_spec_diff (before, after, cut, sizeof cut), 10u);
+  EXPECT_EQ (strlen (cut), sizeof cut - 1);
+  service_spec_destroy (before);
+  service_spec_destroy (after);
+}
+
 struct bad_value
 {
   const char *members; /* beside a good name and target */
