--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -67,7 +67,8 @@
 reset_connection (const struct exchange *x)
 {
   const struct sockaddr none = { .sa_family = AF_UNSPEC };
-  connect (x->fd, &none, sizeof none);
+  const int result = connect (x->fd, &none, sizeof none);
+  (void)result;
 }
 
 static ssize_t
--- a/node/caller/exchange_ticket.c
+++ b/node/caller/exchange_ticket.c
@@ -124,11 +124,10 @@
     return;
   x->ticket_claimed = false;
   enum ticket_end end = TICKET_END_UNKNOWN;
-  if (x->state == EXCHANGE_ANSWERING && x->answer.whole)
+  const bool answering = x->state == EXCHANGE_ANSWERING;
+  if (answering && x->answer.whole)
     end = TICKET_END_ANSWERED;
-  else if (x->state == EXCHANGE_OWN && x->own.outcome == ANSWER_NOT_RUN)
-    end = TICKET_END_NOT_RUN;
-  else if (x->state != EXCHANGE_ANSWERING && !x->perhaps_ran)
+  else if (!answering && exchange_outcome (x) == ANSWER_NOT_RUN)
     end = TICKET_END_NOT_RUN;
   ticket_desk_finish (x->context->tickets, x->ticket_sequence, end,
                       x->attempt.status);
--- /dev/null
+++ b/node/caller/tests/caller_task_test.cc
@@ -0,0 +1,251 @@
+#include <algorithm>
+
+#include <json-c/json.h>
+
+#include "node/caller/tests/caller_fixture.h"
+
+extern "C"
+{
+#include "policy/detection/recorder.h"
+}
+
+static bus_set_host
+host (const char *name, const char *address)
+{
+  bus_set_host entry = {};
+  strcpy (entry.name, name);
+  strcpy (entry.dc, "dc-a");
+  strcpy (entry.caller_address, address);
+  return entry;
+}
+
+class CallerTaskTest : public CallerTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    CallerTest::SetUp ();
+    settings.limits.keep_answer_ms = 60;
+    settings.times.suspect_after_ms = 20;
+    target = add_target ("t1");
+    start ();
+    put_service (usual_routes);
+  }
+
+  std::unique_ptr<Call>
+  ask (const std::string &service = "holds")
+  {
+    return get ("/.well-known/jaystair/addresses?service=" + service);
+  }
+
+  std::vector<std::string>
+  strings (const Call &answer, const char *list, const char *member)
+  {
+    std::vector<std::string> all;
+    json_object *body = json_tokener_parse (answer.answer.c_str ());
+    json_object *entries = json_object_object_get (body, list);
+    for (size_t i = 0;
+         entries != nullptr && i < json_object_array_length (entries); i++)
+      {
+        json_object *entry = json_object_array_get_idx (entries, i);
+        if (member != nullptr)
+          entry = json_object_object_get (entry, member);
+        all.push_back (json_object_get_string (entry));
+      }
+    json_object_put (body);
+    return all;
+  }
+
+  std::unique_ptr<Call>
+  hold (const std::string &ticket, const std::string &id)
+  {
+    auto call = make ("POST", "/holds", id);
+    call->fields.push_back ("Jaystair-Ticket: " + ticket);
+    finish (call.get ());
+    return call;
+  }
+
+  target_server *target = nullptr;
+};
+
+TEST_F (CallerTaskTest, AddressesComeInAnotherOrderEachTime)
+{
+  put_hosts ({ host ("host-1", caller_task_address (task)),
+               host ("host-2", "127.0.0.2:7001"),
+               host ("host-3", "127.0.0.3:7001") });
+  std::vector<std::string> firsts;
+  for (int i = 0; i < 3; i++)
+    {
+      auto answer = ask ();
+      EXPECT_EQ (answer->status, 200);
+      const auto addresses = strings (*answer, "addresses", "address");
+      ASSERT_EQ (addresses.size (), 3u) << answer->answer;
+      firsts.push_back (addresses[0]);
+    }
+  std::sort (firsts.begin (), firsts.end ());
+  EXPECT_EQ (std::unique (firsts.begin (), firsts.end ()), firsts.end ());
+}
+
+TEST_F (CallerTaskTest, UnknownServiceIsToldWithARemedy)
+{
+  auto answer = ask ("nobody");
+  EXPECT_EQ (answer->status, 404);
+  EXPECT_EQ (answer->field ("jaystair-outcome"), "not-run");
+  EXPECT_NE (answer->answer.find ("declare the service"), std::string::npos);
+  EXPECT_EQ (get ("/.well-known/jaystair/addresses")->status, 400);
+}
+
+/* A couple's deposit hold times out at their side and they send it again.
+   Without the ticket it would be placed twice. */
+TEST_F (CallerTaskTest, TicketRunsOnceHoweverOftenItIsSent)
+{
+  const auto tickets = strings (*ask (), "tickets", nullptr);
+  ASSERT_GE (tickets.size (), 2u);
+  EXPECT_EQ (hold (tickets[0], "h1")->status, 200);
+  auto again = hold (tickets[0], "h1");
+  EXPECT_EQ (again->status, 409);
+  EXPECT_EQ (again->field ("jaystair-outcome"), "unknown");
+  EXPECT_EQ (target_server_runs (target, "h1"), 1u);
+  EXPECT_EQ (hold (tickets[1], "h2")->status, 200);
+}
+
+TEST_F (CallerTaskTest, TicketThatSurelyDidNotRunCanBeSentAgain)
+{
+  const auto tickets = strings (*ask (), "tickets", nullptr);
+  target_server_faults (target)->shed = 100;
+  auto refused = hold (tickets[0], "h1");
+  EXPECT_EQ (refused->field ("jaystair-outcome"), "not-run");
+  target_server_faults (target)->shed = 0;
+  EXPECT_EQ (hold (tickets[0], "h1")->status, 200);
+  EXPECT_EQ (target_server_runs (target, "h1"), 1u);
+}
+
+TEST_F (CallerTaskTest, ForgedTicketIsNotRun)
+{
+  auto tickets = strings (*ask (), "tickets", nullptr);
+  std::string forged = tickets[0];
+  forged.back () = forged.back () == '0' ? '1' : '0';
+  for (const std::string &bad : { forged, std::string ("nonsense") })
+    {
+      auto answer = hold (bad, "h1");
+      EXPECT_EQ (answer->status, 400);
+      EXPECT_EQ (answer->field ("jaystair-outcome"), "not-run");
+    }
+  EXPECT_EQ (target_server_runs (target, "h1"), 0u);
+}
+
+/* The planner's second try reaches another host.  That host must not run the
+   hold: it passes it to the host that handed out the ticket. */
+TEST_F (CallerTaskTest, TicketOfAnotherHostRunsOnlyThere)
+{
+  host_settings other_settings = settings;
+  strcpy (other_settings.name, "host-2");
+  caller_task_options options = {};
+  options.loop = loop;
+  options.bus = the_bus;
+  options.settings = &other_settings;
+  options.counters = the_counters;
+  options.seed = 2;
+  caller_task *other = caller_task_create (&options);
+  ASSERT_NE (other, nullptr);
+  put_service (usual_routes);
+  put_hosts ({ host ("host-1", caller_task_address (task)),
+               host ("host-2", caller_task_address (other)) });
+  const auto tickets = strings (*ask (), "tickets", nullptr);
+  for (int i = 0; i < 2; i++)
+    {
+      auto call = make ("POST", "/holds", "h1");
+      call->url
+          = std::string ("http://") + caller_task_address (other) + "/holds";
+      call->fields.push_back ("Jaystair-Ticket: " + tickets[0]);
+      finish (call.get ());
+      EXPECT_EQ (call->status, i == 0 ? 200 : 409) << call->answer;
+      EXPECT_EQ (call->field ("jaystair-outcome"), i == 0 ? "ran" : "unknown");
+    }
+  EXPECT_EQ (target_server_runs (target, "h1"), 1u);
+  /* Its own host is gone: nobody knows whether it ran. */
+  put_hosts ({ host ("host-1", "127.0.0.1:1") });
+  auto lost = make ("POST", "/holds", "h2");
+  lost->url = std::string ("http://") + caller_task_address (other) + "/holds";
+  lost->fields.push_back ("Jaystair-Ticket: " + tickets[1]);
+  finish (lost.get ());
+  EXPECT_EQ (lost->field ("jaystair-outcome"), "unknown");
+  EXPECT_EQ (target_server_runs (target, "h2"), 0u);
+  caller_task_destroy (other);
+}
+
+/* A host is replaced in the middle of a wedding season's evening.  Callers
+   that still keep its address, and a request that takes longer than that,
+   must get their answers. */
+TEST_F (CallerTaskTest, LeavingHostServesUntilNothingIsInFlight)
+{
+  put_hosts ({ host ("host-1", caller_task_address (task)),
+               host ("host-2", "127.0.0.2:7001") });
+  target_server_faults (target)->delay_ms = 300;
+  auto slow = make ("GET", "/slow", "slow");
+  begin (slow.get ());
+  ASSERT_TRUE (
+      run_until ([this] { return caller_task_in_flight (task) == 1; }));
+  bool done = false;
+  caller_task_begin_leaving (
+      task, [] (void *owner) { *static_cast<bool *> (owner) = true; }, &done);
+  auto addresses = ask ();
+  EXPECT_EQ (strings (*addresses, "addresses", "address"),
+             std::vector<std::string>{ "127.0.0.2:7001" });
+  EXPECT_EQ (addresses->field ("connection"), "close");
+  target_server_faults (target)->delay_ms = 0;
+  EXPECT_EQ (get ("/late-comer", "late")->status, 200);
+  ASSERT_TRUE (run_until ([&slow, &done] { return slow->done || done; }));
+  EXPECT_FALSE (done);
+  EXPECT_EQ (slow->status, 200);
+  EXPECT_EQ (slow->field ("connection"), "close");
+  EXPECT_TRUE (run_until ([&done] { return done; }));
+}
+
+TEST_F (CallerTaskTest, OutcomesReachTheRecorder)
+{
+  get ("/calendar", "r1");
+  detection_recorder *recorder = caller_task_recorder (task, "holds");
+  ASSERT_NE (recorder, nullptr);
+  detection_report_item items[4];
+  ASSERT_EQ (detection_recorder_take (recorder, items, 4), 1u);
+  EXPECT_EQ (items[0].evidence.requests, 1u);
+  EXPECT_EQ (caller_task_recorder (task, "nobody"), nullptr);
+}
+
+TEST_F (CallerTaskTest, RemovedServiceFinishesWhatItHas)
+{
+  target_server_faults (target)->delay_ms = 50;
+  auto call = make ("GET", "/slow", "slow");
+  begin (call.get ());
+  ASSERT_TRUE (
+      run_until ([this] { return caller_task_in_flight (task) == 1; }));
+  bus_message message = {};
+  message.topic = BUS_SERVICE_REMOVED;
+  strcpy (message.service_removed.name, "holds");
+  message.service_removed.version = version + 1;
+  bus_post (the_bus, &message);
+  ASSERT_TRUE (run_until ([&call] { return call->done; }));
+  EXPECT_EQ (call->status, 200);
+  EXPECT_EQ (get ("/calendar")->status, 404);
+}
+
+/* A host is stopped at once: nothing may be left behind, whatever was under
+   way. */
+TEST_F (CallerTaskTest, DestroyedWithWorkInFlight)
+{
+  target_server_faults (target)->hang = 100;
+  auto first = make ("GET", "/a", "a");
+  auto second = make ("POST", "/b", "b");
+  second->body = std::string (200000, 'x');
+  begin (first.get ());
+  begin (second.get ());
+  ASSERT_TRUE (
+      run_until ([this] { return caller_task_in_flight (task) == 2; }));
+  caller_task_destroy (task);
+  task = nullptr;
+  ASSERT_TRUE (run_until ([&] { return first->done && second->done; }));
+  EXPECT_EQ (first->status, 0);
+  EXPECT_EQ (second->status, 0);
+}
