--- a/node/operator/service_command.c
+++ b/node/operator/service_command.c
@@ -226,14 +226,16 @@
   struct service_command *sc = owner;
   const struct platform_object *object
       = reply->count > 0 ? &reply->objects[0] : NULL;
-  if (reply->status == STATUS_OK && object != NULL)
+  const bool refused = reply->status == STATUS_REFUSED;
+  const bool in_force = object != NULL
+                        && (reply->status == STATUS_OK
+                            || (refused && is_own_write (sc, object)));
+  if (in_force)
     finish_accepted (sc, object->version);
-  else if (reply->status != STATUS_REFUSED)
-    read_back_later (sc);
-  else if (object != NULL && is_own_write (sc, object))
-    finish_accepted (sc, object->version);
-  else
+  else if (refused)
     finish_overwritten (sc, object == NULL ? 0 : object->version);
+  else
+    read_back_later (sc);
 }
 
 /* The old version still stands, but the lost write may be waiting within a
@@ -267,29 +269,41 @@
                 on_read_back, sc);
 }
 
+static void
+finish_unchanged (struct service_command *sc, enum status status,
+                  const struct platform_reply *reply)
+{
+  finish_failed (sc, status == STATUS_LIMIT ? STATUS_UNREACHABLE : status,
+                 "nothing was changed: %s", reply->message);
+}
+
 static void
 on_written (void *owner, const struct platform_reply *reply)
 {
   struct service_command *sc = owner;
   const struct platform_object *object
       = reply->count > 0 ? &reply->objects[0] : NULL;
-  if (reply->status == STATUS_OK && object != NULL)
-    finish_accepted (sc, object->version);
-  else if (reply->status == STATUS_REFUSED
-           && (object == NULL || object->version == sc->before->version))
-    finish_failed (sc, STATUS_REFUSED, "nothing was changed: %s",
-                   reply->message);
-  else if (reply->status == STATUS_REFUSED)
-    finish_conflict (sc, object);
-  else if (reply->status == STATUS_INVALID)
-    finish_failed (sc, STATUS_INVALID, "nothing was changed: %s",
-                   reply->message);
-  else if (reply->status == STATUS_UNREACHABLE
-           || reply->status == STATUS_LIMIT)
-    finish_failed (sc, STATUS_UNREACHABLE, "nothing was changed: %s",
-                   reply->message);
-  else
-    read_back_later (sc);
+  const bool moved = object != NULL && object->version != sc->before->version;
+  switch (reply->status)
+    {
+    case STATUS_OK:
+      finish_accepted (sc, object == NULL ? 0 : object->version);
+      return;
+    case STATUS_REFUSED:
+      if (moved)
+        finish_conflict (sc, object);
+      else
+        finish_unchanged (sc, reply->status, reply);
+      return;
+    case STATUS_NOT_FOUND:
+    case STATUS_INVALID:
+    case STATUS_UNREACHABLE:
+    case STATUS_LIMIT:
+      finish_unchanged (sc, reply->status, reply);
+      return;
+    default:
+      read_back_later (sc);
+    }
 }
 
 static void
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1,6 +1,5 @@
 /* The stand-in platform: docs/PLATFORM-API.md says what it answers and how it
    is told to fail. */
-#include <getopt.h>
 #include <inttypes.h>
 #include <pthread.h>
 #include <signal.h>
@@ -9,18 +8,31 @@
 #include <string.h>
 
 #include <microhttpd.h>
+#include <utlist.h>
 
 #include "base/clock.h"
+#include "base/json_text.h"
 #include "base/options.h"
 #include "base/xmalloc.h"
 #include "node/mhd_loop.h"
-#include "tests/standins/platform_store.h"
-#include "wire/platform.h"
+#include "wire/platform_memory.h"
 
 enum
 {
   LAG_POLL_MS = 5,
   ADDRESS_SIZE = 64,
+  NAME_TEXT_SIZE = 1024,
+};
+
+/* A write that reads of hosts may not see yet. */
+struct late_write
+{
+  char *kind;
+  char *name;
+  char *value;
+  int64_t at_ms;
+  struct late_write *prev;
+  struct late_write *next;
 };
 
 /* Guarded by `lock`; `changed` is signalled at every write and control. */
@@ -28,7 +40,9 @@
 {
   pthread_mutex_t lock;
   pthread_cond_t changed;
-  struct platform_store *store;
+  struct platform_memory *memory;
+  struct platform_memory *lagging; /* gets the same writes later */
+  struct late_write *late;
   bool down;
   int64_t slow_ms;
   int64_t lag_ms;
@@ -94,27 +108,96 @@
   return text == NULL ? otherwise : strtoll (text, NULL, 10);
 }
 
-static int64_t
-as_of_ms (const char *kind)
+/* What reads of KIND see. */
+static struct platform_memory *
+seen (const char *kind)
+{
+  struct late_write *write;
+  struct late_write *next;
+  DL_FOREACH_SAFE (state.late, write, next)
+  {
+    if (write->at_ms + state.lag_ms > clock_now_ms ())
+      break;
+    platform_memory_put (state.lagging, write->kind, write->name,
+                         write->value);
+    DL_DELETE (state.late, write);
+    free (write->kind);
+    free (write->name);
+    free (write->value);
+    free (write);
+  }
+  return strcmp (kind, PLATFORM_KIND_HOST) == 0 ? state.lagging : state.memory;
+}
+
+static uint64_t
+write_object (const char *kind, const char *name, const char *value)
+{
+  struct late_write *write = xcalloc (1, sizeof *write);
+  write->kind = xstrdup (kind);
+  write->name = xstrdup (name);
+  write->value = xstrdup (value);
+  write->at_ms = clock_now_ms ();
+  DL_APPEND (state.late, write);
+  pthread_cond_broadcast (&state.changed);
+  return platform_memory_put (state.memory, kind, name, value);
+}
+
+static char *
+object_text (const char *name, uint64_t version, const char *value)
 {
-  const bool lags = strcmp (kind, PLATFORM_KIND_HOST) == 0;
-  return clock_now_ms () - (lags ? state.lag_ms : 0);
+  char quoted[NAME_TEXT_SIZE];
+  json_text_quote (quoted, sizeof quoted, name);
+  return xasprintf ("{\"name\":%s,\"version\":%" PRIu64 ",\"value\":%s}",
+                    quoted, version, value == NULL ? "null" : value);
+}
+
+static char *
+list_text (const char *kind, uint64_t since, size_t *count)
+{
+  char *text;
+  size_t size;
+  struct platform_object *objects;
+  struct platform_memory *memory = seen (kind);
+  FILE *out = open_memstream (&text, &size);
+  *count = platform_memory_list (memory, kind, since, &objects);
+  fprintf (out, "{\"revision\":%" PRIu64 ",\"objects\":[",
+           platform_memory_revision (memory, kind));
+  for (size_t i = 0; i < *count; i++)
+    {
+      char *object = object_text (objects[i].name, objects[i].version,
+                                  objects[i].value);
+      fprintf (out, "%s%s", i > 0 ? "," : "", object);
+      free (object);
+    }
+  fputs ("]}", out);
+  fclose (out);
+  free (objects);
+  return text;
+}
+
+static enum MHD_Result
+answer_object (struct MHD_Connection *connection, unsigned otherwise,
+               const char *name, const struct platform_object *object)
+{
+  return answer (connection, otherwise,
+                 object == NULL
+                     ? object_text (name, PLATFORM_VERSION_NONE, NULL)
+                     : object_text (name, object->version, object->value));
 }
 
 static enum MHD_Result
 serve_read (struct MHD_Connection *connection, const char *kind,
             const char *name)
 {
-  uint64_t count;
+  size_t count;
   state.reads++;
   if (name == NULL)
-    return answer (
-        connection, MHD_HTTP_OK,
-        platform_store_list (state.store, kind, 0, as_of_ms (kind), &count));
-  const struct store_entry *entry
-      = platform_store_get (state.store, kind, name, as_of_ms (kind));
-  return answer (connection, entry == NULL ? MHD_HTTP_NOT_FOUND : MHD_HTTP_OK,
-                 platform_store_text (name, entry));
+    return answer (connection, MHD_HTTP_OK, list_text (kind, 0, &count));
+  const struct platform_object *object
+      = platform_memory_find (seen (kind), kind, name);
+  return answer_object (connection,
+                        object == NULL ? MHD_HTTP_NOT_FOUND : MHD_HTTP_OK,
+                        name, object);
 }
 
 static enum MHD_Result
@@ -126,13 +209,12 @@
   state.watches++;
   for (;;)
     {
-      uint64_t count;
+      size_t count;
       if (state.down)
         return MHD_NO;
-      if (since > platform_store_revision (state.store, kind, INT64_MAX - 1))
+      if (since > platform_memory_revision (state.memory, kind))
         return answer_error (connection, MHD_HTTP_GONE, "unknown revision");
-      char *text = platform_store_list (state.store, kind, since,
-                                        as_of_ms (kind), &count);
+      char *text = list_text (kind, since, &count);
       if (count > 0 || clock_now_ms () >= until_ms)
         return answer (connection, MHD_HTTP_OK, text);
       free (text);
@@ -162,22 +244,21 @@
   if (!read_condition (connection, &expected))
     return answer_error (connection, MHD_HTTP_PRECONDITION_REQUIRED,
                          "send If-Match or If-None-Match: *");
-  const uint64_t version = platform_store_put (
-      state.store, kind, name, expected, value, clock_now_ms ());
-  pthread_cond_broadcast (&state.changed);
+  const struct platform_object *old
+      = platform_memory_find (state.memory, kind, name);
+  const bool matches = expected == (old == NULL ? 0 : old->version)
+                       && (old != NULL || value != NULL);
+  struct platform_object written = { .name = name };
+  if (matches)
+    written.version = write_object (kind, name, value);
   if (state.lose_answers > 0)
     {
       state.lose_answers--;
       return MHD_NO;
     }
-  if (version == 0)
-    return answer (
-        connection, MHD_HTTP_PRECONDITION_FAILED,
-        platform_store_text (name, platform_store_get (state.store, kind, name,
-                                                       clock_now_ms ())));
-  const struct store_entry written = { .version = version };
-  return answer (connection, MHD_HTTP_OK,
-                 platform_store_text (name, &written));
+  return matches ? answer_object (connection, MHD_HTTP_OK, name, &written)
+                 : answer_object (connection, MHD_HTTP_PRECONDITION_FAILED,
+                                  name, old);
 }
 
 static enum MHD_Result
@@ -355,21 +436,14 @@
 int
 main (int argc, char **argv)
 {
-  static const struct option names[]
-      = { { "listen", required_argument, NULL, 'l' },
-          { "control", required_argument, NULL, 'c' },
-          { NULL, 0, NULL, 0 } };
   const char *listen_address = NULL;
   const char *control_address = NULL;
   char actual[ADDRESS_SIZE];
-  int option;
-  while ((option = getopt_long (argc, argv, "", names, NULL)) != -1)
-    if (option == 'l')
-      listen_address = optarg;
-    else if (option == 'c')
-      control_address = optarg;
-    else
-      return EXIT_FAILURE;
+  for (int i = 1; i + 1 < argc; i += 2)
+    if (strcmp (argv[i], "--listen") == 0)
+      listen_address = argv[i + 1];
+    else if (strcmp (argv[i], "--control") == 0)
+      control_address = argv[i + 1];
   if (listen_address == NULL)
     {
       fputs ("usage: standin_platform --listen IP:PORT [--control IP:PORT]\n",
@@ -384,7 +458,8 @@
   pthread_sigmask (SIG_BLOCK, &ends, NULL);
   signal (SIGPIPE, SIG_IGN);
   pthread_cond_init (&state.changed, NULL);
-  state.store = platform_store_create ();
+  state.memory = platform_memory_create ();
+  state.lagging = platform_memory_create ();
   has_control = control_address != NULL;
   api = listen_at ("listening", listen_address, api_address);
   struct MHD_Daemon *control
@@ -401,6 +476,9 @@
     MHD_stop_daemon (control);
   if (api != NULL)
     MHD_stop_daemon (api);
-  platform_store_destroy (state.store);
+  state.lag_ms = 0;
+  seen (PLATFORM_KIND_HOST);
+  platform_memory_destroy (state.memory);
+  platform_memory_destroy (state.lagging);
   return EXIT_SUCCESS;
 }
