--- /dev/null
+++ b/policy/floor/floor_owner.c
@@ -0,0 +1,291 @@
+#include "policy/floor/floor_owner.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+#include "policy/floor/floor_owner_state.h"
+
+static const char *const verdict_names[]
+    = { [FLOOR_VERDICT_EJECTED] = "ejected",
+        [FLOOR_VERDICT_PLANNED] = "planned",
+        [FLOOR_VERDICT_ALREADY] = "already",
+        [FLOOR_VERDICT_FLOOR] = "floor",
+        [FLOOR_VERDICT_PAUSED] = "paused",
+        [FLOOR_VERDICT_TARGET] = "no-such-target",
+        [FLOOR_VERDICT_NOT_OWNER] = "not-owner",
+        [FLOOR_VERDICT_SETTINGS] = "settings-behind" };
+
+const char *
+floor_verdict_name (enum floor_verdict verdict)
+{
+  return verdict_names[verdict];
+}
+
+struct floor_owner *
+floor_owner_create (const struct floor_owner_options *options)
+{
+  struct floor_owner *owner = xcalloc (1, sizeof *owner);
+  owner->options = *options;
+  snprintf (owner->host, sizeof owner->host, "%s", options->host);
+  owner->options.host = owner->host;
+  owner->retry_ms = options->retry_ms;
+  rng_seed (&owner->rng, options->seed);
+  return owner;
+}
+
+void
+floor_owner_destroy (struct floor_owner *owner)
+{
+  if (owner == NULL)
+    return;
+  floor_spec_clear (&owner->spec);
+  floor_possible_clear (&owner->possible);
+  floor_record_clear (&owner->claims);
+  free (owner->ejected);
+  free (owner);
+}
+
+void
+floor_owner_spec (struct floor_owner *owner, int64_t now_ms,
+                  const struct floor_spec *spec)
+{
+  if (owner->has_spec && spec->version < owner->spec.version)
+    return;
+  floor_spec_assign (&owner->spec, spec);
+  owner->has_spec = true;
+  floor_claims_refresh (owner, now_ms);
+}
+
+void
+floor_owner_candidate (struct floor_owner *owner, int64_t now_ms,
+                       bool candidate, uint64_t silent_epoch)
+{
+  owner->silent_epoch = silent_epoch;
+  if (!candidate && owner->role == FLOOR_ROLE_ACQUIRING)
+    owner->role = FLOOR_ROLE_NONE;
+  if (!candidate || owner->role != FLOOR_ROLE_NONE)
+    return;
+  owner->role = FLOOR_ROLE_ACQUIRING;
+  owner->must_read = true;
+}
+
+void
+floor_owner_release (struct floor_owner *owner, int64_t now_ms)
+{
+  if (owner->role == FLOOR_ROLE_ACQUIRING)
+    owner->role = FLOOR_ROLE_NONE;
+  owner->releasing = owner->role == FLOOR_ROLE_OWNER;
+}
+
+static enum floor_verdict
+refusal (const struct floor_owner *owner, const char *target, bool manual)
+{
+  if (owner->role != FLOOR_ROLE_OWNER || owner->releasing)
+    return FLOOR_VERDICT_NOT_OWNER;
+  /* Guards against an owner that hasn't heard of a raised floor which a
+     earlier owner already knew. */
+  if (owner->spec.version < owner->possible.known.spec_version)
+    return FLOOR_VERDICT_SETTINGS;
+  if (!floor_spec_active (&owner->spec, target))
+    return FLOOR_VERDICT_TARGET;
+  if (!manual && (owner->claims.paused || owner->spec.paused))
+    return FLOOR_VERDICT_PAUSED;
+  return FLOOR_VERDICT_EJECTED;
+}
+
+static void
+mark (struct floor_claim *claim, uint32_t score, bool manual)
+{
+  claim->manual = claim->manual || manual;
+  claim->score = claim->manual ? UINT32_MAX : score;
+}
+
+/* A target on its way back is still counted, so it may go out again. */
+static enum floor_verdict
+eject_again (struct floor_owner *owner, struct floor_claim *claim,
+             uint32_t score, bool manual)
+{
+  if (floor_claims_slack (owner) < 0)
+    return FLOOR_VERDICT_FLOOR;
+  claim->state = FLOOR_CLAIM_EJECTED;
+  mark (claim, score, manual);
+  return FLOOR_VERDICT_EJECTED;
+}
+
+static enum floor_verdict
+eject_new (struct floor_owner *owner, const char *target, uint32_t score,
+           bool manual)
+{
+  if (floor_claims_slack (owner)
+      < (int64_t)floor_spec_capacity_of (&owner->spec, target))
+    return FLOOR_VERDICT_FLOOR;
+  mark (floor_record_add (&owner->claims, target), score, manual);
+  return FLOOR_VERDICT_PLANNED;
+}
+
+static enum floor_verdict
+verdict_of (const struct floor_claim *claim)
+{
+  if (claim == NULL || claim->state == FLOOR_CLAIM_RELEASING)
+    return FLOOR_VERDICT_FLOOR;
+  return claim->state == FLOOR_CLAIM_EJECTED ? FLOOR_VERDICT_EJECTED
+                                             : FLOOR_VERDICT_PLANNED;
+}
+
+enum floor_verdict
+floor_owner_eject (struct floor_owner *owner, int64_t now_ms,
+                   const char *target, uint32_t score, bool manual)
+{
+  floor_claims_refresh (owner, now_ms);
+  enum floor_verdict verdict = refusal (owner, target, manual);
+  if (verdict != FLOOR_VERDICT_EJECTED)
+    return verdict;
+  struct floor_claim *claim = floor_record_find (&owner->claims, target);
+  if (claim != NULL && claim->state != FLOOR_CLAIM_RELEASING)
+    {
+      mark (claim, score, manual);
+      return FLOOR_VERDICT_ALREADY;
+    }
+  if (claim != NULL)
+    verdict = eject_again (owner, claim, score, manual);
+  else
+    verdict = eject_new (owner, target, score, manual);
+  if (verdict == FLOOR_VERDICT_FLOOR)
+    return verdict;
+  floor_claims_refresh (owner, now_ms);
+  return verdict_of (floor_record_find (&owner->claims, target));
+}
+
+bool
+floor_owner_reinstate (struct floor_owner *owner, int64_t now_ms,
+                       const char *target, bool manual)
+{
+  if (owner->role != FLOOR_ROLE_OWNER || owner->releasing)
+    return false;
+  struct floor_claim *claim = floor_record_find (&owner->claims, target);
+  if (claim == NULL || claim->state == FLOOR_CLAIM_RELEASING
+      || (claim->manual && !manual))
+    return false;
+  floor_claims_release (owner, now_ms, claim);
+  floor_claims_refresh (owner, now_ms);
+  return true;
+}
+
+bool
+floor_owner_pause (struct floor_owner *owner, int64_t now_ms, bool paused)
+{
+  if (owner->role != FLOOR_ROLE_OWNER || owner->releasing
+      || owner->claims.paused == paused)
+    return false;
+  owner->claims.paused = paused;
+  return true;
+}
+
+void
+floor_owner_epoch_seen (struct floor_owner *owner, int64_t now_ms,
+                        uint64_t epoch)
+{
+  if (epoch > owner->highest_epoch)
+    owner->highest_epoch = epoch;
+  if (owner->role != FLOOR_ROLE_NONE && epoch > owner->possible.known.epoch)
+    owner->must_read = true;
+}
+
+void
+floor_owner_stopped (struct floor_owner *owner, int64_t now_ms, uint64_t epoch)
+{
+  if (owner->role != FLOOR_ROLE_OWNER || owner->claims.settled
+      || !owner->takeover_settled || epoch + 1 != owner->claims.epoch)
+    return;
+  const int64_t over_ms
+      = now_ms + floor_allowance_ms (owner->options.enforce_ms);
+  if (over_ms < owner->settle_ms)
+    owner->settle_ms = over_ms;
+}
+
+void
+floor_owner_tick (struct floor_owner *owner, int64_t now_ms)
+{
+  floor_claims_refresh (owner, now_ms);
+}
+
+/* Guards against an owner that was frozen: it wakes with its decision ready
+   to be told, long after another took over.  It may tell it only within the
+   time that its successor waits for. */
+bool
+floor_owner_decision (struct floor_owner *owner, int64_t now_ms,
+                      struct floor_decision *decision)
+{
+  if (owner->role != FLOOR_ROLE_OWNER || owner->releasing
+      || now_ms >= owner->authority_ms)
+    return false;
+  floor_claims_refresh (owner, now_ms);
+  *decision = (struct floor_decision){
+    .epoch = owner->claims.epoch,
+    .sequence = owner->sequence,
+    .enforce_ms = owner->options.enforce_ms,
+    .targets = (const char (*)[FLOOR_NAME_SIZE])owner->ejected,
+    .count = owner->ejected_count,
+  };
+  return true;
+}
+
+enum floor_role
+floor_owner_role (const struct floor_owner *owner)
+{
+  return owner->role;
+}
+
+uint64_t
+floor_owner_epoch (const struct floor_owner *owner)
+{
+  return owner->possible.known.epoch;
+}
+
+const struct floor_record *
+floor_owner_known (const struct floor_owner *owner)
+{
+  return &owner->possible.known;
+}
+
+uint64_t
+floor_owner_version (const struct floor_owner *owner)
+{
+  return owner->possible.version;
+}
+
+const struct floor_record *
+floor_owner_claims (const struct floor_owner *owner)
+{
+  return &owner->claims;
+}
+
+uint64_t
+floor_owner_slack (const struct floor_owner *owner)
+{
+  const int64_t slack = floor_claims_slack (owner);
+  return slack > 0 ? (uint64_t)slack : 0;
+}
+
+uint64_t
+floor_owner_reserve_left (const struct floor_owner *owner)
+{
+  if (owner->role != FLOOR_ROLE_OWNER)
+    return 0;
+  const int64_t spare = floor_possible_spare (&owner->possible, &owner->claims,
+                                              &owner->spec, true);
+  const uint64_t slack = floor_owner_slack (owner);
+  if (spare <= 0)
+    return 0;
+  return (uint64_t)spare < slack ? (uint64_t)spare : slack;
+}
+
+uint64_t
+floor_owner_take_stopped (struct floor_owner *owner)
+{
+  const uint64_t epoch = owner->stopped_epoch;
+  owner->stopped_epoch = 0;
+  return epoch;
+}
--- a/policy/floor/floor_owner.h
+++ b/policy/floor/floor_owner.h
@@ -88,12 +88,12 @@
 /** What became of a wish to eject. */
 enum floor_verdict
 {
-  FLOOR_VERDICT_EJECTED,  /**< in the decision from now on */
-  FLOOR_VERDICT_PLANNED,  /**< will be, once the record says so */
-  FLOOR_VERDICT_ALREADY,  /**< is, or is planned */
-  FLOOR_VERDICT_FLOOR,    /**< would breach the floor */
-  FLOOR_VERDICT_PAUSED,   /**< automatic ejection is stopped */
-  FLOOR_VERDICT_TARGET,   /**< no such active target */
+  FLOOR_VERDICT_EJECTED, /**< in the decision from now on */
+  FLOOR_VERDICT_PLANNED, /**< will be, once the record says so */
+  FLOOR_VERDICT_ALREADY, /**< is, or is planned */
+  FLOOR_VERDICT_FLOOR,   /**< would breach the floor */
+  FLOOR_VERDICT_PAUSED,  /**< automatic ejection is stopped */
+  FLOOR_VERDICT_TARGET,  /**< no such active target */
   FLOOR_VERDICT_NOT_OWNER,
   FLOOR_VERDICT_SETTINGS, /**< the record knows newer settings than we do */
 };
@@ -170,8 +170,7 @@
 uint64_t floor_owner_epoch (const struct floor_owner *owner);
 
 /** The record last read or confirmed; epoch 0 when none is known. */
-const struct floor_record *
-floor_owner_known (const struct floor_owner *owner);
+const struct floor_record *floor_owner_known (const struct floor_owner *owner);
 
 /** Version at the platform of floor_owner_known(). */
 uint64_t floor_owner_version (const struct floor_owner *owner);
--- a/policy/floor/floor_record.h
+++ b/policy/floor/floor_record.h
@@ -34,11 +34,11 @@
 {
   char target[FLOOR_NAME_SIZE];
   enum floor_claim_state state;
-  bool manual;        /**< by an operator; only an operator reinstates it */
-  uint32_t score;     /**< how bad it is: the worst is kept out longest */
-  int64_t free_ms;    /**< RELEASING: when no host enforces it any more, by
-                           the owner's clock; not part of the text form */
-  bool inherited;     /**< an earlier owner may still enforce it; likewise */
+  bool manual;     /**< by an operator; only an operator reinstates it */
+  uint32_t score;  /**< how bad it is: the worst is kept out longest */
+  int64_t free_ms; /**< RELEASING: when no host enforces it any more, by
+                        the owner's clock; not part of the text form */
+  bool inherited;  /**< an earlier owner may still enforce it; likewise */
 };
 
 /** "planned", "ejected" or "releasing". */
@@ -47,17 +47,17 @@
 /** The record; strings and claims are its own. */
 struct floor_record
 {
-  uint64_t epoch; /**< grows by one at each change of owner */
+  uint64_t epoch;              /**< grows by one at each change of owner */
   char owner[FLOOR_NAME_SIZE]; /**< host; "" when released */
   uint64_t incarnation;        /**< of the owner's process */
   uint64_t write_id;           /**< random; tells whose write this is */
   uint64_t spec_version;       /**< newest settings its writers knew */
-  uint64_t reserve; /**< capacity this owner may eject without asking */
+  uint64_t reserve;     /**< capacity this owner may eject without asking */
   uint64_t old_reserve; /**< capacity earlier owners may still have spent */
-  uint32_t hold_ms; /**< how long after a takeover claims made under this
-                         record or earlier ones may still be enforced */
-  bool settled; /**< no earlier owner's claims can still be enforced */
-  bool paused;  /**< an operator stopped automatic ejection */
+  uint32_t hold_ms;     /**< how long after a takeover claims made under this
+                             record or earlier ones may still be enforced */
+  bool settled;         /**< no earlier owner's claims can still be enforced */
+  bool paused;          /**< an operator stopped automatic ejection */
   struct floor_claim *claims;
   size_t claim_count;
 };
@@ -91,7 +91,6 @@
 char *floor_record_format (const struct floor_record *record);
 
 /** Read the JSON text into *RECORD, which must be zeroed or hold a record. */
-enum status floor_record_parse (const char *text,
-                                struct floor_record *record);
+enum status floor_record_parse (const char *text, struct floor_record *record);
 
 #endif
--- /dev/null
+++ b/policy/floor/floor_view.c
@@ -0,0 +1,147 @@
+#include "policy/floor/floor_view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+
+struct floor_view
+{
+  uint64_t known_epoch; /* highest heard of; lower ones don't refresh */
+  uint64_t epoch;       /* of the decision held */
+  uint64_t sequence;
+  int64_t until_ms; /* INT64_MIN: nothing is enforced */
+  char (*targets)[FLOOR_NAME_SIZE];
+  size_t count;
+};
+
+struct floor_view *
+floor_view_create (void)
+{
+  struct floor_view *view = xcalloc (1, sizeof *view);
+  view->until_ms = INT64_MIN;
+  return view;
+}
+
+void
+floor_view_destroy (struct floor_view *view)
+{
+  if (view == NULL)
+    return;
+  free (view->targets);
+  free (view);
+}
+
+static bool
+lapse (struct floor_view *view)
+{
+  const bool changed = view->count > 0;
+  view->count = 0;
+  view->until_ms = INT64_MIN;
+  return changed;
+}
+
+static bool
+same_targets (const struct floor_view *view,
+              const struct floor_decision *decision)
+{
+  return view->count == decision->count
+         && (view->count == 0
+             || memcmp (view->targets, decision->targets,
+                        view->count * sizeof *view->targets)
+                    == 0);
+}
+
+static bool
+adopt (struct floor_view *view, const struct floor_decision *decision)
+{
+  if (same_targets (view, decision))
+    return false;
+  view->targets = xreallocarray (view->targets, decision->count + 1,
+                                 sizeof *view->targets);
+  if (decision->count > 0)
+    memcpy (view->targets, decision->targets,
+            decision->count * sizeof *view->targets);
+  view->count = decision->count;
+  return true;
+}
+
+/* Guards against two owners at once.  One that was replaced while it was
+   frozen, or is cut off from the platform, goes on telling decisions; obeyed
+   beside the new owner's they would stack below the floor.  Once this host
+   knows the higher epoch the lower one refreshes nothing, and what it
+   ordered before ends by itself; the new owner counts it until then. */
+static bool
+outdated (const struct floor_view *view, const struct floor_decision *decision)
+{
+  if (decision->epoch < view->known_epoch)
+    return true;
+  return decision->epoch == view->epoch && decision->sequence < view->sequence;
+}
+
+bool
+floor_view_heard (struct floor_view *view, int64_t now_ms, int64_t poll_ms,
+                  const struct floor_decision *decision)
+{
+  const bool lapsed = floor_view_tick (view, now_ms);
+  if (poll_ms > now_ms || outdated (view, decision))
+    return lapsed;
+  const bool known
+      = decision->epoch == view->epoch && decision->sequence == view->sequence;
+  const int64_t until_ms = poll_ms + decision->enforce_ms;
+  view->known_epoch = decision->epoch;
+  view->epoch = decision->epoch;
+  view->sequence = decision->sequence;
+  /* Guards against an answer that was long under way: its time started at
+     the poll, so an old one takes nothing out of work. */
+  if (until_ms <= now_ms)
+    return known ? lapsed : lapse (view) || lapsed;
+  if (!known || until_ms > view->until_ms)
+    view->until_ms = until_ms;
+  return adopt (view, decision) || lapsed;
+}
+
+void
+floor_view_epoch_seen (struct floor_view *view, uint64_t epoch)
+{
+  if (epoch > view->known_epoch)
+    view->known_epoch = epoch;
+}
+
+bool
+floor_view_tick (struct floor_view *view, int64_t now_ms)
+{
+  return view->until_ms <= now_ms && lapse (view);
+}
+
+bool
+floor_view_ejected (const struct floor_view *view, int64_t now_ms,
+                    const char *target)
+{
+  if (view->until_ms <= now_ms)
+    return false;
+  for (size_t i = 0; i < view->count; i++)
+    if (strcmp (view->targets[i], target) == 0)
+      return true;
+  return false;
+}
+
+size_t
+floor_view_targets (const struct floor_view *view,
+                    const char (**targets)[FLOOR_NAME_SIZE])
+{
+  *targets = (const char (*)[FLOOR_NAME_SIZE])view->targets;
+  return view->count;
+}
+
+uint64_t
+floor_view_epoch (const struct floor_view *view)
+{
+  return view->known_epoch;
+}
+
+int64_t
+floor_view_until_ms (const struct floor_view *view)
+{
+  return view->until_ms;
+}
