--- a/ctl/tests/docs_test.cc
+++ b/ctl/tests/docs_test.cc
@@ -1,13 +1,14 @@
 #include <gtest/gtest.h>
 
+#include <regex.h>
+#include <sys/stat.h>
+
+#include <algorithm>
 #include <fstream>
-#include <regex>
 #include <sstream>
 #include <string>
 #include <vector>
 
-#include <sys/stat.h>
-
 extern "C"
 {
 #include "ctl/statement.h"
@@ -23,23 +24,34 @@
   return text.str ();
 }
 
+/** What the one group of the extended regular expression PATTERN finds. */
 static std::vector<std::string>
 matches (const std::string &text, const char *pattern)
 {
   std::vector<std::string> found;
-  const std::regex regex (pattern);
-  for (std::sregex_iterator i (text.begin (), text.end (), regex), end;
-       i != end; ++i)
-    found.push_back ((*i)[1]);
+  regex_t regex;
+  regmatch_t match[2];
+  EXPECT_EQ (regcomp (&regex, pattern, REG_EXTENDED), 0) << pattern;
+  for (const char *rest = text.c_str ();
+       regexec (&regex, rest, 2, match, 0) == 0; rest += match[0].rm_eo)
+    found.emplace_back (rest + match[1].rm_so, rest + match[1].rm_eo);
+  regfree (&regex);
   return found;
 }
 
+static std::string
+without (std::string text, char unwanted)
+{
+  text.erase (std::remove (text.begin (), text.end (), unwanted), text.end ());
+  return text;
+}
+
 /** Does LINE, what follows `jaystair`, parse once its options are gone? */
 static void
 expect_statement (const std::string &line)
 {
   std::vector<std::string> words;
-  std::istringstream stream (std::regex_replace (line, std::regex ("'"), ""));
+  std::istringstream stream (without (line, '\''));
   for (std::string word; stream >> word;)
     if (word == "--host" || word == "--secret-file")
       stream >> word;
@@ -64,8 +76,7 @@
   std::string manual = read_file (JAYSTAIR_SOURCE "/docs/man/jaystair.1");
   manual.erase (0, manual.find (".SH EXAMPLES"));
   const std::vector<std::string> examples
-      = matches (std::regex_replace (manual, std::regex ("\\\\-"), "-"),
-                 "\njaystair ([^\n]+)");
+      = matches (without (manual, '\\'), "\njaystair ([^\n]+)");
   EXPECT_GT (examples.size (), 4u);
   for (const std::string &example : examples)
     expect_statement (example);
