ctl: a command is waited for longer than a host takes for it

A host gives up on a lost answer after 20 s and asks for 2 s where it is in force; at 20 s the client could give up first and know less than the host.

--- a/ctl/client.c
+++ b/ctl/client.c
@@ -12,7 +12,7 @@
 {
   CONNECT_TIMEOUT_MS = 3000,
   READ_TIMEOUT_MS = 10000,
-  COMMAND_TIMEOUT_MS = 20000,
+  COMMAND_TIMEOUT_MS = 30000, /* over the 22 s a host takes at most */
   ANSWER_MAX_BYTES = 64 * 1024 * 1024,
   SECRET_SIZE = 256,
 };
