--- /dev/null
+++ b/policy/floor/tests/ticket_ledger_test.cc
@@ -0,0 +1,265 @@
+// The ledger against a list that remembers everything, and its text form.
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "base/hash.h"
+#include "base/rng.h"
+#include "policy/floor/ticket_ledger.h"
+}
+
+namespace
+{
+constexpr uint64_t incarnation = 0xfeedu;
+
+uint64_t
+check (void *key, uint64_t sequence, int64_t expires_ms)
+{
+  return hash_pair (hash_pair (*(uint64_t *)key, sequence),
+                    (uint64_t)expires_ms);
+}
+
+struct TicketLedger : testing::Test
+{
+  uint64_t key = 99;
+  ticket_ledger *ledger = make (3);
+  ticket first = {};
+
+  ticket_ledger *
+  make (uint32_t capacity)
+  {
+    const ticket_ledger_options options
+        = { "north:1", incarnation, capacity, 1000, check, &key };
+    return ticket_ledger_create (&options);
+  }
+  void
+  SetUp () override
+  {
+    ASSERT_EQ (ticket_ledger_issue (ledger, 0, &first), STATUS_OK);
+  }
+  ~TicketLedger () override
+  {
+    ticket_ledger_destroy (ledger);
+  }
+  ticket_claim
+  claim (int64_t now_ms, const ticket &t)
+  {
+    return ticket_ledger_claim (ledger, now_ms, &t);
+  }
+};
+
+TEST_F (TicketLedger, TextFormComesBack)
+{
+  char text[TICKET_TEXT_SIZE];
+  ticket_format (&first, text);
+  ticket back;
+  ASSERT_TRUE (ticket_parse (text, &back));
+  EXPECT_STREQ (back.host, "north:1");
+  EXPECT_EQ (claim (0, back), TICKET_CLAIM_RUN);
+  for (const char *bad :
+       { "", ":", "h:1:2:3", "h:1:2:3:", ":1:2:3:4", "h:1:2:3:4 ",
+         "h:1:2:3:-4", "h:1:2:3:04", "h:1:2:3:A", "h:1:2:ffffffffffffffff:4",
+         "h:1:2:3:12345678901234567" })
+    EXPECT_FALSE (ticket_parse (bad, &back)) << bad;
+  EXPECT_FALSE (ticket_parse (std::string (300, 'h').c_str (), &back));
+}
+
+// A couple would hold two dates: their browser sent the hold again while the
+// first try still ran, or after its answer was lost on the way to them.
+TEST_F (TicketLedger, ASecondClaimNeverRuns)
+{
+  EXPECT_EQ (claim (1, first), TICKET_CLAIM_RUN);
+  EXPECT_EQ (claim (2, first), TICKET_CLAIM_DUPLICATE_RUNNING);
+  ticket_ledger_finish (ledger, 3, first.sequence, TICKET_END_ANSWERED, 201);
+  EXPECT_EQ (claim (4, first), TICKET_CLAIM_DUPLICATE_ANSWERED);
+  EXPECT_EQ (ticket_ledger_answer_code (ledger, first.sequence), 201);
+}
+
+TEST_F (TicketLedger, OnlyASureNotRunMayRunAgain)
+{
+  EXPECT_EQ (claim (1, first), TICKET_CLAIM_RUN);
+  ticket_ledger_finish (ledger, 2, first.sequence, TICKET_END_NOT_RUN, 0);
+  EXPECT_EQ (claim (3, first), TICKET_CLAIM_RUN);
+  ticket_ledger_finish (ledger, 4, first.sequence, TICKET_END_UNKNOWN, 0);
+  EXPECT_EQ (claim (5, first), TICKET_CLAIM_DUPLICATE_UNKNOWN);
+}
+
+TEST_F (TicketLedger, TellsWhoseTicketItIs)
+{
+  ticket other = first;
+  snprintf (other.host, sizeof other.host, "south");
+  EXPECT_EQ (claim (1, other), TICKET_CLAIM_NOT_ISSUED_HERE);
+  other = first;
+  other.incarnation++;
+  EXPECT_EQ (claim (1, other), TICKET_CLAIM_WRONG_INCARNATION);
+}
+
+// A payout would run twice: a caller claims a sequence that is issued later
+// to another one, or makes its own ticket's life longer.
+TEST_F (TicketLedger, ATicketNobodyIssuedNeverRuns)
+{
+  ticket forged = first;
+  forged.expires_ms++;
+  EXPECT_EQ (claim (1, forged), TICKET_CLAIM_FORGED);
+  forged = first;
+  forged.sequence++;
+  forged.check = check (&key, forged.sequence, forged.expires_ms);
+  EXPECT_EQ (claim (1, forged), TICKET_CLAIM_FORGED);
+}
+
+// A payout would run twice: its run takes longer than its ticket lives, the
+// claim is dropped at expiry, and the caller sends again.
+TEST_F (TicketLedger, ARunOutlivesItsTicket)
+{
+  EXPECT_EQ (claim (1, first), TICKET_CLAIM_RUN);
+  EXPECT_EQ (claim (5000, first), TICKET_CLAIM_DUPLICATE_RUNNING);
+  ticket_ledger_finish (ledger, 5001, first.sequence, TICKET_END_ANSWERED, 0);
+  ticket next;
+  for (int i = 0; i < 9; i++)
+    ASSERT_EQ (ticket_ledger_issue (ledger, 6000, &next), STATUS_OK);
+  EXPECT_EQ (ticket_ledger_count (ledger), 0U);
+  EXPECT_EQ (claim (6000, first), TICKET_CLAIM_EXPIRED);
+}
+
+// A hold would be placed twice: the ledger is full, the oldest claim makes
+// room for the newest, and the oldest caller sends again.
+TEST_F (TicketLedger, FullRefusesAndForgetsNothing)
+{
+  std::vector<ticket> tickets (4);
+  for (auto &t : tickets)
+    ASSERT_EQ (ticket_ledger_issue (ledger, 10, &t), STATUS_OK);
+  for (int i = 0; i < 3; i++)
+    EXPECT_EQ (claim (20, tickets[i]), TICKET_CLAIM_RUN);
+  EXPECT_EQ (claim (20, tickets[3]), TICKET_CLAIM_FULL);
+  ticket refused;
+  EXPECT_EQ (ticket_ledger_issue (ledger, 20, &refused), STATUS_LIMIT);
+  EXPECT_EQ (claim (20, tickets[0]), TICKET_CLAIM_DUPLICATE_RUNNING);
+  ticket_ledger_finish (ledger, 21, tickets[0].sequence, TICKET_END_NOT_RUN,
+                        0);
+  EXPECT_EQ (claim (22, tickets[3]), TICKET_CLAIM_RUN);
+}
+
+// What the list remembers of a ticket.
+struct listed
+{
+  ticket t;
+  enum
+  {
+    UNUSED,
+    RUNNING,
+    ANSWERED,
+    UNKNOWN
+  } state
+      = UNUSED;
+  int runs = 0; // counted again from 0 by a sure "not run"
+};
+
+// What the naive list says a claim must find; FULL is judged apart.
+ticket_claim
+expected (const listed &l, int64_t now_ms)
+{
+  switch (l.state)
+    {
+    case listed::RUNNING:
+      return TICKET_CLAIM_DUPLICATE_RUNNING;
+    case listed::ANSWERED:
+      return l.t.expires_ms <= now_ms ? TICKET_CLAIM_EXPIRED
+                                      : TICKET_CLAIM_DUPLICATE_ANSWERED;
+    case listed::UNKNOWN:
+      return l.t.expires_ms <= now_ms ? TICKET_CLAIM_EXPIRED
+                                      : TICKET_CLAIM_DUPLICATE_UNKNOWN;
+    default:
+      return l.t.expires_ms <= now_ms ? TICKET_CLAIM_EXPIRED
+                                      : TICKET_CLAIM_RUN;
+    }
+}
+
+// After expiry the ledger may still know the claim or not; both are refused.
+bool
+agrees (ticket_claim got, ticket_claim want)
+{
+  const bool late = got == TICKET_CLAIM_DUPLICATE_ANSWERED
+                    || got == TICKET_CLAIM_DUPLICATE_UNKNOWN;
+  return got == want || (want == TICKET_CLAIM_EXPIRED && late);
+}
+
+TEST_F (TicketLedger, AgreesWithAListThatForgetsNothing)
+{
+  constexpr uint64_t events = 1000000;
+  constexpr uint32_t capacity = 64;
+  constexpr size_t recent = 90;
+  uint64_t full = 0, duplicates = 0, runs = 0;
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      ticket_ledger_destroy (ledger);
+      ledger = make (capacity);
+      rng random;
+      rng_seed (&random, seed);
+      std::vector<listed> list;
+      std::vector<size_t> running; // so that old runs end too
+      // In every other run work piles up, until the ledger is full.
+      const uint64_t finish_from = seed % 2 == 0 ? 94 : 60;
+      int64_t now_ms = 0;
+      for (uint64_t n = 0; n < events / 20; n++)
+        {
+          now_ms += rng_below (&random, 20);
+          const uint64_t act = rng_below (&random, 100);
+          if (act < 25 || list.empty ())
+            {
+              listed l;
+              if (ticket_ledger_issue (ledger, now_ms, &l.t) == STATUS_OK)
+                list.push_back (l);
+              continue;
+            }
+          const size_t span = std::min (list.size (), recent);
+          const bool finish = act >= finish_from && !running.empty ();
+          const size_t at = finish
+                                ? running[rng_below (&random, running.size ())]
+                                : list.size () - 1 - rng_below (&random, span);
+          listed &l = list[at];
+          if (!finish)
+            {
+              const ticket_claim got = claim (now_ms, l.t);
+              const ticket_claim want = expected (l, now_ms);
+              if (got == TICKET_CLAIM_FULL)
+                {
+                  full++;
+                  ASSERT_EQ (want, TICKET_CLAIM_RUN);
+                  ASSERT_EQ (ticket_ledger_count (ledger), capacity);
+                  continue;
+                }
+              ASSERT_TRUE (agrees (got, want))
+                  << "seed " << seed << " fails after " << n + 1
+                  << " events: got " << ticket_claim_name (got) << ", list "
+                  << ticket_claim_name (want);
+              duplicates += got != TICKET_CLAIM_RUN;
+              if (got != TICKET_CLAIM_RUN)
+                continue;
+              runs++;
+              l.state = listed::RUNNING;
+              running.push_back (at);
+              ASSERT_EQ (++l.runs, 1) << "seed " << seed << " event " << n;
+            }
+          else
+            {
+              running.erase (std::find (running.begin (), running.end (), at));
+              const ticket_end end = (ticket_end)rng_below (&random, 3);
+              ticket_ledger_finish (ledger, now_ms, l.t.sequence, end, 0);
+              l.runs -= end == TICKET_END_NOT_RUN;
+              l.state = end == TICKET_END_ANSWERED  ? listed::ANSWERED
+                        : end == TICKET_END_UNKNOWN ? listed::UNKNOWN
+                                                    : listed::UNUSED;
+            }
+        }
+    }
+  printf ("runs %lu duplicates %lu full %lu\n", runs, duplicates, full);
+  EXPECT_GT (runs, events / 50);
+  EXPECT_GT (duplicates, events / 50);
+  EXPECT_GT (full, events / 1000);
+}
+}
