--- a/wire/service_spec.c
+++ b/wire/service_spec.c
@@ -8,6 +8,7 @@
 
 #include "base/options.h"
 #include "base/xmalloc.h"
+#include "wire/service_spec_names.h"
 
 enum
 {
@@ -26,21 +27,6 @@
   CONNECTIONS_DEFAULT = 200,
 };
 
-static const char *const prefer_names[]
-    = { [SERVICE_PREFER_FEWER_FALSE_EJECTIONS] = "fewer-false-ejections",
-        [SERVICE_PREFER_FASTER_DETECTION] = "faster-detection" };
-
-static const char *const ejection_names[] = { "automatic", "paused" };
-
-static const char *const state_names[]
-    = { [TARGET_STATE_ACTIVE] = "active", [TARGET_STATE_DRAINED] = "drained" };
-
-/* Bit N of enum route_method is called method_names[N]. */
-static const char *const method_names[]
-    = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
-
-#define COUNT_OF(array) (sizeof (array) / sizeof (array)[0])
-
 void
 service_spec_defaults (struct service_spec *spec)
 {
@@ -102,7 +88,8 @@
   target->capacity = target->slots;
   read_u32 (options, "capacity", 1, FLOOR_MAX, &target->capacity);
   read_u32 (options, "connections", 1, CONNECTIONS_MAX, &target->connections);
-  options_enum (options, "state", state_names, COUNT_OF (state_names), &state);
+  options_enum (options, "state", target_state_names, TARGET_STATE_COUNT,
+                &state);
   target->state = (enum target_state)state;
 }
 
@@ -153,8 +140,8 @@
 static uint32_t
 method_bit (const char *name)
 {
-  for (size_t i = 0; i < COUNT_OF (method_names); i++)
-    if (strcmp (method_names[i], name) == 0)
+  for (size_t i = 0; i < ROUTE_METHOD_COUNT; i++)
+    if (strcmp (route_method_names[i], name) == 0)
       return 1U << i;
   return 0;
 }
@@ -163,7 +150,7 @@
 read_methods (struct options *options, struct route_spec *route)
 {
   struct json_object *array
-      = options_array (options, "methods", COUNT_OF (method_names));
+      = options_array (options, "methods", ROUTE_METHOD_COUNT);
   const size_t count = array == NULL ? 0 : json_object_array_length (array);
   for (size_t i = 0; i < count; i++)
     {
@@ -296,9 +283,10 @@
   read_name (top, "name", true, spec->name);
   options_string (top, "write_id", false, spec->write_id,
                   sizeof spec->write_id);
-  options_enum (top, "prefer", prefer_names, COUNT_OF (prefer_names), &prefer);
-  options_enum (top, "ejection", ejection_names, COUNT_OF (ejection_names),
-                &ejection);
+  options_enum (top, "prefer", service_prefer_names, SERVICE_PREFER_COUNT,
+                &prefer);
+  options_enum (top, "ejection", service_ejection_names,
+                SERVICE_EJECTION_COUNT, &ejection);
   read_u32 (top, "floor_capacity", 0, FLOOR_MAX, &spec->floor_capacity);
   read_targets (top, spec);
   read_routes (top, spec);
@@ -333,88 +321,6 @@
   return STATUS_OK;
 }
 
-static void
-add_string (struct json_object *node, const char *key, const char *value)
-{
-  json_object_object_add (node, key, json_object_new_string (value));
-}
-
-static void
-add_u32 (struct json_object *node, const char *key, uint32_t value)
-{
-  json_object_object_add (node, key, json_object_new_int64 (value));
-}
-
-static struct json_object *
-format_target (const struct target_spec *target)
-{
-  struct json_object *node = json_object_new_object ();
-  add_string (node, "name", target->name);
-  add_string (node, "address", target->address);
-  add_string (node, "dc", target->dc);
-  add_u32 (node, "slots", target->slots);
-  add_u32 (node, "capacity", target->capacity);
-  add_u32 (node, "connections", target->connections);
-  add_string (node, "state", state_names[target->state]);
-  return node;
-}
-
-static struct json_object *
-format_route (const struct route_spec *route)
-{
-  struct json_object *node = json_object_new_object ();
-  struct json_object *methods = json_object_new_array ();
-  for (size_t i = 0; i < COUNT_OF (method_names); i++)
-    if ((route->methods & (1U << i)) != 0)
-      json_object_array_add (methods,
-                             json_object_new_string (method_names[i]));
-  add_string (node, "host", route->host);
-  add_string (node, "path_prefix", route->path_prefix);
-  json_object_object_add (node, "methods", methods);
-  json_object_object_add (node, "repeatable",
-                          json_object_new_boolean (route->repeatable));
-  return node;
-}
-
-static struct json_object *
-format_limits (const struct service_limits *limits)
-{
-  struct json_object *node = json_object_new_object ();
-  add_u32 (node, "queue_requests", limits->queue_requests);
-  add_u32 (node, "queue_bytes", limits->queue_bytes);
-  add_u32 (node, "body_bytes", limits->body_bytes);
-  add_u32 (node, "timeout_ms", limits->timeout_ms);
-  add_u32 (node, "connect_timeout_ms", limits->connect_timeout_ms);
-  add_u32 (node, "retry_percent", limits->retry_percent);
-  add_u32 (node, "attempts", limits->attempts);
-  return node;
-}
-
-char *
-service_spec_format (const struct service_spec *spec)
-{
-  struct json_object *top = json_object_new_object ();
-  struct json_object *targets = json_object_new_array ();
-  struct json_object *routes = json_object_new_array ();
-  for (size_t i = 0; i < spec->target_count; i++)
-    json_object_array_add (targets, format_target (&spec->targets[i]));
-  for (size_t i = 0; i < spec->route_count; i++)
-    json_object_array_add (routes, format_route (&spec->routes[i]));
-  add_string (top, "name", spec->name);
-  if (spec->write_id[0] != '\0')
-    add_string (top, "write_id", spec->write_id);
-  add_string (top, "prefer", prefer_names[spec->prefer]);
-  add_string (top, "ejection", ejection_names[spec->ejection_paused]);
-  add_u32 (top, "floor_capacity", spec->floor_capacity);
-  json_object_object_add (top, "targets", targets);
-  json_object_object_add (top, "routes", routes);
-  json_object_object_add (top, "limits", format_limits (&spec->limits));
-  char *text = xstrdup (json_object_to_json_string_ext (
-      top, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
-  json_object_put (top);
-  return text;
-}
-
 struct service_spec *
 service_spec_copy (const struct service_spec *spec)
 {
--- a/wire/service_spec_diff.c
+++ b/wire/service_spec_diff.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "wire/service_spec_names.h"
+
 /* The text so far; what doesn't fit is left out. */
 struct diff_text
 {
@@ -42,12 +44,6 @@
     note (diff, "%s%s %u to %u", place, name, before, after);
 }
 
-static const char *
-state_name (enum target_state state)
-{
-  return state == TARGET_STATE_DRAINED ? "drained" : "active";
-}
-
 static void
 compare_target (struct diff_text *diff, const struct target_spec *before,
                 const struct target_spec *after)
@@ -55,8 +51,8 @@
   char place[SERVICE_NAME_SIZE + 16];
   snprintf (place, sizeof place, "target %s: ", before->name);
   if (before->state != after->state)
-    note (diff, "%sstate %s to %s", place, state_name (before->state),
-          state_name (after->state));
+    note (diff, "%sstate %s to %s", place, target_state_names[before->state],
+          target_state_names[after->state]);
   if (strcmp (before->address, after->address) != 0)
     note (diff, "%saddress %s to %s", place, before->address, after->address);
   if (strcmp (before->dc, after->dc) != 0)
@@ -113,10 +109,7 @@
   if (before->ejection_paused != after->ejection_paused)
     note (&diff, "ejection %s", after->ejection_paused ? "paused" : "resumed");
   if (before->prefer != after->prefer)
-    note (&diff, "prefer to %s",
-          after->prefer == SERVICE_PREFER_FASTER_DETECTION
-              ? "faster-detection"
-              : "fewer-false-ejections");
+    note (&diff, "prefer to %s", service_prefer_names[after->prefer]);
   note_number (&diff, "", "floor_capacity", before->floor_capacity,
                after->floor_capacity);
   compare_targets (&diff, before, after);
