choice: stories of starving and of a hopeless queue; flapping in load_bench

The test added here shows the fault: with the random addition to costs off, a target with one failure gets 0 of 300 requests.

load_bench also runs a target that flaps every 2 s and all targets three times slower, and counts unrepeatable requests that failed after they were sent.

--- a/bench/load_bench.c
+++ b/bench/load_bench.c
@@ -36,6 +36,8 @@
   [GRAY_FAILS_40] = "fails_40",
   [GRAY_SLOW_10] = "slow_10",
   [GRAY_TIMES_OUT_HALF] = "times_out_half",
+  [GRAY_FLAPS] = "flaps_2s",
+  [ALL_SLOW_3] = "all_slow_3",
 };
 
 static struct load_balancer *
@@ -102,6 +104,8 @@
   print ("refused_after_waiting", of,
          100 * (double)r->refused_waiting / requests, "%");
   print ("failed", of, 100 * (double)r->failed / requests, "%");
+  print ("failed_unrepeatable", of,
+         100 * (double)r->failed_unrepeatable / requests, "%");
   const double sent = requests - (double)r->refused;
   print ("retries", of, (double)r->attempts / sent - 1, "per-request");
   print ("gray_share", of,
@@ -122,10 +126,11 @@
 reference (enum gray_kind gray, uint32_t load_percent,
            const struct load_result *r)
 {
-  if (gray != GRAY_NONE)
+  if (gray != GRAY_NONE && gray != ALL_SLOW_3)
     return (double)run (BALANCER_POLICY, TARGETS - 1, load_percent, GRAY_NONE)
         .good;
-  const double most = capacity () * r->seconds;
+  const double slower = gray == ALL_SLOW_3 ? 3 : 1;
+  const double most = capacity () / slower * r->seconds;
   return (double)r->requests < most ? (double)r->requests : most;
 }
 
--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -9,6 +9,7 @@
 {
   REPEATABLE_PERCENT = 70,
   QUICK_FAILURE_US = 2000,
+  FLAP_US = 2000000,
   SHARE_WINDOW = 200, /* attempts over which a share is taken */
   SHARE_LEAST = 2,    /* a tenth of a fair share of ten targets */
 };
@@ -55,18 +56,23 @@
 static void
 decide_fate (struct run *run, struct flight *f)
 {
-  const bool gray = f->target == 0 && run->now_us >= run->c->onset_us;
+  const bool begun = run->now_us >= run->c->onset_us;
+  const bool gray = begun && (f->target == 0 || run->c->gray == ALL_SLOW_3);
   const enum gray_kind kind = gray ? run->c->gray : GRAY_NONE;
+  const int64_t phase = (run->now_us - run->c->onset_us) / FLAP_US;
   double took_us = 1000 + rng_exponential (&run->rng, LOAD_SERVICE_US - 1000);
   const uint64_t roll = rng_below (&run->rng, 100);
   f->end = ATTEMPT_ANSWERED;
-  if (kind == GRAY_FAILS_ALL || (kind == GRAY_FAILS_40 && roll < 40))
+  if (kind == GRAY_FAILS_ALL || (kind == GRAY_FAILS_40 && roll < 40)
+      || (kind == GRAY_FLAPS && phase % 2 == 0))
     {
       f->end = ATTEMPT_FAILED;
       took_us = QUICK_FAILURE_US;
     }
   if (kind == GRAY_SLOW_10)
     took_us *= 10;
+  if (kind == ALL_SLOW_3)
+    took_us *= 3;
   if (kind == GRAY_TIMES_OUT_HALF && roll < 50)
     took_us = 1e9;
   f->end_us = run->now_us + (int64_t)took_us;
@@ -170,6 +176,8 @@
       return;
     }
   run->result.failed += (uint64_t)s->counted;
+  run->result.failed_unrepeatable
+      += (uint64_t)(s->counted && !s->r.repeatable);
 }
 
 static void
--- a/bench/load_run.h
+++ b/bench/load_run.h
@@ -25,6 +25,8 @@
   GRAY_FAILS_40,
   GRAY_SLOW_10,
   GRAY_TIMES_OUT_HALF,
+  GRAY_FLAPS, /**< fails all for 2 s, is well for 2 s, and so on */
+  ALL_SLOW_3, /**< not one but all: three times slower */
   GRAY_KINDS,
 };
 
@@ -47,6 +49,7 @@
   uint64_t refused;
   uint64_t refused_waiting; /**< of them, after having waited */
   uint64_t failed;
+  uint64_t failed_unrepeatable; /**< of them, sent, with no second try */
   uint64_t attempts;
   uint64_t gray_attempts;
   double seconds;
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -191,4 +191,53 @@
     EXPECT_EQ (ask (true).verdict, POLICY_SEND);
 }
 
+/* One failure makes a target the dearest of equals, so two random targets
+ * never end in it.  It gets no work, nothing more is learnt of it, and its
+ * capacity is lost though it is well. */
+TEST_F (service_policy_test, a_single_failure_does_not_starve_a_target)
+{
+  start (10, 5);
+  end (0, ATTEMPT_FAILED);
+  int got = 0;
+  for (int i = 0; i < 300; i++)
+    {
+      const uint32_t target = ask (true).target;
+      got += target == 0;
+      end (target, ATTEMPT_ANSWERED);
+    }
+  EXPECT_GT (got, 0);
+}
+
+/* Five slots in six go out of service while the queue is long.  The last of
+ * those who wait can't be served in time any more and must hear so now. */
+TEST_F (service_policy_test, a_queue_that_lost_its_chance_is_cut_from_behind)
+{
+  start (6, 1);
+  std::vector<uint32_t> sent;
+  for (int i = 0; i < 6; i++)
+    sent.push_back (ask (true).target);
+  now += 10000;
+  for (uint32_t t : sent)
+    end (t, ATTEMPT_ANSWERED);
+  for (int i = 0; i < 6; i++)
+    ask (true);
+  uint64_t last = 0;
+  for (int i = 0; i < 20; i++)
+    {
+      const policy_decision d = ask (true, 50000);
+      ASSERT_EQ (d.verdict, POLICY_QUEUE);
+      last = d.request_id;
+    }
+  for (uint32_t t = 1; t < 6; t++)
+    {
+      service_policy_set_ejected (policy, now, t, true);
+      end (t, ATTEMPT_ANSWERED);
+    }
+  policy_decision d;
+  ASSERT_TRUE (service_policy_next (policy, now, &d));
+  EXPECT_EQ (d.verdict, POLICY_REFUSE);
+  EXPECT_EQ (d.request_id, last);
+  EXPECT_GT (d.retry_after_ms, 0u);
+}
+
 }
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -25,10 +25,10 @@
 /** A target as the policy sees it; its index in the set is its number. */
 struct policy_target
 {
-  uint64_t key;      /**< hash of service and target name; stays over changes */
-  uint32_t slots;    /**< this host's share of its slots, at least 1 */
+  uint64_t key;   /**< hash of service and target name; stays over changes */
+  uint32_t slots; /**< this host's share of its slots, at least 1 */
   uint32_t distance_us; /**< extra one-way time when in another dc */
-  bool accepts_work; /**< false: drained or leaving */
+  bool accepts_work;    /**< false: drained or leaving */
 };
 
 /** Bounds and preferences of the service. */
@@ -37,8 +37,8 @@
   uint64_t seed;
   uint32_t queue_requests;
   uint32_t queue_bytes;
-  uint32_t retry_percent;
-  uint32_t attempts;
+  uint32_t retry_percent; /**< retries as a share of recent requests */
+  uint32_t attempts;      /**< most tries of one request, the first included */
   bool prefer_faster_detection;
 };
 
@@ -66,12 +66,12 @@
 {
   POLICY_REASON_BEST_OF_TWO,
   POLICY_REASON_ONLY_CHOICE,
-  POLICY_REASON_TRICKLE,       /**< chance for a suspect or warming target */
+  POLICY_REASON_TRICKLE, /**< chance for a suspect or warming target */
   POLICY_REASON_NO_FREE_SLOT,
   POLICY_REASON_WAIT_FOR_GOOD, /**< unrepeatable: waits to avoid a suspect */
   POLICY_REASON_QUEUE_FULL,
-  POLICY_REASON_TOO_LATE,      /**< can't finish within the deadline */
-  POLICY_REASON_NO_TARGET,     /**< none accepts work */
+  POLICY_REASON_TOO_LATE,  /**< can't finish within the deadline */
+  POLICY_REASON_NO_TARGET, /**< none accepts work */
   POLICY_REASON_RETRY_BUDGET,
   POLICY_REASON_ATTEMPTS,
 };
@@ -82,23 +82,23 @@
 {
   enum policy_verdict verdict;
   enum policy_reason reason;
-  uint32_t target;         /**< with POLICY_SEND */
+  uint32_t target; /**< with POLICY_SEND */
   uint64_t request_id;
-  int64_t expected_wait_us;
-  uint32_t retry_after_ms; /**< with POLICY_REFUSE: when to come back, from
-                                the queue and the service rate; 0: unknown */
+  int64_t expected_wait_us; /**< in the queue; 0 with POLICY_SEND */
+  uint32_t retry_after_ms;  /**< with POLICY_REFUSE: when to come back, from
+                                 the queue and the service rate; 0: unknown */
 };
 
 /** How far an attempt got. */
 enum attempt_end
 {
-  ATTEMPT_ANSWERED,     /**< a whole answer, good */
-  ATTEMPT_FAILED,       /**< a whole answer that says failure (5xx) */
-  ATTEMPT_SHED,         /**< the target's explicit "not run" refusal */
-  ATTEMPT_NOT_SENT,     /**< no byte of the request left this host */
-  ATTEMPT_CUT,          /**< perhaps sent; the answer never came whole */
-  ATTEMPT_TIMED_OUT,    /**< perhaps sent; deadline passed */
-  ATTEMPT_CANCELLED,    /**< the caller went away: says nothing of the target */
+  ATTEMPT_ANSWERED,  /**< a whole answer, good */
+  ATTEMPT_FAILED,    /**< a whole answer that says failure (5xx) */
+  ATTEMPT_SHED,      /**< the target's explicit "not run" refusal */
+  ATTEMPT_NOT_SENT,  /**< no byte of the request left this host */
+  ATTEMPT_CUT,       /**< perhaps sent; the answer never came whole */
+  ATTEMPT_TIMED_OUT, /**< perhaps sent; deadline passed */
+  ATTEMPT_CANCELLED, /**< the caller went away: says nothing of the target */
 };
 
 struct policy_outcome
@@ -120,8 +120,10 @@
                                const struct service_policy_options *options);
 
 /** Replace the target set at NOW_US.  State follows a target by its key; new
- * keys start cold.  Numbers of targets that stay may change, so callers pass
- * outcomes by key after a change (see service_policy_find()). */
+ * keys start cold, but for those of the first set, which were there before
+ * this host.  Numbers of targets that stay may change, so callers pass
+ * outcomes by key after a change (see service_policy_find()); the end of an
+ * attempt at a target that left needs no outcome. */
 void service_policy_set_targets (struct service_policy *policy, int64_t now_us,
                                  const struct policy_target *targets,
                                  size_t count);
@@ -150,8 +152,9 @@
 bool service_policy_next (struct service_policy *policy, int64_t now_us,
                           struct policy_decision *decision);
 
-/** When service_policy_next() should be asked again even if no attempt ends;
- * INT64_MAX when nothing waits. */
+/** When service_policy_next() should be asked again even if no attempt ends:
+ * the time of the last event when that may have changed something (targets
+ * replaced or ejected), INT64_MAX when nothing waits. */
 int64_t service_policy_wake_us (const struct service_policy *policy);
 
 /** Take a queued request out: its caller went away. */
@@ -165,7 +168,7 @@
 struct policy_belief
 {
   uint32_t in_flight;
-  int64_t latency_us;      /**< estimate */
+  int64_t latency_us; /**< estimate */
   uint32_t failure_permille;
   bool suspect;
   bool ejected;
@@ -174,8 +177,8 @@
   uint64_t failures;
 };
 
-struct policy_belief service_policy_belief (const struct service_policy *policy,
-                                            uint32_t target);
+struct policy_belief
+service_policy_belief (const struct service_policy *policy, uint32_t target);
 uint32_t service_policy_queued (const struct service_policy *policy);
 
 #endif
