ejection: the task that ejects and brings back, for all services of a host

Reports double as polls; the owner answers with its decision, which a host enforces from its own poll on. Takeover after a silent lease (a host that others still hear is left alone for four), hand-over at shutdown, operators' commands through any host, rows, a log line for each change, and TCP probes before the first trial of a target without repeatable requests.

--- /dev/null
+++ b/node/ejection/ejection_command.c
@@ -0,0 +1,362 @@
+#define LOG_MODULE "eject"
+
+#include "node/ejection/ejection_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/operator/operator_request.h"
+
+enum
+{
+  MESSAGE_SIZE = 256,
+  /* Time to write and to read back after a lost answer. */
+  WRITES_WAITED = 3,
+};
+
+static const char *const reason_messages[EJECTION_REASON_COUNT] = {
+  [EJECTION_REASON_NONE] = "done",
+  [EJECTION_REASON_FLOOR]
+  = "it would breach the floor, or an earlier owner may still hold targets "
+    "out; reinstate another target, lower the floor, or wait",
+  [EJECTION_REASON_TARGET]
+  = "the service has no such target that takes work; look at its targets",
+  [EJECTION_REASON_NOT_EJECTED]
+  = "the target isn't ejected; look at the ejections",
+  [EJECTION_REASON_VERSION]
+  = "the record of ejections has changed; look at it and send again",
+  [EJECTION_REASON_OWNER]
+  = "no owner of the service's ejections can be reached from this host; "
+    "wait for one or ask another host",
+  [EJECTION_REASON_SETTINGS]
+  = "the owner hasn't got the newest settings yet; send again soon",
+  [EJECTION_REASON_UNRECORDED]
+  = "the owner took it up but the platform didn't confirm it; look at the "
+    "ejections before sending again",
+  [EJECTION_REASON_SERVICE]
+  = "no such service is in force here; look at the services",
+  [EJECTION_REASON_BUSY] = "too many commands are under way; send again soon",
+};
+
+static void
+finish (struct ejection_task *task, struct ejection_command *command,
+        enum status status, enum ejection_reason reason)
+{
+  const struct ejection_service *service
+      = ejection_find (task, command->command.service);
+  if (service != NULL && command->sent_to[0] == '\0')
+    command->version = floor_owner_version (service->owner);
+  command->is_ended = true;
+  command->status = status;
+  command->reason = reason;
+  LOG_INFO ("command-ended", LOG_STR ("service", command->command.service),
+            LOG_STR ("target", command->command.target),
+            LOG_STR ("command", operator_verb_name (command->command.verb)),
+            LOG_STR ("status", status_name (status)),
+            LOG_STR ("why", reason_messages[reason]));
+  ev_timer_stop (task->options.loop, &task->soon);
+  ev_timer_set (&task->soon, 0, 0);
+  ev_timer_start (task->options.loop, &task->soon);
+}
+
+static enum ejection_reason
+refusal (enum floor_verdict verdict)
+{
+  switch (verdict)
+    {
+    case FLOOR_VERDICT_FLOOR:
+      return EJECTION_REASON_FLOOR;
+    case FLOOR_VERDICT_TARGET:
+      return EJECTION_REASON_TARGET;
+    case FLOOR_VERDICT_SETTINGS:
+      return EJECTION_REASON_SETTINGS;
+    case FLOOR_VERDICT_NOT_OWNER:
+      return EJECTION_REASON_OWNER;
+    default:
+      return EJECTION_REASON_NONE;
+    }
+}
+
+static enum ejection_reason
+apply (struct ejection_service *service,
+       const struct operator_command *command)
+{
+  const int64_t now_ms = ejection_now_ms (service->task);
+  service->why = "operator";
+  if (command->verb == OPERATOR_EJECT)
+    return refusal (floor_owner_eject (service->owner, now_ms, command->target,
+                                       UINT32_MAX, true));
+  return floor_owner_reinstate (service->owner, now_ms, command->target, true)
+             ? EJECTION_REASON_NONE
+             : EJECTION_REASON_NOT_EJECTED;
+}
+
+static void
+start_here (struct ejection_service *service, struct ejection_command *command)
+{
+  struct ejection_task *task = service->task;
+  const uint64_t version = floor_owner_version (service->owner);
+  command->acted_on_version = version;
+  if (command->command.version != OPERATOR_ANY_VERSION
+      && command->command.version != version)
+    {
+      finish (task, command, STATUS_REFUSED, EJECTION_REASON_VERSION);
+      return;
+    }
+  const enum ejection_reason reason = apply (service, &command->command);
+  if (reason != EJECTION_REASON_NONE)
+    {
+      finish (task, command, STATUS_REFUSED, reason);
+      return;
+    }
+  command->is_started = true;
+  ejection_owner_drive (service);
+}
+
+static void
+pass_on (struct ejection_service *service, struct ejection_command *command)
+{
+  struct ejection_task *task = service->task;
+  const struct ejection_order order = { .kind = EJECTION_COMMAND,
+                                        .service = service->name,
+                                        .target = command->command.target,
+                                        .id = command->id,
+                                        .version = command->command.version,
+                                        .verb = command->command.verb };
+  snprintf (command->sent_to, sizeof command->sent_to, "%s",
+            service->owner_name);
+  if (command->sent_to[0] == '\0'
+      || strcmp (command->sent_to, task->options.settings->name) == 0
+      || ejection_send_order (task->options.transport, command->sent_to,
+                              &order)
+             != STATUS_OK)
+    finish (task, command, STATUS_UNREACHABLE, EJECTION_REASON_OWNER);
+}
+
+static void
+start (struct ejection_task *task, struct ejection_command *command)
+{
+  struct ejection_service *service
+      = ejection_find (task, command->command.service);
+  if (task->command_count > EJECTION_COMMANDS_MAX)
+    finish (task, command, STATUS_LIMIT, EJECTION_REASON_BUSY);
+  else if (service == NULL || service->spec == NULL)
+    finish (task, command, STATUS_NOT_FOUND, EJECTION_REASON_SERVICE);
+  else if (service->role == FLOOR_ROLE_OWNER)
+    start_here (service, command);
+  else if (command->done != NULL)
+    pass_on (service, command);
+  else
+    finish (task, command, STATUS_REFUSED, EJECTION_REASON_OWNER);
+}
+
+static struct ejection_command *
+add (struct ejection_task *task, const struct operator_command *command)
+{
+  struct ejection_command *added = xcalloc (1, sizeof *added);
+  added->command = *command;
+  added->id = ++task->command_id;
+  added->until_ms = ejection_now_ms (task)
+                    + (int64_t)WRITES_WAITED
+                          * task->options.settings->times.platform_timeout_ms;
+  DL_APPEND (task->commands, added);
+  task->command_count++;
+  return added;
+}
+
+static void
+drop (struct ejection_task *task, struct ejection_command *command)
+{
+  DL_DELETE (task->commands, command);
+  task->command_count--;
+  free (command);
+}
+
+void
+ejection_task_command (struct ejection_task *task,
+                       const struct operator_command *command,
+                       operator_result_done *done, void *owner)
+{
+  struct ejection_command *added = add (task, command);
+  added->done = done;
+  added->owner = owner;
+  start (task, added);
+}
+
+void
+ejection_task_cancel (struct ejection_task *task, void *owner)
+{
+  struct ejection_command *command;
+  struct ejection_command *next;
+  DL_FOREACH_SAFE (task->commands, command, next)
+  {
+    if (command->done != NULL && command->owner == owner)
+      drop (task, command);
+  }
+}
+
+void
+ejection_commands_drop (struct ejection_task *task)
+{
+  struct ejection_command *command;
+  struct ejection_command *next;
+  DL_FOREACH_SAFE (task->commands, command, next)
+  {
+    drop (task, command);
+  }
+}
+
+static void
+take_order (struct ejection_task *task, const char *from,
+            const struct ejection_order *order)
+{
+  struct operator_command command
+      = { .verb = (enum operator_verb)order->verb, .version = order->version };
+  if (order->verb != OPERATOR_EJECT && order->verb != OPERATOR_REINSTATE)
+    return;
+  snprintf (command.service, sizeof command.service, "%s", order->service);
+  snprintf (command.target, sizeof command.target, "%s", order->target);
+  struct ejection_command *added = add (task, &command);
+  snprintf (added->from, sizeof added->from, "%s", from);
+  added->from_id = order->id;
+  start (task, added);
+}
+
+/* Only the host that was asked may end a command, and only that one. */
+static void
+take_result (struct ejection_task *task, const char *from,
+             const struct ejection_order *order)
+{
+  struct ejection_command *command;
+  DL_FOREACH (task->commands, command)
+  {
+    if (command->id != order->id || command->is_ended
+        || strcmp (command->sent_to, from) != 0)
+      continue;
+    if (order->status < STATUS_OK || order->status > STATUS_SYSTEM
+        || order->reason < 0 || order->reason >= EJECTION_REASON_COUNT)
+      return;
+    command->version = order->version;
+    finish (task, command, (enum status)order->status,
+            (enum ejection_reason)order->reason);
+    return;
+  }
+}
+
+void
+ejection_command_order (struct ejection_task *task, const char *from,
+                        const struct ejection_order *order)
+{
+  if (order->kind == EJECTION_COMMAND)
+    take_order (task, from, order);
+  else
+    take_result (task, from, order);
+}
+
+static bool
+is_out (const struct floor_record *record,
+        const struct operator_command *command)
+{
+  const struct floor_claim *claim
+      = floor_record_find (record, command->target);
+  return claim != NULL && claim->state != FLOOR_CLAIM_RELEASING;
+}
+
+/* A command has taken effect once the platform's record shows it. */
+static void
+look_at (struct ejection_task *task, struct ejection_command *command)
+{
+  const struct ejection_service *service
+      = ejection_find (task, command->command.service);
+  const bool is_owner = service != NULL && service->role == FLOOR_ROLE_OWNER;
+  if (is_owner && command->is_started)
+    {
+      const bool wanted = command->command.verb == OPERATOR_EJECT;
+      if (is_out (floor_owner_known (service->owner), &command->command)
+          == wanted)
+        finish (task, command, STATUS_OK, EJECTION_REASON_NONE);
+      else if (is_out (floor_owner_claims (service->owner), &command->command)
+               != wanted)
+        finish (task, command, STATUS_REFUSED, EJECTION_REASON_FLOOR);
+    }
+  else if (command->is_started)
+    finish (task, command, STATUS_LOST_ANSWER, EJECTION_REASON_UNRECORDED);
+  if (!command->is_ended && ejection_now_ms (task) >= command->until_ms)
+    finish (task, command, STATUS_LOST_ANSWER, EJECTION_REASON_UNRECORDED);
+}
+
+void
+ejection_commands_beat (struct ejection_task *task)
+{
+  struct ejection_command *command;
+  DL_FOREACH (task->commands, command)
+  {
+    if (!command->is_ended)
+      look_at (task, command);
+  }
+}
+
+static void
+answer_here (const struct ejection_command *command)
+{
+  char message[MESSAGE_SIZE];
+  char changed[MESSAGE_SIZE];
+  snprintf (message, sizeof message, "%s of %s in %s: %s",
+            operator_verb_name (command->command.verb),
+            command->command.target, command->command.service,
+            reason_messages[command->reason]);
+  snprintf (changed, sizeof changed,
+            "the record of ejections: now at version %" PRIu64,
+            command->version);
+  const bool is_race = command->reason == EJECTION_REASON_VERSION;
+  const struct operator_result result
+      = { .status = command->status,
+          .message = message,
+          .acted_on_version = command->acted_on_version,
+          .version = command->version,
+          .changed = is_race ? changed : NULL };
+  command->done (command->owner, &result);
+}
+
+static void
+answer_remote (struct ejection_task *task,
+               const struct ejection_command *command)
+{
+  const struct ejection_order order = { .kind = EJECTION_RESULT,
+                                        .service = command->command.service,
+                                        .target = command->command.target,
+                                        .id = command->from_id,
+                                        .version = command->version,
+                                        .verb = command->command.verb,
+                                        .status = (int)command->status,
+                                        .reason = (int)command->reason };
+  ejection_send_order (task->options.transport, command->from, &order);
+}
+
+void
+ejection_commands_answer (struct ejection_task *task)
+{
+  struct ejection_command *command = task->commands;
+  while (command != NULL)
+    {
+      if (!command->is_ended)
+        {
+          command = command->next;
+          continue;
+        }
+      struct ejection_command ended = *command;
+      drop (task, command);
+      if (ended.done != NULL)
+        answer_here (&ended);
+      else
+        answer_remote (task, &ended);
+      /* The callback may have changed the list. */
+      command = task->commands;
+    }
+}
--- /dev/null
+++ b/node/ejection/ejection_internal.h
@@ -0,0 +1,222 @@
+/** @file
+ * Inside of the ejection task, shared by its sources only.
+ */
+#ifndef NODE_EJECTION_INTERNAL_H
+#define NODE_EJECTION_INTERNAL_H
+
+#include <stdbool.h>
+
+#include <uthash.h>
+
+#include "node/ejection/ejection_messages.h"
+#include "node/ejection/ejection_task.h"
+#include "policy/detection/detector.h"
+#include "policy/floor/floor_owner.h"
+#include "policy/floor/floor_view.h"
+
+enum
+{
+  /* Hosts whose polls an owner answers at once when its decision changes;
+     more are answered when they poll next. */
+  EJECTION_POLLERS_MAX = 64,
+  EJECTION_PROBES_MAX = 16,
+  EJECTION_COMMANDS_MAX = 256,
+  /* A target on trial gets whole slices of this length, so that a host's
+     connections to it are of use. */
+  EJECTION_TRIAL_SLICE_MS = 2000,
+};
+
+/* Why a command ended as it did; the numbers are part of the protocol. */
+enum ejection_reason
+{
+  EJECTION_REASON_NONE,
+  EJECTION_REASON_FLOOR,       /* would breach the floor */
+  EJECTION_REASON_TARGET,      /* no such active target */
+  EJECTION_REASON_NOT_EJECTED, /* nothing to reinstate */
+  EJECTION_REASON_VERSION,     /* the record changed */
+  EJECTION_REASON_OWNER,       /* this host doesn't own the service */
+  EJECTION_REASON_SETTINGS,    /* the owner's settings are behind */
+  EJECTION_REASON_UNRECORDED,  /* carried out, not at the platform yet */
+  EJECTION_REASON_SERVICE,     /* no such service */
+  EJECTION_REASON_BUSY,        /* too many commands */
+  EJECTION_REASON_COUNT
+};
+
+/* A host that polled this owner. */
+struct ejection_poller
+{
+  char host[PEER_NAME_SIZE];
+  char dc[PEER_NAME_SIZE];
+  uint64_t incarnation;
+  int64_t poll_ms;  /* its clock */
+  int64_t heard_ms; /* ours */
+};
+
+/* A target that is let through for some of the time. */
+struct ejection_trial
+{
+  char target[FLOOR_NAME_SIZE];
+  uint32_t share_permille;
+};
+
+struct ejection_names
+{
+  char (*names)[FLOOR_NAME_SIZE];
+  size_t count;
+};
+
+struct target_probe;
+
+struct ejection_service
+{
+  struct ejection_task *task;
+  char name[SERVICE_NAME_SIZE];
+  struct service_spec *spec; /* NULL until in force */
+  uint64_t *keys;            /* of its targets */
+  struct floor_owner *owner;
+  struct floor_view *view;
+
+  /* The host set. */
+  char (*hosts)[SERVICE_NAME_SIZE];
+  size_t host_count;
+  int rank; /* this host's place in it; -1: not in it */
+
+  /* Who owns the service, as far as this host has heard. */
+  char owner_name[PEER_NAME_SIZE];
+  int64_t heard_ms;
+  int64_t heard_of_ms; /* another host said that it hears it */
+  int64_t next_poll_ms;
+  size_t rotation; /* next host to ask when the owner is silent */
+
+  /* Enforcement. */
+  struct ejection_trial *trials;
+  size_t trial_count;
+  struct ejection_names posted;
+
+  /* While owner. */
+  struct detection_detector *detector;
+  uint64_t detector_version; /* of the settings it has */
+  bool is_driving;
+  struct ejection_poller pollers[EJECTION_POLLERS_MAX];
+  size_t poller_count;
+  struct ejection_names told;
+  enum floor_role role; /* as last seen */
+  uint64_t role_epoch;
+  const char *why;      /* of the change under way, for the log */
+  uint64_t refused_key; /* last refusal logged */
+  enum floor_verdict refused_verdict;
+  struct target_probe *probes[EJECTION_PROBES_MAX];
+  uint64_t probe_keys[EJECTION_PROBES_MAX];
+
+  UT_hash_handle hh;
+};
+
+/* An operator's command under way. */
+struct ejection_command
+{
+  struct operator_command command;
+  uint64_t id;
+  operator_result_done *done; /* NULL: came from another host */
+  void *owner;
+  char from[PEER_NAME_SIZE]; /* that host */
+  uint64_t from_id;
+  char sent_to[PEER_NAME_SIZE]; /* passed on to; "" when it is ours */
+  uint64_t acted_on_version;
+  int64_t until_ms;
+  bool is_started; /* the claim is changed, not yet recorded */
+  bool is_ended;
+  enum status status;
+  enum ejection_reason reason;
+  uint64_t version;
+  struct ejection_command *prev;
+  struct ejection_command *next;
+};
+
+struct ejection_counters
+{
+  struct counter *ejected;
+  struct counter *reinstated;
+  struct counter *refused;
+  struct counter *takeovers;
+  struct counter *platform_calls;
+  struct counter *reports;
+};
+
+struct ejection_task
+{
+  struct ejection_task_options options;
+  struct ejection_service *services;
+  struct ejection_command *commands;
+  size_t command_count;
+  uint64_t command_id;
+  struct ev_timer beat;
+  struct ev_timer soon; /* ended commands are answered from the loop */
+  struct ejection_counters counters;
+  bool is_leaving;
+};
+
+/* ejection_task.c */
+struct ejection_service *ejection_find (struct ejection_task *task,
+                                        const char *name);
+int64_t ejection_now_ms (const struct ejection_task *task);
+/* Between two beats; a lapse is noticed that late at most. */
+uint32_t ejection_beat_ms (const struct ejection_task *task);
+void ejection_names_assign (struct ejection_names *to,
+                            const char (*names)[FLOOR_NAME_SIZE],
+                            size_t count);
+bool ejection_names_has (const struct ejection_names *names, const char *name);
+
+/* ejection_service.c: a service as every host sees it */
+struct ejection_service *ejection_service_create (struct ejection_task *task,
+                                                  const char *name);
+void ejection_service_destroy (struct ejection_service *service);
+void ejection_service_set_spec (struct ejection_service *service,
+                                const struct service_spec *spec);
+void ejection_service_set_hosts (struct ejection_service *service,
+                                 const struct bus_host_set *set);
+void ejection_service_beat (struct ejection_service *service);
+void ejection_service_news (struct ejection_service *service, const char *from,
+                            const struct ejection_news *news);
+/* A decision of this host as owner. */
+void ejection_service_hear_own (struct ejection_service *service,
+                                const struct ejection_news *news);
+/* Post the enforced set if it changed. */
+void ejection_service_post (struct ejection_service *service);
+const char *ejection_target_name (const struct ejection_service *service,
+                                  uint64_t key);
+uint64_t ejection_target_key (const struct ejection_service *service,
+                              const char *name);
+
+/* ejection_owner.c: what the owner does */
+/* Follow the floor authority: calls, role, decision. */
+void ejection_owner_drive (struct ejection_service *service);
+void ejection_owner_report (struct ejection_service *service, const char *from,
+                            const struct ejection_report *report);
+void ejection_owner_step (struct ejection_service *service);
+/* Tell one poller, or all that polled lately. */
+void ejection_owner_tell (struct ejection_service *service,
+                          const struct ejection_poller *poller);
+void ejection_owner_release (struct ejection_service *service);
+void ejection_owner_drop (struct ejection_service *service);
+
+/* ejection_judge.c: what the detector wants, within the floor */
+void ejection_judge (struct ejection_service *service);
+void ejection_judge_told (struct ejection_service *service,
+                          const struct floor_decision *decision);
+uint32_t ejection_judge_share (const struct ejection_service *service,
+                               const char *target);
+
+/* ejection_calls.c: the floor authority's calls at the platform */
+void ejection_calls_drive (struct ejection_service *service);
+
+/* ejection_command.c */
+void ejection_command_order (struct ejection_task *task, const char *from,
+                             const struct ejection_order *order);
+void ejection_commands_beat (struct ejection_task *task);
+void ejection_commands_answer (struct ejection_task *task);
+void ejection_commands_drop (struct ejection_task *task);
+
+/* ejection_rows.c */
+struct json_object *ejection_rows (void *owner);
+
+#endif
--- /dev/null
+++ b/node/ejection/ejection_messages.c
@@ -0,0 +1,251 @@
+#include "node/ejection/ejection_messages.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+
+/* Columns of the head; a report's other rows use the second list. */
+enum
+{
+  HEAD_KIND,
+  HEAD_INCARNATION,
+  HEAD_POLL_MS,
+  HEAD_ENFORCE_MS,
+  HEAD_ID = HEAD_INCARNATION,
+  HEAD_VERSION = HEAD_POLL_MS,
+  HEAD_VERB = HEAD_ENFORCE_MS,
+  HEAD_STATUS,
+  HEAD_REASON,
+  NEWS_COLUMNS,
+
+  ITEM_KEY = 0,
+  ITEM_REQUESTS,
+  ITEM_FAILURES,
+  ITEM_TIMEOUTS,
+  ITEM_SHEDS,
+  ITEM_LATENCY,
+  ITEM_COLUMNS = ITEM_LATENCY + DETECTION_LATENCY_BUCKETS,
+
+  PERMILLE = 1000,
+};
+
+static enum status
+send_rows (struct ejection_transport *transport, const char *to,
+           enum peer_type type, const struct peer_report *report)
+{
+  const struct peer_message message = { .type = type, .report = *report };
+  return transport->ops->send (transport, to, &message);
+}
+
+static void
+set_service (struct peer_report *report, const char *service)
+{
+  snprintf (report->service, sizeof report->service, "%s", service);
+}
+
+static void
+format_item (int64_t *row, const struct detection_report_item *item)
+{
+  const struct detection_evidence *evidence = &item->evidence;
+  row[ITEM_KEY] = (int64_t)item->target_key;
+  row[ITEM_REQUESTS] = evidence->requests;
+  row[ITEM_FAILURES] = evidence->failures;
+  row[ITEM_TIMEOUTS] = evidence->timeouts;
+  row[ITEM_SHEDS] = evidence->sheds;
+  for (size_t i = 0; i < DETECTION_LATENCY_BUCKETS; i++)
+    row[ITEM_LATENCY + i] = evidence->latency[i];
+}
+
+enum status
+ejection_send_report (struct ejection_transport *transport, const char *to,
+                      const struct ejection_report *report)
+{
+  const size_t columns = report->count > 0 ? ITEM_COLUMNS : NEWS_COLUMNS;
+  int64_t *values = xcalloc ((report->count + 1) * columns, sizeof *values);
+  char dc[1][PEER_NAME_SIZE];
+  snprintf (dc[0], sizeof dc[0], "%s", report->dc);
+  values[HEAD_KIND] = EJECTION_REPORT;
+  values[HEAD_INCARNATION] = (int64_t)report->incarnation;
+  values[HEAD_POLL_MS] = report->poll_ms;
+  for (size_t i = 0; i < report->count; i++)
+    format_item (values + (i + 1) * columns, &report->items[i]);
+  struct peer_report message = { .epoch = report->epoch,
+                                 .columns = (uint32_t)columns,
+                                 .values = values,
+                                 .value_count = (report->count + 1) * columns,
+                                 .names = dc,
+                                 .name_count = 1 };
+  set_service (&message, report->service);
+  const enum status status
+      = send_rows (transport, to, PEER_EVIDENCE, &message);
+  free (values);
+  return status;
+}
+
+enum status
+ejection_send_news (struct ejection_transport *transport, const char *to,
+                    const struct ejection_news *news)
+{
+  int64_t *values = xcalloc ((news->count + 1) * NEWS_COLUMNS, sizeof *values);
+  values[HEAD_KIND] = news->kind;
+  values[HEAD_INCARNATION] = (int64_t)news->incarnation;
+  values[HEAD_POLL_MS] = news->poll_ms;
+  values[HEAD_ENFORCE_MS] = news->enforce_ms;
+  for (size_t i = 0; i < news->count && news->shares_permille != NULL; i++)
+    values[(i + 1) * NEWS_COLUMNS] = news->shares_permille[i];
+  struct peer_report message
+      = { .epoch = news->epoch,
+          .sequence = news->sequence,
+          .columns = NEWS_COLUMNS,
+          .values = values,
+          .value_count = (news->count + 1) * NEWS_COLUMNS,
+          .names = (char (*)[PEER_NAME_SIZE])news->names,
+          .name_count = news->count };
+  set_service (&message, news->service);
+  const enum status status
+      = send_rows (transport, to, PEER_DECISION, &message);
+  free (values);
+  return status;
+}
+
+enum status
+ejection_send_order (struct ejection_transport *transport, const char *to,
+                     const struct ejection_order *order)
+{
+  int64_t values[NEWS_COLUMNS] = { 0 };
+  char target[1][PEER_NAME_SIZE];
+  snprintf (target[0], sizeof target[0], "%s", order->target);
+  values[HEAD_KIND] = order->kind;
+  values[HEAD_ID] = (int64_t)order->id;
+  values[HEAD_VERSION] = (int64_t)order->version;
+  values[HEAD_VERB] = order->verb;
+  values[HEAD_STATUS] = order->status;
+  values[HEAD_REASON] = order->reason;
+  struct peer_report message = { .columns = NEWS_COLUMNS,
+                                 .values = values,
+                                 .value_count = NEWS_COLUMNS,
+                                 .names = target,
+                                 .name_count = 1 };
+  set_service (&message, order->service);
+  const bool is_command = order->kind == EJECTION_COMMAND;
+  return send_rows (transport, to, is_command ? PEER_EVIDENCE : PEER_DECISION,
+                    &message);
+}
+
+enum ejection_kind
+ejection_message_kind (const struct peer_report *report)
+{
+  if (report->columns < NEWS_COLUMNS || report->value_count < report->columns
+      || report->value_count % report->columns != 0)
+    return 0;
+  const int64_t kind = report->values[HEAD_KIND];
+  if (kind < EJECTION_REPORT || kind > EJECTION_RESULT)
+    return 0;
+  return (enum ejection_kind)kind;
+}
+
+static bool
+read_count (int64_t value, uint32_t *count)
+{
+  if (value < 0 || value > UINT32_MAX)
+    return false;
+  *count = (uint32_t)value;
+  return true;
+}
+
+static bool
+read_item (const int64_t *row, struct detection_report_item *item)
+{
+  struct detection_evidence *evidence = &item->evidence;
+  item->target_key = (uint64_t)row[ITEM_KEY];
+  bool good = item->target_key != 0
+              && read_count (row[ITEM_REQUESTS], &evidence->requests)
+              && read_count (row[ITEM_FAILURES], &evidence->failures)
+              && read_count (row[ITEM_TIMEOUTS], &evidence->timeouts)
+              && read_count (row[ITEM_SHEDS], &evidence->sheds);
+  for (size_t i = 0; i < DETECTION_LATENCY_BUCKETS; i++)
+    good = good && read_count (row[ITEM_LATENCY + i], &evidence->latency[i]);
+  return good && evidence->failures <= evidence->requests;
+}
+
+bool
+ejection_read_report (const struct peer_report *message,
+                      struct ejection_report *report)
+{
+  const size_t count = message->value_count / message->columns - 1;
+  if (message->name_count != 1 || count > EJECTION_ITEMS_MAX
+      || (count > 0 && message->columns != ITEM_COLUMNS))
+    return false;
+  struct detection_report_item *items = xcalloc (count + 1, sizeof *items);
+  for (size_t i = 0; i < count; i++)
+    if (!read_item (message->values + (i + 1) * message->columns, &items[i]))
+      {
+        free (items);
+        return false;
+      }
+  *report = (struct ejection_report){
+    .service = message->service,
+    .epoch = message->epoch,
+    .incarnation = (uint64_t)message->values[HEAD_INCARNATION],
+    .poll_ms = message->values[HEAD_POLL_MS],
+    .dc = message->names[0],
+    .items = items,
+    .count = count,
+  };
+  return true;
+}
+
+bool
+ejection_read_news (const struct peer_report *message,
+                    struct ejection_news *news)
+{
+  const size_t count = message->value_count / message->columns - 1;
+  uint32_t enforce_ms;
+  if (message->columns != NEWS_COLUMNS || message->name_count != count
+      || !read_count (message->values[HEAD_ENFORCE_MS], &enforce_ms))
+    return false;
+  uint32_t *shares = xcalloc (count + 1, sizeof *shares);
+  for (size_t i = 0; i < count; i++)
+    if (!read_count (message->values[(i + 1) * NEWS_COLUMNS], &shares[i])
+        || shares[i] > PERMILLE)
+      {
+        free (shares);
+        return false;
+      }
+  *news = (struct ejection_news){
+    .kind = ejection_message_kind (message),
+    .service = message->service,
+    .epoch = message->epoch,
+    .sequence = message->sequence,
+    .enforce_ms = enforce_ms,
+    .incarnation = (uint64_t)message->values[HEAD_INCARNATION],
+    .poll_ms = message->values[HEAD_POLL_MS],
+    .names = (const char (*)[PEER_NAME_SIZE])message->names,
+    .shares_permille = shares,
+    .count = count,
+  };
+  return true;
+}
+
+bool
+ejection_read_order (const struct peer_report *message,
+                     struct ejection_order *order)
+{
+  if (message->columns != NEWS_COLUMNS || message->name_count != 1
+      || message->value_count != NEWS_COLUMNS)
+    return false;
+  const int64_t *head = message->values;
+  *order = (struct ejection_order){
+    .kind = ejection_message_kind (message),
+    .service = message->service,
+    .target = message->names[0],
+    .id = (uint64_t)head[HEAD_ID],
+    .version = (uint64_t)head[HEAD_VERSION],
+    .verb = (int)head[HEAD_VERB],
+    .status = (int)head[HEAD_STATUS],
+    .reason = (int)head[HEAD_REASON],
+  };
+  return true;
+}
--- /dev/null
+++ b/node/ejection/ejection_task.c
@@ -0,0 +1,276 @@
+#define LOG_MODULE "eject"
+
+#include "node/ejection/ejection_task.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/ejection/ejection_internal.h"
+
+enum
+{
+  BEATS_PER_EVIDENCE = 4,
+  BEAT_MIN_MS = 10,
+  BEAT_MAX_MS = 100,
+  OUTAGE_HOLD_MS = 6 * 60 * 60 * 1000,
+};
+
+int64_t
+ejection_now_ms (const struct ejection_task *task)
+{
+  return task->options.now_ms != NULL ? task->options.now_ms ()
+                                      : clock_now_ms ();
+}
+
+struct ejection_service *
+ejection_find (struct ejection_task *task, const char *name)
+{
+  struct ejection_service *service;
+  HASH_FIND_STR (task->services, name, service);
+  return service;
+}
+
+void
+ejection_names_assign (struct ejection_names *to,
+                       const char (*names)[FLOOR_NAME_SIZE], size_t count)
+{
+  to->names = xreallocarray (to->names, count + 1, sizeof *to->names);
+  if (count > 0)
+    memcpy (to->names, names, count * sizeof *to->names);
+  to->count = count;
+}
+
+bool
+ejection_names_has (const struct ejection_names *names, const char *name)
+{
+  for (size_t i = 0; i < names->count; i++)
+    if (strcmp (names->names[i], name) == 0)
+      return true;
+  return false;
+}
+
+static struct ejection_service *
+find_or_add (struct ejection_task *task, const char *name)
+{
+  struct ejection_service *service = ejection_find (task, name);
+  if (service != NULL)
+    return service;
+  service = ejection_service_create (task, name);
+  HASH_ADD_STR (task->services, name, service);
+  return service;
+}
+
+static void
+on_in_force (void *owner, const struct bus_message *message)
+{
+  struct ejection_task *task = owner;
+  const struct service_spec *spec = message->service_in_force.spec;
+  ejection_service_set_spec (find_or_add (task, spec->name), spec);
+}
+
+static void
+on_removed (void *owner, const struct bus_message *message)
+{
+  struct ejection_task *task = owner;
+  struct ejection_service *service
+      = ejection_find (task, message->service_removed.name);
+  if (service == NULL)
+    return;
+  HASH_DEL (task->services, service);
+  ejection_service_destroy (service);
+}
+
+static void
+on_host_set (void *owner, const struct bus_message *message)
+{
+  struct ejection_task *task = owner;
+  ejection_service_set_hosts (find_or_add (task, message->host_set.service),
+                              &message->host_set);
+}
+
+static void
+on_shutdown (void *owner, const struct bus_message *message)
+{
+  struct ejection_task *task = owner;
+  task->is_leaving = true;
+  struct ejection_service *service;
+  struct ejection_service *next;
+  HASH_ITER (hh, task->services, service, next)
+  {
+    ejection_owner_release (service);
+  }
+}
+
+static void
+on_beat (struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+  struct ejection_task *task = watcher->data;
+  struct ejection_service *service;
+  struct ejection_service *next;
+  HASH_ITER (hh, task->services, service, next)
+  {
+    ejection_service_beat (service);
+  }
+  ejection_commands_beat (task);
+}
+
+static void
+on_soon (struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+  ejection_commands_answer (watcher->data);
+}
+
+static struct counter *
+count (struct counters *counters, const char *name, const char *help)
+{
+  const struct counter_family_options options
+      = { .name = name, .help = help, .kind = COUNTER_SUM };
+  const char *const no_labels[4] = { NULL };
+  return counter_series (counters_family (counters, &options), no_labels);
+}
+
+static void
+add_counters (struct ejection_task *task)
+{
+  struct counters *counters = task->options.counters;
+  task->counters = (struct ejection_counters){
+    .ejected = count (counters, "jaystair_ejections_total",
+                      "Targets ejected by this host as owner."),
+    .reinstated = count (counters, "jaystair_reinstatements_total",
+                         "Targets brought back by this host as owner."),
+    .refused = count (counters, "jaystair_ejections_refused_total",
+                      "Ejections that the floor or settings refused."),
+    .takeovers = count (counters, "jaystair_ejection_takeovers_total",
+                        "Services whose ejections this host took over."),
+    .platform_calls = count (counters, "jaystair_ejection_calls_total",
+                             "Calls at the platform for ejection records."),
+    .reports = count (counters, "jaystair_evidence_reports_total",
+                      "Evidence reports sent to owners."),
+  };
+}
+
+uint32_t
+ejection_beat_ms (const struct ejection_task *task)
+{
+  const uint32_t evidence_ms = task->options.settings->times.evidence_ms;
+  const uint32_t beat_ms = evidence_ms / BEATS_PER_EVIDENCE;
+  if (beat_ms < BEAT_MIN_MS)
+    return BEAT_MIN_MS;
+  return beat_ms > BEAT_MAX_MS ? BEAT_MAX_MS : beat_ms;
+}
+
+/* Guards against a host that was frozen: it must end an enforcement whose
+   time is over before it serves what came in meanwhile, so its beat goes
+   before all other events of the loop's turn. */
+static void
+start_beat (struct ejection_task *task)
+{
+  const double beat_s = ejection_beat_ms (task) / 1000.0;
+  ev_timer_init (&task->beat, on_beat, beat_s, beat_s);
+  ev_set_priority (&task->beat, EV_MAXPRI);
+  task->beat.data = task;
+  ev_timer_start (task->options.loop, &task->beat);
+  ev_timer_init (&task->soon, on_soon, 0, 0);
+  task->soon.data = task;
+}
+
+struct ejection_task *
+ejection_task_create (const struct ejection_task_options *options)
+{
+  struct ejection_task *task = xcalloc (1, sizeof *task);
+  task->options = *options;
+  if (task->options.outage_hold_ms == 0)
+    task->options.outage_hold_ms = OUTAGE_HOLD_MS;
+  add_counters (task);
+  bus_subscribe (options->bus, BUS_SERVICE_IN_FORCE, on_in_force, task);
+  bus_subscribe (options->bus, BUS_SERVICE_REMOVED, on_removed, task);
+  bus_subscribe (options->bus, BUS_HOST_SET, on_host_set, task);
+  bus_subscribe (options->bus, BUS_SHUTDOWN, on_shutdown, task);
+  if (options->tables != NULL)
+    tables_register (options->tables, "ejections", ejection_rows, task);
+  start_beat (task);
+  return task;
+}
+
+void
+ejection_task_destroy (struct ejection_task *task)
+{
+  if (task == NULL)
+    return;
+  ev_timer_stop (task->options.loop, &task->beat);
+  ev_timer_stop (task->options.loop, &task->soon);
+  bus_unsubscribe (task->options.bus, task);
+  if (task->options.tables != NULL)
+    tables_unregister (task->options.tables, task);
+  struct ejection_service *service;
+  struct ejection_service *next;
+  HASH_ITER (hh, task->services, service, next)
+  {
+    HASH_DEL (task->services, service);
+    ejection_service_destroy (service);
+  }
+  ejection_commands_drop (task);
+  free (task);
+}
+
+static void
+receive_report (struct ejection_service *service, const char *from,
+                const struct peer_report *message)
+{
+  struct ejection_report report;
+  if (!ejection_read_report (message, &report))
+    return;
+  ejection_owner_report (service, from, &report);
+  free ((void *)report.items);
+}
+
+static void
+receive_news (struct ejection_service *service, const char *from,
+              const struct peer_report *message)
+{
+  struct ejection_news news;
+  if (!ejection_read_news (message, &news))
+    return;
+  ejection_service_news (service, from, &news);
+  free ((void *)news.shares_permille);
+}
+
+static void
+receive_order (struct ejection_task *task, const char *from,
+               const struct peer_report *message)
+{
+  struct ejection_order order;
+  if (ejection_read_order (message, &order))
+    ejection_command_order (task, from, &order);
+}
+
+void
+ejection_task_receive (struct ejection_task *task, const char *from,
+                       const struct peer_message *message)
+{
+  const struct peer_report *report = &message->report;
+  const enum ejection_kind kind = ejection_message_kind (report);
+  struct ejection_service *service = ejection_find (task, report->service);
+  switch (kind)
+    {
+    case EJECTION_REPORT:
+      if (service != NULL && message->type == PEER_EVIDENCE)
+        receive_report (service, from, report);
+      return;
+    case EJECTION_DECISION:
+    case EJECTION_REDIRECT:
+    case EJECTION_STOPPED:
+      if (service != NULL && message->type == PEER_DECISION)
+        receive_news (service, from, report);
+      return;
+    case EJECTION_COMMAND:
+    case EJECTION_RESULT:
+      receive_order (task, from, report);
+      return;
+    }
+  LOG_WARN ("bad-message", LOG_STR ("from", from),
+            LOG_STR ("service", report->service));
+}
--- /dev/null
+++ b/node/ejection/tests/ejection_fleet.h
@@ -0,0 +1,454 @@
+// A few ejection tasks in one process, over a platform, a network and a clock
+// that the test commands.
+#ifndef NODE_EJECTION_TESTS_EJECTION_FLEET_H
+#define NODE_EJECTION_TESTS_EJECTION_FLEET_H
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <ev.h>
+
+extern "C"
+{
+#include "base/hash.h"
+#include "base/xmalloc.h"
+#include "node/ejection/ejection_internal.h"
+}
+
+namespace
+{
+constexpr int host_count = 3;
+constexpr int target_count = 6;
+constexpr int step_ms = 10;
+const char *const service_name = "holds";
+
+int64_t fleet_now_ms = 1000;
+
+int64_t
+fleet_clock ()
+{
+  return fleet_now_ms;
+}
+
+// One object kind in memory; calls end at the fleet's next turn.
+struct fake_platform
+{
+  platform base; // first
+  struct object
+  {
+    uint64_t version;
+    std::string value;
+  };
+  std::map<std::string, object> objects;
+  std::deque<std::pair<void *, std::function<void ()> > > calls;
+  bool down = false;
+  bool lose_next_write_answer = false;
+  int writes = 0;
+  std::set<std::string> write_texts;
+};
+
+fake_platform *
+fake (platform *p)
+{
+  return reinterpret_cast<fake_platform *> (p);
+}
+
+void
+end_call (fake_platform *p, platform_done *done, void *owner, status code,
+          const std::string &name)
+{
+  const auto found = p->objects.find (name);
+  platform_object object = { name.c_str (), 0, nullptr };
+  if (found != p->objects.end ())
+    object = { name.c_str (), found->second.version,
+               found->second.value.c_str () };
+  const bool has = object.value != nullptr
+                   && (code == STATUS_OK || code == STATUS_REFUSED);
+  const platform_reply reply
+      = { code, "as the test says", 0, has ? &object : nullptr, has };
+  done (owner, &reply);
+}
+
+void
+fake_get (platform *base, const char *kind, const char *name,
+          platform_done *done, void *owner)
+{
+  fake_platform *p = fake (base);
+  const std::string key = name;
+  p->calls.emplace_back (owner, [=] {
+    const status code = p->down                  ? STATUS_UNREACHABLE
+                        : p->objects.count (key) ? STATUS_OK
+                                                 : STATUS_NOT_FOUND;
+    end_call (p, done, owner, code, key);
+  });
+}
+
+status
+write_object (fake_platform *p, const std::string &key, uint64_t expected,
+              const std::string &value)
+{
+  auto &object = p->objects[key];
+  if (object.version != expected)
+    return STATUS_REFUSED;
+  object = { object.version + 1, value };
+  p->writes++;
+  p->write_texts.insert (value);
+  const bool lost = p->lose_next_write_answer;
+  p->lose_next_write_answer = false;
+  return lost ? STATUS_LOST_ANSWER : STATUS_OK;
+}
+
+void
+fake_put (platform *base, const char *kind, const char *name,
+          uint64_t expected, const char *value, platform_done *done,
+          void *owner)
+{
+  fake_platform *p = fake (base);
+  const std::string key = name, text = value;
+  p->calls.emplace_back (owner, [=] {
+    const status code
+        = p->down ? STATUS_UNREACHABLE : write_object (p, key, expected, text);
+    end_call (p, done, owner, code, key);
+  });
+}
+
+void
+fake_cancel (platform *base, void *owner)
+{
+  for (auto &call : fake (base)->calls)
+    if (call.first == owner)
+      call.second = [] {};
+}
+
+const platform_ops fake_platform_ops
+    = { fake_get, nullptr, fake_put, nullptr, fake_cancel, nullptr };
+
+struct fleet;
+
+struct fleet_host
+{
+  ejection_transport transport; // first
+  fleet *all;
+  std::string name;
+  host_settings settings;
+  bus *messages = nullptr;
+  ejection_task *task = nullptr;
+  detection_recorder *recorder = nullptr;
+  std::set<std::string> out;
+  bool frozen = false;
+};
+
+status fleet_send (ejection_transport *transport, const char *to,
+                   const peer_message *message);
+const ejection_transport_ops fleet_transport_ops = { fleet_send };
+
+struct fleet
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  fake_platform platform;
+  counters *counts = counters_create ();
+  fleet_host hosts[host_count];
+  struct letter
+  {
+    int from, to;
+    std::string bytes;
+  };
+  std::deque<letter> letters;
+  bool cut[host_count][host_count] = {};
+  uint32_t floor_capacity = 12;
+  uint64_t spec_version = 0;
+
+  fleet ()
+  {
+    platform.base.ops = &fake_platform_ops;
+    for (int i = 0; i < host_count; i++)
+      start (i);
+    set_floor (floor_capacity);
+  }
+
+  ~fleet ()
+  {
+    for (int i = 0; i < host_count; i++)
+      stop (i);
+    counters_destroy (counts);
+    ev_loop_destroy (loop);
+  }
+
+  void
+  start (int i)
+  {
+    fleet_host &h = hosts[i];
+    h.transport.ops = &fleet_transport_ops;
+    h.all = this;
+    h.name = "host-" + std::to_string (i);
+    host_settings_defaults (&h.settings);
+    snprintf (h.settings.name, sizeof h.settings.name, "%s", h.name.c_str ());
+    snprintf (h.settings.dc, sizeof h.settings.dc, "dc-%d", i);
+    h.settings.times.enforce_ms = 1000;
+    h.settings.times.owner_lease_ms = 600;
+    h.settings.times.evidence_ms = 40;
+    h.settings.times.platform_timeout_ms = 200;
+    h.messages = bus_create (loop);
+    h.recorder = detection_recorder_create ();
+    ejection_task_options options = {};
+    options.loop = loop;
+    options.bus = h.messages;
+    options.settings = &h.settings;
+    options.platform = &platform.base;
+    options.counters = counts;
+    options.transport = &h.transport;
+    options.recorder = [] (void *owner, const char *) {
+      return static_cast<fleet_host *> (owner)->recorder;
+    };
+    options.recorder_owner = &h;
+    options.incarnation = hash_pair (fleet_now_ms, i) | 1;
+    options.outage_hold_ms = 20000;
+    options.now_ms = fleet_clock;
+    h.task = ejection_task_create (&options);
+    // Beats come from the test's clock alone.
+    ev_timer_stop (loop, &h.task->beat);
+    bus_subscribe (
+        h.messages, BUS_EJECTIONS,
+        [] (void *owner, const bus_message *m) {
+          auto *host = static_cast<fleet_host *> (owner);
+          host->out.clear ();
+          for (size_t k = 0; k < m->ejections.count; k++)
+            host->out.insert (m->ejections.targets[k]);
+        },
+        &h);
+    post_hosts (i);
+    if (spec_version > 0)
+      post_spec (i);
+  }
+
+  void
+  stop (int i)
+  {
+    fleet_host &h = hosts[i];
+    ejection_task_destroy (h.task);
+    if (h.messages != nullptr)
+      bus_destroy (h.messages);
+    detection_recorder_destroy (h.recorder);
+    h.task = nullptr;
+    h.messages = nullptr;
+    h.recorder = nullptr;
+    h.out.clear ();
+  }
+
+  void
+  post_hosts (int i)
+  {
+    bus_message m = {};
+    m.topic = BUS_HOST_SET;
+    snprintf (m.host_set.service, SERVICE_NAME_SIZE, "%s", service_name);
+    m.host_set.self = true;
+    m.host_set.count = host_count;
+    m.host_set.hosts
+        = (bus_set_host *)xcalloc (host_count, sizeof *m.host_set.hosts);
+    for (int k = 0; k < host_count; k++)
+      snprintf (m.host_set.hosts[k].name, SERVICE_NAME_SIZE, "host-%d", k);
+    bus_post (hosts[i].messages, &m);
+  }
+
+  void
+  post_spec (int i)
+  {
+    std::string targets, routes;
+    std::vector<uint64_t> keys;
+    for (int k = 0; k < target_count; k++)
+      {
+        const std::string n = std::to_string (k);
+        targets += (k > 0 ? "," : "") + std::string ("{\"name\":\"t") + n
+                   + "\",\"address\":\"127.0.0.1:" + std::to_string (9001 + k)
+                   + "\",\"dc\":\"dc-0\",\"slots\":4,\"capacity\":4,"
+                     "\"connections\":9}";
+        keys.push_back (target_key ("t" + n));
+      }
+    const std::string text
+        = std::string ("{\"name\":\"holds\",\"floor_capacity\":")
+          + std::to_string (floor_capacity) + ",\"targets\":[" + targets
+          + "],\"routes\":[{\"path_prefix\":\"/\",\"methods\":[\"GET\"]}]}";
+    bus_message m = {};
+    m.topic = BUS_SERVICE_IN_FORCE;
+    const status parsed = service_spec_parse (
+        "test", text.c_str (), spec_version, &m.service_in_force.spec);
+    if (parsed != STATUS_OK)
+      {
+        fprintf (stderr, "%s\n", status_message ());
+        abort ();
+      }
+    detection_recorder_set_targets (hosts[i].recorder, keys.data (),
+                                    keys.size ());
+    bus_post (hosts[i].messages, &m);
+  }
+
+  void
+  set_floor (uint32_t capacity)
+  {
+    floor_capacity = capacity;
+    spec_version++;
+    for (int i = 0; i < host_count; i++)
+      if (hosts[i].task != nullptr)
+        post_spec (i);
+  }
+
+  static uint64_t
+  target_key (const std::string &target)
+  {
+    return hash_pair (hash_string (service_name),
+                      hash_string (target.c_str ()));
+  }
+
+  // Requests to all targets at all hosts: those in BAD fail.
+  void
+  traffic (const std::set<std::string> &bad)
+  {
+    for (auto &h : hosts)
+      for (int k = 0; k < target_count && h.task != nullptr; k++)
+        {
+          const std::string t = "t" + std::to_string (k);
+          if (h.out.count (t) == 0 && !h.frozen)
+            detection_recorder_record (
+                h.recorder, target_key (t),
+                bad.count (t) ? ATTEMPT_FAILED : ATTEMPT_ANSWERED, 1500);
+        }
+  }
+
+  void
+  deliver ()
+  {
+    std::deque<letter> held;
+    std::deque<letter> now;
+    now.swap (letters);
+    for (auto &l : now)
+      {
+        fleet_host &h = hosts[l.to];
+        peer_message message;
+        if (h.task == nullptr || cut[l.from][l.to])
+          continue;
+        if (h.frozen)
+          {
+            held.push_back (l);
+            continue;
+          }
+        if (peer_message_decode (l.bytes.data (), l.bytes.size (), &message)
+            != STATUS_OK)
+          abort ();
+        ejection_task_receive (h.task, hosts[l.from].name.c_str (), &message);
+        peer_message_release (&message);
+      }
+    letters.insert (letters.begin (), held.begin (), held.end ());
+  }
+
+  void
+  turn ()
+  {
+    fleet_now_ms += step_ms;
+    auto calls = std::move (platform.calls);
+    platform.calls.clear ();
+    for (auto &call : calls)
+      call.second ();
+    deliver ();
+    for (auto &h : hosts)
+      if (h.task != nullptr && !h.frozen)
+        ev_invoke (loop, &h.task->beat, EV_TIMER);
+    ev_run (loop, EVRUN_NOWAIT);
+  }
+
+  // Turns until DONE, for at most MS of the fleet's time.
+  bool
+  until (int ms, const std::function<bool ()> &done,
+         const std::set<std::string> &bad = {})
+  {
+    for (int t = 0; t < ms; t += step_ms)
+      {
+        traffic (bad);
+        turn ();
+        recount ();
+        if (done ())
+          return true;
+      }
+    return false;
+  }
+
+  void
+  run (int ms, const std::set<std::string> &bad = {})
+  {
+    until (
+        ms, [] { return false; }, bad);
+  }
+
+  int most_out = 0; // capacity that was out of work anywhere at once
+
+  void
+  recount ()
+  {
+    std::set<std::string> out;
+    for (auto &h : hosts)
+      out.insert (h.out.begin (), h.out.end ());
+    most_out = std::max (most_out, 4 * (int)out.size ());
+  }
+
+  ejection_service *
+  service (int i)
+  {
+    return ejection_find (hosts[i].task, service_name);
+  }
+
+  // The host that acts as owner; -1: none or several.
+  int
+  owner ()
+  {
+    int found = -1;
+    for (int i = 0; i < host_count; i++)
+      if (hosts[i].task != nullptr && !hosts[i].frozen
+          && service (i) != nullptr && service (i)->role == FLOOR_ROLE_OWNER)
+        found = found < 0 ? i : host_count;
+    return found == host_count ? -1 : found;
+  }
+
+  bool
+  all_out (const std::string &target)
+  {
+    for (auto &h : hosts)
+      if (h.task != nullptr && !h.frozen && h.out.count (target) == 0)
+        return false;
+    return true;
+  }
+
+  bool
+  none_out (const std::string &target)
+  {
+    for (auto &h : hosts)
+      if (h.out.count (target) != 0)
+        return false;
+    return true;
+  }
+};
+
+status
+fleet_send (ejection_transport *transport, const char *to,
+            const peer_message *message)
+{
+  auto *from = reinterpret_cast<fleet_host *> (transport);
+  fleet *all = from->all;
+  for (int i = 0; i < host_count; i++)
+    if (all->hosts[i].name == to)
+      {
+        size_t size;
+        char *bytes = peer_message_encode (message, &size);
+        all->letters.push_back (
+            { (int)(from - all->hosts), i, std::string (bytes, size) });
+        free (bytes);
+        return STATUS_OK;
+      }
+  return STATUS_NOT_FOUND;
+}
+}
+
+#endif
