floor: stories of owners step by step; ejection: trials and probes tested

The stories showed that a record was not rewritten when only the settings' version had changed, so a next owner with older settings was not stopped by it; it is written now. A takeover read back is known by host and incarnation too, not by its write id alone.

--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -221,12 +221,12 @@
 }
 
 static void
-heard_owner (struct ejection_service *service, const char *name)
+heard_owner (struct ejection_service *service, const char *name,
+             uint64_t epoch)
 {
   if (strcmp (service->owner_name, name) != 0)
     LOG_INFO ("owner-known", LOG_STR ("service", service->name),
-              LOG_STR ("owner", name),
-              LOG_INT ("epoch", floor_view_epoch (service->view)));
+              LOG_STR ("owner", name), LOG_INT ("epoch", epoch));
   snprintf (service->owner_name, sizeof service->owner_name, "%s", name);
   service->heard_ms = ejection_now_ms (service->task);
 }
@@ -237,7 +237,7 @@
 {
   if (news->epoch < floor_view_epoch (service->view))
     return;
-  heard_owner (service, from);
+  heard_owner (service, from, news->epoch);
   /* An answer to a poll of the process that ran here before tells who owns
      the service, but its clock isn't ours. */
   if (news->incarnation != service->task->options.incarnation)
--- a/node/ejection/tests/ejection_task_test.cc
+++ b/node/ejection/tests/ejection_task_test.cc
@@ -218,6 +218,29 @@
   EXPECT_EQ (f.owner (), 0);
 }
 
+// A healthy target would stay out for good: nothing is sent to it, so nothing
+// shows that it has recovered.
+TEST_F (EjectionTask, ARecoveredTargetComesBackThroughATrial)
+{
+  ASSERT_TRUE (gray ("t2"));
+  EXPECT_TRUE (f.until (10 * long_ms, [&] {
+    const floor_claim *claim
+        = floor_record_find (floor_owner_claims (f.service (0)->owner), "t2");
+    return claim == nullptr || claim->state == FLOOR_CLAIM_RELEASING;
+  }));
+  EXPECT_TRUE (f.until (1000, [&] { return f.none_out ("t2"); }));
+}
+
+TEST_F (EjectionTask, ATargetStillGrayFailsItsTrial)
+{
+  ASSERT_TRUE (gray ("t2"));
+  f.run (3 * long_ms, { "t2" });
+  const floor_claim *claim
+      = floor_record_find (floor_owner_claims (f.service (0)->owner), "t2");
+  ASSERT_NE (claim, nullptr);
+  EXPECT_EQ (claim->state, FLOOR_CLAIM_EJECTED);
+}
+
 TEST_F (EjectionTask, RowsTellWhatAnOperatorNeeds)
 {
   ASSERT_TRUE (gray ("t2"));
--- a/policy/floor/floor_owner_call.c
+++ b/policy/floor/floor_owner_call.c
@@ -216,7 +216,9 @@
                 const struct floor_reply *reply)
 {
   const struct floor_record *record = reply->record;
-  const bool ours = floor_possible_has (&owner->possible, record->write_id);
+  const bool ours = floor_possible_has (&owner->possible, record->write_id)
+                    && record->incarnation == owner->options.incarnation
+                    && strcmp (record->owner, owner->host) == 0;
   floor_possible_seen (&owner->possible, reply->version, record);
   if (ours)
     {
--- a/policy/floor/floor_record.c
+++ b/policy/floor/floor_record.c
@@ -93,6 +93,6 @@
   return a->epoch == b->epoch && strcmp (a->owner, b->owner) == 0
          && a->incarnation == b->incarnation && a->reserve == b->reserve
          && a->old_reserve == b->old_reserve && a->hold_ms == b->hold_ms
-         && a->settled == b->settled && a->paused == b->paused
-         && same_claims (a, b);
+         && a->settled == b->settled && a->spec_version == b->spec_version
+         && a->paused == b->paused && same_claims (a, b);
 }
--- a/policy/floor/floor_record.h
+++ b/policy/floor/floor_record.h
@@ -82,8 +82,8 @@
 uint64_t floor_record_claimed (const struct floor_record *record,
                                const struct floor_spec *spec);
 
-/** Same owner, amounts and claims (target, state, manual), whatever the write
- * id, scores and times. */
+/** Same owner, settings, amounts and claims (target, state, manual), whatever
+ * the write id, scores and times. */
 bool floor_record_same (const struct floor_record *a,
                         const struct floor_record *b);
 
--- /dev/null
+++ b/policy/floor/tests/floor_owner_test.cc
@@ -0,0 +1,394 @@
+// One or two owners over a platform of one record, step by step.
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "policy/floor/floor_owner.h"
+}
+
+namespace
+{
+constexpr uint32_t enforce_ms = 1000;
+constexpr uint32_t authority_ms = 10000;
+
+// Clocks may differ by a percent; what is counted is never less than this.
+constexpr int64_t
+longest (int64_t ms)
+{
+  return ms + ms / 100;
+}
+
+struct platform_record
+{
+  uint64_t version = 0;
+  floor_record record = {};
+  ~platform_record ()
+  {
+    floor_record_clear (&record);
+  }
+};
+
+struct node
+{
+  floor_owner *owner;
+  platform_record *at;
+  explicit node (const char *name, platform_record *p) : at (p)
+  {
+    const floor_owner_options options
+        = { name, 7, 11, enforce_ms, authority_ms, 10, 100 };
+    owner = floor_owner_create (&options);
+  }
+  ~node ()
+  {
+    floor_owner_destroy (owner);
+  }
+  void
+  spec (int64_t now, uint64_t version, uint32_t floor_capacity,
+        std::vector<uint32_t> capacities)
+  {
+    std::vector<floor_target> targets (capacities.size ());
+    for (size_t i = 0; i < targets.size (); i++)
+      {
+        snprintf (targets[i].name, FLOOR_NAME_SIZE, "t%zu", i);
+        targets[i].capacity = capacities[i];
+        targets[i].active = true;
+      }
+    const floor_spec s
+        = { version, floor_capacity, false, targets.data (), targets.size () };
+    floor_owner_spec (owner, now, &s);
+  }
+  // One call, if any is due; it ends with STATUS, and a lost write has taken
+  // effect if EFFECT.
+  floor_call
+  call (int64_t now, floor_reply_status status = FLOOR_REPLY_OK,
+        bool effect = true)
+  {
+    const floor_request r = floor_owner_next (owner, now);
+    floor_reply reply = { status, 0, nullptr };
+    if (r.call == FLOOR_CALL_NONE)
+      return r.call;
+    if (r.call == FLOOR_CALL_WRITE && status != FLOOR_REPLY_UNREACHABLE
+        && effect)
+      write (r, &reply);
+    if (r.call == FLOOR_CALL_READ && at->version == 0)
+      reply.status = FLOOR_REPLY_NOT_FOUND;
+    reply.version = at->version;
+    reply.record = &at->record;
+    floor_owner_replied (owner, now, &reply);
+    return r.call;
+  }
+  void
+  write (const floor_request &r, floor_reply *reply)
+  {
+    if (r.expected_version != at->version)
+      {
+        reply->status = FLOOR_REPLY_REFUSED;
+        return;
+      }
+    at->version++;
+    floor_record_assign (&at->record, r.record);
+  }
+  void
+  settle (int64_t now)
+  {
+    for (int i = 0; i < 9 && call (now) != FLOOR_CALL_NONE; i++)
+      ;
+  }
+  void
+  own (int64_t now)
+  {
+    floor_owner_epoch_seen (owner, now, at->record.epoch);
+    settle (now);
+    floor_owner_candidate (owner, now, true, UINT64_MAX);
+    settle (now);
+    ASSERT_EQ (floor_owner_role (owner), FLOOR_ROLE_OWNER);
+  }
+  floor_verdict
+  eject (int64_t now, const char *target, uint32_t score = 5,
+         bool manual = false)
+  {
+    return floor_owner_eject (owner, now, target, score, manual);
+  }
+  std::string
+  out (int64_t now)
+  {
+    floor_decision d;
+    if (!floor_owner_decision (owner, now, &d))
+      return "nothing told";
+    std::string names;
+    for (size_t i = 0; i < d.count; i++)
+      names += d.targets[i] + std::string (" ");
+    return names;
+  }
+};
+
+struct FloorOwner : testing::Test
+{
+  platform_record at;
+  node a{ "a", &at }, b{ "b", &at };
+  // Capacity 12; with a floor of 6 the reserve is 3: one target.
+  void
+  SetUp () override
+  {
+    a.spec (0, 1, 6, { 3, 3, 3, 3 });
+    b.spec (0, 1, 6, { 3, 3, 3, 3 });
+    a.own (0);
+  }
+};
+
+TEST_F (FloorOwner, EjectsFromItsReserveThenByRecordThenNoMore)
+{
+  EXPECT_EQ (floor_owner_reserve_left (a.owner), 3U);
+  EXPECT_EQ (a.eject (1, "t0"), FLOOR_VERDICT_EJECTED);
+  EXPECT_EQ (a.eject (1, "t1"), FLOOR_VERDICT_PLANNED);
+  EXPECT_EQ (a.eject (1, "t1"), FLOOR_VERDICT_ALREADY);
+  EXPECT_EQ (a.eject (1, "t2"), FLOOR_VERDICT_FLOOR);
+  EXPECT_EQ (a.eject (1, "t9"), FLOOR_VERDICT_TARGET);
+  EXPECT_EQ (b.eject (1, "t2"), FLOOR_VERDICT_NOT_OWNER);
+  EXPECT_EQ (a.out (1), "t0 ");
+  a.settle (2);
+  EXPECT_EQ (a.out (2), "t0 t1 ");
+}
+
+TEST_F (FloorOwner, PausedItEjectsForOperatorsOnly)
+{
+  EXPECT_TRUE (floor_owner_pause (a.owner, 1, true));
+  EXPECT_FALSE (floor_owner_pause (a.owner, 1, true));
+  EXPECT_EQ (a.eject (1, "t0"), FLOOR_VERDICT_PAUSED);
+  EXPECT_EQ (a.eject (1, "t0", 0, true), FLOOR_VERDICT_EJECTED);
+  a.settle (2);
+  EXPECT_TRUE (at.record.paused);
+  EXPECT_FALSE (floor_owner_reinstate (a.owner, 3, "t0", false));
+  EXPECT_TRUE (floor_owner_reinstate (a.owner, 3, "t0", true));
+}
+
+TEST_F (FloorOwner, OfTwoThatMustShrinkTheWorstStaysOut)
+{
+  a.eject (1, "t0", 5);
+  a.settle (1);
+  a.eject (2, "t1", 9);
+  a.settle (2);
+  a.spec (3, 2, 9, { 3, 3, 3, 3 });
+  EXPECT_EQ (a.out (3), "t1 ");
+}
+
+// Two targets would be out where one was allowed: a host that missed the
+// reinstatement still enforces it, on a clock a little slower than the
+// owner's.
+TEST_F (FloorOwner, FreedCapacityWaitsForTheSlowestClock)
+{
+  a.spec (0, 2, 9, { 3, 3, 3, 3 });
+  a.settle (1);
+  EXPECT_EQ (a.eject (100, "t0"), FLOOR_VERDICT_EJECTED);
+  a.settle (100);
+  floor_owner_reinstate (a.owner, 200, "t0", false);
+  EXPECT_EQ (a.out (200), "");
+  EXPECT_EQ (a.eject (200 + longest (enforce_ms) - 1, "t1"),
+             FLOOR_VERDICT_FLOOR);
+  EXPECT_EQ (a.eject (200 + longest (enforce_ms) + 10, "t1"),
+             FLOOR_VERDICT_PLANNED);
+}
+
+// The floor would be breached by two owners: the first is cut off from the
+// platform and spends its reserve on hosts that only it reaches.
+TEST_F (FloorOwner, AnOldReserveCountsUntilItIsSurelyOver)
+{
+  EXPECT_EQ (a.eject (50, "t0"), FLOOR_VERDICT_EJECTED);
+  b.own (100);
+  EXPECT_EQ (floor_owner_claims (b.owner)->old_reserve, 3U);
+  EXPECT_EQ (b.eject (100, "t1"), FLOOR_VERDICT_EJECTED);
+  b.settle (100);
+  EXPECT_EQ (b.eject (101, "t2"), FLOOR_VERDICT_FLOOR);
+  const int64_t over = 100 + longest (authority_ms + enforce_ms);
+  EXPECT_EQ (b.eject (over - 1, "t2"), FLOOR_VERDICT_FLOOR);
+  EXPECT_EQ (b.eject (over + 10, "t2"), FLOOR_VERDICT_PLANNED);
+  EXPECT_EQ (a.out (authority_ms), "nothing told");
+}
+
+TEST_F (FloorOwner, AnOwnerThatSaysItStoppedIsOverSooner)
+{
+  b.own (100);
+  floor_owner_stopped (b.owner, 200, 1);
+  EXPECT_FALSE (floor_owner_claims (b.owner)->settled);
+  floor_owner_tick (b.owner, 200 + longest (enforce_ms) + 10);
+  EXPECT_TRUE (floor_owner_claims (b.owner)->settled);
+  EXPECT_EQ (floor_owner_slack (b.owner), 6U);
+}
+
+// The floor would be breached: word that an owner long gone has stopped
+// arrives late and is taken for that of the last one.
+TEST_F (FloorOwner, WordOfAnEarlierOwnerSettlesNothing)
+{
+  b.own (100);
+  a.own (200);
+  floor_owner_stopped (a.owner, 300, 1);
+  floor_owner_stopped (a.owner, 300, 2);
+  floor_owner_tick (a.owner, 300 + 2 * enforce_ms);
+  EXPECT_FALSE (floor_owner_claims (a.owner)->settled);
+  node c{ "c", &at };
+  c.spec (300, 1, 6, { 3, 3, 3, 3 });
+  floor_owner_tick (a.owner, 30000);
+  a.settle (30000);
+  ASSERT_TRUE (at.record.settled);
+  c.own (30000);
+  floor_owner_stopped (c.owner, 30000, 1);
+  floor_owner_tick (c.owner, 30000 + 2 * enforce_ms);
+  EXPECT_FALSE (floor_owner_claims (c.owner)->settled);
+}
+
+TEST_F (FloorOwner, AReleasedServiceIsSettledAfterOneEnforcement)
+{
+  a.eject (1, "t0");
+  floor_owner_release (a.owner, 100);
+  EXPECT_EQ (a.out (100), "nothing told");
+  a.settle (100);
+  EXPECT_STREQ (at.record.owner, "");
+  b.own (200);
+  EXPECT_EQ (floor_owner_claims (b.owner)->old_reserve, 0U);
+  EXPECT_EQ (b.out (200), "t0 ");
+  floor_owner_tick (b.owner, 200 + longest (enforce_ms) + 10);
+  EXPECT_TRUE (floor_owner_claims (b.owner)->settled);
+}
+
+// The floor would be breached by the owner before the last: the last one
+// leaves in good order, and with it what it still had to wait for.
+TEST_F (FloorOwner, AReleaseHandsOnWhatIsStillUnsettled)
+{
+  b.own (100);
+  floor_owner_release (b.owner, 200);
+  b.settle (200);
+  a.own (300);
+  EXPECT_EQ (floor_owner_claims (a.owner)->old_reserve, 3U);
+  floor_owner_tick (a.owner, 300 + 3 * enforce_ms);
+  EXPECT_FALSE (floor_owner_claims (a.owner)->settled);
+}
+
+// A target would be out that no record counts: the write that would have
+// allowed it was lost before it took effect, the one before came late.
+TEST_F (FloorOwner, OnlyWhatEveryPossibleRecordAllowsIsEjected)
+{
+  a.eject (1, "t0");
+  ASSERT_EQ (a.call (1, FLOOR_REPLY_LOST, false), FLOOR_CALL_WRITE);
+  EXPECT_EQ (a.eject (2, "t1"), FLOOR_VERDICT_PLANNED);
+  EXPECT_EQ (a.out (2), "t0 ");
+  EXPECT_EQ (a.call (300), FLOOR_CALL_READ);
+  EXPECT_EQ (a.out (300), "t0 ");
+  a.settle (301);
+  EXPECT_EQ (a.out (301), "t0 t1 ");
+}
+
+// As before, with so many lost writes that some are remembered together.
+TEST_F (FloorOwner, ManyLostWritesAllowTheLeastOfAll)
+{
+  for (uint64_t i = 0; i < 9; i++)
+    {
+      const int64_t now = 1000 + (int64_t)i * 1000;
+      a.spec (now, 2 + i, i == 0 ? 12 : 2 + (uint32_t)i % 2, { 3, 3, 3, 3 });
+      for (int k = 0; k < 3; k++)
+        if (a.call (now + 200 * k, FLOOR_REPLY_LOST, false)
+            == FLOOR_CALL_WRITE)
+          break;
+        else
+          a.call (now + 200 * k);
+    }
+  EXPECT_EQ (a.eject (12000, "t0"), FLOOR_VERDICT_PLANNED);
+  EXPECT_EQ (floor_owner_reserve_left (a.owner), 0U);
+}
+
+TEST_F (FloorOwner, ALostTakeoverIsReadBack)
+{
+  floor_owner_candidate (b.owner, 100, true, UINT64_MAX);
+  EXPECT_EQ (b.call (100), FLOOR_CALL_READ);
+  EXPECT_EQ (b.call (100, FLOOR_REPLY_LOST), FLOOR_CALL_WRITE);
+  EXPECT_EQ (floor_owner_role (b.owner), FLOOR_ROLE_ACQUIRING);
+  const uint64_t version = at.version;
+  EXPECT_EQ (b.call (200), FLOOR_CALL_READ);
+  EXPECT_EQ (floor_owner_role (b.owner), FLOOR_ROLE_OWNER);
+  EXPECT_EQ (at.version, version);
+}
+
+TEST_F (FloorOwner, AnUnknownWriteGoesOutAgainUnderItsId)
+{
+  a.eject (1, "t0");
+  const floor_request first = floor_owner_next (a.owner, 1);
+  const uint64_t id = first.record->write_id;
+  const floor_reply lost = { FLOOR_REPLY_LOST, 0, nullptr };
+  floor_owner_replied (a.owner, 1, &lost);
+  EXPECT_EQ (a.call (200), FLOOR_CALL_READ);
+  EXPECT_EQ (floor_owner_next (a.owner, 200).record->write_id, id);
+}
+
+TEST_F (FloorOwner, TheLoserOfARaceWaitsForTheWinner)
+{
+  node c{ "c", &at };
+  c.spec (0, 1, 6, { 3, 3, 3, 3 });
+  floor_owner_candidate (b.owner, 100, true, 1);
+  floor_owner_candidate (c.owner, 100, true, 1);
+  EXPECT_EQ (b.call (100), FLOOR_CALL_READ);
+  EXPECT_EQ (c.call (100), FLOOR_CALL_READ);
+  b.settle (100);
+  c.settle (100);
+  EXPECT_EQ (floor_owner_role (b.owner), FLOOR_ROLE_OWNER);
+  EXPECT_EQ (floor_owner_role (c.owner), FLOOR_ROLE_NONE);
+  EXPECT_EQ (floor_owner_epoch (c.owner), 2U);
+}
+
+TEST_F (FloorOwner, AReplacedOwnerStopsAndSaysSo)
+{
+  b.own (100);
+  floor_owner_epoch_seen (a.owner, 150, 2);
+  a.settle (150);
+  EXPECT_EQ (a.out (150), "nothing told");
+  EXPECT_EQ (floor_owner_take_stopped (a.owner), 1U);
+  EXPECT_EQ (floor_owner_take_stopped (a.owner), 0U);
+}
+
+// The raised floor would be ignored: the new owner's settings are older than
+// those by which the record was written.
+TEST_F (FloorOwner, SettingsBehindTheRecordEjectNothing)
+{
+  a.spec (10, 5, 9, { 3, 3, 3, 3 });
+  a.settle (10);
+  ASSERT_EQ (at.record.spec_version, 5U);
+  b.own (100);
+  EXPECT_EQ (at.record.reserve, 0U);
+  EXPECT_EQ (b.eject (100, "t0"), FLOOR_VERDICT_SETTINGS);
+  b.spec (101, 5, 9, { 3, 3, 3, 3 });
+  EXPECT_NE (b.eject (101, "t0"), FLOOR_VERDICT_SETTINGS);
+}
+
+// Hosts would ignore every decision and the floor would be counted from
+// nothing: somebody deleted the record.
+TEST_F (FloorOwner, ADeletedRecordIsTakenForAllSpent)
+{
+  at.version = 0;
+  floor_owner_epoch_seen (b.owner, 100, 1);
+  b.own (100);
+  EXPECT_EQ (at.record.epoch, 2U);
+  EXPECT_EQ (b.eject (100, "t0"), FLOOR_VERDICT_FLOOR);
+  b.settle (30000);
+  EXPECT_EQ (b.eject (30001, "t0"), FLOOR_VERDICT_EJECTED);
+}
+
+// A target whose capacity grew while it was out on reserve would be counted
+// too small by the next owner.
+TEST_F (FloorOwner, WhatTheReserveNoLongerCoversComesBack)
+{
+  EXPECT_EQ (a.eject (1, "t0"), FLOOR_VERDICT_EJECTED);
+  a.spec (2, 2, 2, { 9, 3, 3, 3 });
+  EXPECT_EQ (a.out (2), "");
+}
+
+TEST_F (FloorOwner, ARemovedTargetIsForgotten)
+{
+  a.eject (1, "t3");
+  a.settle (1);
+  a.spec (2, 2, 3, { 3, 3, 3 });
+  EXPECT_EQ (a.out (2), "");
+  a.settle (5000);
+  EXPECT_EQ (at.record.claim_count, 0U);
+}
+}
