--- a/node/control/control_hosts.c
+++ b/node/control/control_hosts.c
@@ -107,27 +107,32 @@
 void
 control_hosts_close_idle (struct control_task *task, int64_t now_ms)
 {
+  struct control_host *gone = NULL;
   struct control_host *host;
-  struct control_host *next;
-  HASH_ITER (hh, task->hosts, host, next)
-  {
-    const bool is_idle = now_ms - host->used_ms > CONTROL_LINK_IDLE_MS;
-    if (host->link != NULL && (is_idle || has_moved (host)))
-      close_link (host);
-    if (is_idle && is_gone (task, host))
-      forget (task, host);
-  }
+  for (host = task->hosts; host != NULL; host = host->hh.next)
+    {
+      const bool is_idle = now_ms - host->used_ms > CONTROL_LINK_IDLE_MS;
+      if (host->link != NULL && (is_idle || has_moved (host)))
+        close_link (host);
+      if (is_idle && is_gone (task, host))
+        gone = host;
+    }
+  if (gone != NULL)
+    forget (task, gone);
 }
 
 void
 control_hosts_release (struct control_task *task)
 {
-  struct control_host *host;
-  struct control_host *next;
-  HASH_ITER (hh, task->hosts, host, next)
-  {
-    forget (task, host);
-  }
+  struct control_host *host = task->hosts;
+  HASH_CLEAR (hh, task->hosts);
+  while (host != NULL)
+    {
+      struct control_host *next = host->hh.next;
+      close_link (host);
+      free (host);
+      host = next;
+    }
 }
 
 bool
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -348,19 +348,21 @@
 void
 control_settings_release (struct control_task *task)
 {
-  struct control_object *object;
-  struct control_object *next;
-  HASH_ITER (hh, task->objects, object, next)
-  {
-    HASH_DEL (task->objects, object);
-    free (object->value);
-    free (object);
-  }
-  struct control_service *service;
-  struct control_service *following;
-  HASH_ITER (hh, task->services, service, following)
-  {
-    HASH_DEL (task->services, service);
-    control_sets_drop (service);
-  }
+  struct control_object *object = task->objects;
+  HASH_CLEAR (hh, task->objects);
+  while (object != NULL)
+    {
+      struct control_object *next = object->hh.next;
+      free (object->value);
+      free (object);
+      object = next;
+    }
+  struct control_service *service = task->services;
+  HASH_CLEAR (hh, task->services);
+  while (service != NULL)
+    {
+      struct control_service *next = service->hh.next;
+      control_sets_drop (service);
+      service = next;
+    }
 }
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -3,12 +3,12 @@
 #include "node/control/control_internal.h"
 
 #include <stdlib.h>
-#include <time.h>
 
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "node/control/incarnation.h"
 #include "node/tables.h"
 
 enum
@@ -16,7 +16,6 @@
   /** Changes that come together are answered together. */
   REFRESH_MS = 20,
   REFRESH_MORE_MS = 1,
-  INCARNATION_CHANCE_BITS = 20,
   /** Enough known hosts to need the seeds no more. */
   SEEDS_UNTIL_HOSTS = 3,
 };
@@ -163,25 +162,6 @@
   control_report_count (task);
 }
 
-/* Guards against a host that is started again at once and isn't listened to:
-   its peers take what carries a lower incarnation for late words of the
-   former start.  Shows as a restarted host that nobody hands out.  The time
-   stands in the high part, in milliseconds: no two starts share one.  It
-   holds as long as clocks don't go back by more than lies between two starts
-   of a host. */
-static uint64_t
-make_incarnation (void)
-{
-  uint32_t chance;
-  struct timespec now;
-  rng_secret (&chance, sizeof chance);
-  clock_gettime (CLOCK_REALTIME, &now);
-  const uint64_t now_ms
-      = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-  const uint64_t bits = chance & ((1u << INCARNATION_CHANCE_BITS) - 1);
-  return now_ms << INCARNATION_CHANCE_BITS | bits;
-}
-
 static void
 describe_self (struct control_task *task)
 {
@@ -196,7 +176,7 @@
   memcpy (record.operator_address, settings->operator_address,
           sizeof record.operator_address);
   if (record.incarnation == 0)
-    record.incarnation = make_incarnation ();
+    record.incarnation = incarnation_make ();
   task->self = control_hosts_learn (task, &record);
   struct peer_hello *hello = &task->identity.hello;
   hello->incarnation = record.incarnation;
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -56,6 +56,7 @@
   bool forgets;     /* revisions to watch from */
   int lost_answers; /* of the next writes */
   int writes;
+  int gets;
   const fake_store *snapshot; /* an old state that is read instead */
 
   struct call
@@ -71,7 +72,8 @@
 
   fake_platform (struct ev_loop *on, fake_store *from)
       : base{ &ops, 0 }, loop (on), store (from), is_down (false),
-        forgets (false), lost_answers (0), writes (0), snapshot (nullptr)
+        forgets (false), lost_answers (0), writes (0), gets (0),
+        snapshot (nullptr)
   {
     ev_timer_init (&timer, poll, 0, 0.002);
     timer.data = this;
@@ -121,6 +123,7 @@
   void
   do_get (const call &c)
   {
+    gets++;
     const auto kind = view ().kinds.find (c.kind);
     if (kind == view ().kinds.end () || kind->second.count (c.name) == 0)
       return reply (c, STATUS_NOT_FOUND, {}, 0);
@@ -177,6 +180,15 @@
     return true;
   }
 
+  bool
+  has_call (const std::string &verb) const
+  {
+    for (const auto &c : calls)
+      if (c.verb == verb)
+        return true;
+    return false;
+  }
+
   static void
   poll (struct ev_loop *loop, ev_timer *watcher, int events)
   {
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -7,11 +7,11 @@
 
 #include "base/counters.h"
 #include "base/log.h"
-#include "base/rng.h"
 #include "base/xmalloc.h"
 #include "node/bus.h"
 #include "node/caller/caller_task.h"
 #include "node/control/control_task.h"
+#include "node/control/incarnation.h"
 #include "node/tables.h"
 #include "wire/platform_file.h"
 #include "wire/platform_http.h"
@@ -97,8 +97,7 @@
 static enum status
 create_tasks (struct host *host)
 {
-  uint64_t incarnation;
-  rng_secret (&incarnation, sizeof incarnation);
+  const uint64_t incarnation = incarnation_make ();
   enum status status = create_platform (host);
   if (status == STATUS_OK)
     status = create_caller (host, incarnation);
--- a/policy/fleet/settings_index.c
+++ b/policy/fleet/settings_index.c
@@ -34,13 +34,14 @@
 {
   if (index == NULL)
     return;
-  struct entry *entry;
-  struct entry *next;
-  HASH_ITER (hh, index->entries, entry, next)
-  {
-    HASH_DEL (index->entries, entry);
-    free (entry);
-  }
+  struct entry *entry = index->entries;
+  HASH_CLEAR (hh, index->entries);
+  while (entry != NULL)
+    {
+      struct entry *next = entry->hh.next;
+      free (entry);
+      entry = next;
+    }
   free (index);
 }
 
--- a/wire/peer/peer_server.c
+++ b/wire/peer/peer_server.c
@@ -184,11 +184,16 @@
 uint16_t
 peer_server_port (const struct peer_server *server)
 {
-  struct sockaddr_storage address;
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in four;
+    struct sockaddr_in6 six;
+  } address = { .six = { .sin6_family = AF_UNSPEC } };
   socklen_t size = sizeof address;
-  if (getsockname (server->fd, (struct sockaddr *)&address, &size) != 0)
+  if (getsockname (server->fd, &address.any, &size) != 0)
     return 0;
-  if (address.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port);
-  return ntohs (((struct sockaddr_in *)&address)->sin_port);
+  if (address.any.sa_family == AF_INET6)
+    return ntohs (address.six.sin6_port);
+  return ntohs (address.four.sin_port);
 }
