caller: retries sent from their start, when to come back, a chaos test

- A refusal after targets have shed passes on when they want to be asked again; the queue's bytes count the body that a waiting request will hold.
- chaos_test: 600 requests, 24 at once, against four targets that fail, cut, close, shed, hang and delay, with callers that quit; judged by the targets' own account.

--- a/bench/bench_process.c
+++ b/bench/bench_process.c
@@ -10,8 +10,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ;
-
 enum
 {
   PATH_SIZE = 64,
--- a/bench/proxy_bench.c
+++ b/bench/proxy_bench.c
@@ -171,7 +171,8 @@
   if (way->count == 0)
     return 0.;
   qsort (way->latencies_us, way->count, sizeof *way->latencies_us, compare);
-  return (double)way->latencies_us[way->count * permille / 1000] / 1000.;
+  const size_t place = way->count * permille / 1000;
+  return (double)way->latencies_us[place] / 1000.;
 }
 
 static double
--- a/node/caller/caller_rows.c
+++ b/node/caller/caller_rows.c
@@ -1,22 +1,6 @@
 #include "node/caller/caller_rows.h"
 
-static void
-add_text (struct json_object *row, const char *key, const char *text)
-{
-  json_object_object_add (row, key, json_object_new_string (text));
-}
-
-static void
-add_number (struct json_object *row, const char *key, int64_t number)
-{
-  json_object_object_add (row, key, json_object_new_int64 (number));
-}
-
-static void
-add_flag (struct json_object *row, const char *key, bool flag)
-{
-  json_object_object_add (row, key, json_object_new_boolean (flag));
-}
+#include "node/json_row.h"
 
 static const char *
 target_state_name (const struct target_spec *target,
@@ -37,19 +21,19 @@
   const struct policy_belief belief
       = service_policy_belief (service->policy, (uint32_t)i);
   struct json_object *row = json_object_new_object ();
-  add_text (row, "service", service->name);
-  add_text (row, "target", target->name);
-  add_text (row, "address", target->address);
-  add_text (row, "dc", target->dc);
-  add_text (row, "state", target_state_name (target, state));
-  add_number (row, "in_flight", belief.in_flight);
-  add_number (row, "latency_us", belief.latency_us);
-  add_number (row, "failure_permille", belief.failure_permille);
-  add_flag (row, "suspect", belief.suspect);
-  add_flag (row, "warming", belief.warming);
-  add_flag (row, "ejected", belief.ejected);
-  add_number (row, "requests", (int64_t)belief.requests);
-  add_number (row, "failures", (int64_t)belief.failures);
+  json_row_text (row, "service", service->name);
+  json_row_text (row, "target", target->name);
+  json_row_text (row, "address", target->address);
+  json_row_text (row, "dc", target->dc);
+  json_row_text (row, "state", target_state_name (target, state));
+  json_row_number (row, "in_flight", belief.in_flight);
+  json_row_number (row, "latency_us", belief.latency_us);
+  json_row_number (row, "failure_permille", belief.failure_permille);
+  json_row_flag (row, "suspect", belief.suspect);
+  json_row_flag (row, "warming", belief.warming);
+  json_row_flag (row, "ejected", belief.ejected);
+  json_row_number (row, "requests", (int64_t)belief.requests);
+  json_row_number (row, "failures", (int64_t)belief.failures);
   return row;
 }
 
@@ -71,19 +55,20 @@
 {
   const struct service_spec *spec = service->spec;
   struct json_object *row = json_object_new_object ();
-  add_text (row, "service", service->name);
-  add_number (row, "version", (int64_t)spec->version);
-  add_text (row, "prefer",
-            spec->prefer == SERVICE_PREFER_FASTER_DETECTION
-                ? "faster-detection"
-                : "fewer-false-ejections");
-  add_text (row, "ejection", spec->ejection_paused ? "paused" : "automatic");
-  add_number (row, "floor_capacity", spec->floor_capacity);
-  add_number (row, "targets", (int64_t)spec->target_count);
-  add_number (row, "routes", (int64_t)spec->route_count);
-  add_number (row, "hosts", (int64_t)service->host_count);
-  add_number (row, "queued", service_policy_queued (service->policy));
-  add_number (row, "in_use", service->users - 1);
+  json_row_text (row, "service", service->name);
+  json_row_number (row, "version", (int64_t)spec->version);
+  json_row_text (row, "prefer",
+                 spec->prefer == SERVICE_PREFER_FASTER_DETECTION
+                     ? "faster-detection"
+                     : "fewer-false-ejections");
+  json_row_text (row, "ejection",
+                 spec->ejection_paused ? "paused" : "automatic");
+  json_row_number (row, "floor_capacity", spec->floor_capacity);
+  json_row_number (row, "targets", (int64_t)spec->target_count);
+  json_row_number (row, "routes", (int64_t)spec->route_count);
+  json_row_number (row, "hosts", (int64_t)service->host_count);
+  json_row_number (row, "queued", service_policy_queued (service->policy));
+  json_row_number (row, "in_use", service->users - 1);
   return row;
 }
 
--- a/node/caller/decision_ring.c
+++ b/node/caller/decision_ring.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "node/json_row.h"
 
 struct decision *
 decision_ring_add (struct decision_ring *ring)
@@ -14,30 +15,18 @@
   return decision;
 }
 
-static void
-add_text (struct json_object *row, const char *key, const char *text)
-{
-  json_object_object_add (row, key, json_object_new_string (text));
-}
-
-static void
-add_number (struct json_object *row, const char *key, int64_t number)
-{
-  json_object_object_add (row, key, json_object_new_int64 (number));
-}
-
 static struct json_object *
 decision_row (const struct decision *decision, int64_t now_ms)
 {
   struct json_object *row = json_object_new_object ();
-  add_number (row, "age_ms", now_ms - decision->at_ms);
-  add_text (row, "service", decision->service);
-  add_text (row, "route", decision->route);
-  add_number (row, "request", (int64_t)decision->request_id);
-  add_number (row, "attempt", decision->attempt);
-  add_text (row, "verdict", decision->verdict);
-  add_text (row, "target", decision->target);
-  add_text (row, "why", decision->why);
+  json_row_number (row, "age_ms", now_ms - decision->at_ms);
+  json_row_text (row, "service", decision->service);
+  json_row_text (row, "route", decision->route);
+  json_row_number (row, "request", (int64_t)decision->request_id);
+  json_row_number (row, "attempt", decision->attempt);
+  json_row_text (row, "verdict", decision->verdict);
+  json_row_text (row, "target", decision->target);
+  json_row_text (row, "why", decision->why);
   return row;
 }
 
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -97,6 +97,7 @@
   uint32_t attempts;
   uint64_t tried[POLICY_TRIED_MAX];
   uint32_t tried_count;
+  uint32_t shed_retry_after_ms; /**< as a target that shed it said */
   bool perhaps_ran; /**< an attempt that was given up may have run */
   struct own_answer own;
 
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -15,9 +15,12 @@
 enum
 {
   US_PER_MS = 1000,
+  MS_PER_SECOND = 1000,
   DEADLINE_FIELD_SIZE = 64,
   SMALL_ANSWER_BYTES = 16 * 1024,
-  SERVER_ERROR_MIN = 500
+  SERVER_ERROR_MIN = 500,
+  RETRY_AFTER_MS = 1000,
+  RETRY_AFTER_MAX_MS = 60 * 60 * 1000
 };
 
 static const char *
@@ -125,6 +128,12 @@
   return true;
 }
 
+static uint32_t
+retry_after_ms (const struct exchange *x, uint32_t ours_ms)
+{
+  return ours_ms > x->shed_retry_after_ms ? ours_ms : x->shed_retry_after_ms;
+}
+
 /* No answer is had and none will be asked for. */
 static void
 give_up (struct exchange *x, enum attempt_end end, const char *message)
@@ -133,6 +142,7 @@
   const bool unknown = own.outcome == ANSWER_UNKNOWN;
   own.status = unknown ? MHD_HTTP_BAD_GATEWAY : MHD_HTTP_SERVICE_UNAVAILABLE;
   own.reason = end_name (end);
+  own.retry_after_ms = unknown ? 0 : retry_after_ms (x, RETRY_AFTER_MS);
   snprintf (own.message, sizeof own.message, "%s: %.120s",
             unknown ? "the answer was lost, find out whether the request has "
                       "run before sending it again"
@@ -258,7 +268,7 @@
   const char *const extra[] = { deadline, NULL };
   attempt->key = x->service->targets[number].key;
   attempt->relay = false;
-  strcpy (attempt->target, target->name);
+  snprintf (attempt->target, sizeof attempt->target, "%s", target->name);
   if (x->tried_count < POLICY_TRIED_MAX)
     x->tried[x->tried_count++] = attempt->key;
   x->attempts++;
@@ -284,13 +294,28 @@
   send_to (x, address, extra);
 }
 
+/* What X holds while it waits: its head, and as much of its body as fits the
+   buffer, whether it has come yet or not. */
+static uint32_t
+held_bytes (const struct exchange *x)
+{
+  uint64_t body_bytes = 0;
+  if (x->head.body == REQUEST_BODY_SIZED)
+    body_bytes = (uint64_t)x->head.body_bytes;
+  else if (x->head.body == REQUEST_BODY_CHUNKED)
+    body_bytes = x->upload.capacity_bytes;
+  if (body_bytes > x->upload.capacity_bytes)
+    body_bytes = x->upload.capacity_bytes;
+  return x->head.head_bytes + (uint32_t)body_bytes;
+}
+
 static struct policy_request
 policy_request_of (const struct exchange *x)
 {
   struct policy_request r = {
     .id = x->id,
     .deadline_us = x->deadline_us,
-    .queued_bytes = x->head.head_bytes + (uint32_t)x->upload.used,
+    .queued_bytes = held_bytes (x),
     .repeatable = x->repeatable,
     .attempt = x->attempts + 1,
   };
@@ -307,10 +332,11 @@
 static void
 refuse (struct exchange *x, const struct policy_decision *decision)
 {
-  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-                            .outcome = exchange_outcome (x),
-                            .reason = policy_reason_name (decision->reason),
-                            .retry_after_ms = decision->retry_after_ms };
+  struct own_answer own
+      = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+          .outcome = exchange_outcome (x),
+          .reason = policy_reason_name (decision->reason),
+          .retry_after_ms = retry_after_ms (x, decision->retry_after_ms) };
   if (own.outcome == ANSWER_UNKNOWN)
     own.status = MHD_HTTP_BAD_GATEWAY;
   snprintf (own.message, sizeof own.message, "%s",
@@ -383,6 +409,23 @@
              || status == MHD_HTTP_TOO_MANY_REQUESTS);
 }
 
+/* When a target that shed the request wants to be asked again. */
+static void
+note_retry_after (struct exchange *x)
+{
+  const struct header_list *headers = &x->attempt.headers;
+  const char *exact = header_list_find (headers, "Jaystair-Retry-After-Ms");
+  const char *seconds = header_list_find (headers, "Retry-After");
+  long long after_ms = 0;
+  if (exact != NULL)
+    after_ms = strtoll (exact, NULL, 10);
+  else if (seconds != NULL)
+    after_ms = strtoll (seconds, NULL, 10) * MS_PER_SECOND;
+  if (after_ms < 0 || after_ms > RETRY_AFTER_MAX_MS)
+    return;
+  x->shed_retry_after_ms = (uint32_t)after_ms;
+}
+
 static void
 note_leaving (struct exchange *x)
 {
@@ -415,6 +458,7 @@
     {
       if (ends_soon (x))
         return;
+      note_retry_after (x);
       exchange_drop_attempt (x, ATTEMPT_SHED);
       try_again (x, ATTEMPT_SHED, "the target sheds load");
       return;
--- a/node/caller/exchange_begin.c
+++ b/node/caller/exchange_begin.c
@@ -1,4 +1,3 @@
-#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -16,14 +15,11 @@
 /* Refuse what no target has seen. */
 static void
 refuse (struct exchange *x, uint32_t status, const char *reason,
-        const char *format, ...)
+        const char *message)
 {
   struct own_answer own
       = { .status = status, .outcome = ANSWER_NOT_RUN, .reason = reason };
-  va_list arguments;
-  va_start (arguments, format);
-  vsnprintf (own.message, sizeof own.message, format, arguments);
-  va_end (arguments);
+  snprintf (own.message, sizeof own.message, "%s", message);
   exchange_answer_own (x, &own);
 }
 
@@ -35,9 +31,11 @@
       x->context->routes, x->head.host, x->head.path, method);
   if (route == NULL)
     {
-      refuse (x, MHD_HTTP_NOT_FOUND, "no-route",
-              "no route takes %.16s %.100s: check host, path and method",
-              x->head.method, x->head.path);
+      char message[OWN_ANSWER_MESSAGE_SIZE];
+      snprintf (message, sizeof message,
+                "no route takes %.16s %.100s: check host, path and method",
+                x->head.method, x->head.path);
+      refuse (x, MHD_HTTP_NOT_FOUND, "no-route", message);
       return false;
     }
   x->service = caller_context_service (x->context, route->service);
@@ -50,21 +48,25 @@
 static bool
 check_limits (struct exchange *x)
 {
-  const struct caller_limits *limits = &x->context->settings->limits;
+  const uint32_t head_bytes = x->context->settings->limits.header_bytes;
   const uint32_t body_bytes = x->service->spec->limits.body_bytes;
-  if (x->head.head_bytes > limits->header_bytes)
+  char message[OWN_ANSWER_MESSAGE_SIZE];
+  if (x->head.head_bytes > head_bytes)
     {
+      snprintf (message, sizeof message,
+                "the request's head is larger than %u bytes: send fewer or "
+                "shorter fields",
+                head_bytes);
       refuse (x, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "head-too-large",
-              "the request's head is larger than %u bytes: send fewer or "
-              "shorter fields",
-              limits->header_bytes);
+              message);
       return false;
     }
   if (x->head.body == REQUEST_BODY_SIZED && x->head.body_bytes > body_bytes)
     {
-      refuse (x, MHD_HTTP_CONTENT_TOO_LARGE, "body-too-large",
-              "the body is larger than the service's %u bytes: send less",
-              body_bytes);
+      snprintf (message, sizeof message,
+                "the body is larger than the service's %u bytes: send less",
+                body_bytes);
+      refuse (x, MHD_HTTP_CONTENT_TOO_LARGE, "body-too-large", message);
       return false;
     }
   return true;
@@ -93,7 +95,7 @@
       = request_head_read (&x->head, x->connection, x->uri, method, version);
   if (status != STATUS_OK)
     {
-      refuse (x, MHD_HTTP_BAD_REQUEST, "bad-request", "%s", status_message ());
+      refuse (x, MHD_HTTP_BAD_REQUEST, "bad-request", status_message ());
       return;
     }
   if (!find_route (x) || !check_limits (x) || !set_deadline (x))
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -1,5 +1,6 @@
 #include "node/caller/exchange_caller.h"
 
+#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -112,7 +113,7 @@
   /* The library refuses tabs, which mean the same as spaces. */
   if (tab != NULL && strlen (value) < sizeof spaced)
     {
-      strcpy (spaced, value);
+      snprintf (spaced, sizeof spaced, "%s", value);
       for (char *c = spaced; *c != '\0'; c++)
         if (*c == '\t')
           *c = ' ';
--- a/node/caller/host_directory.c
+++ b/node/caller/host_directory.c
@@ -29,21 +29,19 @@
   return xcalloc (1, sizeof (struct host_directory));
 }
 
-static void
-forget (struct host_directory *directory, struct entry *entry)
-{
-  HASH_DEL (directory->entries, entry);
-  free (entry);
-}
-
 void
 host_directory_destroy (struct host_directory *directory)
 {
   if (directory == NULL)
     return;
-  struct entry *entry;
-  struct entry *next;
-  HASH_ITER (hh, directory->entries, entry, next) forget (directory, entry);
+  struct entry *entry = directory->entries;
+  HASH_CLEAR (hh, directory->entries);
+  while (entry != NULL)
+    {
+      struct entry *next = entry->hh.next;
+      free (entry);
+      entry = next;
+    }
   free (directory);
 }
 
@@ -52,11 +50,12 @@
 {
   struct entry *entry;
   HASH_FIND_STR (directory->entries, host->name, entry);
+  if (entry == NULL && HASH_COUNT (directory->entries) >= HOSTS_MAX)
+    entry = directory->entries;
   if (entry != NULL)
-    forget (directory, entry);
-  if (HASH_COUNT (directory->entries) >= HOSTS_MAX)
-    forget (directory, directory->entries);
-  entry = xcalloc (1, sizeof *entry);
+    HASH_DEL (directory->entries, entry);
+  else
+    entry = xcalloc (1, sizeof *entry);
   entry->host = *host;
   HASH_ADD_STR (directory->entries, host.name, entry);
 }
--- a/node/caller/request_head.c
+++ b/node/caller/request_head.c
@@ -2,6 +2,7 @@
 
 #include <ctype.h>
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -80,7 +81,7 @@
     return status_set (STATUS_INVALID, "Jaystair-Ticket is too long: send a "
                                        "ticket as it was handed out");
   if (ticket != NULL)
-    strcpy (head->ticket, ticket);
+    snprintf (head->ticket, sizeof head->ticket, "%s", ticket);
   head->relayed
       = header_list_find (&head->headers, "Jaystair-Relayed") != NULL;
   const char *deadline
@@ -131,7 +132,7 @@
                                &head->headers);
   if (strlen (method) >= sizeof head->method)
     return status_set (STATUS_INVALID, "the method is too long");
-  strcpy (head->method, method);
+  snprintf (head->method, sizeof head->method, "%s", method);
   return read_fields (head, uri);
 }
 
--- a/node/caller/route_table.c
+++ b/node/caller/route_table.c
@@ -1,6 +1,7 @@
 #include "node/caller/route_table.h"
 
 #include <ctype.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -8,12 +9,19 @@
 #include <uthash.h>
 
 #include "base/xmalloc.h"
+#include "node/json_row.h"
 
 enum
 {
-  KEY_SIZE = SERVICE_NAME_SIZE + SERVICE_PATH_SIZE
+  KEY_SIZE = SERVICE_NAME_SIZE + SERVICE_PATH_SIZE,
+  METHOD_COUNT = 7,
+  METHODS_TEXT_SIZE = 64
 };
 
+/* In the order of their bits. */
+static const char *const method_names[METHOD_COUNT]
+    = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
+
 /* The routes of one host and prefix, the most specific first. */
 struct bucket
 {
@@ -115,7 +123,7 @@
       HASH_ADD (hh, table->buckets, key, bucket->key_size, bucket);
     }
   struct route *route = xcalloc (1, sizeof *route);
-  strcpy (route->service, service);
+  snprintf (route->service, sizeof route->service, "%s", service);
   route->spec = *spec;
   bucket_insert (bucket, route);
 }
@@ -161,10 +169,8 @@
 uint32_t
 route_method_bit (const char *method)
 {
-  static const char *const names[]
-      = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
-  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
-    if (strcmp (method, names[i]) == 0)
+  for (size_t i = 0; i < METHOD_COUNT; i++)
+    if (strcmp (method, method_names[i]) == 0)
       return 1U << i;
   return 0;
 }
@@ -217,36 +223,27 @@
     }
 }
 
-static struct json_object *
-method_names (uint32_t methods)
+static void
+add_methods (struct json_object *row, uint32_t methods)
 {
-  static const char *const names[]
-      = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
-  char text[64] = "";
-  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
-    {
-      if ((methods & (1U << i)) == 0)
-        continue;
-      if (text[0] != '\0')
-        strcat (text, ",");
-      strcat (text, names[i]);
-    }
-  return json_object_new_string (text[0] != '\0' ? text : "any");
+  char text[METHODS_TEXT_SIZE] = "any";
+  size_t used = 0;
+  for (size_t i = 0; i < METHOD_COUNT; i++)
+    if ((methods & (1U << i)) != 0)
+      used += (size_t)snprintf (text + used, sizeof text - used, "%s%s",
+                                used > 0 ? "," : "", method_names[i]);
+  json_row_text (row, "methods", text);
 }
 
 static struct json_object *
 route_row (const struct route *route)
 {
   struct json_object *row = json_object_new_object ();
-  json_object_object_add (row, "service",
-                          json_object_new_string (route->service));
-  json_object_object_add (row, "host",
-                          json_object_new_string (route->spec.host));
-  json_object_object_add (row, "path_prefix",
-                          json_object_new_string (route->spec.path_prefix));
-  json_object_object_add (row, "methods", method_names (route->spec.methods));
-  json_object_object_add (row, "repeatable",
-                          json_object_new_boolean (route->spec.repeatable));
+  json_row_text (row, "service", route->service);
+  json_row_text (row, "host", route->spec.host);
+  json_row_text (row, "path_prefix", route->spec.path_prefix);
+  add_methods (row, route->spec.methods);
+  json_row_flag (row, "repeatable", route->spec.repeatable);
   return row;
 }
 
--- /dev/null
+++ b/node/caller/tests/chaos_test.cc
@@ -0,0 +1,117 @@
+/* Many callers against targets that misbehave in every way at once.  The
+   naive account of what each target ran is the judge of what callers were
+   told. */
+#include <random>
+
+#include "node/caller/tests/caller_fixture.h"
+
+class ChaosTest : public CallerTest
+{
+protected:
+  static constexpr int requests = 600;
+  static constexpr int at_once = 24;
+
+  std::unique_ptr<Call>
+  next (int number)
+  {
+    const std::string id = "id-" + std::to_string (number);
+    const char *const methods[] = { "GET", "POST", "PUT" };
+    auto call = make (methods[random () % 3], "/echo", id);
+    if (call->method != "GET")
+      call->body = id + std::string (random () % 100000, 'b');
+    call->chunked = random () % 2 == 0;
+    if (random () % 8 == 0)
+      call->fields.push_back ("Jaystair-Deadline-Ms: "
+                              + std::to_string (random () % 20));
+    return call;
+  }
+
+  uint32_t
+  runs (const Call &call) const
+  {
+    uint32_t total = 0;
+    const std::string id = call.fields[0].substr (strlen ("X-Request-Id: "));
+    for (const target_server *target : targets)
+      total += target_server_runs (target, id.c_str ());
+    return total;
+  }
+
+  void
+  judge (const Call &call)
+  {
+    const std::string outcome = call.field ("jaystair-outcome");
+    const uint32_t ran = runs (call);
+    EXPECT_TRUE (call.method != "POST" || ran <= 1) << call.fields[0];
+    if (call.code != CURLE_OK)
+      return;
+    told[outcome]++;
+    EXPECT_TRUE (outcome == "ran" || outcome == "not-run"
+                 || outcome == "unknown")
+        << call.status;
+    EXPECT_TRUE (outcome != "not-run" || ran == 0) << call.fields[0];
+    EXPECT_TRUE (outcome != "ran" || ran >= 1) << call.fields[0];
+    EXPECT_TRUE (call.status != 200 || call.answer == call.body)
+        << call.fields[0];
+  }
+
+  std::mt19937 random{ 3 };
+  std::map<std::string, int> told;
+};
+
+TEST_F (ChaosTest, NobodyIsToldWhatIsNotSo)
+{
+  for (const char *name : { "t1", "t2", "t3", "t4" })
+    {
+      target_faults *faults = target_server_faults (add_target (name));
+      faults->fail = 5;
+      faults->cut = 5;
+      faults->close = 5;
+      faults->shed = 10;
+      faults->early = 3;
+      faults->hang = 2;
+      faults->delay_ms = 4;
+      faults->jitter = 1;
+    }
+  target_options = ", 'slots': 4";
+  start ();
+  put_service (usual_routes, ", 'limits': { 'timeout_ms': 200,"
+                             " 'queue_requests': 12 }");
+  std::vector<std::unique_ptr<Call> > calls;
+  std::vector<std::unique_ptr<RawCaller> > quitters;
+  size_t open = 0;
+  while (calls.size () < requests || open > 0)
+    {
+      while (calls.size () < requests && open < at_once)
+        {
+          calls.push_back (next ((int)calls.size ()));
+          begin (calls.back ().get ());
+          open++;
+          if (random () % 10 != 0)
+            continue;
+          quitters.push_back (connect_raw ());
+          quitters.back ()->write ("PUT /quit HTTP/1.1\r\nHost: a\r\n"
+                                   "Content-Length: 6\r\n\r\nhalf");
+        }
+      ASSERT_TRUE (run_until ([&] {
+        size_t still = 0;
+        for (const auto &call : calls)
+          still += !call->done;
+        const bool changed = still < open;
+        open = still;
+        return changed;
+      }));
+      if (!quitters.empty () && random () % 4 == 0)
+        {
+          quitters.back ()->hang_up ();
+          quitters.pop_back ();
+        }
+    }
+  for (auto &quitter : quitters)
+    quitter->hang_up ();
+  for (const auto &call : calls)
+    judge (*call);
+  ASSERT_TRUE (
+      run_until ([this] { return caller_task_in_flight (task) == 0; }));
+  for (const char *outcome : { "ran", "not-run", "unknown" })
+    EXPECT_GT (told[outcome], 0) << outcome;
+}
--- a/node/caller/tests/fault_test.cc
+++ b/node/caller/tests/fault_test.cc
@@ -98,9 +98,71 @@
   finish (call.get ());
   EXPECT_EQ (call->status, 503);
   EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
+  EXPECT_GE (std::stol (call->field ("retry-after")), 2);
+  EXPECT_GE (std::stol (call->field ("jaystair-retry-after-ms")), 2000);
   EXPECT_EQ (runs ("h1"), 0u);
 }
 
+/* A repeatable upload breaks at the first target; the second must get all of
+   it, not what was left. */
+TEST_F (FaultTest, BodyOfARetryIsSentFromItsStart)
+{
+  add_two ();
+  start ();
+  put_service (usual_routes, ", 'limits': { 'retry_percent': 100 }");
+  for (const bool chunked : { false, true })
+    for (target_server *broken : targets)
+      {
+        target_server_faults (first)->close = broken == first ? 100 : 0;
+        target_server_faults (second)->close = broken == second ? 100 : 0;
+        auto call = make ("PUT", "/echo", "p1");
+        call->body = std::string (40000, 'p') + "end";
+        call->chunked = chunked;
+        finish (call.get ());
+        EXPECT_EQ (call->status, 200);
+        EXPECT_TRUE (call->answer == call->body) << call->answer.size ();
+      }
+  EXPECT_GT (target_server_counts (first).runs, 0u);
+  EXPECT_GT (target_server_counts (second).runs, 0u);
+}
+
+/* A body that is larger than what a host holds can't be sent again. */
+TEST_F (FaultTest, LongBodyIsNotTriedAgain)
+{
+  add_two ();
+  target_server_faults (first)->close = 100;
+  target_server_faults (second)->close = 100;
+  start ();
+  put_service (usual_routes, ", 'limits': { 'retry_percent': 100 }");
+  auto call = make ("PUT", "/echo", "p1");
+  call->body = std::string (900000, 'p');
+  finish (call.get ());
+  EXPECT_EQ (call->status, 502);
+  EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+  EXPECT_EQ (runs ("p1"), 1u);
+}
+
+/* A target refuses at the head while the body is still on its way. */
+TEST_F (FaultTest, RefusalDuringUploadIsNotRunAndHangsNobody)
+{
+  add_two ();
+  target_server_faults (first)->early = 100;
+  target_server_faults (second)->early = 100;
+  start ();
+  put_service (usual_routes);
+  for (const size_t size : { 10u, 30000u, 900000u })
+    {
+      auto call = make ("POST", "/holds", "h1");
+      call->body = std::string (size, 'x');
+      finish (call.get ());
+      EXPECT_EQ (call->code, CURLE_OK) << size;
+      EXPECT_TRUE (call->status == 503 || call->status == 502) << call->status;
+    }
+  EXPECT_EQ (runs ("h1"), 0u);
+  ASSERT_TRUE (
+      run_until ([this] { return caller_task_in_flight (task) == 0; }));
+}
+
 TEST_F (FaultTest, UnreachableTargetIsNotRun)
 {
   add_two ();
@@ -272,6 +334,31 @@
   EXPECT_EQ (runs ("s2"), 0u);
 }
 
+/* A request with a body that is larger than what a host holds waits for a
+   free slot until its time is over.  It must be answered then, although most
+   of its body was never read. */
+TEST_F (FaultTest, LongBodyInTheQueueIsAnsweredAtItsDeadline)
+{
+  first = add_target ("t1");
+  target_server_faults (first)->hang = 100;
+  target_options = ", 'slots': 1";
+  start ();
+  put_service (usual_routes);
+  auto busy = connect_raw ();
+  busy->write ("GET /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: s1\r\n\r\n");
+  ASSERT_TRUE (run_until ([this] { return runs ("s1") == 1; }));
+  auto call = make ("POST", "/holds", "h1");
+  call->body = std::string (800000, 'x');
+  call->fields.push_back ("Jaystair-Deadline-Ms: 60");
+  finish (call.get ());
+  EXPECT_TRUE (call->status == 504 || call->status == 503) << call->status;
+  EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
+  EXPECT_EQ (runs ("h1"), 0u);
+  busy->hang_up ();
+  ASSERT_TRUE (
+      run_until ([this] { return caller_task_in_flight (task) == 0; }));
+}
+
 /* An answer that comes after its request was given up goes nowhere, least of
    all to the next request. */
 TEST_F (FaultTest, LateAnswerReachesNobody)
--- a/node/caller/tests/proxy_test.cc
+++ b/node/caller/tests/proxy_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <unistd.h>
 
 #include "node/caller/tests/caller_fixture.h"
 
@@ -195,3 +196,20 @@
       json_object_put (rows);
     }
 }
+
+TEST_F (ProxyTest, EachDecisionWritesALine)
+{
+  int ends[2];
+  ASSERT_EQ (pipe (ends), 0);
+  write_log_to (ends[1]);
+  get ("/calendar", "r1");
+  char text[4096] = "";
+  EXPECT_GT (read (ends[0], text, sizeof text - 1), 0);
+  EXPECT_NE (strstr (text, "caller route service=holds route=/ request="),
+             nullptr)
+      << text;
+  EXPECT_NE (strstr (text, " attempt=1 verdict=send target=t1 why="), nullptr);
+  write_log_to (STDERR_FILENO);
+  close (ends[0]);
+  close (ends[1]);
+}
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -290,6 +290,16 @@
   return queue_by_path (request);
 }
 
+static enum MHD_Result
+queue_shed (struct request *request)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (5, "shed\n", MHD_RESPMEM_PERSISTENT);
+  MHD_add_response_header (response, "Jaystair-Outcome", "not-run");
+  MHD_add_response_header (response, "Retry-After", "2");
+  return queue (request, MHD_HTTP_SERVICE_UNAVAILABLE, response);
+}
+
 /* All of the request was read: run it, or shed it. */
 static enum MHD_Result
 run (struct request *request)
@@ -300,12 +310,7 @@
   if (strcmp (request->method, "OPTIONS") == 0)
     return queue_text (request, MHD_HTTP_OK, "", 0);
   if (faults->leave != 0 || strikes (server, faults->shed))
-    {
-      struct MHD_Response *response = MHD_create_response_from_buffer (
-          5, "shed\n", MHD_RESPMEM_PERSISTENT);
-      MHD_add_response_header (response, "Jaystair-Outcome", "not-run");
-      return queue (request, MHD_HTTP_SERVICE_UNAVAILABLE, response);
-    }
+    return queue_shed (request);
   note_run (request);
   if (strikes (server, faults->close) || (reused && faults->close_reused != 0))
     return MHD_NO;
@@ -417,8 +422,10 @@
   struct request *request = *state;
   if (request == NULL)
     {
-      *state = request_create (server, connection, url, method);
-      return MHD_YES;
+      request = request_create (server, connection, url, method);
+      *state = request;
+      return strikes (server, server->faults.early) ? queue_shed (request)
+                                                    : MHD_YES;
     }
   if (*upload_data_size > 0)
     {
@@ -457,7 +464,7 @@
   ev_timer_stop (server->loop, &request->delay);
   if (request->gone)
     server->counts.cancelled++;
-  if (!request->complete)
+  if (!request->complete && !request->answered)
     server->counts.cut_uploads++;
   DL_DELETE (server->requests, request);
   free (request->body);
@@ -480,6 +487,20 @@
   *socket_context = NULL;
 }
 
+static void
+runs_destroy (struct target_server *server)
+{
+  struct run *run = server->runs;
+  HASH_CLEAR (hh, server->runs);
+  while (run != NULL)
+    {
+      struct run *next = run->hh.next;
+      free (run->id);
+      free (run);
+      run = next;
+    }
+}
+
 struct target_server *
 target_server_create (struct ev_loop *loop, const char *address,
                       const char *name)
@@ -523,14 +544,7 @@
   mhd_loop_destroy (server->mhd_loop);
   MHD_stop_daemon (server->daemon);
   hangup_watch_destroy (server->hangup);
-  struct run *run;
-  struct run *next;
-  HASH_ITER (hh, server->runs, run, next)
-  {
-    HASH_DEL (server->runs, run);
-    free (run->id);
-    free (run);
-  }
+  runs_destroy (server);
   free (server);
 }
 
--- a/tests/standins/target_server.h
+++ b/tests/standins/target_server.h
@@ -26,6 +26,7 @@
   uint32_t hang;     /**< never answered */
   uint32_t cut;      /**< the answer ends in its middle */
   uint32_t close;    /**< closed without an answer, after the request ran */
+  uint32_t early;    /**< shed at the head, without reading the body */
   uint32_t shed;     /**< refused with 503 and `Jaystair-Outcome: not-run` */
   uint32_t delay_ms; /**< before each answer */
   uint32_t jitter;   /**< 1: the delay is any from 0 to delay_ms */
