--- a/node/bus.h
+++ b/node/bus.h
@@ -22,10 +22,10 @@
 {
   BUS_SERVICE_IN_FORCE, /**< a service appeared or changed */
   BUS_SERVICE_REMOVED,
-  BUS_EJECTIONS,     /**< the enforced ejections of a service changed */
-  BUS_HOST_SET,      /**< the hosts to hand out for a service changed */
-  BUS_MEMBERS,       /**< what is believed of the other hosts changed */
-  BUS_SHUTDOWN,      /**< this host is leaving */
+  BUS_EJECTIONS, /**< the enforced ejections of a service changed */
+  BUS_HOST_SET,  /**< the hosts to hand out for a service changed */
+  BUS_MEMBERS,   /**< what is believed of the other hosts changed */
+  BUS_SHUTDOWN,  /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
 
--- a/node/control/control_report.c
+++ b/node/control/control_report.c
@@ -53,6 +53,29 @@
   return rows;
 }
 
+int64_t
+control_news_age_ms (const struct control_task *task)
+{
+  return clock_now_ms () - task->contact_ms;
+}
+
+struct json_object *
+control_silent_hosts (const struct control_task *task)
+{
+  struct json_object *names = json_object_new_array ();
+  const struct control_host *host;
+  for (host = task->hosts; host != NULL; host = host->hh.next)
+    {
+      const enum member_state state
+          = membership_state (task->membership, host->key);
+      if (host != task->self && state != MEMBER_LIVE
+          && state != MEMBER_LEAVING)
+        json_object_array_add (names,
+                               json_object_new_string (host->record.name));
+    }
+  return names;
+}
+
 static struct json_object *
 settings_rows (void *owner)
 {
--- a/node/control/control_task.h
+++ b/node/control/control_task.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include <ev.h>
+#include <json-c/json.h>
 
 #include "base/counters.h"
 #include "base/status.h"
@@ -82,6 +83,13 @@
  * stale_after_ms: it must not hand itself out. */
 bool control_is_stale (const struct control_task *task);
 
+/** How long ago this host last heard the platform or a relay, in ms. */
+int64_t control_news_age_ms (const struct control_task *task);
+
+/** The hosts that should be live but aren't heard from now (suspect, heard
+ * one way only, or dead), by name: a new JSON array. */
+struct json_object *control_silent_hosts (const struct control_task *task);
+
 /** Settings have come from the platform or a peer: work may be taken. */
 bool control_has_settings (const struct control_task *task);
 
--- /dev/null
+++ b/node/daemon/backend.c
@@ -0,0 +1,186 @@
+#include "node/daemon/backend.h"
+
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "base/xmalloc.h"
+#include "node/control/control_task.h"
+#include "node/ejection/ejection_task.h"
+#include "node/operator/service_command.h"
+
+struct backend;
+
+/** A change of a service under way. */
+struct change
+{
+  struct backend *backend;
+  struct service_command *command;
+  operator_result_done *done;
+  void *owner;
+  struct change *next;
+};
+
+/** A question to the hosts of a set. */
+struct ask
+{
+  struct backend *backend;
+  operator_in_force_done *done;
+  void *owner;
+  struct ask *next;
+};
+
+struct backend
+{
+  struct operator_backend base; /* first */
+  struct backend_options options;
+  struct change *changes;
+  struct ask *asks;
+};
+
+static void
+changed (void *owner, const struct operator_result *result)
+{
+  struct change *change = owner;
+  LL_DELETE (change->backend->changes, change);
+  change->done (change->owner, result);
+  free (change);
+}
+
+static void
+change_service (struct operator_backend *base,
+                const struct operator_command *command,
+                operator_result_done *done, void *owner)
+{
+  struct backend *backend = (struct backend *)base;
+  const struct service_command_options options = {
+    .loop = backend->options.loop,
+    .platform = backend->options.platform,
+  };
+  struct change *change = xcalloc (1, sizeof *change);
+  change->backend = backend;
+  change->done = done;
+  change->owner = owner;
+  LL_PREPEND (backend->changes, change);
+  change->command = service_command_start (&options, command, changed, change);
+}
+
+static void
+change_ejection (struct operator_backend *base,
+                 const struct operator_command *command,
+                 operator_result_done *done, void *owner)
+{
+  struct backend *backend = (struct backend *)base;
+  ejection_task_command (backend->options.ejection, command, done, owner);
+}
+
+static void
+asked (void *owner, const struct control_in_force *result)
+{
+  struct ask *ask = owner;
+  const struct operator_in_force report = {
+    .in_force = (uint32_t)result->in_force,
+    .hosts = (uint32_t)result->asked,
+    .not_heard_from = result->silent,
+    .not_heard_from_count = result->silent_count,
+  };
+  LL_DELETE (ask->backend->asks, ask);
+  ask->done (ask->owner, &report);
+  free (ask);
+}
+
+static void
+ask_in_force (struct operator_backend *base,
+              const struct operator_command *command, uint64_t version,
+              uint32_t within_ms, operator_in_force_done *done, void *owner)
+{
+  struct backend *backend = (struct backend *)base;
+  struct ask *ask = xcalloc (1, sizeof *ask);
+  ask->backend = backend;
+  ask->done = done;
+  ask->owner = owner;
+  LL_PREPEND (backend->asks, ask);
+  control_ask_in_force (backend->options.control, command->service, version,
+                        within_ms, asked, ask);
+}
+
+static int64_t
+news_age_ms (struct operator_backend *base)
+{
+  const struct backend *backend = (struct backend *)base;
+  return control_news_age_ms (backend->options.control);
+}
+
+static struct json_object *
+not_heard_from (struct operator_backend *base)
+{
+  const struct backend *backend = (struct backend *)base;
+  return control_silent_hosts (backend->options.control);
+}
+
+static void
+drop_change (struct backend *backend, struct change *change)
+{
+  LL_DELETE (backend->changes, change);
+  service_command_cancel (change->command);
+  free (change);
+}
+
+static void
+drop_ask (struct backend *backend, struct ask *ask)
+{
+  LL_DELETE (backend->asks, ask);
+  control_cancel (backend->options.control, ask);
+  free (ask);
+}
+
+static void
+cancel (struct operator_backend *base, void *owner)
+{
+  struct backend *backend = (struct backend *)base;
+  struct change *change;
+  struct change *next_change;
+  LL_FOREACH_SAFE (backend->changes, change, next_change)
+  {
+    if (change->owner == owner)
+      drop_change (backend, change);
+  }
+  struct ask *ask;
+  struct ask *next_ask;
+  LL_FOREACH_SAFE (backend->asks, ask, next_ask)
+  {
+    if (ask->owner == owner)
+      drop_ask (backend, ask);
+  }
+  ejection_task_cancel (backend->options.ejection, owner);
+}
+
+struct operator_backend *
+backend_create (const struct backend_options *options)
+{
+  static const struct operator_backend_ops ops = {
+    .change_service = change_service,
+    .change_ejection = change_ejection,
+    .ask_in_force = ask_in_force,
+    .news_age_ms = news_age_ms,
+    .not_heard_from = not_heard_from,
+    .cancel = cancel,
+  };
+  struct backend *backend = xcalloc (1, sizeof *backend);
+  backend->base.ops = &ops;
+  backend->options = *options;
+  return &backend->base;
+}
+
+void
+backend_destroy (struct operator_backend *base)
+{
+  if (base == NULL)
+    return;
+  struct backend *backend = (struct backend *)base;
+  while (backend->changes != NULL)
+    drop_change (backend, backend->changes);
+  while (backend->asks != NULL)
+    drop_ask (backend, backend->asks);
+  free (backend);
+}
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -12,6 +12,10 @@
 #include "node/caller/caller_task.h"
 #include "node/control/control_task.h"
 #include "node/control/incarnation.h"
+#include "node/daemon/backend.h"
+#include "node/ejection/control_transport.h"
+#include "node/ejection/ejection_task.h"
+#include "node/operator/operator_task.h"
 #include "node/tables.h"
 #include "wire/platform_file.h"
 #include "wire/platform_http.h"
@@ -33,6 +37,10 @@
   struct platform *platform;
   struct caller_task *caller;
   struct control_task *control;
+  struct control_transport transport;
+  struct ejection_task *ejection;
+  struct operator_backend *backend;
+  struct operator_task *operator_side;
   enum host_phase phase;
   struct ev_timer leave_limit;
   host_done *done;
@@ -92,6 +100,53 @@
   return control_task_create (&options, &host->control);
 }
 
+static struct detection_recorder *
+recorder_of (void *owner, const char *service)
+{
+  const struct host *host = owner;
+  return caller_task_recorder (host->caller, service);
+}
+
+static void
+create_ejection (struct host *host, uint64_t incarnation)
+{
+  control_transport_init (&host->transport, host->control);
+  const struct ejection_task_options options = {
+    .loop = host->loop,
+    .bus = host->bus,
+    .settings = &host->settings,
+    .platform = host->platform,
+    .counters = host->counters,
+    .tables = host->tables,
+    .transport = &host->transport.base,
+    .recorder = recorder_of,
+    .recorder_owner = host,
+    .incarnation = incarnation,
+  };
+  host->ejection = ejection_task_create (&options);
+  control_transport_deliver (&host->transport, host->ejection);
+}
+
+static enum status
+create_operator (struct host *host)
+{
+  const struct backend_options backend = {
+    .loop = host->loop,
+    .platform = host->platform,
+    .control = host->control,
+    .ejection = host->ejection,
+  };
+  host->backend = backend_create (&backend);
+  const struct operator_task_options options = {
+    .loop = host->loop,
+    .settings = &host->settings,
+    .counters = host->counters,
+    .tables = host->tables,
+    .backend = host->backend,
+  };
+  return operator_task_create (&options, &host->operator_side);
+}
+
 /* Tasks that hear the bus come before the control task, which speaks first:
    what it posts at its start must find its subscribers. */
 static enum status
@@ -103,7 +158,10 @@
     status = create_caller (host, incarnation);
   if (status == STATUS_OK)
     status = create_control (host, incarnation);
-  return status;
+  if (status != STATUS_OK)
+    return status;
+  create_ejection (host, incarnation);
+  return create_operator (host);
 }
 
 enum status
@@ -131,6 +189,11 @@
   if (host == NULL)
     return;
   ev_timer_stop (host->loop, &host->leave_limit);
+  if (host->operator_side != NULL)
+    operator_task_destroy (host->operator_side);
+  backend_destroy (host->backend);
+  if (host->ejection != NULL)
+    ejection_task_destroy (host->ejection);
   if (host->control != NULL)
     control_task_destroy (host->control);
   if (host->caller != NULL)
@@ -165,6 +228,7 @@
 static void
 end_now (struct host *host, const char *why)
 {
+
   finish (host, why);
 }
 
