--- a/node/ejection/ejection_command.c
+++ b/node/ejection/ejection_command.c
@@ -339,24 +339,31 @@
   ejection_send_order (task->options.transport, command->from, &order);
 }
 
+/* Take the first ended command off the list. */
+static bool
+take_ended (struct ejection_task *task, struct ejection_command *ended)
+{
+  struct ejection_command *command;
+  DL_FOREACH (task->commands, command)
+  {
+    if (!command->is_ended)
+      continue;
+    *ended = *command;
+    drop (task, command);
+    return true;
+  }
+  return false;
+}
+
 void
 ejection_commands_answer (struct ejection_task *task)
 {
-  struct ejection_command *command = task->commands;
-  while (command != NULL)
+  struct ejection_command ended;
+  while (take_ended (task, &ended))
     {
-      if (!command->is_ended)
-        {
-          command = command->next;
-          continue;
-        }
-      struct ejection_command ended = *command;
-      drop (task, command);
       if (ended.done != NULL)
         answer_here (&ended);
       else
         answer_remote (task, &ended);
-      /* The callback may have changed the list. */
-      command = task->commands;
     }
 }
--- a/node/ejection/ejection_owner.c
+++ b/node/ejection/ejection_owner.c
@@ -92,10 +92,10 @@
 {
   const uint64_t epoch = service->role_epoch;
   const struct floor_record *record = floor_owner_known (service->owner);
-  LOG_INFO (
-      "ownership-ended", LOG_STR ("service", service->name),
-      LOG_INT ("epoch", epoch), LOG_STR ("owner", record->owner),
-      LOG_STR ("why", record->owner[0] == '\0' ? "released" : "replaced"));
+  const bool is_released = record->owner[0] == '\0';
+  LOG_INFO ("ownership-ended", LOG_STR ("service", service->name),
+            LOG_INT ("epoch", epoch), LOG_STR ("owner", record->owner),
+            LOG_STR ("why", is_released ? "released" : "replaced"));
   floor_owner_take_stopped (service->owner);
   announce_stopped (service, epoch);
   ejection_owner_drop (service);
--- a/policy/floor/floor_record_json.c
+++ b/policy/floor/floor_record_json.c
@@ -166,7 +166,7 @@
 static enum status
 read_claim (struct json_object *object, struct floor_record *record)
 {
-  char target[FLOOR_NAME_SIZE];
+  char target[FLOOR_NAME_SIZE] = "";
   if (!json_object_is_type (object, json_type_object)
       || read_name (object, "target", target) != STATUS_OK || *target == '\0'
       || floor_record_find (record, target) != NULL)
