ejection: idle services cost little, hosts outside a set follow while serving

A host outside the set that serves a service follows its owner, and stops ten seconds after the last outcome.

--- a/node/ejection/ejection_internal.h
+++ b/node/ejection/ejection_internal.h
@@ -86,7 +86,9 @@
   int64_t heard_ms;
   int64_t heard_of_ms; /* another host said that it hears it */
   int64_t next_poll_ms;
-  size_t rotation; /* next host to ask when the owner is silent */
+  int64_t active_ms;  /* last had outcomes to report */
+  int64_t refresh_ms; /* when to poll even with nothing seen */
+  size_t rotation;    /* next host to ask when the owner is silent */
 
   /* Enforcement. */
   struct ejection_trial *trials;
@@ -149,6 +151,7 @@
   struct ejection_command *commands;
   size_t command_count;
   uint64_t command_id;
+  struct detection_report_item *items; /* room for one report */
   struct ev_timer beat;
   struct ev_timer soon; /* ended commands are answered from the loop */
   struct ejection_counters counters;
@@ -175,6 +178,8 @@
 void ejection_service_set_hosts (struct ejection_service *service,
                                  const struct bus_host_set *set);
 void ejection_service_beat (struct ejection_service *service);
+
+/* ejection_enforce.c: what this host hears and enforces */
 void ejection_service_news (struct ejection_service *service, const char *from,
                             const struct ejection_news *news);
 /* A decision of this host as owner. */
@@ -182,6 +187,8 @@
                                 const struct ejection_news *news);
 /* Post the enforced set if it changed. */
 void ejection_service_post (struct ejection_service *service);
+
+/* ejection_service.c again: names and keys of targets */
 const char *ejection_target_name (const struct ejection_service *service,
                                   uint64_t key);
 uint64_t ejection_target_key (const struct ejection_service *service,
--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -13,11 +13,12 @@
 
 enum
 {
-  PERMILLE = 1000,
   RETRY_MS = 100,
   RETRY_MAX_MS = 5000,
   /* For how many leases an owner that only others hear is left alone. */
   HEARD_OF_LEASES = 4,
+  POLLS_PER_ENFORCEMENT = 4,
+  OUTSIDER_ACTIVE_MS = 10000,
 };
 
 static struct floor_owner *
@@ -46,6 +47,7 @@
   service->owner = create_owner (task);
   service->view = floor_view_create ();
   service->heard_ms = ejection_now_ms (task);
+  service->active_ms = service->heard_ms - OUTSIDER_ACTIVE_MS;
   service->rank = -1;
   service->why = "-";
   return service;
@@ -142,199 +144,61 @@
     ejection_owner_release (service);
 }
 
-static bool
-lets_through (const struct ejection_service *service, const char *target)
-{
-  const struct ejection_task *task = service->task;
-  for (size_t i = 0; i < service->trial_count; i++)
-    {
-      const struct ejection_trial *trial = &service->trials[i];
-      if (strcmp (trial->target, target) != 0)
-        continue;
-      const uint64_t slice
-          = (uint64_t)ejection_now_ms (task) / EJECTION_TRIAL_SLICE_MS;
-      const uint64_t place = hash_pair (
-          hash_string (task->options.settings->name), hash_string (target));
-      return hash_pair (place, slice) % PERMILLE < trial->share_permille;
-    }
-  return false;
-}
-
-/* What the caller side is told: the enforced set but for targets on trial
-   here and now.  Letting one through never breaches a floor. */
 static size_t
-effective (const struct ejection_service *service,
-           char (*names)[FLOOR_NAME_SIZE])
-{
-  const char (*targets)[FLOOR_NAME_SIZE];
-  const size_t count = floor_view_targets (service->view, &targets);
-  size_t used = 0;
-  for (size_t i = 0; i < count; i++)
-    if (!lets_through (service, targets[i]))
-      memcpy (names[used++], targets[i], FLOOR_NAME_SIZE);
-  return used;
-}
-
-void
-ejection_service_post (struct ejection_service *service)
-{
-  const char (*targets)[FLOOR_NAME_SIZE];
-  const size_t most = floor_view_targets (service->view, &targets);
-  char (*names)[FLOOR_NAME_SIZE] = xcalloc (most + 1, sizeof *names);
-  const size_t count = effective (service, names);
-  const bool same
-      = count == service->posted.count
-        && (count == 0
-            || memcmp (names, service->posted.names, count * sizeof *names)
-                   == 0);
-  if (same)
-    {
-      free (names);
-      return;
-    }
-  ejection_names_assign (&service->posted,
-                         (const char (*)[FLOOR_NAME_SIZE])names, count);
-  struct bus_message message
-      = { .topic = BUS_EJECTIONS,
-          .ejections = { .epoch = floor_view_epoch (service->view),
-                         .targets = names,
-                         .count = count } };
-  memcpy (message.ejections.service, service->name, sizeof service->name);
-  bus_post (service->task->options.bus, &message);
-}
-
-static void
-take_trials (struct ejection_service *service,
-             const struct ejection_news *news)
-{
-  service->trials = xreallocarray (service->trials, news->count + 1,
-                                   sizeof *service->trials);
-  service->trial_count = 0;
-  for (size_t i = 0; i < news->count; i++)
-    {
-      if (news->shares_permille[i] == 0)
-        continue;
-      struct ejection_trial *trial = &service->trials[service->trial_count++];
-      memcpy (trial->target, news->names[i], sizeof trial->target);
-      trial->share_permille = news->shares_permille[i];
-    }
-}
-
-static void
-heard_owner (struct ejection_service *service, const char *name,
-             uint64_t epoch)
-{
-  if (strcmp (service->owner_name, name) != 0)
-    LOG_INFO ("owner-known", LOG_STR ("service", service->name),
-              LOG_STR ("owner", name), LOG_INT ("epoch", epoch));
-  snprintf (service->owner_name, sizeof service->owner_name, "%s", name);
-  service->heard_ms = ejection_now_ms (service->task);
-}
-
-static void
-hear_decision (struct ejection_service *service, const char *from,
-               const struct ejection_news *news)
-{
-  if (news->epoch < floor_view_epoch (service->view))
-    return;
-  heard_owner (service, from, news->epoch);
-  /* An answer to a poll of the process that ran here before tells who owns
-     the service, but its clock isn't ours. */
-  if (news->incarnation != service->task->options.incarnation)
-    return;
-  take_trials (service, news);
-  const struct floor_decision decision = { .epoch = news->epoch,
-                                           .sequence = news->sequence,
-                                           .enforce_ms = news->enforce_ms,
-                                           .targets = news->names,
-                                           .count = news->count };
-  floor_view_heard (service->view, ejection_now_ms (service->task),
-                    news->poll_ms, &decision);
-  ejection_service_post (service);
-}
-
-void
-ejection_service_hear_own (struct ejection_service *service,
-                           const struct ejection_news *news)
-{
-  hear_decision (service, service->task->options.settings->name, news);
-}
-
-/* Guards against owners taking turns for ever over a link that is cut between
-   just two hosts: the host asked isn't the owner but hears it, so it isn't
-   gone.  For how long that counts is bounded, see silence(). */
-static void
-hear_redirect (struct ejection_service *service,
-               const struct ejection_news *news)
-{
-  if (news->count != 1 || news->epoch < floor_view_epoch (service->view))
-    return;
-  floor_view_epoch_seen (service->view, news->epoch);
-  memcpy (service->owner_name, news->names[0], sizeof service->owner_name);
-  service->heard_of_ms = ejection_now_ms (service->task);
-}
-
-static void
-hear_stopped (struct ejection_service *service, const char *from,
-              const struct ejection_news *news)
+take_evidence (struct ejection_service *service)
 {
-  floor_owner_stopped (service->owner, ejection_now_ms (service->task),
-                       news->epoch);
-  if (strcmp (from, service->owner_name) != 0
-      || news->epoch < floor_view_epoch (service->view))
-    return;
-  LOG_INFO ("owner-stopped", LOG_STR ("service", service->name),
-            LOG_STR ("owner", from), LOG_INT ("epoch", news->epoch));
-  service->owner_name[0] = '\0';
-  service->heard_ms -= service->task->options.settings->times.owner_lease_ms;
+  const struct ejection_task_options *options = &service->task->options;
+  struct detection_recorder *recorder
+      = options->recorder (options->recorder_owner, service->name);
+  if (recorder == NULL)
+    return 0;
+  const size_t count = detection_recorder_take (recorder, service->task->items,
+                                                EJECTION_ITEMS_MAX);
+  if (count > 0)
+    service->active_ms = ejection_now_ms (service->task);
+  return count;
 }
 
-void
-ejection_service_news (struct ejection_service *service, const char *from,
-                       const struct ejection_news *news)
+/* A host outside the set follows the owner only while it serves the service;
+   otherwise each host would poll for every service there is.  What shows that
+   it has begun to is dropped. */
+static bool
+follows (struct ejection_service *service)
 {
-  floor_owner_epoch_seen (service->owner, ejection_now_ms (service->task),
-                          news->epoch);
-  if (news->kind == EJECTION_DECISION)
-    hear_decision (service, from, news);
-  else if (news->kind == EJECTION_REDIRECT)
-    hear_redirect (service, news);
-  else
-    hear_stopped (service, from, news);
-  ejection_owner_drive (service);
+  const int64_t now_ms = ejection_now_ms (service->task);
+  if (service->rank >= 0 || now_ms < service->active_ms + OUTSIDER_ACTIVE_MS)
+    return service->host_count > 0;
+  const bool begins = take_evidence (service) > 0;
+  return begins && service->host_count > 0;
 }
 
 /* Reports must be counted once, so what was seen goes only to an owner that
-   answers; other hosts are just asked. */
+   answers; other hosts are just asked.  With nothing seen the owner is asked
+   only as often as enforcement needs, so that idle services cost little. */
 static void
 report_to (struct ejection_service *service, const char *to, bool with_items)
 {
   struct ejection_task *task = service->task;
   const struct ejection_task_options *options = &task->options;
-  struct detection_report_item *items = NULL;
-  size_t count = 0;
-  struct detection_recorder *recorder
-      = with_items ? options->recorder (options->recorder_owner, service->name)
-                   : NULL;
-  if (recorder != NULL)
-    {
-      items = xcalloc (EJECTION_ITEMS_MAX, sizeof *items);
-      count = detection_recorder_take (recorder, items, EJECTION_ITEMS_MAX);
-    }
+  const int64_t now_ms = ejection_now_ms (task);
+  const size_t count = with_items ? take_evidence (service) : 0;
+  if (with_items && count == 0 && now_ms < service->refresh_ms)
+    return;
+  service->refresh_ms
+      = now_ms + options->settings->times.enforce_ms / POLLS_PER_ENFORCEMENT;
   const struct ejection_report report
       = { .service = service->name,
           .epoch = floor_view_epoch (service->view),
           .incarnation = options->incarnation,
-          .poll_ms = ejection_now_ms (task),
+          .poll_ms = now_ms,
           .dc = options->settings->dc,
-          .items = items,
+          .items = task->items,
           .count = count };
   if (strcmp (to, options->settings->name) == 0)
     ejection_owner_report (service, to, &report);
   else
     ejection_send_report (options->transport, to, &report);
   counter_add (task->counters.reports, 1);
-  free (items);
 }
 
 static void
@@ -408,11 +272,11 @@
   if (is_owner)
     service->heard_ms = now_ms;
   const int64_t silence_ms = silence (service, now_ms);
-  if (service->spec != NULL && service->rank >= 0
-      && now_ms >= service->next_poll_ms)
+  if (service->spec != NULL && now_ms >= service->next_poll_ms)
     {
       service->next_poll_ms = now_ms + times->evidence_ms;
-      poll_owner (service, now_ms - service->heard_ms);
+      if (follows (service))
+        poll_owner (service, now_ms - service->heard_ms);
       ejection_owner_step (service);
     }
   consider_ownership (service, silence_ms);
--- a/node/ejection/ejection_task.c
+++ b/node/ejection/ejection_task.c
@@ -184,6 +184,7 @@
   task->options = *options;
   if (task->options.outage_hold_ms == 0)
     task->options.outage_hold_ms = OUTAGE_HOLD_MS;
+  task->items = xcalloc (EJECTION_ITEMS_MAX, sizeof *task->items);
   add_counters (task);
   bus_subscribe (options->bus, BUS_SERVICE_IN_FORCE, on_in_force, task);
   bus_subscribe (options->bus, BUS_SERVICE_REMOVED, on_removed, task);
@@ -213,6 +214,7 @@
     ejection_service_destroy (service);
   }
   ejection_commands_drop (task);
+  free (task->items);
   free (task);
 }
 
--- a/node/ejection/tests/ejection_task_test.cc
+++ b/node/ejection/tests/ejection_task_test.cc
@@ -193,6 +193,29 @@
       << second.changed;
 }
 
+// A caller that came to a host outside the set would be sent to a target that
+// all others have given up.
+TEST_F (EjectionTask, AHostOutsideTheSetFollowsWhileItServes)
+{
+  f.set_size = 2;
+  for (int i = 0; i < host_count; i++)
+    f.post_hosts (i);
+  f.run (100);
+  ASSERT_TRUE (gray ("t2"));
+  const size_t polls = f.service (0)->poller_count;
+  EXPECT_EQ (polls, 3U);
+  // Without traffic it stops asking, and what it enforced lapses.
+  const auto idle = [&] { return f.hosts[2].out.empty (); };
+  bool lapsed = false;
+  for (int i = 0; i < long_ms / step_ms && !lapsed; i++)
+    {
+      f.turn ();
+      lapsed = idle ();
+    }
+  EXPECT_TRUE (lapsed);
+  EXPECT_EQ (f.hosts[1].out.count ("t2"), 1U);
+}
+
 // Capacity promised to callers would be missing: the floor is raised while
 // targets are out.
 TEST_F (EjectionTask, ARaisedFloorBringsTargetsBack)
