--- a/policy/detection/tests/fake_pool.c
+++ b/policy/detection/tests/fake_pool.c
@@ -13,7 +13,8 @@
   STEP_US = 100000,
   USUAL_LATENCY_US = 20000,
   TIMEOUT_US = 1000000,
-  FULL_SHARE = 1000
+  FULL_SHARE = 1000,
+  DRAWS_MOST = 10000
 };
 
 void
@@ -58,15 +59,18 @@
   return (int64_t)(USUAL_LATENCY_US * factor * exp (0.8 * sum));
 }
 
+/* By share; when nobody has one, as when all were ejected, anyone. */
 static uint32_t
 draw_target (struct fake_pool *pool)
 {
-  for (;;)
+  uint32_t target = 0;
+  for (int tries = 0; tries < DRAWS_MOST; tries++)
     {
-      uint32_t target = (uint32_t)rng_below (&pool->rng, pool->targets);
+      target = (uint32_t)rng_below (&pool->rng, pool->targets);
       if (rng_below (&pool->rng, FULL_SHARE) < pool->shares[target])
-        return target;
+        break;
     }
+  return target;
 }
 
 struct fake_outcome
