caller: targets that speak broken HTTP; the exchange's target end apart

- bad_target_test: garbage, cut and oversized heads, bad chunks, interim answers, bytes beyond the announced length, forged outcome fields.
- bad_input_test: 400 requests with bytes changed at random.

--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_send.h"
 #include "node/caller/exchange_caller.h"
 #include "node/caller/exchange_ticket.h"
 
--- /dev/null
+++ b/node/caller/exchange_send.c
@@ -0,0 +1,169 @@
+#include "node/caller/exchange_send.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "node/caller/decision_note.h"
+#include "node/caller/exchange_attempt.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  DEADLINE_FIELD_SIZE = 64,
+  TICKET_FIELD_SIZE = REQUEST_TICKET_SIZE + 32
+};
+
+static void
+note_starved (struct exchange_attempt *attempt, bool starved)
+{
+  const int64_t now_us = clock_now_us ();
+  if (attempt->starved_from_us > 0)
+    attempt->starved_us += now_us - attempt->starved_from_us;
+  attempt->starved_from_us = starved ? now_us : 0;
+}
+
+static size_t
+on_read (void *owner, char *data, size_t size)
+{
+  struct exchange *x = owner;
+  const size_t taken = stream_buffer_take (&x->upload, data, size);
+  const bool starved = taken == 0 && !x->upload.whole;
+  note_starved (&x->attempt, starved);
+  if (taken > 0)
+    exchange_kick (x);
+  return starved ? TARGET_CALL_WAIT : taken;
+}
+
+static void
+on_head (void *owner, const struct target_head *head)
+{
+  struct exchange *x = owner;
+  struct exchange_attempt *attempt = &x->attempt;
+  attempt->head_seen = true;
+  attempt->head_us = clock_now_us ();
+  attempt->status = head->status;
+  attempt->length_bytes = head->length_bytes;
+  header_list_clear (&attempt->headers);
+  for (size_t i = 0; i < head->headers->count; i++)
+    {
+      const char *name = header_list_name (head->headers, i);
+      const char *value = header_list_value (head->headers, i);
+      header_list_add (&attempt->headers, name, strlen (name), value,
+                       strlen (value));
+    }
+  exchange_kick (x);
+}
+
+static bool
+on_body (void *owner, const char *data, size_t size)
+{
+  struct exchange *x = owner;
+  x->progress_us = clock_now_us ();
+  if (stream_buffer_room (&x->answer) < size)
+    {
+      x->attempt.held_back = true;
+      return false;
+    }
+  stream_buffer_append (&x->answer, data, size);
+  exchange_kick (x);
+  return true;
+}
+
+static void
+on_end (void *owner, enum target_call_end end, const char *message)
+{
+  struct exchange *x = owner;
+  x->attempt.call = NULL;
+  x->progress_us = clock_now_us ();
+  exchange_attempt_ended (x, end, message);
+  exchange_kick (x);
+}
+
+static const struct target_call_events events
+    = { .read = on_read, .head = on_head, .body = on_body, .end = on_end };
+
+/* Send X to ADDRESS; the fields of the attempt that name it are set. */
+static void
+send_to (struct exchange *x, const char *address, const char *const *extra)
+{
+  struct exchange_attempt *attempt = &x->attempt;
+  const struct service_limits *limits = &x->service->spec->limits;
+  attempt->head_seen = false;
+  attempt->held_back = false;
+  attempt->starved_us = 0;
+  attempt->starved_from_us = 0;
+  attempt->open = true;
+  attempt->started_us = clock_now_us ();
+  stream_buffer_rewind (&x->upload);
+  x->answer.taken = 0;
+  x->answer.used = 0;
+  x->state = EXCHANGE_SENT;
+  const struct target_call_options options = {
+    .curl = x->context->curl,
+    .events = &events,
+    .owner = x,
+    .address = address,
+    .method = x->head.method,
+    .uri = x->uri,
+    .headers = &x->head.headers,
+    .extra = extra,
+    .has_body = x->head.body != REQUEST_BODY_NONE,
+    .body_bytes = x->head.body == REQUEST_BODY_SIZED ? x->head.body_bytes : -1,
+    .fresh = !x->repeatable,
+    .connect_timeout_ms = limits->connect_timeout_ms,
+  };
+  attempt->call = target_call_start (&options);
+}
+
+static void
+format_deadline (const struct exchange *x, char text[DEADLINE_FIELD_SIZE])
+{
+  const int64_t left_ms = (x->deadline_us - clock_now_us ()) / US_PER_MS;
+  snprintf (text, DEADLINE_FIELD_SIZE, "Jaystair-Deadline-Ms: %lld",
+            (long long)(left_ms > 0 ? left_ms : 0));
+}
+
+void
+exchange_send (struct exchange *x, uint32_t number)
+{
+  const struct target_spec *target = &x->service->spec->targets[number];
+  struct exchange_attempt *attempt = &x->attempt;
+  char deadline[DEADLINE_FIELD_SIZE];
+  format_deadline (x, deadline);
+  const char *const extra[] = { deadline, NULL };
+  attempt->key = x->service->targets[number].key;
+  attempt->relay = false;
+  snprintf (attempt->target, sizeof attempt->target, "%s", target->name);
+  if (x->tried_count < POLICY_TRIED_MAX)
+    x->tried[x->tried_count++] = attempt->key;
+  x->attempts++;
+  if (x->attempts > 1)
+    caller_counters_add (x->context->counters.retries, x->service->name, NULL);
+  send_to (x, target->address, extra);
+}
+
+void
+exchange_relay (struct exchange *x, const char *host, const char *address)
+{
+  char deadline[DEADLINE_FIELD_SIZE];
+  char ticket[TICKET_FIELD_SIZE];
+  format_deadline (x, deadline);
+  snprintf (ticket, sizeof ticket, "Jaystair-Ticket: %s", x->head.ticket);
+  const char *const extra[]
+      = { deadline, ticket, "Jaystair-Relayed: 1", NULL };
+  /* The ticket may have run at its own host before. */
+  x->perhaps_ran = true;
+  x->attempt.relay = true;
+  snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host);
+  decision_note_relay (x, host);
+  send_to (x, address, extra);
+}
+
+void
+exchange_go_on (struct exchange *x)
+{
+  const bool send = x->upload.whole || stream_buffer_waiting (&x->upload) > 0;
+  const bool receive = stream_buffer_room (&x->answer) >= CURL_MAX_WRITE_SIZE;
+  target_call_go_on (x->attempt.call, send, receive);
+}
--- a/node/caller/exchange_ticket.c
+++ b/node/caller/exchange_ticket.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_send.h"
 
 enum
 {
--- a/node/caller/tests/bad_input_test.cc
+++ b/node/caller/tests/bad_input_test.cc
@@ -1,3 +1,5 @@
+#include <random>
+
 #include "node/caller/tests/caller_fixture.h"
 
 class BadInputTest : public CallerTest
@@ -143,3 +145,37 @@
   EXPECT_EQ (answer.find ("100 Continue"), std::string::npos);
   EXPECT_NE (answer.find ("413"), std::string::npos) << answer;
 }
+
+/* Requests with bytes changed, left out and doubled at random: whatever comes
+   of each, the others don't notice and nothing is left behind. */
+TEST_F (BadInputTest, ChangedRequestsHarmNobody)
+{
+  const std::string base
+      = "POST /holds?a=1 HTTP/1.1\r\nHost: venue.example:80\r\n"
+        "X-Request-Id: fuzz\r\nTransfer-Encoding: chunked\r\n"
+        "Jaystair-Deadline-Ms: 50\r\nJaystair-Ticket: host-1:1:2:3:4\r\n\r\n"
+        "5\r\nhello\r\n0\r\n\r\n";
+  std::mt19937 random (17);
+  for (int round = 0; round < 400; round++)
+    {
+      std::string bytes = base;
+      for (int changes = 1 + (int)(random () % 4); changes > 0; changes--)
+        {
+          const size_t place = random () % bytes.size ();
+          if (random () % 3 == 0)
+            bytes.erase (place, 1 + random () % 8);
+          else if (random () % 2 == 0)
+            bytes.insert (place, bytes.substr (place, random () % 32));
+          else
+            bytes[place] = (char)random ();
+        }
+      auto raw = connect_raw ();
+      raw->write (bytes);
+      if (round % 8 == 0)
+        expect_unharmed ();
+      raw->hang_up ();
+    }
+  ASSERT_TRUE (
+      run_until ([this] { return caller_task_in_flight (task) == 0; }));
+  expect_unharmed ();
+}
--- /dev/null
+++ b/node/caller/tests/bad_target_test.cc
@@ -0,0 +1,109 @@
+/* Targets that speak broken HTTP.  Whatever they send, callers get a whole
+   answer, a broken transfer or an honest refusal, and the next caller gets
+   its own. */
+#include "node/caller/tests/caller_fixture.h"
+#include "node/caller/tests/raw_target.h"
+
+class BadTargetTest : public CallerTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    CallerTest::SetUp ();
+    settings.limits.header_bytes = 8192;
+    raw = std::make_unique<RawTarget> (loop);
+    start ();
+    put_service_at (raw->address ());
+  }
+
+  void
+  TearDown () override
+  {
+    curl_loop_destroy (client);
+    client = nullptr;
+    caller_task_destroy (task);
+    task = nullptr;
+    raw.reset ();
+    CallerTest::TearDown ();
+  }
+
+  std::unique_ptr<Call>
+  hold (const std::string &answer)
+  {
+    raw->answer = answer;
+    auto call = make ("POST", "/holds", "h1");
+    call->body = "date";
+    finish (call.get ());
+    return call;
+  }
+
+  std::unique_ptr<RawTarget> raw;
+};
+
+TEST_F (BadTargetTest, GarbageIsUnknown)
+{
+  for (const char *answer :
+       { "", "garbage\r\n\r\n", "HTTP/1.1\r\n\r\n", "HTTP/1.1 abc x\r\n\r\n",
+         "HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\nok",
+         "HTTP/1.1 200 OK\r\nContent-Length: 2",
+         "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nok",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+         "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf" })
+    {
+      auto call = hold (answer);
+      EXPECT_TRUE (call->code != CURLE_OK
+                   || (call->status == 502
+                       && call->field ("jaystair-outcome") == "unknown"))
+          << answer << " " << call->status;
+    }
+  EXPECT_EQ (raw->requests, 9);
+}
+
+TEST_F (BadTargetTest, TooLargeHeadIsUnknown)
+{
+  for (const size_t size : { 9000u, 90000u, 400000u })
+    {
+      auto call = hold ("HTTP/1.1 200 OK\r\nX-Big: " + std::string (size, 'x')
+                        + "\r\nContent-Length: 2\r\n\r\nok");
+      EXPECT_EQ (call->status, 502) << size;
+      EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+    }
+}
+
+TEST_F (BadTargetTest, OddButValidAnswersComeThrough)
+{
+  auto interim = hold ("HTTP/1.1 102 Processing\r\nX-Interim: 1\r\n\r\n"
+                       "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n"
+                       "X-Tabbed: a\tb\r\n\r\nok");
+  EXPECT_EQ (interim->status, 201);
+  EXPECT_EQ (interim->answer, "ok");
+  EXPECT_EQ (interim->field ("x-interim"), "");
+  EXPECT_EQ (interim->field ("x-tabbed"), "a b");
+  auto until_close = hold ("HTTP/1.0 200 OK\r\n\r\nuntil the end");
+  EXPECT_EQ (until_close->status, 200);
+  EXPECT_EQ (until_close->answer, "until the end");
+}
+
+/* A target writes more than it announced.  Those bytes must not become the
+   next caller's answer. */
+TEST_F (BadTargetTest, BytesBeyondTheAnswerReachNobody)
+{
+  raw->close_after = false;
+  raw->answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine"
+                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nyours";
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ (get ("/calendar", "r")->answer, "mine");
+}
+
+/* Only a refusal's own status lets "not run" count; in any other answer the
+   word is no more than a field that isn't passed on. */
+TEST_F (BadTargetTest, OutcomeOfTheFleetCantBeForged)
+{
+  auto call = hold ("HTTP/1.1 200 OK\r\nJaystair-Outcome: not-run\r\n"
+                    "Jaystair-Retry-After-Ms: 5\r\nContent-Length: 2\r\n\r\n"
+                    "ok");
+  EXPECT_EQ (call->status, 200);
+  EXPECT_EQ (call->field ("jaystair-outcome"), "ran");
+  EXPECT_EQ (call->field ("jaystair-retry-after-ms"), "");
+}
--- a/node/caller/tests/caller_fixture.cc
+++ b/node/caller/tests/caller_fixture.cc
@@ -118,16 +118,38 @@
   return target;
 }
 
+static std::string
+target_json (const std::string &name, const std::string &address,
+             const std::string &options)
+{
+  return "{ 'name': '" + name + "', 'address': '" + address
+         + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200" + options + "}";
+}
+
 void
 CallerTest::put_service (const std::string &routes, const std::string &members)
 {
-  std::string text = "{ 'name': 'holds', 'targets': [";
+  std::string list;
   for (size_t i = 0; i < targets.size (); i++)
-    text += std::string (i > 0 ? "," : "") + "{ 'name': '" + target_names[i]
-            + "', 'address': '" + target_server_address (targets[i])
-            + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200"
-            + target_options + "}";
-  text += "], 'routes': " + routes + members + "}";
+    list += (i > 0 ? "," : "")
+            + target_json (target_names[i], target_server_address (targets[i]),
+                           target_options);
+  post_service (list, routes, members);
+}
+
+void
+CallerTest::put_service_at (const std::string &address)
+{
+  post_service (target_json ("t1", address, ""), usual_routes, "");
+}
+
+void
+CallerTest::post_service (const std::string &target_list,
+                          const std::string &routes,
+                          const std::string &members)
+{
+  std::string text = "{ 'name': 'holds', 'targets': [" + target_list
+                     + "], 'routes': " + routes + members + "}";
   for (char &c : text)
     if (c == '\'')
       c = '"';
--- a/node/caller/tests/caller_fixture.h
+++ b/node/caller/tests/caller_fixture.h
@@ -73,6 +73,8 @@
    * JSON members, begun by a comma.  Quotes are written as apostrophes. */
   void put_service (const std::string &routes,
                     const std::string &members = "");
+  /** The same with one target "t1" at ADDRESS. */
+  void put_service_at (const std::string &address);
   void put_hosts (const std::vector<bus_set_host> &hosts);
   void start ();
 
@@ -87,6 +89,8 @@
 
   std::unique_ptr<RawCaller> connect_raw ();
 
+  void post_service (const std::string &target_list, const std::string &routes,
+                     const std::string &members);
   std::string exposed () const;
   void write_log_to (int fd);
 
--- /dev/null
+++ b/tests/standins/run_book.c
@@ -0,0 +1,81 @@
+#include "tests/standins/run_book.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/xmalloc.h"
+
+struct run
+{
+  char *id;
+  uint32_t times;
+  UT_hash_handle hh;
+};
+
+struct run_book
+{
+  struct run *runs;
+};
+
+struct run_book *
+run_book_create (void)
+{
+  return xcalloc (1, sizeof (struct run_book));
+}
+
+void
+run_book_destroy (struct run_book *book)
+{
+  struct run *run = book->runs;
+  HASH_CLEAR (hh, book->runs);
+  while (run != NULL)
+    {
+      struct run *next = run->hh.next;
+      free (run->id);
+      free (run);
+      run = next;
+    }
+  free (book);
+}
+
+void
+run_book_note (struct run_book *book, const char *id)
+{
+  struct run *run;
+  HASH_FIND_STR (book->runs, id, run);
+  if (run == NULL)
+    {
+      run = xcalloc (1, sizeof *run);
+      run->id = xstrdup (id);
+      HASH_ADD_KEYPTR (hh, book->runs, run->id, strlen (run->id), run);
+    }
+  run->times++;
+}
+
+uint32_t
+run_book_times (const struct run_book *book, const char *id)
+{
+  const struct run *run;
+  HASH_FIND_STR (book->runs, id, run);
+  return run != NULL ? run->times : 0;
+}
+
+uint32_t
+run_book_most (const struct run_book *book)
+{
+  uint32_t most = 0;
+  for (const struct run *run = book->runs; run != NULL; run = run->hh.next)
+    most = run->times > most ? run->times : most;
+  return most;
+}
+
+struct json_object *
+run_book_json (const struct run_book *book)
+{
+  struct json_object *body = json_object_new_object ();
+  for (const struct run *run = book->runs; run != NULL; run = run->hh.next)
+    json_object_object_add (body, run->id, json_object_new_int64 (run->times));
+  return body;
+}
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -6,7 +6,6 @@
 
 #include <json-c/json.h>
 #include <microhttpd.h>
-#include <uthash.h>
 #include <utlist.h>
 
 #include "base/hash.h"
@@ -14,6 +13,7 @@
 #include "base/xmalloc.h"
 #include "node/caller/hangup_watch.h"
 #include "node/mhd_loop.h"
+#include "tests/standins/run_book.h"
 
 enum
 {
@@ -24,13 +24,6 @@
   BLOCK_BYTES = 4096
 };
 
-struct run
-{
-  char *id;
-  uint32_t times;
-  UT_hash_handle hh;
-};
-
 struct request
 {
   struct target_server *server;
@@ -63,7 +56,7 @@
   char address[ADDRESS_SIZE];
   struct target_faults faults;
   struct target_counts counts;
-  struct run *runs;
+  struct run_book *runs;
   struct request *requests;
   struct rng rng;
   FILE *run_log;
@@ -88,15 +81,7 @@
 {
   struct target_server *server = request->server;
   const char *id = field (request, "X-Request-Id");
-  struct run *run;
-  HASH_FIND_STR (server->runs, id, run);
-  if (run == NULL)
-    {
-      run = xcalloc (1, sizeof *run);
-      run->id = xstrdup (id);
-      HASH_ADD_KEYPTR (hh, server->runs, run->id, strlen (run->id), run);
-    }
-  run->times++;
+  run_book_note (server->runs, id);
   server->counts.runs++;
   if (server->run_log == NULL)
     return;
@@ -378,13 +363,7 @@
     MHD_get_connection_values (request->connection, MHD_GET_ARGUMENT_KIND,
                                set_fault, &server->faults);
   if (strcmp (request->url, "/control/runs") == 0)
-    {
-      body = json_object_new_object ();
-      for (const struct run *run = server->runs; run != NULL;
-           run = run->hh.next)
-        json_object_object_add (body, run->id,
-                                json_object_new_int64 (run->times));
-    }
+    body = run_book_json (server->runs);
   if (body == NULL)
     body = counts_json (&server->counts);
   const char *text = json_object_to_json_string (body);
@@ -487,20 +466,6 @@
   *socket_context = NULL;
 }
 
-static void
-runs_destroy (struct target_server *server)
-{
-  struct run *run = server->runs;
-  HASH_CLEAR (hh, server->runs);
-  while (run != NULL)
-    {
-      struct run *next = run->hh.next;
-      free (run->id);
-      free (run);
-      run = next;
-    }
-}
-
 struct target_server *
 target_server_create (struct ev_loop *loop, const char *address,
                       const char *name)
@@ -522,6 +487,7 @@
       free (server);
       return NULL;
     }
+  server->runs = run_book_create ();
   server->mhd_loop = mhd_loop_create (loop, server->daemon);
   server->hangup = hangup_watch_create (loop, on_gone);
   snprintf (server->address, sizeof server->address, "%.*s:%u",
@@ -544,7 +510,7 @@
   mhd_loop_destroy (server->mhd_loop);
   MHD_stop_daemon (server->daemon);
   hangup_watch_destroy (server->hangup);
-  runs_destroy (server);
+  run_book_destroy (server->runs);
   free (server);
 }
 
@@ -569,16 +535,11 @@
 uint32_t
 target_server_runs (const struct target_server *server, const char *id)
 {
-  const struct run *run;
-  HASH_FIND_STR (server->runs, id, run);
-  return run != NULL ? run->times : 0;
+  return run_book_times (server->runs, id);
 }
 
 uint32_t
 target_server_most_runs (const struct target_server *server)
 {
-  uint32_t most = 0;
-  for (const struct run *run = server->runs; run != NULL; run = run->hh.next)
-    most = run->times > most ? run->times : most;
-  return most;
+  return run_book_most (server->runs);
 }
