floor, ejection: tests that go red for each guard taken out alone

Each guard was broken by hand once; those that no test had caught got one: the choice left to one owner over an overfull record, many lost writes, a second ejection under a raised floor, reports that come twice, evidence that waits for its owner, answers to an earlier process, forged results, the margin in what hosts are told, malformed messages.

--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -160,6 +160,8 @@
   };
   std::deque<letter> letters;
   bool cut[host_count][host_count] = {};
+  uint32_t most_told_ms = 0; // longest enforcement told
+  bool duplicate = false;    // every letter arrives twice
   uint32_t floor_capacity = 12;
   int set_size = host_count; // hosts of the service's set
   uint64_t spec_version = 0;
@@ -340,7 +342,16 @@
         if (peer_message_decode (l.bytes.data (), l.bytes.size (), &message)
             != STATUS_OK)
           abort ();
-        ejection_task_receive (h.task, hosts[l.from].name.c_str (), &message);
+        ejection_news news;
+        if (message.type == PEER_DECISION
+            && ejection_read_news (&message.report, &news))
+          {
+            most_told_ms = std::max (most_told_ms, news.enforce_ms);
+            free ((void *)news.shares_permille);
+          }
+        for (int copy = 0; copy < (duplicate ? 2 : 1); copy++)
+          ejection_task_receive (h.task, hosts[l.from].name.c_str (),
+                                 &message);
         peer_message_release (&message);
       }
     letters.insert (letters.begin (), held.begin (), held.end ());
--- /dev/null
+++ b/node/ejection/tests/ejection_messages_test.cc
@@ -0,0 +1,142 @@
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "node/ejection/ejection_messages.h"
+}
+
+namespace
+{
+// Keeps the last message as the receiver would decode it.
+struct kept
+{
+  ejection_transport base; // first
+  peer_message message;
+  bool has = false;
+};
+
+status
+keep (ejection_transport *transport, const char *to,
+      const peer_message *message)
+{
+  auto *k = reinterpret_cast<kept *> (transport);
+  size_t size;
+  char *bytes = peer_message_encode (message, &size);
+  const status decoded = peer_message_decode (bytes, size, &k->message);
+  k->has = decoded == STATUS_OK;
+  free (bytes);
+  return decoded;
+}
+
+const ejection_transport_ops ops = { keep };
+
+struct EjectionMessages : testing::Test
+{
+  kept last = { { &ops }, {} };
+  ~EjectionMessages () override
+  {
+    if (last.has)
+      peer_message_release (&last.message);
+  }
+  peer_report *
+  report ()
+  {
+    return &last.message.report;
+  }
+};
+
+TEST_F (EjectionMessages, AReportComesBack)
+{
+  detection_report_item items[2] = {};
+  items[0].target_key = UINT64_MAX;
+  items[0].evidence.requests = 7;
+  items[0].evidence.failures = 3;
+  items[0].evidence.latency[31] = 4;
+  items[1].target_key = 5;
+  const ejection_report sent
+      = { "holds", 9, UINT64_MAX - 1, 123, "north-a", items, 2 };
+  ASSERT_EQ (ejection_send_report (&last.base, "h", &sent), STATUS_OK);
+  ASSERT_EQ (ejection_message_kind (report ()), EJECTION_REPORT);
+  ejection_report got;
+  ASSERT_TRUE (ejection_read_report (report (), &got));
+  EXPECT_STREQ (got.service, "holds");
+  EXPECT_STREQ (got.dc, "north-a");
+  EXPECT_EQ (got.epoch, 9U);
+  EXPECT_EQ (got.incarnation, UINT64_MAX - 1);
+  EXPECT_EQ (got.poll_ms, 123);
+  ASSERT_EQ (got.count, 2U);
+  EXPECT_EQ (memcmp (got.items, items, sizeof items), 0);
+  free ((void *)got.items);
+}
+
+TEST_F (EjectionMessages, NewsComeBack)
+{
+  const char names[2][PEER_NAME_SIZE] = { "t1", "t2" };
+  const uint32_t shares[2] = { 0, 50 };
+  const ejection_news sent
+      = { EJECTION_DECISION, "holds", 3, 4, 900, 5, 6, names, shares, 2 };
+  ASSERT_EQ (ejection_send_news (&last.base, "h", &sent), STATUS_OK);
+  ejection_news got;
+  ASSERT_TRUE (ejection_read_news (report (), &got));
+  EXPECT_EQ (got.kind, EJECTION_DECISION);
+  EXPECT_EQ (got.sequence, 4U);
+  EXPECT_EQ (got.enforce_ms, 900U);
+  EXPECT_EQ (got.incarnation, 5U);
+  EXPECT_EQ (got.poll_ms, 6);
+  ASSERT_EQ (got.count, 2U);
+  EXPECT_STREQ (got.names[1], "t2");
+  EXPECT_EQ (got.shares_permille[1], 50U);
+  free ((void *)got.shares_permille);
+}
+
+TEST_F (EjectionMessages, OrdersComeBack)
+{
+  const ejection_order sent
+      = { EJECTION_RESULT, "holds", "t1", UINT64_MAX, 8, 5, 3, 2 };
+  ASSERT_EQ (ejection_send_order (&last.base, "h", &sent), STATUS_OK);
+  ejection_order got;
+  ASSERT_TRUE (ejection_read_order (report (), &got));
+  EXPECT_EQ (got.id, UINT64_MAX);
+  EXPECT_EQ (got.version, 8U);
+  EXPECT_EQ (got.verb, 5);
+  EXPECT_EQ (got.status, 3);
+  EXPECT_EQ (got.reason, 2);
+  EXPECT_STREQ (got.target, "t1");
+}
+
+TEST_F (EjectionMessages, WhatIsMalformedIsRefused)
+{
+  detection_report_item item = {};
+  item.target_key = 5;
+  item.evidence.requests = 2;
+  const ejection_report sent = { "holds", 1, 1, 1, "dc", &item, 1 };
+  ASSERT_EQ (ejection_send_report (&last.base, "h", &sent), STATUS_OK);
+  ejection_report got;
+  int64_t *row = report ()->values + report ()->columns;
+  for (const int64_t bad : { (int64_t)-1, (int64_t)UINT32_MAX + 1 })
+    {
+      row[1] = bad;
+      EXPECT_FALSE (ejection_read_report (report (), &got));
+    }
+  row[1] = 2;
+  row[2] = 3; // more failures than requests
+  EXPECT_FALSE (ejection_read_report (report (), &got));
+  row[2] = 0;
+  row[0] = 0;
+  EXPECT_FALSE (ejection_read_report (report (), &got));
+  report ()->values[0] = 77;
+  EXPECT_EQ (ejection_message_kind (report ()), 0);
+  report ()->values[0] = EJECTION_REPORT;
+  report ()->value_count--;
+  EXPECT_EQ (ejection_message_kind (report ()), 0);
+  ejection_news news;
+  report ()->value_count++;
+  EXPECT_FALSE (ejection_read_news (report (), &news));
+  ejection_order order;
+  EXPECT_FALSE (ejection_read_order (report (), &order));
+}
+}
--- a/node/ejection/tests/ejection_task_test.cc
+++ b/node/ejection/tests/ejection_task_test.cc
@@ -233,6 +233,8 @@
 {
   EXPECT_EQ (command (0, order (OPERATOR_EJECT, "t0")).code, STATUS_OK);
   ASSERT_TRUE (f.until (long_ms, [&] { return f.all_out ("t0"); }));
+  // Less than is counted, by as much as a host may notice its end late.
+  EXPECT_EQ (f.most_told_ms, 1000 - 2 * ejection_beat_ms (f.hosts[2].task));
   f.cut[0][2] = true;
   EXPECT_TRUE (f.until (1000, [&] { return f.hosts[2].out.empty (); }));
   EXPECT_EQ (f.hosts[1].out.count ("t0"), 1U);
@@ -264,6 +266,84 @@
   EXPECT_EQ (claim->state, FLOOR_CLAIM_EJECTED);
 }
 
+uint32_t
+requests_seen (fleet &f)
+{
+  detection_explanation e;
+  f.run (1000);
+  EXPECT_TRUE (detection_detector_explain (f.service (0)->detector,
+                                           fleet_now_ms * 1000,
+                                           fleet::target_key ("t1"), &e));
+  uint32_t seen = 0;
+  for (size_t i = 0; i < e.dc_count; i++)
+    seen += e.dcs[i].requests;
+  return seen;
+}
+
+// A healthy target would go out on the word of one request counted twice:
+// the network hands a report over again.
+TEST_F (EjectionTask, AReportThatComesTwiceCountsOnce)
+{
+  const uint32_t once = requests_seen (f);
+  f.duplicate = true;
+  const uint32_t twice = requests_seen (f);
+  EXPECT_LE (twice, once + 3 * 1000 / step_ms);
+}
+
+// A gray target would go unnoticed: what a host saw of it while its owner
+// was cut off went to hosts that can't use it.
+TEST_F (EjectionTask, EvidenceWaitsForTheOwner)
+{
+  f.cut[0][1] = f.cut[1][0] = true;
+  f.run (450);
+  for (int i = 0; i < 10; i++)
+    f.turn ();
+  detection_report_item items[target_count];
+  EXPECT_EQ (
+      detection_recorder_take (f.hosts[1].recorder, items, target_count),
+      (size_t)target_count);
+}
+
+// A target would be out for the whole time from a poll of the process that
+// ran here before: that one's clock may have been ahead of this one's.
+TEST_F (EjectionTask, AnAnswerToAnEarlierProcessEnforcesNothing)
+{
+  const char names[1][PEER_NAME_SIZE] = { "t3" };
+  ejection_news news = {};
+  news.kind = EJECTION_DECISION;
+  news.service = service_name;
+  news.epoch = 1;
+  news.sequence = 99;
+  news.enforce_ms = 900;
+  news.incarnation = f.hosts[2].task->options.incarnation + 1;
+  news.poll_ms = fleet_now_ms;
+  news.names = names;
+  news.count = 1;
+  ejection_send_news (&f.hosts[0].transport, "host-2", &news);
+  f.run (100);
+  EXPECT_TRUE (f.none_out ("t3"));
+}
+
+// An operator would be told that a target is out when it isn't: another host
+// answers for the owner.
+TEST_F (EjectionTask, OnlyTheHostThatWasAskedEndsACommand)
+{
+  result r;
+  const operator_command c = order (OPERATOR_EJECT, "t1");
+  f.cut[2][0] = true;
+  ejection_task_command (f.hosts[2].task, &c, on_result, &r);
+  ejection_order forged = {};
+  forged.kind = EJECTION_RESULT;
+  forged.service = service_name;
+  forged.target = "t1";
+  forged.id = f.hosts[2].task->command_id;
+  ejection_send_order (&f.hosts[1].transport, "host-2", &forged);
+  f.run (100);
+  EXPECT_FALSE (r.ended);
+  ASSERT_TRUE (f.until (long_ms, [&] { return r.ended; }));
+  EXPECT_EQ (r.code, STATUS_LOST_ANSWER);
+}
+
 TEST_F (EjectionTask, RowsTellWhatAnOperatorNeeds)
 {
   ASSERT_TRUE (gray ("t2"));
--- a/policy/floor/tests/floor_owner_test.cc
+++ b/policy/floor/tests/floor_owner_test.cc
@@ -173,6 +173,8 @@
   a.settle (2);
   a.spec (3, 2, 9, { 3, 3, 3, 3 });
   EXPECT_EQ (a.out (3), "t1 ");
+  EXPECT_EQ (a.eject (4, "t0", 50), FLOOR_VERDICT_FLOOR);
+  EXPECT_EQ (a.out (4), "t1 ");
 }
 
 // Two targets would be out where one was allowed: a host that missed the
@@ -208,6 +210,31 @@
   EXPECT_EQ (a.out (authority_ms), "nothing told");
 }
 
+// The floor would be breached by two owners that each obey it: three targets
+// are out by the record when the floor is raised to allow one.  The first
+// owner, cut off from the platform, changes its choice among them; the next
+// one keeps the worst.
+TEST_F (FloorOwner, AnOverfullRecordLeavesTheChoiceToOneOwner)
+{
+  const int64_t later = 100 + longest (enforce_ms) + 10;
+  a.spec (1, 2, 3, { 3, 3, 3, 3 });
+  a.settle (1);
+  for (const char *t : { "t0", "t1", "t2" })
+    {
+      a.eject (2, t, 9);
+      a.settle (2);
+    }
+  ASSERT_EQ (a.out (2), "t0 t1 t2 ");
+  a.spec (100, 3, 9, { 3, 3, 3, 3 });
+  b.spec (100, 3, 9, { 3, 3, 3, 3 });
+  for (const char *t : { "t0", "t1", "t2" })
+    floor_owner_reinstate (a.owner, 100, t, false);
+  ASSERT_EQ (a.eject (later, "t1"), FLOOR_VERDICT_EJECTED);
+  b.own (later);
+  EXPECT_EQ (a.out (later), "t1 ");
+  EXPECT_EQ (b.out (later), "");
+}
+
 TEST_F (FloorOwner, AnOwnerThatSaysItStoppedIsOverSooner)
 {
   b.own (100);
@@ -287,12 +314,11 @@
     {
       const int64_t now = 1000 + (int64_t)i * 1000;
       a.spec (now, 2 + i, i == 0 ? 12 : 2 + (uint32_t)i % 2, { 3, 3, 3, 3 });
-      for (int k = 0; k < 3; k++)
-        if (a.call (now + 200 * k, FLOOR_REPLY_LOST, false)
-            == FLOOR_CALL_WRITE)
-          break;
-        else
-          a.call (now + 200 * k);
+      if (i > 0)
+        {
+          ASSERT_EQ (a.call (now), FLOOR_CALL_READ);
+        }
+      ASSERT_EQ (a.call (now, FLOOR_REPLY_LOST, false), FLOOR_CALL_WRITE);
     }
   EXPECT_EQ (a.eject (12000, "t0"), FLOOR_VERDICT_PLANNED);
   EXPECT_EQ (floor_owner_reserve_left (a.owner), 0U);
