caller: give up honestly when the time to leave is over; memory of callers

caller_task_give_up() answers what still waits with what is truly known, so that a host that must stop leaves no caller with a broken connection (GivingUpAnswersWhatHangs).

--- a/bench/proxy_bench.c
+++ b/bench/proxy_bench.c
@@ -3,11 +3,15 @@
 
    Paced: 500 requests/s on kept connections, in blocks of one second straight
    and one second through.  Closed: as many as 16 callers get, to compare
-   rates.  Memory is read after that load. */
+   rates.  Memory is read after that load, and again with many kept
+   connections. */
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <curl/curl.h>
@@ -30,6 +34,8 @@
   START_TRIES = 500,
   PERMILLE_MEDIAN = 500,
   PERMILLE_HIGH = 990,
+  KEPT_CALLERS = 900,
+  ANSWER_SIZE = 4096,
   US_PER_SECOND = 1000000
 };
 
@@ -58,6 +64,7 @@
   ev_timer pace;
   pid_t target;
   pid_t host;
+  uint16_t host_port;
   char folder[PATH_SIZE];
 };
 
@@ -243,6 +250,7 @@
 {
   const uint16_t target_port = bench_free_port ();
   const uint16_t host_port = bench_free_port ();
+  bench->host_port = host_port;
   snprintf (bench->folder, sizeof bench->folder, "/tmp/proxy_bench.XXXXXX");
   if (mkdtemp (bench->folder) == NULL)
     exit (1);
@@ -275,6 +283,32 @@
   rmdir (bench->folder);
 }
 
+/* One answered request on each of many kept connections. */
+static void
+keep_callers (struct bench *bench)
+{
+  static const char request[] = "GET /calendar HTTP/1.1\r\nHost: a\r\n\r\n";
+  struct sockaddr_in in = { .sin_family = AF_INET,
+                            .sin_port = htons (bench->host_port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  char answer[ANSWER_SIZE];
+  int kept[KEPT_CALLERS];
+  size_t answered = 0;
+  for (size_t i = 0; i < KEPT_CALLERS; i++)
+    {
+      kept[i] = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      if (connect (kept[i], (struct sockaddr *)&in, sizeof in) == 0
+          && write (kept[i], request, sizeof request - 1) > 0
+          && read (kept[i], answer, sizeof answer) > 0)
+        answered++;
+    }
+  printf ("figure host_rss_kept_callers_kb %llu KiB\n",
+          (unsigned long long)bench_process_rss_kb (bench->host));
+  printf ("figure kept_callers %zu connections\n", answered);
+  for (size_t i = 0; i < KEPT_CALLERS; i++)
+    close (kept[i]);
+}
+
 static void
 report (struct bench *bench)
 {
@@ -320,6 +354,7 @@
       closed_block (&bench, &bench.through);
     }
   report (&bench);
+  keep_callers (&bench);
   const bool bad = bench.through.count == 0 || bench.straight.count == 0;
   stop (&bench);
   curl_loop_destroy (bench.curl);
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/rng.h"
@@ -12,6 +14,7 @@
 #include "node/caller/caller_context.h"
 #include "node/caller/caller_rows.h"
 #include "node/caller/caller_server.h"
+#include "node/caller/exchange.h"
 #include "node/caller/leaving_probe.h"
 #include "node/tables.h"
 
@@ -225,6 +228,19 @@
   ev_timer_again (context->loop, &task->leaving_check);
 }
 
+void
+caller_task_give_up (struct caller_task *task)
+{
+  struct exchange *x;
+  struct exchange *next;
+  LOG_INFO ("giving-up", LOG_INT ("in_flight", task->context.in_flight));
+  task->leave_after_ms = 0;
+  DL_FOREACH_SAFE (task->context.exchanges, x, next)
+  {
+    exchange_give_up (x);
+  }
+}
+
 uint32_t
 caller_task_in_flight (const struct caller_task *task)
 {
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -53,6 +53,12 @@
 void caller_task_begin_leaving (struct caller_task *task,
                                 caller_task_done *done, void *owner);
 
+/** The time to leave is over: answer all that waits for a target or for its
+ * answer at once, with what is truly known, so that no caller is left with a
+ * broken connection.  DONE of caller_task_begin_leaving() follows when those
+ * answers, and the ones that were under way, are written. */
+void caller_task_give_up (struct caller_task *task);
+
 /** Requests taken in and not yet answered to the end. */
 uint32_t caller_task_in_flight (const struct caller_task *task);
 
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -20,7 +20,8 @@
 {
   US_PER_MS = 1000,
   RAW_ANSWER_AFTER_US = 10 * US_PER_MS,
-  RAW_CLOSE_AFTER_US = 1000 * US_PER_MS
+  RAW_CLOSE_AFTER_US = 1000 * US_PER_MS,
+  HOST_STOPS_RETRY_AFTER_MS = 100
 };
 
 static const double US_PER_SECOND = 1e6;
@@ -248,29 +249,41 @@
   exchange_pump (x);
 }
 
+/* Give up what is not answered yet and say so, truthfully. */
 static void
-deadline_passed (struct exchange *x)
+end_unanswered (struct exchange *x, uint32_t status, const char *reason,
+                uint32_t retry_after_ms)
 {
-  const bool waiting = x->state == EXCHANGE_WAITING;
   const bool sent
       = x->attempt.call != NULL && target_call_perhaps_sent (x->attempt.call);
   exchange_drop_attempt (x, sent ? ATTEMPT_TIMED_OUT : ATTEMPT_NOT_SENT);
-  struct own_answer own = {
-    .status = MHD_HTTP_GATEWAY_TIMEOUT,
-    .outcome = exchange_outcome (x),
-    .reason = "deadline",
-  };
+  struct own_answer own = { .status = status,
+                            .outcome = exchange_outcome (x),
+                            .reason = reason,
+                            .retry_after_ms = retry_after_ms };
   snprintf (own.message, sizeof own.message, "%s",
-            waiting ? "no target was free before the deadline: send it again "
-                      "later or with more time"
-            : x->perhaps_ran
-                ? "the target did not answer before the deadline: find out "
-                  "whether the request has run before sending it again"
-                : "no target could be reached before the deadline: send it "
-                  "again later or with more time");
+            x->perhaps_ran
+                ? "no target's answer came in time: find out whether the "
+                  "request has run before sending it again"
+                : "no target took the request in time: send it again later "
+                  "or with more time");
   exchange_answer_own (x, &own);
 }
 
+static void
+deadline_passed (struct exchange *x)
+{
+  end_unanswered (x, MHD_HTTP_GATEWAY_TIMEOUT, "deadline", 0);
+}
+
+void
+exchange_give_up (struct exchange *x)
+{
+  if (x->state == EXCHANGE_WAITING || x->state == EXCHANGE_SENT)
+    end_unanswered (x, MHD_HTTP_SERVICE_UNAVAILABLE, "host-stops",
+                    HOST_STOPS_RETRY_AFTER_MS);
+}
+
 /* Once an answer flows, the deadline has been met; from then on a target may
    not stall for longer than a whole request may take. */
 static void
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -135,6 +135,9 @@
 /** What may truly be said of the request when no answer is had. */
 enum answer_outcome exchange_outcome (const struct exchange *x);
 
+/** The host stops now: answer X, unless an answer is chosen already. */
+void exchange_give_up (struct exchange *x);
+
 /** An answer of the target is chosen. */
 void exchange_answer_target (struct exchange *x);
 
--- a/node/caller/tests/caller_task_test.cc
+++ b/node/caller/tests/caller_task_test.cc
@@ -204,6 +204,26 @@
   EXPECT_TRUE (run_until ([&done] { return done; }));
 }
 
+/* The time to leave is over and a target still hangs.  Its caller is told so,
+   and does not just see a connection break. */
+TEST_F (CallerTaskTest, GivingUpAnswersWhatHangs)
+{
+  target_server_faults (target)->hang = 100;
+  auto call = make ("POST", "/holds", "h1");
+  begin (call.get ());
+  ASSERT_TRUE (
+      run_until ([this] { return target_server_runs (target, "h1") == 1; }));
+  bool done = false;
+  settings.limits.keep_answer_ms = 3600000;
+  caller_task_begin_leaving (
+      task, [] (void *owner) { *static_cast<bool *> (owner) = true; }, &done);
+  caller_task_give_up (task);
+  ASSERT_TRUE (run_until ([&done] { return done; }));
+  ASSERT_TRUE (run_until ([&call] { return call->done; }));
+  EXPECT_EQ (call->status, 503);
+  EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+}
+
 TEST_F (CallerTaskTest, OutcomesReachTheRecorder)
 {
   get ("/calendar", "r1");
