settings: times.outage_hold_ms, how long ejections outlast the platform

It was a constant of six hours in the ejection task. It is a trade: longer keeps gray targets out through a longer outage, but counts the reserve of an owner that vanished as spent for as long.

--- a/node/ejection/ejection_enforce.c
+++ b/node/ejection/ejection_enforce.c
@@ -53,6 +53,8 @@
 {
   const char (*targets)[FLOOR_NAME_SIZE];
   const size_t most = floor_view_targets (service->view, &targets);
+  if (most == 0 && service->posted.count == 0)
+    return;
   char (*names)[FLOOR_NAME_SIZE] = xcalloc (most + 1, sizeof *names);
   const size_t count = effective (service, names);
   const bool same
--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -31,7 +31,7 @@
     .incarnation = task->options.incarnation,
     .seed = seed,
     .enforce_ms = task->options.settings->times.enforce_ms,
-    .authority_ms = task->options.outage_hold_ms,
+    .authority_ms = task->options.settings->times.outage_hold_ms,
     .retry_ms = RETRY_MS,
     .retry_max_ms = RETRY_MAX_MS,
   };
--- a/node/ejection/ejection_task.c
+++ b/node/ejection/ejection_task.c
@@ -15,7 +15,6 @@
   BEATS_PER_EVIDENCE = 4,
   BEAT_MIN_MS = 10,
   BEAT_MAX_MS = 100,
-  OUTAGE_HOLD_MS = 6 * 60 * 60 * 1000,
 };
 
 int64_t
@@ -182,8 +181,6 @@
 {
   struct ejection_task *task = xcalloc (1, sizeof *task);
   task->options = *options;
-  if (task->options.outage_hold_ms == 0)
-    task->options.outage_hold_ms = OUTAGE_HOLD_MS;
   task->items = xcalloc (EJECTION_ITEMS_MAX, sizeof *task->items);
   add_counters (task);
   bus_subscribe (options->bus, BUS_SERVICE_IN_FORCE, on_in_force, task);
--- a/node/ejection/ejection_task.h
+++ b/node/ejection/ejection_task.h
@@ -49,10 +49,6 @@
   ejection_recorder *recorder;
   void *recorder_owner;
   uint64_t incarnation; /**< random at start */
-  /** Longest platform outage through which an owner's ejections hold, and
-   * how long the reserve of an owner that vanished counts as spent; 0 is six
-   * hours. */
-  uint32_t outage_hold_ms;
   /** Milliseconds since boot; NULL is clock_now_ms(). */
   int64_t (*now_ms) (void);
 };
--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -196,6 +196,7 @@
     h.settings.times.owner_lease_ms = 600;
     h.settings.times.evidence_ms = 40;
     h.settings.times.platform_timeout_ms = 200;
+    h.settings.times.outage_hold_ms = 20000;
     h.messages = bus_create (loop);
     h.recorder = detection_recorder_create ();
     ejection_task_options options = {};
@@ -210,7 +211,6 @@
     };
     options.recorder_owner = &h;
     options.incarnation = hash_pair (fleet_now_ms, i) | 1;
-    options.outage_hold_ms = 20000;
     options.now_ms = fleet_clock;
     h.task = ejection_task_create (&options);
     // Beats come from the test's clock alone.
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -7,6 +7,7 @@
 enum
 {
   HOUR_MS = 3600 * 1000,
+  DAY_MS = 24 * HOUR_MS,
   KIBIBYTE = 1024,
 };
 
@@ -34,6 +35,7 @@
       .evidence_ms = 250,
       .shutdown_ms = 30000,
       .stale_after_ms = 60000,
+      .outage_hold_ms = 6 * HOUR_MS,
     },
     .log_level = LOG_LEVEL_INFO,
     .log_repeats_per_second = 50,
@@ -118,6 +120,8 @@
   };
   for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
     read_uint32 (&options, members[i].key, 10, HOUR_MS, members[i].value);
+  read_uint32 (&options, "outage_hold_ms", 1000, DAY_MS,
+               &times->outage_hold_ms);
   check_times (&options, times);
   options_close (top, &options);
 }
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -42,6 +42,9 @@
   uint32_t evidence_ms;    /**< between reports to a service's owner */
   uint32_t shutdown_ms;    /**< most time a graceful shutdown takes */
   uint32_t stale_after_ms; /**< without settings news: leaves answers */
+  /** Longest platform outage through which ejections hold; also how long the
+   * reserve of an owner that vanished counts as spent. */
+  uint32_t outage_hold_ms;
 };
 
 struct host_settings
