daemon: a host that must stop answers what hangs before it ends

end_now() broke the connections of all that was still in flight; now it has the caller side give up and ends when those answers are written, at the latest after a second. An "unknown" answer no longer says when to come back.

GivingUpAnswersWhatHangs is red without the giving up.

--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -257,10 +257,11 @@
   const bool sent
       = x->attempt.call != NULL && target_call_perhaps_sent (x->attempt.call);
   exchange_drop_attempt (x, sent ? ATTEMPT_TIMED_OUT : ATTEMPT_NOT_SENT);
-  struct own_answer own = { .status = status,
-                            .outcome = exchange_outcome (x),
-                            .reason = reason,
-                            .retry_after_ms = retry_after_ms };
+  struct own_answer own
+      = { .status = status,
+          .outcome = exchange_outcome (x),
+          .reason = reason,
+          .retry_after_ms = x->perhaps_ran ? 0 : retry_after_ms };
   snprintf (own.message, sizeof own.message, "%s",
             x->perhaps_ran
                 ? "no target's answer came in time: find out whether the "
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -24,9 +24,12 @@
 {
   HOST_SERVING,
   HOST_LEAVING,
+  HOST_ENDING, /* gave up waiting; last answers are being written */
   HOST_OVER,
 };
 
+static const double LAST_ANSWERS_SECONDS = 1.0;
+
 struct host
 {
   struct ev_loop *loop;
@@ -224,12 +227,21 @@
 }
 
 /* What is still in flight is told so before the end: a caller must not wait
-   for a connection that just breaks. */
+   for a connection that just breaks.  Those answers get a moment to be
+   written. */
 static void
 end_now (struct host *host, const char *why)
 {
-
-  finish (host, why);
+  if (host->phase == HOST_ENDING)
+    {
+      finish (host, why);
+      return;
+    }
+  host->phase = HOST_ENDING;
+  ev_timer_stop (host->loop, &host->leave_limit);
+  ev_timer_set (&host->leave_limit, LAST_ANSWERS_SECONDS, 0.);
+  ev_timer_start (host->loop, &host->leave_limit);
+  caller_task_give_up (host->caller);
 }
 
 static void
@@ -243,7 +255,7 @@
 {
   if (host->phase == HOST_OVER)
     return;
-  if (host->phase == HOST_LEAVING)
+  if (host->phase != HOST_SERVING)
     {
       end_now (host, "asked a second time");
       return;
