caller: tickets sent again and again among failing targets

AHoldSentAgainAndAgainRunsOnce: 96 tickets, each sent three times at once and once more later, against targets that fail, cut, close, shed and hang.

--- a/node/caller/tests/chaos_test.cc
+++ b/node/caller/tests/chaos_test.cc
@@ -1,8 +1,11 @@
 /* Many callers against targets that misbehave in every way at once.  The
    naive account of what each target ran is the judge of what callers were
    told. */
+#include <algorithm>
 #include <random>
 
+#include <json-c/json.h>
+
 #include "node/caller/tests/caller_fixture.h"
 
 class ChaosTest : public CallerTest
@@ -26,6 +29,40 @@
     return call;
   }
 
+  void
+  add_bad_targets ()
+  {
+    for (const char *name : { "t1", "t2", "t3", "t4" })
+      {
+        target_faults *faults = target_server_faults (add_target (name));
+        faults->fail = 5;
+        faults->cut = 5;
+        faults->close = 5;
+        faults->shed = 10;
+        faults->early = 3;
+        faults->hang = 2;
+        faults->delay_ms = 4;
+        faults->jitter = 1;
+      }
+  }
+
+  std::vector<std::string>
+  take_tickets (size_t count)
+  {
+    std::vector<std::string> tickets;
+    while (tickets.size () < count)
+      {
+        auto answer = get ("/.well-known/jaystair/addresses?service=holds");
+        json_object *body = json_tokener_parse (answer->answer.c_str ());
+        json_object *list = json_object_object_get (body, "tickets");
+        for (size_t i = 0; i < json_object_array_length (list); i++)
+          tickets.push_back (
+              json_object_get_string (json_object_array_get_idx (list, i)));
+        json_object_put (body);
+      }
+    return tickets;
+  }
+
   uint32_t
   runs (const Call &call) const
   {
@@ -60,18 +97,7 @@
 
 TEST_F (ChaosTest, NobodyIsToldWhatIsNotSo)
 {
-  for (const char *name : { "t1", "t2", "t3", "t4" })
-    {
-      target_faults *faults = target_server_faults (add_target (name));
-      faults->fail = 5;
-      faults->cut = 5;
-      faults->close = 5;
-      faults->shed = 10;
-      faults->early = 3;
-      faults->hang = 2;
-      faults->delay_ms = 4;
-      faults->jitter = 1;
-    }
+  add_bad_targets ();
   target_options = ", 'slots': 4";
   start ();
   put_service (usual_routes, ", 'limits': { 'timeout_ms': 200,"
@@ -115,3 +141,45 @@
   for (const char *outcome : { "ran", "not-run", "unknown" })
     EXPECT_GT (told[outcome], 0) << outcome;
 }
+
+/* Planners who hear nothing press the button again, and again, and once more
+   a minute later.  However often a hold is sent, at most one try runs, and no
+   more than one is told that it ran. */
+TEST_F (ChaosTest, AHoldSentAgainAndAgainRunsOnce)
+{
+  add_bad_targets ();
+  target_options = ", 'slots': 4";
+  start ();
+  put_service (usual_routes, ", 'limits': { 'timeout_ms': 200 }");
+  const std::vector<std::string> tickets = take_tickets (96);
+  std::map<std::string, int> told_ran;
+  for (size_t first = 0; first + 8 <= tickets.size (); first += 8)
+    for (const size_t tries : { 24, 8 })
+      {
+        std::vector<std::unique_ptr<Call> > calls;
+        for (size_t i = 0; i < tries; i++)
+          {
+            const size_t number = first + i % 8;
+            calls.push_back (
+                make ("POST", "/holds", "hold-" + std::to_string (number)));
+            calls.back ()->fields.push_back ("Jaystair-Ticket: "
+                                             + tickets[number]);
+          }
+        std::shuffle (calls.begin (), calls.end (), random);
+        for (auto &call : calls)
+          begin (call.get ());
+        ASSERT_TRUE (run_until ([&calls] {
+          return std::all_of (calls.begin (), calls.end (),
+                              [] (const auto &call) { return call->done; });
+        }));
+        for (const auto &call : calls)
+          {
+            EXPECT_LE (runs (*call), 1u) << call->fields[0];
+            if (call->field ("jaystair-outcome") == "ran")
+              told_ran[call->fields[0]]++;
+          }
+      }
+  for (const auto &entry : told_ran)
+    EXPECT_EQ (entry.second, 1) << entry.first;
+  EXPECT_GT (told_ran.size (), tickets.size () / 2);
+}
