tests: the one-way cut to a target bites

Cause: the test ended in 52 ms, before any request had met the cut: the direction was opened again before the load stopped, so nothing hung. Ruled out: a relay that doesn't drop (it does: with the cut left in place the test takes the deadline of 10 s and the target's run lines grow). Conclusion: the cut stays until the load has ended, and the test requires that requests reached the target meanwhile.

--- a/tests/fleet/cut_test.cc
+++ b/tests/fleet/cut_test.cc
@@ -26,10 +26,12 @@
   ASSERT_TRUE (fleet.start ());
   Load load (fleet, callers);
   ASSERT_TRUE (load.wait_more (some));
+  const size_t runs = fleet.targets[0]->lines_with ("run ").size ();
   relay.cut_back = true;
   ASSERT_TRUE (load.wait_more (some));
-  relay.cut_back = false;
   load.stop ();
+  EXPECT_GT (fleet.targets[0]->lines_with ("run ").size (), runs)
+      << load.summary ();
   EXPECT_EQ (load.check (), "") << fleet.logs ();
 }
 
