--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -14,6 +14,7 @@
 #include "node/caller/hangup_watch.h"
 #include "node/mhd_loop.h"
 #include "tests/standins/run_book.h"
+#include "tests/standins/target_body.h"
 
 enum
 {
@@ -147,36 +148,6 @@
                                                    request, NULL));
 }
 
-static ssize_t
-read_pattern (void *owner, uint64_t position, char *data, size_t size)
-{
-  for (size_t i = 0; i < size; i++)
-    data[i] = (char)('a' + (position + i) % 26);
-  return (ssize_t)size;
-}
-
-static enum MHD_Result
-add_field_line (void *owner, enum MHD_ValueKind kind, const char *name,
-                const char *value)
-{
-  fprintf (owner, "%s: %s\n", name, value);
-  return MHD_YES;
-}
-
-static enum MHD_Result
-queue_fields (struct request *request)
-{
-  char *text = NULL;
-  size_t size = 0;
-  FILE *out = open_memstream (&text, &size);
-  MHD_get_connection_values (request->connection, MHD_HEADER_KIND,
-                             add_field_line, out);
-  fclose (out);
-  const enum MHD_Result result = queue_text (request, MHD_HTTP_OK, text, size);
-  free (text);
-  return result;
-}
-
 static enum MHD_Result
 queue_usual (struct request *request)
 {
@@ -197,7 +168,8 @@
     return queue_text (request, MHD_HTTP_OK, request->body,
                        request->body_bytes);
   if (strcmp (url, "/headers") == 0)
-    return queue_fields (request);
+    return queue (request, MHD_HTTP_OK,
+                  target_body_fields (request->connection));
   if (strcmp (url, "/no-content") == 0)
     return queue_text (request, MHD_HTTP_NO_CONTENT, "", 0);
   if (strcmp (url, "/not-modified") == 0)
@@ -214,9 +186,7 @@
                                                        BLOCK_BYTES, read_half,
                                                        request, NULL));
     }
-  return queue (request, MHD_HTTP_OK,
-                MHD_create_response_from_callback (size, BLOCK_BYTES,
-                                                   read_pattern, NULL, NULL));
+  return queue (request, MHD_HTTP_OK, target_body_pattern (size));
 }
 
 static void
@@ -318,42 +288,10 @@
 set_fault (void *owner, enum MHD_ValueKind kind, const char *name,
            const char *value)
 {
-  struct target_faults *faults = owner;
-  const struct
-  {
-    const char *name;
-    uint32_t *value;
-  } known[] = {
-    { "fail", &faults->fail },     { "hang", &faults->hang },
-    { "cut", &faults->cut },       { "close", &faults->close },
-    { "shed", &faults->shed },     { "delay_ms", &faults->delay_ms },
-    { "jitter", &faults->jitter }, { "close_reused", &faults->close_reused },
-    { "leave", &faults->leave }
-  };
-  for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
-    if (strcmp (name, known[i].name) == 0)
-      *known[i].value = (uint32_t)strtoul (value, NULL, 10);
+  target_faults_set (owner, name, value);
   return MHD_YES;
 }
 
-static struct json_object *
-counts_json (const struct target_counts *counts)
-{
-  struct json_object *body = json_object_new_object ();
-  const struct
-  {
-    const char *name;
-    uint64_t value;
-  } members[] = { { "runs", counts->runs },
-                  { "cancelled", counts->cancelled },
-                  { "cut_uploads", counts->cut_uploads },
-                  { "connections", counts->connections } };
-  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
-    json_object_object_add (body, members[i].name,
-                            json_object_new_int64 ((int64_t)members[i].value));
-  return body;
-}
-
 static enum MHD_Result
 control (struct request *request)
 {
@@ -365,7 +303,7 @@
   if (strcmp (request->url, "/control/runs") == 0)
     body = run_book_json (server->runs);
   if (body == NULL)
-    body = counts_json (&server->counts);
+    body = target_counts_json (&server->counts);
   const char *text = json_object_to_json_string (body);
   const enum MHD_Result result
       = queue_text (request, MHD_HTTP_OK, text, strlen (text));
