--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -11,8 +11,8 @@
 
 enum
 {
-  /** Scores computed in one turn of the loop: about a millisecond, so that a
-   * change of hosts doesn't hold up requests at many services. */
+  /** Scores computed in one turn of the loop: well below a millisecond, so
+   * that a change of hosts doesn't hold up requests at many services. */
   SCORES_PER_TURN = 20000,
 };
 
--- a/policy/fleet/membership.h
+++ b/policy/fleet/membership.h
@@ -59,7 +59,8 @@
  * leaving. */
 void membership_unlisted (struct membership *membership, uint64_t key);
 
-/** Watch exactly these hosts, and those that watch this one. */
+/** Watch these hosts from now, those that watch this one, and those in doubt
+ * until they are found live or dead. */
 void membership_watch (struct membership *membership, int64_t now_ms,
                        const uint64_t *keys, size_t count);
 
