shares: slots and connections of targets divided among the host set by demand

Each host took its part of a target's slots by an equal division with half more, whatever it needed; slot_shares_divide() was called by nobody. Now the evidence report carries the host's recent peak of attempts and waiting requests (one number a service, in a column of the head that was zero), and the decision that answers it carries the host's part of the slots: a stretch of a line on which the hosts lie end to end, 1250 permille long. Two numbers a host whatever the targets; rounding the stretch's ends per target hands out every slot once, where rounding each part down would leave one of four idle among three hosts.

The host posts BUS_SLOT_SHARES, and its caller side bounds attempts by its part of slots and of connections. A part lapses like an ejection, by the poll it answers; without one the equal division of before holds. Demand that grows is told at the next report even if no request ended.

Ruled out: parts per target in the decision (grow with the targets), the DEMAND message (a second poll for the same answer), dividing among the hosts heard alone (a new owner would give all to the first).

Not bounded: idle connections kept by libcurl beside those in use, which the part bounds; more than 64 pollers a service (the oldest falls out).

--- a/node/bus.c
+++ b/node/bus.c
@@ -46,6 +46,7 @@
       free (message->host_set.hosts);
       break;
     case BUS_SERVICE_REMOVED:
+    case BUS_SLOT_SHARES:
     case BUS_MEMBERS:
     case BUS_SHUTDOWN:
     case BUS_TOPIC_COUNT:
--- a/node/bus.h
+++ b/node/bus.h
@@ -16,16 +16,18 @@
 
 #include <ev.h>
 
+#include "policy/choice/slot_shares.h"
 #include "wire/service_spec.h"
 
 enum bus_topic
 {
   BUS_SERVICE_IN_FORCE, /**< a service appeared or changed */
   BUS_SERVICE_REMOVED,
-  BUS_EJECTIONS, /**< the enforced ejections of a service changed */
-  BUS_HOST_SET,  /**< the hosts to hand out for a service changed */
-  BUS_MEMBERS,   /**< what is believed of the other hosts changed */
-  BUS_SHUTDOWN,  /**< this host is leaving */
+  BUS_EJECTIONS,   /**< the enforced ejections of a service changed */
+  BUS_SLOT_SHARES, /**< this host's part of a service's slots changed */
+  BUS_HOST_SET,    /**< the hosts to hand out for a service changed */
+  BUS_MEMBERS,     /**< what is believed of the other hosts changed */
+  BUS_SHUTDOWN,    /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
 
@@ -66,6 +68,14 @@
   size_t count;
 };
 
+/** What this host may use of each target of a service, as its owner has
+ * granted; a share of nothing: no grant is in force. */
+struct bus_slot_shares
+{
+  char service[SERVICE_NAME_SIZE];
+  struct slot_share share;
+};
+
 struct bus_message
 {
   enum bus_topic topic;
@@ -75,6 +85,7 @@
     struct bus_service_removed service_removed;
     struct bus_ejections ejections;
     struct bus_host_set host_set;
+    struct bus_slot_shares slot_shares;
   };
 };
 
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -114,20 +114,40 @@
   };
 }
 
-/* This host's part of TARGET's slots, when all hosts of the set ask alike. */
+/* Of TOTAL, when all hosts of the set ask alike. */
 static uint32_t
-slot_share (const struct caller_service *service,
-            const struct target_spec *target)
+equal_share (const struct caller_service *service, uint32_t total)
 {
   const uint64_t hosts = service->host_count > 0 ? service->host_count : 1;
   if (hosts == 1)
-    return target->slots > 0 ? target->slots : 1;
-  const uint64_t given = (uint64_t)target->slots * OVERCOMMIT_PERCENT / 100;
+    return total > 0 ? total : 1;
+  const uint64_t given = (uint64_t)total * OVERCOMMIT_PERCENT / 100;
   const uint64_t share = (given + hosts - 1) / hosts;
-  const uint64_t most = share < target->slots ? share : target->slots;
+  const uint64_t most = share < total ? share : total;
   return most > 0 ? (uint32_t)most : 1;
 }
 
+static uint32_t
+share_of (const struct caller_service *service, uint64_t key, uint32_t total)
+{
+  return service->share.permille > 0
+             ? slot_share_of (&service->share, key, total)
+             : equal_share (service, total);
+}
+
+/* This host's part of TARGET's slots.  A request takes a connection for
+   itself, so the part of those bounds it too. */
+static uint32_t
+slots_here (const struct caller_service *service, uint64_t key,
+            const struct target_spec *target)
+{
+  const uint32_t slots = share_of (service, key, target->slots);
+  if (target->connections == 0)
+    return slots;
+  const uint32_t connections = share_of (service, key, target->connections);
+  return slots < connections ? slots : connections;
+}
+
 static void
 apply_targets (struct caller_service *service)
 {
@@ -142,7 +162,7 @@
       const bool near = strcmp (target->dc, own_dc) == 0;
       targets[i] = (struct policy_target){
         .key = state->key,
-        .slots = slot_share (service, target),
+        .slots = slots_here (service, state->key, target),
         .distance_us = near ? 0 : DC_DISTANCE_US,
         .accepts_work
         = target->state == TARGET_STATE_ACTIVE && !state->leaving,
@@ -228,6 +248,48 @@
     apply_targets (service);
 }
 
+/* Does a share of SHARE give other slots than the one in force? */
+static bool
+changes_slots (struct caller_service *service, const struct slot_share *share)
+{
+  const struct slot_share before = service->share;
+  bool changes = false;
+  for (size_t i = 0; i < service->spec->target_count && !changes; i++)
+    {
+      const struct target_spec *target = &service->spec->targets[i];
+      const uint64_t key = service->targets[i].key;
+      const uint32_t slots = slots_here (service, key, target);
+      service->share = *share;
+      changes = slots_here (service, key, target) != slots;
+      service->share = before;
+    }
+  return changes;
+}
+
+void
+caller_service_set_share (struct caller_service *service,
+                          const struct slot_share *share)
+{
+  const bool changes = service->spec != NULL && changes_slots (service, share);
+  service->share = *share;
+  if (changes)
+    apply_targets (service);
+}
+
+uint32_t
+caller_service_demand (const struct caller_service *service)
+{
+  return demand_peak_value (&service->demand, clock_now_us ());
+}
+
+static void
+note_demand (struct caller_service *service)
+{
+  demand_peak_note (&service->demand, clock_now_us (),
+                    service_policy_in_flight (service->policy)
+                        + service_policy_queued (service->policy));
+}
+
 static bool
 is_listed (const struct bus_ejections *ejections, const char *name)
 {
@@ -276,6 +338,7 @@
 {
   const struct policy_decision decision
       = service_policy_admit (service->policy, clock_now_us (), r);
+  note_demand (service);
   if (decision.verdict == POLICY_QUEUE)
     {
       waiter->id = r->id;
@@ -310,6 +373,7 @@
                                           .end = end,
                                           .latency_us = latency_us,
                                           .repeatable = repeatable };
+  note_demand (service);
   service_policy_outcome (service->policy, clock_now_us (), &outcome);
   run_queue (service);
 }
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -13,6 +13,8 @@
 #include <uthash.h>
 
 #include "node/bus.h"
+#include "policy/choice/demand_peak.h"
+#include "policy/choice/slot_shares.h"
 #include "policy/detection/recorder.h"
 #include "policy/service_policy.h"
 #include "wire/service_spec.h"
@@ -48,6 +50,8 @@
   struct detection_recorder *recorder;
   struct bus_set_host *hosts;
   size_t host_count;
+  struct slot_share share; /**< of the targets' slots, if one is granted */
+  struct demand_peak demand;
   bool has_unrepeatable;
   uint32_t users; /**< exchanges that hold it */
   bool removed;   /**< goes with its last user */
@@ -74,6 +78,8 @@
                               const struct service_spec *spec);
 void caller_service_set_hosts (struct caller_service *service,
                                const struct bus_host_set *set);
+void caller_service_set_share (struct caller_service *service,
+                               const struct slot_share *share);
 void caller_service_set_ejections (struct caller_service *service,
                                    const struct bus_ejections *ejections);
 
@@ -90,6 +96,9 @@
                                              const struct policy_request *r,
                                              struct caller_waiter *waiter);
 
+/** The most attempts and waiting requests there were at once lately. */
+uint32_t caller_service_demand (const struct caller_service *service);
+
 /** WAITER no longer waits. */
 void caller_service_forget (struct caller_service *service,
                             struct caller_waiter *waiter);
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -105,6 +105,14 @@
   caller_service_set_hosts (entry_of (task, set->service), set);
 }
 
+static void
+on_slot_shares (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  const struct bus_slot_shares *shares = &message->slot_shares;
+  caller_service_set_share (entry_of (task, shares->service), &shares->share);
+}
+
 static void
 on_ejections (void *owner, const struct bus_message *message)
 {
@@ -133,6 +141,7 @@
   bus_subscribe (task->bus, BUS_SERVICE_REMOVED, on_removed, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
+  bus_subscribe (task->bus, BUS_SLOT_SHARES, on_slot_shares, task);
 }
 
 static void
@@ -254,3 +263,11 @@
       = caller_context_service (&task->context, name);
   return service != NULL ? service->recorder : NULL;
 }
+
+uint32_t
+caller_task_demand (struct caller_task *task, const char *name)
+{
+  const struct caller_service *service
+      = caller_context_service (&task->context, name);
+  return service != NULL ? caller_service_demand (service) : 0;
+}
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -67,4 +67,8 @@
 struct detection_recorder *caller_task_recorder (struct caller_task *task,
                                                  const char *name);
 
+/** The most requests of the service called NAME that were at targets or
+ * waited for one at once lately; 0 when it isn't in force. */
+uint32_t caller_task_demand (struct caller_task *task, const char *name);
+
 #endif
--- /dev/null
+++ b/node/caller/tests/slot_share_test.cc
@@ -0,0 +1,120 @@
+#include <json-c/json.h>
+
+#include "node/caller/tests/caller_fixture.h"
+
+class SlotShareTest : public CallerTest
+{
+protected:
+  static constexpr int call_count = 8;
+
+  void
+  SetUp () override
+  {
+    CallerTest::SetUp ();
+    target = add_target ("t1");
+    start ();
+    target_options = ", 'slots': 8";
+  }
+
+  void
+  put_share (uint32_t permille)
+  {
+    bus_message message = {};
+    message.topic = BUS_SLOT_SHARES;
+    strcpy (message.slot_shares.service, "holds");
+    message.slot_shares.share = { 0, permille };
+    bus_post (the_bus, &message);
+  }
+
+  void
+  put_set_of (size_t count)
+  {
+    put_hosts (std::vector<bus_set_host> (count));
+  }
+
+  /** Begin calls that the target keeps open. */
+  void
+  hold_calls ()
+  {
+    target_server_faults (target)->hang = 100;
+    for (int i = 0; i < call_count; i++)
+      {
+        calls.push_back (make ("GET", "/seats", "c" + std::to_string (i)));
+        begin (calls.back ().get ());
+      }
+  }
+
+  int
+  at_target ()
+  {
+    int sum = 0;
+    for (int i = 0; i < call_count; i++)
+      sum += (int)target_server_runs (target,
+                                      ("c" + std::to_string (i)).c_str ());
+    return sum;
+  }
+
+  int
+  queued ()
+  {
+    json_object *rows = tables_read (the_tables, "services");
+    json_object *row = json_object_array_get_idx (rows, 0);
+    const int count
+        = json_object_get_int (json_object_object_get (row, "queued"));
+    json_object_put (rows);
+    return count;
+  }
+
+  /** So many reach the target and all others wait here. */
+  bool
+  settles_at (int running)
+  {
+    return run_until ([this, running] {
+      return at_target () == running && queued () == call_count - running;
+    });
+  }
+
+  target_server *target = nullptr;
+  std::vector<std::unique_ptr<Call> > calls;
+};
+
+/* A target of 8 slots gets 8 requests from each host of the set at once and
+   falls over: the hosts don't know of each other. */
+TEST_F (SlotShareTest, AShareBoundsWhatIsSentAtOnce)
+{
+  put_share (250); // heard of before the service itself
+  put_service (usual_routes);
+  hold_calls ();
+  ASSERT_TRUE (settles_at (2)) << at_target ();
+  EXPECT_EQ (caller_task_demand (task, "holds"), (uint32_t)call_count);
+  EXPECT_EQ (caller_task_demand (task, "nobody"), 0u);
+  put_share (625);
+  EXPECT_TRUE (settles_at (5)) << at_target ();
+  put_share (1250);
+  EXPECT_TRUE (settles_at (8)) << at_target ();
+}
+
+/* The owner is silent, or was never heard: a host that then took all slots,
+   as would the others, would send a set's size too much. */
+TEST_F (SlotShareTest, WithoutAShareTheSetDividesEqually)
+{
+  put_share (1250);
+  put_set_of (4);
+  put_share (0);
+  put_service (usual_routes);
+  hold_calls ();
+  ASSERT_TRUE (settles_at (3)) << at_target (); // 8 slots, half more, by 4
+  put_set_of (2);
+  EXPECT_TRUE (settles_at (6)) << at_target ();
+}
+
+/* A target that takes few connections refuses what goes beyond them, though
+   it has slots. */
+TEST_F (SlotShareTest, ConnectionsAreSharedToo)
+{
+  target_options = ", 'slots': 8, 'connections': 4";
+  put_share (500);
+  put_service (usual_routes);
+  hold_calls ();
+  EXPECT_TRUE (settles_at (2)) << at_target ();
+}
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -103,6 +103,13 @@
   return control_task_create (&options, &host->control);
 }
 
+static uint32_t
+demand_of (void *owner, const char *service)
+{
+  const struct host *host = owner;
+  return caller_task_demand (host->caller, service);
+}
+
 static struct detection_recorder *
 recorder_of (void *owner, const char *service)
 {
@@ -123,6 +130,7 @@
     .tables = host->tables,
     .transport = &host->transport.base,
     .recorder = recorder_of,
+    .demand = demand_of,
     .recorder_owner = host,
     .incarnation = incarnation,
   };
--- a/node/ejection/ejection_enforce.c
+++ b/node/ejection/ejection_enforce.c
@@ -126,6 +126,7 @@
   floor_view_heard (service->view, ejection_now_ms (service->task),
                     news->poll_ms, &decision);
   ejection_service_post (service);
+  ejection_shares_hear (service, news);
 }
 
 void
--- a/node/ejection/ejection_internal.h
+++ b/node/ejection/ejection_internal.h
@@ -50,6 +50,7 @@
   uint64_t incarnation;
   int64_t poll_ms;  /* its clock */
   int64_t heard_ms; /* ours */
+  uint32_t demand;
 };
 
 /* A target that is let through for some of the time. */
@@ -95,6 +96,12 @@
   size_t trial_count;
   struct ejection_names posted;
 
+  /* This host's part of the slots, as granted by the owner. */
+  struct slot_share slots;
+  int64_t slots_poll_ms;  /* answered by the grant */
+  int64_t slots_until_ms; /* lapses then */
+  uint32_t told_demand;
+
   /* While owner. */
   struct detection_detector *detector;
   uint64_t detector_version; /* of the settings it has */
@@ -213,6 +220,18 @@
 uint32_t ejection_judge_share (const struct ejection_service *service,
                                const char *target);
 
+/* ejection_shares.c: slots divided by demand */
+/* What this host wants of SERVICE, rounded up so that it seldom changes. */
+uint32_t ejection_shares_demand (const struct ejection_service *service);
+/* As owner: the part of POLLER. */
+struct slot_share
+ejection_shares_grant (const struct ejection_service *service,
+                       const struct ejection_poller *poller);
+/* A grant came with a decision, or may have lapsed. */
+void ejection_shares_hear (struct ejection_service *service,
+                           const struct ejection_news *news);
+void ejection_shares_tick (struct ejection_service *service, int64_t now_ms);
+
 /* ejection_calls.c: the floor authority's calls at the platform */
 void ejection_calls_drive (struct ejection_service *service);
 
--- a/node/ejection/ejection_messages.c
+++ b/node/ejection/ejection_messages.c
@@ -18,6 +18,9 @@
   HEAD_VERB = HEAD_ENFORCE_MS,
   HEAD_STATUS,
   HEAD_REASON,
+  HEAD_DEMAND = HEAD_STATUS,
+  HEAD_SHARE_FROM = HEAD_STATUS,
+  HEAD_SHARE = HEAD_REASON,
   NEWS_COLUMNS,
 
   ITEM_KEY = 0,
@@ -29,6 +32,8 @@
   ITEM_COLUMNS = ITEM_LATENCY + DETECTION_LATENCY_BUCKETS,
 
   PERMILLE = 1000,
+  /* Shares with their over-commit stay far below. */
+  SHARE_MOST_PERMILLE = 4 * PERMILLE,
 };
 
 static enum status
@@ -69,6 +74,7 @@
   values[HEAD_KIND] = EJECTION_REPORT;
   values[HEAD_INCARNATION] = (int64_t)report->incarnation;
   values[HEAD_POLL_MS] = report->poll_ms;
+  values[HEAD_DEMAND] = report->demand;
   for (size_t i = 0; i < report->count; i++)
     format_item (values + (i + 1) * columns, &report->items[i]);
   struct peer_report message = { .epoch = report->epoch,
@@ -93,6 +99,8 @@
   values[HEAD_INCARNATION] = (int64_t)news->incarnation;
   values[HEAD_POLL_MS] = news->poll_ms;
   values[HEAD_ENFORCE_MS] = news->enforce_ms;
+  values[HEAD_SHARE_FROM] = news->slots.from_permille;
+  values[HEAD_SHARE] = news->slots.permille;
   for (size_t i = 0; i < news->count && news->shares_permille != NULL; i++)
     values[(i + 1) * NEWS_COLUMNS] = news->shares_permille[i];
   struct peer_report message
@@ -175,7 +183,9 @@
                       struct ejection_report *report)
 {
   const size_t count = message->value_count / message->columns - 1;
+  uint32_t demand;
   if (message->name_count != 1 || count > EJECTION_ITEMS_MAX
+      || !read_count (message->values[HEAD_DEMAND], &demand)
       || (count > 0 && message->columns != ITEM_COLUMNS))
     return false;
   struct detection_report_item *items = xcalloc (count + 1, sizeof *items);
@@ -191,20 +201,32 @@
     .incarnation = (uint64_t)message->values[HEAD_INCARNATION],
     .poll_ms = message->values[HEAD_POLL_MS],
     .dc = message->names[0],
+    .demand = demand,
     .items = items,
     .count = count,
   };
   return true;
 }
 
+static bool
+read_slots (const int64_t *head, struct slot_share *slots)
+{
+  return read_count (head[HEAD_SHARE_FROM], &slots->from_permille)
+         && read_count (head[HEAD_SHARE], &slots->permille)
+         && slots->from_permille <= SHARE_MOST_PERMILLE
+         && slots->permille <= SHARE_MOST_PERMILLE;
+}
+
 bool
 ejection_read_news (const struct peer_report *message,
                     struct ejection_news *news)
 {
   const size_t count = message->value_count / message->columns - 1;
   uint32_t enforce_ms;
+  struct slot_share slots;
   if (message->columns != NEWS_COLUMNS || message->name_count != count
-      || !read_count (message->values[HEAD_ENFORCE_MS], &enforce_ms))
+      || !read_count (message->values[HEAD_ENFORCE_MS], &enforce_ms)
+      || !read_slots (message->values, &slots))
     return false;
   uint32_t *shares = xcalloc (count + 1, sizeof *shares);
   for (size_t i = 0; i < count; i++)
@@ -225,6 +247,7 @@
     .names = (const char (*)[PEER_NAME_SIZE])message->names,
     .shares_permille = shares,
     .count = count,
+    .slots = slots,
   };
   return true;
 }
--- a/node/ejection/ejection_messages.h
+++ b/node/ejection/ejection_messages.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "node/ejection/ejection_transport.h"
+#include "policy/choice/slot_shares.h"
 #include "policy/detection/recorder.h"
 
 /** What a message is; the numbers are part of the protocol. */
@@ -37,6 +38,7 @@
   uint64_t incarnation; /**< of the sender */
   int64_t poll_ms;      /**< by the sender's clock */
   const char *dc;       /**< of the sender */
+  uint32_t demand;      /**< most slots it wanted at once lately */
   const struct detection_report_item *items;
   size_t count;
 };
@@ -56,6 +58,7 @@
   /** For each target, how much of the time it is let through on trial. */
   const uint32_t *shares_permille;
   size_t count;
+  struct slot_share slots; /**< in a decision: granted to the receiver */
 };
 
 /** EJECTION_COMMAND, EJECTION_RESULT. */
--- a/node/ejection/ejection_owner.c
+++ b/node/ejection/ejection_owner.c
@@ -148,16 +148,18 @@
   uint32_t *shares = xcalloc (decision->count + 1, sizeof *shares);
   for (size_t i = 0; i < decision->count; i++)
     shares[i] = ejection_judge_share (service, decision->targets[i]);
-  const struct ejection_news news = { .kind = EJECTION_DECISION,
-                                      .service = service->name,
-                                      .epoch = decision->epoch,
-                                      .sequence = decision->sequence,
-                                      .enforce_ms = decision->enforce_ms,
-                                      .incarnation = poller->incarnation,
-                                      .poll_ms = poller->poll_ms,
-                                      .names = decision->targets,
-                                      .shares_permille = shares,
-                                      .count = decision->count };
+  const struct ejection_news news
+      = { .kind = EJECTION_DECISION,
+          .service = service->name,
+          .epoch = decision->epoch,
+          .sequence = decision->sequence,
+          .enforce_ms = decision->enforce_ms,
+          .incarnation = poller->incarnation,
+          .poll_ms = poller->poll_ms,
+          .names = decision->targets,
+          .shares_permille = shares,
+          .count = decision->count,
+          .slots = ejection_shares_grant (service, poller) };
   const struct ejection_task *task = service->task;
   if (strcmp (poller->host, task->options.settings->name) == 0)
     ejection_service_hear_own (service, &news);
@@ -279,6 +281,7 @@
   poller->incarnation = report->incarnation;
   poller->poll_ms = report->poll_ms;
   poller->heard_ms = now_ms;
+  poller->demand = report->demand;
   snprintf (poller->dc, sizeof poller->dc, "%s", report->dc);
   if (report->count > 0)
     detection_detector_report (service->detector, now_ms * 1000,
--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -172,6 +172,13 @@
   return begins && service->host_count > 0;
 }
 
+/* Less is told only when it is less than half: nobody waits for it. */
+static bool
+demand_moved (const struct ejection_service *service, uint32_t demand)
+{
+  return demand > service->told_demand || demand < service->told_demand / 2;
+}
+
 /* Reports must be counted once, so what was seen goes only to an owner that
    answers; other hosts are just asked.  With nothing seen the owner is asked
    only as often as enforcement needs, so that idle services cost little. */
@@ -182,8 +189,12 @@
   const struct ejection_task_options *options = &task->options;
   const int64_t now_ms = ejection_now_ms (task);
   const size_t count = with_items ? take_evidence (service) : 0;
-  if (with_items && count == 0 && now_ms < service->refresh_ms)
+  const uint32_t demand = ejection_shares_demand (service);
+  if (with_items && count == 0 && now_ms < service->refresh_ms
+      && !demand_moved (service, demand))
     return;
+  if (with_items)
+    service->told_demand = demand;
   service->refresh_ms
       = now_ms + options->settings->times.enforce_ms / POLLS_PER_ENFORCEMENT;
   const struct ejection_report report
@@ -192,6 +203,7 @@
           .incarnation = options->incarnation,
           .poll_ms = now_ms,
           .dc = options->settings->dc,
+          .demand = demand,
           .items = task->items,
           .count = count };
   if (strcmp (to, options->settings->name) == 0)
@@ -269,6 +281,7 @@
   const bool is_owner = floor_owner_role (service->owner) == FLOOR_ROLE_OWNER;
   floor_view_tick (service->view, now_ms);
   ejection_service_post (service);
+  ejection_shares_tick (service, now_ms);
   if (is_owner)
     service->heard_ms = now_ms;
   const int64_t silence_ms = silence (service, now_ms);
--- a/node/ejection/ejection_task.h
+++ b/node/ejection/ejection_task.h
@@ -6,7 +6,9 @@
  * service's owner, at most once every evidence_ms, and only of targets that
  * had outcomes.  That report is also the poll that the owner's decision
  * answers; the host enforces the decision from its poll on (floor_view.h) and
- * posts BUS_EJECTIONS when the enforced set changes.
+ * posts BUS_EJECTIONS when the enforced set changes.  The report also tells
+ * how many slots the host wants, and the decision which part of them it gets;
+ * BUS_SLOT_SHARES is posted when that changes or lapses.
  *
  * The owner is the host named by the record at the platform.  When it hasn't
  * been heard from for owner_lease_ms, the first host of the set takes over
@@ -36,6 +38,10 @@
 typedef struct detection_recorder *ejection_recorder (void *owner,
                                                       const char *service);
 
+/** The most requests of SERVICE that were in flight or waiting at once here
+ * lately. */
+typedef uint32_t ejection_demand (void *owner, const char *service);
+
 /** What the task needs; all pointers stay good as long as it. */
 struct ejection_task_options
 {
@@ -47,8 +53,9 @@
   struct tables *tables; /**< rows of "ejections"; NULL: none */
   struct ejection_transport *transport;
   ejection_recorder *recorder;
-  void *recorder_owner;
-  uint64_t incarnation; /**< random at start */
+  ejection_demand *demand; /**< NULL: none is told */
+  void *recorder_owner;    /**< passed to both */
+  uint64_t incarnation;    /**< random at start */
   /** Milliseconds since boot; NULL is clock_now_ms(). */
   int64_t (*now_ms) (void);
 };
--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -16,6 +16,7 @@
 extern "C"
 {
 #include "base/hash.h"
+#include "base/rng.h"
 #include "base/xmalloc.h"
 #include "node/ejection/ejection_internal.h"
 }
@@ -140,6 +141,9 @@
   ejection_task *task = nullptr;
   detection_recorder *recorder = nullptr;
   std::set<std::string> out;
+  slot_share slots = {};
+  int slot_news = 0; // how often the share was posted
+  uint32_t demand = 0;
   bool frozen = false;
 };
 
@@ -209,6 +213,9 @@
     options.recorder = [] (void *owner, const char *) {
       return static_cast<fleet_host *> (owner)->recorder;
     };
+    options.demand = [] (void *owner, const char *) {
+      return static_cast<fleet_host *> (owner)->demand;
+    };
     options.recorder_owner = &h;
     options.incarnation = hash_pair (fleet_now_ms, i) | 1;
     options.now_ms = fleet_clock;
@@ -224,6 +231,14 @@
             host->out.insert (m->ejections.targets[k]);
         },
         &h);
+    bus_subscribe (
+        h.messages, BUS_SLOT_SHARES,
+        [] (void *owner, const bus_message *m) {
+          auto *host = static_cast<fleet_host *> (owner);
+          host->slots = m->slot_shares.share;
+          host->slot_news++;
+        },
+        &h);
     post_hosts (i);
     if (spec_version > 0)
       post_spec (i);
@@ -241,6 +256,7 @@
     h.messages = nullptr;
     h.recorder = nullptr;
     h.out.clear ();
+    h.slots = {};
   }
 
   void
--- a/node/ejection/tests/ejection_messages_test.cc
+++ b/node/ejection/tests/ejection_messages_test.cc
@@ -6,6 +6,7 @@
 
 extern "C"
 {
+#include "base/rng.h"
 #include "node/ejection/ejection_messages.h"
 }
 
@@ -58,7 +59,7 @@
   items[0].evidence.latency[31] = 4;
   items[1].target_key = 5;
   const ejection_report sent
-      = { "holds", 9, UINT64_MAX - 1, 123, "north-a", items, 2 };
+      = { "holds", 9, UINT64_MAX - 1, 123, "north-a", 77, items, 2 };
   ASSERT_EQ (ejection_send_report (&last.base, "h", &sent), STATUS_OK);
   ASSERT_EQ (ejection_message_kind (report ()), EJECTION_REPORT);
   ejection_report got;
@@ -68,6 +69,7 @@
   EXPECT_EQ (got.epoch, 9U);
   EXPECT_EQ (got.incarnation, UINT64_MAX - 1);
   EXPECT_EQ (got.poll_ms, 123);
+  EXPECT_EQ (got.demand, 77U);
   ASSERT_EQ (got.count, 2U);
   EXPECT_EQ (memcmp (got.items, items, sizeof items), 0);
   free ((void *)got.items);
@@ -78,7 +80,8 @@
   const char names[2][PEER_NAME_SIZE] = { "t1", "t2" };
   const uint32_t shares[2] = { 0, 50 };
   const ejection_news sent
-      = { EJECTION_DECISION, "holds", 3, 4, 900, 5, 6, names, shares, 2 };
+      = { EJECTION_DECISION, "holds", 3, 4, 900, 5, 6, names, shares, 2,
+          { 350, 1250 } };
   ASSERT_EQ (ejection_send_news (&last.base, "h", &sent), STATUS_OK);
   ejection_news got;
   ASSERT_TRUE (ejection_read_news (report (), &got));
@@ -90,6 +93,8 @@
   ASSERT_EQ (got.count, 2U);
   EXPECT_STREQ (got.names[1], "t2");
   EXPECT_EQ (got.shares_permille[1], 50U);
+  EXPECT_EQ (got.slots.from_permille, 350U);
+  EXPECT_EQ (got.slots.permille, 1250U);
   free ((void *)got.shares_permille);
 }
 
@@ -113,7 +118,7 @@
   detection_report_item item = {};
   item.target_key = 5;
   item.evidence.requests = 2;
-  const ejection_report sent = { "holds", 1, 1, 1, "dc", &item, 1 };
+  const ejection_report sent = { "holds", 1, 1, 1, "dc", 0, &item, 1 };
   ASSERT_EQ (ejection_send_report (&last.base, "h", &sent), STATUS_OK);
   ejection_report got;
   int64_t *row = report ()->values + report ()->columns;
@@ -139,4 +144,57 @@
   ejection_order order;
   EXPECT_FALSE (ejection_read_order (report (), &order));
 }
+
+// A host would take slots by the million on the word of a broken peer.
+TEST_F (EjectionMessages, SharesOutOfBoundsAreRefused)
+{
+  ejection_news sent = {};
+  sent.kind = EJECTION_DECISION;
+  sent.service = "holds";
+  ASSERT_EQ (ejection_send_news (&last.base, "h", &sent), STATUS_OK);
+  ejection_news got;
+  ASSERT_TRUE (ejection_read_news (report (), &got));
+  free ((void *)got.shares_permille);
+  for (const int column : { 4, 5 })
+    {
+      for (const int64_t bad : { (int64_t)-1, (int64_t)4001, INT64_MAX })
+        {
+          report ()->values[column] = bad;
+          EXPECT_FALSE (ejection_read_news (report (), &got)) << column;
+        }
+      report ()->values[column] = 0;
+    }
+}
+
+// Random numbers where a report or decision is expected: each is refused or
+// read within its bounds (the sanitizers watch).
+TEST_F (EjectionMessages, RandomNumbersStayWithinBounds)
+{
+  struct rng rng;
+  rng_seed (&rng, 29);
+  char names[1][PEER_NAME_SIZE] = { "dc" };
+  for (int i = 0; i < 200000; i++)
+    {
+      int64_t values[80];
+      for (int64_t &v : values)
+        v = rng_below (&rng, 3) == 0 ? (int64_t)rng_next (&rng)
+                                     : (int64_t)rng_below (&rng, 5000);
+      values[0] = (int64_t)rng_below (&rng, 8);
+      peer_report r = {};
+      r.columns = 6 + (uint32_t)rng_below (&rng, 40);
+      r.values = values;
+      r.value_count = r.columns * (1 + rng_below (&rng, 80 / r.columns));
+      r.names = names;
+      r.name_count = rng_below (&rng, 2);
+      ejection_report report;
+      ejection_news news;
+      if (ejection_read_report (&r, &report))
+        free ((void *)report.items);
+      if (!ejection_read_news (&r, &news))
+        continue;
+      EXPECT_LE (news.slots.from_permille, 4000U);
+      EXPECT_LE (news.slots.permille, 4000U);
+      free ((void *)news.shares_permille);
+    }
+}
 }
--- a/policy/choice/slot_shares.c
+++ b/policy/choice/slot_shares.c
@@ -2,6 +2,11 @@
 
 #include <stdbool.h>
 
+enum
+{
+  PERMILLE = 1000
+};
+
 static uint64_t
 demand_of (const uint64_t *demand, size_t i, bool equal)
 {
@@ -61,3 +66,18 @@
   for (; left > 0; left--)
     shares[furthest_below (demand, count, equal, spare, sum, shares)]++;
 }
+
+/* Guards against slots that no host uses: rounded down each for itself, three
+   hosts would get one each of four.  Rounding the ends of their stretches
+   hands out every slot once; the key moves the line, so that it isn't the same
+   host that gains at every target. */
+uint32_t
+slot_share_of (const struct slot_share *share, uint64_t key, uint32_t total)
+{
+  const uint64_t from = key % PERMILLE + share->from_permille;
+  const uint64_t to = from + share->permille;
+  const uint64_t slots = to * total / PERMILLE - from * total / PERMILLE;
+  if (slots < 1)
+    return 1;
+  return slots < total ? (uint32_t)slots : total;
+}
--- a/policy/choice/tests/slot_shares_test.cc
+++ b/policy/choice/tests/slot_shares_test.cc
@@ -6,6 +6,7 @@
 extern "C"
 {
 #include "base/rng.h"
+#include "policy/choice/demand_peak.h"
 #include "policy/choice/slot_shares.h"
 }
 
@@ -58,4 +59,44 @@
     }
 }
 
+// Slots would lie idle: each of three hosts rounds its part of four down.
+TEST (slot_shares, hand_out_every_slot_once)
+{
+  struct rng rng;
+  rng_seed (&rng, 23);
+  for (int i = 0; i < 20000; i++)
+    {
+      const auto parts
+          = divide (1000, 0, { rng_below (&rng, 50) + 20, 30, 40 });
+      const uint64_t key = rng_next (&rng);
+      const auto total = 3 + (uint32_t)rng_below (&rng, 60);
+      uint32_t from = 0, sum = 0, lifted = 0;
+      for (const uint32_t part : parts)
+        {
+          const slot_share share = { from, part };
+          const uint32_t slots = slot_share_of (&share, key, total);
+          ASSERT_GE (slots, 1u);
+          ASSERT_LE (slots, total);
+          lifted += (uint32_t)(slots == 1);
+          sum += slots;
+          from += part;
+        }
+      ASSERT_GE (sum, total) << "seed 23, round " << i;
+      ASSERT_LE (sum, total + lifted) << "seed 23, round " << i;
+    }
+}
+
+TEST (demand_peak, holds_one_to_two_windows)
+{
+  demand_peak peak = {};
+  const int64_t from_us = (int64_t)1000 * DEMAND_WINDOW_US;
+  demand_peak_note (&peak, from_us + 10, 7);
+  demand_peak_note (&peak, from_us + 20, 3);
+  EXPECT_EQ (demand_peak_value (&peak, from_us + 20), 7u);
+  demand_peak_note (&peak, from_us + DEMAND_WINDOW_US, 2);
+  EXPECT_EQ (demand_peak_value (&peak, from_us + DEMAND_WINDOW_US), 7u);
+  EXPECT_EQ (demand_peak_value (&peak, from_us + 2 * DEMAND_WINDOW_US), 2u);
+  EXPECT_EQ (demand_peak_value (&peak, from_us + 3 * DEMAND_WINDOW_US), 0u);
+}
+
 }
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -257,3 +257,9 @@
 {
   return policy->queue.count;
 }
+
+uint32_t
+service_policy_in_flight (const struct service_policy *policy)
+{
+  return policy->set.in_flight;
+}
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -180,5 +180,7 @@
 struct policy_belief
 service_policy_belief (const struct service_policy *policy, uint32_t target);
 uint32_t service_policy_queued (const struct service_policy *policy);
+/** Attempts under way at all targets. */
+uint32_t service_policy_in_flight (const struct service_policy *policy);
 
 #endif
