--- a/tests/demo/demo.cc
+++ b/tests/demo/demo.cc
@@ -43,6 +43,7 @@
 {
   FleetOptions options;
   options.floor = 4;
+  options.secret = true;
   Fleet fleet (options);
   std::cout << "* start a platform, three targets and three hosts"
             << std::endl;
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -141,7 +141,7 @@
   out << "],\n\"log\": { \"json\": true, \"repeats_per_second\": 0 },\n";
   if (options_.secret)
     {
-      std::ofstream (folder_ + "/secret") << "fleet-test-key\n";
+      std::ofstream (folder_ + "/secret") << "a-key-for-this-fleet-only\n";
       out << "\"secret_file\": \"" << folder_ << "/secret\",\n";
     }
   out << "\"set_hosts_per_dc\": " << options_.set_hosts_per_dc << ",\n";
