--- a/tests/fleet/platform_outage_test.cc
+++ b/tests/fleet/platform_outage_test.cc
@@ -56,6 +56,30 @@
   EXPECT_EQ (load.count_told (Told::ran), load.count ()) << load.summary ();
 }
 
+/* The platform answers, but takes longer than a call may take, and then loses
+   answers as well.  Hosts must take that for an outage of their news, not of
+   their work. */
+TEST_F (Outage, SlowAndForgetfulPlatformHoldsUpNoWork)
+{
+  start ();
+  Load load (*fleet, callers);
+  ASSERT_TRUE (load.wait_more (some));
+  ASSERT_TRUE (platform_control ("slow_ms=1000"));
+  ASSERT_TRUE (platform_control ("lose_answers=5"));
+  size_t from = 0;
+  EXPECT_TRUE (fleet->hosts[0]->wait_line ({ "platform-failed" }, &from));
+  ASSERT_TRUE (load.wait_more (some));
+  ASSERT_TRUE (platform_control ("slow_ms=0"));
+  ASSERT_TRUE (platform_control ("lose_answers=0"));
+  ASSERT_TRUE (fleet->declare (fleet->service_json ()));
+  EXPECT_TRUE (wait_until ([&] {
+    return fleet->hosts[0]->count_lines ({ "service-in-force" }) > 1;
+  })) << fleet->logs ();
+  load.stop ();
+  EXPECT_EQ (load.check (), "") << fleet->logs ();
+  EXPECT_EQ (load.count_told (Told::ran), load.count ()) << load.summary ();
+}
+
 /* A host is restarted while the platform is down.  It must come back with
    the settings in force, from its peers. */
 TEST_F (Outage, HostRestartedInAnOutageLoadsFromPeers)
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -120,11 +120,17 @@
   return "http://" + addresses.at (platform_last, platform_port) + path;
 }
 
+std::string
+Fleet::settings_path (int number) const
+{
+  return folder_ + "/host-" + std::to_string (number) + ".json";
+}
+
 std::string
 Fleet::write_settings (int number)
 {
   const std::string name = "host-" + std::to_string (number);
-  const std::string path = folder_ + "/" + name + ".json";
+  const std::string path = settings_path (number);
   const int last = hosts_from + number;
   std::ofstream out (path);
   out << "{ \"name\": \"" << name << "\", \"dc\": \"" << dc_of (number)
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -69,6 +69,9 @@
   /** The service "holds" as first declared. */
   std::string service_json () const;
 
+  /** The settings file of a host that was started. */
+  std::string settings_path (int number) const;
+
   std::string caller_url (int host, const std::string &path) const;
   std::string operator_url (int host, const std::string &path) const;
   std::string target_url (int target, const std::string &path) const;
