settings: a host says where others reach it

Cause: the address a host listens on was the one it told others. Behind a translated address, or listening on 0.0.0.0, it would look dead to all; and no test could stand between two hosts, so a one-way cut between data centres was only tested inside one process. Ruled out: rewriting host records at the stand-in platform; hosts rightly put their own back. Conclusion: `advertise` in the settings; 0.0.0.0 without it is refused.

--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -123,6 +123,13 @@
 static void
 note_address (struct caller_context *context, struct MHD_Daemon *daemon)
 {
+  const char *advertised = context->settings->caller_advertised;
+  if (advertised[0] != '\0')
+    {
+      snprintf (context->own_address, sizeof context->own_address, "%s",
+                advertised);
+      return;
+    }
   const char *wanted = context->settings->caller_address;
   const char *colon = strrchr (wanted, ':');
   snprintf (context->own_address, sizeof context->own_address, "%.*s:%u",
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -42,7 +42,7 @@
 /** Stop at once: whatever is still in flight is cut. */
 void caller_task_destroy (struct caller_task *task);
 
-/** IP:PORT where the task listens. */
+/** IP:PORT where callers reach the task. */
 const char *caller_task_address (const struct caller_task *task);
 
 typedef void caller_task_done (void *owner);
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -2,6 +2,7 @@
 
 #include "node/control/control_internal.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "base/clock.h"
@@ -162,6 +163,14 @@
   control_report_count (task);
 }
 
+static void
+advertise (char address[HOST_ADDRESS_SIZE], const char *advertised,
+           const char *bound)
+{
+  snprintf (address, HOST_ADDRESS_SIZE, "%s",
+            host_settings_reached_at (advertised, bound));
+}
+
 static void
 describe_self (struct control_task *task)
 {
@@ -169,12 +178,12 @@
   struct host_record record = { .incarnation = task->options.incarnation };
   memcpy (record.name, settings->name, sizeof record.name);
   memcpy (record.dc, settings->dc, sizeof record.dc);
-  memcpy (record.caller_address, settings->caller_address,
-          sizeof record.caller_address);
-  memcpy (record.peer_address, settings->peer_address,
-          sizeof record.peer_address);
-  memcpy (record.operator_address, settings->operator_address,
-          sizeof record.operator_address);
+  advertise (record.caller_address, settings->caller_advertised,
+             settings->caller_address);
+  advertise (record.peer_address, settings->peer_advertised,
+             settings->peer_address);
+  advertise (record.operator_address, settings->operator_advertised,
+             settings->operator_address);
   if (record.incarnation == 0)
     record.incarnation = incarnation_make ();
   task->self = control_hosts_learn (task, &record);
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -1,6 +1,8 @@
 #include "node/host_settings.h"
 
 #include <stdio.h>
+#include <string.h>
+#include <string.h>
 
 #include "base/options.h"
 
@@ -203,6 +205,54 @@
   options_close (top, &options);
 }
 
+/* Guards against a host that tells others an address nobody can connect to:
+   it would look dead to all, and callers sent to it would find nothing. */
+static void
+check_reachable (struct options *top, const char *key, const char *bound,
+                 const char *advertised)
+{
+  const bool any = strncmp (bound, "0.0.0.0:", 8) == 0
+                   || strncmp (bound, "[::]:", 5) == 0;
+  if (any && advertised[0] == '\0')
+    options_fail (top, "advertise",
+                  "expected \"%s\", since \"%s\" is no address to connect "
+                  "to; add the one that others reach",
+                  key, bound);
+}
+
+static void
+read_advertised (struct options *top, struct host_settings *settings)
+{
+  const struct
+  {
+    const char *key;
+    const char *bound;
+    char *advertised;
+  } members[] = {
+    { "caller", settings->caller_address, settings->caller_advertised },
+    { "peer", settings->peer_address, settings->peer_advertised },
+    { "operator", settings->operator_address, settings->operator_advertised },
+  };
+  const size_t count = sizeof members / sizeof members[0];
+  struct options options;
+  if (options_object (top, "advertise", false, &options))
+    {
+      for (size_t i = 0; i < count; i++)
+        options_address (&options, members[i].key, false,
+                         members[i].advertised, HOST_ADDRESS_SIZE);
+      options_close (top, &options);
+    }
+  for (size_t i = 0; i < count; i++)
+    check_reachable (top, members[i].key, members[i].bound,
+                     members[i].advertised);
+}
+
+const char *
+host_settings_reached_at (const char *advertised, const char *bound)
+{
+  return advertised[0] != '\0' ? advertised : bound;
+}
+
 static enum status
 read_host (const char *path, struct json_object *tree,
            struct host_settings *settings)
@@ -212,6 +262,7 @@
   options_string (&top, "name", true, settings->name, sizeof settings->name);
   options_string (&top, "dc", true, settings->dc, sizeof settings->dc);
   read_addresses_of_host (&top, settings);
+  read_advertised (&top, settings);
   read_platform (&top, settings);
   settings->peer_seed_count = read_addresses (
       &top, "peers", settings->peer_seeds, HOST_PEER_SEEDS_MAX);
@@ -237,3 +288,55 @@
   json_object_put (tree);
   return read;
 }
+
+static bool
+same_addresses (const char (*a)[HOST_ADDRESS_SIZE], size_t a_count,
+                const char (*b)[HOST_ADDRESS_SIZE], size_t b_count)
+{
+  if (a_count != b_count)
+    return false;
+  for (size_t i = 0; i < a_count; i++)
+    if (strcmp (a[i], b[i]) != 0)
+      return false;
+  return true;
+}
+
+static bool
+same_names (const struct host_settings *a, const struct host_settings *b)
+{
+  return strcmp (a->name, b->name) == 0 && strcmp (a->dc, b->dc) == 0
+         && strcmp (a->caller_address, b->caller_address) == 0
+         && strcmp (a->peer_address, b->peer_address) == 0
+         && strcmp (a->operator_address, b->operator_address) == 0
+         && strcmp (a->platform_file, b->platform_file) == 0
+         && strcmp (a->secret_file, b->secret_file) == 0;
+}
+
+/* Without padding, the same bytes are the same values. */
+_Static_assert(sizeof (struct caller_limits) == 5 * sizeof (uint32_t),
+               "caller_limits has padding: compare its members");
+_Static_assert(sizeof (struct control_times) == 11 * sizeof (uint32_t),
+               "control_times has padding: compare its members");
+
+static bool
+same_numbers (const struct host_settings *a, const struct host_settings *b)
+{
+  return a->set_hosts_per_dc == b->set_hosts_per_dc
+         && a->relays_per_dc == b->relays_per_dc
+         && memcmp (&a->limits, &b->limits, sizeof a->limits) == 0
+         && memcmp (&a->times, &b->times, sizeof a->times) == 0;
+}
+
+bool
+host_settings_need_restart (const struct host_settings *old,
+                            const struct host_settings *new_settings)
+{
+  return !same_names (old, new_settings) || !same_numbers (old, new_settings)
+         || !same_addresses (old->platform_addresses,
+                             old->platform_address_count,
+                             new_settings->platform_addresses,
+                             new_settings->platform_address_count)
+         || !same_addresses (old->peer_seeds, old->peer_seed_count,
+                             new_settings->peer_seeds,
+                             new_settings->peer_seed_count);
+}
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -54,6 +54,10 @@
   char caller_address[HOST_ADDRESS_SIZE];
   char peer_address[HOST_ADDRESS_SIZE];
   char operator_address[HOST_ADDRESS_SIZE];
+  /** Where others reach the three; "" is where this host listens. */
+  char caller_advertised[HOST_ADDRESS_SIZE];
+  char peer_advertised[HOST_ADDRESS_SIZE];
+  char operator_advertised[HOST_ADDRESS_SIZE];
   /** Exactly one of platform_addresses and platform_file is given. */
   char platform_addresses[HOST_PLATFORM_ADDRESSES_MAX][HOST_ADDRESS_SIZE];
   size_t platform_address_count;
@@ -74,9 +78,18 @@
 /** The defaults; name, dc and addresses are empty. */
 void host_settings_defaults (struct host_settings *settings);
 
+/** The address to tell others: ADVERTISED, or BOUND when that is "". */
+const char *host_settings_reached_at (const char *advertised,
+                                      const char *bound);
+
 /** Read and check PATH.  On failure the message gives file, place, what was
  * expected and the remedy. */
 enum status host_settings_load (const char *path,
                                 struct host_settings *settings);
 
+/** Do the two differ in more than the log's settings, which alone are put in
+ * force without a restart? */
+bool host_settings_need_restart (const struct host_settings *old,
+                                 const struct host_settings *new_settings);
+
 #endif
--- a/node/tests/host_settings_test.cc
+++ b/node/tests/host_settings_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <string>
 #include <unistd.h>
+#include <utility>
 
 extern "C"
 {
@@ -105,6 +106,66 @@
   EXPECT_NE (strstr (status_message (), "give exactly one"), nullptr);
 }
 
+/* A host listens on all its addresses and tells the others "0.0.0.0": it
+   looks dead to everyone.  Its settings must say where it is reached. */
+TEST_F (HostSettings, AnAddressToListenOnIsNoneToConnectTo)
+{
+  std::string any = minimal;
+  any.replace (any.find ("127.0.0.1:1"), 11, "0.0.0.0:1");
+  EXPECT_EQ (load (any + "}"), STATUS_INVALID);
+  EXPECT_NE (strstr (status_message (), "advertise: expected \"caller\""),
+             nullptr)
+      << status_message ();
+  EXPECT_EQ (load (any + ",\"advertise\":{\"caller\":\"192.0.2.7:80\"}}"),
+             STATUS_OK)
+      << status_message ();
+  EXPECT_STREQ (host_settings_reached_at (settings.caller_advertised,
+                                          settings.caller_address),
+                "192.0.2.7:80");
+  EXPECT_STREQ (host_settings_reached_at (settings.peer_advertised,
+                                          settings.peer_address),
+                "127.0.0.1:2");
+}
+
+/* An operator edits one setting and reloads.  The log must say whether a
+   restart is needed: for each member but those of the log itself. */
+TEST_F (HostSettings, AllButTheLogNeedsARestart)
+{
+  const std::string minimal_file = std::string (minimal) + "}";
+  ASSERT_EQ (load (minimal_file), STATUS_OK);
+  const host_settings old = settings;
+  ASSERT_EQ (load (minimal_file), STATUS_OK);
+  EXPECT_FALSE (host_settings_need_restart (&old, &settings));
+  ASSERT_EQ (load (std::string (minimal)
+                   + ",\"log\":{\"level\":\"debug\",\"json\":true,"
+                     "\"repeats_per_second\":7}}"),
+             STATUS_OK);
+  EXPECT_FALSE (host_settings_need_restart (&old, &settings));
+  const std::pair<const char *, const char *> edits[] = {
+    { "\"h\"", "\"i\"" },
+    { "\"d\"", "\"e\"" },
+    { "0.1:1\"", "0.1:5\"" },
+    { "0.1:2\"", "0.1:5\"" },
+    { "0.1:3\"", "0.1:5\"" },
+    { "0.1:4\"", "0.1:5\"" },
+    { "0.1:4\"", "0.1:4\",\"127.0.0.1:5\"" },
+    { "\"addresses\":[\"127.0.0.1:4\"]", "\"file\":\"f.json\"" },
+    { "}}", "},\"peers\":[\"127.0.0.1:9\"]}" },
+    { "}}", "},\"secret_file\":\"s\"}" },
+    { "}}", "},\"set_hosts_per_dc\":3}" },
+    { "}}", "},\"relays_per_dc\":4}" },
+    { "}}", "},\"limits\":{\"keep_answer_ms\":4000}}" },
+    { "}}", "},\"times\":{\"outage_hold_ms\":4000}}" },
+  };
+  for (const auto &[from, to] : edits)
+    {
+      std::string text = minimal_file;
+      text.replace (text.rfind (from), strlen (from), to);
+      ASSERT_EQ (load (text), STATUS_OK) << status_message ();
+      EXPECT_TRUE (host_settings_need_restart (&old, &settings)) << to;
+    }
+}
+
 TEST_F (HostSettings, MissingFileIsNamed)
 {
   EXPECT_EQ (host_settings_load ("/nonexistent/file", &settings),
--- a/tests/fleet/cut_test.cc
+++ b/tests/fleet/cut_test.cc
@@ -35,6 +35,49 @@
   EXPECT_EQ (load.check (), "") << fleet.logs ();
 }
 
+/* Data centre a still reaches host-2 in data centre b, but nothing comes back
+   from there.  Hosts keep serving, nobody is told what isn't so, a change of
+   settings made meanwhile is in force on every host after the cut, and all
+   hosts are believed live again. */
+TEST (Cut, DataCentresHearEachOtherOneWayOnly)
+{
+  AddressBlock between;
+  FleetOptions options;
+  options.dcs = 3;
+  options.through["host-2.peer"] = between.at (5, 8081);
+  options.times = "\"heartbeat_ms\":100,\"suspect_after_ms\":400,"
+                  "\"dead_after_ms\":1000";
+  Fleet fleet (options);
+  Relay relay (between.at (5, 8081), fleet.peer_address (2));
+  ASSERT_TRUE (fleet.start ());
+  Load load (fleet, callers);
+  ASSERT_TRUE (load.wait_more (some));
+  size_t from = fleet.hosts[0]->line_count ();
+  relay.cut_back = true;
+  EXPECT_TRUE (
+      fleet.hosts[0]->wait_line ({ "\"member\"", "\"host-2\"" }, &from))
+      << fleet.logs ();
+  std::string changed = fleet.service_json ();
+  changed.replace (changed.find ("\"floor_capacity\":4"), 18,
+                   "\"floor_capacity\":5");
+  ASSERT_TRUE (fleet.declare (changed));
+  ASSERT_TRUE (load.wait_more (some));
+  relay.cut_back = false;
+  for (int number = 1; number <= 3; number++)
+    EXPECT_TRUE (wait_until ([&] {
+      const std::string hosts
+          = http_get (fleet.operator_url (number, "/v1/hosts")).body;
+      const std::string services
+          = http_get (fleet.operator_url (number, "/v1/services")).body;
+      return json_length (hosts, "rows") == 3
+             && json_length (hosts, "not_heard_from") == 0
+             && json_at (services, "rows.0.floor_capacity") == "5";
+    })) << fleet.logs ();
+  load.stop ();
+  EXPECT_EQ (load.check (), "") << fleet.logs ();
+  EXPECT_EQ (load.count_told (Told::ran), load.count ()) << load.summary ();
+}
+
 /* The platform hears the hosts but they don't hear it, while an operator
    changes the floor by another way.  After the cut the new settings are in
    force on all hosts and stay so. */
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -96,6 +96,12 @@
   return found == options_.through.end () ? real : found->second;
 }
 
+std::string
+Fleet::peer_address (int host) const
+{
+  return addresses.at (hosts_from + host, peer_port);
+}
+
 std::string
 Fleet::caller_url (int host, const std::string &path) const
 {
@@ -138,12 +144,17 @@
       << addresses.at (last, caller_port) << "\", \"peer\": \""
       << addresses.at (last, peer_port) << "\", \"operator\": \""
       << addresses.at (last, operator_port) << "\" },\n"
+      << "\"advertise\": { \"peer\": \""
+      << address_of (name + ".peer", addresses.at (last, peer_port))
+      << "\" },\n"
       << "\"platform\": { \"addresses\": [\""
       << address_of ("platform", addresses.at (platform_last, platform_port))
       << "\"] },\n\"peers\": [";
   for (int other = 1; other <= options_.hosts && other <= 16; other++)
     out << (other > 1 ? "," : "") << "\""
-        << addresses.at (hosts_from + other, peer_port) << "\"";
+        << address_of ("host-" + std::to_string (other) + ".peer",
+                       addresses.at (hosts_from + other, peer_port))
+        << "\"";
   out << "],\n\"log\": { \"json\": true, \"repeats_per_second\": 0 },\n";
   if (options_.secret)
     {
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -72,6 +72,7 @@
   /** The settings file of a host that was started. */
   std::string settings_path (int number) const;
 
+  std::string peer_address (int host) const;
   std::string caller_url (int host, const std::string &path) const;
   std::string operator_url (int host, const std::string &path) const;
   std::string target_url (int target, const std::string &path) const;
