shares: path faults reach the hosts that see them, and are avoided there

The detector at a service's owner told path faults (one dc or host alone sees a target fail) to nobody. The decision now names to each host the targets whose path from its dc, or from it alone, is at fault, behind those ejected and told apart by a column; the host posts BUS_PATH_FAULTS and its policy takes them for suspects: a trickle, no unrepeatable work, and all work again when most are avoided or nothing else is eligible. It lapses with the slots' share, by the poll it answers; a host never makes such a target ineligible, so no floor is touched.

Warming shares of the detector stay unused: a target that comes back starts slowly at each host by the policy's own warm-up.

--- a/node/bus.c
+++ b/node/bus.c
@@ -11,7 +11,7 @@
   enum bus_topic topic;
   bus_handler *handler;
   void *owner; /* NULL once dropped */
-  struct subscription *next;
+  struct subscription *prev, *next;
 };
 
 struct pending
@@ -42,6 +42,9 @@
     case BUS_EJECTIONS:
       free (message->ejections.targets);
       break;
+    case BUS_PATH_FAULTS:
+      free (message->path_faults.targets);
+      break;
     case BUS_HOST_SET:
       free (message->host_set.hosts);
       break;
@@ -61,11 +64,11 @@
 {
   struct subscription *subscription;
   struct subscription *next;
-  LL_FOREACH_SAFE (bus->subscriptions, subscription, next)
+  DL_FOREACH_SAFE (bus->subscriptions, subscription, next)
   {
     if (subscription->owner != NULL)
       continue;
-    LL_DELETE (bus->subscriptions, subscription);
+    DL_DELETE (bus->subscriptions, subscription);
     free (subscription);
   }
 }
@@ -74,7 +77,7 @@
 hand_out (struct bus *bus, const struct bus_message *message)
 {
   const struct subscription *subscription;
-  LL_FOREACH (bus->subscriptions, subscription)
+  DL_FOREACH (bus->subscriptions, subscription)
   {
     if (subscription->topic == message->topic && subscription->owner != NULL)
       subscription->handler (subscription->owner, message);
@@ -133,7 +136,7 @@
   while (bus->subscriptions != NULL)
     {
       struct subscription *subscription = bus->subscriptions;
-      LL_DELETE (bus->subscriptions, subscription);
+      DL_DELETE (bus->subscriptions, subscription);
       free (subscription);
     }
   free (bus);
@@ -147,14 +150,14 @@
   subscription->topic = topic;
   subscription->handler = handler;
   subscription->owner = owner;
-  LL_APPEND (bus->subscriptions, subscription);
+  DL_APPEND (bus->subscriptions, subscription);
 }
 
 void
 bus_unsubscribe (struct bus *bus, void *owner)
 {
   struct subscription *subscription;
-  LL_FOREACH (bus->subscriptions, subscription)
+  DL_FOREACH (bus->subscriptions, subscription)
   {
     if (subscription->owner == owner)
       subscription->owner = NULL;
--- a/node/bus.h
+++ b/node/bus.h
@@ -25,6 +25,7 @@
   BUS_SERVICE_REMOVED,
   BUS_EJECTIONS,   /**< the enforced ejections of a service changed */
   BUS_SLOT_SHARES, /**< this host's part of a service's slots changed */
+  BUS_PATH_FAULTS, /**< targets that this host should avoid changed */
   BUS_HOST_SET,    /**< the hosts to hand out for a service changed */
   BUS_MEMBERS,     /**< what is believed of the other hosts changed */
   BUS_SHUTDOWN,    /**< this host is leaving */
@@ -76,6 +77,15 @@
   struct slot_share share;
 };
 
+/** Targets of a service, by name, that this host's dc or this host alone sees
+ * fail: to be avoided, not ejected. */
+struct bus_path_faults
+{
+  char service[SERVICE_NAME_SIZE];
+  char (*targets)[SERVICE_NAME_SIZE];
+  size_t count;
+};
+
 struct bus_message
 {
   enum bus_topic topic;
@@ -86,6 +96,7 @@
     struct bus_ejections ejections;
     struct bus_host_set host_set;
     struct bus_slot_shares slot_shares;
+    struct bus_path_faults path_faults;
   };
 };
 
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -291,10 +291,11 @@
 }
 
 static bool
-is_listed (const struct bus_ejections *ejections, const char *name)
+is_listed (const char (*names)[SERVICE_NAME_SIZE], size_t count,
+           const char *name)
 {
-  for (size_t i = 0; i < ejections->count; i++)
-    if (strcmp (ejections->targets[i], name) == 0)
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (names[i], name) == 0)
       return true;
   return false;
 }
@@ -309,7 +310,8 @@
     {
       struct caller_target *target = &service->targets[i];
       const bool ejected
-          = is_listed (ejections, service->spec->targets[i].name);
+          = is_listed ((const char (*)[SERVICE_NAME_SIZE])ejections->targets,
+                       ejections->count, service->spec->targets[i].name);
       if (ejected == target->ejected)
         continue;
       target->ejected = ejected;
@@ -319,6 +321,27 @@
   run_queue (service);
 }
 
+void
+caller_service_set_path_faults (struct caller_service *service,
+                                const struct bus_path_faults *faults)
+{
+  if (service->spec == NULL)
+    return;
+  for (size_t i = 0; i < service->spec->target_count; i++)
+    {
+      struct caller_target *target = &service->targets[i];
+      const bool avoided
+          = is_listed ((const char (*)[SERVICE_NAME_SIZE])faults->targets,
+                       faults->count, service->spec->targets[i].name);
+      if (avoided == target->avoided)
+        continue;
+      target->avoided = avoided;
+      service_policy_set_avoided (service->policy, clock_now_us (),
+                                  (uint32_t)i, avoided);
+    }
+  run_queue (service);
+}
+
 void
 caller_service_set_leaving (struct caller_service *service, uint64_t key,
                             bool leaving)
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -25,6 +25,7 @@
   uint64_t key;
   bool leaving; /**< it said so itself */
   bool ejected;
+  bool avoided; /**< the path from here to it is at fault */
   bool probing; /**< it is being asked whether it still leaves */
 };
 
@@ -82,6 +83,8 @@
                                const struct slot_share *share);
 void caller_service_set_ejections (struct caller_service *service,
                                    const struct bus_ejections *ejections);
+void caller_service_set_path_faults (struct caller_service *service,
+                                     const struct bus_path_faults *faults);
 
 /** Target KEY says itself that it leaves, or is back. */
 void caller_service_set_leaving (struct caller_service *service, uint64_t key,
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -113,6 +113,17 @@
   caller_service_set_share (entry_of (task, shares->service), &shares->share);
 }
 
+static void
+on_path_faults (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  const struct bus_path_faults *faults = &message->path_faults;
+  struct caller_service *service
+      = find_entry (&task->context, faults->service);
+  if (service != NULL)
+    caller_service_set_path_faults (service, faults);
+}
+
 static void
 on_ejections (void *owner, const struct bus_message *message)
 {
@@ -142,6 +153,7 @@
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
   bus_subscribe (task->bus, BUS_SLOT_SHARES, on_slot_shares, task);
+  bus_subscribe (task->bus, BUS_PATH_FAULTS, on_path_faults, task);
 }
 
 static void
--- a/node/caller/tests/slot_share_test.cc
+++ b/node/caller/tests/slot_share_test.cc
@@ -26,6 +26,37 @@
     bus_post (the_bus, &message);
   }
 
+  static auto
+  one_name (const char *name)
+  {
+    auto names = static_cast<char (*)[SERVICE_NAME_SIZE]> (
+        calloc (1, SERVICE_NAME_SIZE));
+    strcpy (names[0], name);
+    return names;
+  }
+
+  void
+  put_path_fault_of (const char *name)
+  {
+    bus_message message = {};
+    message.topic = BUS_PATH_FAULTS;
+    strcpy (message.path_faults.service, "holds");
+    message.path_faults.targets = one_name (name);
+    message.path_faults.count = 1;
+    bus_post (the_bus, &message);
+  }
+
+  void
+  put_ejection_of (const char *name)
+  {
+    bus_message message = {};
+    message.topic = BUS_EJECTIONS;
+    strcpy (message.ejections.service, "holds");
+    message.ejections.targets = one_name (name);
+    message.ejections.count = 1;
+    bus_post (the_bus, &message);
+  }
+
   void
   put_set_of (size_t count)
   {
@@ -118,3 +149,24 @@
   hold_calls ();
   EXPECT_TRUE (settles_at (2)) << at_target ();
 }
+
+/* The line from this dc to one target drops answers, as others here have
+   found; this host would learn it from its own callers' failures. */
+TEST_F (SlotShareTest, AFaultyPathIsAvoidedButNotClosed)
+{
+  add_target ("t2");
+  put_service (usual_routes);
+  put_path_fault_of ("t1");
+  for (int i = 0; i < 40; i++)
+    EXPECT_EQ (get ("/seats")->status, 200);
+  EXPECT_LE (target_server_counts (target).runs, 4u);
+  EXPECT_EQ (target_server_counts (target).runs
+                 + target_server_counts (targets[1]).runs,
+             40u);
+  // Without another it gets all the work: it was never out.
+  put_ejection_of ("t2");
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (get ("/seats")->status, 200);
+  EXPECT_GE (target_server_counts (target).runs, 10u);
+  EXPECT_LE (target_server_counts (targets[1]).runs, 40u);
+}
--- a/node/ejection/ejection_internal.h
+++ b/node/ejection/ejection_internal.h
@@ -20,6 +20,8 @@
      more are answered when they poll next. */
   EJECTION_POLLERS_MAX = 64,
   EJECTION_PROBES_MAX = 16,
+  /* Targets a host is told to avoid; far more are no path's fault. */
+  EJECTION_AVOID_MAX = 64,
   EJECTION_COMMANDS_MAX = 256,
   /* A target on trial gets whole slices of this length, so that a host's
      connections to it are of use. */
@@ -96,10 +98,12 @@
   size_t trial_count;
   struct ejection_names posted;
 
-  /* This host's part of the slots, as granted by the owner. */
+  /* What the owner has told this host alone: its part of the slots, and the
+     targets to avoid. */
   struct slot_share slots;
-  int64_t slots_poll_ms;  /* answered by the grant */
-  int64_t slots_until_ms; /* lapses then */
+  struct ejection_names avoided;
+  int64_t told_poll_ms;  /* the poll that was answered */
+  int64_t told_until_ms; /* lapses then */
   uint32_t told_demand;
 
   /* While owner. */
@@ -109,6 +113,8 @@
   struct ejection_poller pollers[EJECTION_POLLERS_MAX];
   size_t poller_count;
   struct ejection_names told;
+  struct detection_path *paths; /* at fault */
+  size_t path_count;
   enum floor_role role; /* as last seen */
   uint64_t role_epoch;
   const char *why;      /* of the change under way, for the log */
@@ -232,6 +238,18 @@
                            const struct ejection_news *news);
 void ejection_shares_tick (struct ejection_service *service, int64_t now_ms);
 
+/* ejection_paths.c: targets that only some hosts see fail */
+/* As owner: what the detector found, and the part of it that is POLLER's;
+   room for EJECTION_AVOID_MAX names. */
+void ejection_paths_found (struct ejection_service *service,
+                           const struct detection_path *paths, size_t count);
+size_t ejection_paths_of (const struct ejection_service *service,
+                          const struct ejection_poller *poller,
+                          char (*names)[PEER_NAME_SIZE]);
+/* Avoid COUNT targets here and no others. */
+void ejection_paths_avoid (struct ejection_service *service,
+                           const char (*names)[PEER_NAME_SIZE], size_t count);
+
 /* ejection_calls.c: the floor authority's calls at the platform */
 void ejection_calls_drive (struct ejection_service *service);
 
--- a/node/ejection/ejection_judge.c
+++ b/node/ejection/ejection_judge.c
@@ -182,6 +182,7 @@
 {
   const struct detection_decisions decisions
       = detection_detector_step (service->detector, now_us (service));
+  ejection_paths_found (service, decisions.paths, decisions.path_count);
   for (size_t i = 0; i < decisions.eject_count; i++)
     eject (service, &decisions.eject[i]);
   for (size_t i = 0; i < decisions.reinstate_count; i++)
--- a/node/ejection/ejection_messages.c
+++ b/node/ejection/ejection_messages.c
@@ -23,6 +23,10 @@
   HEAD_SHARE = HEAD_REASON,
   NEWS_COLUMNS,
 
+  /* A row of news about one target. */
+  TARGET_SHARE = 0,
+  TARGET_IS_AVOIDED,
+
   ITEM_KEY = 0,
   ITEM_REQUESTS,
   ITEM_FAILURES,
@@ -90,30 +94,48 @@
   return status;
 }
 
+static void
+format_targets (const struct ejection_news *news, int64_t *rows,
+                char (*names)[PEER_NAME_SIZE])
+{
+  for (size_t i = 0; i < news->count; i++)
+    {
+      if (news->shares_permille != NULL)
+        rows[i * NEWS_COLUMNS + TARGET_SHARE] = news->shares_permille[i];
+      memcpy (names[i], news->names[i], sizeof names[i]);
+    }
+  for (size_t i = news->count; i < news->count + news->avoid_count; i++)
+    {
+      rows[i * NEWS_COLUMNS + TARGET_IS_AVOIDED] = 1;
+      memcpy (names[i], news->avoid[i - news->count], sizeof names[i]);
+    }
+}
+
 enum status
 ejection_send_news (struct ejection_transport *transport, const char *to,
                     const struct ejection_news *news)
 {
-  int64_t *values = xcalloc ((news->count + 1) * NEWS_COLUMNS, sizeof *values);
+  const size_t count = news->count + news->avoid_count;
+  int64_t *values = xcalloc ((count + 1) * NEWS_COLUMNS, sizeof *values);
+  char (*names)[PEER_NAME_SIZE] = xcalloc (count + 1, sizeof *names);
   values[HEAD_KIND] = news->kind;
   values[HEAD_INCARNATION] = (int64_t)news->incarnation;
   values[HEAD_POLL_MS] = news->poll_ms;
   values[HEAD_ENFORCE_MS] = news->enforce_ms;
   values[HEAD_SHARE_FROM] = news->slots.from_permille;
   values[HEAD_SHARE] = news->slots.permille;
-  for (size_t i = 0; i < news->count && news->shares_permille != NULL; i++)
-    values[(i + 1) * NEWS_COLUMNS] = news->shares_permille[i];
-  struct peer_report message
-      = { .epoch = news->epoch,
-          .sequence = news->sequence,
-          .columns = NEWS_COLUMNS,
-          .values = values,
-          .value_count = (news->count + 1) * NEWS_COLUMNS,
-          .names = (char (*)[PEER_NAME_SIZE])news->names,
-          .name_count = news->count };
+  format_targets (news, values + NEWS_COLUMNS, names);
+  struct peer_report message = { .epoch = news->epoch,
+                                 .sequence = news->sequence,
+                                 .columns = NEWS_COLUMNS,
+                                 .values = values,
+                                 .value_count = (count + 1) * NEWS_COLUMNS,
+                                 .names = names,
+                                 .name_count = count };
   set_service (&message, news->service);
   const enum status status
       = send_rows (transport, to, PEER_DECISION, &message);
+  free (names);
   free (values);
   return status;
 }
@@ -217,6 +239,24 @@
          && slots->permille <= SHARE_MOST_PERMILLE;
 }
 
+/* The ejected targets come first, *EJECTED of the COUNT rows. */
+static bool
+read_targets (const int64_t *rows, size_t count, uint32_t *shares,
+              size_t *ejected)
+{
+  *ejected = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const int64_t *row = rows + i * NEWS_COLUMNS;
+      const int64_t avoided = row[TARGET_IS_AVOIDED];
+      if (!read_count (row[TARGET_SHARE], &shares[i]) || shares[i] > PERMILLE
+          || avoided < 0 || avoided > 1 || (avoided == 0 && *ejected < i))
+        return false;
+      *ejected += (size_t)(avoided == 0);
+    }
+  return true;
+}
+
 bool
 ejection_read_news (const struct peer_report *message,
                     struct ejection_news *news)
@@ -229,13 +269,14 @@
       || !read_slots (message->values, &slots))
     return false;
   uint32_t *shares = xcalloc (count + 1, sizeof *shares);
-  for (size_t i = 0; i < count; i++)
-    if (!read_count (message->values[(i + 1) * NEWS_COLUMNS], &shares[i])
-        || shares[i] > PERMILLE)
-      {
-        free (shares);
-        return false;
-      }
+  size_t ejected;
+  if (!read_targets (message->values + NEWS_COLUMNS, count, shares, &ejected))
+    {
+      free (shares);
+      return false;
+    }
+  const char (*names)[PEER_NAME_SIZE]
+      = (const char (*)[PEER_NAME_SIZE])message->names;
   *news = (struct ejection_news){
     .kind = ejection_message_kind (message),
     .service = message->service,
@@ -244,9 +285,11 @@
     .enforce_ms = enforce_ms,
     .incarnation = (uint64_t)message->values[HEAD_INCARNATION],
     .poll_ms = message->values[HEAD_POLL_MS],
-    .names = (const char (*)[PEER_NAME_SIZE])message->names,
+    .names = names,
     .shares_permille = shares,
-    .count = count,
+    .count = ejected,
+    .avoid = names + ejected,
+    .avoid_count = count - ejected,
     .slots = slots,
   };
   return true;
--- a/node/ejection/ejection_messages.h
+++ b/node/ejection/ejection_messages.h
@@ -58,6 +58,10 @@
   /** For each target, how much of the time it is let through on trial. */
   const uint32_t *shares_permille;
   size_t count;
+  /** In a decision: targets that the receiver should avoid, which its dc or
+   * it alone sees fail. */
+  const char (*avoid)[PEER_NAME_SIZE];
+  size_t avoid_count;
   struct slot_share slots; /**< in a decision: granted to the receiver */
 };
 
--- a/node/ejection/ejection_owner.c
+++ b/node/ejection/ejection_owner.c
@@ -83,6 +83,7 @@
       target_probe_destroy (service->probes[i]);
       service->probes[i] = NULL;
     }
+  service->path_count = 0;
   service->poller_count = 0;
   service->told.count = 0;
 }
@@ -148,6 +149,7 @@
   uint32_t *shares = xcalloc (decision->count + 1, sizeof *shares);
   for (size_t i = 0; i < decision->count; i++)
     shares[i] = ejection_judge_share (service, decision->targets[i]);
+  char avoid[EJECTION_AVOID_MAX][PEER_NAME_SIZE] = { { '\0' } };
   const struct ejection_news news
       = { .kind = EJECTION_DECISION,
           .service = service->name,
@@ -159,6 +161,8 @@
           .names = decision->targets,
           .shares_permille = shares,
           .count = decision->count,
+          .avoid = (const char (*)[PEER_NAME_SIZE])avoid,
+          .avoid_count = ejection_paths_of (service, poller, avoid),
           .slots = ejection_shares_grant (service, poller) };
   const struct ejection_task *task = service->task;
   if (strcmp (poller->host, task->options.settings->name) == 0)
--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -66,6 +66,8 @@
   free (service->trials);
   free (service->posted.names);
   free (service->told.names);
+  free (service->avoided.names);
+  free (service->paths);
   free (service);
 }
 
--- a/node/ejection/ejection_shares.c
+++ b/node/ejection/ejection_shares.c
@@ -144,12 +144,13 @@
 {
   const int64_t now_ms = ejection_now_ms (service->task);
   const int64_t until_ms = news->poll_ms + news->enforce_ms;
-  if (news->slots.permille == 0 || news->poll_ms < service->slots_poll_ms
+  if (news->slots.permille == 0 || news->poll_ms < service->told_poll_ms
       || news->poll_ms > now_ms || until_ms <= now_ms)
     return;
-  service->slots_poll_ms = news->poll_ms;
-  service->slots_until_ms = until_ms;
+  service->told_poll_ms = news->poll_ms;
+  service->told_until_ms = until_ms;
   hold (service, &news->slots);
+  ejection_paths_avoid (service, news->avoid, news->avoid_count);
 }
 
 /* Guards against a host that keeps most of the slots while the owner it can't
@@ -158,6 +159,8 @@
 ejection_shares_tick (struct ejection_service *service, int64_t now_ms)
 {
   const struct slot_share none = { .permille = 0 };
-  if (now_ms >= service->slots_until_ms)
-    hold (service, &none);
+  if (now_ms < service->told_until_ms)
+    return;
+  hold (service, &none);
+  ejection_paths_avoid (service, NULL, 0);
 }
--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -141,6 +141,8 @@
   ejection_task *task = nullptr;
   detection_recorder *recorder = nullptr;
   std::set<std::string> out;
+  std::set<std::string> avoided;
+  std::set<std::string> bad_from_here; // fail for this host alone
   slot_share slots = {};
   int slot_news = 0; // how often the share was posted
   uint32_t demand = 0;
@@ -239,6 +241,15 @@
           host->slot_news++;
         },
         &h);
+    bus_subscribe (
+        h.messages, BUS_PATH_FAULTS,
+        [] (void *owner, const bus_message *m) {
+          auto *host = static_cast<fleet_host *> (owner);
+          host->avoided.clear ();
+          for (size_t k = 0; k < m->path_faults.count; k++)
+            host->avoided.insert (m->path_faults.targets[k]);
+        },
+        &h);
     post_hosts (i);
     if (spec_version > 0)
       post_spec (i);
@@ -334,7 +345,9 @@
           if (h.out.count (t) == 0 && !h.frozen)
             detection_recorder_record (
                 h.recorder, target_key (t),
-                bad.count (t) ? ATTEMPT_FAILED : ATTEMPT_ANSWERED, 1500);
+                bad.count (t) || h.bad_from_here.count (t) ? ATTEMPT_FAILED
+                                                           : ATTEMPT_ANSWERED,
+                1500);
         }
   }
 
--- a/node/ejection/tests/ejection_messages_test.cc
+++ b/node/ejection/tests/ejection_messages_test.cc
@@ -79,9 +79,11 @@
 {
   const char names[2][PEER_NAME_SIZE] = { "t1", "t2" };
   const uint32_t shares[2] = { 0, 50 };
-  const ejection_news sent
-      = { EJECTION_DECISION, "holds", 3, 4, 900, 5, 6, names, shares, 2,
-          { 350, 1250 } };
+  const char avoid[1][PEER_NAME_SIZE] = { "t7" };
+  const ejection_news sent = {
+    EJECTION_DECISION, "holds", 3, 4, 900, 5, 6, names, shares, 2, avoid, 1,
+    { 350, 1250 }
+  };
   ASSERT_EQ (ejection_send_news (&last.base, "h", &sent), STATUS_OK);
   ejection_news got;
   ASSERT_TRUE (ejection_read_news (report (), &got));
@@ -93,9 +95,16 @@
   ASSERT_EQ (got.count, 2U);
   EXPECT_STREQ (got.names[1], "t2");
   EXPECT_EQ (got.shares_permille[1], 50U);
+  ASSERT_EQ (got.avoid_count, 1U);
+  EXPECT_STREQ (got.avoid[0], "t7");
   EXPECT_EQ (got.slots.from_permille, 350U);
   EXPECT_EQ (got.slots.permille, 1250U);
   free ((void *)got.shares_permille);
+  // A target to avoid among those ejected, or neither.
+  report ()->values[report ()->columns + 1] = 1;
+  EXPECT_FALSE (ejection_read_news (report (), &got));
+  report ()->values[report ()->columns + 1] = 2;
+  EXPECT_FALSE (ejection_read_news (report (), &got));
 }
 
 TEST_F (EjectionMessages, OrdersComeBack)
--- a/node/ejection/tests/slot_shares_task_test.cc
+++ b/node/ejection/tests/slot_shares_task_test.cc
@@ -144,10 +144,31 @@
   news.epoch = floor_owner_epoch (f.service (0)->owner);
   news.enforce_ms = 900;
   news.incarnation = f.hosts[1].task->options.incarnation;
-  news.poll_ms = f.service (1)->slots_poll_ms - 1;
+  news.poll_ms = f.service (1)->told_poll_ms - 1;
   news.slots = { 0, 999 };
   ejection_service_news (f.service (1), "host-0", &news);
   f.turn ();
   EXPECT_EQ (f.hosts[1].slots.permille, before);
+  news.poll_ms = fleet_now_ms + 60000; // would hold for a minute
+  ejection_service_news (f.service (1), "host-0", &news);
+  f.turn ();
+  EXPECT_EQ (f.hosts[1].slots.permille, before);
+}
+
+// Every host in one dc would find out for itself, request by request, that
+// the cable from there to a target is bad; those elsewhere must keep using it.
+TEST_F (SlotSharesTask, APathFaultIsAvoidedWhereItIsSeen)
+{
+  f.run (3000); // the detector learns what is normal
+  f.hosts[1].bad_from_here = { "t3" };
+  ASSERT_TRUE (
+      f.until (long_ms, [&] { return f.hosts[1].avoided.count ("t3") > 0; }));
+  f.run (500);
+  EXPECT_EQ (f.hosts[1].avoided.size (), 1U);
+  EXPECT_TRUE (f.hosts[0].avoided.empty ());
+  EXPECT_TRUE (f.hosts[2].avoided.empty ());
+  EXPECT_TRUE (f.none_out ("t3"));
+  f.cut[0][1] = true; // lapses like all that an owner tells
+  EXPECT_TRUE (f.until (1000, [&] { return f.hosts[1].avoided.empty (); }));
 }
 }
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -115,7 +115,8 @@
   const double left_us = (double)(r->deadline_us - policy->now_us);
   const double answer_us = chooser_answer_us (&policy->set, t);
   if (!r->repeatable)
-    return !outlook->fits && !t->failing && 2 * answer_us <= left_us;
+    return !outlook->fits && !t->failing && !t->avoided
+           && 2 * answer_us <= left_us;
   if (!outlook->fits)
     return answer_us <= left_us;
   return answer_us <= outlook->wait_us + policy->set.baseline.latency_us;
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -17,7 +17,7 @@
 bool
 target_state_is_suspect (const struct target_state *t)
 {
-  return t->failing || t->slow;
+  return t->failing || t->slow || t->avoided;
 }
 
 double
@@ -273,6 +273,20 @@
   place (set, now_us, number);
 }
 
+void
+target_set_avoid (struct target_set *set, int64_t now_us, uint32_t number,
+                  bool avoided)
+{
+  struct target_state *t = &set->targets[number];
+  const uint32_t was
+      = target_state_is_eligible (t) && target_state_is_suspect (t);
+  t->avoided = avoided;
+  const uint32_t is
+      = target_state_is_eligible (t) && target_state_is_suspect (t);
+  set->suspects += is - was;
+  place (set, now_us, number);
+}
+
 void
 target_set_take (struct target_set *set, int64_t now_us, uint32_t number)
 {
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -41,6 +41,7 @@
   bool ejected;
   bool failing;         /**< its failure share stands out */
   bool slow;            /**< its latency stands out */
+  bool avoided;         /**< others know that the path to it is at fault */
   int64_t warm_from_us; /**< start of its warm-up; INT64_MIN: warm */
   uint64_t requests;
   uint64_t failures;
@@ -79,6 +80,10 @@
 void target_set_eject (struct target_set *set, int64_t now_us, uint32_t number,
                        bool ejected);
 
+/** Make the target a suspect on the word of others, or end that. */
+void target_set_avoid (struct target_set *set, int64_t now_us, uint32_t number,
+                       bool avoided);
+
 /** Take a free slot of the target. */
 void target_set_take (struct target_set *set, int64_t now_us, uint32_t number);
 
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -96,6 +96,16 @@
     target_set_eject (&policy->set, now_us, target, ejected);
 }
 
+void
+service_policy_set_avoided (struct service_policy *policy, int64_t now_us,
+                            uint32_t target, bool avoided)
+{
+  policy->now_us = now_us;
+  policy->asked_us = INT64_MIN;
+  if (target < policy->set.count)
+    target_set_avoid (&policy->set, now_us, target, avoided);
+}
+
 struct policy_decision
 service_policy_admit (struct service_policy *policy, int64_t now_us,
                       const struct policy_request *r)
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -136,6 +136,11 @@
 void service_policy_set_ejected (struct service_policy *policy, int64_t now_us,
                                  uint32_t target, bool ejected);
 
+/** The path from here to TARGET is said to be at fault, or good again: it is
+ * avoided like a suspect, and never made ineligible. */
+void service_policy_set_avoided (struct service_policy *policy, int64_t now_us,
+                                 uint32_t target, bool avoided);
+
 /** Decide on a new request or on a further attempt of one. */
 struct policy_decision service_policy_admit (struct service_policy *policy,
                                              int64_t now_us,
