target calls: an answer that contradicts itself on its length is void

Cause: a target that sent both Content-Length and chunks, or two different lengths, or one such as "+5", was read by libcurl by one word and passed on by the other: callers got a 200 with 5 of 12 bytes that looked whole. Ruled out: 204, 205 and 304 with or without a length, HEAD with a length, with chunks and without either end at their head (test added, green before as well). Conclusion: chunks overrule a length, as RFC 9112 6.3 has it; anything else that contradicts itself ends as cut, so "unknown" or a retry.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -23,7 +23,7 @@
   struct header_list answer;
   bool head_only;
   bool head_told;
-  bool too_large;
+  const char *fault; /* why its answer was refused */
   bool read_paused;
   bool body_paused;
   uint32_t sendings;
@@ -52,24 +52,56 @@
   return call->read_paused ? CURL_READFUNC_PAUSE : got;
 }
 
+static bool
+is_number (const char *text)
+{
+  return text[0] != '\0' && strspn (text, "0123456789") == strlen (text);
+}
+
+/* How long the answer's body is; -1: it tells its end by itself.
+   Guards against a target that contradicts itself, which libcurl bears with:
+   it reads by one word, and the caller was told the other, so that a part of
+   the answer looked whole to it.  Chunks overrule a length (RFC 9112, 6.3);
+   two lengths, or one that is no number, make the answer void. */
+static bool
+read_length (const struct target_call *call, int64_t *length)
+{
+  const struct header_list *answer = &call->answer;
+  *length = -1;
+  if (header_list_find (answer, "Transfer-Encoding") != NULL)
+    return true;
+  const char *first = header_list_find (answer, "Content-Length");
+  if (first == NULL)
+    return true;
+  for (size_t i = 0; i < answer->count; i++)
+    if (strcasecmp (header_list_name (answer, i), "Content-Length") == 0
+        && strcmp (header_list_value (answer, i), first) != 0)
+      return false;
+  *length = strtoll (first, NULL, 10);
+  return is_number (first);
+}
+
 /* The final answer's head is complete at its empty line.  1xx heads before it
    and trailers behind the body come through the same callback. */
-static void
+static bool
 end_of_head (struct target_call *call)
 {
   long status = 0;
+  int64_t length = -1;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   if (status < STATUS_FINAL_MIN)
-    return;
-  curl_off_t length = -1;
-  const char *announced = header_list_find (&call->answer, "Content-Length");
-  if (announced != NULL)
-    length = strtoll (announced, NULL, 10);
+    return true;
+  if (!read_length (call, &length))
+    {
+      call->fault = "the answer contradicts itself on its length";
+      return false;
+    }
   call->head_told = true;
   const struct target_head head = { .status = (uint32_t)status,
                                     .length_bytes = length,
                                     .headers = &call->answer };
   call->events->head (call->owner, &head);
+  return true;
 }
 
 static bool
@@ -102,10 +134,10 @@
   if (total >= 5 && memcmp (line, "HTTP/", 5) == 0)
     header_list_clear (&call->answer);
   else if (line[0] == '\r' || line[0] == '\n')
-    end_of_head (call);
+    return end_of_head (call) ? total : 0;
   else if (!add_field (call, line, total))
     {
-      call->too_large = true;
+      call->fault = "the answer's header fields are too large";
       return 0;
     }
   return total;
@@ -137,8 +169,8 @@
   const char *message = call->message;
   if (message[0] == '\0')
     message = curl_easy_strerror (code);
-  if (call->too_large)
-    message = "the answer's header fields are too large";
+  if (call->fault != NULL)
+    message = call->fault;
   enum target_call_end end = TARGET_CALL_CUT;
   if (call->sendings == 0)
     end = TARGET_CALL_NOT_SENT;
--- a/node/caller/tests/bad_target_test.cc
+++ b/node/caller/tests/bad_target_test.cc
@@ -96,6 +96,70 @@
     EXPECT_EQ (get ("/calendar", "r")->answer, "mine");
 }
 
+/* A target contradicts itself on how long its answer is.  Taken at one word
+   and passed on by the other, half an answer would look whole. */
+TEST_F (BadTargetTest, ContradictingLengthsNeverLookWhole)
+{
+  const std::string chunks = "5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n";
+  for (const std::string &answer :
+       { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n"
+             + chunks,
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+         "Content-Length: 5\r\n\r\n"
+             + chunks,
+         std::string ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                      "Content-Length: 12\r\n\r\nwhole answer"),
+         std::string ("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"
+                      "Content-Length: 5\r\n\r\nwhole answer"),
+         std::string ("HTTP/1.1 200 OK\r\nContent-Length: 5, 12\r\n\r\n"
+                      "whole answer"),
+         std::string ("HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\n"
+                      "whole answer"),
+         std::string ("HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\n"
+                      "whole answer"),
+         std::string ("HTTP/1.1 200 OK\r\nContent-Length: 5 \r\n"
+                      "content-length: 12\r\n\r\nwhole answer") })
+    {
+      auto call = hold (answer);
+      EXPECT_TRUE (call->code != CURLE_OK || call->status == 502
+                   || call->answer == "whole answer")
+          << answer << "\n-> " << call->answer;
+    }
+}
+
+/* Answers that have no body whatever they announce: the caller must not wait
+   for one, nor take the next answer for it. */
+TEST_F (BadTargetTest, AnswersWithoutABodyEndAtTheirHead)
+{
+  for (const char *status :
+       { "204 No Content", "304 Not Modified", "205 Reset Content" })
+    for (const char *length :
+         { "", "Content-Length: 0\r\n", "Content-Length: 9\r\n" })
+      {
+        const bool reset = status[2] == '5';
+        if (reset && length[0] != '\0' && length[16] == '9')
+          continue;
+        raw->answer = std::string ("HTTP/1.1 ") + status
+                      + "\r\nETag: \"a\"\r\n" + length + "\r\n";
+        auto call = get ("/calendar", "r1");
+        EXPECT_EQ (call->code, CURLE_OK) << status << " " << length;
+        EXPECT_EQ (call->status, atoi (status)) << length;
+        EXPECT_EQ (call->answer, "");
+        EXPECT_EQ (call->field ("etag"), "\"a\"");
+      }
+  for (const char *length :
+       { "Content-Length: 9\r\n", "", "Transfer-Encoding: chunked\r\n" })
+    {
+      raw->answer = std::string ("HTTP/1.1 200 OK\r\n") + length + "\r\n";
+      auto call = make ("HEAD", "/calendar", "r1");
+      finish (call.get ());
+      EXPECT_EQ (call->code, CURLE_OK) << length;
+      EXPECT_EQ (call->status, 200);
+      EXPECT_EQ (call->field ("content-length"), length[0] == 'C' ? "9" : "");
+    }
+}
+
 /* Only a refusal's own status lets "not run" count; in any other answer the
    word is no more than a field that isn't passed on. */
 TEST_F (BadTargetTest, OutcomeOfTheFleetCantBeForged)
