--- a/base/counters.c
+++ b/base/counters.c
@@ -48,14 +48,15 @@
 static void
 family_destroy (struct counter_family *family)
 {
-  struct series *series;
-  struct series *next;
-  HASH_ITER (hh, family->series, series, next)
-  {
-    HASH_DEL (family->series, series);
-    free (series->labels);
-    free (series);
-  }
+  struct series *series = family->series;
+  HASH_CLEAR (hh, family->series);
+  while (series != NULL)
+    {
+      struct series *next = series->hh.next;
+      free (series->labels);
+      free (series);
+      series = next;
+    }
   for (int i = 0; i < LABELS_MAX; i++)
     free (family->label_names[i]);
   free (family->help);
@@ -68,13 +69,14 @@
 {
   if (counters == NULL)
     return;
-  struct counter_family *family;
-  struct counter_family *next;
-  HASH_ITER (hh, counters->families, family, next)
-  {
-    HASH_DEL (counters->families, family);
-    family_destroy (family);
-  }
+  struct counter_family *family = counters->families;
+  HASH_CLEAR (hh, counters->families);
+  while (family != NULL)
+    {
+      struct counter_family *next = family->hh.next;
+      family_destroy (family);
+      family = next;
+    }
   free (counters);
 }
 
@@ -99,12 +101,12 @@
   return family;
 }
 
+/* TEXT is empty at first. */
 static void
 format_labels (const struct counter_family *family,
                const char *const *label_values, char text[LABELS_TEXT_SIZE])
 {
   size_t used = 0;
-  text[0] = '\0';
   for (int i = 0; i < LABELS_MAX && family->label_names[i] != NULL; i++)
     {
       const char *value = label_values == NULL ? "other" : label_values[i];
@@ -122,7 +124,7 @@
 struct counter *
 counter_series (struct counter_family *family, const char *const *label_values)
 {
-  char labels[LABELS_TEXT_SIZE];
+  char labels[LABELS_TEXT_SIZE] = "";
   format_labels (family, label_values, labels);
   struct series *series;
   HASH_FIND_STR (family->series, labels, series);
--- a/node/daemon/backend.c
+++ b/node/daemon/backend.c
@@ -18,7 +18,7 @@
   struct service_command *command;
   operator_result_done *done;
   void *owner;
-  struct change *next;
+  struct change *prev, *next;
 };
 
 /** A question to the hosts of a set. */
@@ -27,7 +27,7 @@
   struct backend *backend;
   operator_in_force_done *done;
   void *owner;
-  struct ask *next;
+  struct ask *prev, *next;
 };
 
 struct backend
@@ -42,7 +42,7 @@
 changed (void *owner, const struct operator_result *result)
 {
   struct change *change = owner;
-  LL_DELETE (change->backend->changes, change);
+  DL_DELETE (change->backend->changes, change);
   change->done (change->owner, result);
   free (change);
 }
@@ -61,7 +61,7 @@
   change->backend = backend;
   change->done = done;
   change->owner = owner;
-  LL_PREPEND (backend->changes, change);
+  DL_PREPEND (backend->changes, change);
   change->command = service_command_start (&options, command, changed, change);
 }
 
@@ -84,7 +84,7 @@
     .not_heard_from = result->silent,
     .not_heard_from_count = result->silent_count,
   };
-  LL_DELETE (ask->backend->asks, ask);
+  DL_DELETE (ask->backend->asks, ask);
   ask->done (ask->owner, &report);
   free (ask);
 }
@@ -99,7 +99,7 @@
   ask->backend = backend;
   ask->done = done;
   ask->owner = owner;
-  LL_PREPEND (backend->asks, ask);
+  DL_PREPEND (backend->asks, ask);
   control_ask_in_force (backend->options.control, command->service, version,
                         within_ms, asked, ask);
 }
@@ -121,7 +121,7 @@
 static void
 drop_change (struct backend *backend, struct change *change)
 {
-  LL_DELETE (backend->changes, change);
+  DL_DELETE (backend->changes, change);
   service_command_cancel (change->command);
   free (change);
 }
@@ -129,7 +129,7 @@
 static void
 drop_ask (struct backend *backend, struct ask *ask)
 {
-  LL_DELETE (backend->asks, ask);
+  DL_DELETE (backend->asks, ask);
   control_cancel (backend->options.control, ask);
   free (ask);
 }
@@ -140,14 +140,14 @@
   struct backend *backend = (struct backend *)base;
   struct change *change;
   struct change *next_change;
-  LL_FOREACH_SAFE (backend->changes, change, next_change)
+  DL_FOREACH_SAFE (backend->changes, change, next_change)
   {
     if (change->owner == owner)
       drop_change (backend, change);
   }
   struct ask *ask;
   struct ask *next_ask;
-  LL_FOREACH_SAFE (backend->asks, ask, next_ask)
+  DL_FOREACH_SAFE (backend->asks, ask, next_ask)
   {
     if (ask->owner == owner)
       drop_ask (backend, ask);
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -3,7 +3,6 @@
 #include "node/daemon/host.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/counters.h"
 #include "base/log.h"
@@ -280,23 +279,10 @@
   caller_task_begin_leaving (host->caller, caller_left, host);
 }
 
-/* The logger's members apart, the two are alike when nothing needs a
-   restart. */
-static bool
-needs_restart (const struct host_settings *old,
-               const struct host_settings *new)
-{
-  struct host_settings same = *new;
-  same.log_level = old->log_level;
-  same.log_json = old->log_json;
-  same.log_repeats_per_second = old->log_repeats_per_second;
-  return memcmp (&same, old, sizeof same) != 0;
-}
-
 void
 host_reload (struct host *host, const struct host_settings *settings)
 {
-  const bool restart = needs_restart (&host->settings, settings);
+  const bool restart = host_settings_need_restart (&host->settings, settings);
   LOG_INFO (
       "reloaded", LOG_STR ("in_force", "log"),
       LOG_STR ("needs_restart", restart ? "all else that changed" : "-"));
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -308,6 +308,9 @@
          && strcmp (a->caller_address, b->caller_address) == 0
          && strcmp (a->peer_address, b->peer_address) == 0
          && strcmp (a->operator_address, b->operator_address) == 0
+         && strcmp (a->caller_advertised, b->caller_advertised) == 0
+         && strcmp (a->peer_advertised, b->peer_advertised) == 0
+         && strcmp (a->operator_advertised, b->operator_advertised) == 0
          && strcmp (a->platform_file, b->platform_file) == 0
          && strcmp (a->secret_file, b->secret_file) == 0;
 }
--- a/node/tables.c
+++ b/node/tables.c
@@ -13,7 +13,7 @@
   char *name;
   tables_rows *rows;
   void *owner;
-  struct table *next;
+  struct table *prev, *next;
 };
 
 struct tables
@@ -30,7 +30,7 @@
 static void
 table_destroy (struct tables *tables, struct table *table)
 {
-  LL_DELETE (tables->first, table);
+  DL_DELETE (tables->first, table);
   free (table->name);
   free (table);
 }
@@ -53,7 +53,7 @@
   table->name = xstrdup (name);
   table->rows = rows;
   table->owner = owner;
-  LL_APPEND (tables->first, table);
+  DL_APPEND (tables->first, table);
 }
 
 void
@@ -61,7 +61,7 @@
 {
   struct table *table;
   struct table *next;
-  LL_FOREACH_SAFE (tables->first, table, next)
+  DL_FOREACH_SAFE (tables->first, table, next)
   {
     if (table->owner == owner)
       table_destroy (tables, table);
@@ -83,7 +83,7 @@
 {
   struct json_object *all = NULL;
   const struct table *table;
-  LL_FOREACH (tables->first, table)
+  DL_FOREACH (tables->first, table)
   {
     if (strcmp (table->name, name) != 0)
       continue;
@@ -109,7 +109,7 @@
 {
   struct json_object *names = json_object_new_array ();
   const struct table *table;
-  LL_FOREACH (tables->first, table)
+  DL_FOREACH (tables->first, table)
   {
     if (!named_before (tables, table))
       json_object_array_add (names, json_object_new_string (table->name));
