caller: an attempt that hangs leaves time for another target

Cause: a gray target, or a cut that carries one way only, held a repeatable request until its whole deadline, 10 s by default, though another target would have had the answer. An attempt of a repeatable request now has a time for its answer's head: ten times the service's typical latency (the median over its targets), no less than 1 s, at most half of the time left. Weighed: a lower multiple cuts off honest answers of thrice the typical latency (at 2 the test of that is red); below 1 s, pauses of a healthy target would count as hanging; half the time left leaves as much to the next attempt. When half the time left is less than five times the typical latency, or no attempt is left, it waits for its deadline; when nothing is known of the service yet, half the time. The time that a target waits for a slow caller's body doesn't count. When it is over, the request moves only to a target in good standing that it hasn't tried, with a free slot, within the retry budget and if its body can be sent again; the hanging attempt is cancelled and counted as timed out. Else it waits on, and nothing is taken from the budget. Unrepeatable requests are never left. Ruled out: a guard for a host that stood still (its timer would come before the answer that lies unread): the loop reads first, the test of it was green without the guard, so there is none.

--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -15,6 +15,10 @@
       = { .name = "jaystair_retries_total",
           .help = "Attempts after the first one of a request.",
           .label_names = { "service" } };
+  const struct counter_family_options timeouts
+      = { .name = "jaystair_attempt_timeouts_total",
+          .help = "Attempts whose target hung, by what followed.",
+          .label_names = { "service", "then" } };
   const struct counter_family_options refusals
       = { .name = "jaystair_refusals_total",
           .help = "Requests answered by the fleet itself, by reason.",
@@ -29,6 +33,7 @@
   own->requests = counters_family (counters, &requests);
   own->attempts = counters_family (counters, &attempts);
   own->retries = counters_family (counters, &retries);
+  own->timeouts = counters_family (counters, &timeouts);
   own->refusals = counters_family (counters, &refusals);
   own->in_flight
       = counter_series (counters_family (counters, &in_flight), NULL);
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -12,6 +12,7 @@
   struct counter_family *requests; /**< by service and outcome */
   struct counter_family *attempts; /**< by service and end */
   struct counter_family *retries;  /**< by service */
+  struct counter_family *timeouts; /**< by service and what followed */
   struct counter_family *refusals; /**< by service and reason */
   struct counter *in_flight;
   struct counter *address_answers;
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -15,6 +15,7 @@
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_caller.h"
 #include "node/caller/exchange_ticket.h"
+#include "node/caller/exchange_timeout.h"
 
 enum
 {
@@ -328,12 +329,17 @@
   switch (x->state)
     {
     case EXCHANGE_WAITING:
-    case EXCHANGE_SENT:
       if (left_us > 0)
         exchange_arm (x, left_us);
       else
         deadline_passed (x);
       break;
+    case EXCHANGE_SENT:
+      if (left_us > 0)
+        exchange_timeout_due (x);
+      else
+        deadline_passed (x);
+      break;
     case EXCHANGE_ANSWERING:
       check_progress (x);
       break;
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -39,8 +39,8 @@
 /* How long the target took.  Guards against callers that make their target
    look slow: one that reads slowly (the time then runs to the head), and one
    that sends its body slowly (the time spent waiting for it doesn't count). */
-static int64_t
-latency_us (const struct exchange_attempt *attempt)
+int64_t
+exchange_attempt_latency_us (const struct exchange_attempt *attempt)
 {
   const bool to_head = attempt->held_back && attempt->head_seen;
   const int64_t now_us = clock_now_us ();
@@ -66,7 +66,8 @@
     return;
   caller_counters_add (x->context->counters.attempts, x->service->name,
                        end_name (end));
-  caller_service_outcome (x->service, attempt->key, end, latency_us (attempt),
+  caller_service_outcome (x->service, attempt->key, end,
+                          exchange_attempt_latency_us (attempt),
                           x->repeatable);
 }
 
@@ -194,8 +195,8 @@
   return x->head.head_bytes + (uint32_t)body_bytes;
 }
 
-static struct policy_request
-policy_request_of (const struct exchange *x)
+struct policy_request
+exchange_policy_request (const struct exchange *x)
 {
   struct policy_request r = {
     .id = x->id,
@@ -254,7 +255,7 @@
 void
 exchange_admit (struct exchange *x)
 {
-  const struct policy_request r = policy_request_of (x);
+  const struct policy_request r = exchange_policy_request (x);
   const struct policy_decision decision
       = caller_service_admit (x->service, &r, &x->waiter);
   exchange_decided (x, &decision);
@@ -270,7 +271,7 @@
     return false;
   struct target_call *failed = x->attempt.call;
   settle (x, ATTEMPT_FAILED);
-  const struct policy_request r = policy_request_of (x);
+  const struct policy_request r = exchange_policy_request (x);
   const struct policy_decision decision
       = caller_service_admit (x->service, &r, &x->waiter);
   caller_service_forget (x->service, &x->waiter);
--- a/node/caller/exchange_attempt.h
+++ b/node/caller/exchange_attempt.h
@@ -10,6 +10,13 @@
 /** Ask the policy for a target and do as it says. */
 void exchange_admit (struct exchange *x);
 
+/** How long the target took so far, without the time for which it waited for
+ * the caller. */
+int64_t exchange_attempt_latency_us (const struct exchange_attempt *attempt);
+
+/** X's next attempt as the policy is asked for it. */
+struct policy_request exchange_policy_request (const struct exchange *x);
+
 /** The head of an answer is there: use it, or try again. */
 void exchange_judge (struct exchange *x);
 
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "node/caller/decision_note.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_timeout.h"
 
 enum
 {
@@ -94,6 +95,7 @@
   attempt->held_back = false;
   attempt->starved_us = 0;
   attempt->starved_from_us = 0;
+  attempt->timeout_us = ATTEMPT_NO_TIMEOUT;
   attempt->open = true;
   attempt->started_us = clock_now_us ();
   const bool rewound = stream_buffer_rewind (&x->upload);
@@ -144,6 +146,7 @@
   if (x->attempts > 1)
     caller_counters_add (x->context->counters.retries, x->service->name, NULL);
   send_to (x, target->address, extra);
+  exchange_timeout_begin (x);
 }
 
 void
--- /dev/null
+++ b/node/caller/exchange_timeout.c
@@ -0,0 +1,85 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/exchange_timeout.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "node/caller/exchange_attempt.h"
+
+enum
+{
+  LOOK_AGAIN_US = 10000 /* least time between two looks at an attempt */
+};
+
+/* Arm the timer for the attempt's end in REST_US, or for the deadline. */
+static void
+arm (struct exchange *x, int64_t rest_us)
+{
+  const int64_t now_us = clock_now_us ();
+  const int64_t left_us = x->deadline_us - now_us;
+  const int64_t wait_us = rest_us < left_us ? rest_us : left_us;
+  exchange_arm (x, wait_us);
+}
+
+void
+exchange_timeout_begin (struct exchange *x)
+{
+  if (!x->repeatable)
+    return;
+  struct policy_request r = exchange_policy_request (x);
+  r.attempt = x->attempts;
+  x->attempt.timeout_us = service_policy_attempt_timeout_us (
+      x->service->policy, x->attempt.started_us, &r);
+  arm (x, x->attempt.timeout_us);
+}
+
+static void
+note (const struct exchange *x, const char *then)
+{
+  const char *service = x->service->name;
+  const char *target = x->attempt.target;
+  LOG_INFO ("attempt-hangs", LOG_STR ("service", service),
+            LOG_INT ("request", x->id), LOG_STR ("target", target),
+            LOG_INT ("timeout_us", x->attempt.timeout_us),
+            LOG_STR ("then", then), LOG_STR ("why", "attempt-timeout"));
+  caller_counters_add (x->context->counters.timeouts, service, then);
+}
+
+/* A body whose beginning is gone can't be sent again; see try_again() in
+   exchange_attempt.c. */
+static bool
+go_elsewhere (struct exchange *x)
+{
+  if (x->upload.dropped)
+    return false;
+  const struct policy_request r = exchange_policy_request (x);
+  struct policy_decision decision;
+  if (!service_policy_admit_elsewhere (x->service->policy, clock_now_us (), &r,
+                                       &decision))
+    return false;
+  note (x, "elsewhere");
+  const bool sent = target_call_perhaps_sent (x->attempt.call);
+  exchange_drop_attempt (x, sent ? ATTEMPT_TIMED_OUT : ATTEMPT_NOT_SENT);
+  exchange_decided (x, &decision);
+  return true;
+}
+
+void
+exchange_timeout_due (struct exchange *x)
+{
+  struct exchange_attempt *attempt = &x->attempt;
+  const int64_t rest_us
+      = attempt->timeout_us == ATTEMPT_NO_TIMEOUT
+            ? ATTEMPT_NO_TIMEOUT
+            : attempt->timeout_us - exchange_attempt_latency_us (attempt);
+  if (attempt->head_seen || rest_us == ATTEMPT_NO_TIMEOUT)
+    arm (x, ATTEMPT_NO_TIMEOUT);
+  else if (rest_us > 0)
+    arm (x, rest_us > LOOK_AGAIN_US ? rest_us : LOOK_AGAIN_US);
+  else if (!go_elsewhere (x))
+    {
+      note (x, "waits");
+      attempt->timeout_us = ATTEMPT_NO_TIMEOUT;
+      arm (x, ATTEMPT_NO_TIMEOUT);
+    }
+}
--- a/node/caller/tests/fault_test.cc
+++ b/node/caller/tests/fault_test.cc
@@ -202,6 +202,8 @@
   EXPECT_NE (caller->received.find ("\r\n\r\n" + begun + rest),
              std::string::npos)
       << caller->received.substr (0, 400);
+  curl_loop_cancel (client, busy->easy);
+  EXPECT_TRUE (run_until ([&busy] { return busy->done; }));
 }
 
 TEST_F (FaultTest, UnreachableTargetIsNotRun)
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -237,6 +237,13 @@
   return wait_or_refuse (policy, r, &outlook);
 }
 
+bool
+placement_elsewhere (struct service_policy *policy,
+                     const struct policy_request *r, struct policy_decision *d)
+{
+  return policy->queue.count == 0 && try_good (policy, r, d);
+}
+
 /* Guards a retry against the target that just failed it: for half of its time
  * it waits for another, unless there is none. */
 static bool
--- a/policy/choice/placement.h
+++ b/policy/choice/placement.h
@@ -15,6 +15,13 @@
 struct policy_decision placement_request (struct service_policy *policy,
                                           const struct policy_request *r);
 
+/** Send R to a target that it hasn't tried, if one in good standing has a free
+ * slot that nobody waits for.
+ * @return false: there is none, and nothing is changed */
+bool placement_elsewhere (struct service_policy *policy,
+                          const struct policy_request *r,
+                          struct policy_decision *d);
+
 /** Send a request that waits, if it can be sent now; the entry stays.
  * @return false: it has to wait on. */
 bool placement_entry (struct service_policy *policy,
--- a/policy/choice/retry_budget.c
+++ b/policy/choice/retry_budget.c
@@ -28,12 +28,19 @@
 }
 
 bool
-retry_budget_take (struct retry_budget *budget, int64_t now_us,
-                   uint32_t percent)
+retry_budget_has (struct retry_budget *budget, int64_t now_us,
+                  uint32_t percent)
 {
   fade (budget, now_us);
   const double allowed = RETRY_RESERVE + budget->requests * percent / 100;
-  if (budget->retries + 1 > allowed)
+  return budget->retries + 1 <= allowed;
+}
+
+bool
+retry_budget_take (struct retry_budget *budget, int64_t now_us,
+                   uint32_t percent)
+{
+  if (!retry_budget_has (budget, now_us, percent))
     return false;
   budget->retries += 1;
   return true;
--- a/policy/choice/retry_budget.h
+++ b/policy/choice/retry_budget.h
@@ -30,6 +30,10 @@
 void retry_budget_init (struct retry_budget *budget);
 void retry_budget_request (struct retry_budget *budget, int64_t now_us);
 
+/** Is there a retry to take? */
+bool retry_budget_has (struct retry_budget *budget, int64_t now_us,
+                       uint32_t percent);
+
 /** Take one retry from the budget.
  * @return false when PERCENT of recent requests is used up. */
 bool retry_budget_take (struct retry_budget *budget, int64_t now_us,
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -240,4 +240,40 @@
   EXPECT_GT (d.retry_after_ms, 0u);
 }
 
+/* A page hangs at a gray target.  It goes elsewhere only where that helps: to
+ * an untried target with a free slot, and what can't go takes no retry from
+ * those that can. */
+TEST_F (service_policy_test, what_hangs_goes_elsewhere_only_where_it_helps)
+{
+  start (2, 1);
+  const policy_decision first = ask (true);
+  policy_request r = {};
+  r.id = first.request_id;
+  r.deadline_us = now + 1000000;
+  r.repeatable = true;
+  r.attempt = 2;
+  r.tried[r.tried_count++] = first.target;
+  policy_decision d = {};
+  const policy_decision busy = ask (true);
+  for (int i = 0; i < 100; i++)
+    EXPECT_FALSE (service_policy_admit_elsewhere (policy, now, &r, &d));
+  EXPECT_EQ (service_policy_in_flight (policy), 2u);
+  end (busy.target, ATTEMPT_ANSWERED);
+  r.repeatable = false;
+  EXPECT_FALSE (service_policy_admit_elsewhere (policy, now, &r, &d));
+  r.repeatable = true;
+  r.attempt = 4;
+  EXPECT_FALSE (service_policy_admit_elsewhere (policy, now, &r, &d));
+  r.attempt = 2;
+  for (int i = 0; i < 3; i++)
+    {
+      EXPECT_TRUE (service_policy_admit_elsewhere (policy, now, &r, &d)) << i;
+      EXPECT_EQ (d.verdict, POLICY_SEND);
+      EXPECT_EQ (d.target, busy.target);
+      end (busy.target, ATTEMPT_ANSWERED);
+    }
+  EXPECT_FALSE (service_policy_admit_elsewhere (policy, now, &r, &d));
+  EXPECT_EQ (service_policy_in_flight (policy), 1u);
+}
+
 }
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -1,5 +1,6 @@
 #include "policy/service_policy.h"
 
+#include <assert.h>
 #include <math.h>
 #include <stdlib.h>
 
@@ -127,6 +128,37 @@
   return placement_request (policy, r);
 }
 
+int64_t
+service_policy_attempt_timeout_us (const struct service_policy *policy,
+                                   int64_t now_us,
+                                   const struct policy_request *r)
+{
+  const uint32_t most = policy->options.attempts;
+  const uint32_t left = r->attempt < most ? most - r->attempt : 0;
+  return attempt_timeout_us ((int64_t)policy->set.baseline.latency_us,
+                             r->deadline_us - now_us, left);
+}
+
+bool
+service_policy_admit_elsewhere (struct service_policy *policy, int64_t now_us,
+                                const struct policy_request *r,
+                                struct policy_decision *decision)
+{
+  policy->now_us = now_us;
+  target_set_refresh (&policy->set, now_us);
+  if (!r->repeatable || r->deadline_us <= now_us
+      || r->attempt > policy->options.attempts)
+    return false;
+  const uint32_t percent = policy->options.retry_percent;
+  if (!retry_budget_has (&policy->budget, now_us, percent)
+      || !placement_elsewhere (policy, r, decision))
+    return false;
+  const bool taken = retry_budget_take (&policy->budget, now_us, percent);
+  assert (taken);
+  (void)taken;
+  return true;
+}
+
 void
 service_policy_outcome (struct service_policy *policy, int64_t now_us,
                         const struct policy_outcome *outcome)
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -21,6 +21,8 @@
 /** Most targets one request can have tried. */
 #define POLICY_TRIED_MAX 8
 #define POLICY_NO_TARGET UINT32_MAX
+/** A time that never passes. */
+#define ATTEMPT_NO_TIMEOUT INT64_MAX
 
 /** A target as the policy sees it; its index in the set is its number. */
 struct policy_target
@@ -97,7 +99,7 @@
   ATTEMPT_SHED,      /**< the target's explicit "not run" refusal */
   ATTEMPT_NOT_SENT,  /**< no byte of the request left this host */
   ATTEMPT_CUT,       /**< perhaps sent; the answer never came whole */
-  ATTEMPT_TIMED_OUT, /**< perhaps sent; deadline passed */
+  ATTEMPT_TIMED_OUT, /**< perhaps sent; no answer in the time it had */
   ATTEMPT_CANCELLED, /**< the caller went away: says nothing of the target */
 };
 
@@ -146,6 +148,22 @@
                                              int64_t now_us,
                                              const struct policy_request *r);
 
+/** How long an attempt that begins at NOW_US for R, which is repeatable, may
+ * go without an answer's head before service_policy_admit_elsewhere() is
+ * asked; ATTEMPT_NO_TIMEOUT: until its deadline. */
+int64_t service_policy_attempt_timeout_us (const struct service_policy *policy,
+                                           int64_t now_us,
+                                           const struct policy_request *r);
+
+/** Decide on a further attempt of R while its former one is still under way:
+ * only at a target that R hasn't tried, in good standing and with a free
+ * slot.  Nothing is taken from the retry budget if there is none.
+ * @return false: R goes on waiting; else DECISION is POLICY_SEND */
+bool service_policy_admit_elsewhere (struct service_policy *policy,
+                                     int64_t now_us,
+                                     const struct policy_request *r,
+                                     struct policy_decision *decision);
+
 /** An attempt ended: frees its slot and learns.  Call service_policy_next()
  * afterwards until it says false. */
 void service_policy_outcome (struct service_policy *policy, int64_t now_us,
