control: records of hosts that are gone for good are removed

Nobody deleted the `host` objects of dead or replaced hosts, and their tombstones stayed in every index for ever. The relay that ranks first for a host that was dead or leaving without a break for times.forget_after_ms now removes its record, at the version it knows, one at a time and one a heartbeat, while the platform answers and more than half of the listed hosts (without those that said they leave) are live. A frozen relay waits again. A lost answer isn't read back: the watch tells.

Tombstones of hosts don't count in the hashes, so each host drops its own after six times that wait, 2,048 at most. A record that a peer offers later is refused by its version; word of a dead host that was forgotten introduces nobody, and a removed host is no longer probed. A live host whose record is removed registers at once, then with back-off.

The assertion on control_times counts 12 members now.

--- a/node/control/control_hosts.c
+++ b/node/control/control_hosts.c
@@ -92,6 +92,7 @@
 forget (struct control_task *task, struct control_host *host)
 {
   close_link (host);
+  membership_unlisted (task->membership, host->key);
   HASH_DEL (task->hosts, host);
   free (host);
 }
@@ -114,7 +115,7 @@
       const bool is_idle = now_ms - host->used_ms > CONTROL_LINK_IDLE_MS;
       if (host->link != NULL && (is_idle || has_moved (host)))
         close_link (host);
-      if (is_idle && is_gone (task, host))
+      if ((is_idle || host->is_removed) && is_gone (task, host))
         gone = host;
     }
   if (gone != NULL)
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -11,6 +11,7 @@
 #include <ev.h>
 #include <uthash.h>
 
+#include "base/counters.h"
 #include "base/rng.h"
 #include "node/control/control_task.h"
 #include "node/control/host_record.h"
@@ -38,7 +39,9 @@
 {
   uint64_t key;
   struct host_record record;
-  bool is_listed; /**< the platform's list shows it */
+  bool is_listed;  /**< the platform's list shows it */
+  bool is_removed; /**< the list showed it once and no more */
+  int64_t gone_ms; /**< believed dead or leaving since; 0: it isn't */
   struct peer_link *link;
   int64_t used_ms; /**< when the link was last wanted */
   struct control_task *task;
@@ -56,6 +59,14 @@
   UT_hash_handle hh;
 };
 
+/** The removal of a host record, kept for a bounded time. */
+struct control_tombstone
+{
+  uint64_t key;
+  uint64_t version;
+  int64_t removed_ms; /**< when it came */
+};
+
 /** A service in force here. */
 struct control_service
 {
@@ -99,9 +110,22 @@
   bool is_waiting;
   bool is_done; /**< the platform holds our record as it is */
   uint32_t backoff_ms;
+  uint32_t again_backoff_ms; /**< for a record removed again and again */
+  int64_t again_ms;          /**< when it was last removed */
   struct ev_timer retry;
 };
 
+/** Removal of the records of hosts that are gone, one at a time. */
+struct control_cleanup
+{
+  bool is_waiting;
+  char name[HOST_NAME_SIZE]; /**< being removed */
+  uint64_t version;
+  int64_t pause_until_ms;
+  int64_t ticked_ms;
+  struct counter *forgotten;
+};
+
 /** A heartbeat sent for another host that can't get an answer. */
 struct control_check
 {
@@ -137,6 +161,11 @@
   struct ev_timer deliver; /**< messages to this host itself */
   struct control_feed feeds[2];
   struct control_registration registration;
+  struct control_cleanup cleanup;
+  struct control_tombstone *tombstones; /**< a ring */
+  size_t tombstone_first;               /**< oldest */
+  size_t tombstone_count;
+  uint64_t host_floor; /**< unknown host records up to it are removed ones */
   struct control_handler_entry handlers[PEER_TYPE_END];
   struct control_local *local;
   struct control_ask *asks;
@@ -240,8 +269,36 @@
 void control_platform_wake (struct control_task *task);
 /** Write this host's record anew. */
 void control_platform_register (struct control_task *task);
+/** The platform removed this host's record: at once, then with back-off. */
+void control_platform_register_again (struct control_task *task);
+/** Is the watch of host records up, its last call answered? */
+bool control_platform_is_heard (const struct control_task *task,
+                                int64_t now_ms);
 void control_platform_stop (struct control_task *task);
 
+/* control_cleanup.c */
+void control_cleanup_start (struct control_task *task);
+/** HOST is believed to be in STATE from NOW_MS. */
+void control_cleanup_note (struct control_host *host, enum member_state state,
+                           int64_t now_ms);
+/** Remove the record of at most one host that is gone for good. */
+void control_cleanup_beat (struct control_task *task, int64_t now_ms);
+void control_cleanup_stop (struct control_task *task);
+
+/* control_tombstones.c: removals of host records */
+void control_tombstones_create (struct control_task *task);
+void control_tombstones_destroy (struct control_task *task);
+/** OBJECT, a host record, has been removed. */
+void control_tombstones_add (struct control_task *task,
+                             const struct control_object *object);
+void control_tombstones_expire (struct control_task *task, int64_t now_ms);
+/** The platform's list of hosts as of REVISION was taken in. */
+void control_tombstones_listed (struct control_task *task, uint64_t revision);
+/** Is what a peer pushed a host record that was removed long ago? */
+bool control_tombstones_is_old (const struct control_task *task,
+                                const char *kind, const char *name,
+                                uint64_t version, const char *value);
+
 /* control_sets.c */
 /** Choose relays, neighbours and host sets anew, a bounded number a turn.
  * @return whether there is more to do. */
--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -106,7 +106,8 @@
       host = host == NULL ? NULL : host->hh.next;
       if (host == NULL)
         host = task->hosts;
-      if (membership_state (task->membership, host->key) != MEMBER_DEAD)
+      if (host->is_removed
+          || membership_state (task->membership, host->key) != MEMBER_DEAD)
         continue;
       task->probe = host->key;
       control_members_greet (task, host, now_ms);
@@ -193,10 +194,11 @@
   bool is_changed = false;
   while (membership_next_change (task->membership, &change))
     {
-      const struct control_host *host = control_hosts_find (task, change.key);
+      struct control_host *host = control_hosts_find (task, change.key);
       is_changed = true;
       if (host == NULL || host == task->self)
         continue;
+      control_cleanup_note (host, change.state, clock_now_ms ());
       LOG_INFO ("member", LOG_STR ("host", host->record.name),
                 LOG_STR ("state", member_state_name (change.state)),
                 LOG_INT ("incarnation", change.incarnation),
@@ -289,11 +291,26 @@
   control_members_greet (task, host, now_ms);
 }
 
+/* Guards against hosts that are gone for good but are spoken of for ever:
+   each one that forgot learns of them again from one that hasn't.  Shows as
+   lists that grow with every host ever replaced. */
+static bool
+is_forgotten (const struct control_task *task, uint64_t key)
+{
+  const struct control_host *host = control_hosts_find (task, key);
+  if (host == NULL)
+    return true;
+  return host->is_removed
+         && membership_state (task->membership, key) >= MEMBER_DEAD;
+}
+
 static void
 handle_verdict (struct control_task *task, const struct peer_verdict *verdict,
                 int64_t now_ms)
 {
-  if (verdict->state > MEMBER_LEAVING)
+  if (verdict->state > MEMBER_LEAVING
+      || (verdict->state >= MEMBER_DEAD
+          && is_forgotten (task, verdict->host_key)))
     return;
   struct host_record record = { .incarnation = verdict->incarnation };
   memcpy (record.name, verdict->name, sizeof record.name);
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -106,6 +106,8 @@
   feed->is_listed = true;
   if (strcmp (feed->kind, PLATFORM_KIND_SERVICE) == 0)
     feed->task->has_settings = true;
+  else
+    control_tombstones_listed (feed->task, reply->revision);
   feed_next (feed);
 }
 
@@ -298,6 +300,38 @@
   registration_next (registration);
 }
 
+/* Guards against two that write and remove the record in turn as fast as
+   they can: only the first removal in a while is answered at once. */
+void
+control_platform_register_again (struct control_task *task)
+{
+  struct control_registration *registration = &task->registration;
+  const int64_t now_ms = clock_now_ms ();
+  const bool is_first
+      = registration->again_ms == 0
+        || now_ms - registration->again_ms > 2 * (int64_t)BACKOFF_MAX_MS;
+  registration->again_ms = now_ms;
+  if (is_first)
+    {
+      registration->again_backoff_ms = 0;
+      control_platform_register (task);
+      return;
+    }
+  registration->is_done = false;
+  retry_later (task, &registration->retry, &registration->again_backoff_ms);
+}
+
+bool
+control_platform_is_heard (const struct control_task *task, int64_t now_ms)
+{
+  const struct control_times *times = &task->options.settings->times;
+  const struct control_feed *feed = &task->feeds[1];
+  const int64_t limit_ms
+      = (int64_t)times->watch_ms + times->platform_timeout_ms;
+  return feed->is_listed && feed->backoff_ms == 0
+         && now_ms - feed->answered_ms <= limit_ms;
+}
+
 void
 control_platform_start (struct control_task *task)
 {
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -25,7 +25,7 @@
   return service;
 }
 
-static void
+static struct control_object *
 hold (struct control_task *task, uint64_t key, const char *kind,
       const char *name, uint64_t version, const char *value)
 {
@@ -41,6 +41,7 @@
   free (object->value);
   object->value = xstrdup (value);
   object->version = version;
+  return object;
 }
 
 static void
@@ -102,7 +103,7 @@
   if (value == NULL)
     {
       LOG_WARN ("own-record-removed", LOG_INT ("version", version));
-      control_platform_register (task);
+      control_platform_register_again (task);
     }
   else if (host_record_parse (name, value, &record) == STATUS_OK
            && record.incarnation > task->self->record.incarnation)
@@ -125,6 +126,7 @@
       if (host == NULL)
         return;
       host->is_listed = false;
+      host->is_removed = true;
       membership_unlisted (task->membership, host->key);
       return;
     }
@@ -138,6 +140,7 @@
     }
   host = control_hosts_learn (task, &record);
   host->is_listed = true;
+  host->is_removed = false;
   membership_introduce (task->membership, clock_now_ms (), host->key,
                         record.incarnation, record.leaving);
   control_members_take_changes (task);
@@ -173,7 +176,9 @@
   const uint64_t key = settings_key (kind, name);
   if (!settings_index_raise (task->index, key, version))
     return false;
-  hold (task, key, kind, name, version, value);
+  struct control_object *object = hold (task, key, kind, name, version, value);
+  if (is_host && value == NULL)
+    control_tombstones_add (task, object);
   if (is_host)
     take_host (task, name, version, value);
   else if (value == NULL)
@@ -336,8 +341,12 @@
       handle_pull (task, source, &message->settings);
       break;
     case PEER_SETTINGS_PUSH:
-      if (control_settings_apply (task, message->push.kind, message->push.name,
-                                  message->push.version, message->push.value))
+      if (!control_tombstones_is_old (
+              task, message->push.kind, message->push.name,
+              message->push.version, message->push.value)
+          && control_settings_apply (task, message->push.kind,
+                                     message->push.name, message->push.version,
+                                     message->push.value))
         task->has_settings = true;
       break;
     default:
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -157,6 +157,8 @@
   struct control_task *task = watcher->data;
   const int64_t now_ms = clock_now_ms ();
   control_members_beat (task, now_ms);
+  control_cleanup_beat (task, now_ms);
+  control_tombstones_expire (task, now_ms);
   control_hosts_close_idle (task, now_ms);
   if (task->has_settings && HASH_COUNT (task->hosts) >= SEEDS_UNTIL_HOSTS)
     control_seeds_close (task);
@@ -260,6 +262,7 @@
   task->options = *options;
   task->contact_ms = clock_now_ms ();
   task->index = settings_index_create ();
+  control_tombstones_create (task);
   ev_timer_init (&task->refresh, refresh_cb, 0, 0);
   task->refresh.data = task;
   control_send_prepare (task);
@@ -276,6 +279,7 @@
     }
   bus_subscribe (options->bus, BUS_SHUTDOWN, shutdown_cb, task);
   control_report_register (task);
+  control_cleanup_start (task);
   start_timers (task);
   control_seeds_open (task);
   control_platform_start (task);
@@ -295,6 +299,7 @@
       if (task->options.tables != NULL)
         tables_unregister (task->options.tables, task);
       ev_timer_stop (loop, &task->beat);
+      control_cleanup_stop (task);
       control_platform_stop (task);
     }
   ev_timer_stop (loop, &task->refresh);
@@ -306,6 +311,7 @@
   control_hosts_release (task);
   membership_destroy (task->membership);
   settings_index_destroy (task->index);
+  control_tombstones_destroy (task);
   free (task->fleet);
   free (task);
 }
--- /dev/null
+++ b/node/control/control_tombstones.c
@@ -0,0 +1,106 @@
+#include "node/control/control_internal.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  /** More than a busy hour of replacements. */
+  TOMBSTONES_MAX = 2048,
+  /** Tombstones are kept so many times forget_after_ms. */
+  KEEP_TIMES = 6,
+};
+
+static void
+raise_floor (struct control_task *task, uint64_t version)
+{
+  if (version > task->host_floor)
+    task->host_floor = version;
+}
+
+void
+control_tombstones_listed (struct control_task *task, uint64_t revision)
+{
+  raise_floor (task, revision);
+}
+
+void
+control_tombstones_create (struct control_task *task)
+{
+  task->tombstones = xcalloc (TOMBSTONES_MAX, sizeof *task->tombstones);
+}
+
+void
+control_tombstones_destroy (struct control_task *task)
+{
+  free (task->tombstones);
+}
+
+/* The host may have registered again since: then there is nothing to drop. */
+static void
+drop_oldest (struct control_task *task)
+{
+  const struct control_tombstone *oldest
+      = &task->tombstones[task->tombstone_first];
+  struct control_object *object;
+  HASH_FIND (hh, task->objects, &oldest->key, sizeof oldest->key, object);
+  if (object != NULL && object->value == NULL
+      && object->version == oldest->version)
+    {
+      settings_index_drop (task->index, object->key);
+      HASH_DEL (task->objects, object);
+      free (object);
+    }
+  raise_floor (task, oldest->version);
+  task->tombstone_first = (task->tombstone_first + 1) % TOMBSTONES_MAX;
+  task->tombstone_count--;
+}
+
+void
+control_tombstones_add (struct control_task *task,
+                        const struct control_object *object)
+{
+  settings_index_retire (task->index, object->key);
+  if (task->tombstone_count == TOMBSTONES_MAX)
+    drop_oldest (task);
+  const size_t end
+      = (task->tombstone_first + task->tombstone_count) % TOMBSTONES_MAX;
+  task->tombstones[end]
+      = (struct control_tombstone){ .key = object->key,
+                                    .version = object->version,
+                                    .removed_ms = clock_now_ms () };
+  task->tombstone_count++;
+}
+
+void
+control_tombstones_expire (struct control_task *task, int64_t now_ms)
+{
+  const int64_t keep_ms
+      = (int64_t)KEEP_TIMES * task->options.settings->times.forget_after_ms;
+  while (task->tombstone_count > 0
+         && now_ms - task->tombstones[task->tombstone_first].removed_ms
+                >= keep_ms)
+    drop_oldest (task);
+}
+
+/* Guards against a record that outlives its tombstone: a peer that was away
+   for long offers it once more.  Shows as a host that is gone and is listed,
+   and taken into sets, again.  Versions of a kind come from one sequence, so
+   a name unknown here at or below a version whose list or tombstone was seen
+   is a removed one.  The platform itself is always believed, and a live host
+   that was refused so is still known by its own heartbeats.  Nor is a
+   tombstone taken for a name that isn't known: it guards nothing, and would
+   be passed on between new hosts for ever. */
+bool
+control_tombstones_is_old (const struct control_task *task, const char *kind,
+                           const char *name, uint64_t version,
+                           const char *value)
+{
+  if (strcmp (kind, PLATFORM_KIND_HOST) != 0)
+    return false;
+  if (settings_index_version (task->index, settings_key (kind, name)) != 0)
+    return false;
+  return value == NULL || version <= task->host_floor;
+}
--- /dev/null
+++ b/node/control/tests/control_cleanup_test.cc
@@ -0,0 +1,383 @@
+#include "node/control/tests/control_fixture.h"
+
+extern "C"
+{
+#include "base/clock.h"
+#include "base/hash.h"
+#include "node/control/control_internal.h"
+}
+
+namespace
+{
+class ControlCleanup : public ControlFixture
+{
+protected:
+  enum
+  {
+    FORGET_MS = 1200,
+  };
+
+  node &
+  add_quick (const std::string &name, const std::string &dc,
+             const std::vector<std::string> &seeds = {})
+  {
+    node &n = add (name, dc, seeds);
+    n.settings.times.forget_after_ms = FORGET_MS;
+    n.settings.times.watch_ms = 300;
+    return n;
+  }
+
+  void
+  start_quick (int from, int to)
+  {
+    for (int i = from; i < to; i++)
+      add_quick ("h" + std::to_string (i), "d" + std::to_string (i))
+          .start (loop);
+    ASSERT_TRUE (until ([&] { return all_meet (); }));
+  }
+
+  /* The record of a host that nobody will ever reach. */
+  void
+  put_record (const std::string &name, uint64_t incarnation, bool leaving)
+  {
+    host_record record = {};
+    strcpy (record.name, name.c_str ());
+    strcpy (record.dc, "d0");
+    strcpy (record.caller_address, "127.0.0.1:1");
+    strcpy (record.peer_address, "127.0.0.1:1");
+    record.incarnation = incarnation;
+    record.leaving = leaving;
+    char *text = host_record_format (&record);
+    store.put ("host", name, text);
+    free (text);
+  }
+
+  bool
+  has_record (const std::string &name)
+  {
+    const auto &kind = store.kinds["host"];
+    const auto found = kind.find (name);
+    return found != kind.end () && !found->second.removed;
+  }
+
+  size_t
+  records ()
+  {
+    size_t count = 0;
+    for (const auto &[name, object] : store.kinds["host"])
+      count += !object.removed;
+    return count;
+  }
+
+  bool
+  knows (const node &n, const char *name) const
+  {
+    return control_hosts_by_name (n.task, name) != nullptr;
+  }
+
+  bool
+  all_forgot (const char *name) const
+  {
+    return std::none_of (nodes.begin (), nodes.end (), [&] (const auto &n) {
+      return n->task != nullptr && knows (*n, name);
+    });
+  }
+
+  bool
+  is_dead (const node &n, const char *name) const
+  {
+    const control_host *host = control_hosts_by_name (n.task, name);
+    return host == nullptr
+           || membership_state (n.task->membership, host->key) == MEMBER_DEAD;
+  }
+
+  int64_t
+  forgotten () const
+  {
+    int64_t sum = 0;
+    for (const auto &n : nodes)
+      if (n->task != nullptr)
+        sum += n->task->cleanup.forgotten->value;
+    return sum;
+  }
+
+  void
+  pass (int64_t wait_ms)
+  {
+    const int64_t end_ms = clock_now_ms () + wait_ms;
+    until ([&] { return clock_now_ms () >= end_ms; });
+  }
+};
+}
+
+/* A host dies for good and nobody deletes its record.  Each host would list
+   it for ever.  One relay removes the record, all forget the host, and one
+   that starts in an outage gets no tombstone to pass on. */
+TEST_F (ControlCleanup, ADeadHostIsForgotten)
+{
+  start_quick (0, 3);
+  nodes[1]->stop ();
+  EXPECT_TRUE (until ([&] { return !has_record ("h1"); }));
+  EXPECT_TRUE (until ([&] { return all_forgot ("h1"); }));
+  EXPECT_EQ (forgotten (), 1);
+  EXPECT_EQ (records (), 2u);
+  store.put ("service", "holds", service_text ("holds", 4));
+  node &late
+      = add_quick ("late", "d9", { nodes[0]->address, nodes[2]->address });
+  late.platform.is_down = true;
+  late.start (loop);
+  EXPECT_TRUE (until ([&] {
+    return late.version ("holds") > 0
+           && settings_index_total (late.task->index)
+                  == settings_index_total (nodes[0]->task->index);
+  }));
+  EXPECT_EQ (late.task->tombstone_count, 0u);
+}
+
+/* A host that was away registers again at the very moment its old record is
+   removed.  It must stay listed: the removal is refused. */
+TEST_F (ControlCleanup, AHostBackAtTheLastMomentKeepsItsRecord)
+{
+  start_quick (0, 3);
+  nodes[1]->stop ();
+  int removals = 0;
+  const auto come_back = [&] (const fake_platform::call &c) {
+    if (c.removes && c.name == "h1" && removals++ == 0)
+      put_record ("h1", UINT64_C (1) << 62, false);
+  };
+  nodes[0]->platform.before_put = come_back;
+  nodes[2]->platform.before_put = come_back;
+  EXPECT_TRUE (until ([&] { return removals > 0; }));
+  pass (200);
+  EXPECT_TRUE (has_record ("h1"));
+  EXPECT_EQ (forgotten (), 0);
+  EXPECT_EQ (removals, 1);
+}
+
+/* A host is believed dead, starts again under its name and is live when the
+   first wait would end.  A wait that was broken must not remove its record. */
+TEST_F (ControlCleanup, ABreakEndsTheWait)
+{
+  start_quick (0, 3);
+  nodes[1]->stop ();
+  EXPECT_TRUE (until (
+      [&] { return is_dead (*nodes[0], "h1") && is_dead (*nodes[2], "h1"); }));
+  nodes[1]->start (loop);
+  EXPECT_TRUE (until ([&] { return all_meet (); }));
+  pass (2 * FORGET_MS);
+  EXPECT_EQ (forgotten (), 0);
+  EXPECT_EQ (nodes[1]->platform.writes, 2);
+}
+
+/* A cut: the smaller side reaches the platform and none of the others.  It
+   must not remove their records; when it is the larger side again, it may. */
+TEST_F (ControlCleanup, TheSmallerSideRemovesNobody)
+{
+  start_quick (0, 5);
+  for (int i = 2; i < 5; i++)
+    nodes[i]->stop ();
+  EXPECT_TRUE (until ([&] {
+    return is_dead (*nodes[0], "h2") && is_dead (*nodes[0], "h3")
+           && is_dead (*nodes[0], "h4");
+  }));
+  pass (2 * FORGET_MS);
+  EXPECT_EQ (records (), 5u);
+  EXPECT_EQ (forgotten (), 0);
+  start_quick (5, 7);
+  EXPECT_TRUE (until ([&] { return records () == 4; }));
+}
+
+/* The platform is down, then its answers to removals are lost.  Nothing may
+   be read back or be lost: the watch tells that the record is gone. */
+TEST_F (ControlCleanup, AnOutageHoldsAndALostAnswerNeedsNoReading)
+{
+  start_quick (0, 3);
+  nodes[1]->stop ();
+  for (int i : { 0, 2 })
+    nodes[i]->platform.is_down = true;
+  EXPECT_TRUE (until ([&] { return is_dead (*nodes[0], "h1"); }));
+  for (int i : { 0, 2 })
+    nodes[i]->platform.lost_answers = 1;
+  const int gets = nodes[0]->platform.gets + nodes[2]->platform.gets;
+  for (int i : { 0, 2 })
+    nodes[i]->platform.is_down = false;
+  EXPECT_TRUE (until ([&] { return !has_record ("h1"); }));
+  EXPECT_TRUE (until ([&] { return all_forgot ("h1"); }));
+  EXPECT_EQ (nodes[0]->platform.gets + nodes[2]->platform.gets, gets);
+}
+
+/* The platform doesn't answer.  No removal may be tried by what the watch
+   said long ago. */
+TEST_F (ControlCleanup, NothingIsTriedWhileThePlatformIsDown)
+{
+  start_quick (0, 3);
+  nodes[1]->stop ();
+  for (int i : { 0, 2 })
+    nodes[i]->platform.is_down = true;
+  EXPECT_TRUE (until ([&] { return is_dead (*nodes[0], "h1"); }));
+  EXPECT_TRUE (until ([&] { return is_dead (*nodes[2], "h1"); }));
+  /* Let the watches fail, and let the wait end but not the staleness. */
+  for (int i : { 0, 2 })
+    nodes[i]->settings.times.stale_after_ms = 60000;
+  const auto due = [&] {
+    const auto *host = control_hosts_by_name (nodes[0]->task, "h1");
+    return clock_now_ms () - host->gone_ms > 2 * FORGET_MS;
+  };
+  EXPECT_TRUE (until (due));
+  EXPECT_EQ (nodes[0]->platform.removals + nodes[2]->platform.removals, 0);
+}
+
+/* A relay froze while it believed a host dead, and thaws much later.  The
+   host may be back since; its wait must begin again. */
+TEST_F (ControlCleanup, AFrozenRelayWaitsAgain)
+{
+  start_quick (0, 3);
+  nodes[1]->stop ();
+  for (int i : { 0, 2 })
+    nodes[i]->settings.times.forget_after_ms = 60000;
+  EXPECT_TRUE (until (
+      [&] { return is_dead (*nodes[0], "h1") && is_dead (*nodes[2], "h1"); }));
+  for (int i : { 0, 2 })
+    {
+      control_task *task = nodes[i]->task;
+      const int64_t now_ms = clock_now_ms ();
+      task->cleanup.ticked_ms = now_ms - 70000;
+      control_hosts_by_name (task, "h1")->gone_ms = now_ms - 70000;
+      control_cleanup_beat (task, now_ms);
+      EXPECT_FALSE (nodes[i]->platform.has_call ("put"));
+    }
+}
+
+/* A live host's record is removed by mistake, then by somebody who does it
+   over and over.  It must be back at once, and not write as fast as it can. */
+TEST_F (ControlCleanup, AWronglyRemovedHostIsBack)
+{
+  start_quick (0, 3);
+  store.remove ("host", "h1");
+  const int64_t start_ms = clock_now_ms ();
+  EXPECT_TRUE (until ([&] { return has_record ("h1"); }));
+  EXPECT_LT (nodes[1]->task->registration.again_backoff_ms, 1u);
+  EXPECT_TRUE (until ([&] {
+    const auto *host = control_hosts_by_name (nodes[0]->task, "h1");
+    return host != nullptr && host->is_listed
+           && control_host_is_live (nodes[0]->task, "h1");
+  }));
+  const int before = nodes[1]->platform.writes;
+  EXPECT_TRUE (until ([&] {
+    if (has_record ("h1"))
+      store.remove ("host", "h1");
+    return clock_now_ms () - start_ms > 3000;
+  }));
+  EXPECT_LE (nodes[1]->platform.writes - before, 9);
+  EXPECT_TRUE (until ([&] { return has_record ("h1"); }));
+}
+
+/* A thousand hosts were replaced under new names in some hours.  What each
+   host holds, counts and hashes must not grow with them. */
+TEST_F (ControlCleanup, AThousandReplacedHostsLeaveBoundedState)
+{
+  store.put ("service", "gone", service_text ("gone", 4));
+  for (int i = 0; i < 1000; i++)
+    put_record ("r" + std::to_string (i), 1, true);
+  start_quick (0, 3);
+  store.remove ("service", "gone");
+  EXPECT_GT (HASH_COUNT (nodes[0]->task->objects), 1000u);
+  for (auto &n : nodes)
+    n->platform.holds_removals = true;
+  pass (2 * FORGET_MS);
+  for (auto &n : nodes)
+    {
+      EXPECT_EQ (n->platform.removals, 1) << "one at a time";
+      n->platform.holds_removals = false;
+    }
+  EXPECT_TRUE (until ([&] { return records () == 3; }));
+  EXPECT_EQ (forgotten (), 1000);
+  EXPECT_TRUE (until ([&] {
+    return std::all_of (nodes.begin (), nodes.end (), [] (const auto &n) {
+      const control_task *task = n->task;
+      return task->tombstone_count == 0 && HASH_COUNT (task->hosts) == 3
+             && HASH_COUNT (task->objects) == 4
+             && settings_index_count (task->index) == 4;
+    });
+  }));
+}
+
+/* A peer comes back after all tombstones are gone and still holds the record
+   of a host that was removed.  It offers it; nobody may list that host again,
+   and the peer lets go of it once it hears the platform. */
+TEST_F (ControlCleanup, ALateOfferBringsNobodyBack)
+{
+  put_record ("r0", 1, false);
+  const fake_store snapshot = store;
+  put_record ("r0", 1, true);
+  start_quick (0, 3);
+  EXPECT_TRUE (until ([&] { return !has_record ("r0"); }));
+  EXPECT_TRUE (until ([&] {
+    return all_forgot ("r0") && nodes[0]->task->tombstone_count == 0
+           && nodes[1]->task->tombstone_count == 0
+           && nodes[2]->task->tombstone_count == 0;
+  }));
+  node &late = add_quick ("late", "d9");
+  late.platform.snapshot = &snapshot;
+  late.start (loop);
+  EXPECT_TRUE (until ([&] { return all_meet (); }));
+  EXPECT_TRUE (knows (late, "r0"));
+  EXPECT_TRUE (until ([&] {
+    for (int i = 0; i < 3; i++)
+      EXPECT_FALSE (knows (*nodes[i], "r0"));
+    return is_dead (late, "r0") || HasFailure ();
+  }));
+  late.platform.snapshot = nullptr;
+  EXPECT_TRUE (until ([&] { return !knows (late, "r0"); }));
+}
+
+/* Hosts that left can't be told from live ones that a peer speaks of: word of
+   one that is gone must not introduce it to those who forgot it. */
+TEST_F (ControlCleanup, WordOfADeadHostIntroducesNobody)
+{
+  start_quick (0, 2);
+  peer_verdict verdict = {};
+  strcpy (verdict.name, "old");
+  strcpy (verdict.dc, "d0");
+  strcpy (verdict.peer_address, "127.0.0.1:1");
+  verdict.host_key = hash_string ("old");
+  verdict.incarnation = 1;
+  verdict.state = MEMBER_DEAD;
+  peer_message message = {};
+  message.type = PEER_MEMBERS;
+  message.members.verdicts = &verdict;
+  message.members.count = 1;
+  const control_source source
+      = { control_hosts_by_name (nodes[0]->task, "h1"), nullptr, nullptr };
+  control_receive (nodes[0]->task, &source, &message);
+  EXPECT_FALSE (knows (*nodes[0], "old"));
+  verdict.state = MEMBER_LIVE;
+  control_receive (nodes[0]->task, &source, &message);
+  EXPECT_TRUE (knows (*nodes[0], "old"));
+}
+
+/* Tombstones that each new host takes from an older one and passes on would
+   never end.  For a host that isn't known there is nothing to guard; for one
+   that is, the removal must count. */
+TEST_F (ControlCleanup, ATombstoneIsTakenForAKnownHostOnly)
+{
+  start_quick (0, 2);
+  control_task *task = nodes[0]->task;
+  peer_message message = {};
+  message.type = PEER_SETTINGS_PUSH;
+  message.push.version = UINT64_C (1) << 40;
+  strcpy (message.push.kind, "host");
+  strcpy (message.push.name, "unknown");
+  const control_source source
+      = { control_hosts_by_name (task, "h1"), nullptr, nullptr };
+  const size_t held = settings_index_count (task->index);
+  control_receive (task, &source, &message);
+  EXPECT_EQ (task->tombstone_count, 0u);
+  EXPECT_EQ (settings_index_count (task->index), held);
+  strcpy (message.push.name, "h1");
+  ASSERT_TRUE (
+      until ([&] { return control_hosts_by_name (task, "h1")->is_listed; }));
+  control_receive (task, &source, &message);
+  EXPECT_EQ (task->tombstone_count, 1u);
+  EXPECT_FALSE (control_hosts_by_name (task, "h1")->is_listed);
+}
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -5,6 +5,7 @@
 #ifndef NODE_CONTROL_TESTS_FAKE_PLATFORM_H
 #define NODE_CONTROL_TESTS_FAKE_PLATFORM_H
 
+#include <functional>
 #include <list>
 #include <map>
 #include <string>
@@ -53,8 +54,10 @@
   struct ev_loop *loop;
   fake_store *store;
   bool is_down;
-  bool forgets;     /* revisions to watch from */
-  int lost_answers; /* of the next writes */
+  bool forgets;                /* revisions to watch from */
+  int lost_answers;            /* of the next writes */
+  bool holds_removals = false; /* doesn't answer them yet */
+  int removals = 0;            /* asked for */
   int writes;
   int gets;
   const fake_store *snapshot; /* an old state that is read instead */
@@ -62,12 +65,15 @@
   struct call
   {
     std::string verb, kind, name, value;
+    bool removes;
     uint64_t number;
     platform_done *done;
     void *owner;
+    double end; /* of a watch, on the loop's clock */
   };
 
   std::list<call> calls;
+  std::function<void (const call &)> before_put;
   ev_timer timer;
 
   fake_platform (struct ev_loop *on, fake_store *from)
@@ -125,7 +131,8 @@
   {
     gets++;
     const auto kind = view ().kinds.find (c.kind);
-    if (kind == view ().kinds.end () || kind->second.count (c.name) == 0)
+    if (kind == view ().kinds.end () || kind->second.count (c.name) == 0
+        || kind->second.at (c.name).removed)
       return reply (c, STATUS_NOT_FOUND, {}, 0);
     const fake_object &object = kind->second.at (c.name);
     reply (c, STATUS_OK,
@@ -135,15 +142,21 @@
   void
   do_put (const call &c)
   {
+    if (before_put)
+      before_put (c);
     auto &kind = store->kinds[c.kind];
     const auto held = kind.find (c.name);
-    const uint64_t version = held == kind.end () ? 0 : held->second.version;
+    const bool is_none = held == kind.end () || held->second.removed;
+    const uint64_t version = is_none ? 0 : held->second.version;
+    if (version != c.number && is_none)
+      return reply (c, STATUS_REFUSED, {}, 0);
     if (version != c.number)
       return reply (
           c, STATUS_REFUSED,
           { { c.name.c_str (), version, held->second.value.c_str () } }, 0);
     writes++;
-    const uint64_t now = store->put (c.kind, c.name, c.value);
+    const uint64_t now = c.removes ? store->remove (c.kind, c.name)
+                                   : store->put (c.kind, c.name, c.value);
     if (lost_answers > 0)
       {
         lost_answers--;
@@ -157,6 +170,8 @@
   answer (const call &c)
   {
     uint64_t revision;
+    if (holds_removals && c.removes)
+      return false;
     if (is_down)
       reply (c, STATUS_UNREACHABLE, {}, 0);
     else if (c.verb == "get")
@@ -173,7 +188,7 @@
     else
       {
         const auto found = read (c, c.number, true, &revision);
-        if (found.empty ())
+        if (found.empty () && ev_now (loop) < c.end)
           return false;
         reply (c, STATUS_OK, found, revision);
       }
@@ -204,6 +219,7 @@
   add (struct platform *platform, const call &c)
   {
     platform->calls++;
+    ((fake_platform *)platform)->removals += c.removes;
     ((fake_platform *)platform)->calls.push_back (c);
   }
 
@@ -213,18 +229,20 @@
 inline const struct platform_ops fake_platform::ops = {
   [] (struct platform *p, const char *kind, const char *name,
       platform_done *done, void *owner) {
-    add (p, { "get", kind, name, "", 0, done, owner });
+    add (p, { "get", kind, name, "", false, 0, done, owner, 0 });
   },
   [] (struct platform *p, const char *kind, platform_done *done, void *owner) {
-    add (p, { "list", kind, "", "", 0, done, owner });
+    add (p, { "list", kind, "", "", false, 0, done, owner, 0 });
   },
   [] (struct platform *p, const char *kind, const char *name,
       uint64_t expected, const char *value, platform_done *done, void *owner) {
-    add (p, { "put", kind, name, value, expected, done, owner });
+    add (p, { "put", kind, name, value == nullptr ? "" : value,
+              value == nullptr, expected, done, owner, 0 });
   },
-  [] (struct platform *p, const char *kind, uint64_t revision, uint32_t,
-      platform_done *done, void *owner) {
-    add (p, { "watch", kind, "", "", revision, done, owner });
+  [] (struct platform *p, const char *kind, uint64_t revision,
+      uint32_t timeout_ms, platform_done *done, void *owner) {
+    add (p, { "watch", kind, "", "", false, revision, done, owner,
+              ev_now (((fake_platform *)p)->loop) + timeout_ms / 1000.0 });
   },
   [] (struct platform *p, void *owner) {
     ((fake_platform *)p)->calls.remove_if ([=] (const call &c) {
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -30,6 +30,7 @@
       .heartbeat_ms = 500,
       .suspect_after_ms = 1500,
       .dead_after_ms = 5000,
+      .forget_after_ms = 10 * 60 * 1000,
       .enforce_ms = 3000,
       .owner_lease_ms = 5000,
       .watch_ms = 20000,
@@ -86,6 +87,11 @@
                   "expected more than suspect_after_ms (%u), found %u; raise "
                   "it",
                   times->suspect_after_ms, times->dead_after_ms);
+  if (times->forget_after_ms <= times->dead_after_ms)
+    options_fail (options, "forget_after_ms",
+                  "expected more than dead_after_ms (%u), found %u; a host "
+                  "must not lose its record before it is dead",
+                  times->dead_after_ms, times->forget_after_ms);
   if (times->enforce_ms < 3 * times->evidence_ms)
     options_fail (options, "enforce_ms",
                   "expected at least three evidence_ms (%u ms), found %u; "
@@ -112,6 +118,7 @@
     { "heartbeat_ms", &times->heartbeat_ms },
     { "suspect_after_ms", &times->suspect_after_ms },
     { "dead_after_ms", &times->dead_after_ms },
+    { "forget_after_ms", &times->forget_after_ms },
     { "enforce_ms", &times->enforce_ms },
     { "owner_lease_ms", &times->owner_lease_ms },
     { "watch_ms", &times->watch_ms },
@@ -318,7 +325,7 @@
 /* Without padding, the same bytes are the same values. */
 _Static_assert(sizeof (struct caller_limits) == 5 * sizeof (uint32_t),
                "caller_limits has padding: compare its members");
-_Static_assert(sizeof (struct control_times) == 11 * sizeof (uint32_t),
+_Static_assert(sizeof (struct control_times) == 12 * sizeof (uint32_t),
                "control_times has padding: compare its members");
 
 static bool
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -35,6 +35,8 @@
   uint32_t heartbeat_ms;
   uint32_t suspect_after_ms; /**< silence until a host isn't handed out */
   uint32_t dead_after_ms;
+  /** A host believed dead or leaving so long loses its record. */
+  uint32_t forget_after_ms;
   uint32_t enforce_ms;     /**< how long an ejection holds without refresh */
   uint32_t owner_lease_ms; /**< an owner not heard from so long is replaced */
   uint32_t watch_ms;       /**< one waiting watch at the platform */
--- a/node/tests/host_settings_test.cc
+++ b/node/tests/host_settings_test.cc
@@ -91,6 +91,8 @@
                   "at least two heartbeats");
   expect_refused ("\"times\":{\"dead_after_ms\":1500}",
                   "more than suspect_after_ms");
+  expect_refused ("\"times\":{\"forget_after_ms\":5000}",
+                  "more than dead_after_ms");
   expect_refused ("\"times\":{\"enforce_ms\":500}", "three evidence_ms");
   expect_refused ("\"times\":{\"owner_lease_ms\":3000}",
                   "more than enforce_ms");
--- a/policy/fleet/settings_index.c
+++ b/policy/fleet/settings_index.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include <uthash.h>
+#include <utlist.h>
 
 #include "base/hash.h"
 #include "base/xmalloc.h"
@@ -11,6 +12,7 @@
 {
   uint64_t key;
   uint64_t version;
+  bool is_retired;
   struct entry *next; /**< in its bucket */
   UT_hash_handle hh;
 };
@@ -100,13 +102,44 @@
     return false;
   if (entry == NULL)
     entry = add (index, key);
-  else
+  else if (!entry->is_retired)
     toggle (index, entry);
+  entry->is_retired = false;
   entry->version = version;
   toggle (index, entry);
   return true;
 }
 
+/* Guards against a tombstone that never ends: were it in the hashes, a host
+   that drops it would differ from the others and get it back at once.  Shows
+   as memory and heartbeats that grow with every host ever replaced. */
+void
+settings_index_retire (struct settings_index *index, uint64_t key)
+{
+  struct entry *entry = find (index, key);
+  if (entry == NULL || entry->is_retired)
+    return;
+  toggle (index, entry);
+  entry->is_retired = true;
+}
+
+void
+settings_index_drop (struct settings_index *index, uint64_t key)
+{
+  struct entry *entry = find (index, key);
+  if (entry == NULL || !entry->is_retired)
+    return;
+  LL_DELETE (index->buckets[settings_bucket (key)], entry);
+  HASH_DEL (index->entries, entry);
+  free (entry);
+}
+
+size_t
+settings_index_count (const struct settings_index *index)
+{
+  return HASH_COUNT (index->entries);
+}
+
 uint64_t
 settings_index_version (const struct settings_index *index, uint64_t key)
 {
--- a/policy/fleet/settings_index.h
+++ b/policy/fleet/settings_index.h
@@ -5,6 +5,9 @@
  * with its version, so that a late or repeated delivery of an older value
  * can't bring it back.  A hash over buckets lets two hosts find out in a few
  * bytes that they hold the same.
+ *
+ * A retired entry still guards its key but no longer counts in the hashes:
+ * each host may drop it when it likes and still agree with the others.
  */
 #ifndef POLICY_FLEET_SETTINGS_INDEX_H
 #define POLICY_FLEET_SETTINGS_INDEX_H
@@ -44,6 +47,16 @@
 uint64_t settings_index_version (const struct settings_index *index,
                                  uint64_t key);
 
+/** Leave KEY out of the hashes until it is raised again.  It is still listed:
+ * who holds an older version learns of it. */
+void settings_index_retire (struct settings_index *index, uint64_t key);
+
+/** Drop KEY if it is retired. */
+void settings_index_drop (struct settings_index *index, uint64_t key);
+
+/** How many keys are held, retired ones included. */
+size_t settings_index_count (const struct settings_index *index);
+
 /** Hash of all keys and versions, whatever the order they came in. */
 uint64_t settings_index_total (const struct settings_index *index);
 /** The hash of one bucket. */
--- a/policy/fleet/tests/settings_index_test.cc
+++ b/policy/fleet/tests/settings_index_test.cc
@@ -101,3 +101,36 @@
   EXPECT_EQ (total, 3000u);
   settings_index_destroy (index);
 }
+
+/* Two hosts drop the tombstone of a replaced host at different times.  Were
+   it counted, they would differ and exchange it for ever; while it is held
+   it must still refuse the old record. */
+TEST (SettingsIndex, ARetiredEntryGuardsButDoesNotCount)
+{
+  settings_index *index = settings_index_create ();
+  const uint64_t gone = settings_key ("host", "gone");
+  const uint64_t other = settings_key ("host", "other");
+  settings_index_raise (index, other, 3);
+  const uint64_t before = settings_index_total (index);
+  settings_index_raise (index, gone, 5);
+  const uint64_t with_record = settings_index_total (index);
+  settings_index_raise (index, gone, 9);
+  settings_index_retire (index, gone);
+  settings_index_retire (index, gone);
+  EXPECT_EQ (settings_index_total (index), before);
+  EXPECT_FALSE (settings_index_raise (index, gone, 5));
+  settings_version listed[4];
+  EXPECT_GE (settings_index_list (index, settings_bucket (gone), listed, 4),
+             1u);
+  settings_index_drop (index, other);
+  EXPECT_EQ (settings_index_count (index), 2u);
+  settings_index_drop (index, gone);
+  EXPECT_EQ (settings_index_count (index), 1u);
+  EXPECT_EQ (settings_index_total (index), before);
+  EXPECT_TRUE (settings_index_raise (index, gone, 5));
+  EXPECT_EQ (settings_index_total (index), with_record);
+  settings_index_retire (index, gone);
+  EXPECT_TRUE (settings_index_raise (index, gone, 12));
+  EXPECT_NE (settings_index_total (index), before);
+  settings_index_destroy (index);
+}
