--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -41,6 +41,15 @@
 constexpr int callers = 4;
 constexpr size_t requests_between = 200;
 
+/** Of each service besides "holds". */
+struct Shape
+{
+  int targets;
+  int routes;
+};
+
+constexpr Shape small_shape = { 3, 2 };
+
 /** What a fleet had used up to a moment. */
 struct Usage
 {
@@ -239,26 +248,43 @@
   return "service-" + std::to_string (number);
 }
 
-/* Three targets, two routes. */
+/* Each target has an address of its own; only the first ones answer, and no
+   request goes to any. */
+std::string
+target_text (const Fleet &fleet, const std::string &service, int number)
+{
+  const int port = 9100 + number / targets;
+  const std::string url = fleet.target_url (1 + number % targets, "");
+  const size_t start = strlen ("http://");
+  return "{\"name\":\"" + service + "-" + std::to_string (number)
+         + "\",\"address\":\""
+         + url.substr (start, url.rfind (':') + 1 - start)
+         + std::to_string (port) + "\",\"dc\":\"north-a\",\"slots\":4}";
+}
+
 std::string
-service_text (const Fleet &fleet, int number)
+route_text (const std::string &service, int number)
+{
+  return "{\"path_prefix\":\"/" + service + "/workspace-"
+         + std::to_string (number) + "\",\"methods\":[\"GET\"]}";
+}
+
+std::string
+service_text (const Fleet &fleet, int number, const Shape &shape)
 {
-  std::ostringstream out;
   const std::string name = service_name (number);
-  out << "{\"name\":\"" << name << "\",\"floor_capacity\":4,\"targets\":[";
-  for (int target = 1; target <= targets; target++)
-    out << (target > 1 ? "," : "") << "{\"name\":\"" << name << "-" << target
-        << "\",\"address\":\""
-        << fleet.target_url (target, "").substr (strlen ("http://"))
-        << "\",\"dc\":\"north-a\",\"slots\":4}";
-  out << "],\"routes\":[{\"path_prefix\":\"/" << name
-      << "/read\",\"methods\":[\"GET\"]},{\"path_prefix\":\"/" << name
-      << "/write\",\"methods\":[\"POST\"],\"repeatable\":false}]}";
-  return out.str ();
+  std::string text
+      = "{\"name\":\"" + name + "\",\"floor_capacity\":4,\"targets\":[";
+  for (int target = 0; target < shape.targets; target++)
+    text += (target > 0 ? "," : "") + target_text (fleet, name, target);
+  text += "],\"routes\":[";
+  for (int route = 0; route < shape.routes; route++)
+    text += (route > 0 ? "," : "") + route_text (name, route);
+  return text + "]}";
 }
 
 void
-put_services (Fleet &fleet, int from, int to)
+put_services (Fleet &fleet, int from, int to, const Shape &shape)
 {
   const auto start = Clock::now ();
   std::string version;
@@ -268,7 +294,7 @@
       put.method = "PUT";
       put.url
           = fleet.platform_url ("/objects/service/" + service_name (number));
-      put.body = service_text (fleet, number);
+      put.body = service_text (fleet, number, shape);
       put.headers = { "If-None-Match: *" };
       version = json_at (http (put).body, "version");
     }
@@ -323,14 +349,14 @@
 
 /* The fleet gets services in steps of ten times as many. */
 void
-measure_services (int hosts, int first, int last)
+measure_services (int hosts, int first, int last, const Shape &shape)
 {
   const Fleets fleets = start_fleets ({ hosts });
   Fleet &fleet = *fleets.front ();
   int from = 1;
   for (int services = first; services <= last; services *= 10)
     {
-      put_services (fleet, from, services);
+      put_services (fleet, from, services, shape);
       from = services;
       wait_ms (settle_services_ms);
       Scene scene (fleet, services);
@@ -382,19 +408,28 @@
   print_rolling (fleet, load);
 }
 
+/* "HOSTS SERVICES [TARGETS ROUTES]" */
+void
+measure_one (int argc, char **argv)
+{
+  const int services = std::max (2, atoi (argv[2]));
+  const Shape shape
+      = argc < 5 ? small_shape : Shape{ atoi (argv[3]), atoi (argv[4]) };
+  measure_services (atoi (argv[1]), services, services, shape);
+}
+
 } // namespace
 
 int
 main (int argc, char **argv)
 {
-  if (argc == 3)
+  if (argc >= 3)
     {
-      const int services = std::max (2, atoi (argv[2]));
-      measure_services (atoi (argv[1]), services, services);
+      measure_one (argc, argv);
       return EXIT_SUCCESS;
     }
   measure_sizes ();
-  measure_services (12, 10, 1000);
+  measure_services (12, 10, 1000, small_shape);
   measure_rolling ();
   return EXIT_SUCCESS;
 }
