membership: hosts are freed without a walk of the hash meanwhile

member_set.c was new when lint last ran over the tracked files, so the analyzer's "use of memory after it is freed" in member_set_clear() came up only now. The hash is cleared first, then the elements are freed, as in base/counters.c. scripts/lint over a clone with this change: clean.

--- a/policy/fleet/member_set.c
+++ b/policy/fleet/member_set.c
@@ -104,12 +104,15 @@
 void
 member_set_clear (struct member_set *set)
 {
-  struct member *member;
-  struct member *next;
-  HASH_ITER (hh, set->members, member, next)
-  {
-    member_set_forget (set, member);
-  }
+  struct member *member = set->members;
+  HASH_CLEAR (hh, set->members);
+  while (member != NULL)
+    {
+      struct member *next = member->hh.next;
+      free (member);
+      member = next;
+    }
+  *set = (struct member_set){ 0 };
 }
 
 void
