--- a/base/options.c
+++ b/base/options.c
@@ -43,6 +43,31 @@
   return true;
 }
 
+/* Did TEXT hold one JSON value and nothing behind it?  END is where the
+   tokener stopped. */
+static enum status
+check_parsed (const char *file, const char *text, size_t size, size_t end,
+              enum json_tokener_error error)
+{
+  unsigned line;
+  unsigned column;
+  locate (text, end < size ? end : size, &line, &column);
+  if (error != json_tokener_success)
+    return status_set (STATUS_INVALID,
+                       "%s:%u:%u: not JSON (%s); mend the text at or "
+                       "before this place",
+                       file, line, column,
+                       error == json_tokener_continue
+                           ? "it ends too early"
+                           : json_tokener_error_desc (error));
+  if (end < size && !only_space (text + end, size - end))
+    return status_set (STATUS_INVALID,
+                       "%s:%u:%u: text behind the end of the settings; "
+                       "remove it or mend the braces before it",
+                       file, line, column);
+  return STATUS_OK;
+}
+
 enum status
 options_parse (const char *file, const char *text, size_t size,
                struct json_object **tree)
@@ -66,23 +91,7 @@
   const enum json_tokener_error error = json_tokener_get_error (tokener);
   const size_t end = json_tokener_get_parse_end (tokener);
   json_tokener_free (tokener);
-  enum status status = STATUS_OK;
-  unsigned line;
-  unsigned column;
-  locate (copy, end < size ? end : size, &line, &column);
-  if (error != json_tokener_success)
-    status = status_set (STATUS_INVALID,
-                         "%s:%u:%u: not JSON (%s); mend the text at or "
-                         "before this place",
-                         file, line, column,
-                         error == json_tokener_continue
-                             ? "it ends too early"
-                             : json_tokener_error_desc (error));
-  else if (end < size && !only_space (copy + end, size - end))
-    status = status_set (STATUS_INVALID,
-                         "%s:%u:%u: text behind the end of the settings; "
-                         "remove it or mend the braces before it",
-                         file, line, column);
+  const enum status status = check_parsed (file, copy, size, end, error);
   free (copy);
   if (status != STATUS_OK)
     {
@@ -223,19 +232,26 @@
                 expected, describe (node, found));
 }
 
+/* Is KEY there?  It is a failure when it isn't though REQUIRED. */
+static bool
+is_given (struct options *options, const char *key, bool required,
+          const char *expected)
+{
+  if (present (options, key))
+    return true;
+  if (required)
+    options_fail (options, key, "expected %s, found nothing; add it",
+                  expected);
+  return false;
+}
+
 bool
 options_object (struct options *parent, const char *key, bool required,
                 struct options *child)
 {
   struct json_object *node = member (parent, key);
-  if (!present (parent, key))
-    {
-      if (required)
-        options_fail (parent, key,
-                      "expected an object, found nothing; add "
-                      "it");
-      return false;
-    }
+  if (!is_given (parent, key, required, "an object"))
+    return false;
   if (!json_object_is_type (node, json_type_object))
     {
       fail_found (parent, key, "an object { ... }", node);
@@ -335,14 +351,8 @@
                 char *value, size_t size)
 {
   struct json_object *node = member (options, key);
-  if (!present (options, key))
-    {
-      if (required)
-        options_fail (options, key,
-                      "expected a string, found nothing; add "
-                      "it");
-      return;
-    }
+  if (!is_given (options, key, required, "a string"))
+    return;
   char expected[96];
   snprintf (expected, sizeof expected, "a string of %s%zu bytes",
             required ? "1 to " : "at most ", size - 1);
--- a/node/control/control_report.c
+++ b/node/control/control_report.c
@@ -1,26 +1,9 @@
 #include "node/control/control_internal.h"
 
 #include "base/clock.h"
+#include "node/json_row.h"
 #include "node/tables.h"
 
-static void
-add_text (struct json_object *row, const char *key, const char *text)
-{
-  json_object_object_add (row, key, json_object_new_string (text));
-}
-
-static void
-add_number (struct json_object *row, const char *key, uint64_t number)
-{
-  json_object_object_add (row, key, json_object_new_uint64 (number));
-}
-
-static void
-add_bool (struct json_object *row, const char *key, bool value)
-{
-  json_object_object_add (row, key, json_object_new_boolean (value));
-}
-
 static const char *
 state_name (const struct control_task *task, const struct control_host *host)
 {
@@ -38,16 +21,16 @@
   for (host = task->hosts; host != NULL; host = host->hh.next)
     {
       struct json_object *row = json_object_new_object ();
-      add_text (row, "host", host->record.name);
-      add_text (row, "dc", host->record.dc);
-      add_text (row, "state", state_name (task, host));
-      add_bool (row, "handed_out",
-                control_host_is_live (task, host->record.name));
-      add_bool (row, "relay", control_hosts_is_relay (task, host->key));
-      add_bool (row, "listed", host->is_listed);
-      add_text (row, "caller_address", host->record.caller_address);
-      add_text (row, "operator_address", host->record.operator_address);
-      add_number (row, "incarnation", host->record.incarnation);
+      json_row_text (row, "host", host->record.name);
+      json_row_text (row, "dc", host->record.dc);
+      json_row_text (row, "state", state_name (task, host));
+      json_row_flag (row, "handed_out",
+                     control_host_is_live (task, host->record.name));
+      json_row_flag (row, "relay", control_hosts_is_relay (task, host->key));
+      json_row_flag (row, "listed", host->is_listed);
+      json_row_text (row, "caller_address", host->record.caller_address);
+      json_row_text (row, "operator_address", host->record.operator_address);
+      json_row_number (row, "incarnation", (int64_t)host->record.incarnation);
       json_object_array_add (rows, row);
     }
   return rows;
@@ -89,11 +72,12 @@
       const struct control_service *service;
       HASH_FIND_STR (task->services, object->name, service);
       struct json_object *row = json_object_new_object ();
-      add_text (row, "service", object->name);
-      add_number (row, "version", object->version);
-      add_number (row, "in_force", service == NULL ? 0 : service->version);
-      add_bool (row, "removed", object->value == NULL);
-      add_bool (
+      json_row_text (row, "service", object->name);
+      json_row_number (row, "version", (int64_t)object->version);
+      json_row_number (row, "in_force",
+                       service == NULL ? 0 : (int64_t)service->version);
+      json_row_flag (row, "removed", object->value == NULL);
+      json_row_flag (
           row, "refused",
           object->value != NULL
               && (service == NULL || service->version != object->version));
--- a/node/control/host_record.c
+++ b/node/control/host_record.c
@@ -4,6 +4,7 @@
 
 #include "base/options.h"
 #include "base/xmalloc.h"
+#include "node/json_row.h"
 
 static const char *const state_names[] = { "live", "leaving" };
 
@@ -58,7 +59,7 @@
 add_text (struct json_object *tree, const char *key, const char *text)
 {
   if (text[0] != '\0')
-    json_object_object_add (tree, key, json_object_new_string (text));
+    json_row_text (tree, key, text);
 }
 
 char *
@@ -70,9 +71,7 @@
   add_text (tree, "caller_address", record->caller_address);
   add_text (tree, "peer_address", record->peer_address);
   add_text (tree, "operator_address", record->operator_address);
-  json_object_object_add (
-      tree, "incarnation",
-      json_object_new_int64 ((int64_t)record->incarnation));
+  json_row_number (tree, "incarnation", (int64_t)record->incarnation);
   add_text (tree, "state",
             state_names[record->leaving ? STATE_LEAVING : STATE_LIVE]);
   char *text = xstrdup (
--- a/node/json_row.h
+++ b/node/json_row.h
@@ -1,5 +1,7 @@
 /** @file
- * Members of a row of a table (tables.h).
+ * Members of a JSON object: a row of a table (tables.h), a record, an answer.
+ *
+ * A key is given once; TEXT is copied.
  */
 #ifndef NODE_JSON_ROW_H
 #define NODE_JSON_ROW_H
--- a/node/operator/counter_rows.c
+++ b/node/operator/counter_rows.c
@@ -4,8 +4,9 @@
 #include <string.h>
 
 #include "base/counters.h"
+#include "node/json_row.h"
 
-/** LINE is `name{labels} value` or `name value`; it is cut up in place. */
+/* LINE is `name{labels} value` or `name value`; it is cut up in place. */
 static struct json_object *
 row_of (char *line)
 {
@@ -22,11 +23,9 @@
         *end = '\0';
     }
   struct json_object *row = json_object_new_object ();
-  json_object_object_add (row, "counter", json_object_new_string (line));
-  json_object_object_add (
-      row, "labels", json_object_new_string (labels == NULL ? "" : labels));
-  json_object_object_add (
-      row, "value", json_object_new_int64 (strtoll (blank + 1, NULL, 10)));
+  json_row_text (row, "counter", line);
+  json_row_text (row, "labels", labels == NULL ? "" : labels);
+  json_row_number (row, "value", strtoll (blank + 1, NULL, 10));
   return row;
 }
 
--- a/node/operator/operator_answer.c
+++ b/node/operator/operator_answer.c
@@ -4,36 +4,25 @@
 
 #include <microhttpd.h>
 
+#include "node/json_row.h"
 #include "node/operator/operator_request.h"
 
-static void
-add (struct json_object *object, const char *key, struct json_object *value)
-{
-  json_object_object_add (object, key, value);
-}
-
-static void
-add_string (struct json_object *object, const char *key, const char *value)
-{
-  add (object, key, json_object_new_string (value));
-}
-
 static void
 add_version (struct json_object *object, const char *key, uint64_t version)
 {
   if (version != OPERATOR_ANY_VERSION)
-    add (object, key, json_object_new_uint64 (version));
+    json_object_object_add (object, key, json_object_new_uint64 (version));
 }
 
 struct json_object *
 operator_answer_table (const struct operator_table_answer *answer)
 {
   struct json_object *object = json_object_new_object ();
-  add_string (object, "host", answer->host);
-  add_string (object, "table", answer->table);
-  add (object, "rows", answer->rows);
-  add (object, "age_ms", json_object_new_int64 (answer->age_ms));
-  add (object, "not_heard_from", answer->not_heard_from);
+  json_row_text (object, "host", answer->host);
+  json_row_text (object, "table", answer->table);
+  json_object_object_add (object, "rows", answer->rows);
+  json_row_number (object, "age_ms", answer->age_ms);
+  json_object_object_add (object, "not_heard_from", answer->not_heard_from);
   return object;
 }
 
@@ -41,8 +30,8 @@
 operator_answer_failure (const char *name, const char *message)
 {
   struct json_object *object = json_object_new_object ();
-  add_string (object, "status", name);
-  add_string (object, "message", message);
+  json_row_text (object, "status", name);
+  json_row_text (object, "message", message);
   return object;
 }
 
@@ -62,21 +51,20 @@
                          const struct operator_result *result)
 {
   struct json_object *object = json_object_new_object ();
-  add_string (object, "status", status_name (result->status));
+  json_row_text (object, "status", status_name (result->status));
   if (result->status != STATUS_OK)
-    add_string (object, "message",
-                result->message == NULL ? "" : result->message);
-  add_string (object, "command", operator_verb_name (command->verb));
-  add_string (object, "service", command->service);
+    json_row_text (object, "message",
+                   result->message == NULL ? "" : result->message);
+  json_row_text (object, "command", operator_verb_name (command->verb));
+  json_row_text (object, "service", command->service);
   if (command->target[0] != '\0')
-    add_string (object, "target", command->target);
+    json_row_text (object, "target", command->target);
   if (is_known (result->status))
-    add (object, "accepted",
-         json_object_new_boolean (result->status == STATUS_OK));
+    json_row_flag (object, "accepted", result->status == STATUS_OK);
   add_version (object, "acted_on_version", result->acted_on_version);
   add_version (object, "version", result->version);
   if (result->changed != NULL)
-    add_string (object, "changed", result->changed);
+    json_row_text (object, "changed", result->changed);
   return object;
 }
 
@@ -89,10 +77,10 @@
   for (size_t i = 0; i < report->not_heard_from_count; i++)
     json_object_array_add (names,
                            json_object_new_string (report->not_heard_from[i]));
-  add (object, "hosts", json_object_new_int64 (report->hosts));
-  add (object, "in_force", json_object_new_int64 (report->in_force));
-  add (object, "not_heard_from", names);
-  add (answer, "in_force", object);
+  json_row_number (object, "hosts", report->hosts);
+  json_row_number (object, "in_force", report->in_force);
+  json_object_object_add (object, "not_heard_from", names);
+  json_object_object_add (answer, "in_force", object);
 }
 
 unsigned int
--- a/tests/fleet/ejection_test.cc
+++ b/tests/fleet/ejection_test.cc
@@ -10,11 +10,6 @@
 
 constexpr int callers = 6;
 constexpr size_t some = 200;
-const char *const short_times
-    = "\"heartbeat_ms\":100,\"suspect_after_ms\":400,\"dead_after_ms\":1000,"
-      "\"evidence_ms\":100,\"enforce_ms\":600,\"owner_lease_ms\":1200,"
-      "\"watch_ms\":500,\"platform_timeout_ms\":300";
-
 class Ejection : public testing::Test
 {
 protected:
--- a/tests/fleet/platform_outage_test.cc
+++ b/tests/fleet/platform_outage_test.cc
@@ -9,11 +9,6 @@
 constexpr int callers = 4;
 constexpr size_t some = 150;
 /* Short times, so that an outage lasts many leases within a test. */
-const char *const short_times
-    = "\"heartbeat_ms\":100,\"suspect_after_ms\":400,\"dead_after_ms\":1000,"
-      "\"evidence_ms\":100,\"enforce_ms\":600,\"owner_lease_ms\":1200,"
-      "\"watch_ms\":500,\"platform_timeout_ms\":300";
-
 class Outage : public testing::Test
 {
 protected:
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -29,6 +29,13 @@
   std::string prefix_;
 };
 
+/** Times for FleetOptions::times: a dead host, owner or platform is noticed
+ * within about a second. */
+inline const char *const short_times
+    = "\"heartbeat_ms\":100,\"suspect_after_ms\":400,\"dead_after_ms\":1000,"
+      "\"evidence_ms\":100,\"enforce_ms\":600,\"owner_lease_ms\":1200,"
+      "\"watch_ms\":500,\"platform_timeout_ms\":300";
+
 /** What differs between fleets of the tests. */
 struct FleetOptions
 {
