docs: incarnations grow; defaults and states say what they are

Two starts in one millisecond differ by 20 random bits, so the header no longer says that they always do. Readers of options say that an absent member keeps its default.

--- a/base/options.h
+++ b/base/options.h
@@ -68,13 +68,16 @@
 void options_double (struct options *options, const char *key, double min,
                      double max, double *value);
 
+/** True or false; *VALUE keeps its default when absent. */
 void options_bool (struct options *options, const char *key, bool *value);
 
-/** A string of 1 to SIZE - 1 bytes, copied into VALUE. */
+/** A string of at most SIZE - 1 bytes, of at least 1 if REQUIRED, copied into
+ * VALUE, which keeps its default when absent. */
 void options_string (struct options *options, const char *key, bool required,
                      char *value, size_t size);
 
-/** One of the COUNT names; *VALUE becomes its index. */
+/** One of the COUNT names; *VALUE becomes its index, or keeps its default when
+ * absent. */
 void options_enum (struct options *options, const char *key,
                    const char *const *names, size_t count, int *value);
 
--- a/node/control/incarnation.h
+++ b/node/control/incarnation.h
@@ -6,8 +6,9 @@
 
 #include <stdint.h>
 
-/** The incarnation of a host that starts now: later starts have higher ones,
- * and two in one millisecond differ.  At most INT64_MAX. */
+/** The incarnation of a host that starts now: later starts have higher ones.
+ * Hosts that start in one millisecond get different ones but for a chance of
+ * one in 2^20.  At most INT64_MAX. */
 uint64_t incarnation_make (void);
 
 #endif
--- a/policy/detection/baseline.h
+++ b/policy/detection/baseline.h
@@ -55,6 +55,7 @@
 /** Before anything was seen: not ready. */
 void baseline_init (struct baseline *baseline);
 
+/** Add EVIDENCE to both memories of TARGET. */
 void baseline_target_add (struct baseline_target *target,
                           const struct detection_evidence *evidence);
 
--- a/policy/fleet/member_verdict.h
+++ b/policy/fleet/member_verdict.h
@@ -16,6 +16,7 @@
   MEMBER_LEAVING = 4, /**< said that it leaves; final for its incarnation */
 };
 
+/** "live", "suspect", "one-way", "dead" or "leaving", as operators read it. */
 const char *member_state_name (enum member_state state);
 
 /** What is said of one host.  Of two verdicts that with the higher
