settings: no member can be left out of what a reload compares

The member-wise comparison missed the advertised addresses for a while, since a new member doesn't make it fail. The test flips each byte before the log's settings and wants "needs restart", each byte behind it and doesn't.

--- a/node/tests/host_settings_test.cc
+++ b/node/tests/host_settings_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <cstdio>
 #include <cstring>
 #include <fstream>
@@ -171,6 +172,38 @@
     }
 }
 
+/* A new setting that the comparison forgets is changed and reloaded: the log
+   says that nothing needs a restart, and the host goes on with the old value.
+   All before the log's settings counts, to the last byte. */
+TEST_F (HostSettings, NoSettingIsForgottenInTheComparison)
+{
+  host_settings old;
+  memset (&old, 'x', sizeof old);
+  old.platform_address_count = HOST_PLATFORM_ADDRESSES_MAX;
+  old.peer_seed_count = HOST_PEER_SEEDS_MAX;
+  old.name[sizeof old.name - 1] = '\0';
+  old.dc[sizeof old.dc - 1] = '\0';
+  for (auto *address : { &old.caller_address, &old.peer_address,
+                         &old.operator_address, &old.caller_advertised,
+                         &old.peer_advertised, &old.operator_advertised })
+    (*address)[sizeof *address - 1] = '\0';
+  for (auto &address : old.platform_addresses)
+    address[sizeof address - 1] = '\0';
+  for (auto &address : old.peer_seeds)
+    address[sizeof address - 1] = '\0';
+  old.platform_file[sizeof old.platform_file - 1] = '\0';
+  old.secret_file[sizeof old.secret_file - 1] = '\0';
+  for (size_t i = 0; i < sizeof old; i++)
+    {
+      host_settings edited;
+      memcpy (&edited, &old, sizeof old);
+      reinterpret_cast<char *> (&edited)[i] ^= 1;
+      EXPECT_EQ (host_settings_need_restart (&old, &edited),
+                 i < offsetof (host_settings, log_level))
+          << "byte " << i;
+    }
+}
+
 TEST_F (HostSettings, MissingFileIsNamed)
 {
   EXPECT_EQ (host_settings_load ("/nonexistent/file", &settings),
