wire: tests of both platforms share how they look at an end

The same outcome of a call stood in platform_file_test and platform_http_test; it is wire/tests/platform_outcome.h. What they expect is unchanged.

--- a/wire/tests/platform_file_test.cc
+++ b/wire/tests/platform_file_test.cc
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "wire/tests/platform_outcome.h"
+
 extern "C"
 {
 #include "wire/platform_file.h"
@@ -25,35 +27,6 @@
 const char *const raised_floor
     = "{\"name\":\"a\",\"targets\":[],\"floor_capacity\":7}";
 
-struct outcome
-{
-  int ends = 0;
-  enum status status = STATUS_SYSTEM;
-  std::string message;
-  uint64_t revision = 0;
-  std::vector<std::string> names;
-  std::vector<uint64_t> versions;
-  std::vector<std::string> values;
-};
-
-void
-on_end (void *owner, const struct platform_reply *reply)
-{
-  auto *end = static_cast<outcome *> (owner);
-  end->ends++;
-  end->status = reply->status;
-  end->message = reply->message != nullptr ? reply->message : "";
-  end->revision = reply->revision;
-  for (size_t i = 0; i < reply->count; i++)
-    {
-      end->names.push_back (reply->objects[i].name);
-      end->versions.push_back (reply->objects[i].version);
-      end->values.push_back (reply->objects[i].value != nullptr
-                                 ? reply->objects[i].value
-                                 : "(removed)");
-    }
-}
-
 class PlatformFile : public testing::Test
 {
 protected:
@@ -140,7 +113,7 @@
   platform_list (platform, "service", on_end, &end);
   finish (&end);
   EXPECT_EQ (end.status, STATUS_OK);
-  EXPECT_EQ (end.names, (std::vector<std::string>{ "a", "b" }));
+  EXPECT_EQ (end.names (), (std::vector<std::string>{ "a", "b" }));
   EXPECT_EQ (end.revision, 2u);
   EXPECT_EQ (get ("service", "c").status, STATUS_NOT_FOUND);
 }
@@ -148,23 +121,24 @@
 TEST_F (PlatformFile, AWriteIsInTheFile)
 {
   ASSERT_EQ (load (two_services), STATUS_OK);
-  const uint64_t version = get ("service", "a").versions.at (0);
+  const uint64_t version = get ("service", "a").objects.at (0).version;
   outcome end = put ("service", "a", version, raised_floor);
   ASSERT_EQ (end.status, STATUS_OK) << end.message;
-  EXPECT_GT (end.versions.at (0), version);
+  EXPECT_GT (end.objects.at (0).version, version);
   end = put ("service", "a", version, raised_floor);
   EXPECT_EQ (end.status, STATUS_REFUSED);
-  EXPECT_EQ (end.values.at (0), raised_floor);
+  EXPECT_EQ (end.objects.at (0).value, raised_floor);
   EXPECT_EQ (put ("service", "c", PLATFORM_VERSION_NONE,
                   "{\"name\":\"c\",\"targets\":[]}")
                  .status,
              STATUS_OK);
-  EXPECT_EQ (
-      put ("service", "b", get ("service", "b").versions.at (0), nullptr)
-          .status,
-      STATUS_OK);
+  EXPECT_EQ (put ("service", "b", get ("service", "b").objects.at (0).version,
+                  nullptr)
+                 .status,
+             STATUS_OK);
   ASSERT_EQ (load_again (), STATUS_OK) << status_message ();
-  EXPECT_NE (get ("service", "a").values.at (0).find ("7"), std::string::npos);
+  EXPECT_NE (get ("service", "a").objects.at (0).value.find ("7"),
+             std::string::npos);
   EXPECT_EQ (get ("service", "b").status, STATUS_NOT_FOUND);
   EXPECT_EQ (get ("service", "c").status, STATUS_OK);
 }
@@ -185,7 +159,7 @@
   EXPECT_EQ (end.status, STATUS_REFUSED);
   EXPECT_NE (end.message.find ("nothing was changed"), std::string::npos)
       << end.message;
-  EXPECT_EQ (get ("service", "a").versions.at (0), 1u);
+  EXPECT_EQ (get ("service", "a").objects.at (0).version, 1u);
   EXPECT_EQ (file_text (), two_services);
 }
 
@@ -210,15 +184,15 @@
   while (watched.ends == 0)
     ev_run (loop, EVRUN_ONCE);
   EXPECT_EQ (watched.status, STATUS_OK);
-  EXPECT_EQ (watched.names, (std::vector<std::string>{ "b" }));
-  EXPECT_EQ (watched.values.at (0), "(removed)");
+  EXPECT_EQ (watched.names (), (std::vector<std::string>{ "b" }));
+  EXPECT_EQ (watched.objects.at (0).value, "(removed)");
   EXPECT_EQ (other.ends, 0);
   platform_cancel (platform, &other);
   outcome quiet;
   platform_watch (platform, "service", 3, 1, on_end, &quiet);
   finish (&quiet);
   EXPECT_EQ (quiet.status, STATUS_OK);
-  EXPECT_TRUE (quiet.names.empty ());
+  EXPECT_TRUE (quiet.names ().empty ());
   outcome unknown;
   platform_watch (platform, "service", 99, 1, on_end, &unknown);
   EXPECT_EQ (finish (&unknown).status, STATUS_REFUSED);
@@ -229,8 +203,8 @@
   ASSERT_EQ (load (two_services, true), STATUS_OK);
   EXPECT_EQ (put ("ejection", "a", PLATFORM_VERSION_NONE, "{}").status,
              STATUS_OK);
-  EXPECT_EQ (get ("ejection", "a").values.at (0), "{}");
-  EXPECT_EQ (get ("service", "a").versions.at (0), 1u);
+  EXPECT_EQ (get ("ejection", "a").objects.at (0).value, "{}");
+  EXPECT_EQ (get ("service", "a").objects.at (0).version, 1u);
   EXPECT_EQ (file_text (), two_services);
 }
 
--- a/wire/tests/platform_http_test.cc
+++ b/wire/tests/platform_http_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "tests/standins/platform_process.h"
+#include "wire/tests/platform_outcome.h"
 
 extern "C"
 {
@@ -19,46 +20,6 @@
 /* Nothing listens at port 1 of this address. */
 const char *const closed_address = "127.0.0.2:1";
 
-struct object
-{
-  std::string name;
-  uint64_t version;
-  std::string value; /* "(removed)" without one */
-};
-
-/* One call's end. */
-struct outcome
-{
-  explicit outcome (struct ev_loop *on) : loop (on)
-  {
-  }
-
-  struct ev_loop *loop;
-  int ends = 0;
-  enum status status = STATUS_SYSTEM;
-  std::string message;
-  uint64_t revision = 0;
-  std::vector<object> objects;
-};
-
-void
-on_end (void *owner, const struct platform_reply *reply)
-{
-  auto *end = static_cast<outcome *> (owner);
-  end->ends++;
-  end->status = reply->status;
-  end->message = reply->message != nullptr ? reply->message : "";
-  end->revision = reply->revision;
-  for (size_t i = 0; i < reply->count; i++)
-    {
-      const struct platform_object *o = &reply->objects[i];
-      end->objects.push_back (
-          { o->name, o->version,
-            o->value != nullptr ? o->value : "(removed)" });
-    }
-  ev_break (end->loop, EVBREAK_ONE);
-}
-
 class PlatformHttp : public testing::Test
 {
 protected:
