--- a/tests/fleet/cut_test.cc
+++ b/tests/fleet/cut_test.cc
@@ -11,6 +11,7 @@
 
 constexpr int callers = 4;
 constexpr size_t some = 150;
+constexpr int pages = 60;
 
 /* Answers of one target no longer reach the hosts, though requests reach it.
    Callers of holds there are told "unknown", never "not run", and the target
@@ -78,6 +79,31 @@
   EXPECT_EQ (load.count_told (Told::ran), load.count ()) << load.summary ();
 }
 
+/* A couple looks at the calendar while one target is heard one way only.  Each
+   page that the target takes and whose answer is lost must come from another
+   target, not end "unknown" when its ten seconds are over. */
+TEST (Cut, PagesComeFromTargetsThatAreHeard)
+{
+  AddressBlock between;
+  FleetOptions options;
+  options.through["target-1"] = between.at (5, 9100);
+  Fleet fleet (options);
+  Relay relay (between.at (5, 9100),
+               fleet.target_url (1, "").substr (strlen ("http://")));
+  ASSERT_TRUE (fleet.start ());
+  const size_t runs = fleet.targets[0]->lines_with ("run ").size ();
+  relay.cut_back = true;
+  for (int number = 1; number <= pages; number++)
+    {
+      const Record record
+          = send_and_judge (fleet.caller_url (1 + number % 3, ""),
+                            "page-" + std::to_string (number), false);
+      EXPECT_EQ (record.told, Told::ran) << number << ": " << record.detail;
+    }
+  EXPECT_GT (fleet.targets[0]->lines_with ("run ").size (), runs)
+      << fleet.logs ();
+}
+
 /* The platform hears the hosts but they don't hear it, while an operator
    changes the floor by another way.  After the cut the new settings are in
    force on all hosts and stay so. */
