shares: the row of a service tells its slot share; a story over processes

Three hosts as processes divide the slots in thirds; the owner is killed and its successor divides them in halves.

--- a/node/caller/caller_rows.c
+++ b/node/caller/caller_rows.c
@@ -67,6 +67,7 @@
   json_row_number (row, "targets", (int64_t)spec->target_count);
   json_row_number (row, "routes", (int64_t)spec->route_count);
   json_row_number (row, "hosts", (int64_t)service->host_count);
+  json_row_number (row, "slot_share_permille", service->share.permille);
   json_row_number (row, "queued", service_policy_queued (service->policy));
   json_row_number (row, "in_use", service->users - 1);
   return row;
--- a/tests/fleet/ejection_test.cc
+++ b/tests/fleet/ejection_test.cc
@@ -43,6 +43,18 @@
            || rows.find ("\"ejected\":true") != std::string::npos;
   }
 
+  /* What a host may use of the targets' slots, in thousandths; 0: nothing is
+     granted. */
+  int
+  slot_share (int host)
+  {
+    const std::string rows
+        = fleet->jaystair (host, { "--json", "show", "services" });
+    const std::string name = "\"slot_share_permille\":";
+    const size_t at = rows.find (name);
+    return at == std::string::npos ? -1 : std::atoi (&rows[at + name.size ()]);
+  }
+
   int
   owner ()
   {
@@ -134,4 +146,32 @@
   load.stop ();
 }
 
+/* Three hosts that each send as much as the targets can do would bury them.
+   The owner divides the slots among those that are there; when it is killed,
+   its successor divides them anew among the two that are left. */
+TEST_F (Ejection, SlotsAreDividedAmongTheHosts)
+{
+  constexpr int given = 1250;
+  start (3, 0);
+  EXPECT_TRUE (wait_until ([&] {
+    int sum = 0;
+    for (int host = 1; host <= 3; host++)
+      {
+        const int share = slot_share (host);
+        if (share <= 0 || share > given / 2)
+          return false;
+        sum += share;
+      }
+    return sum > given / 2 && sum <= given;
+  })) << fleet->logs ();
+  const int first = owner ();
+  ASSERT_NE (first, 0);
+  fleet->hosts[static_cast<size_t> (first - 1)]->kill ();
+  for (int host = 1; host <= 3; host++)
+    EXPECT_TRUE (host == first || wait_until ([&] {
+                   return slot_share (host) == given / 2;
+                 }))
+        << slot_share (host) << fleet->logs ();
+}
+
 } // namespace
