control: what the forgetting of hosts rests on, as processes and by guard

A killed host's record goes from the stand-in platform, by one host's hand (KilledForGood.ItsRecordIsRemoved).

--- a/node/control/tests/control_cleanup_test.cc
+++ b/node/control/tests/control_cleanup_test.cc
@@ -381,3 +381,41 @@
   EXPECT_EQ (task->tombstone_count, 1u);
   EXPECT_FALSE (control_hosts_by_name (task, "h1")->is_listed);
 }
+
+/* A late word calls a removed host live, the next one dead.  Once it is
+   forgotten nothing of it may be left to speak of for ever. */
+TEST_F (ControlCleanup, AForgottenHostIsSpokenOfNoMore)
+{
+  start_quick (0, 2);
+  control_task *task = nodes[0]->task;
+  const uint64_t key = hash_string ("r0");
+  put_record ("r0", 1, false);
+  ASSERT_TRUE (until ([&] {
+    return knows (*nodes[0], "r0")
+           && control_hosts_find (task, key)->is_listed;
+  }));
+  const uint64_t version = store.sequence;
+  control_settings_apply (task, "host", "r0", version + 1, nullptr);
+  peer_verdict verdict = {};
+  verdict.host_key = key;
+  verdict.incarnation = 2;
+  peer_message message = {};
+  message.type = PEER_MEMBERS;
+  message.members.verdicts = &verdict;
+  message.members.count = 1;
+  const control_source source
+      = { control_hosts_by_name (task, "h1"), nullptr, nullptr };
+  control_receive (task, &source, &message);
+  verdict.state = MEMBER_DEAD;
+  verdict.counter = 1;
+  control_receive (task, &source, &message);
+  EXPECT_TRUE (until ([&] { return !knows (*nodes[0], "r0"); }));
+  member_verdict spoken[CONTROL_GOSSIP_MAX];
+  for (int i = 0; i < 200; i++)
+    {
+      const size_t count
+          = membership_gossip (task->membership, spoken, CONTROL_GOSSIP_MAX);
+      for (size_t v = 0; v < count; v++)
+        ASSERT_NE (spoken[v].key, key);
+    }
+}
--- a/tests/fleet/kill_test.cc
+++ b/tests/fleet/kill_test.cc
@@ -85,4 +85,30 @@
   expect_promises_kept (load);
 }
 
+/* A host is replaced under a new name and never comes back.  The platform
+   would list it for ever; another host removes its record, and that of no
+   live one. */
+TEST (KilledForGood, ItsRecordIsRemoved)
+{
+  FleetOptions options;
+  options.times = "\"suspect_after_ms\": 1000, \"dead_after_ms\": 1500, "
+                  "\"forget_after_ms\": 2000";
+  Fleet fleet (options);
+  ASSERT_TRUE (fleet.start ());
+  const std::string records = fleet.platform_url ("/objects/host");
+  ASSERT_TRUE (wait_until (
+      [&] { return json_length (http_get (records).body, "objects") == 3; }));
+  fleet.hosts[2]->kill ();
+  EXPECT_TRUE (wait_until ([&] {
+    return json_length (http_get (records).body, "objects") == 2;
+  })) << fleet.logs ();
+  EXPECT_TRUE (wait_until ([&] {
+    return fleet.hosts[0]->count_lines ({ "host-forgotten", "\"host-3\"" })
+               + fleet.hosts[1]->count_lines (
+                   { "host-forgotten", "\"host-3\"" })
+           == 1;
+  })) << fleet.logs ();
+  EXPECT_EQ (http_get (records).body.find ("host-3"), std::string::npos);
+}
+
 } // namespace
