tests: two runs of the tour wait for each other

Cause: the tour's ports are fixed; run by two builds at one moment, one run talked to the other's host and was red (news 8.4 s old in a test of 2.1 s). Ruled out: ports of its own; the lines are run as the README prints them. Conclusion: a lock per user.

--- a/tests/docs/tour_test.cc
+++ b/tests/docs/tour_test.cc
@@ -1,10 +1,13 @@
 /** The README's tour and the links of all pages, as a newcomer meets them. */
 #include <gtest/gtest.h>
 
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <regex>
 #include <sstream>
+#include <sys/file.h>
+#include <unistd.h>
 
 #include "tests/harness/process.h"
 
@@ -28,6 +31,12 @@
   const std::string start = "```sh tour\n";
   const size_t from = readme.find (start);
   ASSERT_NE (from, std::string::npos);
+  /* The tour's ports are fixed, and another build may run it now. */
+  const std::string lock_path
+      = "/tmp/jaystair-tour-" + std::to_string (getuid ()) + ".lock";
+  const int lock
+      = open (lock_path.c_str (), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+  ASSERT_EQ (flock (lock, LOCK_EX), 0);
   const size_t first = from + start.size ();
   std::string lines
       = readme.substr (first, readme.find ("```", first) - first);
@@ -35,6 +44,7 @@
   lines = std::regex_replace (lines, std::regex ("host\\.log"), "/dev/null");
   Process tour ({ "/bin/bash", "-ec", "cd " SOURCE_DIR "\n" + lines });
   EXPECT_EQ (tour.wait (), 0) << tour.tail (100);
+  close (lock);
   const std::string output = tour.tail (1000);
   EXPECT_NE (output.find ("\"service\":\"calendar\""), std::string::npos);
   EXPECT_NE (output.find ("Jaystair-Outcome: ran"), std::string::npos);
