format: C++ is read as C++17, so raw strings don't break what follows

Without the standard, clang-format took the text of R"(...)" for code and moved the lines behind it to the first column (service_spec_test.cc). With it, `> >` of nested templates becomes `>>`.

--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -316,7 +316,7 @@
   return options;
 }
 
-using Fleets = std::vector<std::unique_ptr<Fleet> >;
+using Fleets = std::vector<std::unique_ptr<Fleet>>;
 
 Fleets
 start_fleets (const std::vector<int> &sizes)
--- a/node/caller/tests/attempt_timeout_test.cc
+++ b/node/caller/tests/attempt_timeout_test.cc
@@ -173,7 +173,7 @@
 {
   begin_with ();
   delay_both (400);
-  std::vector<std::unique_ptr<Call> > calls;
+  std::vector<std::unique_ptr<Call>> calls;
   for (int i = 0; i < 40; i++)
     {
       calls.push_back (make ("GET", "/search", "usual"));
@@ -220,7 +220,7 @@
   target_options = ", 'slots': 1";
   begin_with ();
   delay_both (400);
-  std::vector<std::unique_ptr<Call> > calls;
+  std::vector<std::unique_ptr<Call>> calls;
   for (const char *id : { "r1", "r2" })
     {
       calls.push_back (within ("GET", "/calendar", id, 600));
--- a/node/caller/tests/chaos_test.cc
+++ b/node/caller/tests/chaos_test.cc
@@ -104,8 +104,8 @@
   start ();
   put_service (usual_routes, ", 'limits': { 'timeout_ms': 200,"
                              " 'queue_requests': 12 }");
-  std::vector<std::unique_ptr<Call> > calls;
-  std::vector<std::unique_ptr<RawCaller> > quitters;
+  std::vector<std::unique_ptr<Call>> calls;
+  std::vector<std::unique_ptr<RawCaller>> quitters;
   size_t open = 0;
   while (calls.size () < requests || open > 0)
     {
@@ -158,7 +158,7 @@
   for (size_t first = 0; first + 8 <= tickets.size (); first += 8)
     for (const size_t tries : { 24, 8 })
       {
-        std::vector<std::unique_ptr<Call> > calls;
+        std::vector<std::unique_ptr<Call>> calls;
         for (size_t i = 0; i < tries; i++)
           {
             const size_t number = first + i % 8;
--- a/node/caller/tests/proxy_test.cc
+++ b/node/caller/tests/proxy_test.cc
@@ -122,7 +122,7 @@
 {
   target_server_faults (target)->delay_ms = 30;
   target_server_faults (target)->jitter = 1;
-  std::vector<std::unique_ptr<Call> > calls;
+  std::vector<std::unique_ptr<Call>> calls;
   for (int i = 0; i < 60; i++)
     {
       calls.push_back (make (i % 3 == 0 ? "POST" : "GET",
--- a/node/caller/tests/slot_share_test.cc
+++ b/node/caller/tests/slot_share_test.cc
@@ -106,7 +106,7 @@
   }
 
   target_server *target = nullptr;
-  std::vector<std::unique_ptr<Call> > calls;
+  std::vector<std::unique_ptr<Call>> calls;
 };
 
 /* A target of 8 slots gets 8 requests from each host of the set at once and
--- a/node/control/tests/control_fixture.h
+++ b/node/control/tests/control_fixture.h
@@ -151,7 +151,7 @@
   struct counters *counters;
   control_task *task = nullptr;
   std::map<std::string, uint64_t> in_force, highest;
-  std::map<std::string, std::vector<std::string> > sets;
+  std::map<std::string, std::vector<std::string>> sets;
 };
 
 class ControlFixture : public testing::Test
@@ -226,7 +226,7 @@
 
   struct ev_loop *loop;
   fake_store store;
-  std::vector<std::unique_ptr<node> > nodes;
+  std::vector<std::unique_ptr<node>> nodes;
   ev_timer limit;
   bool is_over = false;
 };
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -30,7 +30,7 @@
 struct fake_store
 {
   uint64_t sequence = 0;
-  std::map<std::string, std::map<std::string, fake_object> > kinds;
+  std::map<std::string, std::map<std::string, fake_object>> kinds;
 
   uint64_t
   put (const std::string &kind, const std::string &name,
--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -46,7 +46,7 @@
     std::string value;
   };
   std::map<std::string, object> objects;
-  std::deque<std::pair<void *, std::function<void ()> > > calls;
+  std::deque<std::pair<void *, std::function<void ()>>> calls;
   bool down = false;
   bool lose_next_write_answer = false;
   int writes = 0;
--- a/node/operator/tests/service_command_test.cc
+++ b/node/operator/tests/service_command_test.cc
@@ -38,7 +38,7 @@
   int failing_reads = 0; /* the next so many */
   int writes = 0;
   std::deque<Fate> fates;
-  std::deque<std::function<void ()> > answers;
+  std::deque<std::function<void ()>> answers;
   std::function<void ()> waiting_write;
   std::function<void ()> before_write; /* another operator's chance */
 
--- a/policy/choice/tests/target_estimate_test.cc
+++ b/policy/choice/tests/target_estimate_test.cc
@@ -20,7 +20,7 @@
   rng_seed (&rng, 3);
   struct target_estimate e;
   target_estimate_init (&e, 0);
-  std::vector<std::pair<int64_t, bool> > history;
+  std::vector<std::pair<int64_t, bool>> history;
   int64_t now = 0;
   for (int i = 0; i < 300; i++)
     {
--- a/policy/fleet/tests/rendezvous_test.cc
+++ b/policy/fleet/tests/rendezvous_test.cc
@@ -35,7 +35,7 @@
              [=] (const fleet_host &a, const fleet_host &b) {
                return rendezvous_before (subject, &a, &b);
              });
-  std::vector<std::vector<uint64_t> > ranks (per_dc);
+  std::vector<std::vector<uint64_t>> ranks (per_dc);
   std::map<uint64_t, uint32_t> taken;
   for (const auto &host : sorted)
     if (host.key != except && taken[host.dc] < per_dc)
--- a/policy/floor/tests/floor_world.h
+++ b/policy/floor/tests/floor_world.h
@@ -183,7 +183,7 @@
   hear (int i, floor_decision d, const std::vector<std::string> &names,
         int64_t poll_ms)
   {
-    std::vector<std::array<char, FLOOR_NAME_SIZE> > buffer (names.size ());
+    std::vector<std::array<char, FLOOR_NAME_SIZE>> buffer (names.size ());
     for (size_t k = 0; k < names.size (); k++)
       snprintf (buffer[k].data (), FLOOR_NAME_SIZE, "%s", names[k].c_str ());
     d.targets = (const char (*)[FLOOR_NAME_SIZE])buffer.data ();
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -100,8 +100,8 @@
 
   AddressBlock addresses;
   std::unique_ptr<Process> platform;
-  std::vector<std::unique_ptr<Process> > targets; /**< [number - 1] */
-  std::vector<std::unique_ptr<Process> > hosts;   /**< [number - 1] */
+  std::vector<std::unique_ptr<Process>> targets; /**< [number - 1] */
+  std::vector<std::unique_ptr<Process>> hosts;   /**< [number - 1] */
 
 private:
   std::string write_settings (int number);
--- a/wire/tests/service_spec_test.cc
+++ b/wire/tests/service_spec_test.cc
@@ -113,27 +113,27 @@
                                  1, &spec),
              STATUS_OK)
       << status_message ();
-EXPECT_STREQ (spec->write_id, "");
-EXPECT_EQ (spec->prefer, SERVICE_PREFER_FEWER_FALSE_EJECTIONS);
-EXPECT_FALSE (spec->ejection_paused);
-EXPECT_EQ (spec->floor_capacity, 0u);
-EXPECT_STREQ (spec->targets[0].dc, "");
-EXPECT_EQ (spec->targets[0].slots, 4u);
-EXPECT_EQ (spec->targets[0].capacity, 4u);
-EXPECT_EQ (spec->targets[0].connections, 200u);
-EXPECT_EQ (spec->targets[0].state, TARGET_STATE_ACTIVE);
-EXPECT_STREQ (spec->routes[0].host, "");
-EXPECT_STREQ (spec->routes[0].path_prefix, "/");
-EXPECT_EQ (spec->routes[0].methods, 0u);
-EXPECT_FALSE (spec->routes[0].repeatable);
-EXPECT_EQ (spec->limits.queue_requests, 64u);
-EXPECT_EQ (spec->limits.queue_bytes, 1048576u);
-EXPECT_EQ (spec->limits.body_bytes, 1048576u);
-EXPECT_EQ (spec->limits.timeout_ms, 10000u);
-EXPECT_EQ (spec->limits.connect_timeout_ms, 1000u);
-EXPECT_EQ (spec->limits.retry_percent, 10u);
-EXPECT_EQ (spec->limits.attempts, 3u);
-service_spec_destroy (spec);
+  EXPECT_STREQ (spec->write_id, "");
+  EXPECT_EQ (spec->prefer, SERVICE_PREFER_FEWER_FALSE_EJECTIONS);
+  EXPECT_FALSE (spec->ejection_paused);
+  EXPECT_EQ (spec->floor_capacity, 0u);
+  EXPECT_STREQ (spec->targets[0].dc, "");
+  EXPECT_EQ (spec->targets[0].slots, 4u);
+  EXPECT_EQ (spec->targets[0].capacity, 4u);
+  EXPECT_EQ (spec->targets[0].connections, 200u);
+  EXPECT_EQ (spec->targets[0].state, TARGET_STATE_ACTIVE);
+  EXPECT_STREQ (spec->routes[0].host, "");
+  EXPECT_STREQ (spec->routes[0].path_prefix, "/");
+  EXPECT_EQ (spec->routes[0].methods, 0u);
+  EXPECT_FALSE (spec->routes[0].repeatable);
+  EXPECT_EQ (spec->limits.queue_requests, 64u);
+  EXPECT_EQ (spec->limits.queue_bytes, 1048576u);
+  EXPECT_EQ (spec->limits.body_bytes, 1048576u);
+  EXPECT_EQ (spec->limits.timeout_ms, 10000u);
+  EXPECT_EQ (spec->limits.connect_timeout_ms, 1000u);
+  EXPECT_EQ (spec->limits.retry_percent, 10u);
+  EXPECT_EQ (spec->limits.attempts, 3u);
+  service_spec_destroy (spec);
 }
 
 TEST (ServiceSpec, CapacityIsTheSlotsUnlessSet)
@@ -146,9 +146,9 @@
 })",
                                  1, &spec),
              STATUS_OK);
-EXPECT_EQ (spec->targets[0].capacity, 9u);
-EXPECT_EQ (spec->route_count, 0u);
-service_spec_destroy (spec);
+  EXPECT_EQ (spec->targets[0].capacity, 9u);
+  EXPECT_EQ (spec->route_count, 0u);
+  service_spec_destroy (spec);
 }
 
 /* A service object cut short on its way must never be taken for a whole one
