control: removed hosts need no exception from probing

Taken out, no test went red: a removed host that is dead is forgotten at the next beat, so it is never probed for long. One guard less to prove.

--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -106,8 +106,7 @@
       host = host == NULL ? NULL : host->hh.next;
       if (host == NULL)
         host = task->hosts;
-      if (host->is_removed
-          || membership_state (task->membership, host->key) != MEMBER_DEAD)
+      if (membership_state (task->membership, host->key) != MEMBER_DEAD)
         continue;
       task->probe = host->key;
       control_members_greet (task, host, now_ms);
