membership: a heartbeat in return isn't returned

Cause: whoever beat to a host was watched back, so two hosts that chose each other's data centre once kept each other alive, also when neither chose the other any more. A heartbeat now says whether its sender wants it returned; a host watched back is let go dead_after_ms after the last such one, unless it is in doubt. A dead host's heartbeat is returned whatever it says, and heartbeats to one ask for a return (probes after a cut). Ruled out: letting go after suspect_after_ms. A host that nobody chooses, and that dies, is watched in return only; its answers end with its heartbeats, so it might be let go before it is in doubt. The heartbeat has one more element; builds before this one refuse it.

--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -74,8 +74,10 @@
 control_members_greet (struct control_task *task, struct control_host *host,
                        int64_t now_ms)
 {
-  const struct peer_message message
+  struct peer_message message
       = heartbeat (task, PEER_HEARTBEAT, (uint64_t)now_ms);
+  message.heartbeat.return_wanted
+      = membership_wants_return (task->membership, host->key);
   control_hosts_send (task, host, &message);
 }
 
@@ -229,7 +231,8 @@
 {
   const int64_t now_ms = clock_now_ms ();
   membership_heard (task->membership, now_ms, source->host->key,
-                    source->host->record.incarnation, beat->leaving);
+                    source->host->record.incarnation, beat->leaving,
+                    beat->return_wanted);
   const struct peer_message answer
       = heartbeat (task, PEER_HEARTBEAT_ACK, beat->sequence);
   control_reply (task, source, &answer);
--- a/policy/fleet/member.c
+++ b/policy/fleet/member.c
@@ -99,6 +99,19 @@
   return state;
 }
 
+/* Guards against a dead host that nobody decides on: a host that nobody
+   chooses is watched in return only, and when it dies its beats stop with its
+   answers.  Shows as a killed host that stays live for most of the fleet.
+   After dead_after_ms it answers still, or it is in doubt and kept. */
+bool
+member_is_let_go (const struct member *member,
+                  const struct membership_options *options, int64_t now_ms)
+{
+  const int64_t wanted_ms = newest (member->wanted_ms, member->watched_ms);
+  return member->watched_back && !member_is_in_doubt (member)
+         && now_ms - wanted_ms >= options->dead_after_ms;
+}
+
 bool
 member_is_cut_for_all (const struct member *member,
                        const struct membership_options *options,
--- a/policy/fleet/member.h
+++ b/policy/fleet/member.h
@@ -30,6 +30,7 @@
   bool is_vouched;   /**< lately, as of the last tick */
   bool is_unlisted;
   int64_t watched_ms;
+  int64_t wanted_ms; /**< when it last gave cause to watch it back */
   int64_t answered_ms;
   int64_t heard_ms;
   int64_t vouched_ms;
@@ -52,6 +53,12 @@
 /** Does this host judge it by what it sees itself? */
 bool member_is_watched (const struct member *member);
 
+/** Has a watched-back MEMBER given no cause for it for so long that its state
+ * is decided? */
+bool member_is_let_go (const struct member *member,
+                       const struct membership_options *options,
+                       int64_t now_ms);
+
 /** The wait for a first answer starts with the watching, not with boot. */
 void member_start_watching (struct member *member, int64_t now_ms);
 
--- a/policy/fleet/member_set.c
+++ b/policy/fleet/member_set.c
@@ -81,6 +81,7 @@
   member->heard_ms = member_never_ms;
   member->vouched_ms = member_never_ms;
   member->watched_ms = member_never_ms;
+  member->wanted_ms = member_never_ms;
   HASH_ADD (hh, set->members, key, sizeof member->key, member);
   member_set_note_change (set, member);
   return member;
@@ -132,6 +133,7 @@
 member_set_watch_back (struct member_set *set, int64_t now_ms,
                        struct member *member)
 {
+  member->wanted_ms = now_ms;
   if (member->watched_back || set->watched_back_count == WATCHED_BACK_MAX)
     return;
   member_start_watching (member, now_ms);
--- a/policy/fleet/membership.c
+++ b/policy/fleet/membership.c
@@ -116,12 +116,13 @@
 
 void
 membership_heard (struct membership *membership, int64_t now_ms, uint64_t key,
-                  uint64_t incarnation, bool leaving)
+                  uint64_t incarnation, bool leaving, bool return_wanted)
 {
   struct member *member = sender (membership, key, incarnation);
   if (member == NULL)
     return;
-  member_set_watch_back (&membership->set, now_ms, member);
+  if (return_wanted || member->state == MEMBER_DEAD)
+    member_set_watch_back (&membership->set, now_ms, member);
   member->heard_ms = now_ms;
   if (leaving && member->state != MEMBER_LEAVING)
     set_leaving (membership, now_ms, member);
@@ -253,6 +254,8 @@
       continue;
     if (member_is_watched (member))
       tick_member (membership, member, now_ms);
+    if (member_is_let_go (member, &membership->options, now_ms))
+      member_set_stop_watching_back (&membership->set, member);
     if (member->is_unlisted && member_is_gone (member) && !member->is_news)
       member_set_forget (&membership->set, member);
   }
@@ -277,6 +280,13 @@
   return count;
 }
 
+bool
+membership_wants_return (const struct membership *membership, uint64_t key)
+{
+  const struct member *member = member_set_find (&membership->set, key);
+  return member == NULL || member->watched || member->state == MEMBER_DEAD;
+}
+
 size_t
 membership_doubted (const struct membership *membership, uint64_t *keys,
                     size_t max)
--- a/policy/fleet/membership.h
+++ b/policy/fleet/membership.h
@@ -39,14 +39,17 @@
  * leaving. */
 void membership_unlisted (struct membership *membership, uint64_t key);
 
-/** Watch these hosts from now, those that watch this one, and those in doubt
- * until they are found live or dead. */
+/** Watch these hosts from now, those that want it in return, and those in
+ * doubt until they are found live or dead. */
 void membership_watch (struct membership *membership, int64_t now_ms,
                        const uint64_t *keys, size_t count);
 
-/** A heartbeat of KEY arrived: it can reach us.  It is watched from now. */
+/** A heartbeat of KEY arrived: it can reach us.  If RETURN_WANTED, or if KEY
+ * was dead, it is watched back: until dead_after_ms after the last such
+ * heartbeat, and in doubt until it is found live or dead. */
 void membership_heard (struct membership *membership, int64_t now_ms,
-                       uint64_t key, uint64_t incarnation, bool leaving);
+                       uint64_t key, uint64_t incarnation, bool leaving,
+                       bool return_wanted);
 
 /** KEY answered our heartbeat: it is reached both ways. */
 void membership_answered (struct membership *membership, int64_t now_ms,
@@ -73,6 +76,12 @@
 size_t membership_watched (const struct membership *membership, uint64_t *keys,
                            size_t max);
 
+/** Is a heartbeat to KEY to be returned?  Not if KEY is watched only because
+ * it watches this host: each would keep the other for ever.  Heartbeats of a
+ * dead host are what brings it back. */
+bool membership_wants_return (const struct membership *membership,
+                              uint64_t key);
+
 /** Watched hosts that others should be asked about: those that don't answer
  * here. */
 size_t membership_doubted (const struct membership *membership, uint64_t *keys,
--- a/policy/fleet/tests/membership_fleet_test.cc
+++ b/policy/fleet/tests/membership_fleet_test.cc
@@ -143,7 +143,8 @@
         const int other = (int)keys[i] - 1;
         if (!arrives (host, other))
           continue;
-        membership_heard (members[other], now, hosts[host].key, 1, false);
+        membership_heard (members[other], now, hosts[host].key, 1, false,
+                          membership_wants_return (members[host], keys[i]));
         gossip (host, other);
         if (!arrives (other, host))
           continue;
--- a/policy/fleet/tests/membership_test.cc
+++ b/policy/fleet/tests/membership_test.cc
@@ -198,7 +198,7 @@
               now += 1 + rng_below (&random, 20);
               if (rng_unit (&random) < fates[h].heard)
                 {
-                  membership_heard (m, now, keys[h], 1, false);
+                  membership_heard (m, now, keys[h], 1, false, true);
                   naive[h].add (now, event_kind::heard);
                   events++;
                 }
@@ -244,7 +244,7 @@
 {
   membership *m = make_membership ();
   membership_introduce (m, 0, 7, 1, false);
-  membership_heard (m, 10, 7, 1, true);
+  membership_heard (m, 10, 7, 1, true, true);
   const member_verdict live = { 7, 1, 40, MEMBER_LIVE };
   membership_verdict (m, 20, &live);
   membership_answered (m, 30, 7, 1);
@@ -265,7 +265,7 @@
 TEST (Membership, AThawedHostCondemnsNobody)
 {
   membership *m = make_membership ();
-  membership_heard (m, 1, 7, 1, false);
+  membership_heard (m, 1, 7, 1, false, true);
   membership_answered (m, 50, 7, 1);
   membership_tick (m, 100);
   membership_tick (m, 10100);
@@ -303,13 +303,13 @@
 TEST (Membership, ADeadHostThatBeatsAgainIsAskedAgain)
 {
   membership *m = make_membership ();
-  membership_heard (m, 1, 7, 1, false);
+  membership_heard (m, 1, 7, 1, false, true);
   for (int64_t now = 100; now <= 3000; now += 100)
     membership_tick (m, now);
   ASSERT_EQ (membership_state (m, 7), MEMBER_DEAD);
   uint64_t keys[4];
   EXPECT_EQ (membership_watched (m, keys, 4), 0u);
-  membership_heard (m, 3100, 7, 1, false);
+  membership_heard (m, 3100, 7, 1, false, true);
   membership_tick (m, 3200);
   EXPECT_EQ (membership_watched (m, keys, 4), 1u);
   membership_answered (m, 3300, 7, 1);
@@ -318,6 +318,91 @@
   membership_destroy (m);
 }
 
+/* Two hosts watch each other in return and neither chose the other.  Were
+   one's heartbeats cause enough for the other's, a fleet whose hosts start one
+   after the other would end as a full mesh. */
+TEST (Membership, AHeartbeatInReturnIsNotReturned)
+{
+  membership *m = make_membership ();
+  const uint64_t other = 7;
+  membership_introduce (m, 0, other, 1, false);
+  membership_heard (m, 1, other, 1, false, false);
+  uint64_t keys[4];
+  EXPECT_EQ (membership_watched (m, keys, 4), 0u);
+  membership_heard (m, 2, other, 1, false, true);
+  EXPECT_EQ (membership_watched (m, keys, 4), 1u);
+  EXPECT_FALSE (membership_wants_return (m, other));
+  membership_watch (m, 3, &other, 1);
+  EXPECT_TRUE (membership_wants_return (m, other));
+  membership_destroy (m);
+}
+
+/* A host that chose this one chooses others, as newer hosts came.  It answers
+   still; it must be let go, or neighbours only ever add up. */
+TEST (Membership, AHostThatChoosesOthersIsLetGo)
+{
+  membership *m = make_membership ();
+  uint64_t keys[4];
+  membership_heard (m, 100, 7, 1, false, true);
+  for (int64_t now = 200; now < 100 + dead_ms; now += 100)
+    {
+      membership_heard (m, now, 7, 1, false, false);
+      membership_answered (m, now, 7, 1);
+      membership_tick (m, now);
+      ASSERT_EQ (membership_watched (m, keys, 4), 1u);
+    }
+  membership_answered (m, 100 + dead_ms, 7, 1);
+  membership_tick (m, 100 + dead_ms);
+  EXPECT_EQ (membership_watched (m, keys, 4), 0u);
+  EXPECT_EQ (membership_state (m, 7), MEMBER_LIVE);
+  membership_destroy (m);
+}
+
+/* A host that nobody chose is cut off: its heartbeats end, and others vouch
+   for it for a while.  It must be watched until it is dead, as nobody else
+   would find out. */
+TEST (Membership, AHostInDoubtIsNotLetGo)
+{
+  membership *m = make_membership ();
+  uint64_t keys[4];
+  membership_heard (m, 1, 7, 1, false, true);
+  membership_answered (m, 50, 7, 1);
+  for (int64_t now = 100; now <= 3 * dead_ms; now += 100)
+    {
+      membership_vouched (m, now, 7);
+      membership_tick (m, now);
+      ASSERT_EQ (membership_watched (m, keys, 4), 1u);
+    }
+  for (int64_t now = 3 * dead_ms; now <= 5 * dead_ms; now += 100)
+    membership_tick (m, now);
+  EXPECT_EQ (membership_state (m, 7), MEMBER_DEAD);
+  EXPECT_EQ (membership_watched (m, keys, 4), 0u);
+  membership_destroy (m);
+}
+
+/* After a cut a dead host beats only in return.  It must be asked, as its
+   answer alone brings it back, and it must keep being asked while it is dead
+   here. */
+TEST (Membership, ADeadHostIsAskedWhateverItsHeartbeatSays)
+{
+  membership *m = make_membership ();
+  const member_verdict dead = { 7, 1, 4, MEMBER_DEAD };
+  membership_introduce (m, 0, 7, 1, false);
+  membership_verdict (m, 10, &dead);
+  EXPECT_TRUE (membership_wants_return (m, 7));
+  uint64_t keys[4];
+  for (int64_t now = 100; now <= 3 * dead_ms; now += 100)
+    {
+      membership_heard (m, now, 7, 1, false, false);
+      membership_tick (m, now);
+      ASSERT_EQ (membership_watched (m, keys, 4), 1u) << now;
+    }
+  membership_answered (m, 3 * dead_ms + 50, 7, 1);
+  membership_tick (m, 3 * dead_ms + 100);
+  EXPECT_EQ (membership_state (m, 7), MEMBER_LIVE);
+  membership_destroy (m);
+}
+
 TEST (Membership, ContradictsAVerdictAboutItself)
 {
   membership *m = make_membership ();
--- a/wire/peer/peer_decode.c
+++ b/wire/peer/peer_decode.c
@@ -170,6 +170,7 @@
   heartbeat->sequence = take_number (fields, UINT64_MAX);
   heartbeat->relay_age_ms = (uint32_t)take_number (fields, UINT32_MAX);
   heartbeat->leaving = take_bool (fields);
+  heartbeat->return_wanted = take_bool (fields);
   heartbeat->settings_hash = take_number (fields, UINT64_MAX);
 }
 
--- a/wire/peer/peer_encode.c
+++ b/wire/peer/peer_encode.c
@@ -38,6 +38,7 @@
   msgpack_pack_uint64 (packer, heartbeat->sequence);
   msgpack_pack_uint32 (packer, heartbeat->relay_age_ms);
   put_bool (packer, heartbeat->leaving);
+  put_bool (packer, heartbeat->return_wanted);
   msgpack_pack_uint64 (packer, heartbeat->settings_hash);
 }
 
@@ -140,6 +141,7 @@
       return 2;
     case PEER_HEARTBEAT:
     case PEER_HEARTBEAT_ACK:
+      return 6;
     case PEER_SETTINGS_PUSH:
       return 5;
     case PEER_INDIRECT_CHECK:
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -78,6 +78,7 @@
   uint64_t sequence;
   uint32_t relay_age_ms; /**< since the sender heard platform or relay */
   bool leaving;
+  bool return_wanted;     /**< the sender watches the receiver by itself */
   uint64_t settings_hash; /**< of all settings the sender holds */
 };
 
--- a/wire/peer/tests/peer_message_test.cc
+++ b/wire/peer/tests/peer_message_test.cc
@@ -54,7 +54,7 @@
         break;
       case PEER_HEARTBEAT:
       case PEER_HEARTBEAT_ACK:
-        m.heartbeat = { 77, 1234, true, 1ull << 60 };
+        m.heartbeat = { 77, 1234, true, true, 1ull << 60 };
         break;
       case PEER_INDIRECT_CHECK:
       case PEER_INDIRECT_RESULT:
