tests: tour_test without std::regex

Cause: make check SANITIZE=1 didn't build: gcc 12 takes libstdc++'s regex for reading uninitialised memory, and warnings are errors. Ruled out: -Wno-maybe-uninitialized for the file; it would hide real ones. Conclusion: two small string functions do the same; the links found are counted, so that the check can't pass by finding none.

--- a/tests/docs/tour_test.cc
+++ b/tests/docs/tour_test.cc
@@ -4,7 +4,6 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <regex>
 #include <sstream>
 #include <sys/file.h>
 #include <unistd.h>
@@ -23,6 +22,30 @@
   return text.str ();
 }
 
+void
+replace_all (std::string &text, const std::string &from, const std::string &to)
+{
+  for (size_t at = text.find (from); at != std::string::npos;
+       at = text.find (from, at + to.size ()))
+    text.replace (at, from.size (), to);
+}
+
+/* The files that TEXT links, without the part behind a '#'. */
+std::vector<std::string>
+links_of (const std::string &text)
+{
+  std::vector<std::string> links;
+  for (size_t at = text.find ("]("); at != std::string::npos;
+       at = text.find ("](", at + 1))
+    {
+      const size_t end = text.find (')', at);
+      const std::string link = text.substr (at + 2, end - at - 2);
+      if (link.find (':') == std::string::npos)
+        links.push_back (link.substr (0, link.find ('#')));
+    }
+  return links;
+}
+
 /* A newcomer copies the tour's lines.  They must work as printed, from the
    top of the tree; only the build folder is this test's own. */
 TEST (Tour, LinesOfTheReadmeWork)
@@ -40,8 +63,8 @@
   const size_t first = from + start.size ();
   std::string lines
       = readme.substr (first, readme.find ("```", first) - first);
-  lines = std::regex_replace (lines, std::regex ("build/"), BUILD_DIR "/");
-  lines = std::regex_replace (lines, std::regex ("host\\.log"), "/dev/null");
+  replace_all (lines, "build/", BUILD_DIR "/");
+  replace_all (lines, "host.log", "/dev/null");
   /* timeout(1) ends the jobs of the tour along with it. */
   Process tour ({ "/usr/bin/timeout", "200", "/bin/bash", "-ec",
                   "cd " SOURCE_DIR "\n" + lines });
@@ -62,16 +85,15 @@
   for (const auto &entry : std::filesystem::directory_iterator (top / "docs"))
     if (entry.path ().extension () == ".md")
       pages.push_back (entry.path ());
-  const std::regex link ("\\]\\(([^)#:]+)(#[^)]*)?\\)");
+  size_t checked = 0;
   for (const auto &page : pages)
-    {
-      const std::string text = read (page);
-      for (std::sregex_iterator at (text.begin (), text.end (), link), end;
-           at != end; ++at)
-        EXPECT_TRUE (
-            std::filesystem::exists (page.parent_path () / (*at)[1].str ()))
-            << page << " links " << (*at)[1];
-    }
+    for (const std::string &link : links_of (read (page)))
+      {
+        checked++;
+        EXPECT_TRUE (std::filesystem::exists (page.parent_path () / link))
+            << page << " links " << link;
+      }
+  EXPECT_GT (checked, 5u);
 }
 
 } // namespace
