tests: the targets' account is read to its end before it is judged

Cause: cut_test was red once in a fresh clone: "told run, ran 0 times" for a request whose answer names its target. The line the target wrote before that answer was still in the pipe when the account was taken. Ruled out: a fault in the fleet (the answer carries the id and the target's own hash, so the target did run it). Conclusion: the account waits for a line that the target writes on request, behind all earlier ones; that makes the "told not run" check stricter as well.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -270,6 +270,16 @@
 Fleet::all_runs ()
 {
   std::map<std::string, int> runs;
+  /* A line that a target wrote may still be on its way to us. */
+  for (size_t i = 0; i < targets.size (); i++)
+    {
+      size_t from = targets[i]->line_count ();
+      if (targets[i]->running ()
+          && http_get (target_url (static_cast<int> (i) + 1, "/control/runs"))
+                     .status
+                 == 200)
+        targets[i]->wait_line ({ "counted" }, &from);
+    }
   for (const auto &target : targets)
     for (const std::string &line : target->lines_with ("run "))
       runs[line.substr (4, line.find_first_of (" \n", 4) - 4)]++;
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -301,7 +301,15 @@
     MHD_get_connection_values (request->connection, MHD_GET_ARGUMENT_KIND,
                                set_fault, &server->faults);
   if (strcmp (request->url, "/control/runs") == 0)
-    body = run_book_json (server->runs);
+    {
+      body = run_book_json (server->runs);
+      /* Behind this line no run that came before is still to be read. */
+      if (server->run_log != NULL)
+        {
+          fputs ("counted\n", server->run_log);
+          fflush (server->run_log);
+        }
+    }
   if (body == NULL)
     body = target_counts_json (&server->counts);
   const char *text = json_object_to_json_string (body);
