registry: one configuration and targets that register themselves

Cause: a fleet whose targets register themselves at the platform, and whose configuration is one version for all, had no place in the product: services were objects of their own, with their targets written in by an operator. Ruled out: service objects made up from both by whoever reads the platform: each change of a target would count as a change of the service's settings, and a configuration would come into force piece by piece. Change: wire/fleet_config and wire/target_record hold the two kinds, checked; node/registry puts them together, tells a burst of changes together, services before the configuration that routes to them, and never goes back to an older version. Settings take durations as text with a unit.

--- a/base/options.h
+++ b/base/options.h
@@ -64,6 +64,11 @@
 void options_int (struct options *options, const char *key, int64_t min,
                   int64_t max, int64_t *value);
 
+/** A time in milliseconds within [MIN_MS, MAX_MS]: a whole number of them, or
+ * a text of a number and its unit, "1500ms" or "2.5s". */
+void options_duration (struct options *options, const char *key,
+                       int64_t min_ms, int64_t max_ms, int64_t *value_ms);
+
 /** As options_int() for a number with a fraction. */
 void options_double (struct options *options, const char *key, double min,
                      double max, double *value);
--- a/base/tests/options_test.cc
+++ b/base/tests/options_test.cc
@@ -138,4 +138,37 @@
         bad_value{ "{\"list\":[1,2,3]}", "at most 2 elements" },
         bad_value{ "{\"list\":{}}", "expected an array" }));
 
+
+TEST_F (Options, DurationsAreMillisecondsOrTextWithAUnit)
+{
+  begin ("{ \"a\": 20, \"b\": \"1500ms\", \"c\": \"2.5s\" }");
+  int64_t a = 0, b = 0, c = 0, d = 7;
+  options_duration (&top, "a", 1, 9000, &a);
+  options_duration (&top, "b", 1, 9000, &b);
+  options_duration (&top, "c", 1, 9000, &c);
+  options_duration (&top, "d", 1, 9000, &d);
+  EXPECT_EQ (options_end (&top), STATUS_OK) << status_message ();
+  EXPECT_EQ (a, 20);
+  EXPECT_EQ (b, 1500);
+  EXPECT_EQ (c, 2500);
+  EXPECT_EQ (d, 7);
+}
+
+/* An operator writes "2 minutes".  Taken for 2 ms, every call would time out;
+   the host must name the place and the forms it takes. */
+TEST_F (Options, ADurationOfAnotherFormIsRefused)
+{
+  for (const char *text : { "2 minutes", "2", "-1s", "s", "1e3h", "99s" })
+    {
+      const std::string json = std::string ("{ \"a\": \"") + text + "\" }";
+      begin (json.c_str ());
+      int64_t a = 0;
+      options_duration (&top, "a", 1, 9000, &a);
+      EXPECT_EQ (options_end (&top), STATUS_INVALID) << text;
+      EXPECT_NE (strstr (status_message (), "1500ms"), nullptr);
+      EXPECT_EQ (a, 0);
+      json_object_put (tree);
+      tree = nullptr;
+    }
+}
 } // namespace
--- /dev/null
+++ b/node/registry/registry.c
@@ -0,0 +1,320 @@
+#define LOG_MODULE "registry"
+
+#include "node/registry/registry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "wire/target_record.h"
+
+/* Changes of one burst (a release, a list) are told together. */
+static const double TELL_AFTER_SECONDS = 0.005;
+
+struct registry_target
+{
+  struct target_record record;
+  UT_hash_handle hh;
+};
+
+/* A service that was told. */
+struct registry_service
+{
+  char name[SERVICE_NAME_SIZE];
+  bool changed;
+  UT_hash_handle hh;
+};
+
+struct registry
+{
+  struct registry_options options;
+  struct fleet_config *config;
+  bool config_changed;
+  struct registry_target *targets;   /* by name */
+  struct registry_service *services; /* by name */
+  uint64_t version;                  /* of the newest spec told */
+  ev_timer tell;
+};
+
+static void
+tell_soon (struct registry *registry)
+{
+  if (ev_is_active (&registry->tell))
+    return;
+  ev_timer_set (&registry->tell, TELL_AFTER_SECONDS, 0.);
+  ev_timer_start (registry->options.loop, &registry->tell);
+}
+
+static struct registry_service *
+service_entry (struct registry *registry, const char *name)
+{
+  struct registry_service *service;
+  HASH_FIND_STR (registry->services, name, service);
+  if (service != NULL)
+    return service;
+  service = xcalloc (1, sizeof *service);
+  memcpy (service->name, name, strlen (name) + 1);
+  service->changed = true;
+  HASH_ADD_STR (registry->services, name, service);
+  return service;
+}
+
+/* Targets of a service that isn't configured wait for it. */
+static void
+touch_service (struct registry *registry, const char *name)
+{
+  struct registry_service *service;
+  HASH_FIND_STR (registry->services, name, service);
+  if (service == NULL)
+    return;
+  service->changed = true;
+  tell_soon (registry);
+}
+
+static int
+compare_targets (const void *a, const void *b)
+{
+  const struct target_spec *left = a;
+  const struct target_spec *right = b;
+  return strcmp (left->name, right->name);
+}
+
+static struct target_spec
+target_spec_of (const struct target_record *record, uint32_t connections)
+{
+  struct target_spec spec = { .slots = record->slots,
+                              .capacity = record->slots,
+                              .connections = connections,
+                              .warm_up_ms = record->warm_up_ms,
+                              .state = record->state };
+  memcpy (spec.name, record->name, sizeof spec.name);
+  memcpy (spec.address, record->address, sizeof spec.address);
+  memcpy (spec.dc, record->dc, sizeof spec.dc);
+  return spec;
+}
+
+static void
+gather_targets (const struct registry *registry, struct service_spec *spec,
+                uint32_t connections)
+{
+  const struct registry_target *target;
+  spec->targets
+      = xcalloc (HASH_COUNT (registry->targets) + 1, sizeof *spec->targets);
+  for (target = registry->targets; target != NULL; target = target->hh.next)
+    if (strcmp (target->record.service, spec->name) == 0)
+      spec->targets[spec->target_count++]
+          = target_spec_of (&target->record, connections);
+  qsort (spec->targets, spec->target_count, sizeof *spec->targets,
+         compare_targets);
+}
+
+static void
+tell_service (struct registry *registry, struct registry_service *service)
+{
+  const struct fleet_config *config = registry->config;
+  const struct fleet_service *declared
+      = fleet_config_service (config, service->name);
+  struct service_spec spec;
+  service->changed = false;
+  if (declared == NULL)
+    return;
+  service_spec_defaults (&spec);
+  memcpy (spec.name, service->name, sizeof spec.name);
+  spec.version = ++registry->version;
+  spec.prefer = registry->options.prefer;
+  spec.limits = registry->options.limits;
+  spec.limits.body_bytes = config->limits.body_bytes;
+  gather_targets (registry, &spec, declared->connections);
+  registry->options.events->service (registry->options.owner, &spec);
+  free (spec.targets);
+}
+
+static void
+remove_undeclared (struct registry *registry)
+{
+  struct registry_service *service;
+  struct registry_service *next;
+  HASH_ITER (hh, registry->services, service, next)
+  {
+    if (fleet_config_service (registry->config, service->name) != NULL)
+      continue;
+    registry->options.events->service_removed (
+        registry->options.owner, service->name, ++registry->version);
+    HASH_DEL (registry->services, service);
+    free (service);
+  }
+}
+
+static void
+on_tell (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct registry *registry = timer->data;
+  struct registry_service *service;
+  if (registry->config == NULL)
+    return;
+  for (service = registry->services; service != NULL;
+       service = service->hh.next)
+    if (service->changed)
+      tell_service (registry, service);
+  if (!registry->config_changed)
+    return;
+  registry->config_changed = false;
+  registry->options.events->config (registry->options.owner, registry->config);
+  remove_undeclared (registry);
+}
+
+struct registry *
+registry_create (const struct registry_options *options)
+{
+  struct registry *registry = xcalloc (1, sizeof *registry);
+  registry->options = *options;
+  ev_timer_init (&registry->tell, on_tell, 0., 0.);
+  registry->tell.data = registry;
+  return registry;
+}
+
+void
+registry_destroy (struct registry *registry)
+{
+  if (registry == NULL)
+    return;
+  ev_timer_stop (registry->options.loop, &registry->tell);
+  struct registry_target *target = registry->targets;
+  HASH_CLEAR (hh, registry->targets);
+  while (target != NULL)
+    {
+      struct registry_target *next = target->hh.next;
+      free (target);
+      target = next;
+    }
+  struct registry_service *service = registry->services;
+  HASH_CLEAR (hh, registry->services);
+  while (service != NULL)
+    {
+      struct registry_service *next = service->hh.next;
+      free (service);
+      service = next;
+    }
+  fleet_config_destroy (registry->config);
+  free (registry);
+}
+
+enum status
+registry_take_config (struct registry *registry, const char *name,
+                      const char *text)
+{
+  struct fleet_config *config;
+  const enum status status = fleet_config_parse (name, text, &config);
+  if (status != STATUS_OK)
+    {
+      LOG_WARN ("config-refused", LOG_STR ("config", name),
+                LOG_STR ("why", status_message ()));
+      return status;
+    }
+  if (registry->config != NULL && config->version <= registry->config->version)
+    {
+      fleet_config_destroy (config);
+      return status_set (STATUS_REFUSED,
+                         "the configuration isn't newer than the one in "
+                         "force");
+    }
+  fleet_config_destroy (registry->config);
+  registry->config = config;
+  registry->config_changed = true;
+  for (size_t i = 0; i < config->service_count; i++)
+    service_entry (registry, config->services[i].name)->changed = true;
+  LOG_INFO ("config-accepted", LOG_INT ("version", config->version),
+            LOG_INT ("routes", config->route_count),
+            LOG_INT ("services", config->service_count));
+  tell_soon (registry);
+  return STATUS_OK;
+}
+
+static struct registry_target *
+find_target (const struct registry *registry, const char *name)
+{
+  struct registry_target *target;
+  HASH_FIND_STR (registry->targets, name, target);
+  return target;
+}
+
+static void
+remove_target (struct registry *registry, const char *name)
+{
+  struct registry_target *target = find_target (registry, name);
+  if (target == NULL)
+    return;
+  LOG_INFO ("target-gone", LOG_STR ("target", name),
+            LOG_STR ("service", target->record.service));
+  touch_service (registry, target->record.service);
+  HASH_DEL (registry->targets, target);
+  free (target);
+}
+
+static bool
+says_the_same (const struct target_record *a, const struct target_record *b)
+{
+  return a->slots == b->slots && a->state == b->state
+         && strcmp (a->service, b->service) == 0
+         && strcmp (a->address, b->address) == 0 && strcmp (a->dc, b->dc) == 0;
+}
+
+enum status
+registry_take_target (struct registry *registry, const char *name,
+                      const char *text)
+{
+  struct target_record record;
+  if (text == NULL)
+    {
+      remove_target (registry, name);
+      return STATUS_OK;
+    }
+  const enum status status = target_record_parse (name, text, &record);
+  if (status != STATUS_OK)
+    {
+      LOG_WARN ("target-refused", LOG_STR ("target", name),
+                LOG_STR ("why", status_message ()));
+      return status;
+    }
+  struct registry_target *target = find_target (registry, name);
+  if (target == NULL)
+    {
+      target = xcalloc (1, sizeof *target);
+      target->record = record;
+      HASH_ADD_STR (registry->targets, record.name, target);
+    }
+  else if (says_the_same (&target->record, &record))
+    return STATUS_OK;
+  else
+    touch_service (registry, target->record.service);
+  target->record = record;
+  LOG_INFO (
+      "target-registered", LOG_STR ("target", name),
+      LOG_STR ("service", record.service), LOG_STR ("address", record.address),
+      LOG_STR ("state",
+               record.state == TARGET_STATE_ACTIVE ? "active" : "drained"));
+  touch_service (registry, record.service);
+  return STATUS_OK;
+}
+
+const struct fleet_config *
+registry_config (const struct registry *registry)
+{
+  return registry->config;
+}
+
+bool
+registry_target_is_active (const struct registry *registry, const char *name)
+{
+  const struct registry_target *target = find_target (registry, name);
+  return target != NULL && target->record.state == TARGET_STATE_ACTIVE;
+}
+
+size_t
+registry_target_count (const struct registry *registry)
+{
+  return HASH_COUNT (registry->targets);
+}
--- /dev/null
+++ b/node/registry/tests/registry_test.cc
@@ -0,0 +1,178 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "node/registry/registry.h"
+}
+
+namespace
+{
+std::string
+quoted (std::string text)
+{
+  for (char &c : text)
+    if (c == '\'')
+      c = '"';
+  return text;
+}
+
+std::string
+config_text (int version, const std::vector<std::string> &services)
+{
+  std::string routes, declared;
+  for (const std::string &name : services)
+    {
+      const std::string comma = declared.empty () ? "" : ",";
+      routes += comma + "{ 'name': 'r-" + name + "', 'path_prefix': '/" + name
+                + "/', 'parts': [ { 'service': '" + name + "' } ] }";
+      declared += comma + "{ 'name': '" + name + "' }";
+    }
+  return quoted ("{ 'version': " + std::to_string (version) + ", 'routes': ["
+                 + routes + "], 'services': [" + declared + "] }");
+}
+
+std::string
+target_text (const std::string &service, const std::string &state = "active")
+{
+  return quoted ("{ 'service': '" + service
+                 + "', 'address': '10.0.0.1:80',"
+                   " 'slots': 3, 'state': '"
+                 + state + "' }");
+}
+
+class Registry : public testing::Test
+{
+protected:
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  std::vector<std::string> told;
+  registry *r = nullptr;
+
+  static Registry *
+  of (void *owner)
+  {
+    return static_cast<Registry *> (owner);
+  }
+
+  void
+  SetUp () override
+  {
+    static const registry_events events
+        = { [] (void *owner, const service_spec *spec) {
+             std::string line = std::string ("service ") + spec->name;
+             for (size_t i = 0; i < spec->target_count; i++)
+               line += std::string (" ") + spec->targets[i].name
+                       + (spec->targets[i].state == TARGET_STATE_ACTIVE
+                              ? ""
+                              : "(drained)");
+             of (owner)->told.push_back (line);
+           },
+            [] (void *owner, const fleet_config *config) {
+              of (owner)->told.push_back ("config "
+                                          + std::to_string (config->version));
+            },
+            [] (void *owner, const char *name, uint64_t) {
+              of (owner)->told.push_back (std::string ("removed ") + name);
+            } };
+    service_spec defaults;
+    service_spec_defaults (&defaults);
+    registry_options options = {};
+    options.loop = loop;
+    options.events = &events;
+    options.owner = this;
+    options.limits = defaults.limits;
+    r = registry_create (&options);
+  }
+
+  void
+  TearDown () override
+  {
+    registry_destroy (r);
+    ev_loop_destroy (loop);
+  }
+
+  status
+  config (int version, const std::vector<std::string> &services)
+  {
+    return registry_take_config (r, "main",
+                                 config_text (version, services).c_str ());
+  }
+
+  std::vector<std::string>
+  run ()
+  {
+    told.clear ();
+    ev_run (loop, 0);
+    return told;
+  }
+};
+
+using lines = std::vector<std::string>;
+
+TEST_F (Registry, TellsServicesBeforeTheConfigurationThatRoutesToThem)
+{
+  registry_take_target (r, "t-2", target_text ("holds").c_str ());
+  registry_take_target (r, "t-1", target_text ("holds").c_str ());
+  EXPECT_EQ (run (), lines{});
+  ASSERT_EQ (config (3, { "holds" }), STATUS_OK) << status_message ();
+  EXPECT_EQ (run (), (lines{ "service holds t-1 t-2", "config 3" }));
+}
+
+TEST_F (Registry, RemovalsFollowTheConfigurationThatDropsThem)
+{
+  config (3, { "a", "b" });
+  run ();
+  config (4, { "b" });
+  EXPECT_EQ (run (), (lines{ "service b", "config 4", "removed a" }));
+}
+
+/* A host heard version 8 from a peer; then a list of its own that was taken
+   before brings version 7.  Put in force, requests would go where they went
+   a moment ago, and then to the new place again. */
+TEST_F (Registry, AnOlderConfigurationNeverComesBack)
+{
+  config (8, { "a" });
+  run ();
+  EXPECT_EQ (config (7, { "b" }), STATUS_REFUSED);
+  EXPECT_EQ (config (8, { "b" }), STATUS_REFUSED);
+  EXPECT_EQ (run (), lines{});
+  EXPECT_EQ (registry_config (r)->version, 8u);
+}
+
+TEST_F (Registry, AConfigurationThatCantBeReadLeavesTheOneInForce)
+{
+  config (8, { "a" });
+  run ();
+  EXPECT_EQ (registry_take_config (r, "main", "{ \"version\": 9, \"rout"),
+             STATUS_INVALID);
+  EXPECT_EQ (run (), lines{});
+  EXPECT_EQ (registry_config (r)->version, 8u);
+}
+
+TEST_F (Registry, ATargetChangesAndGoes)
+{
+  config (1, { "a" });
+  registry_take_target (r, "t-1", target_text ("a").c_str ());
+  run ();
+  EXPECT_TRUE (registry_target_is_active (r, "t-1"));
+  registry_take_target (r, "t-1", target_text ("a", "drained").c_str ());
+  EXPECT_EQ (run (), lines{ "service a t-1(drained)" });
+  EXPECT_FALSE (registry_target_is_active (r, "t-1"));
+  registry_take_target (r, "t-1", nullptr);
+  EXPECT_EQ (run (), lines{ "service a" });
+  EXPECT_EQ (registry_target_count (r), 0u);
+}
+
+/* Heartbeats of a target change nothing that matters; each would otherwise
+   set up the service's targets anew. */
+TEST_F (Registry, ARecordThatSaysTheSameTellsNothing)
+{
+  config (1, { "a" });
+  registry_take_target (r, "t-1", target_text ("a").c_str ());
+  run ();
+  registry_take_target (r, "t-1", target_text ("a").c_str ());
+  EXPECT_EQ (run (), lines{});
+}
+} // namespace
--- /dev/null
+++ b/wire/fleet_config.h
@@ -0,0 +1,95 @@
+/** @file
+ * The configuration of a whole fleet, as one version: the value of the object
+ * PLATFORM_CONFIG_NAME of kind `config`, for fleets whose targets register
+ * themselves (target_record.h).
+ *
+ * JSON shape (comments allowed):
+ *
+ *     { "version": 12,
+ *       "routes": [ { "name": "r-1", "host": "holds.example",
+ *                     "path_prefix": "/holds/", "repeatable": false,
+ *                     "timeout_ms": 4000, "latency_goal_ms": 1000,
+ *                     "priority": 0, "attempts": 2,
+ *                     "parts": [ { "service": "holds", "weight": 90 },
+ *                                { "service": "holds-next", "weight": 10 } ]
+ *                   } ],
+ *       "services": [ { "name": "holds", "health_path": "/health",
+ *                       "connections": 330 } ],
+ *       "limits": { "header_bytes": 16384, "body_bytes": 67108864,
+ *                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000 } }
+ */
+#ifndef WIRE_FLEET_CONFIG_H
+#define WIRE_FLEET_CONFIG_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "wire/service_spec.h"
+
+#define FLEET_ROUTES_MAX 16384
+#define FLEET_SERVICES_MAX 4096
+#define ROUTE_PARTS_MAX 16
+
+/** A service that a route sends a share of its requests to. */
+struct route_part
+{
+  char service[SERVICE_NAME_SIZE];
+  uint32_t weight; /**< its share is this of the sum of all parts' weights */
+};
+
+/** A route, with what its requests may ask for. */
+struct fleet_route
+{
+  char name[SERVICE_NAME_SIZE];
+  struct route_spec spec;
+  uint32_t timeout_ms;      /**< most time until the final answer */
+  uint32_t latency_goal_ms; /**< an answer within it is worth most */
+  uint32_t priority;        /**< 0 is the most urgent */
+  uint32_t attempts;        /**< most targets one request may be sent to */
+  struct route_part *parts; /**< at least one */
+  size_t part_count;
+};
+
+struct fleet_service
+{
+  char name[SERVICE_NAME_SIZE];
+  char health_path[SERVICE_PATH_SIZE];
+  uint32_t connections; /**< most open to one target, by all hosts together */
+};
+
+/** What callers may send. */
+struct fleet_limits
+{
+  uint32_t header_bytes;
+  uint32_t body_bytes;
+  uint32_t header_timeout_ms; /**< for a whole head, from its first byte */
+  uint32_t idle_timeout_ms;   /**< of a connection without a request */
+};
+
+struct fleet_config
+{
+  uint64_t version;
+  struct fleet_route *routes;
+  size_t route_count;
+  struct fleet_service *services;
+  size_t service_count;
+  struct fleet_limits limits;
+};
+
+/** Parse and check TEXT; FILE is what messages call it.
+ * @return in *CONFIG what fleet_config_destroy() releases. */
+enum status fleet_config_parse (const char *file, const char *text,
+                                struct fleet_config **config);
+
+/** The JSON text of CONFIG, in new memory; parses to an equal one. */
+char *fleet_config_format (const struct fleet_config *config);
+
+struct fleet_config *fleet_config_copy (const struct fleet_config *config);
+void fleet_config_destroy (struct fleet_config *config);
+
+/** The service called NAME, or NULL. */
+const struct fleet_service *
+fleet_config_service (const struct fleet_config *config, const char *name);
+
+#endif
--- a/wire/platform.h
+++ b/wire/platform.h
@@ -30,6 +30,11 @@
 #define PLATFORM_KIND_SERVICE "service"   /**< service_spec.h */
 #define PLATFORM_KIND_EJECTION "ejection" /**< floor record of a service */
 #define PLATFORM_KIND_HOST "host"         /**< live and leaving hosts */
+#define PLATFORM_KIND_CONFIG "config"     /**< fleet_config.h */
+#define PLATFORM_KIND_TARGET "target"     /**< target_record.h */
+
+/** The object of kind `config` that is in force. */
+#define PLATFORM_CONFIG_NAME "main"
 
 /** "There must be no such object yet", as an expected version. */
 #define PLATFORM_VERSION_NONE 0
--- a/wire/service_spec.c
+++ b/wire/service_spec.c
@@ -1,6 +1,5 @@
 #include "wire/service_spec.h"
 
-#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +7,7 @@
 
 #include "base/options.h"
 #include "base/xmalloc.h"
+#include "wire/route_options.h"
 #include "wire/service_spec_names.h"
 
 enum
@@ -51,30 +51,13 @@
   *value = (uint32_t)number;
 }
 
-/* Names stand in paths of URLs and in keys of logs, so they are plain. */
-static void
-read_name (struct options *options, const char *key, bool required,
-           char value[SERVICE_NAME_SIZE])
-{
-  options_string (options, key, required, value, SERVICE_NAME_SIZE);
-  for (const char *c = value; *c != '\0'; c++)
-    if (!isalnum ((unsigned char)*c) && strchr ("._-", *c) == NULL)
-      {
-        options_fail (options, key,
-                      "expected letters, digits, '.', '_' and '-', found "
-                      "\"%s\"; choose another name",
-                      value);
-        return;
-      }
-}
-
 static void
 read_target (struct options *options, struct target_spec *target)
 {
   int state = TARGET_STATE_ACTIVE;
   *target = (struct target_spec){ .slots = SLOTS_DEFAULT,
                                   .connections = CONNECTIONS_DEFAULT };
-  read_name (options, "name", true, target->name);
+  route_options_name (options, "name", true, target->name);
   options_address (options, "address", true, target->address,
                    sizeof target->address);
   const char *port = strrchr (target->address, ':');
@@ -83,7 +66,7 @@
                   "expected a port from 1 to 65535, found \"%s\"; name the "
                   "port that the target listens on",
                   target->address);
-  read_name (options, "dc", false, target->dc);
+  route_options_name (options, "dc", false, target->dc);
   read_u32 (options, "slots", 1, SLOTS_MAX, &target->slots);
   target->capacity = target->slots;
   read_u32 (options, "capacity", 1, FLOOR_MAX, &target->capacity);
@@ -137,84 +120,6 @@
     }
 }
 
-static uint32_t
-method_bit (const char *name)
-{
-  for (size_t i = 0; i < ROUTE_METHOD_COUNT; i++)
-    if (strcmp (route_method_names[i], name) == 0)
-      return 1U << i;
-  return 0;
-}
-
-static void
-read_methods (struct options *options, struct route_spec *route)
-{
-  struct json_object *array
-      = options_array (options, "methods", ROUTE_METHOD_COUNT);
-  const size_t count = array == NULL ? 0 : json_object_array_length (array);
-  for (size_t i = 0; i < count; i++)
-    {
-      struct json_object *node = json_object_array_get_idx (array, i);
-      const char *name = json_object_is_type (node, json_type_string)
-                             ? json_object_get_string (node)
-                             : "";
-      const uint32_t bit = method_bit (name);
-      if (bit == 0 || (route->methods & bit) != 0)
-        options_fail (options, "methods",
-                      "expected GET, HEAD, POST, PUT, DELETE, PATCH or "
-                      "OPTIONS, each once, found \"%.40s\"; leave all out "
-                      "for any method",
-                      name);
-      route->methods |= bit;
-    }
-}
-
-/* Host names compare without regard to case: keep them in one. */
-static void
-read_host (struct options *options, struct route_spec *route)
-{
-  options_string (options, "host", false, route->host, sizeof route->host);
-  for (char *c = route->host; *c != '\0'; c++)
-    {
-      *c = (char)tolower ((unsigned char)*c);
-      if (*c == ':' || *c == '/' || isspace ((unsigned char)*c))
-        {
-          options_fail (options, "host",
-                        "expected a host name without port, found \"%s\"; "
-                        "remove what isn't part of the name",
-                        route->host);
-          return;
-        }
-    }
-}
-
-static void
-read_path_prefix (struct options *options, struct route_spec *route)
-{
-  strcpy (route->path_prefix, "/");
-  options_string (options, "path_prefix", false, route->path_prefix,
-                  sizeof route->path_prefix);
-  if (route->path_prefix[0] != '/'
-      || strpbrk (route->path_prefix, "?# \t\r\n") != NULL)
-    options_fail (options, "path_prefix",
-                  "expected a path that begins with '/' and has no query, "
-                  "found \"%s\"; mend it or leave it out for \"/\"",
-                  route->path_prefix);
-}
-
-static void
-read_route (struct options *options, struct route_spec *route)
-{
-  const uint32_t safe
-      = ROUTE_METHOD_GET | ROUTE_METHOD_HEAD | ROUTE_METHOD_OPTIONS;
-  *route = (struct route_spec){ .methods = 0 };
-  read_host (options, route);
-  read_path_prefix (options, route);
-  read_methods (options, route);
-  route->repeatable = route->methods != 0 && (route->methods & ~safe) == 0;
-  options_bool (options, "repeatable", &route->repeatable);
-}
-
 static bool
 routes_overlap (const struct route_spec *a, const struct route_spec *b)
 {
@@ -250,7 +155,7 @@
     {
       struct options child;
       options_element (top, "routes", array, i, &child);
-      read_route (&child, &spec->routes[i]);
+      route_options_read (&child, &spec->routes[i]);
       refuse_same_route (&child, spec, &spec->routes[i]);
       options_close (top, &child);
       spec->route_count++;
@@ -280,7 +185,7 @@
 {
   int prefer = spec->prefer;
   int ejection = spec->ejection_paused;
-  read_name (top, "name", true, spec->name);
+  route_options_name (top, "name", true, spec->name);
   options_string (top, "write_id", false, spec->write_id,
                   sizeof spec->write_id);
   options_enum (top, "prefer", service_prefer_names, SERVICE_PREFER_COUNT,
--- a/wire/service_spec.h
+++ b/wire/service_spec.h
@@ -59,6 +59,8 @@
   uint32_t capacity;    /**< what it counts towards the floor; its slots
                              unless set */
   uint32_t connections; /**< most open connections */
+  uint32_t warm_up_ms;  /**< slow for so long from now, as it says itself; 0
+                             when it doesn't say */
   enum target_state state;
 };
 
