control: registry kinds are fed, kept and spread like other settings

Cause: the control task knew services and hosts only, so a configuration and target records could neither be watched nor told by peers. Ruled out: a second watcher beside the control task; anti-entropy, tombstones and back-off would stand twice. Change: feeds, takers and tombstones by kind; a removal heard right after an outage of the platform is held until the target may have registered again; a watch that told something pauses, so that a burst is one call; settings for the registry, retries and the addresses for directory and readiness.

--- a/node/bus.c
+++ b/node/bus.c
@@ -39,6 +39,9 @@
     case BUS_SERVICE_IN_FORCE:
       service_spec_destroy (message->service_in_force.spec);
       break;
+    case BUS_CONFIG_IN_FORCE:
+      fleet_config_destroy (message->config_in_force.config);
+      break;
     case BUS_EJECTIONS:
       free (message->ejections.targets);
       break;
--- a/node/bus.h
+++ b/node/bus.h
@@ -17,18 +17,20 @@
 #include <ev.h>
 
 #include "policy/choice/slot_shares.h"
+#include "wire/fleet_config.h"
 #include "wire/service_spec.h"
 
 enum bus_topic
 {
   BUS_SERVICE_IN_FORCE, /**< a service appeared or changed */
   BUS_SERVICE_REMOVED,
-  BUS_EJECTIONS,   /**< the enforced ejections of a service changed */
-  BUS_SLOT_SHARES, /**< this host's part of a service's slots changed */
-  BUS_PATH_FAULTS, /**< targets that this host should avoid changed */
-  BUS_HOST_SET,    /**< the hosts to hand out for a service changed */
-  BUS_MEMBERS,     /**< what is believed of the other hosts changed */
-  BUS_SHUTDOWN,    /**< this host is leaving */
+  BUS_CONFIG_IN_FORCE, /**< the fleet's configuration changed */
+  BUS_EJECTIONS,       /**< the enforced ejections of a service changed */
+  BUS_SLOT_SHARES,     /**< this host's part of a service's slots changed */
+  BUS_PATH_FAULTS,     /**< targets that this host should avoid changed */
+  BUS_HOST_SET,        /**< the hosts to hand out for a service changed */
+  BUS_MEMBERS,         /**< what is believed of the other hosts changed */
+  BUS_SHUTDOWN,        /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
 
@@ -43,6 +45,11 @@
   uint64_t version;
 };
 
+struct bus_config_in_force
+{
+  struct fleet_config *config;
+};
+
 /** Targets of a service that get no work by ejection, by name. */
 struct bus_ejections
 {
@@ -93,6 +100,7 @@
   {
     struct bus_service_in_force service_in_force;
     struct bus_service_removed service_removed;
+    struct bus_config_in_force config_in_force;
     struct bus_ejections ejections;
     struct bus_host_set host_set;
     struct bus_slot_shares slot_shares;
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -15,6 +15,7 @@
 #include "base/rng.h"
 #include "node/control/control_task.h"
 #include "node/control/host_record.h"
+#include "node/registry/registry.h"
 #include "policy/fleet/host_set.h"
 #include "policy/fleet/membership.h"
 #include "policy/fleet/settings_index.h"
@@ -32,6 +33,7 @@
   CONTROL_HELPERS = 3,
   /** Indirect checks kept open for others. */
   CONTROL_CHECKS_MAX = 64,
+  CONTROL_FEEDS_MAX = 3,
 };
 
 /** Another host, or this one. */
@@ -59,7 +61,16 @@
   UT_hash_handle hh;
 };
 
-/** The removal of a host record, kept for a bounded time. */
+/** The removal of a target that isn't believed yet. */
+struct control_removal
+{
+  char name[PEER_NAME_SIZE];
+  uint64_t version;
+  int64_t due_ms;
+  struct control_removal *prev, *next;
+};
+
+/** The removal of an object, kept for a bounded time. */
 struct control_tombstone
 {
   uint64_t key;
@@ -98,7 +109,9 @@
   uint64_t revision;
   bool is_listed;  /**< revision is one to watch from */
   bool is_waiting; /**< a call is under way */
+  bool is_for_all; /**< every host watches, not only relays */
   int64_t answered_ms;
+  int64_t regained_ms; /**< when a call was answered after one had failed */
   uint32_t backoff_ms;
   struct ev_timer retry;
 };
@@ -157,15 +170,21 @@
   struct membership *membership;
   struct rng random;
   struct ev_timer beat;
-  struct ev_timer refresh; /**< soon after a change of hosts or services */
-  struct ev_timer deliver; /**< messages to this host itself */
-  struct control_feed feeds[2];
+  struct ev_timer refresh;   /**< soon after a change of hosts or services */
+  struct ev_timer deliver;   /**< messages to this host itself */
+  struct registry *registry; /**< NULL: services are objects of their own */
+  struct control_feed feeds[CONTROL_FEEDS_MAX];
+  size_t feed_count;
   struct control_registration registration;
   struct control_cleanup cleanup;
   struct control_tombstone *tombstones; /**< a ring */
   size_t tombstone_first;               /**< oldest */
   size_t tombstone_count;
-  uint64_t host_floor; /**< unknown host records up to it are removed ones */
+  /** Unknown host and target records up to these are removed ones. */
+  uint64_t host_floor;
+  uint64_t target_floor;
+  struct control_removal *removals; /**< on hold */
+  struct ev_timer removal_due;
   struct control_handler_entry handlers[PEER_TYPE_END];
   struct control_local *local;
   struct control_ask *asks;
@@ -263,6 +282,28 @@
                                uint64_t hash);
 void control_settings_release (struct control_task *task);
 
+/* control_services.c */
+/** Put SPEC, which is taken over, in force here. */
+void control_services_enforce (struct control_task *task,
+                               struct service_spec *spec);
+void control_services_remove (struct control_task *task, const char *name,
+                              uint64_t version);
+
+/* control_registry.c */
+void control_registry_create (struct control_task *task);
+void control_registry_take_config (struct control_task *task, const char *name,
+                                   uint64_t version, const char *value);
+void control_registry_take_target (struct control_task *task, const char *name,
+                                   uint64_t version, const char *value);
+
+/* control_removals.c */
+/** Put the removal of a target on hold if it may be one of an outage.
+ * @return whether it was. */
+bool control_removals_hold (struct control_task *task, const char *name,
+                            uint64_t version, int64_t regained_ms);
+void control_removals_start (struct control_task *task);
+void control_removals_stop (struct control_task *task);
+
 /* control_platform.c */
 void control_platform_start (struct control_task *task);
 /** Relays watch; others stop. */
@@ -285,19 +326,22 @@
 void control_cleanup_beat (struct control_task *task, int64_t now_ms);
 void control_cleanup_stop (struct control_task *task);
 
-/* control_tombstones.c: removals of host records */
+/* control_tombstones.c: removals of what comes and goes by itself */
+/** Are removed objects of KIND kept for a bounded time only? */
+bool control_tombstones_bury (const char *kind);
 void control_tombstones_create (struct control_task *task);
 void control_tombstones_destroy (struct control_task *task);
-/** OBJECT, a host record, has been removed. */
+/** OBJECT has been removed. */
 void control_tombstones_add (struct control_task *task,
                              const struct control_object *object);
 void control_tombstones_expire (struct control_task *task, int64_t now_ms);
-/** The platform's list of hosts as of REVISION was taken in. */
-void control_tombstones_listed (struct control_task *task, uint64_t revision);
-/** Is what a peer pushed a host record that was removed long ago? */
-bool control_tombstones_is_old (const struct control_task *task,
-                                const char *kind, const char *name,
-                                uint64_t version, const char *value);
+/** The platform's list of KIND as of REVISION was taken in. */
+void control_tombstones_listed (struct control_task *task, const char *kind,
+                                uint64_t revision);
+/** Is what a peer pushed an object that was removed long ago? */
+bool control_tombstones_is_old (struct control_task *task, const char *kind,
+                                const char *name, uint64_t version,
+                                const char *value);
 
 /* control_sets.c */
 /** Choose relays, neighbours and host sets anew, a bounded number a turn.
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -12,6 +12,10 @@
 {
   BACKOFF_FIRST_MS = 200,
   BACKOFF_MAX_MS = 5000,
+  /** A watch that told something waits so long before the next, so that a
+   * burst of changes is one call; small against the seconds within which a
+   * change must be in force. */
+  WATCH_PAUSE_MS = 100,
 };
 
 static void
@@ -33,17 +37,33 @@
 answered (struct control_feed *feed)
 {
   feed->answered_ms = clock_now_ms ();
+  if (feed->backoff_ms > 0)
+    {
+      feed->regained_ms = feed->answered_ms;
+      LOG_INFO ("platform-regained", LOG_STR ("kind", feed->kind),
+                LOG_INT ("revision", feed->revision));
+    }
   feed->backoff_ms = 0;
   control_members_contact (feed->task, feed->answered_ms);
 }
 
+static void
+apply (struct control_feed *feed, const char *name, uint64_t version,
+       const char *value)
+{
+  struct control_task *task = feed->task;
+  if (value == NULL && strcmp (feed->kind, PLATFORM_KIND_TARGET) == 0
+      && control_removals_hold (task, name, version, feed->regained_ms))
+    return;
+  control_settings_apply (task, feed->kind, name, version, value);
+}
+
 static void
 apply_reply (struct control_feed *feed, const struct platform_reply *reply)
 {
   for (size_t i = 0; i < reply->count; i++)
-    control_settings_apply (feed->task, feed->kind, reply->objects[i].name,
-                            reply->objects[i].version,
-                            reply->objects[i].value);
+    apply (feed, reply->objects[i].name, reply->objects[i].version,
+           reply->objects[i].value);
   if (reply->revision > feed->revision)
     feed->revision = reply->revision;
 }
@@ -74,8 +94,7 @@
         || strcmp (object->kind, feed->kind) != 0
         || reply_holds (reply, object->name))
       continue;
-    control_settings_apply (task, feed->kind, object->name, reply->revision,
-                            NULL);
+    apply (feed, object->name, reply->revision, NULL);
   }
 }
 
@@ -90,6 +109,17 @@
   retry_later (feed->task, &feed->retry, &feed->backoff_ms);
 }
 
+/* Settings are there once every kind but the hosts has been listed. */
+static void
+note_listed (struct control_task *task)
+{
+  for (size_t i = 0; i < task->feed_count; i++)
+    if (!task->feeds[i].is_listed
+        && strcmp (task->feeds[i].kind, PLATFORM_KIND_HOST) != 0)
+      return;
+  task->has_settings = true;
+}
+
 static void
 list_done (void *owner, const struct platform_reply *reply)
 {
@@ -104,13 +134,19 @@
   apply_reply (feed, reply);
   remove_missing (feed, reply);
   feed->is_listed = true;
-  if (strcmp (feed->kind, PLATFORM_KIND_SERVICE) == 0)
-    feed->task->has_settings = true;
-  else
-    control_tombstones_listed (feed->task, reply->revision);
+  note_listed (feed->task);
+  control_tombstones_listed (feed->task, feed->kind, reply->revision);
   feed_next (feed);
 }
 
+static void
+feed_pause (struct control_feed *feed)
+{
+  ev_timer_stop (feed->task->options.loop, &feed->retry);
+  ev_timer_set (&feed->retry, WATCH_PAUSE_MS / 1000.0, 0);
+  ev_timer_start (feed->task->options.loop, &feed->retry);
+}
+
 static void
 watch_done (void *owner, const struct platform_reply *reply)
 {
@@ -128,7 +164,10 @@
       answered (feed);
       apply_reply (feed, reply);
     }
-  feed_next (feed);
+  if (reply->status == STATUS_OK && reply->count > 0)
+    feed_pause (feed);
+  else
+    feed_next (feed);
 }
 
 /* All list once; then relays watch, and the others hear from them. */
@@ -146,7 +185,7 @@
       return;
     }
   /* A stale host watches for itself, to find back. */
-  if (!task->is_relay && !task->is_stale)
+  if (!feed->is_for_all && !task->is_relay && !task->is_stale)
     return;
   feed->is_waiting = true;
   platform_watch (task->options.platform, feed->kind, feed->revision,
@@ -325,27 +364,39 @@
 control_platform_is_heard (const struct control_task *task, int64_t now_ms)
 {
   const struct control_times *times = &task->options.settings->times;
-  const struct control_feed *feed = &task->feeds[1];
+  const struct control_feed *feed = &task->feeds[task->feed_count - 1];
   const int64_t limit_ms
       = (int64_t)times->watch_ms + times->platform_timeout_ms;
   return feed->is_listed && feed->backoff_ms == 0
          && now_ms - feed->answered_ms <= limit_ms;
 }
 
+static void
+add_feed (struct control_task *task, const char *kind, bool is_for_all)
+{
+  struct control_feed *feed = &task->feeds[task->feed_count++];
+  feed->task = task;
+  feed->kind = kind;
+  feed->is_for_all = is_for_all;
+  ev_timer_init (&feed->retry, feed_retry_cb, 0, 0);
+  feed->retry.data = feed;
+}
+
+/* The feed of hosts is the last; see control_platform_is_heard(). */
 void
 control_platform_start (struct control_task *task)
 {
-  static const char *const kinds[]
-      = { PLATFORM_KIND_SERVICE, PLATFORM_KIND_HOST };
-  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+  const bool is_for_all = task->options.settings->modes.all_watch_registry;
+  if (task->registry == NULL)
+    add_feed (task, PLATFORM_KIND_SERVICE, false);
+  else
     {
-      struct control_feed *feed = &task->feeds[i];
-      feed->task = task;
-      feed->kind = kinds[i];
-      ev_timer_init (&feed->retry, feed_retry_cb, 0, 0);
-      feed->retry.data = feed;
-      feed_next (feed);
+      add_feed (task, PLATFORM_KIND_CONFIG, is_for_all);
+      add_feed (task, PLATFORM_KIND_TARGET, is_for_all);
     }
+  add_feed (task, PLATFORM_KIND_HOST, false);
+  for (size_t i = 0; i < task->feed_count; i++)
+    feed_next (&task->feeds[i]);
   task->registration.task = task;
   ev_timer_init (&task->registration.retry, registration_retry_cb, 0, 0);
   task->registration.retry.data = &task->registration;
@@ -355,14 +406,14 @@
 void
 control_platform_wake (struct control_task *task)
 {
-  for (size_t i = 0; i < sizeof task->feeds / sizeof task->feeds[0]; i++)
+  for (size_t i = 0; i < task->feed_count; i++)
     feed_next (&task->feeds[i]);
 }
 
 void
 control_platform_stop (struct control_task *task)
 {
-  for (size_t i = 0; i < sizeof task->feeds / sizeof task->feeds[0]; i++)
+  for (size_t i = 0; i < task->feed_count; i++)
     {
       ev_timer_stop (task->options.loop, &task->feeds[i].retry);
       platform_cancel (task->options.platform, &task->feeds[i]);
--- /dev/null
+++ b/node/control/control_services.c
@@ -0,0 +1,54 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+
+static struct control_service *
+find_service (const struct control_task *task, const char *name)
+{
+  struct control_service *service;
+  HASH_FIND_STR (task->services, name, service);
+  return service;
+}
+
+void
+control_services_remove (struct control_task *task, const char *name,
+                         uint64_t version)
+{
+  struct control_service *service = find_service (task, name);
+  if (service == NULL)
+    return;
+  struct bus_message message = { .topic = BUS_SERVICE_REMOVED,
+                                 .service_removed = { .version = version } };
+  strncpy (message.service_removed.name, name,
+           sizeof message.service_removed.name - 1);
+  bus_post (task->options.bus, &message);
+  LOG_INFO ("service-removed", LOG_STR ("service", name),
+            LOG_INT ("version", version));
+  HASH_DEL (task->services, service);
+  control_sets_drop (service);
+}
+
+void
+control_services_enforce (struct control_task *task, struct service_spec *spec)
+{
+  struct control_service *service = find_service (task, spec->name);
+  if (service == NULL)
+    {
+      service = xcalloc (1, sizeof *service);
+      memcpy (service->name, spec->name, sizeof service->name);
+      service->key = hash_string (spec->name);
+      HASH_ADD_STR (task->services, name, service);
+    }
+  service->version = spec->version;
+  LOG_INFO ("service-in-force", LOG_STR ("service", spec->name),
+            LOG_INT ("version", spec->version),
+            LOG_INT ("targets", spec->target_count));
+  const struct bus_message message = { .topic = BUS_SERVICE_IN_FORCE,
+                                       .service_in_force = { .spec = spec } };
+  bus_post (task->options.bus, &message);
+  control_refresh_soon (task);
+}
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -17,14 +17,6 @@
   return object;
 }
 
-static struct control_service *
-find_service (const struct control_task *task, const char *name)
-{
-  struct control_service *service;
-  HASH_FIND_STR (task->services, name, service);
-  return service;
-}
-
 static struct control_object *
 hold (struct control_task *task, uint64_t key, const char *kind,
       const char *name, uint64_t version, const char *value)
@@ -44,52 +36,21 @@
   return object;
 }
 
-static void
-remove_service (struct control_task *task, const char *name, uint64_t version)
-{
-  struct control_service *service = find_service (task, name);
-  if (service == NULL)
-    return;
-  struct bus_message message = { .topic = BUS_SERVICE_REMOVED,
-                                 .service_removed = { .version = version } };
-  strncpy (message.service_removed.name, name,
-           sizeof message.service_removed.name - 1);
-  bus_post (task->options.bus, &message);
-  LOG_INFO ("service-removed", LOG_STR ("service", name),
-            LOG_INT ("version", version));
-  HASH_DEL (task->services, service);
-  control_sets_drop (service);
-}
-
 /* A value that can't be used is held, so that it isn't asked for again, but
    the version in force stays. */
 static void
-enforce_service (struct control_task *task, const char *name, uint64_t version,
-                 const char *value)
+take_service (struct control_task *task, const char *name, uint64_t version,
+              const char *value)
 {
   struct service_spec *spec;
-  if (service_spec_parse (name, value, version, &spec) != STATUS_OK)
-    {
-      LOG_WARN ("service-refused", LOG_STR ("service", name),
-                LOG_INT ("version", version),
-                LOG_STR ("why", status_message ()));
-      return;
-    }
-  struct control_service *service = find_service (task, name);
-  if (service == NULL)
-    {
-      service = xcalloc (1, sizeof *service);
-      strncpy (service->name, name, sizeof service->name - 1);
-      service->key = hash_string (name);
-      HASH_ADD_STR (task->services, name, service);
-    }
-  service->version = version;
-  const struct bus_message message = { .topic = BUS_SERVICE_IN_FORCE,
-                                       .service_in_force = { .spec = spec } };
-  bus_post (task->options.bus, &message);
-  LOG_INFO ("service-in-force", LOG_STR ("service", name),
-            LOG_INT ("version", version));
-  control_refresh_soon (task);
+  if (value == NULL)
+    control_services_remove (task, name, version);
+  else if (service_spec_parse (name, value, version, &spec) != STATUS_OK)
+    LOG_WARN ("service-refused", LOG_STR ("service", name),
+              LOG_INT ("version", version),
+              LOG_STR ("why", status_message ()));
+  else
+    control_services_enforce (task, spec);
 }
 
 /* Another process with our name, or somebody who removed our record. */
@@ -165,26 +126,39 @@
     }
 }
 
+typedef void take_object (struct control_task *task, const char *name,
+                          uint64_t version, const char *value);
+
+/* What takes in objects of KIND at this host; NULL when nothing does. */
+static take_object *
+taker_of (const struct control_task *task, const char *kind)
+{
+  const bool has_registry = task->registry != NULL;
+  if (strcmp (kind, PLATFORM_KIND_HOST) == 0)
+    return take_host;
+  if (strcmp (kind, PLATFORM_KIND_SERVICE) == 0)
+    return has_registry ? NULL : take_service;
+  if (strcmp (kind, PLATFORM_KIND_TARGET) == 0)
+    return has_registry ? control_registry_take_target : NULL;
+  if (strcmp (kind, PLATFORM_KIND_CONFIG) == 0)
+    return has_registry ? control_registry_take_config : NULL;
+  return NULL;
+}
+
 bool
 control_settings_apply (struct control_task *task, const char *kind,
                         const char *name, uint64_t version, const char *value)
 {
-  const bool is_service = strcmp (kind, PLATFORM_KIND_SERVICE) == 0;
-  const bool is_host = strcmp (kind, PLATFORM_KIND_HOST) == 0;
-  if ((!is_service && !is_host) || strlen (name) >= PEER_NAME_SIZE)
+  take_object *take = taker_of (task, kind);
+  if (take == NULL || strlen (name) >= PEER_NAME_SIZE)
     return false;
   const uint64_t key = settings_key (kind, name);
   if (!settings_index_raise (task->index, key, version))
     return false;
   struct control_object *object = hold (task, key, kind, name, version, value);
-  if (is_host && value == NULL)
+  if (value == NULL && control_tombstones_bury (kind))
     control_tombstones_add (task, object);
-  if (is_host)
-    take_host (task, name, version, value);
-  else if (value == NULL)
-    remove_service (task, name, version);
-  else
-    enforce_service (task, name, version, value);
+  take (task, name, version, value);
   offer (task, key, version);
   return true;
 }
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -278,6 +278,8 @@
       return status;
     }
   bus_subscribe (options->bus, BUS_SHUTDOWN, shutdown_cb, task);
+  control_registry_create (task);
+  control_removals_start (task);
   control_report_register (task);
   control_cleanup_start (task);
   start_timers (task);
@@ -301,12 +303,14 @@
       ev_timer_stop (loop, &task->beat);
       control_cleanup_stop (task);
       control_platform_stop (task);
+      control_removals_stop (task);
     }
   ev_timer_stop (loop, &task->refresh);
   control_seeds_close (task);
   peer_server_destroy (task->server);
   control_send_release (task);
   control_ask_release (task);
+  registry_destroy (task->registry);
   control_settings_release (task);
   control_hosts_release (task);
   membership_destroy (task->membership);
--- a/node/control/control_tombstones.c
+++ b/node/control/control_tombstones.c
@@ -13,17 +13,31 @@
   KEEP_TIMES = 6,
 };
 
-static void
-raise_floor (struct control_task *task, uint64_t version)
+/* The floor of KIND, or NULL. */
+static uint64_t *
+floor_of (struct control_task *task, const char *kind)
+{
+  if (strcmp (kind, PLATFORM_KIND_HOST) == 0)
+    return &task->host_floor;
+  if (strcmp (kind, PLATFORM_KIND_TARGET) == 0)
+    return &task->target_floor;
+  return NULL;
+}
+
+bool
+control_tombstones_bury (const char *kind)
 {
-  if (version > task->host_floor)
-    task->host_floor = version;
+  return strcmp (kind, PLATFORM_KIND_HOST) == 0
+         || strcmp (kind, PLATFORM_KIND_TARGET) == 0;
 }
 
 void
-control_tombstones_listed (struct control_task *task, uint64_t revision)
+control_tombstones_listed (struct control_task *task, const char *kind,
+                           uint64_t revision)
 {
-  raise_floor (task, revision);
+  uint64_t *lowest = floor_of (task, kind);
+  if (lowest != NULL && revision > *lowest)
+    *lowest = revision;
 }
 
 void
@@ -49,11 +63,11 @@
   if (object != NULL && object->value == NULL
       && object->version == oldest->version)
     {
+      control_tombstones_listed (task, object->kind, oldest->version);
       settings_index_drop (task->index, object->key);
       HASH_DEL (task->objects, object);
       free (object);
     }
-  raise_floor (task, oldest->version);
   task->tombstone_first = (task->tombstone_first + 1) % TOMBSTONES_MAX;
   task->tombstone_count--;
 }
@@ -94,13 +108,14 @@
    tombstone taken for a name that isn't known: it guards nothing, and would
    be passed on between new hosts for ever. */
 bool
-control_tombstones_is_old (const struct control_task *task, const char *kind,
+control_tombstones_is_old (struct control_task *task, const char *kind,
                            const char *name, uint64_t version,
                            const char *value)
 {
-  if (strcmp (kind, PLATFORM_KIND_HOST) != 0)
+  const uint64_t *lowest = floor_of (task, kind);
+  if (lowest == NULL)
     return false;
   if (settings_index_version (task->index, settings_key (kind, name)) != 0)
     return false;
-  return value == NULL || version <= task->host_floor;
+  return value == NULL || version <= *lowest;
 }
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -2,7 +2,6 @@
 
 #include <stdio.h>
 #include <string.h>
-#include <string.h>
 
 #include "base/options.h"
 
@@ -11,14 +10,21 @@
   HOUR_MS = 3600 * 1000,
   DAY_MS = 24 * HOUR_MS,
   KIBIBYTE = 1024,
+  /* Some callers keep an answer three times as long; what is left of the
+     shutdown is for the requests that they sent last. */
+  KEEP_PARTS_OF_SHUTDOWN = 4,
 };
 
+static const char *const service_sources[] = { "objects", "registry" };
+
 void
 host_settings_defaults (struct host_settings *settings)
 {
   *settings = (struct host_settings){
     .set_hosts_per_dc = 2,
     .relays_per_dc = 3,
+    .modes = { .has_ejection = true },
+    .retry = { .percent = 10, .window_ms = 10000, .reserve = 10 },
     .limits = {
       .connections = 1000,
       .header_bytes = 8 * KIBIBYTE,
@@ -54,6 +60,29 @@
   *value = (uint32_t)number;
 }
 
+static void
+read_ms (struct options *options, const char *key, int64_t min, int64_t max,
+         uint32_t *value)
+{
+  int64_t number = *value;
+  options_duration (options, key, min, max, &number);
+  *value = (uint32_t)number;
+}
+
+static void
+read_retry (struct options *top, struct retry_settings *retry)
+{
+  struct options options;
+  double share = retry->percent / 100.0;
+  if (!options_object (top, "retry", false, &options))
+    return;
+  options_double (&options, "share", 0, 1, &share);
+  retry->percent = (uint32_t)(share * 100 + 0.5);
+  read_ms (&options, "window_ms", 100, HOUR_MS, &retry->window_ms);
+  read_uint32 (&options, "reserve", 0, 1000000, &retry->reserve);
+  options_close (top, &options);
+}
+
 static void
 read_limits (struct options *top, struct caller_limits *limits)
 {
@@ -63,12 +92,11 @@
   read_uint32 (&options, "connections", 1, 1000000, &limits->connections);
   read_uint32 (&options, "header_bytes", 4 * KIBIBYTE, 1024 * KIBIBYTE,
                &limits->header_bytes);
-  read_uint32 (&options, "idle_timeout_ms", 1000, HOUR_MS,
-               &limits->idle_timeout_ms);
+  read_ms (&options, "idle_timeout_ms", 1000, HOUR_MS,
+           &limits->idle_timeout_ms);
   read_uint32 (&options, "stream_buffer_bytes", 4 * KIBIBYTE,
                16 * 1024 * KIBIBYTE, &limits->stream_buffer_bytes);
-  read_uint32 (&options, "keep_answer_ms", 100, HOUR_MS,
-               &limits->keep_answer_ms);
+  read_ms (&options, "keep_answer_ms", 100, HOUR_MS, &limits->keep_answer_ms);
   options_close (top, &options);
 }
 
@@ -128,9 +156,8 @@
     { "stale_after_ms", &times->stale_after_ms },
   };
   for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
-    read_uint32 (&options, members[i].key, 10, HOUR_MS, members[i].value);
-  read_uint32 (&options, "outage_hold_ms", 1000, DAY_MS,
-               &times->outage_hold_ms);
+    read_ms (&options, members[i].key, 10, HOUR_MS, members[i].value);
+  read_ms (&options, "outage_hold_ms", 1000, DAY_MS, &times->outage_hold_ms);
   check_times (&options, times);
   options_close (top, &options);
 }
@@ -194,6 +221,8 @@
                   "expected either addresses of the platform or a file, "
                   "found %s; give exactly one",
                   has_file ? "both" : "neither");
+  options_string (&options, "interface", false, settings->interface,
+                  sizeof settings->interface);
   options_close (top, &options);
 }
 
@@ -209,6 +238,10 @@
                    sizeof settings->peer_address);
   options_address (&options, "operator", true, settings->operator_address,
                    sizeof settings->operator_address);
+  options_address (&options, "directory", false, settings->directory_address,
+                   sizeof settings->directory_address);
+  options_address (&options, "readiness", false, settings->readiness_address,
+                   sizeof settings->readiness_address);
   options_close (top, &options);
 }
 
@@ -254,12 +287,32 @@
                      members[i].advertised);
 }
 
+uint32_t
+host_settings_keep_answer_ms (const struct host_settings *settings)
+{
+  const uint32_t most_ms
+      = settings->times.shutdown_ms / KEEP_PARTS_OF_SHUTDOWN;
+  const uint32_t wanted_ms = settings->limits.keep_answer_ms;
+  return wanted_ms < most_ms ? wanted_ms : most_ms;
+}
+
 const char *
 host_settings_reached_at (const char *advertised, const char *bound)
 {
   return advertised[0] != '\0' ? advertised : bound;
 }
 
+static void
+read_modes (struct options *top, struct fleet_modes *modes)
+{
+  int source = modes->has_registry;
+  options_enum (top, "services", service_sources, 2, &source);
+  modes->has_registry = source != 0;
+  options_bool (top, "all_watch_registry", &modes->all_watch_registry);
+  options_bool (top, "ejection", &modes->has_ejection);
+  options_bool (top, "set_follows_slots", &modes->set_follows_slots);
+}
+
 static enum status
 read_host (const char *path, struct json_object *tree,
            struct host_settings *settings)
@@ -277,6 +330,8 @@
                   sizeof settings->secret_file);
   read_uint32 (&top, "set_hosts_per_dc", 1, 64, &settings->set_hosts_per_dc);
   read_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
+  read_modes (&top, &settings->modes);
+  read_retry (&top, &settings->retry);
   read_limits (&top, &settings->limits);
   read_times (&top, &settings->times);
   read_log (&top, settings);
@@ -315,6 +370,9 @@
          && strcmp (a->caller_address, b->caller_address) == 0
          && strcmp (a->peer_address, b->peer_address) == 0
          && strcmp (a->operator_address, b->operator_address) == 0
+         && strcmp (a->directory_address, b->directory_address) == 0
+         && strcmp (a->readiness_address, b->readiness_address) == 0
+         && strcmp (a->interface, b->interface) == 0
          && strcmp (a->caller_advertised, b->caller_advertised) == 0
          && strcmp (a->peer_advertised, b->peer_advertised) == 0
          && strcmp (a->operator_advertised, b->operator_advertised) == 0
@@ -325,6 +383,10 @@
 /* Without padding, the same bytes are the same values. */
 _Static_assert(sizeof (struct caller_limits) == 5 * sizeof (uint32_t),
                "caller_limits has padding: compare its members");
+_Static_assert(sizeof (struct fleet_modes) == 4 * sizeof (bool),
+               "fleet_modes has padding: compare its members");
+_Static_assert(sizeof (struct retry_settings) == 3 * sizeof (uint32_t),
+               "retry_settings has padding: compare its members");
 _Static_assert(sizeof (struct control_times) == 12 * sizeof (uint32_t),
                "control_times has padding: compare its members");
 
@@ -333,6 +395,8 @@
 {
   return a->set_hosts_per_dc == b->set_hosts_per_dc
          && a->relays_per_dc == b->relays_per_dc
+         && memcmp (&a->modes, &b->modes, sizeof a->modes) == 0
+         && memcmp (&a->retry, &b->retry, sizeof a->retry) == 0
          && memcmp (&a->limits, &b->limits, sizeof a->limits) == 0
          && memcmp (&a->times, &b->times, sizeof a->times) == 0;
 }
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -29,6 +29,26 @@
   uint32_t keep_answer_ms;      /**< how long callers keep an address answer */
 };
 
+/** How the fleet is run. */
+struct fleet_modes
+{
+  /** Services are put together from one configuration and from targets that
+   * register themselves; else each is an object of its own. */
+  bool has_registry;
+  bool all_watch_registry; /**< every host watches it, not only relays */
+  bool has_ejection;       /**< targets may be ejected for all hosts */
+  /** A host set has more hosts in a dc where the service has more slots. */
+  bool set_follows_slots;
+};
+
+/** Retries of a service by all hosts together, in any window. */
+struct retry_settings
+{
+  uint32_t percent;   /**< of the requests of the window */
+  uint32_t window_ms; /**< any span of that length counts */
+  uint32_t reserve;   /**< retries beyond the share */
+};
+
 /** Times of the control plane. */
 struct control_times
 {
@@ -42,7 +62,7 @@
   uint32_t watch_ms;       /**< one waiting watch at the platform */
   uint32_t platform_timeout_ms;
   uint32_t evidence_ms;    /**< between reports to a service's owner */
-  uint32_t shutdown_ms;    /**< most time a graceful shutdown takes */
+  uint32_t shutdown_ms;    /**< after it a leaving host is over */
   uint32_t stale_after_ms; /**< without settings news: leaves answers */
   /** Longest platform outage through which ejections hold; also how long the
    * reserve of an owner that vanished counts as spent. */
@@ -56,6 +76,10 @@
   char caller_address[HOST_ADDRESS_SIZE];
   char peer_address[HOST_ADDRESS_SIZE];
   char operator_address[HOST_ADDRESS_SIZE];
+  /** Where callers ask for addresses besides the caller address, and where
+   * it is asked whether this host is ready; "" is nowhere. */
+  char directory_address[HOST_ADDRESS_SIZE];
+  char readiness_address[HOST_ADDRESS_SIZE];
   /** Where others reach the three; "" is where this host listens. */
   char caller_advertised[HOST_ADDRESS_SIZE];
   char peer_advertised[HOST_ADDRESS_SIZE];
@@ -64,13 +88,18 @@
   char platform_addresses[HOST_PLATFORM_ADDRESSES_MAX][HOST_ADDRESS_SIZE];
   size_t platform_address_count;
   char platform_file[HOST_PATH_SIZE];
+  /** Which interface platform, callers and targets speak; "" is jaystair's
+   * own. */
+  char interface[HOST_NAME_SIZE];
   /** Peer addresses to load settings from while the platform is down. */
   char peer_seeds[HOST_PEER_SEEDS_MAX][HOST_ADDRESS_SIZE];
   size_t peer_seed_count;
   char secret_file[HOST_PATH_SIZE]; /**< shared key; "" is none */
   uint32_t set_hosts_per_dc; /**< smallest host set of a service, per dc */
   uint32_t relays_per_dc;
+  struct fleet_modes modes;
   struct caller_limits limits;
+  struct retry_settings retry;
   struct control_times times;
   enum log_level log_level;
   bool log_json;
@@ -80,6 +109,11 @@
 /** The defaults; name, dc and addresses are empty. */
 void host_settings_defaults (struct host_settings *settings);
 
+/** How long callers may keep an address answer: keep_answer_ms, but never so
+ * long that a host which leaves is over while callers that keep an answer
+ * three times as long as they should may still send requests to it. */
+uint32_t host_settings_keep_answer_ms (const struct host_settings *settings);
+
 /** The address to tell others: ADVERTISED, or BOUND when that is "". */
 const char *host_settings_reached_at (const char *advertised,
                                       const char *bound);
--- a/node/tests/host_settings_test.cc
+++ b/node/tests/host_settings_test.cc
@@ -61,6 +61,11 @@
       memcmp (&settings.limits, &expected.limits, sizeof expected.limits), 0);
   EXPECT_EQ (memcmp (&settings.times, &expected.times, sizeof expected.times),
              0);
+  EXPECT_EQ (memcmp (&settings.retry, &expected.retry, sizeof expected.retry),
+             0);
+  EXPECT_EQ (memcmp (&settings.modes, &expected.modes, sizeof expected.modes),
+             0);
+  EXPECT_STREQ (settings.interface, expected.interface);
   EXPECT_EQ (settings.set_hosts_per_dc, expected.set_hosts_per_dc);
   EXPECT_EQ (settings.relays_per_dc, expected.relays_per_dc);
   EXPECT_EQ (settings.log_level, expected.log_level);
@@ -184,7 +189,8 @@
   old.name[sizeof old.name - 1] = '\0';
   old.dc[sizeof old.dc - 1] = '\0';
   for (auto *address : { &old.caller_address, &old.peer_address,
-                         &old.operator_address, &old.caller_advertised,
+                         &old.operator_address, &old.directory_address,
+                         &old.readiness_address, &old.caller_advertised,
                          &old.peer_advertised, &old.operator_advertised })
     (*address)[sizeof *address - 1] = '\0';
   for (auto &address : old.platform_addresses)
@@ -193,6 +199,7 @@
     address[sizeof address - 1] = '\0';
   old.platform_file[sizeof old.platform_file - 1] = '\0';
   old.secret_file[sizeof old.secret_file - 1] = '\0';
+  old.interface[sizeof old.interface - 1] = '\0';
   for (size_t i = 0; i < sizeof old; i++)
     {
       host_settings edited;
