--- a/base/log.h
+++ b/base/log.h
@@ -1,5 +1,5 @@
 /** @file
- * Leveled, structured logs on standard error.
+ * Leveled, structured logs.
  *
  * One event a line, as `time level module event key=value ...` or as a JSON
  * object.  A source names its module once, before including this header:
--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -1,6 +1,8 @@
 # The libraries jaystair stands on, each as an imported target.
 find_package (PkgConfig REQUIRED)
-find_package (GTest REQUIRED)
+if (TESTS)
+  find_package (GTest REQUIRED)
+endif ()
 find_package (Threads REQUIRED)
 pkg_check_modules (CURL REQUIRED IMPORTED_TARGET libcurl)
 pkg_check_modules (MHD REQUIRED IMPORTED_TARGET libmicrohttpd)
--- a/node/caller/address_answer.c
+++ b/node/caller/address_answer.c
@@ -10,14 +10,15 @@
 enum
 {
   TICKETS_A_QUESTION = 8,
+  ADDRESSES_MAX = 64, /* more help no caller and cost bytes */
   NO_HOST_RETRY_AFTER_MS = 1000
 };
 
 bool
-address_answer_asked (const char *uri)
+address_answer_asked (const struct caller_context *context, const char *uri)
 {
-  static const char path[] = ADDRESS_ANSWER_PATH;
-  const size_t size = sizeof path - 1;
+  const char *path = context->interface->addresses_path;
+  const size_t size = strlen (path);
   return strncmp (uri, path, size) == 0
          && (uri[size] == '\0' || uri[size] == '?');
 }
@@ -26,43 +27,38 @@
 refuse (struct caller_context *context, struct MHD_Connection *connection,
         uint32_t status, const struct own_answer *own)
 {
-  struct MHD_Response *response = own_answer_response (own, context->leaving);
+  struct MHD_Response *response
+      = own_answer_response (own, context->interface, context->leaving);
   const enum MHD_Result result
       = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
   return result;
 }
 
-static void
-add_address (struct json_object *addresses, const char *address,
-             const char *dc)
-{
-  struct json_object *entry = json_object_new_object ();
-  json_object_object_add (entry, "address", json_object_new_string (address));
-  json_object_object_add (entry, "dc", json_object_new_string (dc));
-  json_object_array_add (addresses, entry);
-}
-
 /* Guards against herding: if all callers got the same order, all would use
-   the first host.  Each answer begins with another one. */
-static struct json_object *
-address_list (struct caller_context *context,
-              const struct caller_service *service)
+   the first host.  Each answer begins with another one.
+   @return how many entries were written */
+static size_t
+list_hosts (struct caller_context *context,
+            const struct caller_service *service,
+            struct address_entry entries[ADDRESSES_MAX])
 {
   const struct host_settings *settings = context->settings;
-  struct json_object *addresses = json_object_new_array ();
   const size_t count = service->host_count;
   const size_t first = context->address_answers++;
-  for (size_t i = 0; i < count; i++)
+  size_t used = 0;
+  for (size_t i = 0; i < count && used < ADDRESSES_MAX; i++)
     {
       const struct bus_set_host *host = &service->hosts[(first + i) % count];
       const bool self = strcmp (host->name, settings->name) == 0;
       if (host->caller_address[0] != '\0' && !(self && context->leaving))
-        add_address (addresses, host->caller_address, host->dc);
+        entries[used++]
+            = (struct address_entry){ host->caller_address, host->dc };
     }
   if (count == 0 && !context->leaving)
-    add_address (addresses, context->own_address, settings->dc);
-  return addresses;
+    entries[used++]
+        = (struct address_entry){ context->own_address, settings->dc };
+  return used;
 }
 
 static struct json_object *
@@ -102,10 +98,15 @@
 answer (struct caller_context *context, struct MHD_Connection *connection,
         const struct caller_service *service)
 {
-  struct json_object *addresses = address_list (context, service);
-  if (json_object_array_length (addresses) == 0)
+  struct address_entry entries[ADDRESSES_MAX];
+  const struct caller_interface *interface = context->interface;
+  const struct address_list list
+      = { .service = service->name,
+          .entries = entries,
+          .count = list_hosts (context, service, entries),
+          .keep_ms = host_settings_keep_answer_ms (context->settings) };
+  if (list.count == 0)
     {
-      json_object_put (addresses);
       const struct own_answer own
           = { .outcome = ANSWER_NOT_RUN,
               .reason = "no-host",
@@ -113,20 +114,39 @@
               .retry_after_ms = NO_HOST_RETRY_AFTER_MS };
       return refuse (context, connection, MHD_HTTP_SERVICE_UNAVAILABLE, &own);
     }
-  struct json_object *body = json_object_new_object ();
-  json_object_object_add (body, "service",
-                          json_object_new_string (service->name));
-  json_object_object_add (body, "addresses", addresses);
-  json_object_object_add (
-      body, "keep_ms",
-      json_object_new_int64 (context->settings->limits.keep_answer_ms));
-  json_object_object_add (body, "tickets", ticket_list (context, service));
-  json_object_object_add (body, "ticket_address",
-                          json_object_new_string (context->own_address));
+  struct json_object *body = interface->format_addresses (&list);
+  if (interface->has_tickets)
+    {
+      json_object_object_add (body, "tickets", ticket_list (context, service));
+      json_object_object_add (body, "ticket_address",
+                              json_object_new_string (context->own_address));
+    }
   counter_add (context->counters.address_answers, 1);
   return queue_json (context, connection, body);
 }
 
+/* Any service will do for a host name that no route bears (yet): every host
+   takes requests for all services. */
+static const struct caller_service *
+asked_service (const struct caller_context *context,
+               struct MHD_Connection *connection)
+{
+  const struct caller_interface *interface = context->interface;
+  const char *name = MHD_lookup_connection_value (
+      connection, MHD_GET_ARGUMENT_KIND, interface->asked_service);
+  if (name != NULL)
+    return caller_context_service (context, name);
+  const char *host = MHD_lookup_connection_value (
+      connection, MHD_GET_ARGUMENT_KIND, interface->asked_host);
+  if (host == NULL)
+    return NULL;
+  name = route_table_service_of_host (context->routes, host);
+  if (name == NULL && context->config != NULL
+      && context->config->service_count > 0)
+    name = context->config->services[0].name;
+  return name != NULL ? caller_context_service (context, name) : NULL;
+}
+
 enum MHD_Result
 address_answer_queue (struct caller_context *context,
                       struct MHD_Connection *connection, const char *method)
@@ -138,22 +158,21 @@
       strcpy (own.message, "addresses are asked for with GET");
       return refuse (context, connection, MHD_HTTP_METHOD_NOT_ALLOWED, &own);
     }
-  const char *name = MHD_lookup_connection_value (
-      connection, MHD_GET_ARGUMENT_KIND, "service");
-  if (name == NULL)
-    {
-      own.reason = "no-service";
-      strcpy (own.message, "name the service: ?service=NAME");
-      return refuse (context, connection, MHD_HTTP_BAD_REQUEST, &own);
-    }
-  const struct caller_service *service
-      = caller_context_service (context, name);
+  const struct caller_service *service = asked_service (context, connection);
   if (service != NULL)
     return answer (context, connection, service);
+  if (context->settings->modes.has_registry && context->config == NULL)
+    return refuse (context, connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+                   &(struct own_answer){
+                       .outcome = ANSWER_NOT_RUN,
+                       .reason = "no-settings",
+                       .message = "this host doesn't know its settings yet: "
+                                  "ask another host",
+                       .retry_after_ms = NO_HOST_RETRY_AFTER_MS });
   own.reason = "unknown-service";
   snprintf (own.message, sizeof own.message,
-            "service \"%.64s\" is not in force at this host: check the name "
-            "or declare the service",
-            name);
+            "no service in force at this host was named by ?%s=NAME or "
+            "?%s=NAME: check the name or declare the service",
+            context->interface->asked_service, context->interface->asked_host);
   return refuse (context, connection, MHD_HTTP_NOT_FOUND, &own);
 }
--- a/node/caller/address_answer.h
+++ b/node/caller/address_answer.h
@@ -10,10 +10,9 @@
 
 #include "node/caller/caller_context.h"
 
-#define ADDRESS_ANSWER_PATH "/.well-known/jaystair/addresses"
-
-/** Is this the question for addresses? */
-bool address_answer_asked (const char *uri);
+/** Is URI the question for addresses? */
+bool address_answer_asked (const struct caller_context *context,
+                           const char *uri);
 
 /** Answer the question on CONNECTION. */
 enum MHD_Result address_answer_queue (struct caller_context *context,
--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -10,6 +10,7 @@
 #include <ev.h>
 
 #include "node/caller/caller_counters.h"
+#include "node/caller/caller_interface.h"
 #include "node/caller/caller_service.h"
 #include "node/caller/decision_ring.h"
 #include "node/caller/hangup_watch.h"
@@ -26,6 +27,7 @@
 {
   struct ev_loop *loop;
   const struct host_settings *settings;
+  const struct caller_interface *interface;
   struct curl_loop *curl;
   struct mhd_loop *mhd_loop;
   struct hangup_watch *hangup;
@@ -33,6 +35,7 @@
   struct caller_service *services; /**< by name */
   struct host_directory *directory;
   struct ticket_desk *tickets;
+  struct fleet_config *config; /**< in force; NULL: none, or none yet */
   struct caller_counters counters;
   struct decision_ring decisions;
   struct exchange *exchanges;          /**< all that are alive */
@@ -41,6 +44,7 @@
   uint64_t last_request_id;
   uint32_t in_flight;
   bool leaving;
+  int64_t leaving_since_ms;
 };
 
 /** The service called NAME, or NULL. */
--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -40,7 +40,9 @@
 on_head (struct exchange *x, struct MHD_Connection *connection,
          const char *method, const char *version)
 {
-  if (address_answer_asked (x->uri))
+  /* With a directory address of its own every path is a request's. */
+  if (x->context->settings->directory_address[0] == '\0'
+      && address_answer_asked (x->context, x->uri))
     {
       x->state = EXCHANGE_OVER;
       x->plain = true;
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -13,9 +13,11 @@
 #include "base/xmalloc.h"
 #include "node/caller/caller_context.h"
 #include "node/caller/caller_rows.h"
+#include "node/caller/address_answer.h"
 #include "node/caller/caller_server.h"
 #include "node/caller/exchange.h"
 #include "node/caller/leaving_probe.h"
+#include "node/plain_server.h"
 #include "node/tables.h"
 
 static const double LEAVING_CHECK_SECONDS = 0.05;
@@ -26,6 +28,7 @@
   struct bus *bus;
   struct tables *tables;
   struct caller_server *server;
+  struct plain_server *directory; /* NULL: at the caller address only */
   struct leaving_probe *probe;
   uint64_t seed;
   ev_timer leaving_check;
@@ -96,6 +99,17 @@
   drop_entry (&task->context, service);
 }
 
+static void
+on_config (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  struct caller_context *context = &task->context;
+  const struct fleet_config *config = message->config_in_force.config;
+  fleet_config_destroy (context->config);
+  context->config = fleet_config_copy (config);
+  route_table_set_config (context->routes, config, task->seed);
+}
+
 static void
 on_host_set (void *owner, const struct bus_message *message)
 {
@@ -150,6 +164,7 @@
 {
   bus_subscribe (task->bus, BUS_SERVICE_IN_FORCE, on_in_force, task);
   bus_subscribe (task->bus, BUS_SERVICE_REMOVED, on_removed, task);
+  bus_subscribe (task->bus, BUS_CONFIG_IN_FORCE, on_config, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
   bus_subscribe (task->bus, BUS_SLOT_SHARES, on_slot_shares, task);
@@ -163,6 +178,8 @@
   const struct curl_loop_options curl = { 0 };
   context->loop = options->loop;
   context->settings = options->settings;
+  context
+      ->interface = options->interface != NULL ? options->interface : &caller_interface_own;
   context->curl = curl_loop_create (options->loop, &curl);
   context->routes = route_table_create ();
   context->directory = host_directory_create ();
@@ -171,6 +188,33 @@
   caller_counters_init (&context->counters, options->counters);
 }
 
+static enum MHD_Result
+on_directory_question (void *owner, struct MHD_Connection *connection,
+                       const char *path, const char *method)
+{
+  struct caller_task *task = owner;
+  if (address_answer_asked (&task->context, path))
+    return address_answer_queue (&task->context, connection, method);
+  return plain_server_reply (connection, MHD_HTTP_NOT_FOUND, "text/plain",
+                             "ask for addresses here\n");
+}
+
+static enum status
+create_directory (struct caller_task *task)
+{
+  const char *address = task->context.settings->directory_address;
+  const struct plain_server_options options = {
+    .loop = task->context.loop,
+    .address = address,
+    .what = "directory",
+    .answer = on_directory_question,
+    .owner = task,
+  };
+  if (address[0] == '\0')
+    return STATUS_OK;
+  return plain_server_create (&options, &task->directory);
+}
+
 struct caller_task *
 caller_task_create (const struct caller_task_options *options)
 {
@@ -185,12 +229,13 @@
                  LEAVING_CHECK_SECONDS);
   task->leaving_check.data = task;
   task->server = caller_server_create (&task->context);
-  if (task->server == NULL)
+  if (task->server == NULL || create_directory (task) != STATUS_OK)
     {
       caller_task_destroy (task);
       return NULL;
     }
-  task->probe = leaving_probe_create (&task->context);
+  if (task->context.interface->leaving != NULL)
+    task->probe = leaving_probe_create (&task->context);
   subscribe (task);
   if (task->tables != NULL)
     caller_rows_register (task->tables, &task->context);
@@ -210,6 +255,7 @@
     tables_unregister (task->tables, context);
   ev_timer_stop (context->loop, &task->leaving_check);
   leaving_probe_destroy (task->probe);
+  plain_server_destroy (task->directory);
   caller_server_destroy (task->server);
   curl_loop_destroy (context->curl);
   struct caller_service *service;
@@ -221,6 +267,7 @@
   ticket_desk_destroy (context->tickets);
   host_directory_destroy (context->directory);
   route_table_destroy (context->routes);
+  fleet_config_destroy (context->config);
   free (task);
 }
 
@@ -241,9 +288,11 @@
   if (context->leaving)
     return;
   context->leaving = true;
+  context->leaving_since_ms = clock_now_ms ();
   /* Another host may hand this one out until it hears of the leaving, at the
      latest when it misses the heartbeats; callers keep that answer. */
-  task->leave_after_ms = clock_now_ms () + settings->limits.keep_answer_ms
+  task->leave_after_ms = clock_now_ms ()
+                         + host_settings_keep_answer_ms (settings)
                          + settings->times.suspect_after_ms;
   LOG_INFO ("leaving", LOG_INT ("in_flight", context->in_flight));
   ev_timer_again (context->loop, &task->leaving_check);
@@ -262,6 +311,15 @@
   }
 }
 
+bool
+caller_task_is_ready (const struct caller_task *task)
+{
+  const struct caller_context *context = &task->context;
+  const bool has_settings
+      = context->config != NULL || !context->settings->modes.has_registry;
+  return has_settings && !context->leaving;
+}
+
 uint32_t
 caller_task_in_flight (const struct caller_task *task)
 {
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -9,6 +9,7 @@
 #ifndef NODE_CALLER_CALLER_TASK_H
 #define NODE_CALLER_CALLER_TASK_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <ev.h>
@@ -17,6 +18,7 @@
 #include "node/bus.h"
 #include "node/host_settings.h"
 
+struct caller_interface;
 struct caller_task;
 struct detection_recorder;
 struct tables;
@@ -29,8 +31,10 @@
   const struct host_settings *settings;
   struct counters *counters;
   struct tables *tables; /**< operator rows are added here; may be NULL */
-  uint64_t seed;         /**< of the choices; 0 takes one from the system */
-  uint64_t incarnation;  /**< of this process, in tickets; 0: a random one */
+  /** Names in which callers and targets are spoken to; NULL: jaystair's. */
+  const struct caller_interface *interface;
+  uint64_t seed;        /**< of the choices; 0 takes one from the system */
+  uint64_t incarnation; /**< of this process, in tickets; 0: a random one */
 };
 
 /** Start serving on the caller address of the settings (port 0 takes a free
@@ -59,6 +63,9 @@
  * answers, and the ones that were under way, are written. */
 void caller_task_give_up (struct caller_task *task);
 
+/** Does it take work: is what it routes by in force, and isn't it leaving? */
+bool caller_task_is_ready (const struct caller_task *task);
+
 /** Requests taken in and not yet answered to the end. */
 uint32_t caller_task_in_flight (const struct caller_task *task);
 
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -22,7 +22,8 @@
   US_PER_MS = 1000,
   RAW_ANSWER_AFTER_US = 10 * US_PER_MS,
   RAW_CLOSE_AFTER_US = 1000 * US_PER_MS,
-  HOST_STOPS_RETRY_AFTER_MS = 100
+  HOST_STOPS_RETRY_AFTER_MS = 100,
+  TIMEOUT_RETRY_AFTER_MS = 100
 };
 
 static const double US_PER_SECOND = 1e6;
@@ -272,10 +273,17 @@
   exchange_answer_own (x, &own);
 }
 
+/* The caller may have time left after the route's timeout. */
 static void
 deadline_passed (struct exchange *x)
 {
-  end_unanswered (x, MHD_HTTP_GATEWAY_TIMEOUT, "deadline", 0);
+  const bool sent
+      = x->attempt.call != NULL && target_call_perhaps_sent (x->attempt.call);
+  const bool may_come_back = x->bounded_by_route && !sent && !x->perhaps_ran;
+  end_unanswered (x,
+                  may_come_back ? MHD_HTTP_SERVICE_UNAVAILABLE
+                                : MHD_HTTP_GATEWAY_TIMEOUT,
+                  "deadline", may_come_back ? TIMEOUT_RETRY_AFTER_MS : 0);
 }
 
 void
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -83,6 +83,10 @@
   struct caller_service *service;
   char route[SERVICE_NAME_SIZE]; /**< its prefix, cut to fit */
   bool repeatable;
+  uint32_t timeout_ms;   /**< most time until the answer begins */
+  uint32_t attempts_max; /**< targets that it may be sent to */
+  uint32_t priority;     /**< 0 is the most urgent */
+  bool bounded_by_route; /**< timeout_ms holds beside the caller's deadline */
   bool ticket_claimed;
   uint64_t ticket_sequence;
 
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -204,6 +204,7 @@
     .queued_bytes = held_bytes (x),
     .repeatable = x->repeatable,
     .attempt = x->attempts + 1,
+    .attempts_max = x->attempts_max,
   };
   for (uint32_t i = 0; i < x->tried_count; i++)
     {
@@ -287,12 +288,18 @@
 static bool
 is_shed (const struct exchange *x)
 {
-  const char *outcome
-      = header_list_find (&x->attempt.headers, "Jaystair-Outcome");
+  const struct caller_interface *interface = x->context->interface;
+  const char *said
+      = header_list_find (&x->attempt.headers, interface->not_run);
   const uint32_t status = x->attempt.status;
-  return outcome != NULL && strcasecmp (outcome, "not-run") == 0
-         && (status == MHD_HTTP_SERVICE_UNAVAILABLE
-             || status == MHD_HTTP_TOO_MANY_REQUESTS);
+  if (status == MHD_HTTP_MISDIRECTED_REQUEST)
+    return interface->meant_target != NULL;
+  if (said == NULL || status < MHD_HTTP_BAD_REQUEST)
+    return false;
+  return interface->not_run_value == NULL
+         || (strcasecmp (said, interface->not_run_value) == 0
+             && (status == MHD_HTTP_SERVICE_UNAVAILABLE
+                 || status == MHD_HTTP_TOO_MANY_REQUESTS));
 }
 
 /* When a target that shed the request wants to be asked again. */
@@ -300,13 +307,14 @@
 note_retry_after (struct exchange *x)
 {
   const struct header_list *headers = &x->attempt.headers;
-  const char *exact = header_list_find (headers, "Jaystair-Retry-After-Ms");
+  const char *name = x->context->interface->retry_after_ms;
+  const char *exact = name != NULL ? header_list_find (headers, name) : NULL;
   const char *seconds = header_list_find (headers, "Retry-After");
   long long after_ms = 0;
   if (exact != NULL)
     after_ms = strtoll (exact, NULL, 10);
   else if (seconds != NULL)
-    after_ms = strtoll (seconds, NULL, 10) * MS_PER_SECOND;
+    after_ms = (long long)(strtod (seconds, NULL) * MS_PER_SECOND);
   if (after_ms < 0 || after_ms > RETRY_AFTER_MAX_MS)
     return;
   x->shed_retry_after_ms = (uint32_t)after_ms;
@@ -315,8 +323,9 @@
 static void
 note_leaving (struct exchange *x)
 {
+  const char *name = x->context->interface->leaving;
   const char *leaving
-      = header_list_find (&x->attempt.headers, "Jaystair-Leaving");
+      = name != NULL ? header_list_find (&x->attempt.headers, name) : NULL;
   if (leaving != NULL && strcmp (leaving, "1") == 0)
     caller_service_set_leaving (x->service, x->attempt.key, true);
 }
@@ -340,13 +349,75 @@
          > x->context->settings->limits.header_bytes;
 }
 
+/* What is wrong with the answer's head; NULL when nothing is.
+   Guards against bytes on a kept connection that are another request's
+   answer, or no target's at all: they come late, after the request that they
+   belong to was given up, or beside a first answer.  Shows as a caller that
+   gets somebody else's answer.  The identity that each answer repeats, and
+   the signature that only a target can make, tell them apart. */
+static const char *
+fault_of (const struct exchange *x)
+{
+  const struct caller_interface *interface = x->context->interface;
+  const struct header_list *headers = &x->attempt.headers;
+  const bool is_success = x->attempt.status < MHD_HTTP_MULTIPLE_CHOICES;
+  if (interface->targets_echo_request_id)
+    {
+      const char *echo = header_list_find (headers, interface->request_id);
+      if (echo == NULL ? is_success : strcmp (echo, x->head.id) != 0)
+        return "the answer is another request's";
+    }
+  if (is_success && interface->signature != NULL
+      && header_list_find (headers, interface->signature) == NULL)
+    return "the answer bears no signature";
+  if (interface->refuses_coding
+      && header_list_find (headers, "Content-Encoding") != NULL)
+    return "the answer's body is coded";
+  return NULL;
+}
+
+/* Guards against a promise that no target has made: a caller takes these for
+   "not run and never will be". */
+static bool
+would_promise (const struct exchange *x)
+{
+  switch (x->attempt.status)
+    {
+    case MHD_HTTP_REQUEST_TIMEOUT:
+    case MHD_HTTP_MISDIRECTED_REQUEST:
+    case MHD_HTTP_TOO_MANY_REQUESTS:
+    case MHD_HTTP_SERVICE_UNAVAILABLE:
+      return x->context->interface->signature != NULL;
+    default:
+      return false;
+    }
+}
+
+/* A short answer is held until it is whole: if it breaks off, another target
+   can be tried, or the caller told so, in place of a cut connection. */
+static bool
+waits_for_whole (const struct exchange *x)
+{
+  const struct exchange_attempt *attempt = &x->attempt;
+  const uint32_t most = x->context->settings->limits.hold_answer_bytes;
+  return attempt->call != NULL && !attempt->held_back
+         && attempt->length_bytes <= (int64_t)most
+         && stream_buffer_waiting (&x->answer) < most;
+}
+
+static void
+give_up_attempt (struct exchange *x, const char *why)
+{
+  exchange_drop_attempt (x, ATTEMPT_CUT);
+  try_again (x, ATTEMPT_CUT, why);
+}
+
 void
 exchange_judge (struct exchange *x)
 {
   if (is_too_large (x))
     {
-      exchange_drop_attempt (x, ATTEMPT_CUT);
-      try_again (x, ATTEMPT_CUT, "the target's header fields are too large");
+      give_up_attempt (x, "the target's header fields are too large");
       return;
     }
   if (x->attempt.relay)
@@ -364,6 +435,15 @@
       try_again (x, ATTEMPT_SHED, "the target sheds load");
       return;
     }
+  const char *fault = fault_of (x);
+  if (fault != NULL || would_promise (x))
+    {
+      give_up_attempt (x, fault != NULL ? fault
+                                        : "the target gave no whole answer");
+      return;
+    }
+  if (waits_for_whole (x))
+    return;
   if (is_server_error (x) && tried_elsewhere (x))
     return;
   exchange_answer_target (x);
--- a/node/caller/exchange_begin.c
+++ b/node/caller/exchange_begin.c
@@ -9,7 +9,9 @@
 
 enum
 {
-  US_PER_MS = 1000
+  US_PER_MS = 1000,
+  /* A host that starts has its settings within a second mostly. */
+  SETTINGS_RETRY_AFTER_MS = 500
 };
 
 /* Refuse what no target has seen. */
@@ -23,32 +25,79 @@
   exchange_answer_own (x, &own);
 }
 
+static void
+refuse_unrouted (struct exchange *x)
+{
+  char message[OWN_ANSWER_MESSAGE_SIZE];
+  snprintf (message, sizeof message,
+            "no route takes %.16s %.100s: check host, path and method",
+            x->head.method, x->head.path);
+  refuse (x, MHD_HTTP_NOT_FOUND, "no-route", message);
+}
+
+/* Guards against a host that has just started and calls what it doesn't know
+   yet "not found": a caller takes that for final.  So does one whose targets
+   aren't known yet. */
+static void
+refuse_unknown_yet (struct exchange *x, const char *reason)
+{
+  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                            .outcome = ANSWER_NOT_RUN,
+                            .reason = reason,
+                            .retry_after_ms = SETTINGS_RETRY_AFTER_MS };
+  strcpy (own.message, "this host doesn't know its settings yet: come back "
+                       "after the time given or ask another one");
+  exchange_answer_own (x, &own);
+}
+
+static void
+take_route (struct exchange *x, const struct route *route)
+{
+  const struct service_limits *limits = &x->service->spec->limits;
+  caller_service_use (x->service);
+  x->repeatable = route->spec.repeatable;
+  x->timeout_ms
+      = route->timeout_ms > 0 ? route->timeout_ms : limits->timeout_ms;
+  x->attempts_max = route->attempts > 0 ? route->attempts : limits->attempts;
+  x->priority = route->priority;
+  x->bounded_by_route = route->timeout_ms > 0;
+  snprintf (x->route, sizeof x->route, "%.63s", route->spec.path_prefix);
+}
+
 static bool
 find_route (struct exchange *x)
 {
+  struct caller_context *context = x->context;
+  if (context->settings->modes.has_registry && context->config == NULL)
+    {
+      refuse_unknown_yet (x, "no-settings");
+      return false;
+    }
   const uint32_t method = route_method_bit (x->head.method);
-  const struct route *route = route_table_match (
-      x->context->routes, x->head.host, x->head.path, method);
+  const struct route *route = route_table_match (context->routes, x->head.host,
+                                                 x->head.path, method);
   if (route == NULL)
     {
-      char message[OWN_ANSWER_MESSAGE_SIZE];
-      snprintf (message, sizeof message,
-                "no route takes %.16s %.100s: check host, path and method",
-                x->head.method, x->head.path);
-      refuse (x, MHD_HTTP_NOT_FOUND, "no-route", message);
+      refuse_unrouted (x);
       return false;
     }
-  x->service = caller_context_service (x->context, route->service);
-  caller_service_use (x->service);
-  x->repeatable = route->spec.repeatable;
-  snprintf (x->route, sizeof x->route, "%.63s", route->spec.path_prefix);
+  x->service = caller_context_service (context, route_next_service (route));
+  if (x->service == NULL)
+    {
+      refuse_unknown_yet (x, "no-service");
+      return false;
+    }
+  take_route (x, route);
   return true;
 }
 
 static bool
 check_limits (struct exchange *x)
 {
-  const uint32_t head_bytes = x->context->settings->limits.header_bytes;
+  const struct fleet_config *config = x->context->config;
+  const uint32_t head_bytes = config != NULL
+                                  ? config->limits.header_bytes
+                                  : x->context->settings->limits.header_bytes;
   const uint32_t body_bytes = x->service->spec->limits.body_bytes;
   char message[OWN_ANSWER_MESSAGE_SIZE];
   if (x->head.head_bytes > head_bytes)
@@ -76,8 +125,8 @@
 set_deadline (struct exchange *x)
 {
   int64_t left_ms = x->head.deadline_ms;
-  if (left_ms < 0)
-    left_ms = x->service->spec->limits.timeout_ms;
+  if (left_ms < 0 || (x->bounded_by_route && x->timeout_ms < left_ms))
+    left_ms = x->timeout_ms;
   x->deadline_us = clock_now_us () + left_ms * US_PER_MS;
   if (left_ms > 0)
     return true;
@@ -91,8 +140,8 @@
 {
   x->state = EXCHANGE_WAITING;
   exchange_count (x);
-  const enum status status
-      = request_head_read (&x->head, x->connection, x->uri, method, version);
+  const enum status status = request_head_read (
+      &x->head, x->context->interface, x->connection, x->uri, method, version);
   if (status != STATUS_OK)
     {
       refuse (x, MHD_HTTP_BAD_REQUEST, "bad-request", status_message ());
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -132,8 +132,9 @@
   for (size_t i = 0; i < headers->count; i++)
     add_header (response, header_list_name (headers, i),
                 header_list_value (headers, i));
-  if (!x->attempt.relay)
-    MHD_add_response_header (response, "Jaystair-Outcome",
+  const char *outcome = x->context->interface->outcome;
+  if (!x->attempt.relay && outcome != NULL)
+    MHD_add_response_header (response, outcome,
                              answer_outcome_name (ANSWER_RAN));
   if (x->context->leaving)
     MHD_add_response_header (response, "Connection", "close");
@@ -153,13 +154,22 @@
   return response;
 }
 
+static struct MHD_Response *
+own_response (const struct exchange *x)
+{
+  const struct caller_interface *interface = x->context->interface;
+  struct MHD_Response *response
+      = own_answer_response (&x->own, interface, x->context->leaving);
+  if (interface->targets_echo_request_id && x->head.id[0] != '\0')
+    MHD_add_response_header (response, interface->request_id, x->head.id);
+  return response;
+}
+
 static enum MHD_Result
 queue (struct exchange *x)
 {
   const bool own = x->state == EXCHANGE_OWN;
-  struct MHD_Response *response
-      = own ? own_answer_response (&x->own, x->context->leaving)
-            : target_response (x);
+  struct MHD_Response *response = own ? own_response (x) : target_response (x);
   const uint32_t status = own ? x->own.status : x->attempt.status;
   x->queued = true;
   const enum MHD_Result result
@@ -228,7 +238,7 @@
 exchange_answer_raw (struct exchange *x)
 {
   char text[OWN_ANSWER_TEXT_SIZE];
-  const size_t size = own_answer_bytes (&x->own, text);
+  const size_t size = own_answer_bytes (&x->own, x->context->interface, text);
   const ssize_t sent = send (x->fd, text, size, MSG_DONTWAIT | MSG_NOSIGNAL);
   (void)sent;
   shutdown (x->fd, SHUT_WR);
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -13,6 +13,7 @@
 {
   US_PER_MS = 1000,
   DEADLINE_FIELD_SIZE = 64,
+  MEANT_FIELD_SIZE = SERVICE_NAME_SIZE + 64,
   TICKET_FIELD_SIZE = REQUEST_TICKET_SIZE + 32
 };
 
@@ -125,7 +126,8 @@
 format_deadline (const struct exchange *x, char text[DEADLINE_FIELD_SIZE])
 {
   const int64_t left_ms = (x->deadline_us - clock_now_us ()) / US_PER_MS;
-  snprintf (text, DEADLINE_FIELD_SIZE, "Jaystair-Deadline-Ms: %lld",
+  snprintf (text, DEADLINE_FIELD_SIZE, "%s: %lld",
+            x->context->interface->deadline_ms,
             (long long)(left_ms > 0 ? left_ms : 0));
 }
 
@@ -135,8 +137,15 @@
   const struct target_spec *target = &x->service->spec->targets[number];
   struct exchange_attempt *attempt = &x->attempt;
   char deadline[DEADLINE_FIELD_SIZE];
+  char meant[MEANT_FIELD_SIZE];
+  const char *extra[] = { deadline, NULL, NULL };
+  const char *meant_name = x->context->interface->meant_target;
   format_deadline (x, deadline);
-  const char *const extra[] = { deadline, NULL };
+  if (meant_name != NULL)
+    {
+      snprintf (meant, sizeof meant, "%s: %s", meant_name, target->name);
+      extra[1] = meant;
+    }
   attempt->key = x->service->targets[number].key;
   attempt->relay = false;
   snprintf (attempt->target, sizeof attempt->target, "%s", target->name);
--- a/node/caller/leaving_probe.c
+++ b/node/caller/leaving_probe.c
@@ -38,7 +38,8 @@
 on_head (void *owner, const struct target_head *head)
 {
   struct question *question = owner;
-  const char *leaving = header_list_find (head->headers, "Jaystair-Leaving");
+  const char *name = question->probe->context->interface->leaving;
+  const char *leaving = header_list_find (head->headers, name);
   question->leaving = leaving != NULL && strcmp (leaving, "1") == 0;
 }
 
--- a/node/caller/own_answer.c
+++ b/node/caller/own_answer.c
@@ -8,7 +8,9 @@
 enum
 {
   BODY_SIZE = 512,
-  NUMBER_SIZE = 16,
+  NUMBER_SIZE = 24,
+  FIELDS_MAX = 3,
+  LINES_SIZE = 256,
   MS_PER_SECOND = 1000
 };
 
@@ -33,36 +35,73 @@
   return (size_t)size < BODY_SIZE ? (size_t)size : BODY_SIZE - 1;
 }
 
-static uint32_t
-retry_after_seconds (const struct own_answer *answer)
+/* One field of an answer's head. */
+struct answer_field
 {
-  return (answer->retry_after_ms + MS_PER_SECOND - 1) / MS_PER_SECOND;
+  const char *name;
+  char value[NUMBER_SIZE];
+};
+
+static void
+set_number (struct answer_field *field, const char *name, uint32_t number)
+{
+  field->name = name;
+  snprintf (field->value, sizeof field->value, "%u", number);
 }
 
 static void
-add_number (struct MHD_Response *response, const char *name, uint32_t number)
+set_retry_after (struct answer_field *field, uint32_t after_ms,
+                 bool has_decimals)
+{
+  if (!has_decimals)
+    {
+      set_number (field, "Retry-After",
+                  (after_ms + MS_PER_SECOND - 1) / MS_PER_SECOND);
+      return;
+    }
+  field->name = "Retry-After";
+  snprintf (field->value, sizeof field->value, "%u.%03u",
+            after_ms / MS_PER_SECOND, after_ms % MS_PER_SECOND);
+}
+
+/* The fields that differ from answer to answer.
+   @return how many */
+static size_t
+answer_fields (const struct own_answer *answer,
+               const struct caller_interface *interface,
+               struct answer_field fields[FIELDS_MAX])
 {
-  char text[NUMBER_SIZE];
-  snprintf (text, sizeof text, "%u", number);
-  MHD_add_response_header (response, name, text);
+  size_t count = 0;
+  if (interface->outcome != NULL)
+    {
+      fields[count].name = interface->outcome;
+      snprintf (fields[count++].value, NUMBER_SIZE, "%s",
+                answer_outcome_name (answer->outcome));
+    }
+  if (answer->retry_after_ms == 0)
+    return count;
+  set_retry_after (&fields[count++], answer->retry_after_ms,
+                   interface->retry_after_has_decimals);
+  if (interface->retry_after_ms != NULL)
+    set_number (&fields[count++], interface->retry_after_ms,
+                answer->retry_after_ms);
+  return count;
 }
 
 struct MHD_Response *
-own_answer_response (const struct own_answer *answer, bool close)
+own_answer_response (const struct own_answer *answer,
+                     const struct caller_interface *interface, bool close)
 {
   char body[BODY_SIZE];
+  struct answer_field fields[FIELDS_MAX];
   const size_t size = format_body (answer, body);
+  const size_t count = answer_fields (answer, interface, fields);
   struct MHD_Response *response
       = MHD_create_response_from_buffer (size, body, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (response, "Content-Type", "application/json");
   MHD_add_response_header (response, "Cache-Control", "no-store");
-  MHD_add_response_header (response, "Jaystair-Outcome",
-                           answer_outcome_name (answer->outcome));
-  if (answer->retry_after_ms > 0)
-    {
-      add_number (response, "Retry-After", retry_after_seconds (answer));
-      add_number (response, "Jaystair-Retry-After-Ms", answer->retry_after_ms);
-    }
+  for (size_t i = 0; i < count; i++)
+    MHD_add_response_header (response, fields[i].name, fields[i].value);
   if (close)
     MHD_add_response_header (response, "Connection", "close");
   return response;
@@ -70,21 +109,24 @@
 
 size_t
 own_answer_bytes (const struct own_answer *answer,
+                  const struct caller_interface *interface,
                   char text[OWN_ANSWER_TEXT_SIZE])
 {
   char body[BODY_SIZE];
-  char retry[128] = "";
+  char lines[LINES_SIZE] = "";
+  struct answer_field fields[FIELDS_MAX];
   const size_t size = format_body (answer, body);
-  if (answer->retry_after_ms > 0)
-    snprintf (retry, sizeof retry,
-              "Retry-After: %u\r\nJaystair-Retry-After-Ms: %u\r\n",
-              retry_after_seconds (answer), answer->retry_after_ms);
+  const size_t count = answer_fields (answer, interface, fields);
+  size_t used = 0;
+  for (size_t i = 0; i < count && used < sizeof lines; i++)
+    used += (size_t)snprintf (lines + used, sizeof lines - used, "%s: %s\r\n",
+                              fields[i].name, fields[i].value);
   const int total
       = snprintf (text, OWN_ANSWER_TEXT_SIZE,
                   "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
-                  "Cache-Control: no-store\r\nJaystair-Outcome: %s\r\n%s"
-                  "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+                  "Cache-Control: no-store\r\n%sConnection: close\r\n"
+                  "Content-Length: %zu\r\n\r\n%s",
                   answer->status, MHD_get_reason_phrase_for (answer->status),
-                  answer_outcome_name (answer->outcome), retry, size, body);
+                  lines, size, body);
   return (size_t)total < OWN_ANSWER_TEXT_SIZE ? (size_t)total : 0;
 }
--- a/node/caller/own_answer.h
+++ b/node/caller/own_answer.h
@@ -10,13 +10,15 @@
 
 #include <microhttpd.h>
 
+#include "node/caller/caller_interface.h"
+
 enum
 {
   OWN_ANSWER_MESSAGE_SIZE = 256,
   OWN_ANSWER_TEXT_SIZE = 1024
 };
 
-/** What became of the request, as `Jaystair-Outcome` tells it. */
+/** What became of the request. */
 enum answer_outcome
 {
   ANSWER_NOT_RUN, /**< surely no target ran it */
@@ -37,13 +39,15 @@
 };
 
 /** The answer as a response; CLOSE asks the caller to close. */
-struct MHD_Response *own_answer_response (const struct own_answer *answer,
-                                          bool close);
+struct MHD_Response *
+own_answer_response (const struct own_answer *answer,
+                     const struct caller_interface *interface, bool close);
 
 /** The whole answer as bytes, for a connection on which libmicrohttpd can't
  * answer yet; always asks the caller to close.
  * @return the number of bytes */
 size_t own_answer_bytes (const struct own_answer *answer,
+                         const struct caller_interface *interface,
                          char text[OWN_ANSWER_TEXT_SIZE]);
 
 #endif
--- a/node/caller/request_head.c
+++ b/node/caller/request_head.c
@@ -84,12 +84,22 @@
     snprintf (head->ticket, sizeof head->ticket, "%s", ticket);
   head->relayed
       = header_list_find (&head->headers, "Jaystair-Relayed") != NULL;
+  return STATUS_OK;
+}
+
+static enum status
+read_interface_fields (struct request_head *head,
+                       const struct caller_interface *interface)
+{
+  const char *id = header_list_find (&head->headers, interface->request_id);
+  if (id != NULL)
+    snprintf (head->id, sizeof head->id, "%.*s", REQUEST_ID_SIZE - 1, id);
   const char *deadline
-      = header_list_find (&head->headers, "Jaystair-Deadline-Ms");
+      = header_list_find (&head->headers, interface->deadline_ms);
   if (deadline == NULL)
     return STATUS_OK;
   const enum status status
-      = read_number ("Jaystair-Deadline-Ms", deadline, &head->deadline_ms);
+      = read_number (interface->deadline_ms, deadline, &head->deadline_ms);
   if (head->deadline_ms > DEADLINE_MAX_MS)
     head->deadline_ms = DEADLINE_MAX_MS;
   return status;
@@ -104,12 +114,15 @@
 }
 
 static enum status
-read_fields (struct request_head *head, const char *uri)
+read_fields (struct request_head *head,
+             const struct caller_interface *interface, const char *uri)
 {
   read_host (head, header_list_find (&head->headers, "Host"));
   enum status status = read_body (head);
   if (status == STATUS_OK)
     status = read_own_fields (head);
+  if (status == STATUS_OK)
+    status = read_interface_fields (head, interface);
   if (status == STATUS_OK)
     status = route_path_normalise (uri, head->path, sizeof head->path);
   const char *expect = header_list_find (&head->headers, "Expect");
@@ -117,11 +130,15 @@
       = expect != NULL && strcasecmp (expect, "100-continue") == 0;
   header_list_remove_hop_by_hop (&head->headers);
   header_list_remove_prefix (&head->headers, "Jaystair-");
+  header_list_remove (&head->headers, interface->deadline_ms);
+  if (interface->meant_target != NULL)
+    header_list_remove (&head->headers, interface->meant_target);
   return status;
 }
 
 enum status
 request_head_read (struct request_head *head,
+                   const struct caller_interface *interface,
                    struct MHD_Connection *connection, const char *uri,
                    const char *method, const char *version)
 {
@@ -133,7 +150,7 @@
   if (strlen (method) >= sizeof head->method)
     return status_set (STATUS_INVALID, "the method is too long");
   snprintf (head->method, sizeof head->method, "%s", method);
-  return read_fields (head, uri);
+  return read_fields (head, interface, uri);
 }
 
 void
--- a/node/caller/request_head.h
+++ b/node/caller/request_head.h
@@ -15,6 +15,7 @@
 #include <microhttpd.h>
 
 #include "base/status.h"
+#include "node/caller/caller_interface.h"
 #include "node/caller/header_list.h"
 #include "wire/service_spec.h"
 
@@ -22,6 +23,7 @@
 {
   REQUEST_METHOD_SIZE = 24,
   REQUEST_TICKET_SIZE = 128,
+  REQUEST_ID_SIZE = 64,
 };
 
 /** How the request's body is framed. */
@@ -37,6 +39,7 @@
   char method[REQUEST_METHOD_SIZE];
   char host[SERVICE_NAME_SIZE];     /**< lower case, without port */
   char path[SERVICE_PATH_SIZE * 4]; /**< as routes see it */
+  char id[REQUEST_ID_SIZE];         /**< as the caller sent it, cut to fit */
   char ticket[REQUEST_TICKET_SIZE]; /**< "" without one */
   bool relayed; /**< another host of the fleet passed it on */
   bool http_1_0;
@@ -52,6 +55,7 @@
  * @return STATUS_INVALID for one that can't be served; the message names the
  * remedy */
 enum status request_head_read (struct request_head *head,
+                               const struct caller_interface *interface,
                                struct MHD_Connection *connection,
                                const char *uri, const char *method,
                                const char *version);
--- a/node/caller/route_table.c
+++ b/node/caller/route_table.c
@@ -8,6 +8,8 @@
 
 #include <uthash.h>
 
+#include "base/hash.h"
+#include "base/rng.h"
 #include "base/xmalloc.h"
 #include "node/json_row.h"
 
@@ -42,6 +44,14 @@
   return xcalloc (1, sizeof (struct route_table));
 }
 
+static void
+route_destroy (struct route *route)
+{
+  free (route->parts);
+  free (route->credits);
+  free (route);
+}
+
 static void
 bucket_destroy (struct route_table *table, struct bucket *bucket)
 {
@@ -49,7 +59,7 @@
     {
       struct route *route = bucket->routes;
       bucket->routes = route->next;
-      free (route);
+      route_destroy (route);
     }
   HASH_DEL (table->buckets, bucket);
   free (bucket);
@@ -103,7 +113,7 @@
   *place = route;
 }
 
-static void
+static struct route *
 add_route (struct route_table *table, const char *service,
            const struct route_spec *spec)
 {
@@ -126,6 +136,7 @@
   snprintf (route->service, sizeof route->service, "%s", service);
   route->spec = *spec;
   bucket_insert (bucket, route);
+  return route;
 }
 
 void
@@ -149,7 +160,7 @@
           continue;
         }
       *place = route->next;
-      free (route);
+      route_destroy (route);
     }
 }
 
@@ -166,6 +177,76 @@
   }
 }
 
+/* Guards against hosts in step: each begins a share of ten in a hundred at
+   another point, else the first requests of all would go to one part. */
+static void
+shuffle_credits (struct route *route, uint64_t seed)
+{
+  struct rng rng;
+  rng_seed (&rng, hash_pair (seed, hash_string (route->spec.path_prefix)));
+  uint64_t weights = 0;
+  for (size_t i = 0; i < route->part_count; i++)
+    weights += route->parts[i].weight;
+  for (uint64_t i = rng_below (&rng, weights); i > 0; i--)
+    route_next_service (route);
+}
+
+static void
+add_configured (struct route_table *table, const struct fleet_route *from,
+                uint64_t seed)
+{
+  struct route *route = add_route (table, "", &from->spec);
+  route->timeout_ms = from->timeout_ms;
+  route->latency_goal_ms = from->latency_goal_ms;
+  route->priority = from->priority;
+  route->attempts = from->attempts;
+  route->part_count = from->part_count;
+  route->parts = xcalloc (from->part_count, sizeof *route->parts);
+  memcpy (route->parts, from->parts, from->part_count * sizeof *route->parts);
+  route->credits = xcalloc (from->part_count, sizeof *route->credits);
+  shuffle_credits (route, seed);
+}
+
+void
+route_table_set_config (struct route_table *table,
+                        const struct fleet_config *config, uint64_t seed)
+{
+  route_table_remove (table, "");
+  for (size_t i = 0; i < config->route_count; i++)
+    add_configured (table, &config->routes[i], seed);
+}
+
+/* Each part earns its weight with each request; the one with the most pays
+   for it with the weights of all. */
+const char *
+route_next_service (const struct route *route)
+{
+  if (route->parts == NULL)
+    return route->service;
+  size_t best = 0;
+  int64_t weights = 0;
+  for (size_t i = 0; i < route->part_count; i++)
+    {
+      weights += route->parts[i].weight;
+      route->credits[i] += route->parts[i].weight;
+      if (route->credits[i] > route->credits[best])
+        best = i;
+    }
+  route->credits[best] -= weights;
+  return route->parts[best].service;
+}
+
+const char *
+route_table_service_of_host (const struct route_table *table, const char *host)
+{
+  for (const struct bucket *bucket = table->buckets; bucket != NULL;
+       bucket = bucket->hh.next)
+    if (strcmp (bucket->routes->spec.host, host) == 0)
+      return bucket->routes->parts != NULL ? bucket->routes->parts[0].service
+                                           : bucket->routes->service;
+  return NULL;
+}
+
 uint32_t
 route_method_bit (const char *method)
 {
@@ -175,6 +256,17 @@
   return 0;
 }
 
+/* A configured prefix counts to its last character: "/holds/" doesn't take
+   "/holds". */
+static bool
+takes (const struct route *route, const char *path, uint32_t method)
+{
+  if (route->spec.methods != 0 && (route->spec.methods & method) == 0)
+    return false;
+  const char *prefix = route->spec.path_prefix;
+  return route->parts == NULL || strncmp (path, prefix, strlen (prefix)) == 0;
+}
+
 static const struct route *
 bucket_match (const struct route_table *table, const char *host,
               const char *path, size_t prefix_size, uint32_t method)
@@ -189,7 +281,7 @@
     return NULL;
   for (const struct route *route = bucket->routes; route != NULL;
        route = route->next)
-    if (route->spec.methods == 0 || (route->spec.methods & method) != 0)
+    if (takes (route, path, method))
       return route;
   return NULL;
 }
@@ -239,7 +331,9 @@
 route_row (const struct route *route)
 {
   struct json_object *row = json_object_new_object ();
-  json_row_text (row, "service", route->service);
+  json_row_text (row, "service",
+                 route->parts != NULL ? route->parts[0].service
+                                      : route->service);
   json_row_text (row, "host", route->spec.host);
   json_row_text (row, "path_prefix", route->spec.path_prefix);
   add_methods (row, route->spec.methods);
--- a/node/caller/route_table.h
+++ b/node/caller/route_table.h
@@ -18,14 +18,24 @@
 #include <json-c/json.h>
 
 #include "base/status.h"
+#include "wire/fleet_config.h"
 #include "wire/service_spec.h"
 
 /** A route in force. */
 struct route
 {
-  char service[SERVICE_NAME_SIZE];
+  char service[SERVICE_NAME_SIZE]; /**< whose route; "" when configured */
   struct route_spec spec;
   struct route *next; /**< of the same host and prefix, less specific */
+
+  /** Of a configured route; else 0, and the service's limits apply. */
+  uint32_t timeout_ms;
+  uint32_t latency_goal_ms;
+  uint32_t priority;
+  uint32_t attempts;
+  struct route_part *parts; /**< NULL: all goes to `service` */
+  int64_t *credits;         /**< of each part, towards its next request */
+  size_t part_count;
 };
 
 struct route_table;
@@ -38,6 +48,20 @@
                       const struct service_spec *spec);
 void route_table_remove (struct route_table *table, const char *service);
 
+/** Replace all configured routes by those of CONFIG.  SEED makes hosts begin
+ * at different parts of a route. */
+void route_table_set_config (struct route_table *table,
+                             const struct fleet_config *config, uint64_t seed);
+
+/** The service that takes the next request of ROUTE: each part of a route
+ * gets its share of any few requests, not only on average. */
+const char *route_next_service (const struct route *route);
+
+/** A service that requests to HOST may go to, or NULL: for callers that ask
+ * for addresses by the name that their requests bear. */
+const char *route_table_service_of_host (const struct route_table *table,
+                                         const char *host);
+
 /** The bit of METHOD in `enum route_method`; 0 for one that routes can't
  * name, which only a route for any method matches. */
 uint32_t route_method_bit (const char *method);
--- a/node/daemon/backend.c
+++ b/node/daemon/backend.c
@@ -57,6 +57,15 @@
     .loop = backend->options.loop,
     .platform = backend->options.platform,
   };
+  if (backend->options.has_registry)
+    {
+      const struct operator_result refused
+          = { .status = STATUS_REFUSED,
+              .message = "services come from the fleet's configuration and "
+                         "its targets: change them at the platform" };
+      done (owner, &refused);
+      return;
+    }
   struct change *change = xcalloc (1, sizeof *change);
   change->backend = backend;
   change->done = done;
@@ -71,6 +80,15 @@
                  operator_result_done *done, void *owner)
 {
   struct backend *backend = (struct backend *)base;
+  if (backend->options.ejection == NULL)
+    {
+      const struct operator_result refused
+          = { .status = STATUS_REFUSED,
+              .message = "ejection is off in this host's settings: each host "
+                         "avoids bad targets by itself" };
+      done (owner, &refused);
+      return;
+    }
   ejection_task_command (backend->options.ejection, command, done, owner);
 }
 
@@ -152,7 +170,8 @@
     if (ask->owner == owner)
       drop_ask (backend, ask);
   }
-  ejection_task_cancel (backend->options.ejection, owner);
+  if (backend->options.ejection != NULL)
+    ejection_task_cancel (backend->options.ejection, owner);
 }
 
 struct operator_backend *
--- a/node/daemon/backend.h
+++ b/node/daemon/backend.h
@@ -5,6 +5,8 @@
 #ifndef NODE_DAEMON_BACKEND_H
 #define NODE_DAEMON_BACKEND_H
 
+#include <stdbool.h>
+
 #include <ev.h>
 
 #include "node/operator/operator_backend.h"
@@ -19,7 +21,8 @@
   struct ev_loop *loop;
   struct platform *platform;
   struct control_task *control;
-  struct ejection_task *ejection;
+  struct ejection_task *ejection; /**< NULL: ejection is off */
+  bool has_registry;              /**< services aren't objects of their own */
 };
 
 struct operator_backend *
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -3,11 +3,13 @@
 #include "node/daemon/host.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/counters.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/bus.h"
+#include "node/caller/caller_interface.h"
 #include "node/caller/caller_task.h"
 #include "node/control/control_task.h"
 #include "node/control/incarnation.h"
@@ -15,7 +17,9 @@
 #include "node/ejection/control_transport.h"
 #include "node/ejection/ejection_task.h"
 #include "node/operator/operator_task.h"
+#include "node/plain_server.h"
 #include "node/tables.h"
+#include "platform/platform_adapter.h"
 #include "wire/platform_file.h"
 #include "wire/platform_http.h"
 
@@ -43,12 +47,40 @@
   struct ejection_task *ejection;
   struct operator_backend *backend;
   struct operator_task *operator_side;
+  struct plain_server *readiness;
   enum host_phase phase;
   struct ev_timer leave_limit;
   host_done *done;
   void *done_owner;
 };
 
+/* NULL: the interface is jaystair's own. */
+static const struct platform_adapter *
+adapter_of (const struct host *host)
+{
+  const char *name = host->settings.interface;
+  return name[0] != '\0' ? platform_adapter_find (name) : NULL;
+}
+
+static const struct caller_interface *
+caller_names (const struct host *host)
+{
+  const struct platform_adapter *adapter = adapter_of (host);
+  return adapter != NULL ? adapter->callers : &caller_interface_own;
+}
+
+static enum status
+check_interface (const struct host *host)
+{
+  const char *name = host->settings.interface;
+  if (name[0] == '\0' || adapter_of (host) != NULL)
+    return STATUS_OK;
+  return status_set (STATUS_INVALID,
+                     "platform.interface: there is none called \"%s\"; leave "
+                     "it out for jaystair's own, or name one of: %s",
+                     name, platform_adapter_names ());
+}
+
 static enum status
 create_platform (struct host *host)
 {
@@ -67,6 +99,7 @@
     .addresses = addresses,
     .count = settings->platform_address_count,
     .timeout_ms = settings->times.platform_timeout_ms,
+    .dialect = adapter_of (host) != NULL ? adapter_of (host)->store : NULL,
   };
   host->platform = platform_http_create (&options);
   return host->platform == NULL ? STATUS_INVALID : STATUS_OK;
@@ -81,6 +114,7 @@
     .settings = &host->settings,
     .counters = host->counters,
     .tables = host->tables,
+    .interface = caller_names (host),
     .incarnation = incarnation,
   };
   host->caller = caller_task_create (&options);
@@ -145,6 +179,7 @@
     .platform = host->platform,
     .control = host->control,
     .ejection = host->ejection,
+    .has_registry = host->settings.modes.has_registry,
   };
   host->backend = backend_create (&backend);
   const struct operator_task_options options = {
@@ -157,20 +192,56 @@
   return operator_task_create (&options, &host->operator_side);
 }
 
+static enum MHD_Result
+on_readiness_question (void *owner, struct MHD_Connection *connection,
+                       const char *path, const char *method)
+{
+  const struct host *host = owner;
+  const struct caller_interface *names = caller_names (host);
+  if (strcmp (path, names->readiness_path) != 0)
+    return plain_server_reply (connection, MHD_HTTP_NOT_FOUND, "text/plain",
+                               "ask for readiness here\n");
+  const bool is_ready = caller_task_is_ready (host->caller);
+  return plain_server_reply (
+      connection, is_ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+      "text/plain", is_ready ? "ready\n" : "not ready\n");
+}
+
+static enum status
+create_readiness (struct host *host)
+{
+  const struct plain_server_options options = {
+    .loop = host->loop,
+    .address = host->settings.readiness_address,
+    .what = "readiness",
+    .answer = on_readiness_question,
+    .owner = host,
+  };
+  if (options.address[0] == '\0')
+    return STATUS_OK;
+  return plain_server_create (&options, &host->readiness);
+}
+
 /* Tasks that hear the bus come before the control task, which speaks first:
    what it posts at its start must find its subscribers. */
 static enum status
 create_tasks (struct host *host)
 {
   const uint64_t incarnation = incarnation_make ();
-  enum status status = create_platform (host);
+  enum status status = check_interface (host);
+  if (status == STATUS_OK)
+    status = create_platform (host);
   if (status == STATUS_OK)
     status = create_caller (host, incarnation);
   if (status == STATUS_OK)
     status = create_control (host, incarnation);
   if (status != STATUS_OK)
     return status;
-  create_ejection (host, incarnation);
+  if (host->settings.modes.has_ejection)
+    create_ejection (host, incarnation);
+  status = create_readiness (host);
+  if (status != STATUS_OK)
+    return status;
   return create_operator (host);
 }
 
@@ -199,6 +270,7 @@
   if (host == NULL)
     return;
   ev_timer_stop (host->loop, &host->leave_limit);
+  plain_server_destroy (host->readiness);
   if (host->operator_side != NULL)
     operator_task_destroy (host->operator_side);
   backend_destroy (host->backend);
--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <argtable2.h>
 #include <curl/curl.h>
@@ -46,6 +47,7 @@
   const struct log_options options = {
     .level = settings->log_level,
     .json = settings->log_json,
+    .fd = STDOUT_FILENO,
     .repeats_per_second = settings->log_repeats_per_second,
   };
   log_configure (&options);
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -12,7 +12,7 @@
   KIBIBYTE = 1024,
   /* Some callers keep an answer three times as long; what is left of the
      shutdown is for the requests that they sent last. */
-  KEEP_PARTS_OF_SHUTDOWN = 4,
+  KEEP_PARTS_OF_SHUTDOWN = 6,
 };
 
 static const char *const service_sources[] = { "objects", "registry" };
@@ -96,6 +96,13 @@
            &limits->idle_timeout_ms);
   read_uint32 (&options, "stream_buffer_bytes", 4 * KIBIBYTE,
                16 * 1024 * KIBIBYTE, &limits->stream_buffer_bytes);
+  read_uint32 (&options, "hold_answer_bytes", 0, 16 * 1024 * KIBIBYTE,
+               &limits->hold_answer_bytes);
+  if (limits->hold_answer_bytes > limits->stream_buffer_bytes)
+    options_fail (&options, "hold_answer_bytes",
+                  "expected at most stream_buffer_bytes (%u), found %u; an "
+                  "answer is held in that buffer",
+                  limits->stream_buffer_bytes, limits->hold_answer_bytes);
   read_ms (&options, "keep_answer_ms", 100, HOUR_MS, &limits->keep_answer_ms);
   options_close (top, &options);
 }
@@ -381,7 +388,7 @@
 }
 
 /* Without padding, the same bytes are the same values. */
-_Static_assert(sizeof (struct caller_limits) == 5 * sizeof (uint32_t),
+_Static_assert(sizeof (struct caller_limits) == 6 * sizeof (uint32_t),
                "caller_limits has padding: compare its members");
 _Static_assert(sizeof (struct fleet_modes) == 4 * sizeof (bool),
                "fleet_modes has padding: compare its members");
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -26,6 +26,7 @@
   uint32_t header_bytes; /**< most memory of one request's head */
   uint32_t idle_timeout_ms;
   uint32_t stream_buffer_bytes; /**< per direction of one request */
+  uint32_t hold_answer_bytes;   /**< answers up to it are held until whole */
   uint32_t keep_answer_ms;      /**< how long callers keep an address answer */
 };
 
--- /dev/null
+++ b/node/plain_server.h
@@ -0,0 +1,41 @@
+/** @file
+ * A small HTTP server of its own address whose questions are answered at
+ * once: addresses to use, readiness.
+ */
+#ifndef NODE_PLAIN_SERVER_H
+#define NODE_PLAIN_SERVER_H
+
+#include <ev.h>
+#include <microhttpd.h>
+
+#include "base/status.h"
+
+struct plain_server;
+
+/** Answer a question: queue a response to CONNECTION. */
+typedef enum MHD_Result plain_server_answer (void *owner,
+                                             struct MHD_Connection *connection,
+                                             const char *path,
+                                             const char *method);
+
+struct plain_server_options
+{
+  struct ev_loop *loop;
+  const char *address; /**< IP:PORT */
+  const char *what;    /**< what listens there, for messages */
+  plain_server_answer *answer;
+  void *owner;
+};
+
+/** On failure the message names the address and the remedy. */
+enum status plain_server_create (const struct plain_server_options *options,
+                                 struct plain_server **server);
+void plain_server_destroy (struct plain_server *server);
+
+/** Queue TEXT as the whole answer. */
+enum MHD_Result plain_server_reply (struct MHD_Connection *connection,
+                                    unsigned int status,
+                                    const char *content_type,
+                                    const char *text);
+
+#endif
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -107,6 +107,13 @@
     target_set_avoid (&policy->set, now_us, target, avoided);
 }
 
+static uint32_t
+attempts_max (const struct service_policy *policy,
+              const struct policy_request *r)
+{
+  return r->attempts_max > 0 ? r->attempts_max : policy->options.attempts;
+}
+
 struct policy_decision
 service_policy_admit (struct service_policy *policy, int64_t now_us,
                       const struct policy_request *r)
@@ -119,7 +126,7 @@
     return placement_refuse (policy, r, POLICY_REASON_NO_TARGET);
   if (r->deadline_us <= now_us)
     return placement_refuse (policy, r, POLICY_REASON_TOO_LATE);
-  if (r->attempt > 1 && r->attempt > policy->options.attempts)
+  if (r->attempt > 1 && r->attempt > attempts_max (policy, r))
     return placement_refuse (policy, r, POLICY_REASON_ATTEMPTS);
   if (r->attempt > 1
       && !retry_budget_take (&policy->budget, now_us,
@@ -133,7 +140,7 @@
                                    int64_t now_us,
                                    const struct policy_request *r)
 {
-  const uint32_t most = policy->options.attempts;
+  const uint32_t most = attempts_max (policy, r);
   const uint32_t left = r->attempt < most ? most - r->attempt : 0;
   return attempt_timeout_us ((int64_t)policy->set.baseline.latency_us,
                              r->deadline_us - now_us, left);
@@ -147,7 +154,7 @@
   policy->now_us = now_us;
   target_set_refresh (&policy->set, now_us);
   if (!r->repeatable || r->deadline_us <= now_us
-      || r->attempt > policy->options.attempts)
+      || r->attempt > attempts_max (policy, r))
     return false;
   const uint32_t percent = policy->options.retry_percent;
   if (!retry_budget_has (&policy->budget, now_us, percent)
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -51,7 +51,8 @@
   int64_t deadline_us;
   uint32_t queued_bytes; /**< what it holds while it waits */
   bool repeatable;
-  uint32_t attempt; /**< 1 for the first try */
+  uint32_t attempt;      /**< 1 for the first try */
+  uint32_t attempts_max; /**< 0: as the service's options say */
   uint32_t tried[POLICY_TRIED_MAX];
   uint32_t tried_count;
 };
--- a/wire/platform_http.c
+++ b/wire/platform_http.c
@@ -1,6 +1,5 @@
 #include "wire/platform_http.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,6 +20,8 @@
   HTTP_GONE = 410,
   HTTP_PRECONDITION_FAILED = 412,
   HTTP_TOO_MANY_REQUESTS = 429,
+  HTTP_SERVER_ERROR = 500,
+  HTTP_UNAVAILABLE = 503,
 };
 
 enum call_kind
@@ -34,6 +35,7 @@
 struct platform_http
 {
   struct platform platform;
+  const struct platform_http_dialect *dialect;
   struct curl_loop *cl;
   char *addresses[PLATFORM_HTTP_ADDRESSES_MAX];
   size_t count;
@@ -50,8 +52,12 @@
   CURL *easy;
   struct curl_slist *headers;
   char *path;
-  char *name;
-  char *value; /* PUT: NULL removes the object */
+  char *object_kind;
+  char *value;   /* PUT: NULL removes the object */
+  char *request; /* PUT: the body that is sent */
+  /* LIST: the pages that have come, and all of their objects. */
+  struct platform_http_reply *pages;
+  size_t page_count;
   size_t address;
   size_t attempts;
   uint32_t timeout_ms;
@@ -69,8 +75,12 @@
   DL_DELETE (call->http->calls, call);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
+  for (size_t i = 0; i < call->page_count; i++)
+    platform_http_reply_release (&call->pages[i]);
+  free (call->pages);
   free (call->path);
-  free (call->name);
+  free (call->object_kind);
+  free (call->request);
   free (call->value);
   free (call->body);
   free (call);
@@ -112,8 +122,9 @@
 static void
 end_written (struct http_call *call)
 {
-  struct platform_http_reply parsed;
-  if (platform_http_reply_object (&parsed, call->body, call->body_bytes)
+  struct platform_http_reply parsed = { 0 };
+  if (call->http->dialect->read_object (&parsed, call->object_kind, call->body,
+                                        call->body_bytes)
       != STATUS_OK)
     {
       platform_http_reply_release (&parsed);
@@ -133,12 +144,11 @@
 static void
 end_read (struct http_call *call)
 {
-  struct platform_http_reply parsed;
-  const enum status status
-      = call->kind == CALL_GET
-            ? platform_http_reply_object (&parsed, call->body,
-                                          call->body_bytes)
-            : platform_http_reply_list (&parsed, call->body, call->body_bytes);
+  const struct platform_http_dialect *dialect = call->http->dialect;
+  struct platform_http_reply parsed = { 0 };
+  const enum status status = (call->kind == CALL_GET ? dialect->read_object
+                                                     : dialect->read_changes) (
+      &parsed, call->object_kind, call->body, call->body_bytes);
   const struct platform_reply reply
       = { .status = status,
           .message = status == STATUS_OK ? NULL : status_message (),
@@ -149,11 +159,61 @@
   platform_http_reply_release (&parsed);
 }
 
+/* What was changed between two pages is told again by a watch from the first
+   page's revision. */
+static void
+end_list (struct http_call *call)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < call->page_count; i++)
+    count += call->pages[i].count;
+  struct platform_object *objects = xcalloc (count + 1, sizeof *objects);
+  count = 0;
+  for (size_t i = 0; i < call->page_count; i++)
+    for (size_t k = 0; k < call->pages[i].count; k++)
+      objects[count++] = call->pages[i].objects[k];
+  const struct platform_reply reply = { .status = STATUS_OK,
+                                        .revision = call->pages[0].revision,
+                                        .objects = objects,
+                                        .count = count };
+  end (call, &reply);
+  free (objects);
+}
+
+static void start (struct http_call *call);
+
+static void
+take_page (struct http_call *call)
+{
+  const struct platform_http_dialect *dialect = call->http->dialect;
+  call->pages
+      = xreallocarray (call->pages, call->page_count + 1, sizeof *call->pages);
+  struct platform_http_reply *page = &call->pages[call->page_count++];
+  *page = (struct platform_http_reply){ 0 };
+  if (dialect->read_list (page, call->object_kind, call->body,
+                          call->body_bytes)
+      != STATUS_OK)
+    {
+      end_failed (call, STATUS_INVALID, status_message ());
+      return;
+    }
+  if (page->more_after[0] == '\0')
+    {
+      end_list (call);
+      return;
+    }
+  free (call->path);
+  call->path = dialect->list_path (call->object_kind, page->more_after);
+  call->attempts = 0;
+  start (call);
+}
+
 static void
 end_conflict (struct http_call *call)
 {
-  struct platform_http_reply parsed;
-  platform_http_reply_object (&parsed, call->body, call->body_bytes);
+  struct platform_http_reply parsed = { 0 };
+  call->http->dialect->read_object (&parsed, call->object_kind, call->body,
+                                    call->body_bytes);
   const bool exists = parsed.count > 0 && parsed.objects[0].value != NULL;
   const struct platform_reply reply
       = { .status = STATUS_REFUSED,
@@ -196,8 +256,6 @@
     }
 }
 
-static void start (struct http_call *call);
-
 /* A write is connected afresh, so a transfer that never connected has sent no
    byte of it.  All else may have reached the platform. */
 static bool
@@ -213,7 +271,9 @@
 fail_over (struct http_call *call, CURLcode code, long http_code)
 {
   struct platform_http *http = call->http;
-  const bool unsent = surely_not_sent (call, code);
+  const bool unsent = surely_not_sent (call, code)
+                      || (code == CURLE_OK && http_code == HTTP_UNAVAILABLE
+                          && http->dialect->unavailable_is_undone);
   if (http->preferred == call->address)
     http->preferred = (call->address + 1) % http->count;
   if ((unsent || call->kind != CALL_PUT) && call->attempts < http->count)
@@ -246,12 +306,14 @@
       return;
     }
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http_code);
-  if (code != CURLE_OK || http_code >= 500)
+  if (code != CURLE_OK || http_code >= HTTP_SERVER_ERROR)
     fail_over (call, code, http_code);
   else if (http_code != 200)
     end_refused (call, http_code);
   else if (call->kind == CALL_PUT)
     end_written (call);
+  else if (call->kind == CALL_LIST)
+    take_page (call);
   else
     end_read (call);
 }
@@ -273,14 +335,14 @@
 }
 
 static struct http_call *
-new_call (struct platform *platform, enum call_kind kind, char *path,
-          platform_done *done, void *owner)
+new_call (struct platform *platform, enum call_kind kind,
+          const char *object_kind, platform_done *done, void *owner)
 {
   struct platform_http *http = (struct platform_http *)platform;
   struct http_call *call = xcalloc (1, sizeof *call);
   call->http = http;
   call->kind = kind;
-  call->path = path;
+  call->object_kind = xstrdup (object_kind);
   call->address = http->preferred;
   call->timeout_ms = http->timeout_ms;
   call->done = done;
@@ -304,58 +366,45 @@
   start (call);
 }
 
-/* `PREFIX/KIND` or `PREFIX/KIND/NAME`, in new memory. */
-static char *
-make_path (const char *prefix, const char *kind, const char *name)
-{
-  char *kind_escaped = curl_easy_escape (NULL, kind, 0);
-  char *name_escaped = curl_easy_escape (NULL, name == NULL ? "" : name, 0);
-  char *path = xasprintf ("/%s/%s%s%s", prefix, kind_escaped,
-                          name == NULL ? "" : "/", name_escaped);
-  curl_free (kind_escaped);
-  curl_free (name_escaped);
-  return path;
-}
-
 static void
 get (struct platform *platform, const char *kind, const char *name,
      platform_done *done, void *owner)
 {
-  configure_and_start (new_call (
-      platform, CALL_GET, make_path ("objects", kind, name), done, owner));
+  struct http_call *call = new_call (platform, CALL_GET, kind, done, owner);
+  call->path = call->http->dialect->get_path (kind, name);
+  configure_and_start (call);
 }
 
 static void
 list (struct platform *platform, const char *kind, platform_done *done,
       void *owner)
 {
-  configure_and_start (new_call (
-      platform, CALL_LIST, make_path ("objects", kind, NULL), done, owner));
+  struct http_call *call = new_call (platform, CALL_LIST, kind, done, owner);
+  call->path = call->http->dialect->list_path (kind, "");
+  configure_and_start (call);
 }
 
 static void
 watch (struct platform *platform, const char *kind, uint64_t revision,
        uint32_t timeout_ms, platform_done *done, void *owner)
 {
-  char *base = make_path ("watch", kind, NULL);
-  char *path = xasprintf ("%s?since=%" PRIu64 "&timeout_ms=%" PRIu32, base,
-                          revision, timeout_ms);
-  free (base);
-  struct http_call *call = new_call (platform, CALL_WATCH, path, done, owner);
+  struct http_call *call = new_call (platform, CALL_WATCH, kind, done, owner);
+  call->path = call->http->dialect->watch_path (kind, revision, timeout_ms);
   call->timeout_ms += timeout_ms;
   configure_and_start (call);
 }
 
 static void
-set_condition (struct http_call *call, uint64_t expected_version)
+set_body (struct http_call *call, char *body)
 {
-  char header[64];
-  if (expected_version == PLATFORM_VERSION_NONE)
-    snprintf (header, sizeof header, "If-None-Match: *");
-  else
-    snprintf (header, sizeof header, "If-Match: \"%" PRIu64 "\"",
-              expected_version);
-  call->headers = curl_slist_append (call->headers, header);
+  call->request = body;
+  if (body == NULL)
+    return;
+  call->headers
+      = curl_slist_append (call->headers, "Content-Type: application/json");
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)strlen (body));
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, body);
 }
 
 static void
@@ -363,27 +412,22 @@
      uint64_t expected_version, const char *value, platform_done *done,
      void *owner)
 {
-  struct http_call *call = new_call (
-      platform, CALL_PUT, make_path ("objects", kind, name), done, owner);
-  CURL *easy = call->easy;
+  struct http_call *call = new_call (platform, CALL_PUT, kind, done, owner);
+  struct platform_http_write write = { 0 };
   call->value = xstrdup (value);
-  set_condition (call, expected_version);
-  call->headers
-      = curl_slist_append (call->headers, "Content-Type: application/json");
-  if (value != NULL)
-    {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)strlen (value));
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->value);
-    }
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST,
-                    value == NULL ? "DELETE" : "PUT");
+  call->http->dialect->write (kind, name, expected_version, value, &write);
+  call->path = write.path;
+  if (write.condition != NULL)
+    call->headers = curl_slist_append (call->headers, write.condition);
+  free (write.condition);
+  set_body (call, write.body);
+  curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, write.method);
   /* Guards against a write that is sent twice: when a kept connection closes
      before the first byte of the answer, libcurl takes the request for unsent
      and sends it again.  The first may have taken effect; the second is then
      refused, and a write in force would be reported as a conflict.  On a
      connection that never carried a request libcurl doesn't send again. */
-  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
   configure_and_start (call);
 }
 
@@ -438,6 +482,8 @@
   http->platform.ops = &http_ops;
   http->cl
       = curl_loop_create (options->loop, &(struct curl_loop_options){ 0 });
+  http->dialect = options->dialect != NULL ? options->dialect
+                                           : &platform_http_dialect_own;
   http->count = options->count;
   for (size_t i = 0; i < http->count; i++)
     http->addresses[i] = xstrdup (options->addresses[i]);
--- a/wire/platform_http.h
+++ b/wire/platform_http.h
@@ -18,6 +18,7 @@
 #include <ev.h>
 
 #include "wire/platform.h"
+#include "wire/platform_http_dialect.h"
 
 /** Most addresses of one platform. */
 #define PLATFORM_HTTP_ADDRESSES_MAX 8
@@ -29,6 +30,8 @@
   size_t count;
   uint32_t timeout_ms;         /**< of a call at one address; 0 means 2,000 */
   uint32_t connect_timeout_ms; /**< 0 means 1,000 */
+  /** How calls are written; NULL means platform_http_dialect_own. */
+  const struct platform_http_dialect *dialect;
 };
 
 /** @return NULL when there is no address or there are too many; the message
