control: relays ask the platform again every two seconds

Cause: a watch that the platform drops with its history goes deaf: its connection stays open and tells nothing until its 20 s are over. Ruled out: a failed call (no such line in any host's log), a lost offer between hosts (none knew the version). Change: a relay's watch lasts relay_watch_ms, 2 s; what it finds it offers to the others as ever. A host that becomes a relay ends its long watch. The tests were red with the guard out (deaf watch, and the hold of removals that came with the registry).

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -107,9 +107,10 @@
   struct control_task *task;
   const char *kind;
   uint64_t revision;
-  bool is_listed;  /**< revision is one to watch from */
-  bool is_waiting; /**< a call is under way */
-  bool is_for_all; /**< every host watches, not only relays */
+  bool is_listed;   /**< revision is one to watch from */
+  bool is_waiting;  /**< a call is under way */
+  uint32_t wait_ms; /**< of the watch under way */
+  bool is_for_all;  /**< every host watches, not only relays */
   int64_t answered_ms;
   int64_t regained_ms; /**< when a call was answered after one had failed */
   uint32_t backoff_ms;
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -170,6 +170,31 @@
     feed_next (feed);
 }
 
+/* Guards against a watch that went deaf: the platform dropped it and tells
+   nobody.  Shows as a host that misses all changes until its watch is over.
+   Relays ask again every few seconds and tell the others; for all hosts to do
+   so would cost the platform ten times the calls. */
+static uint32_t
+watch_ms (const struct control_task *task)
+{
+  const struct control_times *times = &task->options.settings->times;
+  const bool is_short
+      = task->is_relay && times->relay_watch_ms < times->watch_ms;
+  return is_short ? times->relay_watch_ms : times->watch_ms;
+}
+
+/* A host that has become a relay ends the long watch that is under way. */
+static void
+shorten_watch (struct control_feed *feed)
+{
+  struct control_task *task = feed->task;
+  if (!feed->is_waiting || !feed->is_listed
+      || feed->wait_ms <= watch_ms (task))
+    return;
+  platform_cancel (task->options.platform, feed);
+  feed->is_waiting = false;
+}
+
 /* All list once; then relays watch, and the others hear from them. */
 static void
 feed_next (struct control_feed *feed)
@@ -188,8 +213,9 @@
   if (!feed->is_for_all && !task->is_relay && !task->is_stale)
     return;
   feed->is_waiting = true;
+  feed->wait_ms = watch_ms (task);
   platform_watch (task->options.platform, feed->kind, feed->revision,
-                  task->options.settings->times.watch_ms, watch_done, feed);
+                  feed->wait_ms, watch_done, feed);
 }
 
 static void
@@ -407,7 +433,10 @@
 control_platform_wake (struct control_task *task)
 {
   for (size_t i = 0; i < task->feed_count; i++)
-    feed_next (&task->feeds[i]);
+    {
+      shorten_watch (&task->feeds[i]);
+      feed_next (&task->feeds[i]);
+    }
 }
 
 void
--- a/node/control/tests/control_fixture.h
+++ b/node/control/tests/control_fixture.h
@@ -127,6 +127,16 @@
         EXPECT_GT (spec->version, self->highest[spec->name]) << "reverted";
         self->highest[spec->name] = spec->version;
         self->in_force[spec->name] = spec->version;
+        auto &targets = self->targets[spec->name];
+        targets.clear ();
+        for (size_t i = 0; i < spec->target_count; i++)
+          targets.push_back (spec->targets[i].name);
+      }
+    else if (message->topic == BUS_CONFIG_IN_FORCE)
+      {
+        const uint64_t version = message->config_in_force.config->version;
+        EXPECT_GT (version, self->config_version) << "reverted";
+        self->config_version = version;
       }
     else if (message->topic == BUS_SERVICE_REMOVED)
       {
@@ -151,7 +161,8 @@
   struct counters *counters;
   control_task *task = nullptr;
   std::map<std::string, uint64_t> in_force, highest;
-  std::map<std::string, std::vector<std::string>> sets;
+  std::map<std::string, std::vector<std::string>> sets, targets;
+  uint64_t config_version = 0;
 };
 
 class ControlFixture : public testing::Test
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -70,6 +70,7 @@
     platform_done *done;
     void *owner;
     double end; /* of a watch, on the loop's clock */
+    bool is_deaf = false;
   };
 
   std::list<call> calls;
@@ -172,6 +173,13 @@
     uint64_t revision;
     if (holds_removals && c.removes)
       return false;
+    if (c.is_deaf)
+      {
+        if (ev_now (loop) < c.end)
+          return false;
+        reply (c, STATUS_REFUSED, {}, 0);
+        return true;
+      }
     if (is_down)
       reply (c, STATUS_UNREACHABLE, {}, 0);
     else if (c.verb == "get")
@@ -195,6 +203,15 @@
     return true;
   }
 
+  /* All watches under way go deaf: they end in time, and tell then that
+     their history is gone. */
+  void
+  go_deaf ()
+  {
+    for (call &c : calls)
+      c.is_deaf = c.verb == "watch";
+  }
+
   bool
   has_call (const std::string &verb) const
   {
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -40,6 +40,7 @@
       .enforce_ms = 3000,
       .owner_lease_ms = 5000,
       .watch_ms = 20000,
+      .relay_watch_ms = 2000,
       .platform_timeout_ms = 2000,
       .evidence_ms = 250,
       .shutdown_ms = 30000,
@@ -157,6 +158,7 @@
     { "enforce_ms", &times->enforce_ms },
     { "owner_lease_ms", &times->owner_lease_ms },
     { "watch_ms", &times->watch_ms },
+    { "relay_watch_ms", &times->relay_watch_ms },
     { "platform_timeout_ms", &times->platform_timeout_ms },
     { "evidence_ms", &times->evidence_ms },
     { "shutdown_ms", &times->shutdown_ms },
@@ -394,7 +396,7 @@
                "fleet_modes has padding: compare its members");
 _Static_assert(sizeof (struct retry_settings) == 3 * sizeof (uint32_t),
                "retry_settings has padding: compare its members");
-_Static_assert(sizeof (struct control_times) == 12 * sizeof (uint32_t),
+_Static_assert(sizeof (struct control_times) == 13 * sizeof (uint32_t),
                "control_times has padding: compare its members");
 
 static bool
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -61,6 +61,9 @@
   uint32_t enforce_ms;     /**< how long an ejection holds without refresh */
   uint32_t owner_lease_ms; /**< an owner not heard from so long is replaced */
   uint32_t watch_ms;       /**< one waiting watch at the platform */
+  /** The same at a relay: a watch can go deaf without a sign, and a relay
+   * finds what it missed when it asks again. */
+  uint32_t relay_watch_ms;
   uint32_t platform_timeout_ms;
   uint32_t evidence_ms;    /**< between reports to a service's owner */
   uint32_t shutdown_ms;    /**< after it a leaving host is over */
