caller: kept connections also for requests that may run once

Ruled out: safety as the reason for it: on_before_send() aborts libcurl's second sending on any connection; the new test runs a hold once on a kept connection that dies under it. Change: reuse_idle_ms and reuse_idle_once_ms bound how long a connection may have been idle, and the target's own Keep-Alive, less a quarter, bounds both.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -381,6 +381,15 @@
   apply_targets (service);
 }
 
+void
+caller_service_set_idle (struct caller_service *service, uint64_t key,
+                         uint32_t idle_ms)
+{
+  const uint32_t target = caller_service_find (service, key);
+  if (target != POLICY_NO_TARGET)
+    service->targets[target].idle_ms = idle_ms;
+}
+
 struct policy_decision
 caller_service_admit (struct caller_service *service,
                       const struct policy_request *r,
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -26,8 +26,9 @@
   uint64_t key;
   bool leaving; /**< it said so itself */
   bool ejected;
-  bool avoided; /**< the path from here to it is at fault */
-  bool probing; /**< it is being asked whether it still leaves */
+  bool avoided;     /**< the path from here to it is at fault */
+  bool probing;     /**< it is being asked whether it still leaves */
+  uint32_t idle_ms; /**< it closes connections idle so long; 0: not told */
 };
 
 /** A request that waits; embedded in what waits. */
@@ -95,6 +96,10 @@
 void caller_service_set_leaving (struct caller_service *service, uint64_t key,
                                  bool leaving);
 
+/** Target KEY announces that it closes connections after IDLE_MS. */
+void caller_service_set_idle (struct caller_service *service, uint64_t key,
+                              uint32_t idle_ms);
+
 /** The number of the target with KEY in the spec, or POLICY_NO_TARGET. */
 uint32_t caller_service_find (const struct caller_service *service,
                               uint64_t key);
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -50,6 +50,7 @@
   int64_t starved_us;      /**< it waited so long for the caller's body */
   int64_t starved_from_us; /**< since when it waits; 0 when it doesn't */
   int64_t timeout_us;      /**< without a head; ATTEMPT_NO_TIMEOUT: none */
+  uint32_t reuse_idle_ms;  /**< of the connection that it may take */
   bool relay;              /**< to another host, which decides in our place */
   bool head_seen;          /**< status, length_bytes and headers are good */
   bool open;               /**< the policy waits for its end */
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -17,6 +17,7 @@
 enum
 {
   MS_PER_SECOND = 1000,
+  IDLE_MAX_S = 24 * 60 * 60,
   SMALL_ANSWER_BYTES = 16 * 1024,
   SERVER_ERROR_MIN = 500,
   RETRY_AFTER_MS = 1000,
@@ -330,6 +331,20 @@
     caller_service_set_leaving (x->service, x->attempt.key, true);
 }
 
+/* `Keep-Alive: timeout=10`, in seconds. */
+static void
+note_idle (struct exchange *x)
+{
+  const char *told = header_list_find (&x->attempt.headers, "Keep-Alive");
+  const char *timeout = told != NULL ? strstr (told, "timeout=") : NULL;
+  if (timeout == NULL)
+    return;
+  const long seconds = strtol (timeout + strlen ("timeout="), NULL, 10);
+  if (seconds > 0 && seconds < IDLE_MAX_S)
+    caller_service_set_idle (x->service, x->attempt.key,
+                             (uint32_t)seconds * MS_PER_SECOND);
+}
+
 /* The rest of a short answer is worth its time, since the connection can then
    be kept. */
 static bool
@@ -426,6 +441,7 @@
       return;
     }
   note_leaving (x);
+  note_idle (x);
   if (is_shed (x))
     {
       if (ends_soon (x))
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -12,6 +12,9 @@
 enum
 {
   US_PER_MS = 1000,
+  CURL_AGE_UNIT_MS = 1000, /* libcurl counts idle time in seconds */
+  IDLE_PARTS = 4,
+  IDLE_PARTS_USED = 3,
   DEADLINE_FIELD_SIZE = 64,
   MEANT_FIELD_SIZE = SERVICE_NAME_SIZE + 64,
   TICKET_FIELD_SIZE = REQUEST_TICKET_SIZE + 32
@@ -116,12 +119,26 @@
     .extra = extra,
     .has_body = x->head.body != REQUEST_BODY_NONE,
     .body_bytes = x->head.body == REQUEST_BODY_SIZED ? x->head.body_bytes : -1,
-    .fresh = !x->repeatable,
+    .fresh = attempt->reuse_idle_ms < CURL_AGE_UNIT_MS,
+    .reuse_idle_ms = attempt->reuse_idle_ms,
     .connect_timeout_ms = limits->connect_timeout_ms,
   };
   attempt->call = target_call_start (&options);
 }
 
+/* How long a connection that may carry X may have been idle.  A target that
+   announces when it closes is believed, less a part for the way of its
+   closing, which may cross the request. */
+static uint32_t
+reuse_idle_ms (const struct exchange *x, const struct caller_target *target)
+{
+  const struct caller_limits *limits = &x->context->settings->limits;
+  const uint32_t most_ms
+      = x->repeatable ? limits->reuse_idle_ms : limits->reuse_idle_once_ms;
+  const uint32_t told_ms = target->idle_ms / IDLE_PARTS * IDLE_PARTS_USED;
+  return target->idle_ms > 0 && told_ms < most_ms ? told_ms : most_ms;
+}
+
 static void
 format_deadline (const struct exchange *x, char text[DEADLINE_FIELD_SIZE])
 {
@@ -147,6 +164,7 @@
       extra[1] = meant;
     }
   attempt->key = x->service->targets[number].key;
+  attempt->reuse_idle_ms = reuse_idle_ms (x, &x->service->targets[number]);
   attempt->relay = false;
   snprintf (attempt->target, sizeof attempt->target, "%s", target->name);
   if (x->tried_count < POLICY_TRIED_MAX)
@@ -170,6 +188,7 @@
   /* The ticket may have run at its own host before. */
   x->perhaps_ran = true;
   x->attempt.relay = true;
+  x->attempt.reuse_idle_ms = 0;
   snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host);
   decision_note_relay (x, host);
   send_to (x, address, extra);
--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -10,7 +10,8 @@
 {
   URL_SIZE = 96,
   STATUS_FINAL_MIN = 200,
-  FIELD_SIZE = 1024
+  FIELD_SIZE = 1024,
+  MS_PER_SECOND = 1000
 };
 
 struct target_call
@@ -250,6 +251,8 @@
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, options->uri);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)options->connect_timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
+                    (long)(options->reuse_idle_ms / MS_PER_SECOND));
   if (options->fresh)
     {
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/node/caller/target_call.h
+++ b/node/caller/target_call.h
@@ -11,7 +11,8 @@
  * sending, so the second one is aborted here, whatever the method.  A `fresh`
  * call moreover takes a connection that never carried a request, so that an
  * unrepeatable request doesn't end unknown just because a kept connection
- * had died.
+ * had died.  That costs a connection each; `reuse_idle_ms` bounds what dies
+ * unseen instead, since targets close connections that were idle for long.
  */
 #ifndef NODE_CALLER_TARGET_CALL_H
 #define NODE_CALLER_TARGET_CALL_H
@@ -73,6 +74,7 @@
   bool has_body;
   int64_t body_bytes; /**< -1 when not known: sent in chunks */
   bool fresh;
+  uint32_t reuse_idle_ms; /**< longest a kept connection may have been idle */
   uint32_t connect_timeout_ms;
 };
 
--- a/node/caller/tests/at_most_once_test.cc
+++ b/node/caller/tests/at_most_once_test.cc
@@ -23,6 +23,30 @@
   EXPECT_EQ (hold->field ("jaystair-outcome"), "ran");
 }
 
+/* Holds go out on kept connections, to save their targets a handshake each.
+   The target runs one and closes before the first byte of its answer; sent
+   again by libcurl, it would run twice.  It runs once, and the planner is
+   told that nobody knows. */
+TEST_F (AtMostOnceTest, PostThatReusesAConnectionRunsOnceAtMost)
+{
+  settings.limits.reuse_idle_once_ms = 30000;
+  target_server *target = add_target ("t1");
+  start ();
+  put_service (usual_routes);
+  get ("/warm-up", "warm");
+  auto kept = make ("POST", "/holds", "hold-1");
+  finish (kept.get ());
+  EXPECT_EQ (kept->status, 200);
+  EXPECT_EQ (target_server_counts (target).connections, 1u);
+  target_server_faults (target)->close_reused = 1;
+  auto hold = make ("POST", "/holds", "hold-2");
+  hold->body = "date=2027-02-14";
+  finish (hold.get ());
+  EXPECT_EQ (target_server_runs (target, "hold-2"), 1u);
+  EXPECT_EQ (hold->status, 502);
+  EXPECT_EQ (hold->field ("jaystair-outcome"), "unknown");
+}
+
 /* The same at a target that closes every connection: nobody knows whether the
    hold was placed, and the planner is told just that. */
 TEST_F (AtMostOnceTest, PostThatLosesItsAnswerIsUnknown)
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -26,8 +26,13 @@
   uint32_t header_bytes; /**< most memory of one request's head */
   uint32_t idle_timeout_ms;
   uint32_t stream_buffer_bytes; /**< per direction of one request */
-  uint32_t hold_answer_bytes;   /**< answers up to it are held until whole */
-  uint32_t keep_answer_ms;      /**< how long callers keep an address answer */
+  /** A connection to a target that was idle for longer is not used again; a
+   * target that announces less is believed. */
+  uint32_t reuse_idle_ms;
+  /** The same for requests that may run once only; 0: never used again. */
+  uint32_t reuse_idle_once_ms;
+  uint32_t hold_answer_bytes; /**< answers up to it are held until whole */
+  uint32_t keep_answer_ms;    /**< how long callers keep an address answer */
 };
 
 /** How the fleet is run. */
