policy: targets fail in spells, read by Bayes' rule; best of all candidates

Targets fail in spells of seconds, most of what they get; a mean over outcomes with weight 1/8 needed three failures to doubt one, and a choice between two random targets often had an ill one and nothing better. Ruled out: retries (they had budget left); health answers, which are good throughout a spell. Change: each outcome moves the probability that a target is ill, time moves it back to the share that is learned of the service; up to 16 candidates are compared by expected cost.

--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -127,15 +127,36 @@
   return cost_us * (1 + rng_unit (rng) * blur);
 }
 
+static double
+price (const struct target_set *set, struct rng *rng, uint32_t target,
+       const struct policy_request *r, int64_t now_us)
+{
+  return blurred (
+      chooser_cost_us (set, &set->targets[target], now_us, r->repeatable),
+      rng);
+}
+
+/* The cheapest of some candidates that follow one another from a random
+   place; the lists have no order that would mean anything. */
 static uint32_t
-cheaper (const struct target_set *set, struct rng *rng, uint32_t a, uint32_t b,
-         const struct policy_request *r, int64_t now_us)
+cheapest (const struct candidates *c, struct rng *rng,
+          const struct policy_request *r, int64_t now_us)
 {
-  const double cost_a
-      = chooser_cost_us (set, &set->targets[a], now_us, r->repeatable);
-  const double cost_b
-      = chooser_cost_us (set, &set->targets[b], now_us, r->repeatable);
-  return blurred (cost_b, rng) < blurred (cost_a, rng) ? b : a;
+  const uint32_t looked_at
+      = c->count < CHOOSER_LOOKS_AT ? c->count : CHOOSER_LOOKS_AT;
+  const uint32_t first = (uint32_t)rng_below (rng, c->count);
+  uint32_t best = candidate (c, first);
+  double least = price (c->set, rng, best, r, now_us);
+  for (uint32_t i = 1; i < looked_at; i++)
+    {
+      const uint32_t other = candidate (c, (first + i) % c->count);
+      const double asked = price (c->set, rng, other, r, now_us);
+      if (asked >= least)
+        continue;
+      least = asked;
+      best = other;
+    }
+  return best;
 }
 
 struct chooser_pick
@@ -147,14 +168,7 @@
     return (struct chooser_pick){ .target = POLICY_NO_TARGET };
   if (c.count == 1)
     return (struct chooser_pick){ .target = candidate (&c, 0), .only = true };
-  const uint32_t first = (uint32_t)rng_below (rng, c.count);
-  uint32_t second = (uint32_t)rng_below (rng, c.count - 1);
-  if (second >= first)
-    second++;
-  return (struct chooser_pick){
-    .target = cheaper (set, rng, candidate (&c, first), candidate (&c, second),
-                       r, now_us),
-  };
+  return (struct chooser_pick){ .target = cheapest (&c, rng, r, now_us) };
 }
 
 bool
--- a/policy/choice/chooser.h
+++ b/policy/choice/chooser.h
@@ -1,10 +1,11 @@
 /** @file
- * The choice between two random targets by what a request there costs.
+ * The choice of a target by what a request there is expected to cost.
  *
- * Two random candidates keep hosts that don't know each other's choices from
- * all running to the one best target (Mitzenmacher, "The power of two choices
- * in randomized load balancing", 2001), and cost the same for any number of
- * targets.
+ * A bounded number of random candidates costs the same for any number of
+ * targets; with few targets all are compared, since when targets fail in
+ * spells the one that answered last is worth finding.  A blur on each cost
+ * keeps hosts that don't know each other's choices from all running to the
+ * one best target.
  */
 #ifndef POLICY_CHOICE_CHOOSER_H
 #define POLICY_CHOICE_CHOOSER_H
@@ -16,6 +17,12 @@
 #include "policy/choice/target_set.h"
 #include "policy/service_policy.h"
 
+enum
+{
+  /** Candidates that are compared: all targets of a small service. */
+  CHOOSER_LOOKS_AT = 16,
+};
+
 /** Tiers from which to choose, as a set of bits. */
 enum chooser_tiers
 {
--- a/policy/choice/target_estimate.c
+++ b/policy/choice/target_estimate.c
@@ -2,46 +2,78 @@
 
 #include <math.h>
 
-static const double failure_gain = 1.0 / (1 << ESTIMATE_FAILURE_SHIFT);
 static const double latency_gain = 1.0 / (1 << ESTIMATE_LATENCY_SHIFT);
 
+/* Nothing is ever certain, else no outcome could change it any more. */
+static const double ill_least = 0.001;
+static const double ill_most = 0.999;
+
+static void
+set_ill (struct target_estimate *e, double ill)
+{
+  e->ill = fmin (fmax (ill, ill_least), ill_most);
+  e->failure
+      = e->ill * ESTIMATE_ILL_FAILS + (1 - e->ill) * ESTIMATE_WELL_FAILS;
+}
+
 void
-target_estimate_init (struct target_estimate *e, int64_t now_us)
+target_estimate_init (struct target_estimate *e, int64_t now_us, double ill)
 {
   *e = (struct target_estimate){ .updated_us = now_us };
+  set_ill (e, ill);
 }
 
 void
 target_estimate_advance (struct target_estimate *e, int64_t now_us,
-                         double peers_latency_us)
+                         double peers_latency_us, double ill)
 {
   const int64_t passed_us = now_us - e->updated_us;
   if (passed_us <= 0)
     return;
   e->updated_us = now_us;
-  const double kept = exp2 (-(double)passed_us / ESTIMATE_HALF_LIFE_US);
-  e->failure *= kept;
+  const double known = exp (-(double)passed_us / ESTIMATE_SPELL_US);
+  set_ill (e, ill + (e->ill - ill) * known);
   if (e->latency_samples == 0 || peers_latency_us <= 0)
     return;
+  const double kept = exp2 (-(double)passed_us / ESTIMATE_HALF_LIFE_US);
   e->latency_us = peers_latency_us + (e->latency_us - peers_latency_us) * kept;
 }
 
-/* A target that sheds is busy, not broken; but one that does nothing else
- * would look idle and fast, and draw all traffic. */
-static double
-failure_of (enum attempt_end end)
+/** How likely an end is at a target that is well, and at one that is ill. */
+struct likelihood
+{
+  double well;
+  double ill;
+};
+
+/* A target that sheds is mostly busy; but one that does nothing else would
+ * look idle and fast, and draw all traffic. */
+static struct likelihood
+likelihood_of (enum attempt_end end)
 {
   switch (end)
     {
     case ATTEMPT_ANSWERED:
-      return 0;
+      return (struct likelihood){ 1 - ESTIMATE_WELL_FAILS,
+                                  1 - ESTIMATE_ILL_FAILS };
     case ATTEMPT_SHED:
-      return 0.5;
+      return (struct likelihood){ 0.1, 0.25 };
     default:
-      return 1;
+      return (struct likelihood){ ESTIMATE_WELL_FAILS, ESTIMATE_ILL_FAILS };
     }
 }
 
+void
+target_estimate_hear (struct target_estimate *e, enum attempt_end end)
+{
+  if (end == ATTEMPT_CANCELLED)
+    return;
+  const struct likelihood l = likelihood_of (end);
+  const double ill = e->ill * l.ill;
+  e->samples++;
+  set_ill (e, ill / (ill + (1 - e->ill) * l.well));
+}
+
 static void
 observe_latency (struct target_estimate *e, double latency_us)
 {
@@ -58,8 +90,7 @@
 {
   if (end == ATTEMPT_CANCELLED)
     return;
-  e->samples++;
-  e->failure += failure_gain * (failure_of (end) - e->failure);
+  target_estimate_hear (e, end);
   /* A quick failure must not make the target look fast: an end without an
    * answer only says that an answer takes at least as long. */
   if (end == ATTEMPT_ANSWERED || (double)latency_us > e->latency_us)
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -8,6 +8,9 @@
 
 static const double coldest = 0.1;
 
+/* Before anything was learned: targets are mostly well. */
+#define ILL_AT_FIRST 0.05
+
 bool
 target_state_is_eligible (const struct target_state *t)
 {
@@ -84,7 +87,7 @@
 {
   const bool counted
       = target_state_is_eligible (t) && target_state_is_suspect (t);
-  t->failing = standing_is_failing (&t->estimate, &set->baseline, t->failing,
+  t->failing = standing_is_failing (&t->estimate, t->failing,
                                     set->prefer_faster_detection);
   /* A cold target is slow for a while; slow start bounds what it gets. */
   t->slow = target_state_warmth (t, now_us) >= 1
@@ -96,18 +99,30 @@
   set->suspects -= (uint32_t)counted;
 }
 
+/* Targets that nothing was heard of believe what is learned, so they neither
+   hurry nor hinder the learning. */
 static void
-measure_baseline (struct target_set *set)
+learn_ill (struct target_set *set, int64_t passed_us)
 {
+  double sum = 0;
   uint32_t used = 0;
   for (uint32_t i = 0; i < set->count; i++)
     {
       const struct target_state *t = &set->targets[i];
-      if (target_state_is_eligible (t) && t->estimate.samples > 0)
-        set->scratch[used++] = t->estimate.failure;
+      if (!target_state_is_eligible (t) || t->estimate.samples == 0)
+        continue;
+      sum += t->estimate.ill;
+      used++;
     }
-  set->baseline.failure = standing_median (set->scratch, used);
-  used = 0;
+  if (used > 0)
+    set->baseline.ill
+        = standing_learn_ill (set->baseline.ill, sum / used, passed_us);
+}
+
+static void
+measure_baseline (struct target_set *set)
+{
+  uint32_t used = 0;
   for (uint32_t i = 0; i < set->count; i++)
     {
       const struct target_state *t = &set->targets[i];
@@ -124,16 +139,18 @@
   double peers_us = set->baseline.latency_us;
   if (peers_us > 0)
     peers_us += 2.0 * t->config.distance_us;
-  target_estimate_advance (&t->estimate, now_us, peers_us);
+  target_estimate_advance (&t->estimate, now_us, peers_us, set->baseline.ill);
 }
 
 static void
 refresh_all (struct target_set *set, int64_t now_us)
 {
+  const int64_t passed_us = now_us - set->refreshed_us;
   set->refreshed_us = now_us;
   set->outcomes = 0;
   for (uint32_t i = 0; i < set->count; i++)
     advance (set, &set->targets[i], now_us);
+  learn_ill (set, passed_us);
   measure_baseline (set);
   for (uint32_t i = 0; i < set->count; i++)
     {
@@ -156,7 +173,8 @@
 void
 target_set_init (struct target_set *set)
 {
-  *set = (struct target_set){ .refreshed_us = INT64_MIN / 2 };
+  *set = (struct target_set){ .refreshed_us = INT64_MIN / 2,
+                              .baseline = { .ill = ILL_AT_FIRST } };
 }
 
 void
@@ -185,13 +203,13 @@
 
 static struct target_state
 begin (const struct policy_target *config, int64_t warm_from_us,
-       int64_t now_us)
+       int64_t now_us, double ill)
 {
   struct target_state t = {
     .config = *config,
     .warm_from_us = warm_from_us,
   };
-  target_estimate_init (&t.estimate, now_us);
+  target_estimate_init (&t.estimate, now_us, ill);
   return t;
 }
 
@@ -239,7 +257,8 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const uint32_t before = key_index_find (&old.index, targets[i].key);
-      struct target_state t = begin (&targets[i], warm_from_us, now_us);
+      struct target_state t
+          = begin (&targets[i], warm_from_us, now_us, set->baseline.ill);
       if (before != POLICY_NO_TARGET)
         {
           t = follow (&old.targets[before], &targets[i], now_us);
@@ -326,6 +345,17 @@
   place (set, now_us, outcome->target);
 }
 
+void
+target_set_hear (struct target_set *set, int64_t now_us, uint32_t number,
+                 enum attempt_end end)
+{
+  struct target_state *t = &set->targets[number];
+  advance (set, t, now_us);
+  target_estimate_hear (&t->estimate, end);
+  judge (set, t, now_us);
+  place (set, now_us, number);
+}
+
 bool
 target_set_avoids_suspects (const struct target_set *set)
 {
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -91,6 +91,10 @@
 void target_set_release (struct target_set *set, int64_t now_us,
                          const struct policy_outcome *outcome);
 
+/** Learn from an attempt of another host. */
+void target_set_hear (struct target_set *set, int64_t now_us, uint32_t number,
+                      enum attempt_end end);
+
 /** Judge all targets anew when it is time; cheap otherwise. */
 void target_set_refresh (struct target_set *set, int64_t now_us);
 
--- a/policy/choice/target_standing.h
+++ b/policy/choice/target_standing.h
@@ -1,9 +1,10 @@
 /** @file
  * Which targets stand out from their peers.
  *
- * The measure is the median of the service's targets, so that a fault common
- * to most of them (upstream, in the requests, at this host) raises the
- * measure and makes nobody a suspect.
+ * The measure of latency is the median of the service's targets, and the
+ * expected share of ill ones follows what is seen of all, so that a fault
+ * common to most of them (upstream, in the requests, at this host) raises the
+ * measure and makes nobody a suspect for long.
  */
 #ifndef POLICY_CHOICE_TARGET_STANDING_H
 #define POLICY_CHOICE_TARGET_STANDING_H
@@ -17,18 +18,22 @@
 struct standing_baseline
 {
   double latency_us;
-  double failure;
+  double ill; /**< share of the time that a target is ill, as learned */
 };
 
 /** The lower median of COUNT values, which are reordered; 0 when empty. */
 double standing_median (double *values, uint32_t count);
 
-/** Does the failure share stand out?  WAS gives hysteresis; FASTER lowers
- * the threshold. */
-bool standing_is_failing (const struct target_estimate *e,
-                          const struct standing_baseline *baseline, bool was,
+/** Is it more likely ill than not?  WAS gives hysteresis; FASTER lowers the
+ * threshold. */
+bool standing_is_failing (const struct target_estimate *e, bool was,
                           bool faster);
 
+/** The share of time that targets are ill, learned over seconds from SHARE,
+ * the mean of what is believed of them now.
+ * @param passed_us since it was learned last */
+double standing_learn_ill (double ill, double share, int64_t passed_us);
+
 /** Does the latency, without the way of DISTANCE_US there and back, stand
  * out? */
 bool standing_is_slow (const struct target_estimate *e,
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -179,6 +179,16 @@
   service_rate_end (&policy->rate, now_us, policy->queue.count > 0);
 }
 
+void
+service_policy_hear (struct service_policy *policy, int64_t now_us,
+                     uint32_t target, enum attempt_end end)
+{
+  policy->now_us = now_us;
+  policy->asked_us = INT64_MIN;
+  if (target < policy->set.count)
+    target_set_hear (&policy->set, now_us, target, end);
+}
+
 /* Entry E of the queue can't be served: answer it now. */
 static struct policy_decision
 give_up (struct service_policy *policy, uint32_t e, enum policy_reason reason)
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -172,6 +172,11 @@
 void service_policy_outcome (struct service_policy *policy, int64_t now_us,
                              const struct policy_outcome *outcome);
 
+/** An attempt of another host at TARGET ended so.  Call service_policy_next()
+ * afterwards. */
+void service_policy_hear (struct service_policy *policy, int64_t now_us,
+                          uint32_t target, enum attempt_end end);
+
 /** The next queued request that can be decided now: to be sent, or refused
  * because it can no longer finish in time.
  * @return false when there is none. */
