policy: targets that join are tried at once, and warm up as they say

Ruled out: registration (all hosts had the records within 0.2 s). Change: until something is heard of a newcomer it counts as well; its warm-up is as long as its record says, and costs a factor of two, not ten. The share of ill targets is learned over time also when targets change in between.

--- a/bench/choice_bench.c
+++ b/bench/choice_bench.c
@@ -73,6 +73,7 @@
   struct policy_target *targets = xcalloc (count, sizeof *targets);
   for (uint32_t i = 0; i < count; i++)
     targets[i] = (struct policy_target){
+      .warm_up_us = -1,
       .key = rng_next (&rng),
       .slots = SLOTS,
       .accepts_work = true,
--- a/bench/load_bench.c
+++ b/bench/load_bench.c
@@ -53,6 +53,7 @@
   struct policy_target targets[TARGETS];
   for (uint32_t i = 0; i < count; i++)
     targets[i] = (struct policy_target){
+      .warm_up_us = -1,
       .key = i + 1,
       .slots = LOAD_SLOTS,
       .accepts_work = true,
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -187,6 +187,9 @@
         .distance_us = near ? 0 : DC_DISTANCE_US,
         .accepts_work
         = target->state == TARGET_STATE_ACTIVE && !state->leaving,
+        .warm_up_us = target->warm_up_ms < 0
+                          ? -1
+                          : (int64_t)target->warm_up_ms * US_PER_MS,
       };
       keys[i] = state->key;
     }
--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -88,7 +88,7 @@
   struct target_spec spec = { .slots = record->slots,
                               .capacity = record->slots,
                               .connections = connections,
-                              .warm_up_ms = record->warm_up_ms,
+                              .warm_up_ms = (int32_t)record->warm_up_ms,
                               .state = record->state };
   memcpy (spec.name, record->name, sizeof spec.name);
   memcpy (spec.address, record->address, sizeof spec.address);
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -7,10 +7,18 @@
 #include "base/xmalloc.h"
 
 static const double coldest = 0.1;
+/* One that says how long it needs is slower by about this. */
+static const double coldest_told = 0.5;
 
 /* Before anything was learned: targets are mostly well. */
 #define ILL_AT_FIRST 0.05
 
+/* Guards a target that has joined against never being tried: compared with
+   one that answered a moment ago, one of which nothing is known is always the
+   worse choice.  Shows as added targets without work while the others are
+   full.  Until something is heard of it, it is taken as well. */
+#define ILL_WHEN_NEW 0.0
+
 bool
 target_state_is_eligible (const struct target_state *t)
 {
@@ -23,15 +31,22 @@
   return t->failing || t->slow || t->avoided;
 }
 
+static int64_t
+warm_up_us (const struct target_state *t)
+{
+  return t->config.warm_up_us < 0 ? TARGET_WARM_UP_US : t->config.warm_up_us;
+}
+
 double
 target_state_warmth (const struct target_state *t, int64_t now_us)
 {
-  if (t->warm_from_us == INT64_MIN)
+  if (t->warm_from_us == INT64_MIN || warm_up_us (t) == 0)
     return 1;
-  const double share = (double)(now_us - t->warm_from_us) / TARGET_WARM_UP_US;
+  const double least = t->config.warm_up_us < 0 ? coldest : coldest_told;
+  const double share = (double)(now_us - t->warm_from_us) / warm_up_us (t);
   if (share >= 1)
     return 1;
-  return share > coldest ? share : coldest;
+  return share > least ? share : least;
 }
 
 static uint32_t
@@ -69,7 +84,7 @@
 {
   struct target_state *t = &set->targets[number];
   if (t->warm_from_us != INT64_MIN
-      && now_us - t->warm_from_us >= TARGET_WARM_UP_US)
+      && now_us - t->warm_from_us >= warm_up_us (t))
     t->warm_from_us = INT64_MIN;
   const enum target_tier tier = tier_of (t, now_us);
   if (tier == t->tier)
@@ -139,13 +154,15 @@
   double peers_us = set->baseline.latency_us;
   if (peers_us > 0)
     peers_us += 2.0 * t->config.distance_us;
-  target_estimate_advance (&t->estimate, now_us, peers_us, set->baseline.ill);
+  const double ill = t->is_new ? ILL_WHEN_NEW : set->baseline.ill;
+  target_estimate_advance (&t->estimate, now_us, peers_us, ill);
 }
 
 static void
 refresh_all (struct target_set *set, int64_t now_us)
 {
-  const int64_t passed_us = now_us - set->refreshed_us;
+  const int64_t passed_us = now_us - set->learned_us;
+  set->learned_us = now_us;
   set->refreshed_us = now_us;
   set->outcomes = 0;
   for (uint32_t i = 0; i < set->count; i++)
@@ -195,9 +212,15 @@
         int64_t now_us)
 {
   struct target_state t = *old;
+  if (target_state_warmth (&t, now_us) >= 1)
+    t.warm_from_us = INT64_MIN;
   if (config->accepts_work && !old->config.accepts_work)
     t.warm_from_us = now_us;
+  const int64_t warm_up_us = t.config.warm_up_us;
   t.config = *config;
+  /* What is left of it was told when it joined, and counts from then. */
+  if (t.warm_from_us != INT64_MIN && warm_up_us >= 0)
+    t.config.warm_up_us = warm_up_us;
   return t;
 }
 
@@ -209,7 +232,8 @@
     .config = *config,
     .warm_from_us = warm_from_us,
   };
-  target_estimate_init (&t.estimate, now_us, ill);
+  t.is_new = warm_from_us != INT64_MIN;
+  target_estimate_init (&t.estimate, now_us, t.is_new ? ILL_WHEN_NEW : ill);
   return t;
 }
 
@@ -248,6 +272,7 @@
   target_set_init (set);
   set->prefer_faster_detection = old.prefer_faster_detection;
   set->baseline = old.baseline;
+  set->learned_us = old.count > 0 ? old.learned_us : now_us;
   allocate (set, count);
   uint32_t *numbers = xcalloc (old.count + 1, sizeof *numbers);
   for (uint32_t i = 0; i < old.count; i++)
@@ -339,6 +364,7 @@
     }
   advance (set, t, now_us);
   target_estimate_observe (&t->estimate, outcome->end, outcome->latency_us);
+  t->is_new = t->is_new && t->estimate.samples == 0;
   count_outcome (t, outcome->end);
   set->outcomes++;
   judge (set, t, now_us);
@@ -352,6 +378,7 @@
   struct target_state *t = &set->targets[number];
   advance (set, t, now_us);
   target_estimate_hear (&t->estimate, end);
+  t->is_new = t->is_new && t->estimate.samples == 0;
   judge (set, t, now_us);
   place (set, now_us, number);
 }
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -17,7 +17,8 @@
 
 enum
 {
-  TARGET_WARM_UP_US = 10000000, /**< slow start of a new or returned target */
+  TARGET_WARM_UP_US = 10000000, /**< slow start of a new or returned target
+                                     that doesn't say how long it needs */
   TARGET_REFRESH_US = 250000,   /**< most time between two looks at all */
   TARGET_REFRESH_OUTCOMES = 32, /**< or so many outcomes, or one a target */
 };
@@ -43,6 +44,7 @@
   bool slow;            /**< its latency stands out */
   bool avoided;         /**< others know that the path to it is at fault */
   int64_t warm_from_us; /**< start of its warm-up; INT64_MIN: warm */
+  bool is_new;          /**< it joined, and nothing was heard of it yet */
   uint64_t requests;
   uint64_t failures;
   enum target_tier tier;
@@ -63,7 +65,8 @@
   bool prefer_faster_detection;
   struct standing_baseline baseline;
   int64_t refreshed_us;
-  uint32_t outcomes; /**< since the refresh */
+  int64_t learned_us; /**< when baseline.ill was, a refresh forced or not */
+  uint32_t outcomes;  /**< since the refresh */
   double *scratch;
 };
 
--- a/policy/choice/tests/chooser_test.cc
+++ b/policy/choice/tests/chooser_test.cc
@@ -24,7 +24,7 @@
     target_set_init (&set);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
-      targets.push_back ({ i + 1, 10, 0, true });
+      targets.push_back ({ i + 1, 10, 0, true, -1 });
     target_set_replace (&set, 0, targets.data (), count, nullptr);
     for (uint32_t i = 0; i < count; i++)
       set.targets[i].estimate = { 10000, 0, 0, 0, 100, 100 };
--- a/policy/choice/tests/naive_choice.h
+++ b/policy/choice/tests/naive_choice.h
@@ -23,9 +23,9 @@
 
 struct naive_target
 {
-  policy_target config;
+  policy_target config = {};
   uint32_t in_flight = 0;
-  bool ejected = false, failing = false, slow = false;
+  bool ejected = false, failing = false, slow = false, fresh = false;
   double latency = 0, failure = 0, ill = 0;
   uint32_t latencies = 0, samples = 0;
   int64_t updated = 0;
@@ -55,9 +55,11 @@
   double
   warmth (int64_t now) const
   {
-    if (warm_from == INT64_MIN || now - warm_from >= 10000000)
+    const int64_t told = config.warm_up_us;
+    const int64_t length = told < 0 ? 10000000 : told;
+    if (warm_from == INT64_MIN || now - warm_from >= length)
       return 1;
-    return std::max ((double)(now - warm_from) / 10000000, 0.1);
+    return std::max ((double)(now - warm_from) / length, told < 0 ? 0.1 : 0.5);
   }
 };
 
@@ -73,7 +75,7 @@
   std::vector<naive_target> targets;
   std::vector<naive_waiting> queue;
   double base_latency = 0, base_ill = 0.05;
-  int64_t refreshed = INT64_MIN / 2, now = 0;
+  int64_t refreshed = INT64_MIN / 2, learned = 0, now = 0;
   uint32_t outcomes = 0;
   double trickle = 0;
   double interval = 0;
@@ -122,7 +124,8 @@
     const double kept = std::exp2 (-(double)(now - before) / 10000000);
     t.updated = now;
     const double known = std::exp (-(double)(now - before) / 3000000);
-    set_ill (t, base_ill + (t.ill - base_ill) * known);
+    const double share = t.fresh ? 0 : base_ill;
+    set_ill (t, share + (t.ill - share) * known);
     const double peers = base_latency + 2.0 * t.config.distance_us;
     if (t.latencies > 0 && base_latency > 0)
       t.latency = peers + (t.latency - peers) * kept;
@@ -141,7 +144,8 @@
     if (outcomes < std::max<size_t> (32, targets.size ())
         && now - refreshed < 250000)
       return;
-    const double passed = now - refreshed;
+    const double passed = now - learned;
+    learned = now;
     refreshed = now;
     outcomes = 0;
     std::vector<double> ills, latencies;
--- a/policy/choice/tests/naive_judge.h
+++ b/policy/choice/tests/naive_judge.h
@@ -234,6 +234,7 @@
     if (o.end != ATTEMPT_CANCELLED)
       {
         t.samples++;
+        t.fresh = false;
         const double well = o.end == ATTEMPT_ANSWERED ? 0.98
                             : o.end == ATTEMPT_SHED   ? 0.1
                                                       : 0.02;
@@ -272,21 +273,30 @@
   replace (const std::vector<policy_target> &configs)
   {
     std::vector<naive_target> old = targets;
+    if (old.empty ())
+      learned = now;
     targets.clear ();
     for (auto &c : configs)
       {
         naive_target t;
         t.updated = now;
-        set_ill (t, base_ill);
         t.warm_from = old.empty () ? INT64_MIN : now;
+        t.fresh = !old.empty ();
+        set_ill (t, t.fresh ? 0 : base_ill);
         for (auto &o : old)
           if (o.config.key == c.key)
             {
               t = o;
+              if (t.warmth (now) >= 1)
+                t.warm_from = INT64_MIN;
               if (c.accepts_work && !o.config.accepts_work)
                 t.warm_from = now;
             }
+        const int64_t told = t.config.warm_up_us;
+        const bool known = t.config.key != 0;
         t.config = c;
+        if (known && t.warm_from != INT64_MIN && told >= 0)
+          t.config.warm_up_us = told;
         targets.push_back (t);
       }
     for (auto &w : queue)
--- a/policy/choice/tests/service_policy_differential_test.cc
+++ b/policy/choice/tests/service_policy_differential_test.cc
@@ -101,6 +101,7 @@
         c.slots = 1 + (uint32_t)below (4);
         c.distance_us = below (3) == 0 ? 1500 : 0;
         c.accepts_work = below (10) != 0;
+        c.warm_up_us = below (2) == 0 ? -1 : (int64_t)below (4000000);
       }
     for (size_t i = to.size (); i > 1; i--)
       std::swap (to[i - 1], to[below (i)]);
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -33,6 +33,8 @@
   uint32_t slots; /**< this host's share of its slots, at least 1 */
   uint32_t distance_us; /**< extra one-way time when in another dc */
   bool accepts_work;    /**< false: drained or leaving */
+  int64_t warm_up_us;   /**< it says that it is slow for so long yet; -1: it
+                             doesn't say, and starts slowly when it is new */
 };
 
 /** Bounds and preferences of the service. */
--- a/wire/service_spec.c
+++ b/wire/service_spec.c
@@ -56,7 +56,8 @@
 {
   int state = TARGET_STATE_ACTIVE;
   *target = (struct target_spec){ .slots = SLOTS_DEFAULT,
-                                  .connections = CONNECTIONS_DEFAULT };
+                                  .connections = CONNECTIONS_DEFAULT,
+                                  .warm_up_ms = -1 };
   route_options_name (options, "name", true, target->name);
   options_address (options, "address", true, target->address,
                    sizeof target->address);
--- a/wire/service_spec.h
+++ b/wire/service_spec.h
@@ -59,7 +59,7 @@
   uint32_t capacity;    /**< what it counts towards the floor; its slots
                              unless set */
   uint32_t connections; /**< most open connections */
-  uint32_t warm_up_ms;  /**< slow for so long from now, as it says itself; 0
+  int32_t warm_up_ms;   /**< it is slow for so long yet, as it says itself; -1
                              when it doesn't say */
   enum target_state state;
 };
