control: hosts of a set tell each other how attempts end

Cause: each of the six hosts that serve a service found out for itself that a target was ill, at the price of a request every time. Ruled out: the owner's evidence reports: they come every 250 ms and end in an ejection; a spell lasts some seconds. Change: an outcome that is news (a failure, a good answer of a doubted target, else one in 500 ms) goes to the other hosts of the set at once, and counts there like their own; what may be a path's fault counts less.

--- a/node/bus.c
+++ b/node/bus.c
@@ -53,6 +53,8 @@
       break;
     case BUS_SERVICE_REMOVED:
     case BUS_SLOT_SHARES:
+    case BUS_OUTCOME_SEEN:
+    case BUS_OUTCOME_HEARD:
     case BUS_MEMBERS:
     case BUS_SHUTDOWN:
     case BUS_TOPIC_COUNT:
--- a/node/bus.h
+++ b/node/bus.h
@@ -17,6 +17,7 @@
 #include <ev.h>
 
 #include "policy/choice/slot_shares.h"
+#include "policy/service_policy.h"
 #include "wire/fleet_config.h"
 #include "wire/service_spec.h"
 
@@ -29,6 +30,8 @@
   BUS_SLOT_SHARES,     /**< this host's part of a service's slots changed */
   BUS_PATH_FAULTS,     /**< targets that this host should avoid changed */
   BUS_HOST_SET,        /**< the hosts to hand out for a service changed */
+  BUS_OUTCOME_SEEN,    /**< an attempt of this host ended */
+  BUS_OUTCOME_HEARD,   /**< an attempt of another host ended */
   BUS_MEMBERS,         /**< what is believed of the other hosts changed */
   BUS_SHUTDOWN,        /**< this host is leaving */
   BUS_TOPIC_COUNT
@@ -94,6 +97,14 @@
   size_t count;
 };
 
+/** How an attempt at a target ended. */
+struct bus_outcome
+{
+  char service[SERVICE_NAME_SIZE];
+  uint64_t target_key;
+  enum attempt_end end;
+};
+
 struct bus_message
 {
   enum bus_topic topic;
@@ -106,6 +117,7 @@
     struct bus_host_set host_set;
     struct bus_slot_shares slot_shares;
     struct bus_path_faults path_faults;
+    struct bus_outcome outcome;
   };
 };
 
--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -26,6 +26,7 @@
 struct caller_context
 {
   struct ev_loop *loop;
+  struct bus *bus;
   const struct host_settings *settings;
   const struct caller_interface *interface;
   struct curl_loop *curl;
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -11,7 +11,11 @@
 {
   DC_DISTANCE_US = 1500,
   OVERCOMMIT_PERCENT = 150,
-  US_PER_MS = 1000
+  US_PER_MS = 1000,
+  /* A good answer of a target that was doubted is news; of another one it is
+     told now and then, since a success says less with every second. */
+  DOUBT_PERMILLE = 100,
+  TELL_GOOD_US = 500000
 };
 
 static const double US_PER_SECOND = 1e6;
@@ -439,3 +443,36 @@
   service_policy_outcome (service->policy, clock_now_us (), &outcome);
   run_queue (service);
 }
+
+bool
+caller_service_is_news (struct caller_service *service, uint64_t key,
+                        enum attempt_end end)
+{
+  const uint32_t number = caller_service_find (service, key);
+  if (number == POLICY_NO_TARGET || end == ATTEMPT_CANCELLED
+      || end == ATTEMPT_NOT_SENT || end == ATTEMPT_SHED)
+    return false;
+  struct caller_target *target = &service->targets[number];
+  const int64_t now_us = clock_now_us ();
+  const struct policy_belief belief
+      = service_policy_belief (service->policy, number);
+  const bool is_expected = end == ATTEMPT_ANSWERED
+                           && belief.failure_permille < DOUBT_PERMILLE
+                           && now_us - target->told_us < TELL_GOOD_US;
+  if (!is_expected)
+    target->told_us = now_us;
+  return !is_expected;
+}
+
+void
+caller_service_hear (struct caller_service *service, uint64_t key,
+                     enum attempt_end end)
+{
+  if (service->policy == NULL)
+    return;
+  const uint32_t target = service_policy_find (service->policy, key);
+  if (target == POLICY_NO_TARGET)
+    return;
+  service_policy_hear (service->policy, clock_now_us (), target, end);
+  run_queue (service);
+}
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -28,6 +28,7 @@
   bool ejected;
   bool avoided;     /**< the path from here to it is at fault */
   bool probing;     /**< it is being asked whether it still leaves */
+  int64_t told_us;  /**< when an outcome there was last told to other hosts */
   uint32_t idle_ms; /**< it closes connections idle so long; 0: not told */
 };
 
@@ -112,6 +113,15 @@
 /** The most attempts and waiting requests there were at once lately. */
 uint32_t caller_service_demand (const struct caller_service *service);
 
+/** Is it worth telling other hosts that an attempt at target KEY ended as
+ * END?  To be asked before caller_service_outcome(). */
+bool caller_service_is_news (struct caller_service *service, uint64_t key,
+                             enum attempt_end end);
+
+/** An attempt of another host at target KEY ended. */
+void caller_service_hear (struct caller_service *service, uint64_t key,
+                          enum attempt_end end);
+
 /** WAITER no longer waits. */
 void caller_service_forget (struct caller_service *service,
                             struct caller_waiter *waiter);
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -138,6 +138,17 @@
     caller_service_set_path_faults (service, faults);
 }
 
+static void
+on_outcome_heard (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  const struct bus_outcome *outcome = &message->outcome;
+  struct caller_service *service
+      = find_entry (&task->context, outcome->service);
+  if (service != NULL)
+    caller_service_hear (service, outcome->target_key, outcome->end);
+}
+
 static void
 on_ejections (void *owner, const struct bus_message *message)
 {
@@ -167,6 +178,7 @@
   bus_subscribe (task->bus, BUS_CONFIG_IN_FORCE, on_config, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
+  bus_subscribe (task->bus, BUS_OUTCOME_HEARD, on_outcome_heard, task);
   bus_subscribe (task->bus, BUS_SLOT_SHARES, on_slot_shares, task);
   bus_subscribe (task->bus, BUS_PATH_FAULTS, on_path_faults, task);
 }
@@ -177,6 +189,7 @@
 {
   const struct curl_loop_options curl = { 0 };
   context->loop = options->loop;
+  context->bus = options->bus;
   context->settings = options->settings;
   context
       ->interface = options->interface != NULL ? options->interface : &caller_interface_own;
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -53,6 +53,17 @@
   return taken_us > 0 ? taken_us : 0;
 }
 
+static void
+tell_others (const struct exchange *x, enum attempt_end end)
+{
+  struct bus_message message
+      = { .topic = BUS_OUTCOME_SEEN,
+          .outcome = { .target_key = x->attempt.key, .end = end } };
+  memcpy (message.outcome.service, x->service->name,
+          sizeof message.outcome.service);
+  bus_post (x->context->bus, &message);
+}
+
 /* Tell the policy how the attempt ended, once. */
 static void
 settle (struct exchange *x, enum attempt_end end)
@@ -67,6 +78,8 @@
     return;
   caller_counters_add (x->context->counters.attempts, x->service->name,
                        end_name (end));
+  if (caller_service_is_news (x->service, attempt->key, end))
+    tell_others (x, end);
   caller_service_outcome (x->service, attempt->key, end,
                           exchange_attempt_latency_us (attempt),
                           x->repeatable);
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -305,6 +305,12 @@
 void control_removals_start (struct control_task *task);
 void control_removals_stop (struct control_task *task);
 
+/* control_outcomes.c */
+/** Tell the hosts of a service's set how attempts here end. */
+void control_outcomes_start (struct control_task *task);
+void control_outcomes_receive (struct control_task *task,
+                               const struct peer_report *report);
+
 /* control_platform.c */
 void control_platform_start (struct control_task *task);
 /** Relays watch; others stop. */
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -60,6 +60,9 @@
     case PEER_DEMAND:
       control_call_handler (task, source->host->record.name, message);
       break;
+    case PEER_OUTCOMES:
+      control_outcomes_receive (task, &message->report);
+      break;
     case PEER_HELLO:
     case PEER_PROOF:
     case PEER_TYPE_END:
@@ -280,6 +283,7 @@
   bus_subscribe (options->bus, BUS_SHUTDOWN, shutdown_cb, task);
   control_registry_create (task);
   control_removals_start (task);
+  control_outcomes_start (task);
   control_report_register (task);
   control_cleanup_start (task);
   start_timers (task);
--- a/policy/choice/target_estimate.c
+++ b/policy/choice/target_estimate.c
@@ -63,17 +63,31 @@
     }
 }
 
-void
-target_estimate_hear (struct target_estimate *e, enum attempt_end end)
+/* What another host saw without a whole answer may be its own path's fault. */
+static struct likelihood
+likelihood_heard (enum attempt_end end)
+{
+  if (end == ATTEMPT_CUT || end == ATTEMPT_TIMED_OUT
+      || end == ATTEMPT_NOT_SENT)
+    return (struct likelihood){ 0.1, 0.4 };
+  return likelihood_of (end);
+}
+
+static void
+learn (struct target_estimate *e, struct likelihood l)
 {
-  if (end == ATTEMPT_CANCELLED)
-    return;
-  const struct likelihood l = likelihood_of (end);
   const double ill = e->ill * l.ill;
   e->samples++;
   set_ill (e, ill / (ill + (1 - e->ill) * l.well));
 }
 
+void
+target_estimate_hear (struct target_estimate *e, enum attempt_end end)
+{
+  if (end != ATTEMPT_CANCELLED)
+    learn (e, likelihood_heard (end));
+}
+
 static void
 observe_latency (struct target_estimate *e, double latency_us)
 {
@@ -90,7 +104,7 @@
 {
   if (end == ATTEMPT_CANCELLED)
     return;
-  target_estimate_hear (e, end);
+  learn (e, likelihood_of (end));
   /* A quick failure must not make the target look fast: an end without an
    * answer only says that an answer takes at least as long. */
   if (end == ATTEMPT_ANSWERED || (double)latency_us > e->latency_us)
--- a/wire/peer/peer_decode.c
+++ b/wire/peer/peer_decode.c
@@ -39,6 +39,7 @@
   [PEER_EVIDENCE] = "evidence",
   [PEER_DECISION] = "decision",
   [PEER_DEMAND] = "demand",
+  [PEER_OUTCOMES] = "outcomes",
 };
 
 const char *
@@ -328,6 +329,7 @@
     case PEER_EVIDENCE:
     case PEER_DECISION:
     case PEER_DEMAND:
+    case PEER_OUTCOMES:
       get_report (fields, &message->report);
       break;
     case PEER_TYPE_END:
@@ -403,6 +405,7 @@
     case PEER_EVIDENCE:
     case PEER_DECISION:
     case PEER_DEMAND:
+    case PEER_OUTCOMES:
       free (message->report.values);
       free (message->report.names);
       break;
--- a/wire/peer/peer_encode.c
+++ b/wire/peer/peer_encode.c
@@ -154,6 +154,7 @@
     case PEER_EVIDENCE:
     case PEER_DECISION:
     case PEER_DEMAND:
+    case PEER_OUTCOMES:
       return 7;
     case PEER_TYPE_END:
       break;
@@ -202,6 +203,7 @@
     case PEER_EVIDENCE:
     case PEER_DECISION:
     case PEER_DEMAND:
+    case PEER_OUTCOMES:
       put_report (packer, &message->report);
       break;
     case PEER_TYPE_END:
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -51,6 +51,7 @@
   PEER_EVIDENCE = 14, /**< from an observing host to a service's owner */
   PEER_DECISION = 15, /**< from a service's owner to the observing hosts */
   PEER_DEMAND = 16,   /**< slots a host asks of a service's owner */
+  PEER_OUTCOMES = 17, /**< how attempts ended, to the hosts of a set */
   PEER_TYPE_END
 };
 
@@ -149,8 +150,8 @@
   uint64_t version; /**< asked for; in the answer: the one in force */
 };
 
-/** EVIDENCE, DECISION and DEMAND: rows of fixed-width numbers, whose columns
- * the sender and receiver share, and names that go with the rows. */
+/** EVIDENCE, DECISION, DEMAND and OUTCOMES: rows of fixed-width numbers, whose
+ * columns the sender and receiver share, and names that go with the rows. */
 struct peer_report
 {
   char service[PEER_NAME_SIZE];
@@ -177,7 +178,7 @@
     struct peer_settings_entries settings; /**< OFFER, PULL */
     struct peer_settings_push push;
     struct peer_in_force in_force; /**< IN_FORCE_ASK, _ANSWER */
-    struct peer_report report;     /**< EVIDENCE, DECISION, DEMAND */
+    struct peer_report report;     /**< EVIDENCE, DECISION, DEMAND, OUTCOMES */
   };
 };
 
