control, policy: longer pauses of watches; doubt that one failure can raise

And the first failure of a target believed well to 99.9 % raised its doubt to 4 % only, so that it got the next request too. Ruled out: relays alone watching, as all of them may be killed at once just before a change, and 2 s later the others must have it. Change: hosts that aren't relays pause a second after a watch that told something, since relays tell them sooner; nobody is surer than 98 % that a target is well, a well one fails 1 %, and spells fade with 6 s: from logs of attempts they last about 9 s here.

--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -64,6 +64,24 @@
   bus_post (x->context->bus, &message);
 }
 
+static void
+note_attempt (const struct exchange *x, enum attempt_end end)
+{
+  const struct exchange_attempt *attempt = &x->attempt;
+  const uint32_t number = caller_service_find (x->service, attempt->key);
+  uint32_t failure_permille = 0;
+  if (number != POLICY_NO_TARGET)
+    failure_permille
+        = service_policy_belief (x->service->policy, number).failure_permille;
+  LOG_INFO ("attempt", LOG_STR ("id", x->head.id), LOG_INT ("request", x->id),
+            LOG_STR ("service", x->service->name),
+            LOG_STR ("target", attempt->target),
+            LOG_INT ("attempt", x->attempts), LOG_STR ("end", end_name (end)),
+            LOG_INT ("status", attempt->head_seen ? attempt->status : 0),
+            LOG_INT ("took_us", exchange_attempt_latency_us (attempt)),
+            LOG_INT ("believed_failing_permille", failure_permille));
+}
+
 /* Tell the policy how the attempt ended, once. */
 static void
 settle (struct exchange *x, enum attempt_end end)
@@ -80,6 +98,7 @@
                        end_name (end));
   if (caller_service_is_news (x->service, attempt->key, end))
     tell_others (x, end);
+  note_attempt (x, end);
   caller_service_outcome (x->service, attempt->key, end,
                           exchange_attempt_latency_us (attempt),
                           x->repeatable);
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -14,8 +14,10 @@
   BACKOFF_MAX_MS = 5000,
   /** A watch that told something waits so long before the next, so that a
    * burst of changes is one call; small against the seconds within which a
-   * change must be in force. */
-  WATCH_PAUSE_MS = 100,
+   * change must be in force.  The others hear from the relays meanwhile and
+   * watch only in case they don't, so they wait longer. */
+  RELAY_PAUSE_MS = 100,
+  OTHERS_PAUSE_MS = 1000,
 };
 
 static void
@@ -143,7 +145,9 @@
 feed_pause (struct control_feed *feed)
 {
   ev_timer_stop (feed->task->options.loop, &feed->retry);
-  ev_timer_set (&feed->retry, WATCH_PAUSE_MS / 1000.0, 0);
+  const int pause_ms
+      = feed->task->is_relay ? RELAY_PAUSE_MS : OTHERS_PAUSE_MS;
+  ev_timer_set (&feed->retry, pause_ms / 1000.0, 0);
   ev_timer_start (feed->task->options.loop, &feed->retry);
 }
 
--- a/policy/choice/target_estimate.c
+++ b/policy/choice/target_estimate.c
@@ -5,7 +5,7 @@
 static const double latency_gain = 1.0 / (1 << ESTIMATE_LATENCY_SHIFT);
 
 /* Nothing is ever certain, else no outcome could change it any more. */
-static const double ill_least = 0.001;
+static const double ill_least = 0.02;
 static const double ill_most = 0.999;
 
 static void
--- a/policy/choice/target_estimate.h
+++ b/policy/choice/target_estimate.h
@@ -22,12 +22,12 @@
   ESTIMATE_HALF_LIFE_US = 10000000, /**< of a latency that isn't confirmed */
   /** Time in which what is known of a target's state fades to 1/e.  Spells
    * of some seconds, ill or well, fade about so. */
-  ESTIMATE_SPELL_US = 3000000,
+  ESTIMATE_SPELL_US = 6000000,
   ESTIMATE_LATENCY_SHIFT = 4, /**< an outcome weighs 1/16: its tail is long */
 };
 
 /** Share of requests that fail at a target that is well, and ill. */
-#define ESTIMATE_WELL_FAILS 0.02
+#define ESTIMATE_WELL_FAILS 0.01
 #define ESTIMATE_ILL_FAILS 0.75
 
 /** What the outcomes of one target say. */
