registry: one set of hosts for all services that share callers

Cause: callers ask by the host name of their requests, which leads to several services, and got the set of one of them; outcomes of the others went to hosts that nobody used. Ruled out: links that were down (17 of 5,226 messages weren't sent). Change: services that are linked by names form a group and share a set, which is chosen by the first service's name of the group, since routes come and go.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -82,7 +82,7 @@
 struct control_service
 {
   char name[PEER_NAME_SIZE];
-  uint64_t key;        /**< hash of the name */
+  uint64_t key;        /**< hash of the name of its group */
   uint64_t version;    /**< in force; a newer bad one may be held */
   uint64_t generation; /**< of hosts that its set was chosen from */
   bool is_posted;
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -145,8 +145,7 @@
 feed_pause (struct control_feed *feed)
 {
   ev_timer_stop (feed->task->options.loop, &feed->retry);
-  const int pause_ms
-      = feed->task->is_relay ? RELAY_PAUSE_MS : OTHERS_PAUSE_MS;
+  const int pause_ms = feed->task->is_relay ? RELAY_PAUSE_MS : OTHERS_PAUSE_MS;
   ev_timer_set (&feed->retry, pause_ms / 1000.0, 0);
   ev_timer_start (feed->task->options.loop, &feed->retry);
 }
--- a/node/control/control_services.c
+++ b/node/control/control_services.c
@@ -40,9 +40,13 @@
     {
       service = xcalloc (1, sizeof *service);
       memcpy (service->name, spec->name, sizeof service->name);
-      service->key = hash_string (spec->name);
       HASH_ADD_STR (task->services, name, service);
     }
+  const uint64_t key
+      = hash_string (spec->group[0] != '\0' ? spec->group : spec->name);
+  if (service->key != key)
+    service->generation = 0;
+  service->key = key;
   service->version = spec->version;
   LOG_INFO ("service-in-force", LOG_STR ("service", spec->name),
             LOG_INT ("version", spec->version),
--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "node/registry/service_groups.h"
 #include "wire/target_record.h"
 
 /* Changes of one burst (a release, a list) are told together. */
@@ -24,6 +25,7 @@
 struct registry_service
 {
   char name[SERVICE_NAME_SIZE];
+  char group[SERVICE_NAME_SIZE];
   bool changed;
   UT_hash_handle hh;
 };
@@ -123,6 +125,7 @@
     return;
   service_spec_defaults (&spec);
   memcpy (spec.name, service->name, sizeof spec.name);
+  memcpy (spec.group, service->group, sizeof spec.group);
   spec.version = ++registry->version;
   spec.prefer = registry->options.prefer;
   spec.limits = registry->options.limits;
@@ -202,6 +205,23 @@
   free (registry);
 }
 
+static void
+note_services (struct registry *registry)
+{
+  const struct fleet_config *config = registry->config;
+  size_t *groups = xcalloc (config->service_count + 1, sizeof *groups);
+  service_groups_find (config, groups);
+  for (size_t i = 0; i < config->service_count; i++)
+    {
+      struct registry_service *service
+          = service_entry (registry, config->services[i].name);
+      service->changed = true;
+      memcpy (service->group, config->services[groups[i]].name,
+              sizeof service->group);
+    }
+  free (groups);
+}
+
 enum status
 registry_take_config (struct registry *registry, const char *name,
                       const char *text)
@@ -224,8 +244,7 @@
   fleet_config_destroy (registry->config);
   registry->config = config;
   registry->config_changed = true;
-  for (size_t i = 0; i < config->service_count; i++)
-    service_entry (registry, config->services[i].name)->changed = true;
+  note_services (registry);
   LOG_INFO ("config-accepted", LOG_INT ("version", config->version),
             LOG_INT ("routes", config->route_count),
             LOG_INT ("services", config->service_count));
--- /dev/null
+++ b/node/registry/tests/service_groups_test.cc
@@ -0,0 +1,81 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "node/registry/service_groups.h"
+}
+
+namespace
+{
+struct route
+{
+  std::string host;
+  std::vector<std::string> services;
+};
+
+std::vector<std::string>
+groups (const std::vector<std::string> &services,
+        const std::vector<route> &routes)
+{
+  std::string text = "{ \"version\": 1, \"services\": [";
+  for (const std::string &service : services)
+    text += (service == services[0] ? "" : ",")
+            + ("{\"name\":\"" + service + "\"}");
+  text += "], \"routes\": [";
+  for (size_t i = 0; i < routes.size (); i++)
+    {
+      text += (i > 0 ? "," : "")
+              + ("{\"name\":\"r" + std::to_string (i) + "\",\"host\":\""
+                 + routes[i].host + "\",\"parts\":[");
+      for (size_t k = 0; k < routes[i].services.size (); k++)
+        text += (k > 0 ? "," : "")
+                + ("{\"service\":\"" + routes[i].services[k] + "\"}");
+      text += "]}";
+    }
+  fleet_config *config = nullptr;
+  EXPECT_EQ (fleet_config_parse ("f", (text + "]}").c_str (), &config),
+             STATUS_OK)
+      << status_message ();
+  std::vector<size_t> found (services.size ());
+  service_groups_find (config, found.data ());
+  std::vector<std::string> named;
+  for (size_t group : found)
+    named.push_back (services[group]);
+  fleet_config_destroy (config);
+  return named;
+}
+
+using names = std::vector<std::string>;
+
+TEST (ServiceGroups, ServicesOfDifferentNamesStayApart)
+{
+  EXPECT_EQ (groups ({ "c", "a", "b" },
+                     { { "x.example", { "a" } }, { "y.example", { "b" } } }),
+             (names{ "c", "a", "b" }));
+}
+
+TEST (ServiceGroups, ANameAndASplitLinkTheirServices)
+{
+  EXPECT_EQ (
+      groups ({ "c", "a", "b", "d" }, { { "x.example", { "c" } },
+                                        { "x.example", { "b" } },
+                                        { "y.example", { "d", "a" } } }),
+      (names{ "b", "a", "b", "a" }));
+}
+
+/* Callers of one name were told the hosts of the first service that it leads
+   to; the other services' evidence went to hosts that nobody used, and each
+   host found out alone that a target was ill. */
+TEST (ServiceGroups, LinksReachOverSeveralNames)
+{
+  EXPECT_EQ (groups ({ "d", "c", "b", "a" }, { { "x.example", { "d", "c" } },
+                                               { "y.example", { "c" } },
+                                               { "y.example", { "b" } },
+                                               { "z.example", { "a" } },
+                                               { "z.example", { "b" } } }),
+             (names{ "a", "a", "a", "a" }));
+}
+} // namespace
--- a/wire/service_spec.h
+++ b/wire/service_spec.h
@@ -103,6 +103,9 @@
 {
   char name[SERVICE_NAME_SIZE];
   uint64_t version; /**< of the platform's object */
+  /** Services of one group are served by the same set of hosts; "" is a group
+   * of its own. */
+  char group[SERVICE_NAME_SIZE];
   /** Chosen anew by each writer, so that one whose answer was lost can read
    * back whether its write took effect; "" when none. */
   char write_id[SERVICE_WRITE_ID_SIZE];
