--- a/node/caller/decision_note.c
+++ b/node/caller/decision_note.c
@@ -23,10 +23,11 @@
   snprintf (kept->why, sizeof kept->why, "%s", why);
   const char *service = x->service->name;
   const char *route = x->route;
-  LOG_INFO ("route", LOG_STR ("service", service), LOG_STR ("route", route),
-            LOG_INT ("request", x->id), LOG_INT ("attempt", attempt),
-            LOG_STR ("verdict", verdict), LOG_STR ("target", target),
-            LOG_STR ("why", why));
+  const char *id = x->head.id;
+  LOG_INFO ("route", LOG_STR ("id", id), LOG_STR ("service", service),
+            LOG_STR ("route", route), LOG_INT ("request", x->id),
+            LOG_INT ("attempt", attempt), LOG_STR ("verdict", verdict),
+            LOG_STR ("target", target), LOG_STR ("why", why));
 }
 
 void
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -155,6 +155,22 @@
   exchange_ticket_finish (x);
 }
 
+/* Lines of refused and failed requests have a rate of their own, so that those
+   of good ones never crowd them out. */
+static void
+note_refusal (const struct exchange *x)
+{
+  const struct fleet_config *config = x->context->config;
+  LOG_WARN ("refused", LOG_STR ("id", x->head.id), LOG_INT ("request", x->id),
+            LOG_STR ("service", service_name (x)), LOG_STR ("route", x->route),
+            LOG_INT ("config_version", config != NULL ? config->version : 0),
+            LOG_INT ("status", x->own.status),
+            LOG_STR ("outcome", answer_outcome_name (x->own.outcome)),
+            LOG_STR ("reason", x->own.reason),
+            LOG_INT ("retry_after_ms", x->own.retry_after_ms),
+            LOG_INT ("attempts", x->attempts));
+}
+
 void
 exchange_answer_own (struct exchange *x, const struct own_answer *own)
 {
@@ -162,6 +178,7 @@
     caller_service_forget (x->service, &x->waiter);
   x->own = *own;
   x->state = EXCHANGE_OWN;
+  note_refusal (x);
   caller_counters_add (x->context->counters.refusals, service_name (x),
                        own->reason);
   exchange_ticket_finish (x);
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -188,7 +188,8 @@
 {
   const char *service = x->service->name;
   const char *target = x->attempt.target;
-  LOG_INFO ("attempt-broken", LOG_STR ("service", service),
+  const char *id = x->head.id;
+  LOG_INFO ("attempt-broken", LOG_STR ("id", id), LOG_STR ("service", service),
             LOG_INT ("request", x->id), LOG_STR ("target", target),
             LOG_STR ("end", end_name (end)), LOG_STR ("why", message));
   settle (x, end);
--- a/node/control/control_registry.c
+++ b/node/control/control_registry.c
@@ -41,6 +41,7 @@
     return;
   service_spec_defaults (&defaults);
   defaults.limits.retry_percent = settings->retry.percent;
+  defaults.limits.connect_timeout_ms = settings->limits.target_connect_ms;
   const struct registry_options options = {
     .loop = task->options.loop,
     .events = &events,
--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -20,6 +20,9 @@
   EXIT_USAGE = 2,
 };
 
+/* How often the settings file is looked at; a look is one system call. */
+static const double SETTINGS_CHECK_SECONDS = 5.0;
+
 /** The command line. */
 struct command_line
 {
@@ -39,6 +42,7 @@
   struct ev_signal on_term;
   struct ev_signal on_int;
   struct ev_signal on_hup;
+  struct ev_stat on_change; /* the settings file changed, signal or not */
 };
 
 static void
@@ -69,9 +73,8 @@
 }
 
 static void
-reload_cb (struct ev_loop *loop, struct ev_signal *watcher, int events)
+reload (struct program *program)
 {
-  struct program *program = watcher->data;
   struct host_settings settings;
   if (host_settings_load (program->settings_path, &settings) != STATUS_OK)
     {
@@ -83,6 +86,18 @@
   host_reload (program->host, &settings);
 }
 
+static void
+reload_cb (struct ev_loop *loop, struct ev_signal *watcher, int events)
+{
+  reload (watcher->data);
+}
+
+static void
+changed_cb (struct ev_loop *loop, struct ev_stat *watcher, int events)
+{
+  reload (watcher->data);
+}
+
 static void
 watch_signal (struct program *program, struct ev_signal *watcher, int number,
               void (*callback) (struct ev_loop *, struct ev_signal *, int))
@@ -108,6 +123,9 @@
   watch_signal (&program, &program.on_term, SIGTERM, leave_cb);
   watch_signal (&program, &program.on_int, SIGINT, leave_cb);
   watch_signal (&program, &program.on_hup, SIGHUP, reload_cb);
+  ev_stat_init (&program.on_change, changed_cb, path, SETTINGS_CHECK_SECONDS);
+  program.on_change.data = &program;
+  ev_stat_start (program.loop, &program.on_change);
   LOG_INFO ("serving", LOG_STR ("host", settings->name),
             LOG_STR ("dc", settings->dc),
             LOG_STR ("caller", settings->caller_address),
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -30,6 +30,7 @@
       .header_bytes = 8 * KIBIBYTE,
       .idle_timeout_ms = 30000,
       .stream_buffer_bytes = 64 * KIBIBYTE,
+      .target_connect_ms = 1000,
       .reuse_idle_ms = 60000,
       .keep_answer_ms = 5000,
     },
@@ -98,6 +99,8 @@
            &limits->idle_timeout_ms);
   read_uint32 (&options, "stream_buffer_bytes", 4 * KIBIBYTE,
                16 * 1024 * KIBIBYTE, &limits->stream_buffer_bytes);
+  read_ms (&options, "target_connect_ms", 10, HOUR_MS,
+           &limits->target_connect_ms);
   read_ms (&options, "reuse_idle_ms", 0, HOUR_MS, &limits->reuse_idle_ms);
   read_ms (&options, "reuse_idle_once_ms", 0, HOUR_MS,
            &limits->reuse_idle_once_ms);
@@ -394,7 +397,7 @@
 }
 
 /* Without padding, the same bytes are the same values. */
-_Static_assert(sizeof (struct caller_limits) == 8 * sizeof (uint32_t),
+_Static_assert(sizeof (struct caller_limits) == 9 * sizeof (uint32_t),
                "caller_limits has padding: compare its members");
 _Static_assert(sizeof (struct fleet_modes) == 4 * sizeof (bool),
                "fleet_modes has padding: compare its members");
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -26,6 +26,7 @@
   uint32_t header_bytes; /**< most memory of one request's head */
   uint32_t idle_timeout_ms;
   uint32_t stream_buffer_bytes; /**< per direction of one request */
+  uint32_t target_connect_ms;   /**< until another target is tried */
   /** A connection to a target that was idle for longer is not used again; a
    * target that announces less is believed. */
   uint32_t reuse_idle_ms;
