log, metrics: lines never wait for their reader; histograms of times

Cause: a full pipe to the log's reader held up the host's only thread; metrics had sums, but no times. Ruled out: a non-blocking descriptor, which other processes may share. Change: a line is written only when the pipe polls writable, which then takes one without waiting; the next line says how many were lost. Histograms of requests by outcome and attempts by end, fixed buckets from 1 ms to 60 s. Tests that looked for a part of a series' text now name it whole, as one in fault_test found the histogram's first; the members of struct exchange stand in order of size.

--- a/base/counters.c
+++ b/base/counters.c
@@ -18,8 +18,9 @@
 
 struct series
 {
-  struct counter counter; /* first: its address is the series' own */
-  char *labels;           /* as exposed, without the braces */
+  struct counter counter;
+  struct counter_histogram histogram; /* used in place of the counter */
+  char *labels;                       /* as exposed, without the braces */
   UT_hash_handle hh;
 };
 
@@ -121,34 +122,96 @@
     }
 }
 
-struct counter *
-counter_series (struct counter_family *family, const char *const *label_values)
+static const double bucket_bounds_s[COUNTER_BUCKETS]
+    = { 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+        0.5,   1,     2,     5,    10,   20,   60 };
+
+static const double US_PER_SECOND = 1e6;
+
+static struct series *
+find_series (struct counter_family *family, const char *const *label_values)
 {
   char labels[LABELS_TEXT_SIZE] = "";
   format_labels (family, label_values, labels);
   struct series *series;
   HASH_FIND_STR (family->series, labels, series);
   if (series != NULL)
-    return &series->counter;
+    return series;
   if (label_values != NULL
       && HASH_COUNT (family->series) >= family->series_max)
-    return counter_series (family, NULL);
+    return find_series (family, NULL);
   series = xcalloc (1, sizeof *series);
   series->labels = xstrdup (labels);
   HASH_ADD_KEYPTR (hh, family->series, series->labels, strlen (series->labels),
                    series);
-  return &series->counter;
+  return series;
+}
+
+struct counter *
+counter_series (struct counter_family *family, const char *const *label_values)
+{
+  return &find_series (family, label_values)->counter;
+}
+
+struct counter_histogram *
+counter_histogram_series (struct counter_family *family,
+                          const char *const *label_values)
+{
+  return &find_series (family, label_values)->histogram;
+}
+
+void
+counter_observe (struct counter_histogram *histogram, int64_t time_us)
+{
+  size_t bucket = 0;
+  if (time_us < 0)
+    time_us = 0;
+  while (bucket < COUNTER_BUCKETS
+         && (double)time_us > bucket_bounds_s[bucket] * US_PER_SECOND)
+    bucket++;
+  histogram->buckets[bucket]++;
+  histogram->count++;
+  histogram->sum_us += (uint64_t)time_us;
+}
+
+/* Buckets are exposed summed up: each counts all below its bound. */
+static void
+expose_histogram (FILE *out, const struct counter_family *family,
+                  const struct series *series)
+{
+  const struct counter_histogram *histogram = &series->histogram;
+  const char *comma = series->labels[0] != '\0' ? "," : "";
+  unsigned long long below = 0;
+  for (size_t i = 0; i < COUNTER_BUCKETS; i++)
+    {
+      below += histogram->buckets[i];
+      fprintf (out, "%s_bucket{%s%sle=\"%g\"} %llu\n", family->name,
+               series->labels, comma, bucket_bounds_s[i], below);
+    }
+  fprintf (out, "%s_bucket{%s%sle=\"+Inf\"} %llu\n", family->name,
+           series->labels, comma, (unsigned long long)histogram->count);
+  fprintf (out, "%s_sum{%s} %.6f\n", family->name, series->labels,
+           (double)histogram->sum_us / US_PER_SECOND);
+  fprintf (out, "%s_count{%s} %llu\n", family->name, series->labels,
+           (unsigned long long)histogram->count);
 }
 
 static void
 expose_family (FILE *out, const struct counter_family *family)
 {
   fprintf (out, "# HELP %s %s\n", family->name, family->help);
-  fprintf (out, "# TYPE %s %s\n", family->name,
-           family->kind == COUNTER_SUM ? "counter" : "gauge");
+  static const char *const kinds[] = { [COUNTER_SUM] = "counter",
+                                       [COUNTER_GAUGE] = "gauge",
+                                       [COUNTER_HISTOGRAM] = "histogram" };
+  fprintf (out, "# TYPE %s %s\n", family->name, kinds[family->kind]);
   for (const struct series *series = family->series; series != NULL;
        series = series->hh.next)
     {
+      if (family->kind == COUNTER_HISTOGRAM)
+        {
+          expose_histogram (out, family, series);
+          continue;
+        }
       const long long value = (long long)series->counter.value;
       if (series->labels[0] == '\0')
         fprintf (out, "%s %lld\n", family->name, value);
--- a/base/counters.h
+++ b/base/counters.h
@@ -1,5 +1,5 @@
 /** @file
- * Counters and gauges of a host, and their text exposition.
+ * Counters, gauges and histograms of a host, and their text exposition.
  *
  * A family has a name, a help line and up to four label names; a series is a
  * family with label values.  Series are looked up once and then counted by
@@ -22,10 +22,26 @@
   int64_t value;
 };
 
+/** Upper bounds of a histogram's buckets, in seconds; one more takes the
+ * rest. */
+enum
+{
+  COUNTER_BUCKETS = 15
+};
+
+/** How often a time fell into each bucket. */
+struct counter_histogram
+{
+  uint64_t buckets[COUNTER_BUCKETS + 1];
+  uint64_t count;
+  uint64_t sum_us;
+};
+
 enum counter_kind
 {
-  COUNTER_SUM,  /**< only grows */
-  COUNTER_GAUGE /**< goes up and down */
+  COUNTER_SUM,      /**< only grows */
+  COUNTER_GAUGE,    /**< goes up and down */
+  COUNTER_HISTOGRAM /**< of times; see counter_histogram_series() */
 };
 
 /** What a family is; label names may be left NULL from the end. */
@@ -51,6 +67,14 @@
 struct counter *counter_series (struct counter_family *family,
                                 const char *const *label_values);
 
+/** The series of FAMILY, a histogram, with these label values. */
+struct counter_histogram *
+counter_histogram_series (struct counter_family *family,
+                          const char *const *label_values);
+
+/** Count a time. */
+void counter_observe (struct counter_histogram *histogram, int64_t time_us);
+
 static inline void
 counter_add (struct counter *counter, int64_t amount)
 {
--- a/base/log.c
+++ b/base/log.c
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -35,6 +37,7 @@
 static struct log_options config
     = { .level = LOG_LEVEL_INFO, .fd = STDERR_FILENO };
 static struct repeat repeats[REPEAT_SLOTS];
+static uint64_t lost; /* lines that found no room */
 
 static const char *const level_names[] = { [LOG_LEVEL_ERROR] = "error",
                                            [LOG_LEVEL_WARNING] = "warning",
@@ -196,13 +199,23 @@
   else
     format_text (&line, level, module, event, fields, count);
   line.text[line.used++] = '\n';
-  /* One write a line keeps lines of several processes whole in one file.  A
-     log that can't be written must not stop the work, so the result is
-     dropped. */
+  /* One write a line keeps lines of several processes whole in one file. */
   const ssize_t written = write (config.fd, line.text, line.used);
   (void)written;
 }
 
+/* Guards against a reader of the log that has stopped: once the pipe to it is
+   full, a write waits for it, and with it all requests.  A pipe that polls
+   writable takes PIPE_BUF bytes without waiting, more than a line has. */
+static bool
+would_block (void)
+{
+  struct pollfd fd = { .fd = config.fd, .events = POLLOUT };
+  return poll (&fd, 1, 0) == 1 ? (fd.revents & POLLOUT) == 0 : true;
+}
+
+_Static_assert(LOG_LINE_SIZE <= PIPE_BUF, "a line may wait for its reader");
+
 /* Guards against a log that drowns its reader and the disk behind it when
    one event repeats for each request: past the limit of a second the lines
    are counted, and the next line that may pass tells how many are missing. */
@@ -230,6 +243,15 @@
   return true;
 }
 
+/* A line that says how many before it were lost. */
+static void
+emit_lost (void)
+{
+  const struct log_field note[] = { LOG_INT ("lines", lost) };
+  lost = 0;
+  emit (LOG_LEVEL_WARNING, "log", "log-lost", note, 1);
+}
+
 void
 log_write (enum log_level level, const char *module, const char *event,
            const struct log_field *fields, size_t count)
@@ -237,6 +259,13 @@
   uint32_t withheld;
   if (!repeat_allows (module, event, &withheld))
     return;
+  if (would_block ())
+    {
+      lost++;
+      return;
+    }
+  if (lost > 0)
+    emit_lost ();
   if (withheld > 0)
     {
       const struct log_field note[]
--- a/base/tests/log_test.cc
+++ b/base/tests/log_test.cc
@@ -79,6 +79,33 @@
   EXPECT_EQ (finish (), "");
 }
 
+/* Whoever reads the log stops reading, and its pipe fills up.  A line that
+   waited for room would hold up every request of the host; lines are lost in
+   place of that, and the log says how many once there is room. */
+TEST_F (Log, AReaderThatStopsBlocksNothing)
+{
+  configure (false, 0);
+  const std::string wide (1500, 'x');
+  for (int i = 0; i < 200; i++)
+    LOG_INFO ("fill", LOG_STR ("text", wide.c_str ()));
+  std::string text;
+  char block[65536];
+  const ssize_t got = read (ends[0], block, sizeof block);
+  ASSERT_GT (got, 0);
+  text.append (block, (size_t)got);
+  LOG_INFO ("after");
+  text += finish ();
+  size_t lines = 0;
+  for (size_t at = text.find (" fill "); at != std::string::npos;
+       at = text.find (" fill ", at + 1))
+    lines++;
+  EXPECT_LT (lines, 200u);
+  const std::string note = "log-lost lines=" + std::to_string (200 - lines);
+  const size_t lost = text.find (note);
+  ASSERT_NE (lost, std::string::npos) << note;
+  EXPECT_GT (text.find ("test after"), lost);
+}
+
 /* One event repeats for every request.  Past the limit the lines are counted
    and not written, so the log doesn't drown its reader. */
 TEST_F (Log, RepeatsAreWithheld)
--- a/base/tests/options_test.cc
+++ b/base/tests/options_test.cc
@@ -138,7 +138,6 @@
         bad_value{ "{\"list\":[1,2,3]}", "at most 2 elements" },
         bad_value{ "{\"list\":{}}", "expected an array" }));
 
-
 TEST_F (Options, DurationsAreMillisecondsOrTextWithAUnit)
 {
   begin ("{ \"a\": 20, \"b\": \"1500ms\", \"c\": \"2.5s\" }");
--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -30,6 +30,18 @@
   const struct counter_family_options addresses
       = { .name = "jaystair_address_answers_total",
           .help = "Address answers given to callers." };
+  const struct counter_family_options request_times
+      = { .name = "jaystair_request_seconds",
+          .help = "From a request's head to the end of its answer.",
+          .kind = COUNTER_HISTOGRAM,
+          .label_names = { "service", "outcome" } };
+  const struct counter_family_options attempt_times
+      = { .name = "jaystair_attempt_seconds",
+          .help = "From the sending of an attempt to its end.",
+          .kind = COUNTER_HISTOGRAM,
+          .label_names = { "service", "end" } };
+  own->request_times = counters_family (counters, &request_times);
+  own->attempt_times = counters_family (counters, &attempt_times);
   own->requests = counters_family (counters, &requests);
   own->attempts = counters_family (counters, &attempts);
   own->retries = counters_family (counters, &retries);
@@ -48,3 +60,11 @@
   const char *const labels[] = { first, second };
   counter_add (counter_series (family, labels), 1);
 }
+
+void
+caller_counters_observe (struct counter_family *family, const char *first,
+                         const char *second, int64_t time_us)
+{
+  const char *const labels[] = { first, second };
+  counter_observe (counter_histogram_series (family, labels), time_us);
+}
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -9,11 +9,13 @@
 /** The families; series are looked up by their labels at each use. */
 struct caller_counters
 {
-  struct counter_family *requests; /**< by service and outcome */
-  struct counter_family *attempts; /**< by service and end */
-  struct counter_family *retries;  /**< by service */
-  struct counter_family *timeouts; /**< by service and what followed */
-  struct counter_family *refusals; /**< by service and reason */
+  struct counter_family *requests;      /**< by service and outcome */
+  struct counter_family *attempts;      /**< by service and end */
+  struct counter_family *retries;       /**< by service */
+  struct counter_family *timeouts;      /**< by service and what followed */
+  struct counter_family *refusals;      /**< by service and reason */
+  struct counter_family *request_times; /**< by service and outcome */
+  struct counter_family *attempt_times; /**< by service and end */
   struct counter *in_flight;
   struct counter *address_answers;
 };
@@ -26,4 +28,8 @@
 void caller_counters_add (struct counter_family *family, const char *first,
                           const char *second);
 
+/** Count a time in the series of FAMILY with labels FIRST and SECOND. */
+void caller_counters_observe (struct counter_family *family, const char *first,
+                              const char *second, int64_t time_us);
+
 #endif
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -83,6 +83,7 @@
 void
 exchange_count (struct exchange *x)
 {
+  x->begun_us = clock_now_us ();
   count_in_flight (x, true);
 }
 
@@ -104,8 +105,10 @@
     outcome = answer_outcome_name (ANSWER_RAN);
   else if (x->state == EXCHANGE_OWN)
     outcome = answer_outcome_name (x->own.outcome);
-  caller_counters_add (x->context->counters.requests, service_name (x),
-                       outcome);
+  const struct caller_counters *counters = &x->context->counters;
+  caller_counters_add (counters->requests, service_name (x), outcome);
+  caller_counters_observe (counters->request_times, service_name (x), outcome,
+                           clock_now_us () - x->begun_us);
 }
 
 static void
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -64,53 +64,54 @@
 {
   struct caller_waiter waiter;
   struct caller_context *context;
+  struct exchange *prev;
+  struct exchange *next;
   uint64_t id;
-  enum exchange_state state;
-  bool counted; /**< as in flight */
-  bool plain;   /**< answered without a route, not counted by service */
 
   struct MHD_Connection *connection; /**< NULL once released by the library */
-  int fd;
   char *uri;
   struct request_head head;
-  bool watched; /**< for the caller's going away */
-  bool suspended;
-  bool upload_complete; /**< the library has all of the body */
-  bool queued;          /**< a response was handed to the library */
-  bool answered_raw;    /**< an own answer was written past the library */
-  bool caller_gone;
-  bool answer_cut; /**< what was buffered of it is all that comes */
+  struct stream_buffer upload;
+  struct stream_buffer answer;
+  uint64_t upload_bytes; /**< of the body, as read so far */
 
   struct caller_service *service;
   char route[SERVICE_NAME_SIZE]; /**< its prefix, cut to fit */
-  bool repeatable;
-  uint32_t timeout_ms;   /**< most time until the answer begins */
-  uint32_t attempts_max; /**< targets that it may be sent to */
-  uint32_t priority;     /**< 0 is the most urgent */
-  bool bounded_by_route; /**< timeout_ms holds beside the caller's deadline */
-  bool ticket_claimed;
   uint64_t ticket_sequence;
 
+  int64_t begun_us; /**< when its head was complete */
   int64_t deadline_us;
   int64_t progress_us; /**< when bytes of the answer last came */
   ev_timer timer;
   ev_prepare kick; /**< never started; only fed */
-  bool kicked;
-
-  struct stream_buffer upload;
-  struct stream_buffer answer;
-  uint64_t upload_bytes; /**< of the body, as read so far */
 
   struct exchange_attempt attempt;
-  uint32_t attempts;
   uint64_t tried[POLICY_TRIED_MAX];
+  struct own_answer own;
+
+  enum exchange_state state;
+  int fd;
+  uint32_t timeout_ms;   /**< most time until the answer begins */
+  uint32_t attempts_max; /**< targets that it may be sent to */
+  uint32_t priority;     /**< 0 is the most urgent */
+  uint32_t attempts;
   uint32_t tried_count;
   uint32_t shed_retry_after_ms; /**< as a target that shed it said */
-  bool perhaps_ran; /**< an attempt that was given up may have run */
-  struct own_answer own;
 
-  struct exchange *prev;
-  struct exchange *next;
+  bool counted; /**< as in flight */
+  bool plain;   /**< answered without a route, not counted by service */
+  bool watched; /**< for the caller's going away */
+  bool suspended;
+  bool upload_complete; /**< the library has all of the body */
+  bool queued;          /**< a response was handed to the library */
+  bool answered_raw;    /**< an own answer was written past the library */
+  bool caller_gone;
+  bool answer_cut; /**< what was buffered of it is all that comes */
+  bool repeatable;
+  bool bounded_by_route; /**< timeout_ms holds beside the caller's deadline */
+  bool ticket_claimed;
+  bool kicked;
+  bool perhaps_ran; /**< an attempt that was given up may have run */
 };
 
 /** A new exchange for the request that begins on CONNECTION. */
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -96,6 +96,9 @@
     return;
   caller_counters_add (x->context->counters.attempts, x->service->name,
                        end_name (end));
+  caller_counters_observe (x->context->counters.attempt_times,
+                           x->service->name, end_name (end),
+                           exchange_attempt_latency_us (attempt));
   if (caller_service_is_news (x->service, attempt->key, end))
     tell_others (x, end);
   note_attempt (x, end);
--- a/node/caller/tests/fault_test.cc
+++ b/node/caller/tests/fault_test.cc
@@ -180,8 +180,12 @@
   ASSERT_TRUE (run_until ([this] { return runs ("busy") > 0; }));
   const auto sheds = [this] {
     const std::string text = exposed ();
-    const size_t at = text.find ("end=\"shed\"} ");
-    return at == std::string::npos ? 0 : atoi (text.c_str () + at + 12);
+    const std::string series
+        = "jaystair_attempts_total{service=\"holds\",end=\"shed\"} ";
+    const size_t at = text.find (series);
+    return at == std::string::npos
+               ? 0
+               : atoi (text.c_str () + at + series.size ());
   };
   const int sheds_before = sheds ();
   const std::string begun (40000, 'a');
--- a/node/caller/tests/proxy_test.cc
+++ b/node/caller/tests/proxy_test.cc
@@ -205,8 +205,9 @@
   get ("/calendar", "r1");
   char text[4096] = "";
   EXPECT_GT (read (ends[0], text, sizeof text - 1), 0);
-  EXPECT_NE (strstr (text, "caller route service=holds route=/ request="),
-             nullptr)
+  EXPECT_NE (
+      strstr (text, "caller route id=r1 service=holds route=/ request="),
+      nullptr)
       << text;
   EXPECT_NE (strstr (text, " attempt=1 verdict=send target=t1 why="), nullptr);
   write_log_to (STDERR_FILENO);
--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -135,6 +135,15 @@
   free (spec.targets);
 }
 
+static void
+drop_service (struct registry *registry, struct registry_service *service)
+{
+  registry->options.events->service_removed (
+      registry->options.owner, service->name, ++registry->version);
+  HASH_DEL (registry->services, service);
+  free (service);
+}
+
 static void
 remove_undeclared (struct registry *registry)
 {
@@ -142,12 +151,8 @@
   struct registry_service *next;
   HASH_ITER (hh, registry->services, service, next)
   {
-    if (fleet_config_service (registry->config, service->name) != NULL)
-      continue;
-    registry->options.events->service_removed (
-        registry->options.owner, service->name, ++registry->version);
-    HASH_DEL (registry->services, service);
-    free (service);
+    if (fleet_config_service (registry->config, service->name) == NULL)
+      drop_service (registry, service);
   }
 }
 
--- a/wire/target_record.c
+++ b/wire/target_record.c
@@ -54,7 +54,7 @@
     return status;
   struct options options;
   options_begin (&options, name, "", tree);
-  strcpy (record->name, name);
+  memcpy (record->name, name, strlen (name) + 1);
   read_members (&options, record);
   status = options_end (&options);
   json_object_put (tree);
