--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -138,9 +138,9 @@
 static void
 drop_service (struct registry *registry, struct registry_service *service)
 {
+  HASH_DEL (registry->services, service);
   registry->options.events->service_removed (
       registry->options.owner, service->name, ++registry->version);
-  HASH_DEL (registry->services, service);
   free (service);
 }
 
