policy: targets of the own data centre go first where that is wished

Ruled out: host sets that follow the slots of each data centre, for now: with one host each the near targets have room for what comes there. Change: prefer_own_dc; a remote target costs half as much again, enough to outweigh the blur of costs and not a target that is likely ill.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -11,6 +11,8 @@
 {
   DC_DISTANCE_US = 1500,
   OVERCOMMIT_PERCENT = 150,
+  /* Enough to outweigh the blur of costs, not a target that is likely ill. */
+  REMOTE_COST_PERCENT = 50,
   US_PER_MS = 1000,
   /* A good answer of a target that was doubted is news; of another one it is
      told now and then, since a success says less with every second. */
@@ -78,8 +80,8 @@
 
 struct caller_service *
 caller_service_create (struct ev_loop *loop, const char *name,
-                       const char *own_dc, const struct retry_settings *retry,
-                       uint64_t seed)
+                       const char *own_dc,
+                       const struct host_settings *settings, uint64_t seed)
 {
   struct caller_service *service = xcalloc (1, sizeof *service);
   service->loop = loop;
@@ -87,7 +89,8 @@
   strncpy (service->own_dc, own_dc, sizeof service->own_dc - 1);
   service->seed = hash_pair (seed, hash_string (name));
   service->users = 1;
-  service->retry = retry;
+  service->retry = &settings->retry;
+  service->prefers_own_dc = settings->modes.prefers_own_dc;
   share_reserve (service);
   service->recorder = detection_recorder_create ();
   ev_timer_init (&service->wake, on_wake, 0., 0.);
@@ -134,6 +137,7 @@
                  .percent = limits->retry_percent,
                  .reserve = service->retry_reserve },
     .attempts = limits->attempts,
+    .remote_cost_percent = service->prefers_own_dc ? REMOTE_COST_PERCENT : 0,
     .prefer_faster_detection
     = service->spec->prefer == SERVICE_PREFER_FASTER_DETECTION,
   };
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -57,6 +57,7 @@
   bool in_set;        /**< this host is one of them */
   size_t fleet_count; /**< hosts of the whole fleet */
   const struct retry_settings *retry;
+  bool prefers_own_dc;
   double retry_reserve;    /**< this host's part */
   struct slot_share share; /**< of the targets' slots, if one is granted */
   struct demand_peak demand;
@@ -71,8 +72,8 @@
 
 struct caller_service *
 caller_service_create (struct ev_loop *loop, const char *name,
-                       const char *own_dc, const struct retry_settings *retry,
-                       uint64_t seed);
+                       const char *own_dc,
+                       const struct host_settings *settings, uint64_t seed);
 
 /** Hold on to SERVICE, or let it go again. */
 void caller_service_use (struct caller_service *service);
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -62,7 +62,7 @@
   if (service != NULL)
     return service;
   service = caller_service_create (context->loop, name, context->settings->dc,
-                                   &context->settings->retry, task->seed);
+                                   context->settings, task->seed);
   HASH_ADD_STR (context->services, name, service);
   return service;
 }
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -326,7 +326,7 @@
   modes->has_registry = source != 0;
   options_bool (top, "all_watch_registry", &modes->all_watch_registry);
   options_bool (top, "ejection", &modes->has_ejection);
-  options_bool (top, "set_follows_slots", &modes->set_follows_slots);
+  options_bool (top, "prefer_own_dc", &modes->prefers_own_dc);
 }
 
 static enum status
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -44,8 +44,7 @@
   bool has_registry;
   bool all_watch_registry; /**< every host watches it, not only relays */
   bool has_ejection;       /**< targets may be ejected for all hosts */
-  /** A host set has more hosts in a dc where the service has more slots. */
-  bool set_follows_slots;
+  bool prefers_own_dc;     /**< targets of the host's own dc go first */
 };
 
 /** Retries of a service by all hosts together, in any window. */
--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -46,7 +46,9 @@
   const double expected_failures = f / (1 - f);
   const double cost_us
       = latency_us (set, t) * (1 + busy + expected_failures * per_failure);
-  return cost_us / target_state_warmth (t, now_us);
+  const double place
+      = t->config.distance_us > 0 ? 1 + set->remote_cost_percent / 100.0 : 1;
+  return cost_us * place / target_state_warmth (t, now_us);
 }
 
 double
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -271,6 +271,7 @@
   struct target_set old = *set;
   target_set_init (set);
   set->prefer_faster_detection = old.prefer_faster_detection;
+  set->remote_cost_percent = old.remote_cost_percent;
   set->baseline = old.baseline;
   set->learned_us = old.count > 0 ? old.learned_us : now_us;
   allocate (set, count);
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -63,6 +63,7 @@
   uint32_t suspects; /**< among the eligible, with or without room */
   uint32_t in_flight;
   bool prefer_faster_detection;
+  uint32_t remote_cost_percent; /**< of a target in another dc */
   struct standing_baseline baseline;
   int64_t refreshed_us;
   int64_t learned_us; /**< when baseline.ill was, a refresh forced or not */
--- a/policy/choice/tests/chooser_test.cc
+++ b/policy/choice/tests/chooser_test.cc
@@ -82,6 +82,24 @@
     EXPECT_NEAR (got[i], 10000, 500);
 }
 
+/* Bytes between data centres are paid for.  The way takes 1.5 ms of half a
+   second, so by time alone two thirds of all requests cross over. */
+TEST_F (chooser_test, targets_near_by_go_first_unless_they_are_worse)
+{
+  start (3);
+  set.remote_cost_percent = 50;
+  set.targets[1].config.distance_us = 1500;
+  set.targets[2].config.distance_us = 1500;
+  set.targets[1].estimate.latency_us = 500000;
+  set.targets[2].estimate.latency_us = 500000;
+  set.targets[0].estimate.latency_us = 500000;
+  choose (1000);
+  EXPECT_EQ (got[0], 1000);
+  set.targets[0].estimate.failure = 0.5;
+  choose (1000);
+  EXPECT_EQ (got[0], 1000);
+}
+
 TEST_F (chooser_test, each_part_of_the_cost_counts)
 {
   start (2);
--- a/policy/choice/tests/service_policy_differential_test.cc
+++ b/policy/choice/tests/service_policy_differential_test.cc
@@ -68,7 +68,8 @@
              .queue_bytes = (uint32_t)below (4000),
              .retries = { 10000000, (uint32_t)below (40), 3 },
              .attempts = (uint32_t)below (4),
-             .prefer_faster_detection = below (2) == 0 };
+             .prefer_faster_detection = below (2) == 0,
+             .remote_cost_percent = (uint32_t)below (3) * 50 };
   }
   /* Now and then one that left before comes back. */
   uint64_t
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -46,6 +46,8 @@
   struct retry_bound retries; /**< what this host may make */
   uint32_t attempts; /**< most tries of one request, the first included */
   bool prefer_faster_detection;
+  /** How much more a target in another dc costs, beyond the way there. */
+  uint32_t remote_cost_percent;
 };
 
 /** A request waiting for a decision. */
