--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -176,13 +176,16 @@
 /* Guards against a watch that went deaf: the platform dropped it and tells
    nobody.  Shows as a host that misses all changes until its watch is over.
    Relays ask again every few seconds and tell the others; for all hosts to do
-   so would cost the platform ten times the calls. */
+   so would cost the platform ten times the calls.  Hosts are known by their
+   heartbeats sooner than by their records, so those may be late. */
 static uint32_t
-watch_ms (const struct control_task *task)
+watch_ms (const struct control_feed *feed)
 {
+  const struct control_task *task = feed->task;
   const struct control_times *times = &task->options.settings->times;
-  const bool is_short
-      = task->is_relay && times->relay_watch_ms < times->watch_ms;
+  const bool is_short = task->is_relay
+                        && strcmp (feed->kind, PLATFORM_KIND_HOST) != 0
+                        && times->relay_watch_ms < times->watch_ms;
   return is_short ? times->relay_watch_ms : times->watch_ms;
 }
 
@@ -192,7 +195,7 @@
 {
   struct control_task *task = feed->task;
   if (!feed->is_waiting || !feed->is_listed
-      || feed->wait_ms <= watch_ms (task))
+      || feed->wait_ms <= watch_ms (feed))
     return;
   platform_cancel (task->options.platform, feed);
   feed->is_waiting = false;
@@ -216,7 +219,7 @@
   if (!feed->is_for_all && !task->is_relay && !task->is_stale)
     return;
   feed->is_waiting = true;
-  feed->wait_ms = watch_ms (task);
+  feed->wait_ms = watch_ms (feed);
   platform_watch (task->options.platform, feed->kind, feed->revision,
                   feed->wait_ms, watch_done, feed);
 }
