policy: a reserve comes over a window; unused targets get their turn

Ruled out: smaller reserves for all; a share of the targets alone, of which some are ill (3 of 6 still idle at 70 %). Change: a reserve grows over one window from when a host has it; while about a tenth isn't served, the best of the targets unused for 1.5 s go first until the operator's share and half of the rest are in use.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -70,12 +70,15 @@
 share_reserve (struct caller_service *service)
 {
   const double half = service->retry->reserve / 2.0;
+  const double before = service->retry_reserve;
   const size_t in_set = service->host_count > 0 ? service->host_count : 1;
   const size_t all
       = service->fleet_count > in_set ? service->fleet_count : in_set;
   service->retry_reserve = half / (double)all;
   if (service->in_set || service->host_count == 0)
     service->retry_reserve += half / (double)in_set;
+  if (service->retry_reserve > before + half / (double)(2 * in_set))
+    service->reserve_since_us = clock_now_us ();
 }
 
 struct caller_service *
@@ -91,6 +94,7 @@
   service->users = 1;
   service->retry = &settings->retry;
   service->prefers_own_dc = settings->modes.prefers_own_dc;
+  service->used_percent = settings->retry.used_percent;
   share_reserve (service);
   service->recorder = detection_recorder_create ();
   ev_timer_init (&service->wake, on_wake, 0., 0.);
@@ -135,7 +139,9 @@
     .queue_bytes = limits->queue_bytes,
     .retries = { .window_us = (int64_t)service->retry->window_ms * US_PER_MS,
                  .percent = limits->retry_percent,
-                 .reserve = service->retry_reserve },
+                 .reserve = service->retry_reserve,
+                 .since_us = service->reserve_since_us },
+    .used_percent = service->used_percent,
     .attempts = limits->attempts,
     .remote_cost_percent = service->prefers_own_dc ? REMOTE_COST_PERCENT : 0,
     .prefer_faster_detection
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -83,6 +83,9 @@
   retry->percent = (uint32_t)(share * 100 + 0.5);
   read_ms (&options, "window_ms", 100, HOUR_MS, &retry->window_ms);
   read_uint32 (&options, "reserve", 0, 1000000, &retry->reserve);
+  double used = retry->used_percent / 100.0;
+  options_double (&options, "used_targets", 0, 1, &used);
+  retry->used_percent = (uint32_t)(used * 100 + 0.5);
   options_close (top, &options);
 }
 
@@ -401,7 +404,7 @@
                "caller_limits has padding: compare its members");
 _Static_assert(sizeof (struct fleet_modes) == 4 * sizeof (bool),
                "fleet_modes has padding: compare its members");
-_Static_assert(sizeof (struct retry_settings) == 3 * sizeof (uint32_t),
+_Static_assert(sizeof (struct retry_settings) == 4 * sizeof (uint32_t),
                "retry_settings has padding: compare its members");
 _Static_assert(sizeof (struct control_times) == 13 * sizeof (uint32_t),
                "control_times has padding: compare its members");
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -10,8 +10,13 @@
   TRICKLE_DIVISOR = 20, /* a suspect gets a 20th of its fair share */
   TRICKLE_MOST = 2,     /* chances kept for later */
   RETRY_AFTER_MOST_MS = 60000,
+  /* Within two seconds each gets its turn, whatever the way of news takes. */
+  UNUSED_US = 1500000,
 };
 
+/* Below it, what fails is no more than random errors of good targets. */
+static const double failing_much = 0.09;
+
 /* What waiting would mean for a request that joins the queue's end. */
 struct wait_outlook
 {
@@ -166,6 +171,50 @@
   return true;
 }
 
+/* Is T the better chance: unused for long, with room, and cheaper? */
+static bool
+is_better_chance (const struct service_policy *policy,
+                  const struct policy_request *r, uint32_t t, uint32_t than)
+{
+  const struct target_set *set = &policy->set;
+  if (set->targets[t].tier == TIER_NONE
+      || set->targets[t].used_us >= policy->now_us - UNUSED_US)
+    return false;
+  for (uint32_t i = 0; i < r->tried_count; i++)
+    if (r->tried[i] == t)
+      return false;
+  return than == POLICY_NO_TARGET
+         || set->targets[t].estimate.ill < set->targets[than].estimate.ill;
+}
+
+/* Guards against a service that lives on a few targets which answered last
+   and finds no others while these fail as well: all others look worse, since
+   nothing is heard of them.  Shows as most good targets idle while one request
+   in ten fails.  Then the best of the unused ones get work in turn, until the
+   share that the operator wants is in use. */
+static bool
+try_unused (struct service_policy *policy, const struct policy_request *r,
+            struct policy_decision *d)
+{
+  const struct target_set *set = &policy->set;
+  const uint32_t percent = policy->options.used_percent;
+  /* Half of the rest on top: some of those that are used are ill, and the
+     share is wanted of the good ones. */
+  const uint32_t wanted
+      = (set->eligible * (percent + (100 - percent) / 2) + 99) / 100;
+  if (percent == 0 || target_set_failing_share (set) < failing_much
+      || target_set_used (set, policy->now_us - UNUSED_US) >= wanted)
+    return false;
+  uint32_t best = POLICY_NO_TARGET;
+  for (uint32_t t = 0; t < set->count; t++)
+    if (is_better_chance (policy, r, t, best))
+      best = t;
+  if (best == POLICY_NO_TARGET)
+    return false;
+  *d = send_to (policy, r, best, POLICY_REASON_TRICKLE);
+  return true;
+}
+
 static struct wait_outlook
 outlook_of (const struct service_policy *policy,
             const struct policy_request *r)
@@ -225,6 +274,8 @@
   struct policy_decision d;
   if (try_trickle (policy, r, &d))
     return d;
+  if (try_unused (policy, r, &d))
+    return d;
   const bool may_pass = policy->queue.count == 0;
   if (may_pass && try_good (policy, r, &d))
     return d;
--- a/policy/choice/retry_budget.c
+++ b/policy/choice/retry_budget.c
@@ -55,13 +55,22 @@
   budget->request_sum++;
 }
 
+static double
+reserve_now (const struct retry_bound *bound, int64_t now_us)
+{
+  const int64_t held_us = now_us - bound->since_us;
+  if (held_us >= bound->window_us)
+    return bound->reserve;
+  return bound->reserve * (double)held_us / (double)bound->window_us;
+}
+
 bool
 retry_budget_has (struct retry_budget *budget, const struct retry_bound *bound,
                   int64_t now_us)
 {
   advance (budget, bound, now_us);
   const double share = (double)budget->request_sum * bound->percent / 100;
-  return budget->retry_sum + 1 <= bound->reserve + share;
+  return budget->retry_sum + 1 <= reserve_now (bound, now_us) + share;
 }
 
 bool
--- a/policy/choice/retry_budget.h
+++ b/policy/choice/retry_budget.h
@@ -26,6 +26,9 @@
   int64_t window_us;
   uint32_t percent; /**< of the requests within the window */
   double reserve;   /**< retries beyond that share */
+  /** Since when the reserve is this host's.  Another may have spent it before,
+   * or this one in an earlier life, so it comes to be had over one window. */
+  int64_t since_us;
 };
 
 /** Counts of the steps of the window that ends now. */
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -6,6 +6,14 @@
 
 #include "base/xmalloc.h"
 
+enum
+{
+  FAILING_FADES_US = 3000000, /* some requests of a quiet host */
+  FAILING_LEAST_ENDED = 5,
+};
+
+static const double unserved_of_repeatable = 0.3;
+
 static const double coldest = 0.1;
 /* One that says how long it needs is slower by about this. */
 static const double coldest_told = 0.5;
@@ -274,6 +282,9 @@
   set->remote_cost_percent = old.remote_cost_percent;
   set->baseline = old.baseline;
   set->learned_us = old.count > 0 ? old.learned_us : now_us;
+  set->ended = old.ended;
+  set->failed = old.failed;
+  set->faded_us = old.faded_us;
   allocate (set, count);
   uint32_t *numbers = xcalloc (old.count + 1, sizeof *numbers);
   for (uint32_t i = 0; i < old.count; i++)
@@ -338,6 +349,7 @@
   struct target_state *t = &set->targets[number];
   assert (target_state_is_eligible (t) && t->in_flight < t->config.slots);
   t->in_flight++;
+  t->used_us = now_us;
   set->in_flight++;
   place (set, now_us, number);
 }
@@ -351,6 +363,38 @@
   t->failures += (uint64_t)(end != ATTEMPT_ANSWERED);
 }
 
+/* What fails and may be tried elsewhere is mostly served in the end. */
+static void
+count_failing (struct target_set *set, int64_t now_us,
+               const struct policy_outcome *outcome)
+{
+  if (outcome->end == ATTEMPT_CANCELLED)
+    return;
+  const double unserved = outcome->repeatable ? unserved_of_repeatable : 1;
+  const double kept
+      = exp (-(double)(now_us - set->faded_us) / FAILING_FADES_US);
+  set->faded_us = now_us;
+  set->ended = set->ended * kept + 1;
+  set->failed
+      = set->failed * kept + (outcome->end != ATTEMPT_ANSWERED ? unserved : 0);
+}
+
+double
+target_set_failing_share (const struct target_set *set)
+{
+  return set->ended < FAILING_LEAST_ENDED ? 0 : set->failed / set->ended;
+}
+
+uint32_t
+target_set_used (const struct target_set *set, int64_t since_us)
+{
+  uint32_t used = 0;
+  for (uint32_t i = 0; i < set->count; i++)
+    used += (uint32_t)(target_state_is_eligible (&set->targets[i])
+                       && set->targets[i].used_us >= since_us);
+  return used;
+}
+
 void
 target_set_release (struct target_set *set, int64_t now_us,
                     const struct policy_outcome *outcome)
@@ -367,6 +411,7 @@
   target_estimate_observe (&t->estimate, outcome->end, outcome->latency_us);
   t->is_new = t->is_new && t->estimate.samples == 0;
   count_outcome (t, outcome->end);
+  count_failing (set, now_us, outcome);
   set->outcomes++;
   judge (set, t, now_us);
   place (set, now_us, outcome->target);
@@ -379,6 +424,7 @@
   struct target_state *t = &set->targets[number];
   advance (set, t, now_us);
   target_estimate_hear (&t->estimate, end);
+  t->used_us = now_us;
   t->is_new = t->is_new && t->estimate.samples == 0;
   judge (set, t, now_us);
   place (set, now_us, number);
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -45,6 +45,7 @@
   bool avoided;         /**< others know that the path to it is at fault */
   int64_t warm_from_us; /**< start of its warm-up; INT64_MIN: warm */
   bool is_new;          /**< it joined, and nothing was heard of it yet */
+  int64_t used_us;      /**< when any host was known to use it last */
   uint64_t requests;
   uint64_t failures;
   enum target_tier tier;
@@ -68,6 +69,9 @@
   int64_t refreshed_us;
   int64_t learned_us; /**< when baseline.ill was, a refresh forced or not */
   uint32_t outcomes;  /**< since the refresh */
+  double ended;       /**< attempts that ended lately, fading */
+  double failed;      /**< those of them that failed */
+  int64_t faded_us;
   double *scratch;
 };
 
@@ -102,6 +106,13 @@
 /** Judge all targets anew when it is time; cheap otherwise. */
 void target_set_refresh (struct target_set *set, int64_t now_us);
 
+/** About the share of requests here that weren't served lately, 0 to 1; 0 when
+ * there were too few to tell. */
+double target_set_failing_share (const struct target_set *set);
+
+/** How many eligible targets were used since SINCE_US. */
+uint32_t target_set_used (const struct target_set *set, int64_t since_us);
+
 /** Are suspects avoided?  Not when they are most of the eligible. */
 bool target_set_avoids_suspects (const struct target_set *set);
 
--- a/policy/choice/tests/naive_choice.h
+++ b/policy/choice/tests/naive_choice.h
@@ -312,8 +312,10 @@
   bool
   may_retry () const
   {
+    const double held
+        = std::min (1.0, (double)(now - options.retries.since_us) / 10000000);
     return recent (retries) + 1
-           <= options.retries.reserve
+           <= options.retries.reserve * held
                   + recent (requests) * options.retries.percent / 100;
   }
 };
--- a/policy/choice/tests/retry_budget_test.cc
+++ b/policy/choice/tests/retry_budget_test.cc
@@ -17,7 +17,7 @@
  * targets get a multiple of the load just when they can't take it. */
 TEST (retry_budget, a_storm_of_failures_gets_its_share_and_no_more)
 {
-  const retry_bound bound = { window_us, 20, 3 };
+  const retry_bound bound = { window_us, 20, 3, -window_us };
   retry_budget b;
   retry_budget_init (&b);
   int granted = 0;
@@ -32,7 +32,7 @@
 
 TEST (retry_budget, a_quiet_service_can_retry)
 {
-  const retry_bound bound = { window_us, 0, 3 };
+  const retry_bound bound = { window_us, 0, 3, -window_us };
   retry_budget b;
   retry_budget_init (&b);
   for (int i = 0; i < 3; i++)
@@ -43,7 +43,7 @@
 
 TEST (retry_budget, old_requests_do_not_pay_for_new_retries)
 {
-  const retry_bound bound = { window_us, 10, 3 };
+  const retry_bound bound = { window_us, 10, 3, -window_us };
   retry_budget b;
   retry_budget_init (&b);
   for (int i = 0; i < 1000; i++)
@@ -59,7 +59,7 @@
  * any ten: requests of former windows must not pay for them. */
 TEST (retry_budget, no_window_that_ends_with_a_retry_holds_more)
 {
-  const retry_bound bound = { window_us, 20, 5 };
+  const retry_bound bound = { window_us, 20, 5, -window_us };
   struct rng rng;
   rng_seed (&rng, 11);
   retry_budget b;
@@ -94,4 +94,22 @@
   EXPECT_GT (most, 50u);
 }
 
+/* A host is killed and started again, or takes the place of one that left.
+ * What was spent before is forgotten; with a whole reserve at once, two lives
+ * within a window would spend it twice. */
+TEST (retry_budget, a_reserve_that_is_new_comes_over_a_window)
+{
+  const retry_bound bound = { window_us, 0, 8, 5 * window_us };
+  retry_budget b;
+  retry_budget_init (&b);
+  EXPECT_FALSE (retry_budget_take (&b, &bound, 5 * window_us));
+  int granted = 0;
+  while (retry_budget_take (&b, &bound, 5 * window_us + window_us / 2))
+    granted++;
+  EXPECT_EQ (granted, 4);
+  while (retry_budget_take (&b, &bound, 6 * window_us))
+    granted++;
+  EXPECT_EQ (granted, 8);
+}
+
 }
--- a/policy/choice/tests/service_policy_differential_test.cc
+++ b/policy/choice/tests/service_policy_differential_test.cc
@@ -66,10 +66,11 @@
     return { .seed = seed,
              .queue_requests = (uint32_t)below (12),
              .queue_bytes = (uint32_t)below (4000),
-             .retries = { 10000000, (uint32_t)below (40), 3 },
+             .retries = { 10000000, (uint32_t)below (40), 3, 500000 },
              .attempts = (uint32_t)below (4),
              .prefer_faster_detection = below (2) == 0,
-             .remote_cost_percent = (uint32_t)below (3) * 50 };
+             .remote_cost_percent = (uint32_t)below (3) * 50,
+             .used_percent = 0 };
   }
   /* Now and then one that left before comes back. */
   uint64_t
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 extern "C"
@@ -18,10 +19,12 @@
   uint64_t next_id = 1;
 
   void
-  start (uint32_t count, uint32_t slots, uint32_t queue = 100)
+  start (uint32_t count, uint32_t slots, uint32_t queue = 100,
+         uint32_t used_percent = 0)
   {
     const service_policy_options options
-        = { 1, queue, 1000000, { 10000000, 20, 3 }, 3, false, 0 };
+        = { 1, queue, 1000000, { 10000000, 20, 3, -10000000 },
+            3, false, 0,       used_percent };
     policy = service_policy_create (&options);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
@@ -277,4 +280,33 @@
   EXPECT_EQ (service_policy_in_flight (policy), 1u);
 }
 
+/* Two targets get all work, and one request in eight fails there.  The third
+ * failed two seconds ago and is good again, but nobody knows: what is heard
+ * of the two is newer each time.  While so much fails, it must get its turn;
+ * while all is well, it may wait for better news. */
+TEST_F (service_policy_test, unused_targets_get_their_turn_while_many_fail)
+{
+  for (const bool fails : { true, false })
+    {
+      start (3, 3, 100, 70);
+      const int64_t begun = now;
+      service_policy_hear (policy, now, 2, ATTEMPT_FAILED);
+      service_policy_hear (policy, now, 2, ATTEMPT_FAILED);
+      bool had_turn = false;
+      for (int i = 0; now < begun + 1800000; i++)
+        {
+          now += 30000;
+          const uint32_t t = ask (false).target;
+          had_turn = had_turn || t == 2;
+          const policy_outcome o
+              = { t, fails && i % 8 == 0 ? ATTEMPT_CUT : ATTEMPT_ANSWERED,
+                  10000, false };
+          service_policy_outcome (policy, now, &o);
+        }
+      EXPECT_EQ (had_turn, fails);
+      service_policy_destroy (policy);
+      policy = nullptr;
+    }
+}
+
 }
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -48,6 +48,9 @@
   bool prefer_faster_detection;
   /** How much more a target in another dc costs, beyond the way there. */
   uint32_t remote_cost_percent;
+  /** While many attempts fail, this share of the eligible targets gets work
+   * within any two seconds; 0: however few. */
+  uint32_t used_percent;
 };
 
 /** A request waiting for a decision. */
@@ -75,7 +78,7 @@
 {
   POLICY_REASON_BEST_OF_TWO,
   POLICY_REASON_ONLY_CHOICE,
-  POLICY_REASON_TRICKLE, /**< chance for a suspect or warming target */
+  POLICY_REASON_TRICKLE, /**< chance for one that would get nothing */
   POLICY_REASON_NO_FREE_SLOT,
   POLICY_REASON_WAIT_FOR_GOOD, /**< unrepeatable: waits to avoid a suspect */
   POLICY_REASON_QUEUE_FULL,
