caller: what comes late while a host leaves is sent elsewhere

The last answers had a second beyond shutdown_ms, so two processes were killed. Ruled out: a slow exit (the request's target was still at work). Change: what comes in the second half of the time to leave is refused as not run at once; work ends at 85 % of it, the last answers at 95 %.

--- a/base/options.c
+++ b/base/options.c
@@ -7,8 +7,8 @@
 #include <string.h>
 
 #include <arpa/inet.h>
-#include <ctype.h>
 
+#include "base/duration.h"
 #include "base/xmalloc.h"
 
 enum
@@ -335,24 +335,6 @@
     *value = number;
 }
 
-/* The milliseconds of "NUMBERms" or "NUMBERs"; false for any other text. */
-static bool
-parse_duration (const char *text, int64_t *value_ms)
-{
-  char *unit;
-  if (!isdigit ((unsigned char)text[0]))
-    return false;
-  const double number = strtod (text, &unit);
-  const bool is_seconds = strcmp (unit, "s") == 0;
-  if (!is_seconds && strcmp (unit, "ms") != 0)
-    return false;
-  const double ms = is_seconds ? number * 1000 : number;
-  if (!(ms <= (double)INT32_MAX))
-    return false;
-  *value_ms = (int64_t)(ms + 0.5);
-  return true;
-}
-
 void
 options_duration (struct options *options, const char *key, int64_t min_ms,
                   int64_t max_ms, int64_t *value_ms)
@@ -371,7 +353,7 @@
             "a time from %lldms to %lldms, as 1500 (ms), \"1500ms\" or "
             "\"1.5s\"",
             (long long)min_ms, (long long)max_ms);
-  if (!parse_duration (json_object_get_string (node), &found_ms)
+  if (!duration_parse (json_object_get_string (node), &found_ms)
       || found_ms < min_ms || found_ms > max_ms)
     fail_found (options, key, expected, node);
   else
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -93,7 +93,6 @@
   int fd;
   uint32_t timeout_ms;   /**< most time until the answer begins */
   uint32_t attempts_max; /**< targets that it may be sent to */
-  uint32_t priority;     /**< 0 is the most urgent */
   uint32_t attempts;
   uint32_t tried_count;
   uint32_t shed_retry_after_ms; /**< as a target that shed it said */
--- a/node/caller/exchange_begin.c
+++ b/node/caller/exchange_begin.c
@@ -11,7 +11,9 @@
 {
   US_PER_MS = 1000,
   /* A host that starts has its settings within a second mostly. */
-  SETTINGS_RETRY_AFTER_MS = 500
+  SETTINGS_RETRY_AFTER_MS = 500,
+  /* Another host can be asked at once; the time is for asking which. */
+  LEAVING_RETRY_AFTER_MS = 50
 };
 
 /* Refuse what no target has seen. */
@@ -59,7 +61,6 @@
   x->timeout_ms
       = route->timeout_ms > 0 ? route->timeout_ms : limits->timeout_ms;
   x->attempts_max = route->attempts > 0 ? route->attempts : limits->attempts;
-  x->priority = route->priority;
   x->bounded_by_route = route->timeout_ms > 0;
   snprintf (x->route, sizeof x->route, "%.63s", route->spec.path_prefix);
 }
@@ -135,6 +136,27 @@
   return false;
 }
 
+/* Guards against a request that comes so late while this host leaves that it
+   can't be finished: callers with an old address answer still come.  Shows as
+   a connection that ends without an answer when the process is over.  What
+   comes in the second half of the time to leave is sent elsewhere at once. */
+static bool
+comes_too_late (struct exchange *x)
+{
+  const struct caller_context *context = x->context;
+  const int64_t half_ms = context->settings->times.shutdown_ms / 2;
+  if (!context->leaving
+      || clock_now_ms () - context->leaving_since_ms < half_ms)
+    return false;
+  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                            .outcome = ANSWER_NOT_RUN,
+                            .reason = "host-leaves",
+                            .retry_after_ms = LEAVING_RETRY_AFTER_MS };
+  strcpy (own.message, "this host is leaving: ask for other addresses");
+  exchange_answer_own (x, &own);
+  return true;
+}
+
 void
 exchange_begin (struct exchange *x, const char *method, const char *version)
 {
@@ -147,6 +169,8 @@
       refuse (x, MHD_HTTP_BAD_REQUEST, "bad-request", status_message ());
       return;
     }
+  if (comes_too_late (x))
+    return;
   if (!find_route (x) || !check_limits (x) || !set_deadline (x))
     return;
   exchange_arm (x, x->deadline_us - clock_now_us ());
--- a/node/caller/route_table.c
+++ b/node/caller/route_table.c
@@ -197,8 +197,6 @@
 {
   struct route *route = add_route (table, "", &from->spec);
   route->timeout_ms = from->timeout_ms;
-  route->latency_goal_ms = from->latency_goal_ms;
-  route->priority = from->priority;
   route->attempts = from->attempts;
   route->part_count = from->part_count;
   route->parts = xcalloc (from->part_count, sizeof *route->parts);
--- a/node/caller/route_table.h
+++ b/node/caller/route_table.h
@@ -30,8 +30,6 @@
 
   /** Of a configured route; else 0, and the service's limits apply. */
   uint32_t timeout_ms;
-  uint32_t latency_goal_ms;
-  uint32_t priority;
   uint32_t attempts;
   struct route_part *parts; /**< NULL: all goes to `service` */
   int64_t *credits;         /**< of each part, towards its next request */
--- a/node/caller/tests/caller_task_test.cc
+++ b/node/caller/tests/caller_task_test.cc
@@ -280,6 +280,27 @@
   EXPECT_EQ (get ("/calendar")->status, 404);
 }
 
+/* A host leaves; a caller with an old address answer comes four seconds later
+   and its request is passed on.  The process is over before the target has
+   answered, and the caller is left with a broken connection. */
+TEST_F (CallerTaskTest, WhatComesLateWhileLeavingIsSentElsewhere)
+{
+  settings.times.shutdown_ms = 400;
+  put_service (usual_routes);
+  EXPECT_EQ (get ("/calendar", "before")->status, 200);
+  bool is_over = false;
+  caller_task_begin_leaving (
+      task, [] (void *over) { *static_cast<bool *> (over) = true; }, &is_over);
+  EXPECT_EQ (get ("/calendar", "early")->status, 200);
+  const double half_over = ev_now (loop) + 0.25;
+  ASSERT_TRUE (run_until ([&] { return ev_now (loop) >= half_over; }));
+  const auto late = get ("/calendar", "late");
+  EXPECT_EQ (late->status, 503);
+  EXPECT_EQ (late->field ("jaystair-outcome"), "not-run");
+  EXPECT_EQ (late->field ("connection"), "close");
+  EXPECT_EQ (target_server_runs (target, "late"), 0u);
+}
+
 /* A host is stopped at once: nothing may be left behind, whatever was under
    way. */
 TEST_F (CallerTaskTest, DestroyedWithWorkInFlight)
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -31,7 +31,11 @@
   HOST_OVER,
 };
 
-static const double LAST_ANSWERS_SECONDS = 1.0;
+/* Of the time to leave: for work in flight, and then for the last answers.
+   What is left is for the end of the process, before it is killed. */
+static const double WORK_SHARE = 0.85;
+static const double LAST_ANSWERS_SHARE = 0.1;
+static const double MS_PER_SECOND = 1000.0;
 
 struct host
 {
@@ -318,7 +322,10 @@
     }
   host->phase = HOST_ENDING;
   ev_timer_stop (host->loop, &host->leave_limit);
-  ev_timer_set (&host->leave_limit, LAST_ANSWERS_SECONDS, 0.);
+  ev_timer_set (&host->leave_limit,
+                host->settings.times.shutdown_ms * LAST_ANSWERS_SHARE
+                    / MS_PER_SECOND,
+                0.);
   ev_timer_start (host->loop, &host->leave_limit);
   caller_task_give_up (host->caller);
 }
@@ -344,7 +351,8 @@
   host->done_owner = owner;
   const struct bus_message message = { .topic = BUS_SHUTDOWN };
   bus_post (host->bus, &message);
-  const double limit_s = host->settings.times.shutdown_ms / 1000.0;
+  const double limit_s
+      = host->settings.times.shutdown_ms * WORK_SHARE / MS_PER_SECOND;
   ev_timer_init (&host->leave_limit, leave_limit_cb, limit_s, 0);
   host->leave_limit.data = host;
   ev_timer_start (host->loop, &host->leave_limit);
