control, caller: old news of relays; no promise of what was sent

Ruled out: a lost offer; a target's own refusal. Change: news is as old as the kind of settings last heard of, also a relay's; a host whose news is older than a relay's watch and three heartbeats asks the platform itself. No answer of ours is a status that promises "not run" once an attempt was lost, whoever chose it. Half of a retry reserve is there at once, since a host that has just started could make up for nothing. ARelayThatIsCutFromThePlatformIsNotWaitedFor is new.

--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -158,6 +158,18 @@
   exchange_ticket_finish (x);
 }
 
+/* Guards against a promise that can't be kept: callers take these for "not run
+   and never will be", and send the request again.  Shows as work that is done
+   twice.  Whoever chooses the answer may forget that an attempt was lost. */
+static bool
+is_promise (uint32_t status)
+{
+  return status == MHD_HTTP_REQUEST_TIMEOUT
+         || status == MHD_HTTP_MISDIRECTED_REQUEST
+         || status == MHD_HTTP_TOO_MANY_REQUESTS
+         || status == MHD_HTTP_SERVICE_UNAVAILABLE;
+}
+
 /* Lines of refused and failed requests have a rate of their own, so that those
    of good ones never crowd them out. */
 static void
@@ -180,6 +192,8 @@
   if (x->service != NULL)
     caller_service_forget (x->service, &x->waiter);
   x->own = *own;
+  if (x->own.outcome == ANSWER_UNKNOWN && is_promise (own->status))
+    x->own.status = MHD_HTTP_BAD_GATEWAY;
   x->state = EXCHANGE_OWN;
   note_refusal (x);
   caller_counters_add (x->context->counters.refusals, service_name (x),
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -315,6 +315,8 @@
 void control_platform_start (struct control_task *task);
 /** Relays watch; others stop. */
 void control_platform_wake (struct control_task *task);
+/** Ask the platform at once if what relays tell has become old. */
+void control_platform_check_news (struct control_task *task, int64_t now_ms);
 /** Write this host's record anew. */
 void control_platform_register (struct control_task *task);
 /** The platform removed this host's record: at once, then with back-off. */
--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -9,8 +9,6 @@
 static uint32_t
 relay_age (const struct control_task *task, int64_t now_ms)
 {
-  if (task->is_relay && !task->is_stale)
-    return 0;
   const int64_t age = now_ms - task->contact_ms;
   return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
 }
@@ -186,6 +184,7 @@
   ask_helpers (task, keys, count, now_ms);
   probe_dead (task, now_ms);
   judge_staleness (task, now_ms);
+  control_platform_check_news (task, now_ms);
 }
 
 void
@@ -211,16 +210,14 @@
   control_hosts_changed (task);
 }
 
-/* A relay vouches for itself; others pass on how long ago they heard one.  A
-   relay takes no other host's word, which might come from itself. */
+/* Each host passes on how old its news is, by the time it heard the platform
+   or by what others said.  A relay takes no other host's word, which might
+   come from itself. */
 static void
-note_relay (struct control_task *task, const struct control_source *source,
-            const struct peer_heartbeat *beat, int64_t now_ms)
+note_relay (struct control_task *task, const struct peer_heartbeat *beat,
+            int64_t now_ms)
 {
-  if (control_hosts_is_relay (task, source->host->key)
-      && beat->relay_age_ms == 0)
-    control_members_contact (task, now_ms);
-  else if (!task->is_relay)
+  if (!task->is_relay)
     control_members_contact (task, now_ms - beat->relay_age_ms);
 }
 
@@ -236,7 +233,7 @@
   const struct peer_message answer
       = heartbeat (task, PEER_HEARTBEAT_ACK, beat->sequence);
   control_reply (task, source, &answer);
-  note_relay (task, source, beat, now_ms);
+  note_relay (task, beat, now_ms);
 }
 
 static void
@@ -270,7 +267,7 @@
     return;
   membership_answered (task->membership, (int64_t)beat->sequence,
                        source->host->key, source->host->record.incarnation);
-  note_relay (task, source, beat, now_ms);
+  note_relay (task, beat, now_ms);
   answer_checks (task, source->host->key);
 }
 
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -18,6 +18,8 @@
    * watch only in case they don't, so they wait longer. */
   RELAY_PAUSE_MS = 100,
   OTHERS_PAUSE_MS = 1000,
+  /** Heartbeats that news takes from a relay to any host, at most. */
+  NEWS_BEATS = 3,
 };
 
 static void
@@ -35,6 +37,19 @@
     *backoff_ms = BACKOFF_MAX_MS;
 }
 
+/* News is as old as the kind of settings that was heard of longest ago. */
+static void
+note_news (struct control_task *task)
+{
+  int64_t heard_ms = INT64_MAX;
+  for (size_t i = 0; i < task->feed_count; i++)
+    if (strcmp (task->feeds[i].kind, PLATFORM_KIND_HOST) != 0
+        && task->feeds[i].answered_ms < heard_ms)
+      heard_ms = task->feeds[i].answered_ms;
+  if (heard_ms != INT64_MAX)
+    control_members_contact (task, heard_ms);
+}
+
 static void
 answered (struct control_feed *feed)
 {
@@ -46,7 +61,7 @@
                 LOG_INT ("revision", feed->revision));
     }
   feed->backoff_ms = 0;
-  control_members_contact (feed->task, feed->answered_ms);
+  note_news (feed->task);
 }
 
 static void
@@ -173,6 +188,19 @@
     feed_next (feed);
 }
 
+/* Guards against relays that are all cut from the platform and know it not, or
+   are killed at once: the others would wait for their long watch.  A relay's
+   news is two seconds old at most, and each heartbeat on the way adds half a
+   second. */
+static bool
+news_is_old (const struct control_task *task)
+{
+  const struct control_times *times = &task->options.settings->times;
+  const int64_t most_ms = (int64_t)times->relay_watch_ms
+                          + (int64_t)NEWS_BEATS * times->heartbeat_ms;
+  return clock_now_ms () - task->contact_ms > most_ms;
+}
+
 /* Guards against a watch that went deaf: the platform dropped it and tells
    nobody.  Shows as a host that misses all changes until its watch is over.
    Relays ask again every few seconds and tell the others; for all hosts to do
@@ -183,7 +211,8 @@
 {
   const struct control_task *task = feed->task;
   const struct control_times *times = &task->options.settings->times;
-  const bool is_short = task->is_relay
+  const bool asks_often = task->is_relay || news_is_old (task);
+  const bool is_short = asks_often
                         && strcmp (feed->kind, PLATFORM_KIND_HOST) != 0
                         && times->relay_watch_ms < times->watch_ms;
   return is_short ? times->relay_watch_ms : times->watch_ms;
@@ -445,6 +474,15 @@
     }
 }
 
+void
+control_platform_check_news (struct control_task *task, int64_t now_ms)
+{
+  const bool watches = task->registry != NULL
+                       && task->options.settings->modes.all_watch_registry;
+  if (watches && !task->is_relay && news_is_old (task))
+    control_platform_wake (task);
+}
+
 void
 control_platform_stop (struct control_task *task)
 {
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -106,6 +106,31 @@
   EXPECT_TRUE (until ([&] { return all_have_config (5); }));
 }
 
+/* The one relay of the fleet is cut from the platform, not from the others.
+   The platform drops its history, so the others' watches are deaf as well, and
+   an operator changes a route.  All wait for 20 seconds for a relay that hears
+   nothing. */
+TEST_F (ControlRegistry, ARelayThatIsCutFromThePlatformIsNotWaitedFor)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      node &n = add_registry ("h" + std::to_string (i), "d0");
+      n.settings.modes.all_watch_registry = true;
+      n.settings.times.watch_ms = 3600 * 1000;
+      n.settings.times.relay_watch_ms = 200;
+      n.start (loop);
+    }
+  store.put ("config", "main", config_text (4));
+  ASSERT_TRUE (until ([&] { return all_meet () && all_have_config (4); }));
+  turn_for (0.5);
+  /* Whoever is the relay: the last one that can still ask is not. */
+  for (size_t i = 0; i < 2; i++)
+    nodes[i]->platform.is_down = true;
+  nodes[2]->platform.go_deaf ();
+  store.put ("config", "main", config_text (5));
+  EXPECT_TRUE (until ([&] { return all_have_config (5); }));
+}
+
 /* The platform is away for longer than targets keep their records alive.  At
    its return its list shows none of them, though all serve as ever; within
    two seconds they have registered again.  A host that believes the list
--- a/policy/choice/retry_budget.c
+++ b/policy/choice/retry_budget.c
@@ -1,5 +1,6 @@
 #include "policy/choice/retry_budget.h"
 
+#include <math.h>
 #include <string.h>
 
 enum
@@ -55,13 +56,15 @@
   budget->request_sum++;
 }
 
+/* Half of it is there at once, so that a host that has just started can make
+   up for targets that refuse; two lives within a window then spend no more
+   than the whole. */
 static double
 reserve_now (const struct retry_bound *bound, int64_t now_us)
 {
-  const int64_t held_us = now_us - bound->since_us;
-  if (held_us >= bound->window_us)
-    return bound->reserve;
-  return bound->reserve * (double)held_us / (double)bound->window_us;
+  const double held = (double)(now_us - bound->since_us);
+  const double share = 0.5 + 0.5 * held / (double)bound->window_us;
+  return bound->reserve * fmin (share, 1);
 }
 
 bool
--- a/policy/choice/retry_budget.h
+++ b/policy/choice/retry_budget.h
@@ -27,7 +27,7 @@
   uint32_t percent; /**< of the requests within the window */
   double reserve;   /**< retries beyond that share */
   /** Since when the reserve is this host's.  Another may have spent it before,
-   * or this one in an earlier life, so it comes to be had over one window. */
+   * or this one in an earlier life, so half of it comes over one window. */
   int64_t since_us;
 };
 
