--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -47,11 +47,13 @@
 }
 
 /* A body whose beginning is gone can't be sent again; see try_again() in
-   exchange_attempt.c. */
+   exchange_attempt.c.  Guards also against a host that leaves and gives up an
+   attempt whose target is at work, for another that then fails: its caller
+   gets nothing, though the first target's answer was still to come. */
 static bool
 go_elsewhere (struct exchange *x)
 {
-  if (x->upload.dropped)
+  if (x->upload.dropped || x->context->leaving)
     return false;
   const struct policy_request r = exchange_policy_request (x);
   struct policy_decision decision;
--- a/node/caller/tests/attempt_timeout_test.cc
+++ b/node/caller/tests/attempt_timeout_test.cc
@@ -121,6 +121,26 @@
   fclose (log);
 }
 
+/* A host leaves while a target takes long over a page.  Sent elsewhere now,
+   the page would be lost when that one fails; the first target's answer comes.
+ */
+TEST_F (AttemptTimeoutTest, AHostThatLeavesWaitsForWhatIsUnderWay)
+{
+  settings.limits.keep_answer_ms = 3600000;
+  settings.times.shutdown_ms = 3600000;
+  begin_with ();
+  for (target_server *slow : targets)
+    target_server_faults (slow)->delay_ms = 700;
+  auto call = within ("GET", "/calendar", "r1", 1000);
+  begin (call.get ());
+  ASSERT_TRUE (run_until ([this] { return runs ("r1") == 1; }));
+  caller_task_begin_leaving (
+      task, [] (void *) {}, nullptr);
+  ASSERT_TRUE (run_until ([&call] { return call->done; }));
+  EXPECT_EQ (call->status, 200);
+  EXPECT_EQ (runs ("r1"), 1u);
+}
+
 /* The target that was left answers after all, just after the other one got
    the request.  Its answer reaches nobody, then or later. */
 TEST_F (AttemptTimeoutTest, AnswerOfTheAttemptThatWasLeftGoesNowhere)
