tests: the stand-in target names the deadline that it saw by a name of its own

Cause: it echoed the deadline under a field that the users' platform also has, so a search for the platform's names outside platform/ found it. Ruled out: a use of the platform's field; the stand-in is older than the adapter. Change: X-Seen-Deadline in the stand-in and in the one test that reads it. Shipped code is unchanged.

--- a/node/caller/tests/proxy_test.cc
+++ b/node/caller/tests/proxy_test.cc
@@ -111,7 +111,7 @@
   auto call = make ("GET", "/", "r1");
   call->fields.push_back ("Jaystair-Deadline-Ms: 5000");
   finish (call.get ());
-  const long left = std::stol (call->field ("x-deadline-ms"));
+  const long left = std::stol (call->field ("x-seen-deadline"));
   EXPECT_LE (left, 5000);
   EXPECT_GT (left, 0);
 }
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -105,7 +105,7 @@
   MHD_add_response_header (response, "X-Target", server->name);
   MHD_add_response_header (response, "X-Request-Id",
                            field (request, "X-Request-Id"));
-  MHD_add_response_header (response, "X-Deadline-Ms",
+  MHD_add_response_header (response, "X-Seen-Deadline",
                            field (request, "Jaystair-Deadline-Ms"));
   if (server->faults.leave != 0)
     MHD_add_response_header (response, "Jaystair-Leaving", "1");
