control: what relays tell anyway is asked of the platform at a tenth of the price

Ruled out: no watch of their own for hosts that aren't relays; a relay that is frozen is found out after 3.5 s, and a change must be in force sooner. Change: lists at the start and the watches of hosts that hear a relay take answers that may be old; after a refused revision, without fresh news and on relays they don't. A record is written at the version that is known, without reading it first; it is read after a lost answer or a conflict.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -107,12 +107,14 @@
   struct control_task *task;
   const char *kind;
   uint64_t revision;
-  bool is_listed;   /**< revision is one to watch from */
-  bool is_waiting;  /**< a call is under way */
-  uint32_t wait_ms; /**< of the watch under way */
-  bool is_for_all;  /**< every host watches, not only relays */
-  int64_t answered_ms;
-  int64_t regained_ms; /**< when a call was answered after one had failed */
+  bool is_listed;        /**< revision is one to watch from */
+  bool is_waiting;       /**< a call is under way */
+  uint32_t wait_ms;      /**< of the watch under way */
+  bool is_for_all;       /**< every host watches, not only relays */
+  bool was_refused;      /**< the platform didn't know the revision any more */
+  enum platform_age age; /**< that the call under way asked for */
+  int64_t answered_ms;   /**< when an answer of no age came */
+  int64_t regained_ms;   /**< when a call was answered after one had failed */
   uint32_t backoff_ms;
   struct ev_timer retry;
 };
@@ -122,7 +124,9 @@
 {
   struct control_task *task;
   bool is_waiting;
-  bool is_done; /**< the platform holds our record as it is */
+  bool is_done;     /**< the platform holds our record as it is */
+  bool must_read;   /**< the platform may hold another version */
+  uint64_t version; /**< that the platform holds, as far as is known */
   uint32_t backoff_ms;
   uint32_t again_backoff_ms; /**< for a record removed again and again */
   int64_t again_ms;          /**< when it was last removed */
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -53,10 +53,12 @@
 static void
 answered (struct control_feed *feed)
 {
-  feed->answered_ms = clock_now_ms ();
+  const int64_t now_ms = clock_now_ms ();
+  if (feed->age == PLATFORM_AGE_NONE)
+    feed->answered_ms = now_ms;
   if (feed->backoff_ms > 0)
     {
-      feed->regained_ms = feed->answered_ms;
+      feed->regained_ms = now_ms;
       LOG_INFO ("platform-regained", LOG_STR ("kind", feed->kind),
                 LOG_INT ("revision", feed->revision));
     }
@@ -151,6 +153,7 @@
   apply_reply (feed, reply);
   remove_missing (feed, reply);
   feed->is_listed = true;
+  feed->was_refused = false;
   note_listed (feed->task);
   control_tombstones_listed (feed->task, feed->kind, reply->revision);
   feed_next (feed);
@@ -171,7 +174,10 @@
   struct control_feed *feed = owner;
   feed->is_waiting = false;
   if (reply->status == STATUS_REFUSED)
-    feed->is_listed = false;
+    {
+      feed->is_listed = false;
+      feed->was_refused = true;
+    }
   else if (reply->status != STATUS_OK)
     {
       feed_failed (feed, reply);
@@ -201,6 +207,29 @@
   return clock_now_ms () - task->contact_ms > most_ms;
 }
 
+/* Does the host have to find out for itself what is new? */
+static bool
+asks_often (const struct control_task *task)
+{
+  return task->is_relay || task->is_stale || news_is_old (task);
+}
+
+/* What all hosts but the relays ask is a tenth of the price when it may be
+   seconds old; the relays tell them sooner.  A first list may be old as well:
+   the watch goes on from its revision.  After a watch was refused it may not,
+   else its revision could be one that the platform has forgotten, too. */
+static enum platform_age
+list_age (const struct control_feed *feed)
+{
+  return feed->was_refused ? PLATFORM_AGE_NONE : PLATFORM_AGE_ANY;
+}
+
+static enum platform_age
+watch_age (const struct control_feed *feed)
+{
+  return asks_often (feed->task) ? PLATFORM_AGE_NONE : PLATFORM_AGE_ANY;
+}
+
 /* Guards against a watch that went deaf: the platform dropped it and tells
    nobody.  Shows as a host that misses all changes until its watch is over.
    Relays ask again every few seconds and tell the others; for all hosts to do
@@ -211,8 +240,7 @@
 {
   const struct control_task *task = feed->task;
   const struct control_times *times = &task->options.settings->times;
-  const bool asks_often = task->is_relay || news_is_old (task);
-  const bool is_short = asks_often
+  const bool is_short = asks_often (task)
                         && strcmp (feed->kind, PLATFORM_KIND_HOST) != 0
                         && times->relay_watch_ms < times->watch_ms;
   return is_short ? times->relay_watch_ms : times->watch_ms;
@@ -241,7 +269,9 @@
     {
       feed->is_waiting = true;
       feed->revision = 0;
-      platform_list (task->options.platform, feed->kind, list_done, feed);
+      feed->age = list_age (feed);
+      platform_list (task->options.platform, feed->kind, feed->age, list_done,
+                     feed);
       return;
     }
   /* A stale host watches for itself, to find back. */
@@ -249,8 +279,9 @@
     return;
   feed->is_waiting = true;
   feed->wait_ms = watch_ms (feed);
+  feed->age = watch_age (feed);
   platform_watch (task->options.platform, feed->kind, feed->revision,
-                  feed->wait_ms, watch_done, feed);
+                  feed->wait_ms, feed->age, watch_done, feed);
 }
 
 static void
@@ -285,6 +316,7 @@
 {
   struct control_task *task = registration->task;
   registration->is_done = true;
+  registration->version = version;
   registration->backoff_ms = 0;
   control_members_contact (task, clock_now_ms ());
   LOG_INFO ("registered", LOG_INT ("version", version),
@@ -337,6 +369,7 @@
 {
   struct control_registration *registration = owner;
   registration->is_waiting = false;
+  registration->must_read = reply->status != STATUS_OK;
   if (reply->status == STATUS_REFUSED && reply->count == 1)
     {
       settle (registration, &reply->objects[0]);
@@ -370,12 +403,19 @@
   settle (registration, &reply->objects[0]);
 }
 
+/* The first try writes at the version that is known, or as if there were none:
+   that fits all but hosts that start again, and spares a call for each. */
 static void
 registration_next (struct control_registration *registration)
 {
   struct control_task *task = registration->task;
   if (registration->is_waiting || registration->is_done)
     return;
+  if (!registration->must_read)
+    {
+      write_record (registration, registration->version);
+      return;
+    }
   registration->is_waiting = true;
   platform_get (task->options.platform, PLATFORM_KIND_HOST,
                 task->self->record.name, get_done, registration);
@@ -411,6 +451,7 @@
       = registration->again_ms == 0
         || now_ms - registration->again_ms > 2 * (int64_t)BACKOFF_MAX_MS;
   registration->again_ms = now_ms;
+  registration->version = PLATFORM_VERSION_NONE;
   if (is_first)
     {
       registration->again_backoff_ms = 0;
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -106,6 +106,44 @@
   EXPECT_TRUE (until ([&] { return all_have_config (5); }));
 }
 
+/* Every host asks the platform for the newest after each change: with a
+   hundred hosts that is most of what the platform is asked, and what it bills.
+   Only the relay needs to; the others hear from it, and what they ask may be
+   old.  Once the platform has forgotten a revision, an old list could be one
+   of those that it has forgotten, and the watch would be refused for ever. */
+TEST_F (ControlRegistry, OnlyTheRelayAsksForTheNewest)
+{
+  for (int i = 0; i < 4; i++)
+    {
+      node &n = add_registry ("h" + std::to_string (i), "d0");
+      n.settings.modes.all_watch_registry = true;
+      n.settings.relays_per_dc = 1;
+      n.settings.times.watch_ms = 3600 * 1000;
+      n.settings.times.relay_watch_ms = 200;
+      n.start (loop);
+    }
+  const auto askers = [&] (platform_age age) {
+    return std::count_if (nodes.begin (), nodes.end (), [&] (const auto &n) {
+      return n->platform.has_call ("watch", "config", age);
+    });
+  };
+  store.put ("config", "main", config_text (4));
+  ASSERT_TRUE (until ([&] { return all_meet () && all_have_config (4); }));
+  EXPECT_TRUE (until ([&] {
+    return askers (PLATFORM_AGE_NONE) == 1 && askers (PLATFORM_AGE_ANY) == 3;
+  }));
+  for (auto &n : nodes)
+    {
+      n->platform.newest_lists = 0;
+      n->platform.forgets = true;
+    }
+  EXPECT_TRUE (until ([&] {
+    return std::all_of (nodes.begin (), nodes.end (), [] (const auto &n) {
+      return n->platform.newest_lists > 0;
+    });
+  }));
+}
+
 /* The one relay of the fleet is cut from the platform, not from the others.
    The platform drops its history, so the others' watches are deaf as well, and
    an operator changes a route.  All wait for 20 seconds for a relay that hears
--- a/wire/platform_file.c
+++ b/wire/platform_file.c
@@ -254,8 +254,8 @@
 }
 
 static void
-list (struct platform *platform, const char *kind, platform_done *done,
-      void *owner)
+list (struct platform *platform, const char *kind, enum platform_age age,
+      platform_done *done, void *owner)
 {
   start (platform, CALL_LIST, kind, done, owner);
 }
@@ -273,7 +273,8 @@
 
 static void
 watch (struct platform *platform, const char *kind, uint64_t revision,
-       uint32_t timeout_ms, platform_done *done, void *owner)
+       uint32_t timeout_ms, enum platform_age age, platform_done *done,
+       void *owner)
 {
   struct file_call *call = start (platform, CALL_WATCH, kind, done, owner);
   call->version = revision;
--- a/wire/platform_http.c
+++ b/wire/platform_http.c
@@ -49,6 +49,7 @@
 {
   struct platform_http *http;
   enum call_kind kind;
+  enum platform_age age; /* LIST */
   CURL *easy;
   struct curl_slist *headers;
   char *path;
@@ -203,7 +204,8 @@
       return;
     }
   free (call->path);
-  call->path = dialect->list_path (call->object_kind, page->more_after);
+  call->path
+      = dialect->list_path (call->object_kind, page->more_after, call->age);
   call->attempts = 0;
   start (call);
 }
@@ -376,20 +378,23 @@
 }
 
 static void
-list (struct platform *platform, const char *kind, platform_done *done,
-      void *owner)
+list (struct platform *platform, const char *kind, enum platform_age age,
+      platform_done *done, void *owner)
 {
   struct http_call *call = new_call (platform, CALL_LIST, kind, done, owner);
-  call->path = call->http->dialect->list_path (kind, "");
+  call->age = age;
+  call->path = call->http->dialect->list_path (kind, "", age);
   configure_and_start (call);
 }
 
 static void
 watch (struct platform *platform, const char *kind, uint64_t revision,
-       uint32_t timeout_ms, platform_done *done, void *owner)
+       uint32_t timeout_ms, enum platform_age age, platform_done *done,
+       void *owner)
 {
   struct http_call *call = new_call (platform, CALL_WATCH, kind, done, owner);
-  call->path = call->http->dialect->watch_path (kind, revision, timeout_ms);
+  call->path
+      = call->http->dialect->watch_path (kind, revision, timeout_ms, age);
   call->timeout_ms += timeout_ms;
   configure_and_start (call);
 }
--- a/wire/platform_http_dialect.c
+++ b/wire/platform_http_dialect.c
@@ -26,15 +26,17 @@
   return make_path ("objects", kind, name);
 }
 
-/* A list comes whole, so there is no second page. */
+/* A list comes whole, so there is no second page; and all reads are of the
+   newest, so AGE makes no difference. */
 static char *
-list_path (const char *kind, const char *after)
+list_path (const char *kind, const char *after, enum platform_age age)
 {
   return make_path ("objects", kind, NULL);
 }
 
 static char *
-watch_path (const char *kind, uint64_t revision, uint32_t timeout_ms)
+watch_path (const char *kind, uint64_t revision, uint32_t timeout_ms,
+            enum platform_age age)
 {
   char *base = make_path ("watch", kind, NULL);
   char *path = xasprintf ("%s?since=%" PRIu64 "&timeout_ms=%" PRIu32, base,
--- a/wire/platform_http_dialect.h
+++ b/wire/platform_http_dialect.h
@@ -12,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "wire/platform.h"
 #include "wire/platform_http_reply.h"
 
 /** A write as it goes out; texts are in new memory, for the client to free. */
@@ -28,9 +29,10 @@
   /** Paths with query, in new memory. */
   char *(*get_path) (const char *kind, const char *name);
   /** AFTER: the name that the former page ended at; "" for the first. */
-  char *(*list_path) (const char *kind, const char *after);
+  char *(*list_path) (const char *kind, const char *after,
+                      enum platform_age age);
   char *(*watch_path) (const char *kind, uint64_t revision,
-                       uint32_t timeout_ms);
+                       uint32_t timeout_ms, enum platform_age age);
   /** EXPECTED_VERSION and VALUE as in platform_put(). */
   void (*write) (const char *kind, const char *name, uint64_t expected_version,
                  const char *value, struct platform_http_write *write);
