fleet: strong hosts are first choice for sets and relays

Cause: hosts of a site may differ by five times in processor and twenty in link, and all weighed alike: after a loss of power of the whole fleet a host with a tenth of a core and 10 Mbit/s met all callers of a data centre; connects to targets timed out after 300 ms on its full link and spent the retries. Ruled out: a longer connect time (the link stays full). Change: settings name the host's resources, records and hellos its strength in requests a second; where hosts of at least half of the strongest one's strength hold a quarter of a data centre's, they are chosen first.

--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -28,9 +28,10 @@
 static struct fleet_host
 placed (const struct control_host *host)
 {
+  const uint32_t strength = host->record.strength;
   return (struct fleet_host){ .key = host->key,
                               .dc = hash_string (host->record.dc),
-                              .weight = 1 };
+                              .weight = strength > 0 ? strength : 1 };
 }
 
 static void
@@ -43,6 +44,7 @@
   for (host = task->hosts; host != NULL; host = host->hh.next)
     if (is_candidate (task, host))
       task->fleet[task->fleet_count++] = placed (host);
+  host_strength_prefer (task->fleet, task->fleet_count);
 }
 
 /* With nobody believed live, beat to whoever is known: it may be us who was
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -75,7 +75,8 @@
 static struct control_host *
 host_of (struct control_task *task, const struct peer_hello *hello)
 {
-  struct host_record record = { .incarnation = hello->incarnation };
+  struct host_record record
+      = { .incarnation = hello->incarnation, .strength = hello->strength };
   memcpy (record.name, hello->name, sizeof record.name);
   memcpy (record.dc, hello->dc, sizeof record.dc);
   memcpy (record.peer_address, hello->peer_address,
@@ -180,7 +181,9 @@
 describe_self (struct control_task *task)
 {
   const struct host_settings *settings = task->options.settings;
-  struct host_record record = { .incarnation = task->options.incarnation };
+  struct host_record record
+      = { .incarnation = task->options.incarnation,
+          .strength = host_strength (&settings->resources) };
   memcpy (record.name, settings->name, sizeof record.name);
   memcpy (record.dc, settings->dc, sizeof record.dc);
   advertise (record.caller_address, settings->caller_advertised,
@@ -194,6 +197,7 @@
   task->self = control_hosts_learn (task, &record);
   struct peer_hello *hello = &task->identity.hello;
   hello->incarnation = record.incarnation;
+  hello->strength = record.strength;
   memcpy (hello->name, record.name, sizeof hello->name);
   memcpy (hello->dc, record.dc, sizeof hello->dc);
   memcpy (hello->caller_address, record.caller_address,
--- a/node/control/host_record.c
+++ b/node/control/host_record.c
@@ -19,6 +19,7 @@
 read_members (struct options *options, struct host_record *record)
 {
   int64_t incarnation = 0;
+  int64_t strength = 0;
   int state = STATE_LIVE;
   options_string (options, "name", true, record->name, sizeof record->name);
   options_string (options, "dc", true, record->dc, sizeof record->dc);
@@ -29,8 +30,10 @@
   options_address (options, "operator_address", false,
                    record->operator_address, sizeof record->operator_address);
   options_int (options, "incarnation", 0, INT64_MAX, &incarnation);
+  options_int (options, "strength", 0, UINT32_MAX, &strength);
   options_enum (options, "state", state_names, STATE_COUNT, &state);
   record->incarnation = (uint64_t)incarnation;
+  record->strength = (uint32_t)strength;
   record->leaving = state == STATE_LEAVING;
 }
 
@@ -72,6 +75,8 @@
   add_text (tree, "peer_address", record->peer_address);
   add_text (tree, "operator_address", record->operator_address);
   json_row_number (tree, "incarnation", (int64_t)record->incarnation);
+  if (record->strength > 0)
+    json_row_number (tree, "strength", record->strength);
   add_text (tree, "state",
             state_names[record->leaving ? STATE_LEAVING : STATE_LIVE]);
   char *text = xstrdup (
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -89,6 +89,23 @@
   options_close (top, &options);
 }
 
+static void
+read_resources (struct options *top, struct host_resources *resources)
+{
+  struct options options;
+  double cpu_share = 0;
+  int64_t speed = 1;
+  if (!options_object (top, "resources", false, &options))
+    return;
+  options_double (&options, "cpu_share", 0, 4096, &cpu_share);
+  options_int (&options, "core_speed", 1, 1000, &speed);
+  double link_mbps = 0;
+  options_double (&options, "link_mbps", 0, 4000000, &link_mbps);
+  resources->cpu_percent = (uint32_t)(cpu_share * (double)speed * 100 + 0.5);
+  resources->link_mbps = (uint32_t)(link_mbps + 0.5);
+  options_close (top, &options);
+}
+
 static void
 read_limits (struct options *top, struct caller_limits *limits)
 {
@@ -347,6 +364,7 @@
       &top, "peers", settings->peer_seeds, HOST_PEER_SEEDS_MAX);
   options_string (&top, "secret_file", false, settings->secret_file,
                   sizeof settings->secret_file);
+  read_resources (&top, &settings->resources);
   read_uint32 (&top, "set_hosts_per_dc", 1, 64, &settings->set_hosts_per_dc);
   read_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
   read_modes (&top, &settings->modes);
@@ -413,6 +431,8 @@
 same_numbers (const struct host_settings *a, const struct host_settings *b)
 {
   return a->set_hosts_per_dc == b->set_hosts_per_dc
+         && a->resources.cpu_percent == b->resources.cpu_percent
+         && a->resources.link_mbps == b->resources.link_mbps
          && a->relays_per_dc == b->relays_per_dc
          && memcmp (&a->modes, &b->modes, sizeof a->modes) == 0
          && memcmp (&a->retry, &b->retry, sizeof a->retry) == 0
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -12,6 +12,7 @@
 
 #include "base/log.h"
 #include "base/status.h"
+#include "policy/fleet/host_strength.h"
 
 #define HOST_NAME_SIZE 64
 #define HOST_ADDRESS_SIZE 56
@@ -106,6 +107,7 @@
   char peer_seeds[HOST_PEER_SEEDS_MAX][HOST_ADDRESS_SIZE];
   size_t peer_seed_count;
   char secret_file[HOST_PATH_SIZE]; /**< shared key; "" is none */
+  struct host_resources resources;  /**< of this host */
   uint32_t set_hosts_per_dc; /**< smallest host set of a service, per dc */
   uint32_t relays_per_dc;
   struct fleet_modes modes;
--- a/node/tests/host_settings_test.cc
+++ b/node/tests/host_settings_test.cc
@@ -48,6 +48,19 @@
   }
 };
 
+TEST_F (HostSettings, ResourcesOfTheHost)
+{
+  ASSERT_EQ (load (std::string (minimal)
+                   + ",\"resources\":{\"cpu_share\":0.25,\"core_speed\":2,"
+                     "\"link_mbps\":9.6}}"),
+             STATUS_OK)
+      << status_message ();
+  EXPECT_EQ (settings.resources.cpu_percent, 50u);
+  EXPECT_EQ (settings.resources.link_mbps, 10u);
+  expect_refused ("\"resources\":{\"cpu_share\":-1}", "cpu_share");
+  expect_refused ("\"resources\":{\"link_mbps\":\"fast\"}", "link_mbps");
+}
+
 /* The shipped example tells operators the defaults.  If it drifts from the
    code, a setting they rely on isn't what the file says. */
 TEST_F (HostSettings, ExampleMatchesTheDefaults)
@@ -68,6 +81,8 @@
   EXPECT_STREQ (settings.interface, expected.interface);
   EXPECT_EQ (settings.set_hosts_per_dc, expected.set_hosts_per_dc);
   EXPECT_EQ (settings.relays_per_dc, expected.relays_per_dc);
+  EXPECT_EQ (settings.resources.cpu_percent, expected.resources.cpu_percent);
+  EXPECT_EQ (settings.resources.link_mbps, expected.resources.link_mbps);
   EXPECT_EQ (settings.log_level, expected.log_level);
   EXPECT_EQ (settings.log_json, expected.log_json);
   EXPECT_EQ (settings.log_repeats_per_second, expected.log_repeats_per_second);
@@ -165,6 +180,7 @@
     { "}}", "},\"secret_file\":\"s\"}" },
     { "}}", "},\"set_hosts_per_dc\":3}" },
     { "}}", "},\"relays_per_dc\":4}" },
+    { "}}", "},\"resources\":{\"cpu_share\":0.5}}" },
     { "}}", "},\"limits\":{\"keep_answer_ms\":4000}}" },
     { "}}", "},\"times\":{\"outage_hold_ms\":4000}}" },
   };
--- a/wire/peer/peer_decode.c
+++ b/wire/peer/peer_decode.c
@@ -160,6 +160,7 @@
   take_text (fields, hello->caller_address, sizeof hello->caller_address);
   take_text (fields, hello->operator_address, sizeof hello->operator_address);
   hello->incarnation = take_number (fields, UINT64_MAX);
+  hello->strength = (uint32_t)take_number (fields, UINT32_MAX);
   take_bytes (fields, hello->nonce, sizeof hello->nonce);
   if (hello->name[0] == '\0')
     fields->is_bad = true;
--- a/wire/peer/peer_encode.c
+++ b/wire/peer/peer_encode.c
@@ -29,6 +29,7 @@
   put_string (packer, hello->caller_address);
   put_string (packer, hello->operator_address);
   msgpack_pack_uint64 (packer, hello->incarnation);
+  msgpack_pack_uint32 (packer, hello->strength);
   msgpack_pack_bin_with_body (packer, hello->nonce, sizeof hello->nonce);
 }
 
@@ -133,7 +134,7 @@
   switch (type)
     {
     case PEER_HELLO:
-      return 8;
+      return 9;
     case PEER_PROOF:
     case PEER_MEMBERS:
     case PEER_SETTINGS_OFFER:
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -64,6 +64,7 @@
   char caller_address[PEER_ADDRESS_SIZE];
   char operator_address[PEER_ADDRESS_SIZE];
   uint64_t incarnation; /**< random at each start, growing in its high part */
+  uint32_t strength;    /**< requests a second it can carry */
   uint8_t nonce[PEER_NONCE_SIZE];
 };
 
--- a/wire/peer/tests/peer_message_test.cc
+++ b/wire/peer/tests/peer_message_test.cc
@@ -47,6 +47,7 @@
         strcpy (m.hello.dc, "north-a");
         strcpy (m.hello.peer_address, "127.0.0.1:7000");
         m.hello.incarnation = 1ull << 63;
+        m.hello.strength = 1250;
         memset (m.hello.nonce, 7, sizeof m.hello.nonce);
         break;
       case PEER_PROOF:
