--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -187,6 +187,25 @@
          || set->targets[t].estimate.ill < set->targets[than].estimate.ill;
 }
 
+/* How many targets must be in use, for R not to look for an unused one.  While
+   much fails it is half of the rest more than the operator wants: some of
+   those that are used are ill, and the share is wanted of the good ones.  What
+   may be repeated is served in the end, so it spreads only then; what may run
+   once always does, since a loss of power of all hosts fails all that is under
+   way and lets nobody spread after it. */
+static uint32_t
+wanted_in_use (const struct service_policy *policy,
+               const struct policy_request *r)
+{
+  const struct target_set *set = &policy->set;
+  const uint32_t percent = policy->options.used_percent;
+  const bool fails_much = target_set_failing_share (set) >= failing_much;
+  const uint32_t margin = fails_much ? (100 - percent) / 2 : 0;
+  if (percent == 0 || (!fails_much && r->repeatable))
+    return 0;
+  return (set->eligible * (percent + margin) + 99) / 100;
+}
+
 /* Guards against a service that lives on a few targets which answered last
    and finds no others while these fail as well: all others look worse, since
    nothing is heard of them.  Shows as most good targets idle while one request
@@ -197,13 +216,8 @@
             struct policy_decision *d)
 {
   const struct target_set *set = &policy->set;
-  const uint32_t percent = policy->options.used_percent;
-  /* Half of the rest on top: some of those that are used are ill, and the
-     share is wanted of the good ones. */
-  const uint32_t wanted
-      = (set->eligible * (percent + (100 - percent) / 2) + 99) / 100;
-  if (percent == 0 || target_set_failing_share (set) < failing_much
-      || target_set_used (set, policy->now_us - UNUSED_US) >= wanted)
+  if (target_set_used (set, policy->now_us - UNUSED_US)
+      >= wanted_in_use (policy, r))
     return false;
   uint32_t best = POLICY_NO_TARGET;
   for (uint32_t t = 0; t < set->count; t++)
