ctl: explain request; caller, log: what fails has lines and a limit of its own

Cause: on-call engineers have logs only. Change: attempts that didn't end with an answer are warnings of their own (attempt-failed), as are broken and hanging ones; warnings and errors have a limit of their own (log.warnings_per_second); an abandoned request has a line with how far it came. `jaystair explain request ID [FILE]...` puts the lines of all hosts in order, with what was known of its targets, names the cause, and says what is missing.

--- a/base/log.c
+++ b/base/log.c
@@ -220,10 +220,13 @@
    one event repeats for each request: past the limit of a second the lines
    are counted, and the next line that may pass tells how many are missing. */
 static bool
-repeat_allows (const char *module, const char *event, uint32_t *withheld)
+repeat_allows (enum log_level level, const char *module, const char *event,
+               uint32_t *withheld)
 {
+  const uint32_t most = level <= LOG_LEVEL_WARNING ? config.warnings_per_second
+                                                   : config.repeats_per_second;
   *withheld = 0;
-  if (config.repeats_per_second == 0)
+  if (most == 0)
     return true;
   const uint64_t hash = hash_pair (hash_string (module), hash_string (event));
   struct repeat *repeat = &repeats[hash % REPEAT_SLOTS];
@@ -234,7 +237,7 @@
         *withheld = repeat->withheld;
       *repeat = (struct repeat){ .event_hash = hash, .since_ms = now_ms };
     }
-  if (repeat->written >= config.repeats_per_second)
+  if (repeat->written >= most)
     {
       repeat->withheld++;
       return false;
@@ -257,7 +260,7 @@
            const struct log_field *fields, size_t count)
 {
   uint32_t withheld;
-  if (!repeat_allows (module, event, &withheld))
+  if (!repeat_allows (level, module, event, &withheld))
     return;
   if (would_block ())
     {
--- a/base/log.h
+++ b/base/log.h
@@ -53,6 +53,9 @@
   bool json;                   /**< JSON lines in place of key=value */
   int fd;                      /**< where to; 0 means standard error */
   uint32_t repeats_per_second; /**< lines an event may write; 0: no limit */
+  /** The same for warnings and errors: what fails is asked for afterwards, so
+   * more of it is kept than of what goes well. */
+  uint32_t warnings_per_second;
 };
 
 void log_configure (const struct log_options *options);
--- a/base/tests/log_test.cc
+++ b/base/tests/log_test.cc
@@ -20,7 +20,7 @@
   int ends[2];
 
   void
-  configure (bool json, uint32_t repeats)
+  configure (bool json, uint32_t repeats, uint32_t warnings = 0)
   {
     ASSERT_EQ (pipe (ends), 0);
     log_options options{};
@@ -28,6 +28,7 @@
     options.json = json;
     options.fd = ends[1];
     options.repeats_per_second = repeats;
+    options.warnings_per_second = warnings;
     log_configure (&options);
   }
 
@@ -123,4 +124,23 @@
   EXPECT_NE (text.find ("test other"), std::string::npos);
 }
 
+/* A host answers a thousand requests a second and fails forty of them.  If all
+   lines had one limit, most of the forty would be missing when someone asks
+   for one of them afterwards. */
+TEST_F (Log, WhatFailsHasALimitOfItsOwn)
+{
+  configure (false, 3, 40);
+  for (int i = 0; i < 100; i++)
+    LOG_INFO ("good");
+  for (int i = 0; i < 100; i++)
+    LOG_WARN ("bad");
+  const std::string text = finish ();
+  size_t bad = 0;
+  for (size_t at = text.find ("test bad"); at != std::string::npos;
+       at = text.find ("test bad", at + 1))
+    bad++;
+  EXPECT_GE (bad, 40u);
+  EXPECT_LE (bad, 80u); /* a second may turn over in between */
+}
+
 } // namespace
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -7,6 +7,7 @@
 #include "ctl/addresses.h"
 #include "ctl/explain.h"
 #include "ctl/json_member.h"
+#include "ctl/request_command.h"
 #include "ctl/show.h"
 #include "ctl/table_printer.h"
 
@@ -220,6 +221,8 @@
       return show_run (commands, statement);
     case STATEMENT_EXPLAIN:
       return explain_run (commands, statement);
+    case STATEMENT_EXPLAIN_REQUEST:
+      return request_command_run (commands, statement);
     case STATEMENT_ADDRESSES:
       return addresses_run (commands, statement);
     case STATEMENT_COMMAND:
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -43,6 +43,7 @@
       "      TABLE: services targets hosts routes settings decisions\n"
       "             counters ejections;  OP: = != < > ~ (contains)\n"
       "  explain target TARGET\n"
+      "  explain request ID [FILE]...    (logs of hosts; none: the input)\n"
       "  addresses SERVICE\n"
       "  drain|undrain|eject|reinstate TARGET [at version N]\n"
       "  pause|resume ejection SERVICE [at version N]\n"
@@ -93,6 +94,11 @@
 run_statement (const struct arguments *arguments,
                const struct statement *statement)
 {
+  struct commands commands = { .json = arguments->json->count > 0,
+                               .out = stdout,
+                               .errors = stderr };
+  if (statement->kind == STATEMENT_EXPLAIN_REQUEST)
+    return commands_run (&commands, statement);
   const char *host = or_environment (
       arguments->host->count, arguments->host->sval[0], "JAYSTAIR_HOST");
   const struct client_options options
@@ -100,9 +106,6 @@
           .secret_file = or_environment (arguments->secret_file->count,
                                          arguments->secret_file->filename[0],
                                          "JAYSTAIR_SECRET_FILE") };
-  struct commands commands = { .json = arguments->json->count > 0,
-                               .out = stdout,
-                               .errors = stderr };
   const enum status status = client_create (&options, &commands.client);
   if (status != STATUS_OK)
     return commands_fail (&commands, status);
@@ -157,8 +160,10 @@
                        &statement)
       != STATUS_OK)
     return usage_error (status_message ());
-  if (arguments->watch->count > 0 && statement.kind == STATEMENT_COMMAND)
-    return usage_error ("--watch repeats questions, not commands");
+  if (arguments->watch->count > 0
+      && (statement.kind == STATEMENT_COMMAND
+          || statement.kind == STATEMENT_EXPLAIN_REQUEST))
+    return usage_error ("--watch repeats questions to hosts, not commands");
   return run_statement (arguments, &statement);
 }
 
--- /dev/null
+++ b/ctl/request_cause.c
@@ -0,0 +1,241 @@
+#include "ctl/request_cause.h"
+
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+
+/** What a reason of a refusal, or the end of an attempt, means. */
+struct meaning
+{
+  const char *name;
+  const char *text;
+};
+
+static const struct meaning reasons[] = {
+  { "queue-full", "its service's queue had no room" },
+  { "too-late", "the targets with room could not have served it in time" },
+  { "no-free-slot", "no target had a free slot" },
+  { "no-target", "its service has no target that takes work" },
+  { "retry-budget", "it needed another attempt, and the retries of the last "
+                    "seconds were spent" },
+  { "attempts", "all attempts that its route allows were used" },
+  { "deadline", "its time was over before an answer came" },
+  { "cut", "its target's connection ended without a whole answer" },
+  { "no-settings", "the host had just started and knew no settings" },
+  { "no-service", "the host knew no such service" },
+  { "unknown-service", "the host knew no such service" },
+  { "no-route", "no route of the configuration in force fits it" },
+  { "no-host", "it names no host" },
+  { "method", "its method isn't one that is passed on" },
+  { "bad-request", "it could not be understood" },
+  { "body-too-large", "its body is larger than the configuration allows" },
+  { "ticket-duplicate", "its ticket had been used before" },
+  { "leaving", "the host was shutting down" },
+  { "host-leaves", "the host was shutting down" },
+  { NULL, "the host gave it up" },
+};
+
+static const struct meaning ends[]
+    = { { "answered", "answered" },
+        { "failed", "answered with a failure of its own" },
+        { "cut", "broke off" },
+        { "timed-out", "did not answer in time" },
+        { "not-sent", "was not reached, nothing was sent" },
+        { "shed", "refused it, unrun" },
+        { "cancelled", "was left, since the caller had gone or the time was "
+                       "over" },
+        { NULL, "ended the attempt" } };
+
+static const char *
+meaning_of (const struct meaning *meanings, const char *name)
+{
+  while (meanings->name != NULL && strcmp (meanings->name, name) != 0)
+    meanings++;
+  return meanings->text;
+}
+
+static bool
+is_event (const struct log_line *line, const char *event)
+{
+  return strcmp (line->event, event) == 0;
+}
+
+static bool
+is_attempt (const struct log_line *line)
+{
+  return is_event (line, "attempt") || is_event (line, "attempt-failed");
+}
+
+static const struct log_line *
+last_of (const struct log_line *own, size_t count, const char *event)
+{
+  for (size_t i = count; i-- > 0;)
+    if (is_event (&own[i], event))
+      return &own[i];
+  return NULL;
+}
+
+static const struct log_line *
+last_attempt (const struct log_line *own, size_t count)
+{
+  for (size_t i = count; i-- > 0;)
+    if (is_attempt (&own[i]))
+      return &own[i];
+  return NULL;
+}
+
+static void
+tell_attempt (FILE *out, const struct log_line *line)
+{
+  fprintf (out, "target %s %s", log_line_text (line, "target"),
+           meaning_of (ends, log_line_text (line, "end")));
+  const int64_t status = log_line_number (line, "status");
+  if (status > 0)
+    fprintf (out, " (%" PRId64 ")", status);
+  fprintf (out, " after %" PRId64 " ms",
+           log_line_number (line, "took_us") / 1000);
+  const int64_t believed = log_line_number (line, "believed_failing_permille");
+  if (strcmp (log_line_text (line, "end"), "answered") != 0)
+    fprintf (out, ", believed to fail %" PRId64 " in 1000", believed);
+}
+
+static void
+tell_attempts (FILE *out, const struct log_line *own, size_t count)
+{
+  const char *between = ": ";
+  for (size_t i = 0; i < count; i++)
+    if (is_attempt (&own[i]))
+      {
+        fputs (between, out);
+        tell_attempt (out, &own[i]);
+        between = "; ";
+      }
+}
+
+static void
+tell_refusal (FILE *out, const struct log_line *own, size_t count,
+              const struct log_line *refused)
+{
+  const char *reason = log_line_text (refused, "reason");
+  const bool is_unrun
+      = strcmp (log_line_text (refused, "outcome"), "not-run") == 0;
+  fprintf (out, "host %s answered %" PRId64 " by itself (%s), %s, since %s",
+           refused->source, log_line_number (refused, "status"), reason,
+           is_unrun ? "and it never ran" : "and it may have run",
+           meaning_of (reasons, reason));
+  tell_attempts (out, own, count);
+}
+
+char *
+request_cause_find (const struct log_line *own, size_t count)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  if (out == NULL)
+    return xstrdup ("no memory to tell the cause");
+  const struct log_line *refused = last_of (own, count, "refused");
+  const struct log_line *abandoned = last_of (own, count, "abandoned");
+  const struct log_line *attempt = last_attempt (own, count);
+  if (refused != NULL)
+    tell_refusal (out, own, count, refused);
+  else if (abandoned != NULL)
+    {
+      fprintf (out,
+               "the caller went away while the request was %s, after "
+               "%" PRId64 " attempts",
+               log_line_text (abandoned, "stage"),
+               log_line_number (abandoned, "attempts"));
+      tell_attempts (out, own, count);
+    }
+  else if (attempt != NULL)
+    {
+      tell_attempt (out, attempt);
+      fputs ("; the answer was passed on to the caller", out);
+    }
+  else
+    fputs ("not in these logs: there is no line on how it ended", out);
+  fclose (out);
+  return text;
+}
+
+static void
+add (struct json_object *missing, char *text)
+{
+  json_object_array_add (missing, json_object_new_string (text));
+  free (text);
+}
+
+static bool
+has_attempt (const struct log_line *own, size_t count, int64_t number)
+{
+  for (size_t i = 0; i < count; i++)
+    if (is_attempt (&own[i]) && log_line_number (&own[i], "attempt") == number)
+      return true;
+  return false;
+}
+
+static int64_t
+attempts_told (const struct log_line *own, size_t count)
+{
+  int64_t most = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const int64_t told = log_line_number (&own[i], "attempts");
+      const int64_t number
+          = is_attempt (&own[i]) ? log_line_number (&own[i], "attempt") : 0;
+      most = told > most ? told : most;
+      most = number > most ? number : most;
+    }
+  return most;
+}
+
+static void
+add_withheld (const struct log_line *context, size_t count,
+              struct json_object *missing)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct log_line *line = &context[i];
+      if (is_event (line, "log-withheld"))
+        add (missing,
+             xasprintf ("host %s left out %" PRId64
+                        " lines of the event %s in the second before "
+                        "%s",
+                        line->source, log_line_number (line, "withheld"),
+                        log_line_text (line, "repeated"), line->time));
+      else if (is_event (line, "log-lost"))
+        add (missing, xasprintf ("host %s lost %" PRId64
+                                 " lines before %s: the reader of its log had "
+                                 "stopped",
+                                 line->source, log_line_number (line, "lines"),
+                                 line->time));
+    }
+}
+
+void
+request_cause_missing (const struct log_line *own, size_t count,
+                       const struct log_line *context, size_t context_count,
+                       struct json_object *missing)
+{
+  if (count == 0)
+    {
+      add (missing,
+           xstrdup ("every line on it: look in the logs of all hosts, "
+                    "and whether the caller's connection reached "
+                    "one"));
+      return;
+    }
+  const int64_t attempts = attempts_told (own, count);
+  for (int64_t number = 1; number <= attempts; number++)
+    if (!has_attempt (own, count, number))
+      add (missing, xasprintf ("how attempt %" PRId64 " of %" PRId64 " ended",
+                               number, attempts));
+  if (last_of (own, count, "route") == NULL)
+    add (missing, xstrdup ("why its targets were chosen (no route line)"));
+  add_withheld (context, context_count, missing);
+}
--- /dev/null
+++ b/ctl/request_command.c
@@ -0,0 +1,83 @@
+#include "ctl/request_command.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "ctl/request_story.h"
+
+/* The host that a log is of, where its lines don't say: the file's name. */
+static const char *
+source_of (const char *path)
+{
+  const char *slash = strrchr (path, '/');
+  return slash == NULL ? path : slash + 1;
+}
+
+static enum status
+read_file (struct request_story *story, const char *path)
+{
+  if (strcmp (path, "-") == 0)
+    {
+      request_story_read (story, "input", stdin);
+      return STATUS_OK;
+    }
+  FILE *file = fopen (path, "re");
+  if (file == NULL)
+    return status_set (STATUS_NOT_FOUND,
+                       "%s: %s; name the files that hold the hosts' logs, or "
+                       "none to read them from the input",
+                       path, strerror (errno));
+  request_story_read (story, source_of (path), file);
+  fclose (file);
+  return STATUS_OK;
+}
+
+static enum status
+read_all (struct request_story *story, const struct statement *statement)
+{
+  if (statement->file_count == 0)
+    return read_file (story, "-");
+  for (size_t i = 0; i < statement->file_count; i++)
+    {
+      const enum status status = read_file (story, statement->files[i]);
+      if (status != STATUS_OK)
+        return status;
+    }
+  return STATUS_OK;
+}
+
+static enum exit_code
+tell (const struct commands *commands, const struct statement *statement,
+      const struct request_story *story)
+{
+  if (commands->json)
+    {
+      struct json_object *tree = request_story_json (story);
+      commands_print_json (commands, tree);
+      json_object_put (tree);
+    }
+  if (!request_story_is_found (story))
+    return commands_fail (
+        commands,
+        status_set (STATUS_NOT_FOUND,
+                    "no line of these logs has the id \"%.64s\"; give the "
+                    "logs of all hosts, for the time of the request",
+                    statement->request));
+  if (!commands->json)
+    request_story_print (story, commands->out);
+  return EXIT_CODE_DONE;
+}
+
+enum exit_code
+request_command_run (const struct commands *commands,
+                     const struct statement *statement)
+{
+  struct request_story *story = request_story_create (statement->request);
+  const enum status status = read_all (story, statement);
+  request_story_finish (story);
+  const enum exit_code code = status == STATUS_OK
+                                  ? tell (commands, statement, story)
+                                  : commands_fail (commands, status);
+  request_story_destroy (story);
+  return code;
+}
--- a/ctl/statement.c
+++ b/ctl/statement.c
@@ -228,12 +228,28 @@
   return take_filters (cursor, statement);
 }
 
+static enum status
+parse_explain_request (struct cursor *cursor, struct statement *statement)
+{
+  statement->kind = STATEMENT_EXPLAIN_REQUEST;
+  statement->request = take (cursor);
+  if (statement->request == NULL || statement->request[0] == '\0')
+    return expected ("the identity of a request", statement->request);
+  statement->files = cursor->words;
+  statement->file_count = cursor->left;
+  cursor->left = 0;
+  return STATUS_OK;
+}
+
 static enum status
 parse_explain (struct cursor *cursor, struct statement *statement)
 {
+  if (take_keyword (cursor, "request"))
+    return parse_explain_request (cursor, statement);
   statement->kind = STATEMENT_EXPLAIN;
-  const enum status status = take_keyword_or_fail (cursor, "target");
-  return status == STATUS_OK ? take_target (cursor, statement) : status;
+  if (!take_keyword (cursor, "target"))
+    return expected ("target or request", peek (cursor));
+  return take_target (cursor, statement);
 }
 
 static enum status
--- a/ctl/statement.h
+++ b/ctl/statement.h
@@ -3,6 +3,7 @@
  *
  *     show TABLE [where FIELD OP VALUE [[and] FIELD OP VALUE]...]
  *     explain target TARGET
+ *     explain request ID [FILE]...
  *     addresses SERVICE
  *     drain|undrain|eject|reinstate TARGET [at version N]
  *     pause|resume ejection SERVICE [at version N]
@@ -31,6 +32,7 @@
 {
   STATEMENT_SHOW,
   STATEMENT_EXPLAIN,
+  STATEMENT_EXPLAIN_REQUEST,
   STATEMENT_ADDRESSES,
   STATEMENT_COMMAND,
 };
@@ -44,8 +46,11 @@
   size_t filter_count;
   char service[STATEMENT_NAME_SIZE]; /**< "" where the target tells it */
   char target[STATEMENT_NAME_SIZE];  /**< "" where there is none */
-  int64_t floor;                     /**< set floor; -1: none */
-  uint64_t version;                  /**< 0: whatever is found */
+  const char *request;               /**< explain request: its identity */
+  const char *const *files; /**< explain request: logs; none: the input */
+  size_t file_count;
+  int64_t floor;    /**< set floor; -1: none */
+  uint64_t version; /**< 0: whatever is found */
 };
 
 /** Parse the COUNT words of a command line.  On failure the message says
--- /dev/null
+++ b/ctl/tests/request_story_test.cc
@@ -0,0 +1,147 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+extern "C"
+{
+#include "ctl/request_story.h"
+}
+
+namespace
+{
+
+const std::string day = "2026-12-02T21:41:0";
+
+class RequestStory : public testing::Test
+{
+protected:
+  request_story *story = request_story_create ("ab12");
+
+  void
+  TearDown () override
+  {
+    request_story_destroy (story);
+  }
+
+  void
+  read (const char *source, std::string text)
+  {
+    FILE *file = fmemopen (text.data (), text.size (), "r");
+    request_story_read (story, source, file);
+    fclose (file);
+  }
+
+  std::string
+  told ()
+  {
+    char *text = nullptr;
+    size_t size = 0;
+    FILE *out = open_memstream (&text, &size);
+    request_story_finish (story);
+    request_story_print (story, out);
+    fclose (out);
+    const std::string result (text, size);
+    free (text);
+    return result;
+  }
+};
+
+#define EXPECT_HAS(text, part)                                                \
+  EXPECT_NE ((text).find (part), std::string::npos) << (text)
+#define EXPECT_LACKS(text, part)                                              \
+  EXPECT_EQ ((text).find (part), std::string::npos) << (text)
+
+/* A caller has a 502 for a payment and doesn't know whether it ran.  Two hosts
+   have lines on it, since the caller went from one to the other. */
+TEST_F (RequestStory, LinesOfAllHostsComeInOrderWithTheCause)
+{
+  read ("h2", day
+                  + "2.100Z warning caller refused id=ab12 status=502 "
+                    "outcome=unknown reason=cut attempts=1\n"
+                  + day
+                  + "2.000Z warning caller attempt-failed id=ab12 target=t9 "
+                    "attempt=1 end=cut status=0 took_us=7000 "
+                    "believed_failing_permille=12\n"
+                  + day
+                  + "1.500Z info caller route id=ab12 verdict=send target=t9\n"
+                  + day + "1.600Z info caller route id=cd34 target=t8\n" + day
+                  + "1.000Z info registry target-gone target=t9\n" + day
+                  + "1.000Z info registry target-gone target=t8\n");
+  read ("h1", day
+                  + "0.900Z warning caller refused id=ab12 status=503 "
+                    "outcome=not-run reason=no-settings attempts=0\n");
+  const std::string text = told ();
+  EXPECT_TRUE (request_story_is_found (story));
+  EXPECT_LT (text.find ("h1 refused"), text.find ("h2 route"));
+  EXPECT_LT (text.find ("h2 route"), text.find ("h2 attempt-failed"));
+  EXPECT_HAS (text, "target-gone target=t9");
+  EXPECT_LACKS (text, "t8");
+  EXPECT_HAS (text, "cause: host h2 answered 502 by itself (cut), and it may "
+                    "have run");
+  EXPECT_HAS (text, "target t9 broke off after 7 ms, believed to fail 12");
+  EXPECT_LACKS (text, "missing");
+}
+
+TEST_F (RequestStory, ATargetsOwnFailureIsTold)
+{
+  read ("h1", day
+                  + "2.000Z warning caller attempt-failed id=ab12 target=t9 "
+                    "attempt=1 end=failed status=500 took_us=7000\n");
+  const std::string text = told ();
+  EXPECT_HAS (text, "cause: target t9 answered with a failure of its own "
+                    "(500)");
+  EXPECT_HAS (text, "missing: why its targets were chosen");
+}
+
+TEST_F (RequestStory, ACallerThatWentAwayIsTold)
+{
+  read ("h1", day
+                  + "2.000Z warning caller abandoned id=ab12 stage=waiting "
+                    "attempts=0\n");
+  EXPECT_HAS (told (), "the caller went away while the request was waiting");
+}
+
+/* The host wrote more lines than it may: which are missing must be said, or a
+   story with a hole reads like a whole one. */
+TEST_F (RequestStory, WhatIsMissingIsSaid)
+{
+  read ("h1", day
+                  + "2.000Z warning caller refused id=ab12 status=502 "
+                    "outcome=unknown reason=attempts attempts=2\n"
+                  + day
+                  + "1.000Z warning caller attempt-failed id=ab12 target=t9 "
+                    "attempt=2 end=cut status=0 took_us=7000\n"
+                  + day
+                  + "2.500Z info caller log-withheld repeated=route "
+                    "withheld=170\n");
+  const std::string text = told ();
+  EXPECT_HAS (text, "missing: how attempt 1 of 2 ended");
+  EXPECT_LACKS (text, "how attempt 2 of 2");
+  EXPECT_HAS (text, "host h1 left out 170 lines of the event route");
+}
+
+TEST_F (RequestStory, NothingFoundIsNoStory)
+{
+  read ("h1", "garbage\n" + day + "2.000Z info caller route id=zz\n");
+  const std::string text = told ();
+  EXPECT_FALSE (request_story_is_found (story));
+  EXPECT_HAS (text, "missing: every line on it");
+}
+
+TEST_F (RequestStory, AsJson)
+{
+  read ("h1", day + "2.000Z info caller route id=ab12 target=t9\n");
+  request_story_finish (story);
+  struct json_object *tree = request_story_json (story);
+  EXPECT_STREQ (json_object_get_string (json_object_object_get (tree, "id")),
+                "ab12");
+  EXPECT_EQ (json_object_array_length (json_object_object_get (tree, "lines")),
+             1u);
+  EXPECT_NE (json_object_object_get (tree, "cause"), nullptr);
+  EXPECT_NE (json_object_object_get (tree, "missing"), nullptr);
+  json_object_put (tree);
+}
+
+} // namespace
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -231,6 +231,26 @@
   return x->perhaps_ran ? ANSWER_UNKNOWN : ANSWER_NOT_RUN;
 }
 
+/* The caller has gone before its answer: whoever looks for the request
+   afterwards finds how far it came. */
+static void
+note_abandoned (const struct exchange *x)
+{
+  static const char *const stages[] = { [EXCHANGE_NEW] = "begun",
+                                        [EXCHANGE_WAITING] = "waiting",
+                                        [EXCHANGE_SENT] = "sent",
+                                        [EXCHANGE_ANSWERING] = "answering",
+                                        [EXCHANGE_OWN] = "answered-by-host",
+                                        [EXCHANGE_OVER] = NULL };
+  const char *stage = stages[x->state];
+  if (stage == NULL)
+    return;
+  LOG_WARN ("abandoned", LOG_STR ("id", x->head.id),
+            LOG_INT ("request", x->id), LOG_STR ("service", service_name (x)),
+            LOG_STR ("route", x->route), LOG_STR ("stage", stage),
+            LOG_INT ("attempts", x->attempts));
+}
+
 void
 exchange_released (struct exchange *x, bool ok)
 {
@@ -242,6 +262,8 @@
      give the attempt up now would take a good one for a cancelled one. */
   if (ok && x->state == EXCHANGE_ANSWERING && x->attempt.call != NULL)
     return;
+  if (!ok)
+    note_abandoned (x);
   exchange_abandon (x);
   count_end (x);
   exchange_destroy (x);
@@ -250,6 +272,7 @@
 static void
 caller_went_away (struct exchange *x)
 {
+  note_abandoned (x);
   exchange_abandon (x);
   x->answer_cut = true;
   if (x->state != EXCHANGE_ANSWERING)
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -70,13 +70,16 @@
   if (number != POLICY_NO_TARGET)
     failure_permille
         = service_policy_belief (x->service->policy, number).failure_permille;
-  LOG_INFO ("attempt", LOG_STR ("id", x->head.id), LOG_INT ("request", x->id),
-            LOG_STR ("service", x->service->name),
-            LOG_STR ("target", attempt->target),
-            LOG_INT ("attempt", x->attempts), LOG_STR ("end", end_name (end)),
-            LOG_INT ("status", attempt->head_seen ? attempt->status : 0),
-            LOG_INT ("took_us", exchange_attempt_latency_us (attempt)),
-            LOG_INT ("believed_failing_permille", failure_permille));
+  const bool is_answered = end == ATTEMPT_ANSWERED;
+  LOG_AT (is_answered ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
+          is_answered ? "attempt" : "attempt-failed",
+          LOG_STR ("id", x->head.id), LOG_INT ("request", x->id),
+          LOG_STR ("service", x->service->name),
+          LOG_STR ("target", attempt->target),
+          LOG_INT ("attempt", x->attempts), LOG_STR ("end", end_name (end)),
+          LOG_INT ("status", attempt->head_seen ? attempt->status : 0),
+          LOG_INT ("took_us", exchange_attempt_latency_us (attempt)),
+          LOG_INT ("believed_failing_permille", failure_permille));
 }
 
 /* Tell the policy how the attempt ended, once. */
@@ -189,7 +192,7 @@
   const char *service = x->service->name;
   const char *target = x->attempt.target;
   const char *id = x->head.id;
-  LOG_INFO ("attempt-broken", LOG_STR ("id", id), LOG_STR ("service", service),
+  LOG_WARN ("attempt-broken", LOG_STR ("id", id), LOG_STR ("service", service),
             LOG_INT ("request", x->id), LOG_STR ("target", target),
             LOG_STR ("end", end_name (end)), LOG_STR ("why", message));
   settle (x, end);
--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -39,7 +39,7 @@
   const char *service = x->service->name;
   const char *target = x->attempt.target;
   const char *id = x->head.id;
-  LOG_INFO ("attempt-hangs", LOG_STR ("id", id), LOG_STR ("service", service),
+  LOG_WARN ("attempt-hangs", LOG_STR ("id", id), LOG_STR ("service", service),
             LOG_INT ("request", x->id), LOG_STR ("target", target),
             LOG_INT ("timeout_us", x->attempt.timeout_us),
             LOG_STR ("then", then), LOG_STR ("why", "attempt-timeout"));
--- a/node/caller/tests/caller_fixture.cc
+++ b/node/caller/tests/caller_fixture.cc
@@ -84,7 +84,7 @@
 void
 CallerTest::write_log_to (int fd)
 {
-  const log_options options = { LOG_LEVEL_INFO, false, fd, 0 };
+  const log_options options = { LOG_LEVEL_INFO, false, fd, 0, 0 };
   log_configure (&options);
 }
 
--- a/node/control/tests/control_fixture.h
+++ b/node/control/tests/control_fixture.h
@@ -170,7 +170,7 @@
 protected:
   ControlFixture ()
   {
-    const log_options quiet = { LOG_LEVEL_ERROR, false, 0, 0 };
+    const log_options quiet = { LOG_LEVEL_ERROR, false, 0, 0, 0 };
     log_configure (&quiet);
     loop = ev_loop_new (EVFLAG_AUTO);
     ev_timer_init (&limit, limit_cb, 100, 0);
--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -53,6 +53,7 @@
     .json = settings->log_json,
     .fd = STDOUT_FILENO,
     .repeats_per_second = settings->log_repeats_per_second,
+    .warnings_per_second = settings->log_warnings_per_second,
   };
   log_configure (&options);
 }
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -51,6 +51,7 @@
     },
     .log_level = LOG_LEVEL_INFO,
     .log_repeats_per_second = 50,
+    .log_warnings_per_second = 200,
   };
 }
 
@@ -211,6 +212,8 @@
   options_bool (&options, "json", &settings->log_json);
   read_uint32 (&options, "repeats_per_second", 0, 1000000,
                &settings->log_repeats_per_second);
+  read_uint32 (&options, "warnings_per_second", 0, 1000000,
+               &settings->log_warnings_per_second);
   options_close (top, &options);
 }
 
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -117,6 +117,7 @@
   enum log_level log_level;
   bool log_json;
   uint32_t log_repeats_per_second;
+  uint32_t log_warnings_per_second;
 };
 
 /** The defaults; name, dc and addresses are empty. */
--- a/node/tests/host_settings_test.cc
+++ b/node/tests/host_settings_test.cc
@@ -86,6 +86,8 @@
   EXPECT_EQ (settings.log_level, expected.log_level);
   EXPECT_EQ (settings.log_json, expected.log_json);
   EXPECT_EQ (settings.log_repeats_per_second, expected.log_repeats_per_second);
+  EXPECT_EQ (settings.log_warnings_per_second,
+             expected.log_warnings_per_second);
 }
 
 TEST_F (HostSettings, MinimalFileIsEnough)
@@ -161,7 +163,8 @@
   EXPECT_FALSE (host_settings_need_restart (&old, &settings));
   ASSERT_EQ (load (std::string (minimal)
                    + ",\"log\":{\"level\":\"debug\",\"json\":true,"
-                     "\"repeats_per_second\":7}}"),
+                     "\"repeats_per_second\":7,"
+                     "\"warnings_per_second\":9}}"),
              STATUS_OK);
   EXPECT_FALSE (host_settings_need_restart (&old, &settings));
   const std::pair<const char *, const char *> edits[] = {
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -155,7 +155,8 @@
         << address_of ("host-" + std::to_string (other) + ".peer",
                        addresses.at (hosts_from + other, peer_port))
         << "\"";
-  out << "],\n\"log\": { \"json\": true, \"repeats_per_second\": 0 },\n";
+  out << "],\n\"log\": { \"json\": true, \"repeats_per_second\": 0, "
+         "\"warnings_per_second\": 0 },\n";
   if (options_.secret)
     {
       std::ofstream (folder_ + "/secret") << "a-key-for-this-fleet-only\n";
