--- a/ctl/request_cause.c
+++ b/ctl/request_cause.c
@@ -130,8 +130,48 @@
   tell_attempts (out, own, count);
 }
 
+/* The first start of the host of LINE after it, if its log has one. */
+static const struct log_line *
+restart_after (const struct log_line *line, const struct log_line *context,
+               size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (is_event (&context[i], "serving")
+        && strcmp (context[i].source, line->source) == 0
+        && strcmp (context[i].time, line->time) > 0)
+      return &context[i];
+  return NULL;
+}
+
+/* A host that is killed or loses power writes no more: its request stands
+   with a decision and no end, and the host's next line is of a new start. */
+static void
+tell_no_end (FILE *out, const struct log_line *own, size_t count,
+             const struct log_line *context, size_t context_count)
+{
+  const struct log_line *route = last_of (own, count, "route");
+  if (route == NULL)
+    {
+      fputs ("not in these logs: there is no line on how it ended", out);
+      return;
+    }
+  const struct log_line *restart
+      = restart_after (route, context, context_count);
+  fprintf (out, "host %s sent it to target %s and wrote no end; ",
+           route->source, log_line_text (route, "target"));
+  if (restart != NULL)
+    fprintf (out,
+             "it stopped without a word and started anew at %s, so the "
+             "request may have run",
+             restart->time);
+  else
+    fputs ("it is under way, or the host stopped and has not started since",
+           out);
+}
+
 char *
-request_cause_find (const struct log_line *own, size_t count)
+request_cause_find (const struct log_line *own, size_t count,
+                    const struct log_line *context, size_t context_count)
 {
   char *text = NULL;
   size_t size = 0;
@@ -158,7 +198,7 @@
       fputs ("; the answer was passed on to the caller", out);
     }
   else
-    fputs ("not in these logs: there is no line on how it ended", out);
+    tell_no_end (out, own, count, context, context_count);
   fclose (out);
   return text;
 }
@@ -228,6 +268,10 @@
            xstrdup ("every line on it: look in the logs of all hosts, "
                     "and whether the caller's connection reached "
                     "one"));
+      for (size_t i = 0; i < context_count; i++)
+        add (missing, xasprintf ("what host %s had under way before it "
+                                 "started at %s",
+                                 context[i].source, context[i].time));
       return;
     }
   const int64_t attempts = attempts_told (own, count);
--- a/ctl/request_cause.h
+++ b/ctl/request_cause.h
@@ -11,8 +11,10 @@
 #include "ctl/log_line.h"
 
 /** The cause in one sentence, in new memory.  OWN are the request's lines in
- * order of time. */
-char *request_cause_find (const struct log_line *own, size_t count);
+ * order of time, CONTEXT what was learned of its targets and hosts. */
+char *request_cause_find (const struct log_line *own, size_t count,
+                          const struct log_line *context,
+                          size_t context_count);
 
 /** Add to MISSING a text for each gap that shows: attempts without a line, no
  * last line, lines that the hosts left out. */
--- a/ctl/request_story.c
+++ b/ctl/request_story.c
@@ -146,22 +146,51 @@
   return false;
 }
 
-/* Later than the request's last line only what tells of lines left out: it
-   is written with the next line that may pass. */
+static bool
+is_start (const struct log_line *line)
+{
+  return strcmp (line->event, "serving") == 0;
+}
+
+static bool
+is_after_end (const struct request_story *story, const struct log_line *line)
+{
+  return story->own.count > 0
+         && strcmp (line->time, story->own.lines[story->own.count - 1].time)
+                > 0;
+}
+
+/* Later than the request's last line only what tells of lines left out, which
+   is written with the next line that may pass, and that a host started anew:
+   what it had under way before has no end in its log. */
 static bool
 is_told (const struct request_story *story, const struct log_line *line)
 {
-  const struct log_line *last = &story->own.lines[story->own.count - 1];
+  if (story->own.count == 0)
+    return is_start (line);
   const bool is_note = strncmp (line->event, "log-", 4) == 0;
-  if (!is_note && strcmp (line->time, last->time) > 0)
+  if (is_after_end (story, line) && !is_note && !is_start (line))
     return false;
   return log_line_text (line, "target")[0] != '\0'
              ? is_about_targets (story, line)
              : is_of_host (story, line);
 }
 
+static struct log_line *
+find_like (struct line_list *list, const struct log_line *line)
+{
+  for (size_t i = 0; i < list->count; i++)
+    if (strcmp (list->lines[i].event, line->event) == 0
+        && strcmp (list->lines[i].source, line->source) == 0
+        && strcmp (log_line_text (&list->lines[i], "target"),
+                   log_line_text (line, "target"))
+               == 0)
+      return &list->lines[i];
+  return NULL;
+}
+
 /* Of each event of a host and a target the last one before the end: it is
-   what was in force. */
+   what was in force.  Of starts after the end the first. */
 static void
 keep_latest (struct request_story *story)
 {
@@ -169,17 +198,17 @@
   for (size_t i = story->context.count; i-- > 0;)
     {
       struct log_line *line = &story->context.lines[i];
-      bool is_newest = story->own.count > 0 && is_told (story, line);
-      for (size_t k = 0; is_newest && k < kept.count; k++)
-        is_newest = strcmp (kept.lines[k].event, line->event) != 0
-                    || strcmp (kept.lines[k].source, line->source) != 0
-                    || strcmp (log_line_text (&kept.lines[k], "target"),
-                               log_line_text (line, "target"))
-                           != 0;
-      if (is_newest)
-        list_add (&kept, line);
-      else
+      struct log_line *like = find_like (&kept, line);
+      if (!is_told (story, line)
+          || (like != NULL && !is_after_end (story, line)))
         log_line_release (line);
+      else if (like != NULL)
+        {
+          log_line_release (like);
+          *like = *line;
+        }
+      else
+        list_add (&kept, line);
     }
   free (story->context.lines);
   story->context = kept;
@@ -192,7 +221,9 @@
   list_sort (&story->own);
   list_sort (&story->context);
   keep_latest (story);
-  story->cause = request_cause_find (story->own.lines, story->own.count);
+  story->cause
+      = request_cause_find (story->own.lines, story->own.count,
+                            story->context.lines, story->context.count);
   request_cause_missing (story->own.lines, story->own.count,
                          story->context.lines, story->context.count,
                          story->missing);
--- a/ctl/tests/request_story_test.cc
+++ b/ctl/tests/request_story_test.cc
@@ -130,6 +130,29 @@
   EXPECT_HAS (text, "missing: every line on it");
 }
 
+/* A host loses power with a request under way.  Its log ends in the middle of
+   the request and goes on with a new start, twice. */
+TEST_F (RequestStory, AHostThatStoppedIsTheCause)
+{
+  read ("h1", day + "1.000Z info main serving host=h1\n" + day
+                  + "2.000Z info caller route id=ab12 verdict=send target=t9\n"
+                  + day + "4.000Z info main serving host=h1\n" + day
+                  + "8.000Z info main serving host=h1\n");
+  read ("h2", day + "3.000Z info main serving host=h2\n");
+  const std::string text = told ();
+  EXPECT_HAS (text, "host h1 sent it to target t9 and wrote no end");
+  EXPECT_HAS (text, "started anew at " + day + "4.000Z");
+  EXPECT_LACKS (text, "8.000Z");
+  EXPECT_LACKS (text, "3.000Z");
+}
+
+TEST_F (RequestStory, HostsThatStartedAreNamedWhenThereIsNoLine)
+{
+  read ("h1", day + "4.000Z info main serving host=h1\n");
+  EXPECT_HAS (told (), "what host h1 had under way before it started at " + day
+                           + "4.000Z");
+}
+
 TEST_F (RequestStory, AsJson)
 {
   read ("h1", day + "2.000Z info caller route id=ab12 target=t9\n");
