--- a/ctl/jaystair.bash
+++ b/ctl/jaystair.bash
@@ -12,7 +12,7 @@
   case "$1" in
     show) echo "services targets hosts routes settings decisions counters \
       ejections" ;;
-    explain) echo "target" ;;
+    explain) echo "target request" ;;
     pause | resume) echo "ejection" ;;
     set) echo "floor" ;;
     drain | undrain | eject | reinstate | target)
--- a/ctl/request_command.c
+++ b/ctl/request_command.c
@@ -3,14 +3,23 @@
 #include <errno.h>
 #include <string.h>
 
+#include "ctl/log_line.h"
 #include "ctl/request_story.h"
 
 /* The host that a log is of, where its lines don't say: the file's name. */
-static const char *
-source_of (const char *path)
+static void
+read_as_host (struct request_story *story, const char *path, FILE *file)
 {
+  static const char ending[] = ".log";
   const char *slash = strrchr (path, '/');
-  return slash == NULL ? path : slash + 1;
+  const char *name = slash == NULL ? path : slash + 1;
+  size_t length = strlen (name);
+  if (length >= sizeof ending
+      && strcmp (name + length - (sizeof ending - 1), ending) == 0)
+    length -= sizeof ending - 1;
+  char host[LOG_LINE_WORD_SIZE];
+  snprintf (host, sizeof host, "%.*s", (int)length, name);
+  request_story_read (story, host, file);
 }
 
 static enum status
@@ -27,7 +36,7 @@
                        "%s: %s; name the files that hold the hosts' logs, or "
                        "none to read them from the input",
                        path, strerror (errno));
-  request_story_read (story, source_of (path), file);
+  read_as_host (story, path, file);
   fclose (file);
   return STATUS_OK;
 }
--- a/ctl/request_story.c
+++ b/ctl/request_story.c
@@ -171,9 +171,9 @@
   const bool is_note = strncmp (line->event, "log-", 4) == 0;
   if (is_after_end (story, line) && !is_note && !is_start (line))
     return false;
-  return log_line_text (line, "target")[0] != '\0'
-             ? is_about_targets (story, line)
-             : is_of_host (story, line);
+  return is_of_host (story, line)
+         && (log_line_text (line, "target")[0] == '\0'
+             || is_about_targets (story, line));
 }
 
 static struct log_line *
--- a/ctl/tests/docs_test.cc
+++ b/ctl/tests/docs_test.cc
@@ -94,3 +94,52 @@
       EXPECT_EQ (stat (path.c_str (), &info), 0) << path;
     }
 }
+
+/** A command of a page, `$ jaystair ...`, and the lines that follow it. */
+struct example
+{
+  std::string command;
+  std::string output;
+};
+
+static std::vector<example>
+examples_of (const std::string &page)
+{
+  std::vector<example> found;
+  std::istringstream lines (page);
+  bool is_inside = false;
+  for (std::string line; std::getline (lines, line);)
+    {
+      const bool is_code = line.rfind ("    ", 0) == 0;
+      const bool is_command = line.rfind ("    $ ", 0) == 0;
+      if (is_command)
+        found.push_back ({ line.substr (6), "" });
+      else if (is_code && is_inside)
+        found.back ().output += line.substr (4) + "\n";
+      is_inside = is_command || (is_code && is_inside);
+    }
+  return found;
+}
+
+/* An engineer follows the page at night.  A command that no longer works, or
+   tells something else than the page, costs the time that it should save. */
+TEST (Docs, ExamplesOfOperationsPrintWhatThePageSays)
+{
+  const std::string page = read_file (JAYSTAIR_SOURCE "/docs/OPERATIONS.md");
+  const std::vector<example> examples = examples_of (page);
+  EXPECT_GE (examples.size (), 4u);
+  for (const example &one : examples)
+    {
+      ASSERT_EQ (one.command.rfind ("jaystair ", 0), 0u) << one.command;
+      const std::string command = "cd " JAYSTAIR_SOURCE " && " JAYSTAIR_PROGRAM
+                                  + one.command.substr (8) + " 2>&1";
+      FILE *pipe = popen (command.c_str (), "r");
+      ASSERT_NE (pipe, nullptr);
+      std::string output;
+      char block[4096];
+      for (size_t n; (n = fread (block, 1, sizeof block, pipe)) > 0;)
+        output.append (block, n);
+      EXPECT_EQ (pclose (pipe), 0) << one.command;
+      EXPECT_EQ (output, one.output) << one.command;
+    }
+}
--- a/ctl/tests/request_story_test.cc
+++ b/ctl/tests/request_story_test.cc
@@ -69,6 +69,7 @@
                   + day + "1.600Z info caller route id=cd34 target=t8\n" + day
                   + "1.000Z info registry target-gone target=t9\n" + day
                   + "1.000Z info registry target-gone target=t8\n");
+  read ("h3", day + "1.000Z info registry target-gone target=t9\n");
   read ("h1", day
                   + "0.900Z warning caller refused id=ab12 status=503 "
                     "outcome=not-run reason=no-settings attempts=0\n");
@@ -78,6 +79,7 @@
   EXPECT_LT (text.find ("h2 route"), text.find ("h2 attempt-failed"));
   EXPECT_HAS (text, "target-gone target=t9");
   EXPECT_LACKS (text, "t8");
+  EXPECT_LACKS (text, "h3");
   EXPECT_HAS (text, "cause: host h2 answered 502 by itself (cut), and it may "
                     "have run");
   EXPECT_HAS (text, "target t9 broke off after 7 ms, believed to fail 12");
