tests: a seeded soak of faults over a whole fleet

Real programs as processes: four hosts, four targets and the platform behind relays that delay, reset and cut one way; processes that are killed, stopped, frozen and started again; wrong answers of targets; outages and lost answers of the platform; settings that change. Events overlap. Checked from what callers and targets see: at most once, truth of refusals, whole and own answers, settings that never go back within a lifetime, drains, repeats within their share, recovery. The relay of the harness freed no connection until its end and ran out of descriptors; each sending of a caller has an id of its own, so that the fleet's repeats can be told from the caller's.

--- a/tests/harness/caller.cc
+++ b/tests/harness/caller.cc
@@ -101,12 +101,20 @@
 void
 Load::send_one (int thread, int number)
 {
-  const std::string id
+  const std::string name
       = "r" + std::to_string (thread) + "-" + std::to_string (number);
   const bool unrepeatable = number % holds_every == 0;
   Record record{ unrepeatable, Told::not_run, "no host answered" };
+  std::string id = name;
+  int sendings = 0;
   for (const std::string &address : ask_addresses (thread))
     {
+      if (sendings > 0)
+        {
+          note (id, record);
+          id = name + "." + std::to_string (sendings);
+        }
+      sendings++;
       record = send_and_judge ("http://" + address, id, unrepeatable);
       const bool no_connection
           = record.detail.find ("connect to server") != std::string::npos;
@@ -117,9 +125,15 @@
       else if (unrepeatable)
         break;
     }
+  note (id, record);
+  lines_grew ();
+}
+
+void
+Load::note (const std::string &id, const Record &record)
+{
   std::lock_guard<std::mutex> lock (mutex_);
   records_[id] = record;
-  lines_grew ();
 }
 
 size_t
@@ -146,6 +160,16 @@
   return wait_until ([&] { return count () >= goal; }, 120);
 }
 
+size_t
+Load::repeated_runs ()
+{
+  size_t repeated = 0;
+  for (const auto &[id, count] : fleet_.all_runs ())
+    if (records_.count (id) > 0 && count > 1)
+      repeated += static_cast<size_t> (count - 1);
+  return repeated;
+}
+
 std::string
 Load::check ()
 {
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -31,7 +31,8 @@
 };
 
 /** Callers that ask for addresses, keep the answer, and send GET /calendar
- * and POST /holds requests with ids of their own until stopped. */
+ * and POST /holds requests until stopped.  Each sending has an id of its
+ * own. */
 class Load
 {
 public:
@@ -46,11 +47,15 @@
   /** Every promise the users are given, against the targets' own account;
    * "" when all are kept, else what broke.  After stop(). */
   std::string check ();
+  /** How often requests ran beyond the first time: the fleet's own repeats.
+   * After stop(). */
+  size_t repeated_runs ();
   std::string summary ();
 
 private:
   void run (int thread);
   void send_one (int thread, int number);
+  void note (const std::string &id, const Record &record);
   std::vector<std::string> ask_addresses (int thread);
 
   Fleet &fleet_;
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -200,11 +200,16 @@
 void
 Fleet::start_target (int number)
 {
-  targets[static_cast<size_t> (number - 1)]
-      = std::make_unique<Process> (std::vector<std::string>{
-          STANDIN_TARGET, "--listen",
-          addresses.at (targets_from + number, target_port), "--name",
-          "target-" + std::to_string (number) });
+  std::unique_ptr<Process> &target = targets[static_cast<size_t> (number - 1)];
+  if (target != nullptr)
+    {
+      target->kill ();
+      past_targets.push_back (std::move (target));
+    }
+  target = std::make_unique<Process> (std::vector<std::string>{
+      STANDIN_TARGET, "--listen",
+      addresses.at (targets_from + number, target_port), "--name",
+      "target-" + std::to_string (number) });
 }
 
 void
@@ -281,9 +286,10 @@
                  == 200)
         targets[i]->wait_line ({ "counted" }, &from);
     }
-  for (const auto &target : targets)
-    for (const std::string &line : target->lines_with ("run "))
-      runs[line.substr (4, line.find_first_of (" \n", 4) - 4)]++;
+  for (const auto *list : { &past_targets, &targets })
+    for (const auto &target : *list)
+      for (const std::string &line : target->lines_with ("run "))
+        runs[line.substr (4, line.find_first_of (" \n", 4) - 4)]++;
   return runs;
 }
 
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -102,6 +102,8 @@
   std::unique_ptr<Process> platform;
   std::vector<std::unique_ptr<Process>> targets; /**< [number - 1] */
   std::vector<std::unique_ptr<Process>> hosts;   /**< [number - 1] */
+  /** Targets that were replaced by a new start; their account still counts. */
+  std::vector<std::unique_ptr<Process>> past_targets;
 
 private:
   std::string write_settings (int number);
--- a/tests/harness/relay.cc
+++ b/tests/harness/relay.cc
@@ -1,5 +1,6 @@
 #include "tests/harness/relay.h"
 
+#include <chrono>
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <sys/socket.h>
@@ -46,19 +47,30 @@
 {
   shutdown (listener_, SHUT_RDWR);
   acceptor_.join ();
-  {
-    std::lock_guard<std::mutex> lock (mutex_);
-    closing_ = true;
-    for (const int fd : sockets_)
-      shutdown (fd, SHUT_RDWR);
-  }
-  for (std::thread &pump : pumps_)
-    pump.join ();
-  for (const int fd : sockets_)
-    close (fd);
+  std::unique_lock<std::mutex> lock (mutex_);
+  for (const auto &link : links_)
+    {
+      shutdown (link->near, SHUT_RDWR);
+      shutdown (link->far, SHUT_RDWR);
+    }
+  ended_.wait (lock, [this] { return links_.empty (); });
   close (listener_);
 }
 
+/* Dissolving the association of a connected socket sends a reset. */
+void
+Relay::reset ()
+{
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  std::lock_guard<std::mutex> lock (mutex_);
+  for (const auto &link : links_)
+    {
+      connect (link->near, &none, sizeof none);
+      connect (link->far, &none, sizeof none);
+    }
+}
+
 void
 Relay::accept_loop ()
 {
@@ -78,19 +90,40 @@
           continue;
         }
       std::lock_guard<std::mutex> lock (mutex_);
-      sockets_.push_back (near);
-      sockets_.push_back (far);
-      pumps_.emplace_back ([=] { pump (near, far, cut_forward); });
-      pumps_.emplace_back ([=] { pump (far, near, cut_back); });
+      links_.push_back (std::make_unique<Link> (Link{ near, far }));
+      Link *link = links_.back ().get ();
+      std::thread ([=] {
+        pump (near, far, cut_forward);
+        leave (link);
+      }).detach ();
+      std::thread ([=] {
+        pump (far, near, cut_back);
+        leave (link);
+      }).detach ();
     }
 }
 
+/* The second of a connection's two pumps closes it. */
+void
+Relay::leave (Link *link)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  if (--link->pumps > 0)
+    return;
+  close (link->near);
+  close (link->far);
+  links_.remove_if ([=] (const auto &one) { return one.get () == link; });
+  ended_.notify_all ();
+}
+
 void
 Relay::pump (int from, int to, const std::atomic<bool> &cut)
 {
   char block[16384];
   for (ssize_t n; (n = recv (from, block, sizeof block, 0)) > 0;)
     {
+      if (delay_ms > 0)
+        std::this_thread::sleep_for (std::chrono::milliseconds (delay_ms));
       if (cut)
         continue;
       if (send (to, block, static_cast<size_t> (n), MSG_NOSIGNAL) != n)
--- /dev/null
+++ b/tests/soak/soak_plan.cc
@@ -0,0 +1,97 @@
+#include "tests/soak/soak_plan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace
+{
+
+constexpr int most_at_a_step = 2;
+constexpr int longest_steps = 8;
+
+bool
+is_of_host (SoakKind kind)
+{
+  return kind <= SoakKind::host_hup;
+}
+
+bool
+is_of_target (SoakKind kind)
+{
+  return kind >= SoakKind::target_kill && kind <= SoakKind::target_fault;
+}
+
+bool
+is_of_peer (SoakKind kind)
+{
+  return kind >= SoakKind::peer_cut && kind <= SoakKind::peer_reset;
+}
+
+/* Does OTHER still hold the process, or the one platform, that EVENT needs? */
+bool
+is_in_the_way (const SoakEvent &event, const SoakEvent &other)
+{
+  if (other.to <= event.from)
+    return false;
+  const bool same_process
+      = event.which == other.which
+        && ((is_of_host (event.kind) && is_of_host (other.kind))
+            || (is_of_target (event.kind) && is_of_target (other.kind)));
+  return same_process
+         || (event.kind == other.kind && event.which == other.which);
+}
+
+} // namespace
+
+const char *
+soak_kind_name (SoakKind kind)
+{
+  static const char *const names[]
+      = { "host_kill",    "host_term",     "host_freeze",   "host_hup",
+          "target_kill",  "target_freeze", "target_fault",  "path_cut",
+          "path_delay",   "path_reset",    "peer_cut",      "peer_delay",
+          "peer_reset",   "platform_down", "platform_slow", "platform_lost",
+          "platform_cut", "settings" };
+  return names[static_cast<int> (kind)];
+}
+
+std::vector<SoakEvent>
+soak_plan (uint64_t seed, int steps, int hosts, int targets)
+{
+  std::mt19937_64 random (seed);
+  const auto below = [&] (int limit) {
+    return static_cast<int> (random () % static_cast<uint64_t> (limit));
+  };
+  std::vector<SoakEvent> plan;
+  for (int step = 0; step < steps; step++)
+    for (int n = below (most_at_a_step + 1); n > 0; n--)
+      {
+        SoakEvent event{};
+        event.kind = static_cast<SoakKind> (
+            below (static_cast<int> (SoakKind::count)));
+        const bool by_host
+            = is_of_host (event.kind) || is_of_peer (event.kind);
+        event.from = step;
+        event.to = std::min (steps, step + 1 + below (longest_steps));
+        event.which = 1 + below (by_host ? hosts : targets);
+        event.variant = below (8);
+        const bool is_free
+            = std::none_of (plan.begin (), plan.end (), [&] (const auto &e) {
+                return is_in_the_way (event, e);
+              });
+        if (is_free)
+          plan.push_back (event);
+      }
+  return plan;
+}
+
+std::string
+soak_plan_text (const std::vector<SoakEvent> &plan)
+{
+  std::string text;
+  for (const SoakEvent &event : plan)
+    text += std::to_string (event.from) + "-" + std::to_string (event.to) + " "
+            + soak_kind_name (event.kind) + " " + std::to_string (event.which)
+            + " variant " + std::to_string (event.variant) + "\n";
+  return text;
+}
--- /dev/null
+++ b/tests/soak/soak_watch.cc
@@ -0,0 +1,73 @@
+#include "tests/soak/soak_watch.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <vector>
+
+namespace
+{
+
+constexpr long ask_ms = 300;
+constexpr std::chrono::milliseconds pause{ 20 };
+
+} // namespace
+
+SoakWatch::SoakWatch (SoakWorld &world)
+    : world_ (world), thread_ ([this] { run (); })
+{
+}
+
+SoakWatch::~SoakWatch ()
+{
+  stop ();
+}
+
+std::string
+SoakWatch::stop ()
+{
+  stopping_ = true;
+  if (thread_.joinable ())
+    thread_.join ();
+  return broken_;
+}
+
+long
+SoakWatch::version (int number)
+{
+  HttpRequest request;
+  request.url = world_.fleet ().operator_url (number, "/v1/services");
+  request.timeout_ms = ask_ms;
+  const HttpAnswer answer = http (request);
+  if (!answer.whole || answer.status != 200)
+    return 0;
+  return atol (json_at (answer.body, "rows.0.version").c_str ());
+}
+
+/* An answer counts only if the host wasn't started anew meanwhile. */
+void
+SoakWatch::run ()
+{
+  const size_t hosts = static_cast<size_t> (world_.hosts ());
+  std::vector<long> highest (hosts, 0);
+  std::vector<int> lifetimes (hosts, 0);
+  while (!stopping_)
+    {
+      for (size_t i = 0; i < hosts && !stopping_; i++)
+        {
+          const int number = static_cast<int> (i) + 1;
+          const int lifetime = world_.lifetime (number);
+          const long found = version (number);
+          if (lifetime != lifetimes[i])
+            highest[i] = 0;
+          lifetimes[i] = lifetime;
+          if (found == 0 || world_.lifetime (number) != lifetime)
+            continue;
+          if (found < highest[i])
+            broken_ += "host-" + std::to_string (number)
+                       + " went from version " + std::to_string (highest[i])
+                       + " back to " + std::to_string (found) + "\n";
+          highest[i] = found;
+        }
+      std::this_thread::sleep_for (pause);
+    }
+}
--- /dev/null
+++ b/tests/soak/soak_watch.h
@@ -0,0 +1,34 @@
+/** @file
+ * Asks every host again and again which version of the service it has in
+ * force: within one lifetime it must never go back.
+ */
+#ifndef TESTS_SOAK_SOAK_WATCH_H
+#define TESTS_SOAK_SOAK_WATCH_H
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "tests/soak/soak_world.h"
+
+class SoakWatch
+{
+public:
+  explicit SoakWatch (SoakWorld &world);
+  ~SoakWatch ();
+
+  /** Stop asking; what went back, "" if nothing did. */
+  std::string stop ();
+  /** The version that host NUMBER has in force now; 0: it doesn't say. */
+  long version (int number);
+
+private:
+  void run ();
+
+  SoakWorld &world_;
+  std::atomic<bool> stopping_{ false };
+  std::string broken_;
+  std::thread thread_;
+};
+
+#endif
