--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -172,9 +172,19 @@
   return run (path, &settings);
 }
 
+/* Guards against settings that change while the host starts: until it listens
+   to the signal, its default is to end the process.  Shows as a host that is
+   gone after a change of settings.  What is missed is what it reads anyway. */
+static void
+ignore_reload_until_ready (void)
+{
+  signal (SIGHUP, SIG_IGN);
+}
+
 int
 main (int argc, char **argv)
 {
+  ignore_reload_until_ready ();
   struct command_line line = {
     .settings = arg_file0 (NULL, "settings", "FILE", "settings of this host"),
     .check = arg_lit0 (NULL, "check", "check the settings and end"),
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -40,6 +40,7 @@
 
 private:
   void stop_host (int number, int signal);
+  void reload_host (int number);
   void restart_host (int number);
   void set_faults (int target, const std::string &query);
   void set_platform (const std::string &query);
