--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -321,15 +321,23 @@
 void control_platform_wake (struct control_task *task);
 /** Ask the platform at once if what relays tell has become old. */
 void control_platform_check_news (struct control_task *task, int64_t now_ms);
-/** Write this host's record anew. */
-void control_platform_register (struct control_task *task);
-/** The platform removed this host's record: at once, then with back-off. */
-void control_platform_register_again (struct control_task *task);
 /** Is the watch of host records up, its last call answered? */
 bool control_platform_is_heard (const struct control_task *task,
                                 int64_t now_ms);
 void control_platform_stop (struct control_task *task);
 
+/* control_registration.c: this host's own record at the platform */
+void control_registration_start (struct control_task *task);
+/** Write the record anew. */
+void control_registration_write (struct control_task *task);
+/** The platform removed the record: at once, then with back-off. */
+void control_registration_renew (struct control_task *task);
+void control_registration_stop (struct control_task *task);
+/** Start TIMER, which tries a call to the platform again, after a back-off
+ * that grows with each failure. */
+void control_retry_later (struct control_task *task, struct ev_timer *timer,
+                          uint32_t *backoff_ms);
+
 /* control_cleanup.c */
 void control_cleanup_start (struct control_task *task);
 /** HOST is believed to be in STATE from NOW_MS. */
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -10,8 +10,6 @@
 
 enum
 {
-  BACKOFF_FIRST_MS = 200,
-  BACKOFF_MAX_MS = 5000,
   /** A watch that told something waits so long before the next, so that a
    * burst of changes is one call; small against the seconds within which a
    * change must be in force.  The others hear from the relays meanwhile and
@@ -22,21 +20,6 @@
   NEWS_BEATS = 3,
 };
 
-static void
-retry_later (struct control_task *task, struct ev_timer *timer,
-             uint32_t *backoff_ms)
-{
-  const double part = 0.5 + 0.5 * rng_unit (&task->random);
-  if (*backoff_ms == 0)
-    *backoff_ms = BACKOFF_FIRST_MS;
-  ev_timer_stop (task->options.loop, timer);
-  ev_timer_set (timer, *backoff_ms * part / 1000.0, 0);
-  ev_timer_start (task->options.loop, timer);
-  *backoff_ms *= 2;
-  if (*backoff_ms > BACKOFF_MAX_MS)
-    *backoff_ms = BACKOFF_MAX_MS;
-}
-
 /* News is as old as the kind of settings that was heard of longest ago. */
 static void
 note_news (struct control_task *task)
@@ -125,7 +108,7 @@
   LOG_WARN ("platform-failed", LOG_STR ("kind", feed->kind),
             LOG_STR ("status", status_name (reply->status)),
             LOG_STR ("why", reply->message));
-  retry_later (feed->task, &feed->retry, &feed->backoff_ms);
+  control_retry_later (feed->task, &feed->retry, &feed->backoff_ms);
 }
 
 /* Settings are there once every kind but the hosts has been listed. */
@@ -290,178 +273,6 @@
   feed_next (watcher->data);
 }
 
-static char *
-own_record (const struct control_task *task)
-{
-  struct host_record record = task->self->record;
-  record.leaving = task->is_leaving;
-  return host_record_format (&record);
-}
-
-static void
-registration_failed (struct control_registration *registration,
-                     const struct platform_reply *reply)
-{
-  LOG_WARN ("register-failed", LOG_STR ("status", status_name (reply->status)),
-            LOG_STR ("why", reply->message));
-  retry_later (registration->task, &registration->retry,
-               &registration->backoff_ms);
-}
-
-static void registration_next (struct control_registration *registration);
-
-static void
-registered (struct control_registration *registration, uint64_t version,
-            const char *value)
-{
-  struct control_task *task = registration->task;
-  registration->is_done = true;
-  registration->version = version;
-  registration->backoff_ms = 0;
-  control_members_contact (task, clock_now_ms ());
-  LOG_INFO ("registered", LOG_INT ("version", version),
-            LOG_STR ("state", task->is_leaving ? "leaving" : "live"));
-  control_settings_apply (task, PLATFORM_KIND_HOST, task->self->record.name,
-                          version, value);
-}
-
-static platform_done put_done;
-
-static void
-write_record (struct control_registration *registration, uint64_t expected)
-{
-  struct control_task *task = registration->task;
-  char *value = own_record (task);
-  registration->is_waiting = true;
-  platform_put (task->options.platform, PLATFORM_KIND_HOST,
-                task->self->record.name, expected, value, put_done,
-                registration);
-  free (value);
-}
-
-static bool
-is_ours (const struct control_task *task, const char *value)
-{
-  struct host_record record;
-  if (host_record_parse (task->self->record.name, value, &record) != STATUS_OK)
-    return false;
-  return record.incarnation == task->self->record.incarnation
-         && record.leaving == task->is_leaving;
-}
-
-/* Write over what the platform holds, unless that is ours already. */
-static void
-settle (struct control_registration *registration,
-        const struct platform_object *object)
-{
-  if (object->value == NULL)
-    write_record (registration, PLATFORM_VERSION_NONE);
-  else if (is_ours (registration->task, object->value))
-    registered (registration, object->version, object->value);
-  else
-    write_record (registration, object->version);
-}
-
-/* After a lost answer the object is read back: it holds our incarnation if
-   the write took effect. */
-static void
-put_done (void *owner, const struct platform_reply *reply)
-{
-  struct control_registration *registration = owner;
-  registration->is_waiting = false;
-  registration->must_read = reply->status != STATUS_OK;
-  if (reply->status == STATUS_REFUSED && reply->count == 1)
-    {
-      settle (registration, &reply->objects[0]);
-      return;
-    }
-  if (reply->status == STATUS_OK && reply->count == 1)
-    {
-      char *value = own_record (registration->task);
-      registered (registration, reply->objects[0].version, value);
-      free (value);
-      return;
-    }
-  registration_failed (registration, reply);
-}
-
-static void
-get_done (void *owner, const struct platform_reply *reply)
-{
-  struct control_registration *registration = owner;
-  registration->is_waiting = false;
-  if (reply->status == STATUS_NOT_FOUND)
-    {
-      write_record (registration, PLATFORM_VERSION_NONE);
-      return;
-    }
-  if (reply->status != STATUS_OK || reply->count != 1)
-    {
-      registration_failed (registration, reply);
-      return;
-    }
-  settle (registration, &reply->objects[0]);
-}
-
-/* The first try writes at the version that is known, or as if there were none:
-   that fits all but hosts that start again, and spares a call for each. */
-static void
-registration_next (struct control_registration *registration)
-{
-  struct control_task *task = registration->task;
-  if (registration->is_waiting || registration->is_done)
-    return;
-  if (!registration->must_read)
-    {
-      write_record (registration, registration->version);
-      return;
-    }
-  registration->is_waiting = true;
-  platform_get (task->options.platform, PLATFORM_KIND_HOST,
-                task->self->record.name, get_done, registration);
-}
-
-static void
-registration_retry_cb (struct ev_loop *loop, struct ev_timer *watcher,
-                       int events)
-{
-  registration_next (watcher->data);
-}
-
-void
-control_platform_register (struct control_task *task)
-{
-  struct control_registration *registration = &task->registration;
-  ev_timer_stop (task->options.loop, &registration->retry);
-  if (registration->is_waiting)
-    platform_cancel (task->options.platform, registration);
-  registration->is_waiting = false;
-  registration->is_done = false;
-  registration_next (registration);
-}
-
-/* Guards against two that write and remove the record in turn as fast as
-   they can: only the first removal in a while is answered at once. */
-void
-control_platform_register_again (struct control_task *task)
-{
-  struct control_registration *registration = &task->registration;
-  const int64_t now_ms = clock_now_ms ();
-  const bool is_first
-      = registration->again_ms == 0
-        || now_ms - registration->again_ms > 2 * (int64_t)BACKOFF_MAX_MS;
-  registration->again_ms = now_ms;
-  registration->version = PLATFORM_VERSION_NONE;
-  if (is_first)
-    {
-      registration->again_backoff_ms = 0;
-      control_platform_register (task);
-      return;
-    }
-  registration->is_done = false;
-  retry_later (task, &registration->retry, &registration->again_backoff_ms);
-}
-
 bool
 control_platform_is_heard (const struct control_task *task, int64_t now_ms)
 {
@@ -499,10 +310,7 @@
   add_feed (task, PLATFORM_KIND_HOST, false);
   for (size_t i = 0; i < task->feed_count; i++)
     feed_next (&task->feeds[i]);
-  task->registration.task = task;
-  ev_timer_init (&task->registration.retry, registration_retry_cb, 0, 0);
-  task->registration.retry.data = &task->registration;
-  control_platform_register (task);
+  control_registration_start (task);
 }
 
 void
@@ -532,6 +340,4 @@
       ev_timer_stop (task->options.loop, &task->feeds[i].retry);
       platform_cancel (task->options.platform, &task->feeds[i]);
     }
-  ev_timer_stop (task->options.loop, &task->registration.retry);
-  platform_cancel (task->options.platform, &task->registration);
 }
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -64,7 +64,7 @@
   if (value == NULL)
     {
       LOG_WARN ("own-record-removed", LOG_INT ("version", version));
-      control_platform_register_again (task);
+      control_registration_renew (task);
     }
   else if (host_record_parse (name, value, &record) == STATUS_OK
            && record.incarnation > task->self->record.incarnation)
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -218,7 +218,7 @@
   LOG_INFO ("leaving", LOG_STR ("host", task->self->record.name));
   control_members_leave (task);
   control_hosts_changed (task);
-  control_platform_register (task);
+  control_registration_write (task);
 }
 
 static enum status
@@ -311,6 +311,7 @@
       ev_timer_stop (loop, &task->beat);
       control_cleanup_stop (task);
       control_platform_stop (task);
+      control_registration_stop (task);
       control_removals_stop (task);
     }
   ev_timer_stop (loop, &task->refresh);
