wire, base, tests: one job a source; what stood twice stands once

A step of the soak ends when 400 requests have ended, or after a second while all callers wait for hosts that hang; its watch waits for its stop. Of the sleeps one is left, in the relay: the delay is the fault itself. No decision of the program changed.

--- a/base/options.c
+++ b/base/options.c
@@ -192,6 +192,15 @@
     *value = number;
 }
 
+void
+options_uint32 (struct options *options, const char *key, uint32_t min,
+                uint32_t max, uint32_t *value)
+{
+  int64_t number = *value;
+  options_int (options, key, min, max, &number);
+  *value = (uint32_t)number;
+}
+
 void
 options_double (struct options *options, const char *key, double min,
                 double max, double *value)
--- a/base/options.h
+++ b/base/options.h
@@ -69,6 +69,10 @@
 void options_duration (struct options *options, const char *key,
                        int64_t min_ms, int64_t max_ms, int64_t *value_ms);
 
+/** As options_int(), for a number that fits 32 bits. */
+void options_uint32 (struct options *options, const char *key, uint32_t min,
+                     uint32_t max, uint32_t *value);
+
 /** As options_int() for a number with a fraction. */
 void options_double (struct options *options, const char *key, double min,
                      double max, double *value);
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -61,6 +61,21 @@
     });
   }
 
+  /* Hosts of one data centre that all watch, the relay soon again and the
+     others for longer than any test. */
+  void
+  start_watching (int count)
+  {
+    for (int i = 0; i < count; i++)
+      {
+        node &n = add_registry ("h" + std::to_string (i), "d0");
+        n.settings.modes.all_watch_registry = true;
+        n.settings.times.watch_ms = 3600 * 1000;
+        n.settings.times.relay_watch_ms = 200;
+        n.start (loop);
+      }
+  }
+
   bool
   all_have_targets (const std::vector<std::string> &names) const
   {
@@ -90,14 +105,7 @@
    20 seconds; relays ask again sooner, find the change and tell the rest. */
 TEST_F (ControlRegistry, ADeafWatchIsFoundSoonAndByOneHostForAll)
 {
-  for (int i = 0; i < 3; i++)
-    {
-      node &n = add_registry ("h" + std::to_string (i), "d0");
-      n.settings.modes.all_watch_registry = true;
-      n.settings.times.watch_ms = 3600 * 1000;
-      n.settings.times.relay_watch_ms = 200;
-      n.start (loop);
-    }
+  start_watching (3);
   store.put ("config", "main", config_text (4));
   ASSERT_TRUE (until ([&] { return all_meet () && all_have_config (4); }));
   for (auto &n : nodes)
@@ -113,15 +121,7 @@
    of those that it has forgotten, and the watch would be refused for ever. */
 TEST_F (ControlRegistry, OnlyTheRelayAsksForTheNewest)
 {
-  for (int i = 0; i < 4; i++)
-    {
-      node &n = add_registry ("h" + std::to_string (i), "d0");
-      n.settings.modes.all_watch_registry = true;
-      n.settings.relays_per_dc = 1;
-      n.settings.times.watch_ms = 3600 * 1000;
-      n.settings.times.relay_watch_ms = 200;
-      n.start (loop);
-    }
+  start_watching (4);
   const auto askers = [&] (platform_age age) {
     return std::count_if (nodes.begin (), nodes.end (), [&] (const auto &n) {
       return n->platform.has_call ("watch", "config", age);
@@ -150,14 +150,7 @@
    nothing. */
 TEST_F (ControlRegistry, ARelayThatIsCutFromThePlatformIsNotWaitedFor)
 {
-  for (int i = 0; i < 3; i++)
-    {
-      node &n = add_registry ("h" + std::to_string (i), "d0");
-      n.settings.modes.all_watch_registry = true;
-      n.settings.times.watch_ms = 3600 * 1000;
-      n.settings.times.relay_watch_ms = 200;
-      n.start (loop);
-    }
+  start_watching (3);
   store.put ("config", "main", config_text (4));
   ASSERT_TRUE (until ([&] { return all_meet () && all_have_config (4); }));
   turn_for (0.5);
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -55,15 +55,6 @@
   };
 }
 
-static void
-read_uint32 (struct options *options, const char *key, int64_t min,
-             int64_t max, uint32_t *value)
-{
-  int64_t number = *value;
-  options_int (options, key, min, max, &number);
-  *value = (uint32_t)number;
-}
-
 static void
 read_ms (struct options *options, const char *key, int64_t min, int64_t max,
          uint32_t *value)
@@ -83,7 +74,7 @@
   options_double (&options, "share", 0, 1, &share);
   retry->percent = (uint32_t)(share * 100 + 0.5);
   read_ms (&options, "window_ms", 100, HOUR_MS, &retry->window_ms);
-  read_uint32 (&options, "reserve", 0, 1000000, &retry->reserve);
+  options_uint32 (&options, "reserve", 0, 1000000, &retry->reserve);
   double used = retry->used_percent / 100.0;
   options_double (&options, "used_targets", 0, 1, &used);
   retry->used_percent = (uint32_t)(used * 100 + 0.5);
@@ -113,20 +104,20 @@
   struct options options;
   if (!options_object (top, "limits", false, &options))
     return;
-  read_uint32 (&options, "connections", 1, 1000000, &limits->connections);
-  read_uint32 (&options, "header_bytes", 4 * KIBIBYTE, 1024 * KIBIBYTE,
-               &limits->header_bytes);
+  options_uint32 (&options, "connections", 1, 1000000, &limits->connections);
+  options_uint32 (&options, "header_bytes", 4 * KIBIBYTE, 1024 * KIBIBYTE,
+                  &limits->header_bytes);
   read_ms (&options, "idle_timeout_ms", 1000, HOUR_MS,
            &limits->idle_timeout_ms);
-  read_uint32 (&options, "stream_buffer_bytes", 4 * KIBIBYTE,
-               16 * 1024 * KIBIBYTE, &limits->stream_buffer_bytes);
+  options_uint32 (&options, "stream_buffer_bytes", 4 * KIBIBYTE,
+                  16 * 1024 * KIBIBYTE, &limits->stream_buffer_bytes);
   read_ms (&options, "target_connect_ms", 10, HOUR_MS,
            &limits->target_connect_ms);
   read_ms (&options, "reuse_idle_ms", 0, HOUR_MS, &limits->reuse_idle_ms);
   read_ms (&options, "reuse_idle_once_ms", 0, HOUR_MS,
            &limits->reuse_idle_once_ms);
-  read_uint32 (&options, "hold_answer_bytes", 0, 16 * 1024 * KIBIBYTE,
-               &limits->hold_answer_bytes);
+  options_uint32 (&options, "hold_answer_bytes", 0, 16 * 1024 * KIBIBYTE,
+                  &limits->hold_answer_bytes);
   if (limits->hold_answer_bytes > limits->stream_buffer_bytes)
     options_fail (&options, "hold_answer_bytes",
                   "expected at most stream_buffer_bytes (%u), found %u; an "
@@ -210,10 +201,10 @@
   options_enum (&options, "level", levels, 4, &level);
   settings->log_level = (enum log_level)level;
   options_bool (&options, "json", &settings->log_json);
-  read_uint32 (&options, "repeats_per_second", 0, 1000000,
-               &settings->log_repeats_per_second);
-  read_uint32 (&options, "warnings_per_second", 0, 1000000,
-               &settings->log_warnings_per_second);
+  options_uint32 (&options, "repeats_per_second", 0, 1000000,
+                  &settings->log_repeats_per_second);
+  options_uint32 (&options, "warnings_per_second", 0, 1000000,
+                  &settings->log_warnings_per_second);
   options_close (top, &options);
 }
 
@@ -368,8 +359,9 @@
   options_string (&top, "secret_file", false, settings->secret_file,
                   sizeof settings->secret_file);
   read_resources (&top, &settings->resources);
-  read_uint32 (&top, "set_hosts_per_dc", 1, 64, &settings->set_hosts_per_dc);
-  read_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
+  options_uint32 (&top, "set_hosts_per_dc", 1, 64,
+                  &settings->set_hosts_per_dc);
+  options_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
   read_modes (&top, &settings->modes);
   read_retry (&top, &settings->retry);
   read_limits (&top, &settings->limits);
--- a/tests/fleet/cut_test.cc
+++ b/tests/fleet/cut_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -16,17 +17,32 @@
 constexpr int pages = 60;
 constexpr int readers_at_once = 12;
 
+/** A fleet with a relay between its hosts and target-1. */
+struct CutTarget
+{
+  CutTarget ()
+  {
+    FleetOptions options;
+    options.through["target-1"] = between.at (5, 9100);
+    fleet = std::make_unique<Fleet> (options);
+    relay = std::make_unique<Relay> (
+        between.at (5, 9100),
+        fleet->target_url (1, "").substr (strlen ("http://")));
+  }
+
+  AddressBlock between;
+  std::unique_ptr<Fleet> fleet;
+  std::unique_ptr<Relay> relay;
+};
+
 /* Answers of one target no longer reach the hosts, though requests reach it.
    Callers of holds there are told "unknown", never "not run", and the target
    is avoided for the rest. */
 TEST (Cut, TargetHeardOneWayOnly)
 {
-  AddressBlock between;
-  FleetOptions options;
-  options.through["target-1"] = between.at (5, 9100);
-  Fleet fleet (options);
-  Relay relay (between.at (5, 9100),
-               fleet.target_url (1, "").substr (strlen ("http://")));
+  CutTarget cut;
+  Fleet &fleet = *cut.fleet;
+  Relay &relay = *cut.relay;
   ASSERT_TRUE (fleet.start ());
   Load load (fleet, callers);
   ASSERT_TRUE (load.wait_more (some));
@@ -88,12 +104,9 @@
    target, not end "unknown" when its ten seconds are over. */
 TEST (Cut, PagesComeFromTargetsThatAreHeard)
 {
-  AddressBlock between;
-  FleetOptions options;
-  options.through["target-1"] = between.at (5, 9100);
-  Fleet fleet (options);
-  Relay relay (between.at (5, 9100),
-               fleet.target_url (1, "").substr (strlen ("http://")));
+  CutTarget cut;
+  Fleet &fleet = *cut.fleet;
+  Relay &relay = *cut.relay;
   ASSERT_TRUE (fleet.start ());
   const size_t runs = fleet.targets[0]->lines_with ("run ").size ();
   relay.cut_back = true;
--- a/tests/harness/relay.cc
+++ b/tests/harness/relay.cc
@@ -122,6 +122,7 @@
   char block[16384];
   for (ssize_t n; (n = recv (from, block, sizeof block, 0)) > 0;)
     {
+      /* The delay is the fault itself: the network holds the block up. */
       if (delay_ms > 0)
         std::this_thread::sleep_for (std::chrono::milliseconds (delay_ms));
       if (cut)
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -19,7 +19,10 @@
 constexpr int dcs = 2;
 constexpr int callers = 6;
 constexpr int steps = 24;
-constexpr std::chrono::milliseconds step{ 250 };
+/* A step ends when so many requests have ended, or, while all callers wait for
+   hosts that hang, after its limit. */
+constexpr size_t step_requests = 400;
+constexpr int step_limit_s = 1;
 constexpr size_t some = 100;
 constexpr double window_s = 10; /* of the retry settings, as below */
 constexpr double retry_share = 0.1;
@@ -44,7 +47,7 @@
     SoakWatch watch (world_);
     ASSERT_TRUE (load.wait_more (some));
     for (int now = 0; now <= steps; now++)
-      carry_out (now);
+      carry_out (load, now);
     ASSERT_TRUE (world_.wait_healed ()) << about ();
     expect_recovered (load);
     expect_drained (load, watch);
@@ -65,7 +68,7 @@
   }
 
   void
-  carry_out (int now)
+  carry_out (Load &load, int now)
   {
     for (const SoakEvent &event : plan_)
       if (event.to == now)
@@ -73,7 +76,8 @@
     for (const SoakEvent &event : plan_)
       if (event.from == now)
         world_.begin (event);
-    std::this_thread::sleep_for (step);
+    const size_t goal = load.count () + step_requests;
+    wait_until ([&] { return load.count () >= goal; }, step_limit_s);
   }
 
   /* Once all is healed, a good part of requests is served again. */
--- a/tests/soak/soak_watch.cc
+++ b/tests/soak/soak_watch.cc
@@ -8,7 +8,7 @@
 {
 
 constexpr long ask_ms = 300;
-constexpr std::chrono::milliseconds pause{ 20 };
+constexpr std::chrono::milliseconds between_rounds{ 20 };
 
 } // namespace
 
@@ -25,12 +25,23 @@
 std::string
 SoakWatch::stop ()
 {
-  stopping_ = true;
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    stopping_ = true;
+  }
+  stop_.notify_all ();
   if (thread_.joinable ())
     thread_.join ();
   return broken_;
 }
 
+bool
+SoakWatch::wait_stop ()
+{
+  std::unique_lock<std::mutex> lock (mutex_);
+  return stop_.wait_for (lock, between_rounds, [this] { return stopping_; });
+}
+
 long
 SoakWatch::version (int number)
 {
@@ -50,9 +61,9 @@
   const size_t hosts = static_cast<size_t> (world_.hosts ());
   std::vector<long> highest (hosts, 0);
   std::vector<int> lifetimes (hosts, 0);
-  while (!stopping_)
+  while (!wait_stop ())
     {
-      for (size_t i = 0; i < hosts && !stopping_; i++)
+      for (size_t i = 0; i < hosts; i++)
         {
           const int number = static_cast<int> (i) + 1;
           const int lifetime = world_.lifetime (number);
@@ -68,6 +79,5 @@
                        + " back to " + std::to_string (found) + "\n";
           highest[i] = found;
         }
-      std::this_thread::sleep_for (pause);
     }
 }
--- a/tests/soak/soak_watch.h
+++ b/tests/soak/soak_watch.h
@@ -5,7 +5,8 @@
 #ifndef TESTS_SOAK_SOAK_WATCH_H
 #define TESTS_SOAK_SOAK_WATCH_H
 
-#include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -24,9 +25,13 @@
 
 private:
   void run ();
+  /** Wait for the stop until the next round is due; was there one? */
+  bool wait_stop ();
 
   SoakWorld &world_;
-  std::atomic<bool> stopping_{ false };
+  std::mutex mutex_;
+  std::condition_variable stop_;
+  bool stopping_ = false;
   std::string broken_;
   std::thread thread_;
 };
--- a/wire/fleet_config.c
+++ b/wire/fleet_config.c
@@ -32,21 +32,12 @@
   .idle_timeout_ms = 30000,
 };
 
-static void
-read_u32 (struct options *options, const char *key, uint32_t min, uint32_t max,
-          uint32_t *value)
-{
-  int64_t number = *value;
-  options_int (options, key, min, max, &number);
-  *value = (uint32_t)number;
-}
-
 static void
 read_part (struct options *options, struct route_part *part)
 {
   part->weight = 1;
   route_options_name (options, "service", true, part->service);
-  read_u32 (options, "weight", 0, WEIGHT_MAX, &part->weight);
+  options_uint32 (options, "weight", 0, WEIGHT_MAX, &part->weight);
 }
 
 static void
@@ -79,11 +70,12 @@
   route->attempts = ATTEMPTS_DEFAULT;
   route_options_name (options, "name", true, route->name);
   route_options_read (options, &route->spec);
-  read_u32 (options, "timeout_ms", 1, HOUR_MS, &route->timeout_ms);
+  options_uint32 (options, "timeout_ms", 1, HOUR_MS, &route->timeout_ms);
   route->latency_goal_ms = route->timeout_ms;
-  read_u32 (options, "latency_goal_ms", 1, HOUR_MS, &route->latency_goal_ms);
-  read_u32 (options, "priority", 0, PRIORITY_MAX, &route->priority);
-  read_u32 (options, "attempts", 1, ATTEMPTS_MAX, &route->attempts);
+  options_uint32 (options, "latency_goal_ms", 1, HOUR_MS,
+                  &route->latency_goal_ms);
+  options_uint32 (options, "priority", 0, PRIORITY_MAX, &route->priority);
+  options_uint32 (options, "attempts", 1, ATTEMPTS_MAX, &route->attempts);
   read_parts (options, route);
 }
 
@@ -111,7 +103,8 @@
   route_options_name (options, "name", true, service->name);
   options_string (options, "health_path", false, service->health_path,
                   sizeof service->health_path);
-  read_u32 (options, "connections", 1, CONNECTIONS_MAX, &service->connections);
+  options_uint32 (options, "connections", 1, CONNECTIONS_MAX,
+                  &service->connections);
 }
 
 static void
@@ -138,12 +131,14 @@
   *limits = limits_default;
   if (!options_object (top, "limits", false, &child))
     return;
-  read_u32 (&child, "header_bytes", HEADER_BYTES_MIN, HEADER_BYTES_MAX,
-            &limits->header_bytes);
-  read_u32 (&child, "body_bytes", 0, BODY_BYTES_MAX, &limits->body_bytes);
-  read_u32 (&child, "header_timeout_ms", 1, HOUR_MS,
-            &limits->header_timeout_ms);
-  read_u32 (&child, "idle_timeout_ms", 1, HOUR_MS, &limits->idle_timeout_ms);
+  options_uint32 (&child, "header_bytes", HEADER_BYTES_MIN, HEADER_BYTES_MAX,
+                  &limits->header_bytes);
+  options_uint32 (&child, "body_bytes", 0, BODY_BYTES_MAX,
+                  &limits->body_bytes);
+  options_uint32 (&child, "header_timeout_ms", 1, HOUR_MS,
+                  &limits->header_timeout_ms);
+  options_uint32 (&child, "idle_timeout_ms", 1, HOUR_MS,
+                  &limits->idle_timeout_ms);
   options_close (top, &child);
 }
 
--- /dev/null
+++ b/wire/platform_http_call.c
@@ -0,0 +1,156 @@
+#include "wire/platform_http_call.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "base/xmalloc.h"
+
+enum
+{
+  RESPONSE_MAX_BYTES = 64 * 1024 * 1024,
+
+  HTTP_OK = 200,
+  HTTP_SERVER_ERROR = 500,
+  HTTP_UNAVAILABLE = 503,
+};
+
+void
+platform_http_call_destroy (struct http_call *call)
+{
+  DL_DELETE (call->http->calls, call);
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  for (size_t i = 0; i < call->page_count; i++)
+    platform_http_reply_release (&call->pages[i]);
+  free (call->pages);
+  free (call->path);
+  free (call->object_kind);
+  free (call->request);
+  free (call->value);
+  free (call->body);
+  free (call);
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *owner)
+{
+  struct http_call *call = owner;
+  const size_t more = size * count;
+  if (call->body_bytes + more > RESPONSE_MAX_BYTES)
+    return 0;
+  call->body = xreallocarray (call->body, call->body_bytes + more + 1, 1);
+  memcpy (call->body + call->body_bytes, data, more);
+  call->body_bytes += more;
+  call->body[call->body_bytes] = '\0';
+  return more;
+}
+
+/* A write is connected afresh, so a transfer that never connected has sent no
+   byte of it.  All else may have reached the platform. */
+static bool
+surely_not_sent (struct http_call *call, CURLcode code)
+{
+  curl_off_t connect_us = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  return code != CURLE_OK
+         && (code == CURLE_COULDNT_CONNECT || connect_us == 0);
+}
+
+static void
+fail_over (struct http_call *call, CURLcode code, long http_code)
+{
+  struct platform_http *http = call->http;
+  const bool unsent = surely_not_sent (call, code)
+                      || (code == CURLE_OK && http_code == HTTP_UNAVAILABLE
+                          && http->dialect->unavailable_is_undone);
+  if (http->preferred == call->address)
+    http->preferred = (call->address + 1) % http->count;
+  if ((unsent || call->kind != CALL_PUT) && call->attempts < http->count)
+    {
+      call->address = (call->address + 1) % http->count;
+      platform_http_call_send (call);
+      return;
+    }
+  char why[64];
+  char message[192];
+  snprintf (why, sizeof why, "answered %ld", http_code);
+  snprintf (message, sizeof message, "the platform at %s %s (%s); %s",
+            http->addresses[call->address],
+            unsent ? "can't be reached" : "gave no answer",
+            code == CURLE_OK ? why : curl_easy_strerror (code),
+            unsent || call->kind != CALL_PUT
+                ? "wait until it is back, or check platform addresses"
+                : "the write may have taken effect: read it back");
+  platform_http_end_failed (
+      call, unsent ? STATUS_UNREACHABLE : STATUS_LOST_ANSWER, message);
+}
+
+static void
+on_done (void *owner, CURLcode code, CURL *easy)
+{
+  struct http_call *call = owner;
+  long http_code = 0;
+  if (call->done == NULL)
+    {
+      platform_http_call_destroy (call);
+      return;
+    }
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http_code);
+  if (code != CURLE_OK || http_code >= HTTP_SERVER_ERROR)
+    fail_over (call, code, http_code);
+  else if (http_code != HTTP_OK)
+    platform_http_end_refused (call, http_code);
+  else
+    platform_http_end_answered (call);
+}
+
+void
+platform_http_call_send (struct http_call *call)
+{
+  struct platform_http *http = call->http;
+  char *url
+      = xasprintf ("http://%s%s", http->addresses[call->address], call->path);
+  curl_easy_setopt (call->easy, CURLOPT_URL, url);
+  free (url);
+  free (call->body);
+  call->body = xstrdup ("");
+  call->body_bytes = 0;
+  call->attempts++;
+  http->platform.calls++;
+  curl_loop_start (http->cl, call->easy, on_done, call);
+}
+
+struct http_call *
+platform_http_call_create (struct platform *platform, enum call_kind kind,
+                           const char *object_kind, platform_done *done,
+                           void *owner)
+{
+  struct platform_http *http = (struct platform_http *)platform;
+  struct http_call *call = xcalloc (1, sizeof *call);
+  call->http = http;
+  call->kind = kind;
+  call->object_kind = xstrdup (object_kind);
+  call->address = http->preferred;
+  call->timeout_ms = http->timeout_ms;
+  call->done = done;
+  call->owner = owner;
+  call->easy = curl_loop_easy ();
+  DL_APPEND (http->calls, call);
+  return call;
+}
+
+void
+platform_http_call_begin (struct http_call *call)
+{
+  CURL *easy = call->easy;
+  call->headers = curl_slist_append (call->headers, "Expect:");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)call->http->connect_timeout_ms);
+  platform_http_call_send (call);
+}
--- /dev/null
+++ b/wire/platform_http_call.h
@@ -0,0 +1,87 @@
+/** @file
+ * One call of the client in platform_http.c: its transfer, and how it ends.
+ * Only the sources of that client include this.
+ */
+#ifndef WIRE_PLATFORM_HTTP_CALL_H
+#define WIRE_PLATFORM_HTTP_CALL_H
+
+#include <stdbool.h>
+
+#include "wire/curl_loop.h"
+#include "wire/platform_http.h"
+#include "wire/platform_http_dialect.h"
+#include "wire/platform_http_reply.h"
+
+enum call_kind
+{
+  CALL_GET,
+  CALL_LIST,
+  CALL_PUT,
+  CALL_WATCH
+};
+
+struct platform_http
+{
+  struct platform platform;
+  const struct platform_http_dialect *dialect;
+  struct curl_loop *cl;
+  char *addresses[PLATFORM_HTTP_ADDRESSES_MAX];
+  size_t count;
+  size_t preferred; /* the address that calls begin with */
+  uint32_t timeout_ms;
+  uint32_t connect_timeout_ms;
+  struct http_call *calls;
+};
+
+struct http_call
+{
+  struct platform_http *http;
+  enum call_kind kind;
+  enum platform_age age; /* LIST */
+  CURL *easy;
+  struct curl_slist *headers;
+  char *path;
+  char *object_kind;
+  char *value;   /* PUT: NULL removes the object */
+  char *request; /* PUT: the body that is sent */
+  /* LIST: the pages that have come, and all of their objects. */
+  struct platform_http_reply *pages;
+  size_t page_count;
+  size_t address;
+  size_t attempts;
+  uint32_t timeout_ms;
+  char *body;
+  size_t body_bytes;
+  platform_done *done; /* NULL once cancelled */
+  void *owner;
+  struct http_call *prev;
+  struct http_call *next;
+};
+
+/** A call of KIND that isn't under way yet. */
+struct http_call *platform_http_call_create (struct platform *platform,
+                                             enum call_kind kind,
+                                             const char *object_kind,
+                                             platform_done *done, void *owner);
+
+/** Send the call for the first time, its path and method set. */
+void platform_http_call_begin (struct http_call *call);
+
+/** Send the call, once more or its next page. */
+void platform_http_call_send (struct http_call *call);
+
+/** Release the call, without calling back. */
+void platform_http_call_destroy (struct http_call *call);
+
+/** End the call, calling back, with a failure that MESSAGE tells. */
+void platform_http_end_failed (struct http_call *call, enum status status,
+                               const char *message);
+
+/** End the call with the whole answer that came with HTTP status 200, or go
+ * on with the next page. */
+void platform_http_end_answered (struct http_call *call);
+
+/** End the call with an answer of another status CODE below 500. */
+void platform_http_end_refused (struct http_call *call, long code);
+
+#endif
--- /dev/null
+++ b/wire/platform_http_end.c
@@ -0,0 +1,192 @@
+#include "wire/platform_http_call.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+
+enum
+{
+  HTTP_NOT_FOUND = 404,
+  HTTP_CONFLICT = 409,
+  HTTP_GONE = 410,
+  HTTP_PRECONDITION_FAILED = 412,
+  HTTP_TOO_MANY_REQUESTS = 429,
+};
+
+/* The owner may cancel all of its calls within its callback: this one must no
+   longer count as under way then. */
+static void
+end (struct http_call *call, const struct platform_reply *reply)
+{
+  platform_done *done = call->done;
+  call->done = NULL;
+  done (call->owner, reply);
+  platform_http_call_destroy (call);
+}
+
+void
+platform_http_end_failed (struct http_call *call, enum status status,
+                          const char *message)
+{
+  const struct platform_reply reply = { .status = status, .message = message };
+  end (call, &reply);
+}
+
+/* The answer to a write tells the version only: the value is known here. */
+static void
+end_written (struct http_call *call)
+{
+  struct platform_http_reply parsed = { 0 };
+  if (call->http->dialect->read_object (&parsed, call->object_kind, call->body,
+                                        call->body_bytes)
+      != STATUS_OK)
+    {
+      platform_http_reply_release (&parsed);
+      platform_http_end_failed (
+          call, STATUS_LOST_ANSWER,
+          "the platform took the write but its answer can't be "
+          "understood; read the object back");
+      return;
+    }
+  parsed.objects[0].value = call->value;
+  const struct platform_reply reply = { .status = STATUS_OK,
+                                        .objects = parsed.objects,
+                                        .count = parsed.count };
+  end (call, &reply);
+  platform_http_reply_release (&parsed);
+}
+
+static void
+end_read (struct http_call *call)
+{
+  const struct platform_http_dialect *dialect = call->http->dialect;
+  struct platform_http_reply parsed = { 0 };
+  const enum status status = (call->kind == CALL_GET ? dialect->read_object
+                                                     : dialect->read_changes) (
+      &parsed, call->object_kind, call->body, call->body_bytes);
+  const struct platform_reply reply
+      = { .status = status,
+          .message = status == STATUS_OK ? NULL : status_message (),
+          .revision = parsed.revision,
+          .objects = parsed.objects,
+          .count = parsed.count };
+  end (call, &reply);
+  platform_http_reply_release (&parsed);
+}
+
+/* What was changed between two pages is told again by a watch from the first
+   page's revision. */
+static void
+end_list (struct http_call *call)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < call->page_count; i++)
+    count += call->pages[i].count;
+  struct platform_object *objects = xcalloc (count + 1, sizeof *objects);
+  count = 0;
+  for (size_t i = 0; i < call->page_count; i++)
+    for (size_t k = 0; k < call->pages[i].count; k++)
+      objects[count++] = call->pages[i].objects[k];
+  const struct platform_reply reply = { .status = STATUS_OK,
+                                        .revision = call->pages[0].revision,
+                                        .objects = objects,
+                                        .count = count };
+  end (call, &reply);
+  free (objects);
+}
+
+static void
+take_page (struct http_call *call)
+{
+  const struct platform_http_dialect *dialect = call->http->dialect;
+  call->pages
+      = xreallocarray (call->pages, call->page_count + 1, sizeof *call->pages);
+  struct platform_http_reply *page = &call->pages[call->page_count++];
+  *page = (struct platform_http_reply){ 0 };
+  if (dialect->read_list (page, call->object_kind, call->body,
+                          call->body_bytes)
+      != STATUS_OK)
+    {
+      platform_http_end_failed (call, STATUS_INVALID, status_message ());
+      return;
+    }
+  if (page->more_after[0] == '\0')
+    {
+      end_list (call);
+      return;
+    }
+  free (call->path);
+  call->path
+      = dialect->list_path (call->object_kind, page->more_after, call->age);
+  call->attempts = 0;
+  platform_http_call_send (call);
+}
+
+static void
+end_conflict (struct http_call *call)
+{
+  struct platform_http_reply parsed = { 0 };
+  call->http->dialect->read_object (&parsed, call->object_kind, call->body,
+                                    call->body_bytes);
+  const bool exists = parsed.count > 0 && parsed.objects[0].value != NULL;
+  const struct platform_reply reply
+      = { .status = STATUS_REFUSED,
+          .message = exists ? "the object was changed meanwhile; look at it "
+                              "and decide again"
+                            : "there is no such object any more",
+          .objects = parsed.objects,
+          .count = exists ? 1 : 0 };
+  end (call, &reply);
+  platform_http_reply_release (&parsed);
+}
+
+void
+platform_http_end_refused (struct http_call *call, long code)
+{
+  char message[160];
+  snprintf (message, sizeof message,
+            "the platform answered %ld to %s; check that it and this program "
+            "speak the same API",
+            code, call->path);
+  switch (code)
+    {
+    case HTTP_NOT_FOUND:
+      platform_http_end_failed (call, STATUS_NOT_FOUND,
+                                "the platform has no such object");
+      return;
+    case HTTP_CONFLICT:
+    case HTTP_PRECONDITION_FAILED:
+      end_conflict (call);
+      return;
+    case HTTP_GONE:
+      platform_http_end_failed (
+          call, STATUS_REFUSED,
+          "the platform no longer knows that revision; list again");
+      return;
+    case HTTP_TOO_MANY_REQUESTS:
+      platform_http_end_failed (
+          call, STATUS_LIMIT,
+          "the platform takes no more calls now; come back later");
+      return;
+    default:
+      platform_http_end_failed (call, STATUS_INVALID, message);
+    }
+}
+
+void
+platform_http_end_answered (struct http_call *call)
+{
+  switch (call->kind)
+    {
+    case CALL_PUT:
+      end_written (call);
+      return;
+    case CALL_LIST:
+      take_page (call);
+      return;
+    case CALL_GET:
+    case CALL_WATCH:
+      end_read (call);
+    }
+}
--- a/wire/service_spec.c
+++ b/wire/service_spec.c
@@ -42,15 +42,6 @@
   };
 }
 
-static void
-read_u32 (struct options *options, const char *key, uint32_t min, uint32_t max,
-          uint32_t *value)
-{
-  int64_t number = *value;
-  options_int (options, key, min, max, &number);
-  *value = (uint32_t)number;
-}
-
 static void
 read_target (struct options *options, struct target_spec *target)
 {
@@ -68,10 +59,11 @@
                   "port that the target listens on",
                   target->address);
   route_options_name (options, "dc", false, target->dc);
-  read_u32 (options, "slots", 1, SLOTS_MAX, &target->slots);
+  options_uint32 (options, "slots", 1, SLOTS_MAX, &target->slots);
   target->capacity = target->slots;
-  read_u32 (options, "capacity", 1, FLOOR_MAX, &target->capacity);
-  read_u32 (options, "connections", 1, CONNECTIONS_MAX, &target->connections);
+  options_uint32 (options, "capacity", 1, FLOOR_MAX, &target->capacity);
+  options_uint32 (options, "connections", 1, CONNECTIONS_MAX,
+                  &target->connections);
   options_enum (options, "state", target_state_names, TARGET_STATE_COUNT,
                 &state);
   target->state = (enum target_state)state;
@@ -169,15 +161,19 @@
   struct options child;
   if (!options_object (top, "limits", false, &child))
     return;
-  read_u32 (&child, "queue_requests", 0, QUEUE_REQUESTS_MAX,
-            &limits->queue_requests);
-  read_u32 (&child, "queue_bytes", 0, QUEUE_BYTES_MAX, &limits->queue_bytes);
-  read_u32 (&child, "body_bytes", 0, BODY_BYTES_MAX, &limits->body_bytes);
-  read_u32 (&child, "timeout_ms", 1, TIMEOUT_MAX_MS, &limits->timeout_ms);
-  read_u32 (&child, "connect_timeout_ms", 1, CONNECT_TIMEOUT_MAX_MS,
-            &limits->connect_timeout_ms);
-  read_u32 (&child, "retry_percent", 0, PERCENT_MAX, &limits->retry_percent);
-  read_u32 (&child, "attempts", 1, ATTEMPTS_MAX, &limits->attempts);
+  options_uint32 (&child, "queue_requests", 0, QUEUE_REQUESTS_MAX,
+                  &limits->queue_requests);
+  options_uint32 (&child, "queue_bytes", 0, QUEUE_BYTES_MAX,
+                  &limits->queue_bytes);
+  options_uint32 (&child, "body_bytes", 0, BODY_BYTES_MAX,
+                  &limits->body_bytes);
+  options_uint32 (&child, "timeout_ms", 1, TIMEOUT_MAX_MS,
+                  &limits->timeout_ms);
+  options_uint32 (&child, "connect_timeout_ms", 1, CONNECT_TIMEOUT_MAX_MS,
+                  &limits->connect_timeout_ms);
+  options_uint32 (&child, "retry_percent", 0, PERCENT_MAX,
+                  &limits->retry_percent);
+  options_uint32 (&child, "attempts", 1, ATTEMPTS_MAX, &limits->attempts);
   options_close (top, &child);
 }
 
@@ -193,7 +189,7 @@
                 &prefer);
   options_enum (top, "ejection", service_ejection_names,
                 SERVICE_EJECTION_COUNT, &ejection);
-  read_u32 (top, "floor_capacity", 0, FLOOR_MAX, &spec->floor_capacity);
+  options_uint32 (top, "floor_capacity", 0, FLOOR_MAX, &spec->floor_capacity);
   read_targets (top, spec);
   read_routes (top, spec);
   read_limits (top, &spec->limits);
