fleet: host sets are sized by what their targets can take

On the large deployment (444 hosts, 990 targets, 2,800 requests/s) one host a data centre carried all callers. The strong hosts hold less than a quarter of all strength there, so the weighted choice took mostly weak ones, of 0.1 core: each got about three times what it carries, held requests past their route's timeout and didn't deliver answers that targets had finished (CONFIG, GONE).

Now the set of services that share callers takes as many hosts as carry four requests a second for each slot of their targets, strong ones first where these are enough. Slots are known to every host alike, so all compute one set; they are rounded up to three binary digits, so that few targets more or less move nobody. Relays are strong hosts wherever there are any.

--- a/bench/placement_bench.c
+++ b/bench/placement_bench.c
@@ -31,7 +31,8 @@
   uint64_t chosen = 0;
   for (uint64_t i = 0; i < SERVICES; i++)
     {
-      host_set_choose (hash_pair (3, i), hosts, count, PER_DC, &choice);
+      host_set_choose (hash_pair (3, i), hosts, count,
+                       &(struct host_set_need){ .per_dc = PER_DC }, &choice);
       chosen += choice.count;
     }
   const int64_t took_us = clock_now_us () - start_us;
--- a/node/control/control_services.c
+++ b/node/control/control_services.c
@@ -32,6 +32,25 @@
   control_sets_drop (service);
 }
 
+static uint64_t
+slots_of (const struct service_spec *spec)
+{
+  uint64_t slots = 0;
+  for (size_t i = 0; i < spec->target_count; i++)
+    slots += spec->targets[i].slots;
+  return slots;
+}
+
+/* All services of a group have one set. */
+static void
+choose_anew (struct control_task *task, uint64_t key)
+{
+  struct control_service *service;
+  for (service = task->services; service != NULL; service = service->hh.next)
+    if (service->key == key)
+      service->generation = 0;
+}
+
 void
 control_services_enforce (struct control_task *task, struct service_spec *spec)
 {
@@ -44,9 +63,13 @@
     }
   const uint64_t key
       = hash_string (spec->group[0] != '\0' ? spec->group : spec->name);
-  if (service->key != key)
-    service->generation = 0;
-  service->key = key;
+  const uint64_t slots = slots_of (spec);
+  if (service->key != key || service->slots != slots)
+    {
+      service->key = key;
+      service->slots = slots;
+      choose_anew (task, key);
+    }
   service->version = spec->version;
   LOG_INFO ("service-in-force", LOG_STR ("service", spec->name),
             LOG_INT ("version", spec->version),
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -31,7 +31,9 @@
   const uint32_t strength = host->record.strength;
   return (struct fleet_host){ .key = host->key,
                               .dc = hash_string (host->record.dc),
-                              .weight = strength > 0 ? strength : 1 };
+                              .weight = strength > 0
+                                            ? strength
+                                            : HOST_STRENGTH_UNKNOWN };
 }
 
 static void
@@ -44,7 +46,6 @@
   for (host = task->hosts; host != NULL; host = host->hh.next)
     if (is_candidate (task, host))
       task->fleet[task->fleet_count++] = placed (host);
-  host_strength_prefer (task->fleet, task->fleet_count);
 }
 
 /* With nobody believed live, beat to whoever is known: it may be us who was
@@ -148,14 +149,29 @@
   return hash;
 }
 
+/* The slots of all services that share SERVICE's set. */
+static uint64_t
+group_slots (const struct control_task *task,
+             const struct control_service *service)
+{
+  uint64_t slots = 0;
+  const struct control_service *other;
+  for (other = task->services; other != NULL; other = other->hh.next)
+    if (other->key == service->key)
+      slots += other->slots;
+  return slots;
+}
+
 static void
 choose_set (struct control_task *task, struct control_service *service)
 {
-  uint32_t per_dc = task->options.settings->set_hosts_per_dc;
-  if (per_dc > FLEET_PER_DC_MAX)
-    per_dc = FLEET_PER_DC_MAX;
+  struct host_set_need need
+      = { .per_dc = task->options.settings->set_hosts_per_dc,
+          .rate = host_set_rate (group_slots (task, service)) };
+  if (need.per_dc > FLEET_PER_DC_MAX)
+    need.per_dc = FLEET_PER_DC_MAX;
   struct fleet_choice choice;
-  host_set_choose (service->key, task->fleet, task->fleet_count, per_dc,
+  host_set_choose (service->key, task->fleet, task->fleet_count, &need,
                    &choice);
   service->generation = task->generation;
   const uint64_t hash = signature (task, &choice);
@@ -203,7 +219,7 @@
       if (scores > SCORES_PER_TURN)
         return true;
       choose_set (task, service);
-      scores += task->fleet_count + 1;
+      scores += task->fleet_count + HASH_COUNT (task->services);
     }
   return false;
 }
--- a/policy/fleet/fleet_host.h
+++ b/policy/fleet/fleet_host.h
@@ -8,8 +8,9 @@
 
 /** Most data centres a fleet spans. */
 #define FLEET_DCS_MAX 32
-/** Most hosts chosen per data centre. */
-#define FLEET_PER_DC_MAX 8
+/** Most hosts chosen per data centre: beyond it each would see too few of a
+ * service's requests to know its targets. */
+#define FLEET_PER_DC_MAX 32
 
 struct fleet_host
 {
--- a/policy/fleet/host_set.c
+++ b/policy/fleet/host_set.c
@@ -2,7 +2,12 @@
 
 #include <assert.h>
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "base/hash.h"
+#include "base/xmalloc.h"
+#include "policy/fleet/host_strength.h"
 #include "policy/fleet/rendezvous.h"
 
 /** Subjects that no service name hashes to by design: they keep relays and
@@ -15,14 +20,107 @@
 
 enum
 {
-  NO_HOST = 0
+  NO_HOST = 0,
+  /** Requests a second at one slot when it is never free: work of a quarter of
+   * a second each, shorter than that of most services, which leaves room for
+   * a host lost and for bursts. */
+  SLOT_RATE = 4,
+  /** Leading binary digits of the slots that count: a change below an eighth
+   * to a quarter moves no callers. */
+  SLOT_DIGITS = 3,
+  /** What one strong host can do is enough for a relay. */
+  RELAY_RATE = 1,
+};
+
+uint64_t
+host_set_rate (uint64_t slots)
+{
+  uint64_t unit = 1;
+  while (slots / unit >= 1u << SLOT_DIGITS)
+    unit *= 2;
+  return (slots + unit - 1) / unit * unit * SLOT_RATE;
+}
+
+/* What one data centre has of a choice. */
+struct dc_part
+{
+  uint64_t dc;
+  uint32_t hosts;
+  uint64_t rate;
+};
+
+struct dc_parts
+{
+  struct dc_part dcs[FLEET_DCS_MAX];
+  uint32_t count;
 };
 
+static struct dc_part *
+part_of (struct dc_parts *parts, uint64_t dc)
+{
+  for (uint32_t i = 0; i < parts->count; i++)
+    if (parts->dcs[i].dc == dc)
+      return &parts->dcs[i];
+  if (parts->count == FLEET_DCS_MAX)
+    return NULL;
+  struct dc_part *part = &parts->dcs[parts->count++];
+  *part = (struct dc_part){ .dc = dc };
+  return part;
+}
+
+/* The part of each data centre in RATE, rounded up. */
+static uint64_t
+rate_per_dc (const struct fleet_host *hosts, size_t count, uint64_t rate)
+{
+  struct dc_parts parts = { 0 };
+  for (size_t i = 0; i < count; i++)
+    part_of (&parts, hosts[i].dc);
+  return parts.count == 0 ? 0 : (rate + parts.count - 1) / parts.count;
+}
+
+/* Keep the best placed ones of CHOICE that are needed. */
+static void
+trim (const struct fleet_host *hosts, uint32_t per_dc, uint64_t rate,
+      struct fleet_choice *choice)
+{
+  struct dc_parts parts = { 0 };
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < choice->count; i++)
+    {
+      const struct fleet_host *host = &hosts[choice->hosts[i]];
+      struct dc_part *part = part_of (&parts, host->dc);
+      if (part == NULL || (part->hosts >= per_dc && part->rate >= rate))
+        continue;
+      part->hosts++;
+      /* One whose strength isn't known is taken as strong enough. */
+      part->rate += host->weight > HOST_STRENGTH_UNKNOWN ? host->weight : rate;
+      choice->hosts[kept++] = choice->hosts[i];
+    }
+  choice->count = kept;
+}
+
+/* HOSTS with strong ones made first choice where these carry RATE. */
+static struct fleet_host *
+preferred (const struct fleet_host *hosts, size_t count, uint64_t rate)
+{
+  struct fleet_host *copy = xcalloc (count + 1, sizeof *copy);
+  if (count > 0)
+    memcpy (copy, hosts, count * sizeof *copy);
+  host_strength_prefer (copy, count, rate);
+  return copy;
+}
+
 void
 host_set_choose (uint64_t service, const struct fleet_host *hosts,
-                 size_t count, uint32_t per_dc, struct fleet_choice *choice)
+                 size_t count, const struct host_set_need *need,
+                 struct fleet_choice *choice)
 {
-  rendezvous_choose (service, hosts, count, per_dc, NO_HOST, choice);
+  const uint64_t rate = rate_per_dc (hosts, count, need->rate);
+  const uint32_t most = need->rate > 0 ? FLEET_PER_DC_MAX : need->per_dc;
+  struct fleet_host *copy = preferred (hosts, count, rate);
+  rendezvous_choose (service, copy, count, most, NO_HOST, choice);
+  free (copy);
+  trim (hosts, need->per_dc, rate, choice);
 }
 
 uint32_t
@@ -37,7 +135,9 @@
 relays_choose (const struct fleet_host *hosts, size_t count, uint32_t per_dc,
                struct fleet_choice *choice)
 {
-  rendezvous_choose (SUBJECT_RELAYS, hosts, count, per_dc, NO_HOST, choice);
+  struct fleet_host *copy = preferred (hosts, count, RELAY_RATE);
+  rendezvous_choose (SUBJECT_RELAYS, copy, count, per_dc, NO_HOST, choice);
+  free (copy);
 }
 
 void
@@ -46,8 +146,10 @@
                    struct fleet_choice *choice)
 {
   struct fleet_choice all;
-  rendezvous_choose (hash_pair (SUBJECT_NEIGHBOURS, self->key), hosts, count,
+  struct fleet_host *copy = preferred (hosts, count, 0);
+  rendezvous_choose (hash_pair (SUBJECT_NEIGHBOURS, self->key), copy, count,
                      NEIGHBOURS_LOCAL, self->key, &all);
+  free (copy);
   uint64_t remote[FLEET_DCS_MAX];
   uint32_t remote_count = 0;
   choice->count = 0;
--- a/policy/fleet/host_set.h
+++ b/policy/fleet/host_set.h
@@ -17,10 +17,23 @@
   NEIGHBOURS_LOCAL = 3,
 };
 
-/** The host set of the service with key SERVICE, PER_DC hosts in each data
- * centre where there are as many. */
+/** What the hosts of a set must do together. */
+struct host_set_need
+{
+  uint32_t per_dc; /**< hosts in each data centre at least, if it has them */
+  uint64_t rate;   /**< requests a second in all data centres; 0: no matter */
+};
+
+/** The requests a second that targets with SLOTS slots together may get: what
+ * their hosts must be able to carry, however much callers want.  SLOTS is
+ * rounded up, so that few targets more or less leave the hosts as they are. */
+uint64_t host_set_rate (uint64_t slots);
+
+/** The host set of the service with key SERVICE.  Each data centre takes part
+ * with as many hosts as NEED says, and with more until they carry its part of
+ * the rate: strong hosts first where these are enough. */
 void host_set_choose (uint64_t service, const struct fleet_host *hosts,
-                      size_t count, uint32_t per_dc,
+                      size_t count, const struct host_set_need *need,
                       struct fleet_choice *choice);
 
 /** Where the N-th address of an answer comes from in a set of COUNT: a
--- a/policy/fleet/host_strength.c
+++ b/policy/fleet/host_strength.c
@@ -31,12 +31,13 @@
   const uint64_t by_link
       = (uint64_t)resources->link_mbps * BYTES_PER_MBIT / REQUEST_LINK_BYTES;
   if (resources->cpu_percent == 0 && resources->link_mbps == 0)
-    return 1;
+    return HOST_STRENGTH_UNKNOWN;
   if (resources->cpu_percent > 0 && by_cpu < rate)
     rate = by_cpu;
   if (resources->link_mbps > 0 && by_link < rate)
     rate = by_link;
-  return rate > 0 ? (uint32_t)rate : 1;
+  return rate > HOST_STRENGTH_UNKNOWN ? (uint32_t)rate
+                                      : HOST_STRENGTH_UNKNOWN + 1;
 }
 
 /** The weights of one data centre. */
@@ -73,8 +74,15 @@
   return host->weight >= strength->best / STRONG_PART;
 }
 
+static bool
+is_enough (const struct dc_strength *dc, uint64_t rate)
+{
+  return dc->strong * SHARE_PART >= dc->total
+         || (rate > 0 && dc->strong >= rate);
+}
+
 void
-host_strength_prefer (struct fleet_host *hosts, size_t count)
+host_strength_prefer (struct fleet_host *hosts, size_t count, uint64_t rate)
 {
   struct strengths strengths = { 0 };
   struct dc_strength *dc;
@@ -91,6 +99,6 @@
       }
   for (size_t i = 0; i < count; i++)
     if ((dc = strength_of (&strengths, hosts[i].dc)) != NULL
-        && is_strong (dc, &hosts[i]) && dc->strong * SHARE_PART >= dc->total)
+        && is_strong (dc, &hosts[i]) && is_enough (dc, rate))
       hosts[i].weight *= PREFERENCE;
 }
--- a/policy/fleet/host_strength.h
+++ b/policy/fleet/host_strength.h
@@ -18,14 +18,22 @@
   uint32_t files;     /**< descriptors that its process may have open */
 };
 
-/** Requests a second that a host with RESOURCES can carry, at least 1; 1 when
- * nothing is known of it. */
+enum
+{
+  /** Strength of a host whose resources nobody told. */
+  HOST_STRENGTH_UNKNOWN = 1,
+};
+
+/** Requests a second that a host with RESOURCES can carry, above
+ * HOST_STRENGTH_UNKNOWN; or that, when nothing is known of it. */
 uint32_t host_strength (const struct host_resources *resources);
 
-/** In data centres where few hosts are much stronger than the others and hold
- * a good part of all strength, make them first choice: the others are chosen
- * when none of them is left.  With hosts of like strength, or where the
- * strong ones are too few to carry what all do, weights stay. */
-void host_strength_prefer (struct fleet_host *hosts, size_t count);
+/** In data centres where few hosts are much stronger than the others, make
+ * them first choice: the others are chosen when none of them is left.  That is
+ * so where the strong ones carry RATE requests a second together, or hold a
+ * good part of all strength; else weights stay.  RATE 0: it isn't known what
+ * they must carry. */
+void host_strength_prefer (struct fleet_host *hosts, size_t count,
+                           uint64_t rate);
 
 #endif
--- /dev/null
+++ b/policy/fleet/tests/host_set_test.cc
@@ -0,0 +1,118 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+extern "C"
+{
+#include "base/hash.h"
+#include "policy/fleet/host_set.h"
+}
+
+namespace
+{
+
+constexpr uint64_t DCS = 5;
+
+/* Each data centre with STRONG hosts that carry 1,000 requests a second and
+   WEAK ones that carry 200. */
+std::vector<fleet_host>
+fleet (uint32_t strong, uint32_t weak)
+{
+  std::vector<fleet_host> hosts;
+  for (uint64_t dc = 1; dc <= DCS; dc++)
+    for (uint32_t i = 0; i < strong + weak; i++)
+      hosts.push_back (
+          { hash_pair (dc, i), dc, i < strong ? 1000u : 200u });
+  return hosts;
+}
+
+fleet_choice
+choose (const std::vector<fleet_host> &hosts, uint32_t per_dc, uint64_t rate)
+{
+  fleet_choice choice;
+  const host_set_need need = { per_dc, rate };
+  host_set_choose (77, hosts.data (), hosts.size (), &need, &choice);
+  return choice;
+}
+
+uint64_t
+carried (const std::vector<fleet_host> &hosts, const fleet_choice &choice,
+         uint64_t dc)
+{
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < choice.count; i++)
+    if (hosts[choice.hosts[i]].dc == dc)
+      sum += hosts[choice.hosts[i]].weight;
+  return sum;
+}
+
+/* 444 hosts, of which fifteen are strong, take 2,800 requests a second for
+ * targets with 2,970 slots.  With one host a data centre whatever the traffic,
+ * mostly a weak one, each gets three times what it carries: callers wait until
+ * their time is over, and what targets have answered isn't delivered. */
+TEST (HostSet, GrowsUntilItCarriesWhatTheTargetsCan)
+{
+  const auto hosts = fleet (3, 86);
+  const uint64_t rate = host_set_rate (2970);
+  const fleet_choice choice = choose (hosts, 1, rate);
+  for (uint64_t dc = 1; dc <= DCS; dc++)
+    EXPECT_GE (carried (hosts, choice, dc), rate / DCS);
+  for (uint32_t i = 0; i < choice.count; i++)
+    EXPECT_EQ (hosts[choice.hosts[i]].weight, 1000u);
+  EXPECT_LE (choice.count, 15u);
+}
+
+/* All strong hosts of one data centre are lost, as when their rack fails: its
+ * weak ones must take over in a number that carries the same. */
+TEST (HostSet, WeakHostsTakeOverInGreaterNumber)
+{
+  auto hosts = fleet (3, 86);
+  const auto is_lost = [] (const fleet_host &host) {
+    return host.dc == 2 && host.weight == 1000;
+  };
+  hosts.erase (std::remove_if (hosts.begin (), hosts.end (), is_lost),
+               hosts.end ());
+  const uint64_t rate = host_set_rate (2970);
+  const fleet_choice choice = choose (hosts, 1, rate);
+  EXPECT_GE (carried (hosts, choice, 2), rate / DCS);
+  EXPECT_LE (carried (hosts, choice, 2), rate / DCS + 200);
+}
+
+TEST (HostSet, StaysAsSmallAsSettingsSayWhereThatIsEnough)
+{
+  const auto hosts = fleet (0, 8);
+  EXPECT_EQ (choose (hosts, 1, host_set_rate (72)).count, DCS);
+  EXPECT_EQ (choose (hosts, 2, host_set_rate (72)).count, 2 * DCS);
+  EXPECT_EQ (choose (hosts, 2, 0).count, 2 * DCS);
+}
+
+TEST (HostSet, HostsOfUnknownStrengthAreTakenAsStrongEnough)
+{
+  std::vector<fleet_host> hosts = fleet (0, 8);
+  for (fleet_host &host : hosts)
+    host.weight = 1;
+  EXPECT_EQ (choose (hosts, 1, 100000).count, DCS);
+}
+
+TEST (HostSet, HasAllHostsWhereTheyAreTooFew)
+{
+  const auto hosts = fleet (1, 2);
+  EXPECT_EQ (choose (hosts, 1, 1000000).count, hosts.size ());
+}
+
+/* A few targets more or less must not move the callers of a whole service. */
+TEST (HostSet, FewTargetsMoreOrLessLeaveTheRateAsItIs)
+{
+  EXPECT_EQ (host_set_rate (0), 0u);
+  EXPECT_EQ (host_set_rate (2970), host_set_rate (2900));
+  EXPECT_GE (host_set_rate (2970), 4 * 2970u);
+  for (uint64_t slots = 1; slots < 100000; slots += 7)
+    {
+      EXPECT_GE (host_set_rate (slots), 4 * slots);
+      EXPECT_LE (host_set_rate (slots), 5 * slots + 4);
+      EXPECT_LE (host_set_rate (slots), host_set_rate (slots + 1));
+    }
+}
+
+}
--- a/policy/fleet/tests/host_strength_test.cc
+++ b/policy/fleet/tests/host_strength_test.cc
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "policy/fleet/host_set.h"
 #include "policy/fleet/host_strength.h"
+#include "policy/fleet/rendezvous.h"
 }
 
 namespace
@@ -28,12 +29,12 @@
 strong_firsts (std::vector<fleet_host> hosts, uint32_t strong)
 {
   int firsts = 0;
-  host_strength_prefer (hosts.data (), hosts.size ());
+  host_strength_prefer (hosts.data (), hosts.size (), 0);
   for (uint64_t service = 0; service < 1000; service++)
     {
       fleet_choice choice;
-      host_set_choose (hash_pair (3, service), hosts.data (), hosts.size (), 1,
-                       &choice);
+      rendezvous_choose (hash_pair (3, service), hosts.data (), hosts.size (),
+                         1, 0, &choice);
       firsts += choice.hosts[0] < strong;
     }
   return firsts;
--- a/policy/fleet/tests/rendezvous_test.cc
+++ b/policy/fleet/tests/rendezvous_test.cc
@@ -97,7 +97,7 @@
       const uint64_t lost = hosts[rng_below (&random, hosts.size ())].key;
       fleet_choice before, after;
       const uint64_t service = rng_next (&random);
-      host_set_choose (service, hosts.data (), hosts.size (), 2, &before);
+      rendezvous_choose (service, hosts.data (), hosts.size (), 2, 0, &before);
       rendezvous_choose (service, hosts.data (), hosts.size (), 2, lost,
                          &after);
       const auto now = keys_of (after, hosts);
