control: outcomes are told in batches

Every outcome that is news went to each host of the set as a message of its own: with 15 hosts and 2,800 requests/s that is some 500 sendings a second at each host.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -161,6 +161,7 @@
 
 struct control_ask;
 struct control_local;
+struct control_outcomes;
 
 struct control_task
 {
@@ -193,6 +194,8 @@
   struct ev_timer removal_due;
   struct control_handler_entry handlers[PEER_TYPE_END];
   struct control_local *local;
+  struct control_outcomes *outcomes; /**< to be told */
+  struct ev_timer report;            /**< of outcomes */
   struct control_ask *asks;
   uint64_t ask_id;
   struct control_check checks[CONTROL_CHECKS_MAX];
@@ -315,6 +318,8 @@
 void control_outcomes_start (struct control_task *task);
 void control_outcomes_receive (struct control_task *task,
                                const struct peer_report *report);
+void control_outcomes_prepare (struct control_task *task);
+void control_outcomes_release (struct control_task *task);
 
 /* control_platform.c */
 void control_platform_start (struct control_task *task);
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -273,6 +273,7 @@
   ev_timer_init (&task->refresh, refresh_cb, 0, 0);
   task->refresh.data = task;
   control_send_prepare (task);
+  control_outcomes_prepare (task);
   describe_self (task);
   make_membership (task);
   enum status status = peer_secret_load (options->settings->secret_file,
@@ -318,6 +319,7 @@
   control_seeds_close (task);
   peer_server_destroy (task->server);
   control_send_release (task);
+  control_outcomes_release (task);
   control_ask_release (task);
   registry_destroy (task->registry);
   control_settings_release (task);
