choice: the targets of a service are divided among the hosts of its set

Now each target belongs to one host of the set, in its own data centre where there is one (rendezvous, so that a lost host moves its own targets only). A host prefers its subset as it preferred its data centre, has all slots there, and compares sixteen candidates of the subset and sixteen others. The wanted share of targets in use is seen to by subset, with a margin for one host lost; sets of few hosts, where that is no margin, look after all targets as before. With one host a data centre a subset is the data centre, so the earlier deployments choose as they did.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/xmalloc.h"
+#include "policy/fleet/subset.h"
 
 enum
 {
@@ -15,7 +16,7 @@
      fluctuates so, and is beyond two of them one time in forty. */
   SHARE_ROOTS = 2,
   /* Enough to outweigh the blur of costs, not a target that is likely ill. */
-  REMOTE_COST_PERCENT = 50,
+  BACKUP_COST_PERCENT = 50,
   US_PER_MS = 1000,
   /* A good answer of a target that was doubted is news; of another one it is
      told now and then, since a success says less with every second. */
@@ -91,6 +92,7 @@
   service->loop = loop;
   strncpy (service->name, name, sizeof service->name - 1);
   strncpy (service->own_dc, own_dc, sizeof service->own_dc - 1);
+  service->own_key = hash_string (settings->name);
   service->seed = hash_pair (seed, hash_string (name));
   service->users = 1;
   service->retry = &settings->retry;
@@ -120,6 +122,7 @@
   service_spec_destroy (service->spec);
   free (service->targets);
   free (service->hosts);
+  free (service->placed_hosts);
   free (service);
 }
 
@@ -145,7 +148,8 @@
     .retries = retry_bound_of (&grant, &service->retry_fleet),
     .used_percent = service->used_percent,
     .attempts = limits->attempts,
-    .remote_cost_percent = service->prefers_own_dc ? REMOTE_COST_PERCENT : 0,
+    .backup_cost_percent = service->prefers_own_dc ? BACKUP_COST_PERCENT : 0,
+    .set_hosts = service->in_set ? (uint32_t)service->host_count : 0,
     .prefer_faster_detection
     = service->spec->prefer == SERVICE_PREFER_FASTER_DETECTION,
   };
@@ -172,12 +176,30 @@
              : equal_share (service, total);
 }
 
-/* This host's part of TARGET's slots.  A request takes a connection for
+/* Is TARGET outside this host's subset?  A host that callers aren't sent to
+   has none, and goes by the data centre. */
+static bool
+is_backup (const struct caller_service *service,
+           const struct target_spec *target)
+{
+  if (!service->in_set)
+    return strcmp (target->dc, service->own_dc) != 0;
+  const size_t owner
+      = subset_owner (hash_string (target->name), hash_string (target->dc),
+                      service->placed_hosts, service->host_count);
+  return service->placed_hosts[owner].key != service->own_key;
+}
+
+/* This host's part of TARGET's slots: all of them in its subset, which the
+   others of the set use only when they must.  A request takes a connection for
    itself, so the part of those bounds it too. */
 static uint32_t
 slots_here (const struct caller_service *service, uint64_t key,
             const struct target_spec *target)
 {
+  if (service->in_set && service->share.permille == 0
+      && !is_backup (service, target))
+    return target->slots;
   const uint32_t slots = share_of (service, key, target->slots);
   if (target->connections == 0)
     return slots;
@@ -201,6 +223,7 @@
         .key = state->key,
         .slots = slots_here (service, state->key, target),
         .distance_us = near ? 0 : DC_DISTANCE_US,
+        .is_backup = is_backup (service, target),
         .accepts_work
         = target->state == TARGET_STATE_ACTIVE && !state->leaving,
         .warm_up_us = target->warm_up_ms < 0
@@ -286,6 +309,21 @@
   apply_targets (service);
 }
 
+/* The hosts of the set as the division of targets sees them: all alike, since
+   callers come to all alike. */
+static void
+place_hosts (struct caller_service *service)
+{
+  free (service->placed_hosts);
+  service->placed_hosts
+      = xcalloc (service->host_count + 1, sizeof *service->placed_hosts);
+  for (size_t i = 0; i < service->host_count; i++)
+    service->placed_hosts[i]
+        = (struct fleet_host){ .key = hash_string (service->hosts[i].name),
+                               .dc = hash_string (service->hosts[i].dc),
+                               .weight = 1 };
+}
+
 void
 caller_service_set_hosts (struct caller_service *service,
                           const struct bus_host_set *set)
@@ -295,6 +333,7 @@
   if (set->count > 0)
     memcpy (service->hosts, set->hosts, set->count * sizeof *service->hosts);
   service->host_count = set->count;
+  place_hosts (service);
   service->in_set = set->self;
   service->fleet_count = set->fleet_count;
   note_fleet (service);
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -17,6 +17,7 @@
 #include "policy/choice/demand_peak.h"
 #include "policy/choice/slot_shares.h"
 #include "policy/detection/recorder.h"
+#include "policy/fleet/fleet_host.h"
 #include "policy/service_policy.h"
 #include "wire/service_spec.h"
 
@@ -52,7 +53,9 @@
   struct caller_target *targets; /**< as many as the spec's, same order */
   struct service_policy *policy;
   struct detection_recorder *recorder;
+  uint64_t own_key; /**< hash of this host's name */
   struct bus_set_host *hosts;
+  struct fleet_host *placed_hosts; /**< as many, same order */
   size_t host_count;
   bool in_set;        /**< this host is one of them */
   size_t fleet_count; /**< hosts of the whole fleet */
--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -13,11 +13,12 @@
 static const double failure_cap = 0.95;
 static const double hopeless_failure = 0.9;
 
-/* The candidates: the lists of some tiers, one after the other, without the
- * positions of targets that were tried. */
+/* The candidates of one part: its lists of some tiers, one after the other,
+ * without the positions of targets that were tried. */
 struct candidates
 {
   const struct target_set *set;
+  enum target_part part;
   unsigned tiers;
   uint32_t count;
   uint32_t tried_at[POLICY_TRIED_MAX]; /* ascending */
@@ -46,9 +47,9 @@
   const double expected_failures = f / (1 - f);
   const double cost_us
       = latency_us (set, t) * (1 + busy + expected_failures * per_failure);
-  const double place
-      = t->config.distance_us > 0 ? 1 + set->remote_cost_percent / 100.0 : 1;
-  return cost_us * place / target_state_warmth (t, now_us);
+  const double backup
+      = t->config.is_backup ? 1 + set->backup_cost_percent / 100.0 : 1;
+  return cost_us * backup / target_state_warmth (t, now_us);
 }
 
 double
@@ -81,24 +82,25 @@
       if (r->tried[i] >= set->count)
         continue;
       const struct target_state *t = &set->targets[r->tried[i]];
-      if (t->tier == TIER_NONE || !(c->tiers & (1u << t->tier)))
+      if (t->tier == TIER_NONE || !(c->tiers & (1u << t->tier))
+          || target_state_part (t) != c->part)
         continue;
       uint32_t before = 0;
       for (unsigned tier = 0; tier < (unsigned)t->tier; tier++)
         if (c->tiers & (1u << tier))
-          before += set->listed_count[tier];
+          before += set->listed[tier][c->part].count;
       leave_out (c, before + t->tier_at);
     }
 }
 
 static struct candidates
-candidates_of (const struct target_set *set, unsigned tiers,
-               const struct policy_request *r)
+candidates_of (const struct target_set *set, enum target_part part,
+               unsigned tiers, const struct policy_request *r)
 {
-  struct candidates c = { .set = set, .tiers = tiers };
+  struct candidates c = { .set = set, .part = part, .tiers = tiers };
   for (unsigned tier = 0; tier < TIER_COUNT; tier++)
     if (tiers & (1u << tier))
-      c.count += set->listed_count[tier];
+      c.count += set->listed[tier][part].count;
   leave_out_tried (&c, r);
   c.count -= c.tried_count;
   return c;
@@ -113,9 +115,10 @@
     {
       if (!(c->tiers & (1u << tier)))
         continue;
-      if (n < c->set->listed_count[tier])
-        return c->set->listed[tier][n];
-      n -= c->set->listed_count[tier];
+      const struct target_list *list = &c->set->listed[tier][c->part];
+      if (n < list->count)
+        return list->numbers[n];
+      n -= list->count;
     }
   return POLICY_NO_TARGET;
 }
@@ -138,39 +141,49 @@
       rng);
 }
 
+/* What was found, and what it costs. */
+struct offer
+{
+  uint32_t target;
+  double cost_us;
+};
+
 /* The cheapest of some candidates that follow one another from a random
-   place; the lists have no order that would mean anything. */
-static uint32_t
-cheapest (const struct candidates *c, struct rng *rng,
-          const struct policy_request *r, int64_t now_us)
+   place, if it is cheaper than BEST; the lists have no order that would mean
+   anything. */
+static void
+find_cheaper (const struct candidates *c, struct rng *rng,
+              const struct policy_request *r, int64_t now_us,
+              struct offer *best)
 {
+  if (c->count == 0)
+    return;
   const uint32_t looked_at
       = c->count < CHOOSER_LOOKS_AT ? c->count : CHOOSER_LOOKS_AT;
   const uint32_t first = (uint32_t)rng_below (rng, c->count);
-  uint32_t best = candidate (c, first);
-  double least = price (c->set, rng, best, r, now_us);
-  for (uint32_t i = 1; i < looked_at; i++)
+  for (uint32_t i = 0; i < looked_at; i++)
     {
       const uint32_t other = candidate (c, (first + i) % c->count);
       const double asked = price (c->set, rng, other, r, now_us);
-      if (asked >= least)
-        continue;
-      least = asked;
-      best = other;
+      if (asked < best->cost_us)
+        *best = (struct offer){ .target = other, .cost_us = asked };
     }
-  return best;
 }
 
 struct chooser_pick
 chooser_choose (const struct target_set *set, struct rng *rng, unsigned tiers,
                 const struct policy_request *r, int64_t now_us)
 {
-  const struct candidates c = candidates_of (set, tiers, r);
-  if (c.count == 0)
-    return (struct chooser_pick){ .target = POLICY_NO_TARGET };
-  if (c.count == 1)
-    return (struct chooser_pick){ .target = candidate (&c, 0), .only = true };
-  return (struct chooser_pick){ .target = cheapest (&c, rng, r, now_us) };
+  struct offer best = { .target = POLICY_NO_TARGET, .cost_us = INFINITY };
+  uint32_t count = 0;
+  for (int part = 0; part < PART_COUNT; part++)
+    {
+      const struct candidates c
+          = candidates_of (set, (enum target_part)part, tiers, r);
+      count += c.count;
+      find_cheaper (&c, rng, r, now_us, &best);
+    }
+  return (struct chooser_pick){ .target = best.target, .only = count == 1 };
 }
 
 bool
--- a/policy/choice/chooser.h
+++ b/policy/choice/chooser.h
@@ -1,9 +1,10 @@
 /** @file
  * The choice of a target by what a request there is expected to cost.
  *
- * A bounded number of random candidates costs the same for any number of
- * targets; with few targets all are compared, since when targets fail in
- * spells the one that answered last is worth finding.  A blur on each cost
+ * A bounded number of random candidates of the host's subset, and as many of
+ * the other targets, costs the same for any number of targets; with few all
+ * are compared, since when targets fail in spells the one that answered last
+ * is worth finding.  A blur on each cost
  * keeps hosts that don't know each other's choices from all running to the
  * one best target.
  */
@@ -19,7 +20,7 @@
 
 enum
 {
-  /** Candidates that are compared: all targets of a small service. */
+  /** Candidates that are compared of each part: all of a small service. */
   CHOOSER_LOOKS_AT = 16,
 };
 
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -147,6 +147,14 @@
   return true;
 }
 
+/* Those of the subset; where there is none, those outside it. */
+static const struct target_list *
+own_first (const struct target_set *set, enum target_tier tier)
+{
+  const struct target_list *own = &set->listed[tier][PART_SUBSET];
+  return own->count > 0 ? own : &set->listed[tier][PART_BACKUP];
+}
+
 /* A bounded trickle of repeatable requests shows whether a suspect is good
  * again; without it, one that gets no work could never clear itself. */
 static bool
@@ -159,11 +167,11 @@
     return false;
   policy->trickle += (double)set->suspects / set->eligible / TRICKLE_DIVISOR;
   policy->trickle = fmin (policy->trickle, TRICKLE_MOST);
-  if (policy->trickle < 1 || set->listed_count[TIER_SUSPECT] == 0)
+  const struct target_list *suspects = own_first (set, TIER_SUSPECT);
+  if (policy->trickle < 1 || suspects->count == 0)
     return false;
-  const uint32_t n
-      = (uint32_t)rng_below (&policy->rng, set->listed_count[TIER_SUSPECT]);
-  const uint32_t target = set->listed[TIER_SUSPECT][n];
+  const uint32_t n = (uint32_t)rng_below (&policy->rng, suspects->count);
+  const uint32_t target = suspects->numbers[n];
   if (set->targets[target].in_flight > 0)
     return false;
   policy->trickle -= 1;
@@ -171,20 +179,46 @@
   return true;
 }
 
+/** How many targets are to be in use, and of which. */
+struct wanted_use
+{
+  uint32_t percent; /**< 0: any number will do */
+  bool all;         /**< of all targets, not of the subset */
+};
+
 /* Is T the better chance: unused for long, with room, and cheaper? */
 static bool
 is_better_chance (const struct service_policy *policy,
-                  const struct policy_request *r, uint32_t t, uint32_t than)
+                  const struct policy_request *r, bool all, uint32_t t,
+                  uint32_t than)
 {
   const struct target_set *set = &policy->set;
-  if (set->targets[t].tier == TIER_NONE
-      || set->targets[t].used_us >= policy->now_us - UNUSED_US)
+  const struct target_state *state = &set->targets[t];
+  if (state->tier == TIER_NONE || (state->config.is_backup && !all)
+      || state->used_us >= policy->now_us - UNUSED_US)
     return false;
   for (uint32_t i = 0; i < r->tried_count; i++)
     if (r->tried[i] == t)
       return false;
   return than == POLICY_NO_TARGET
-         || set->targets[t].estimate.ill < set->targets[than].estimate.ill;
+         || state->estimate.ill < set->targets[than].estimate.ill;
+}
+
+/* PERCENT of all targets, by this host alone or by the set.  Each host of a
+   set sees to its subset, so that a target is owed one visit and not one by
+   each host.  Where that couldn't make good the loss of one host's subset,
+   every host sees to all targets. */
+static struct wanted_use
+wanted_of (const struct service_policy *policy, uint32_t percent)
+{
+  const uint32_t hosts = policy->options.set_hosts;
+  const struct wanted_use of_all = { .percent = percent, .all = true };
+  if (hosts < 2)
+    return of_all;
+  const uint32_t of_subset = (percent * hosts + hosts - 2) / (hosts - 1);
+  if (of_subset > 100)
+    return of_all;
+  return (struct wanted_use){ .percent = of_subset };
 }
 
 /* How many targets must be in use, for R not to look for an unused one.  While
@@ -193,17 +227,17 @@
    may be repeated is served in the end, so it spreads only then; what may run
    once always does, since a loss of power of all hosts fails all that is under
    way and lets nobody spread after it. */
-static uint32_t
+static struct wanted_use
 wanted_in_use (const struct service_policy *policy,
                const struct policy_request *r)
 {
-  const struct target_set *set = &policy->set;
   const uint32_t percent = policy->options.used_percent;
-  const bool fails_much = target_set_failing_share (set) >= failing_much;
+  const bool fails_much
+      = target_set_failing_share (&policy->set) >= failing_much;
   const uint32_t margin = fails_much ? (100 - percent) / 2 : 0;
   if (percent == 0 || (!fails_much && r->repeatable))
-    return 0;
-  return (set->eligible * (percent + margin) + 99) / 100;
+    return (struct wanted_use){ 0 };
+  return wanted_of (policy, percent + margin);
 }
 
 /* Guards against a service that lives on a few targets which answered last
@@ -216,12 +250,16 @@
             struct policy_decision *d)
 {
   const struct target_set *set = &policy->set;
-  if (target_set_used (set, policy->now_us - UNUSED_US)
-      >= wanted_in_use (policy, r))
+  const struct wanted_use wanted = wanted_in_use (policy, r);
+  if (wanted.percent == 0)
+    return false;
+  const struct target_use use
+      = target_set_use (set, policy->now_us - UNUSED_US, wanted.all);
+  if (use.used >= (use.eligible * wanted.percent + 99) / 100)
     return false;
   uint32_t best = POLICY_NO_TARGET;
   for (uint32_t t = 0; t < set->count; t++)
-    if (is_better_chance (policy, r, t, best))
+    if (is_better_chance (policy, r, wanted.all, t, best))
       best = t;
   if (best == POLICY_NO_TARGET)
     return false;
@@ -251,8 +289,8 @@
 static bool
 has_free_good_slot (const struct service_policy *policy)
 {
-  return policy->set.listed_count[TIER_CLEAR] > 0
-         || policy->set.listed_count[TIER_WARMING] > 0;
+  return target_set_listed (&policy->set, TIER_CLEAR) > 0
+         || target_set_listed (&policy->set, TIER_WARMING) > 0;
 }
 
 static struct policy_decision
@@ -270,7 +308,7 @@
     policy->asked_us = INT64_MIN;
   const bool avoids = !r->repeatable
                       && target_set_avoids_suspects (&policy->set)
-                      && policy->set.listed_count[TIER_SUSPECT] > 0;
+                      && target_set_listed (&policy->set, TIER_SUSPECT) > 0;
   return (struct policy_decision){
     .verdict = POLICY_QUEUE,
     .reason
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -41,6 +41,12 @@
   return t->failing || t->slow || t->avoided;
 }
 
+enum target_part
+target_state_part (const struct target_state *t)
+{
+  return t->config.is_backup ? PART_BACKUP : PART_SUBSET;
+}
+
 static int64_t
 warm_up_us (const struct target_state *t)
 {
@@ -82,9 +88,9 @@
 {
   if (t->tier == TIER_NONE)
     return;
-  uint32_t *list = set->listed[t->tier];
-  const uint32_t last = list[--set->listed_count[t->tier]];
-  list[t->tier_at] = last;
+  struct target_list *list = &set->listed[t->tier][target_state_part (t)];
+  const uint32_t last = list->numbers[--list->count];
+  list->numbers[t->tier_at] = last;
   set->targets[last].tier_at = t->tier_at;
   t->tier = TIER_NONE;
 }
@@ -103,8 +109,9 @@
   if (tier == TIER_NONE)
     return;
   t->tier = tier;
-  t->tier_at = set->listed_count[tier]++;
-  set->listed[tier][t->tier_at] = number;
+  struct target_list *list = &set->listed[tier][target_state_part (t)];
+  t->tier_at = list->count++;
+  list->numbers[t->tier_at] = number;
 }
 
 static void
@@ -210,8 +217,9 @@
   free (set->targets);
   free (set->scratch);
   key_index_clear (&set->index);
-  for (int i = 0; i < TIER_COUNT; i++)
-    free (set->listed[i]);
+  for (int tier = 0; tier < TIER_COUNT; tier++)
+    for (int part = 0; part < PART_COUNT; part++)
+      free (set->listed[tier][part].numbers);
   target_set_init (set);
 }
 
@@ -268,8 +276,10 @@
   set->count = count;
   set->targets = xcalloc (count + 1, sizeof *set->targets);
   set->scratch = xcalloc (count + 1, sizeof *set->scratch);
-  for (int i = 0; i < TIER_COUNT; i++)
-    set->listed[i] = xcalloc (count + 1, sizeof *set->listed[i]);
+  for (int tier = 0; tier < TIER_COUNT; tier++)
+    for (int part = 0; part < PART_COUNT; part++)
+      set->listed[tier][part].numbers
+          = xcalloc (count + 1, sizeof (uint32_t));
   key_index_init (&set->index, count);
 }
 
@@ -281,7 +291,7 @@
   struct target_set old = *set;
   target_set_init (set);
   set->prefer_faster_detection = old.prefer_faster_detection;
-  set->remote_cost_percent = old.remote_cost_percent;
+  set->backup_cost_percent = old.backup_cost_percent;
   set->baseline = old.baseline;
   set->learned_us = old.count > 0 ? old.learned_us : now_us;
   set->ended = old.ended;
@@ -388,13 +398,25 @@
 }
 
 uint32_t
-target_set_used (const struct target_set *set, int64_t since_us)
+target_set_listed (const struct target_set *set, enum target_tier tier)
 {
-  uint32_t used = 0;
+  return set->listed[tier][PART_SUBSET].count
+         + set->listed[tier][PART_BACKUP].count;
+}
+
+struct target_use
+target_set_use (const struct target_set *set, int64_t since_us, bool all)
+{
+  struct target_use use = { 0 };
   for (uint32_t i = 0; i < set->count; i++)
-    used += (uint32_t)(target_state_is_eligible (&set->targets[i])
-                       && set->targets[i].used_us >= since_us);
-  return used;
+    {
+      const struct target_state *t = &set->targets[i];
+      if (!target_state_is_eligible (t) || (t->config.is_backup && !all))
+        continue;
+      use.eligible++;
+      use.used += (uint32_t)(t->used_us >= since_us);
+    }
+  return use;
 }
 
 void
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -33,6 +33,22 @@
   TIER_NONE = TIER_COUNT, /**< not eligible, or no free slot */
 };
 
+/** Targets are divided among the hosts of a set; each host keeps lists of its
+ * own subset, which it uses, and of the rest. */
+enum target_part
+{
+  PART_SUBSET,
+  PART_BACKUP,
+  PART_COUNT,
+};
+
+/** Numbers of targets in no order. */
+struct target_list
+{
+  uint32_t *numbers;
+  uint32_t count;
+};
+
 /** One target. */
 struct target_state
 {
@@ -58,13 +74,12 @@
   struct target_state *targets;
   uint32_t count;
   struct key_index index;
-  uint32_t *listed[TIER_COUNT];
-  uint32_t listed_count[TIER_COUNT];
+  struct target_list listed[TIER_COUNT][PART_COUNT];
   uint32_t eligible;
   uint32_t suspects; /**< among the eligible, with or without room */
   uint32_t in_flight;
   bool prefer_faster_detection;
-  uint32_t remote_cost_percent; /**< of a target in another dc */
+  uint32_t backup_cost_percent; /**< of a target outside the subset */
   struct standing_baseline baseline;
   int64_t refreshed_us;
   int64_t learned_us; /**< when baseline.ill was, a refresh forced or not */
@@ -110,14 +125,28 @@
  * there were too few to tell. */
 double target_set_failing_share (const struct target_set *set);
 
-/** How many eligible targets were used since SINCE_US. */
-uint32_t target_set_used (const struct target_set *set, int64_t since_us);
+/** How many targets of TIER have a free slot, in both parts. */
+uint32_t target_set_listed (const struct target_set *set,
+                            enum target_tier tier);
+
+/** Eligible targets, and those of them that were used lately. */
+struct target_use
+{
+  uint32_t eligible;
+  uint32_t used;
+};
+
+/** The use since SINCE_US of the targets of the subset, or with ALL of those
+ * outside it as well. */
+struct target_use target_set_use (const struct target_set *set,
+                                  int64_t since_us, bool all);
 
 /** Are suspects avoided?  Not when they are most of the eligible. */
 bool target_set_avoids_suspects (const struct target_set *set);
 
 bool target_state_is_eligible (const struct target_state *t);
 bool target_state_is_suspect (const struct target_state *t);
+enum target_part target_state_part (const struct target_state *t);
 /** From 0.1 when cold to 1 when warm. */
 double target_state_warmth (const struct target_state *t, int64_t now_us);
 
--- a/policy/choice/tests/chooser_test.cc
+++ b/policy/choice/tests/chooser_test.cc
@@ -24,7 +24,7 @@
     target_set_init (&set);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
-      targets.push_back ({ i + 1, 10, 0, true, -1 });
+      targets.push_back ({ i + 1, 10, 0, false, true, -1 });
     target_set_replace (&set, 0, targets.data (), count, nullptr);
     for (uint32_t i = 0; i < count; i++)
       set.targets[i].estimate = { 10000, 0, 0, 0, 100, 100 };
@@ -87,9 +87,11 @@
 TEST_F (chooser_test, targets_near_by_go_first_unless_they_are_worse)
 {
   start (3);
-  set.remote_cost_percent = 50;
+  set.backup_cost_percent = 50;
   set.targets[1].config.distance_us = 1500;
+  set.targets[1].config.is_backup = true;
   set.targets[2].config.distance_us = 1500;
+  set.targets[2].config.is_backup = true;
   set.targets[1].estimate.latency_us = 500000;
   set.targets[2].estimate.latency_us = 500000;
   set.targets[0].estimate.latency_us = 500000;
--- a/policy/choice/tests/naive_choice.h
+++ b/policy/choice/tests/naive_choice.h
@@ -224,8 +224,8 @@
     return latency_of (t)
            * (1 + (double)t.in_flight / t.config.slots
               + f / (1 - f) * (repeatable ? 2 : 24))
-           * (t.config.distance_us > 0
-                  ? 1 + options.remote_cost_percent / 100.0
+           * (t.config.is_backup
+                  ? 1 + options.backup_cost_percent / 100.0
                   : 1)
            / t.warmth (now);
   }
--- a/policy/choice/tests/service_policy_differential_test.cc
+++ b/policy/choice/tests/service_policy_differential_test.cc
@@ -70,8 +70,9 @@
                           (double)below (2) },
              .attempts = (uint32_t)below (4),
              .prefer_faster_detection = below (2) == 0,
-             .remote_cost_percent = (uint32_t)below (3) * 50,
-             .used_percent = 0 };
+             .backup_cost_percent = (uint32_t)below (3) * 50,
+             .used_percent = 0,
+             .set_hosts = 0 };
   }
   /* Now and then one that left before comes back. */
   uint64_t
@@ -103,6 +104,7 @@
       {
         c.slots = 1 + (uint32_t)below (4);
         c.distance_us = below (3) == 0 ? 1500 : 0;
+        c.is_backup = below (3) == 0;
         c.accepts_work = below (10) != 0;
         c.warm_up_us = below (2) == 0 ? -1 : (int64_t)below (4000000);
       }
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -23,11 +23,11 @@
          uint32_t used_percent = 0)
   {
     const service_policy_options options
-        = { 1, queue, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, used_percent };
+        = { 1, queue, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, used_percent, 0 };
     policy = service_policy_create (&options);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
-      targets.push_back ({ i + 1, slots, 0, true, -1 });
+      targets.push_back ({ i + 1, slots, 0, false, true, -1 });
     service_policy_set_targets (policy, now, targets.data (), count);
   }
   void
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -63,7 +63,7 @@
 {
   policy->options = *options;
   policy->set.prefer_faster_detection = options->prefer_faster_detection;
-  policy->set.remote_cost_percent = options->remote_cost_percent;
+  policy->set.backup_cost_percent = options->backup_cost_percent;
   wait_queue_bound (&policy->queue, options->queue_requests,
                     options->queue_bytes);
 }
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -32,6 +32,8 @@
   uint64_t key;   /**< hash of service and target name; stays over changes */
   uint32_t slots; /**< this host's share of its slots, at least 1 */
   uint32_t distance_us; /**< extra one-way time when in another dc */
+  bool is_backup; /**< outside this host's subset: another host of the set
+                       uses it, and this one when its own are worse */
   bool accepts_work;    /**< false: drained or leaving */
   int64_t warm_up_us;   /**< it says that it is slow for so long yet; -1: it
                              doesn't say, and starts slowly when it is new */
@@ -46,11 +48,14 @@
   struct retry_bound retries; /**< what this host may make */
   uint32_t attempts; /**< most tries of one request, the first included */
   bool prefer_faster_detection;
-  /** How much more a target in another dc costs, beyond the way there. */
-  uint32_t remote_cost_percent;
+  /** How much more a backup target costs, beyond the way there. */
+  uint32_t backup_cost_percent;
   /** While many attempts fail, this share of the eligible targets gets work
    * within any two seconds; 0: however few. */
   uint32_t used_percent;
+  /** Hosts that divide the targets into subsets, this one among them; 0: it
+   * has no subset, or isn't known. */
+  uint32_t set_hosts;
 };
 
 /** A request waiting for a decision. */
