choice: each host of a large set sees to the use of its own subset

Now, in sets of five hosts or more, a host keeps the wanted share of its subset in use: with every host doing so that is the share of all, and while much fails each keeps so many more in use that one lost host's subset is made good. Smaller sets look after all targets as before.

--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -10,6 +10,9 @@
   TRICKLE_DIVISOR = 20, /* a suspect gets a 20th of its fair share */
   TRICKLE_MOST = 2,     /* chances kept for later */
   RETRY_AFTER_MOST_MS = 60000,
+  /* With fewer hosts in a set, one that is lost takes a quarter of all targets
+     or more out of use, and the others must know all of them. */
+  SUBSETS_LEAST = 5,
   /* Within two seconds each gets its turn, whatever the way of news takes. */
   UNUSED_US = 1500000,
 };
@@ -204,21 +207,24 @@
          || state->estimate.ill < set->targets[than].estimate.ill;
 }
 
-/* PERCENT of all targets, by this host alone or by the set.  Each host of a
-   set sees to its subset, so that a target is owed one visit and not one by
-   each host.  Where that couldn't make good the loss of one host's subset,
-   every host sees to all targets. */
-static struct wanted_use
-wanted_of (const struct service_policy *policy, uint32_t percent)
+/* Is a subset so small a part of all targets that the others' subsets are
+   enough in use when one host of the set is lost? */
+static bool
+subsets_are_small (const struct service_policy *policy)
+{
+  const uint32_t hosts = policy->options.set_hosts;
+  return hosts >= SUBSETS_LEAST
+         && (hosts - 1) * 100 / hosts > policy->options.used_percent;
+}
+
+/* The share that is wanted of each subset so that PERCENT of all targets are
+   in use with one host of the set lost. */
+static uint32_t
+percent_of_subset (const struct service_policy *policy, uint32_t percent)
 {
   const uint32_t hosts = policy->options.set_hosts;
-  const struct wanted_use of_all = { .percent = percent, .all = true };
-  if (hosts < 2)
-    return of_all;
-  const uint32_t of_subset = (percent * hosts + hosts - 2) / (hosts - 1);
-  if (of_subset > 100)
-    return of_all;
-  return (struct wanted_use){ .percent = of_subset };
+  const uint32_t wanted = (percent * hosts + hosts - 2) / (hosts - 1);
+  return wanted < 100 ? wanted : 100;
 }
 
 /* How many targets must be in use, for R not to look for an unused one.  While
@@ -226,7 +232,11 @@
    those that are used are ill, and the share is wanted of the good ones.  What
    may be repeated is served in the end, so it spreads only then; what may run
    once always does, since a loss of power of all hosts fails all that is under
-   way and lets nobody spread after it. */
+   way and lets nobody spread after it.
+
+   Each host of a set sees to its subset, so that a target is owed one visit
+   and not one by each host.  Where that couldn't make good the loss of one
+   host's subset while much fails, every host sees to all targets. */
 static struct wanted_use
 wanted_in_use (const struct service_policy *policy,
                const struct policy_request *r)
@@ -234,10 +244,15 @@
   const uint32_t percent = policy->options.used_percent;
   const bool fails_much
       = target_set_failing_share (&policy->set) >= failing_much;
-  const uint32_t margin = fails_much ? (100 - percent) / 2 : 0;
   if (percent == 0 || (!fails_much && r->repeatable))
     return (struct wanted_use){ 0 };
-  return wanted_of (policy, percent + margin);
+  const bool all = !subsets_are_small (policy);
+  if (!fails_much)
+    return (struct wanted_use){ .percent = percent, .all = all };
+  const uint32_t most = percent + (100 - percent) / 2;
+  return (struct wanted_use){
+    .percent = all ? most : percent_of_subset (policy, most), .all = all
+  };
 }
 
 /* Guards against a service that lives on a few targets which answered last
--- a/policy/choice/tests/chooser_test.cc
+++ b/policy/choice/tests/chooser_test.cc
@@ -102,6 +102,30 @@
   EXPECT_EQ (got[0], 1000);
 }
 
+/* One target in thirty belongs to this host: among sixteen random ones of all
+   there would often be none of it. */
+TEST_F (chooser_test, a_small_subset_is_found_among_many_targets)
+{
+  start (300);
+  std::vector<policy_target> targets;
+  for (uint32_t i = 0; i < 300; i++)
+    targets.push_back ({ i + 1, 10, 0, i % 30 != 0, true, -1 });
+  target_set_replace (&set, 0, targets.data (), 300, nullptr);
+  set.backup_cost_percent = 50;
+  choose (1000);
+  int own = 0;
+  for (uint32_t i = 0; i < 300; i += 30)
+    own += got[i];
+  EXPECT_EQ (own, 1000);
+  /* All of the subset fail: any other is better. */
+  for (uint32_t i = 0; i < 300; i += 30)
+    set.targets[i].estimate.failure = 0.75;
+  got.assign (300, 0);
+  choose (1000);
+  for (uint32_t i = 0; i < 300; i += 30)
+    EXPECT_EQ (got[i], 0);
+}
+
 TEST_F (chooser_test, each_part_of_the_cost_counts)
 {
   start (2);
