caller: callers are told of near hosts, and of one far away

Callers took any host of the whole set, so four requests of five crossed over on their way to a host, though each data centre has three.

Now a caller that names its data centre is told of that one's hosts and of one other, in turn, for the case that the near ones are lost before it asks again. With fewer than two hosts near by it is told of all, so that sets of one host a data centre are handed out as before.

--- a/node/caller/address_answer.c
+++ b/node/caller/address_answer.c
@@ -1,10 +1,13 @@
 #include "node/caller/address_answer.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <json-c/json.h>
 
+#include "base/xmalloc.h"
+#include "node/caller/address_choice.h"
 #include "node/caller/own_answer.h"
 
 enum
@@ -35,30 +38,54 @@
   return result;
 }
 
-/* Guards against herding: if all callers got the same order, all would use
-   the first host.  Each answer begins with another one.
-   @return how many entries were written */
-static size_t
-list_hosts (struct caller_context *context,
-            const struct caller_service *service,
-            struct address_entry entries[ADDRESSES_MAX])
+/* The hosts of the set that can be told of: a new array, with *COUNT. */
+static struct bus_set_host *
+usable_hosts (const struct caller_context *context,
+              const struct caller_service *service, size_t *count)
 {
-  const struct host_settings *settings = context->settings;
-  const size_t count = service->host_count;
-  const size_t first = context->address_answers++;
-  size_t used = 0;
-  for (size_t i = 0; i < count && used < ADDRESSES_MAX; i++)
+  struct bus_set_host *usable
+      = xcalloc (service->host_count + 1, sizeof *usable);
+  *count = 0;
+  for (size_t i = 0; i < service->host_count; i++)
     {
-      const struct bus_set_host *host = &service->hosts[(first + i) % count];
-      const bool self = strcmp (host->name, settings->name) == 0;
+      const struct bus_set_host *host = &service->hosts[i];
+      const bool self = strcmp (host->name, context->settings->name) == 0;
       if (host->caller_address[0] != '\0' && !(self && context->leaving))
-        entries[used++]
-            = (struct address_entry){ host->caller_address, host->dc };
+        usable[(*count)++] = *host;
     }
-  if (count == 0 && !context->leaving)
-    entries[used++]
+  return usable;
+}
+
+/* Guards against herding: if all callers got the same order, all would use
+   the first host.  Each answer begins with another one.
+   @return the body of the answer; NULL: there is no host to tell of */
+static struct json_object *
+format_hosts (struct caller_context *context,
+              const struct caller_service *service, const char *caller_dc)
+{
+  const struct host_settings *settings = context->settings;
+  struct address_entry entries[ADDRESSES_MAX];
+  const struct bus_set_host *chosen[ADDRESSES_MAX];
+  struct address_choice_options options
+      = { .caller_dc = caller_dc, .turn = context->address_answers++ };
+  struct bus_set_host *usable
+      = usable_hosts (context, service, &options.count);
+  options.hosts = usable;
+  struct address_list list
+      = { .service = service->name,
+          .entries = entries,
+          .count = address_choice_make (&options, chosen, ADDRESSES_MAX),
+          .keep_ms = host_settings_keep_answer_ms (settings) };
+  for (size_t i = 0; i < list.count; i++)
+    entries[i]
+        = (struct address_entry){ chosen[i]->caller_address, chosen[i]->dc };
+  if (service->host_count == 0 && !context->leaving)
+    entries[list.count++]
         = (struct address_entry){ context->own_address, settings->dc };
-  return used;
+  struct json_object *body
+      = list.count > 0 ? context->interface->format_addresses (&list) : NULL;
+  free (usable);
+  return body;
 }
 
 static struct json_object *
@@ -94,18 +121,20 @@
   return result;
 }
 
+static const char *
+argument (struct MHD_Connection *connection, const char *name)
+{
+  return MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
 static enum MHD_Result
 answer (struct caller_context *context, struct MHD_Connection *connection,
         const struct caller_service *service)
 {
-  struct address_entry entries[ADDRESSES_MAX];
   const struct caller_interface *interface = context->interface;
-  const struct address_list list
-      = { .service = service->name,
-          .entries = entries,
-          .count = list_hosts (context, service, entries),
-          .keep_ms = host_settings_keep_answer_ms (context->settings) };
-  if (list.count == 0)
+  struct json_object *body = format_hosts (
+      context, service, argument (connection, interface->asked_dc));
+  if (body == NULL)
     {
       const struct own_answer own
           = { .outcome = ANSWER_NOT_RUN,
@@ -114,7 +143,6 @@
               .retry_after_ms = NO_HOST_RETRY_AFTER_MS };
       return refuse (context, connection, MHD_HTTP_SERVICE_UNAVAILABLE, &own);
     }
-  struct json_object *body = interface->format_addresses (&list);
   if (interface->has_tickets)
     {
       json_object_object_add (body, "tickets", ticket_list (context, service));
@@ -125,12 +153,6 @@
   return queue_json (context, connection, body);
 }
 
-static const char *
-argument (struct MHD_Connection *connection, const char *name)
-{
-  return MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
-}
-
 static bool
 names_service (const struct caller_context *context,
                struct MHD_Connection *connection)
--- a/node/caller/caller_interface.c
+++ b/node/caller/caller_interface.c
@@ -39,6 +39,7 @@
   .addresses_path = "/.well-known/jaystair/addresses",
   .asked_service = "service",
   .asked_host = "host",
+  .asked_dc = "dc",
   .format_addresses = format_addresses,
   .has_tickets = true,
   .readiness_path = "/readiness",
--- a/node/caller/caller_interface.h
+++ b/node/caller/caller_interface.h
@@ -62,6 +62,7 @@
   const char *addresses_path;
   const char *asked_service;
   const char *asked_host; /**< the name that requests will bear */
+  const char *asked_dc;   /**< the caller's own data centre */
   /** Members of an address answer.
    * @return a new object */
   struct json_object *(*format_addresses) (const struct address_list *list);
