control: fewer relays ask for the newest; a value is fetched once

Relays pause 0.3 s, only those of more than half of the data centres (three at least) ask for the newest, and the other hosts pause 8 s for 1 s as long as news reach them by relays; when these grow old they ask at once. Relays in three data centres only were tried: a host of another one that holds the record of a host long gone never lets go of it (control_cleanup_test), so each data centre keeps its relay.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -162,6 +162,7 @@
 struct control_ask;
 struct control_local;
 struct control_outcomes;
+struct control_pull;
 
 struct control_task
 {
@@ -196,6 +197,8 @@
   struct control_local *local;
   struct control_outcomes *outcomes; /**< to be told */
   struct ev_timer report;            /**< of outcomes */
+  struct control_pull *pulls;        /**< under way, by key */
+  struct ev_timer pull_due;
   struct control_ask *asks;
   uint64_t ask_id;
   struct control_check checks[CONTROL_CHECKS_MAX];
@@ -205,6 +208,7 @@
   uint64_t generation; /**< of `fleet` */
   struct fleet_choice relays;
   bool is_relay;
+  bool is_leading; /**< a relay that asks the platform for the newest */
   bool is_leaving;
   bool is_stale;
   bool has_settings;
@@ -353,6 +357,27 @@
 void control_cleanup_beat (struct control_task *task, int64_t now_ms);
 void control_cleanup_stop (struct control_task *task);
 
+/** An object that another host has in a newer version. */
+struct control_offer
+{
+  uint64_t key;
+  uint64_t version;
+  uint64_t held;     /**< version here; 0: none */
+  size_t held_bytes; /**< of the value here */
+  uint64_t host;     /**< who offers */
+};
+
+/* control_pulls.c */
+/** Shall the host that offers be asked now?  Another may be under way, or a
+ * nearer one be waited for; then it is asked later if need be. */
+bool control_pulls_wants (struct control_task *task,
+                          const struct control_offer *offer);
+/** VERSION of the object is held. */
+void control_pulls_end (struct control_task *task, uint64_t key,
+                        uint64_t version);
+void control_pulls_prepare (struct control_task *task);
+void control_pulls_release (struct control_task *task);
+
 /* control_tombstones.c: removals of what comes and goes by itself */
 /** Are removed objects of KIND kept for a bounded time only? */
 bool control_tombstones_bury (const char *kind);
--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -211,13 +211,13 @@
 }
 
 /* Each host passes on how old its news is, by the time it heard the platform
-   or by what others said.  A relay takes no other host's word, which might
-   come from itself. */
+   or by what others said.  A leading relay takes no other host's word, which
+   might come from itself. */
 static void
 note_relay (struct control_task *task, const struct peer_heartbeat *beat,
             int64_t now_ms)
 {
-  if (!task->is_relay)
+  if (!task->is_leading)
     control_members_contact (task, now_ms - beat->relay_age_ms);
 }
 
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -11,11 +11,14 @@
 enum
 {
   /** A watch that told something waits so long before the next, so that a
-   * burst of changes is one call; small against the seconds within which a
-   * change must be in force.  The others hear from the relays meanwhile and
-   * watch only in case they don't, so they wait longer. */
-  RELAY_PAUSE_MS = 100,
-  OTHERS_PAUSE_MS = 1000,
+   * burst of changes is one call; a tenth of the seconds within which a change
+   * must be in force.  Where hundreds of targets come and go, each relay makes
+   * a call after each pause. */
+  RELAY_PAUSE_MS = 300,
+  /** The others hear from the relays meanwhile and watch only in case they
+   * don't: when the news that reaches them grows old, they go on at once.  With
+   * hundreds of hosts their watches are most of the platform's calls. */
+  OTHERS_PAUSE_MS = 8000,
   /** Heartbeats that news takes from a relay to any host, at most. */
   NEWS_BEATS = 3,
 };
@@ -142,11 +145,14 @@
   feed_next (feed);
 }
 
+static bool asks_often (const struct control_task *task);
+
 static void
 feed_pause (struct control_feed *feed)
 {
   ev_timer_stop (feed->task->options.loop, &feed->retry);
-  const int pause_ms = feed->task->is_relay ? RELAY_PAUSE_MS : OTHERS_PAUSE_MS;
+  const int pause_ms
+      = asks_often (feed->task) ? RELAY_PAUSE_MS : OTHERS_PAUSE_MS;
   ev_timer_set (&feed->retry, pause_ms / 1000.0, 0);
   ev_timer_start (feed->task->options.loop, &feed->retry);
 }
@@ -194,7 +200,7 @@
 static bool
 asks_often (const struct control_task *task)
 {
-  return task->is_relay || task->is_stale || news_is_old (task);
+  return task->is_leading || task->is_stale || news_is_old (task);
 }
 
 /* What all hosts but the relays ask is a tenth of the price when it may be
@@ -229,11 +235,14 @@
   return is_short ? times->relay_watch_ms : times->watch_ms;
 }
 
-/* A host that has become a relay ends the long watch that is under way. */
+/* A host that has become a relay, or hears of none any more, ends the pause
+   or the long watch that is under way. */
 static void
 shorten_watch (struct control_feed *feed)
 {
   struct control_task *task = feed->task;
+  if (asks_often (task) && feed->backoff_ms == 0)
+    ev_timer_stop (task->options.loop, &feed->retry);
   if (!feed->is_waiting || !feed->is_listed
       || feed->wait_ms <= watch_ms (feed))
     return;
@@ -328,7 +337,7 @@
 {
   const bool watches = task->registry != NULL
                        && task->options.settings->modes.all_watch_registry;
-  if (watches && !task->is_relay && news_is_old (task))
+  if (watches && !task->is_leading && news_is_old (task))
     control_platform_wake (task);
 }
 
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -93,6 +93,17 @@
   membership_watch (task->membership, clock_now_ms (), keys, choice.count);
 }
 
+static bool
+leads (const struct control_task *task, uint32_t per_dc)
+{
+  const uint32_t leading
+      = relays_leading (task->fleet, task->fleet_count, per_dc);
+  for (uint32_t i = 0; i < task->relays.count && i < leading; i++)
+    if (task->fleet[task->relays.hosts[i]].key == task->self->key)
+      return true;
+  return false;
+}
+
 static void
 choose_relays (struct control_task *task)
 {
@@ -101,9 +112,12 @@
     per_dc = FLEET_PER_DC_MAX;
   relays_choose (task->fleet, task->fleet_count, per_dc, &task->relays);
   const bool was_relay = task->is_relay;
+  const bool was_leading = task->is_leading;
   task->is_relay = control_hosts_is_relay (task, task->self->key);
-  if (was_relay != task->is_relay)
+  task->is_leading = leads (task, per_dc);
+  if (was_relay != task->is_relay || was_leading != task->is_leading)
     LOG_INFO ("relay", LOG_INT ("is_relay", task->is_relay),
+              LOG_INT ("is_leading", task->is_leading),
               LOG_INT ("relays", task->relays.count));
 }
 
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -155,6 +155,7 @@
   const uint64_t key = settings_key (kind, name);
   if (!settings_index_raise (task->index, key, version))
     return false;
+  control_pulls_end (task, key, version);
   struct control_object *object = hold (task, key, kind, name, version, value);
   if (value == NULL && control_tombstones_bury (kind))
     control_tombstones_add (task, object);
@@ -263,6 +264,13 @@
   control_reply (task, source, &message);
 }
 
+static size_t
+held_bytes (const struct control_task *task, uint64_t key)
+{
+  const struct control_object *object = find_object (task, key);
+  return object != NULL && object->value != NULL ? strlen (object->value) : 0;
+}
+
 static void
 handle_offer (struct control_task *task, const struct control_source *source,
               const struct peer_settings_entries *offered)
@@ -273,7 +281,13 @@
     {
       const struct peer_settings_entry *entry = &offered->entries[i];
       const uint64_t held = settings_index_version (task->index, entry->key);
-      if (entry->version > held)
+      const struct control_offer offer
+          = { .key = entry->key,
+              .version = entry->version,
+              .held = held,
+              .held_bytes = held_bytes (task, entry->key),
+              .host = source->host->key };
+      if (entry->version > held && control_pulls_wants (task, &offer))
         batch_add (&batch, entry->key, held);
     }
   batch_send (&batch);
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -274,6 +274,7 @@
   task->refresh.data = task;
   control_send_prepare (task);
   control_outcomes_prepare (task);
+  control_pulls_prepare (task);
   describe_self (task);
   make_membership (task);
   enum status status = peer_secret_load (options->settings->secret_file,
@@ -320,6 +321,7 @@
   peer_server_destroy (task->server);
   control_send_release (task);
   control_outcomes_release (task);
+  control_pulls_release (task);
   control_ask_release (task);
   registry_destroy (task->registry);
   control_settings_release (task);
--- a/policy/fleet/host_set.c
+++ b/policy/fleet/host_set.c
@@ -30,6 +30,8 @@
   SLOT_DIGITS = 3,
   /** What one strong host can do is enough for a relay. */
   RELAY_RATE = 1,
+  /** Data centres with leading relays, at least. */
+  LEADING_DCS_LEAST = 3,
 };
 
 uint64_t
@@ -68,14 +70,21 @@
   return part;
 }
 
-/* The part of each data centre in RATE, rounded up. */
-static uint64_t
-rate_per_dc (const struct fleet_host *hosts, size_t count, uint64_t rate)
+static uint32_t
+count_dcs (const struct fleet_host *hosts, size_t count)
 {
   struct dc_parts parts = { 0 };
   for (size_t i = 0; i < count; i++)
     part_of (&parts, hosts[i].dc);
-  return parts.count == 0 ? 0 : (rate + parts.count - 1) / parts.count;
+  return parts.count;
+}
+
+/* The part of each data centre in RATE, rounded up. */
+static uint64_t
+rate_per_dc (const struct fleet_host *hosts, size_t count, uint64_t rate)
+{
+  const uint32_t dcs = count_dcs (hosts, count);
+  return dcs == 0 ? 0 : (rate + dcs - 1) / dcs;
 }
 
 /* Keep the best placed ones of CHOICE that are needed. */
@@ -140,6 +149,13 @@
   free (copy);
 }
 
+uint32_t
+relays_leading (const struct fleet_host *hosts, size_t count, uint32_t per_dc)
+{
+  const uint32_t half = count_dcs (hosts, count) / 2 + 1;
+  return per_dc * (half > LEADING_DCS_LEAST ? half : LEADING_DCS_LEAST);
+}
+
 void
 neighbours_choose (const struct fleet_host *self,
                    const struct fleet_host *hosts, size_t count,
--- a/policy/fleet/host_set.h
+++ b/policy/fleet/host_set.h
@@ -45,6 +45,13 @@
 void relays_choose (const struct fleet_host *hosts, size_t count,
                     uint32_t per_dc, struct fleet_choice *choice);
 
+/** How many of the relays, from the best placed on, ask the platform for the
+ * newest several times a second: those of more than half of the data centres.
+ * The rest hear from them sooner than from the platform, through neighbours
+ * that every host has in each data centre. */
+uint32_t relays_leading (const struct fleet_host *hosts, size_t count,
+                         uint32_t per_dc);
+
 /** The hosts that SELF (key and data centre) sends heartbeats to. */
 void neighbours_choose (const struct fleet_host *self,
                         const struct fleet_host *hosts, size_t count,
--- a/policy/fleet/tests/host_set_test.cc
+++ b/policy/fleet/tests/host_set_test.cc
@@ -115,4 +115,27 @@
     }
 }
 
+/* Hundreds of targets come and go, and each relay that asks for the newest
+ * calls the platform several times a second: one in each of ten data centres
+ * makes most calls of the whole fleet, though some hear the same. */
+TEST (Relays, ThoseOfMoreThanHalfOfTheDataCentresLead)
+{
+  const auto hosts = fleet (3, 86);
+  fleet_choice choice;
+  relays_choose (hosts.data (), hosts.size (), 1, &choice);
+  EXPECT_EQ (choice.count, DCS);
+  EXPECT_EQ (relays_leading (hosts.data (), hosts.size (), 1), 3u);
+  EXPECT_EQ (relays_leading (hosts.data (), hosts.size (), 2), 6u);
+  for (uint32_t i = 0; i < choice.count; i++)
+    {
+      EXPECT_EQ (hosts[choice.hosts[i]].weight, 1000u);
+      for (uint32_t j = 0; j < i; j++)
+        EXPECT_NE (hosts[choice.hosts[i]].dc, hosts[choice.hosts[j]].dc);
+    }
+  std::vector<fleet_host> many;
+  for (uint64_t dc = 1; dc <= 10; dc++)
+    many.push_back ({ dc, dc, 1 });
+  EXPECT_EQ (relays_leading (many.data (), many.size (), 1), 6u);
+}
+
 }
