--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -93,9 +93,14 @@
   membership_watch (task->membership, clock_now_ms (), keys, choice.count);
 }
 
+/* Guards against a fleet whose hosts start together: each knows only itself for
+   a moment, takes itself for the only relay, and asks the platform for all
+   there is at the full price. */
 static bool
 leads (const struct control_task *task, uint32_t per_dc)
 {
+  if (!task->has_settled)
+    return false;
   const uint32_t leading
       = relays_leading (task->fleet, task->fleet_count, per_dc);
   for (uint32_t i = 0; i < task->relays.count && i < leading; i++)
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -155,11 +155,21 @@
   ev_timer_start (loop, watcher);
 }
 
+static void
+settle (struct control_task *task, int64_t now_ms)
+{
+  if (task->has_settled || now_ms - task->started_ms < CONTROL_SETTLE_MS)
+    return;
+  task->has_settled = true;
+  control_hosts_changed (task);
+}
+
 static void
 beat_cb (struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
   struct control_task *task = watcher->data;
   const int64_t now_ms = clock_now_ms ();
+  settle (task, now_ms);
   control_members_beat (task, now_ms);
   control_cleanup_beat (task, now_ms);
   control_tombstones_expire (task, now_ms);
@@ -267,7 +277,8 @@
   rng_secret (&seed, sizeof seed);
   rng_seed (&task->random, seed);
   task->options = *options;
-  task->contact_ms = clock_now_ms ();
+  task->started_ms = clock_now_ms ();
+  task->contact_ms = task->started_ms;
   task->index = settings_index_create ();
   control_tombstones_create (task);
   ev_timer_init (&task->refresh, refresh_cb, 0, 0);
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -144,6 +144,26 @@
   }));
 }
 
+/* Hundreds of hosts start at once, and each knows only itself at first.  If each
+   took itself for the relay, all would ask for the newest of everything, at ten
+   times the price, just when the platform is busiest. */
+TEST_F (ControlRegistry, HostsThatStartTogetherDoNotAllAskForTheNewest)
+{
+  start_watching (6);
+  const double end = ev_now (loop) + 1;
+  bool has_asked = false;
+  EXPECT_TRUE (until ([&] {
+    for (const auto &n : nodes)
+      has_asked = has_asked
+                  || n->platform.has_call ("watch", "config",
+                                           PLATFORM_AGE_NONE);
+    return ev_now (loop) >= end;
+  }));
+  EXPECT_FALSE (has_asked);
+  store.put ("config", "main", config_text (4));
+  EXPECT_TRUE (until ([&] { return all_have_config (4); }));
+}
+
 /* The one relay of the fleet is cut from the platform, not from the others.
    The platform drops its history, so the others' watches are deaf as well, and
    an operator changes a route.  All wait for 20 seconds for a relay that hears
