control: news count as old from the time that relays can bring them

Their age counts from the end of the delay now, which is three heartbeats. The test is red with no delay and green with it.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -34,9 +34,9 @@
   /** Indirect checks kept open for others. */
   CONTROL_CHECKS_MAX = 64,
   CONTROL_FEEDS_MAX = 3,
-  /** Within it hosts that start together have met: a list of hosts, and what
-   * neighbours tell with their first heartbeats. */
-  CONTROL_SETTLE_MS = 1500,
+  /** Heartbeats within which hosts that start together have met: by the list
+   * of hosts, and what neighbours tell. */
+  CONTROL_SETTLE_BEATS = 3,
 };
 
 /** Another host, or this one. */
@@ -212,8 +212,9 @@
   struct fleet_choice relays;
   bool is_relay;
   bool is_leading; /**< a relay that asks the platform for the newest */
-  bool has_settled; /**< has run for long enough to have met the others */
   int64_t started_ms;
+  int64_t settled_ms; /**< when it had run for long enough to have met the
+                           others; 0: not yet */
   bool is_leaving;
   bool is_stale;
   bool has_settings;
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -186,14 +186,18 @@
 /* Guards against relays that are all cut from the platform and know it not, or
    are killed at once: the others would wait for their long watch.  A relay's
    news is two seconds old at most, and each heartbeat on the way adds half a
-   second. */
+   second.  Relays begin to ask once they have settled, so news can't be old
+   before that. */
 static bool
 news_is_old (const struct control_task *task)
 {
   const struct control_times *times = &task->options.settings->times;
   const int64_t most_ms = (int64_t)times->relay_watch_ms
                           + (int64_t)NEWS_BEATS * times->heartbeat_ms;
-  return clock_now_ms () - task->contact_ms > most_ms;
+  const int64_t since_ms = task->contact_ms > task->settled_ms
+                               ? task->contact_ms
+                               : task->settled_ms;
+  return task->settled_ms > 0 && clock_now_ms () - since_ms > most_ms;
 }
 
 /* Does the host have to find out for itself what is new? */
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -99,7 +99,7 @@
 static bool
 leads (const struct control_task *task, uint32_t per_dc)
 {
-  if (!task->has_settled)
+  if (task->settled_ms == 0)
     return false;
   const uint32_t leading
       = relays_leading (task->fleet, task->fleet_count, per_dc);
