--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -16,7 +16,7 @@
    * a call after each pause. */
   RELAY_PAUSE_MS = 300,
   /** The others hear from the relays meanwhile and watch only in case they
-   * don't: when the news that reaches them grows old, they go on at once.  With
+   * don't: when the news that reaches them grows old, they go on at once. With
    * hundreds of hosts their watches are most of the platform's calls. */
   OTHERS_PAUSE_MS = 8000,
   /** Heartbeats that news takes from a relay to any host, at most. */
--- a/node/control/control_pulls.c
+++ b/node/control/control_pulls.c
@@ -38,8 +38,7 @@
 is_near (const struct control_task *task, uint64_t host_key)
 {
   const struct control_host *host = control_hosts_find (task, host_key);
-  return host != NULL
-         && strcmp (host->record.dc, task->self->record.dc) == 0;
+  return host != NULL && strcmp (host->record.dc, task->self->record.dc) == 0;
 }
 
 static void
@@ -125,8 +124,7 @@
   struct control_pull *pull = find (task, o->key);
   const bool near = is_near (task, o->host);
   const bool waits = o->held_bytes >= LARGE_BYTES && !near;
-  if (is_under_way (pull, o->version, now_ms)
-      && (waits || pull->is_asked))
+  if (is_under_way (pull, o->version, now_ms) && (waits || pull->is_asked))
     return false;
   pull = begin (task, o->key);
   pull->version = o->version;
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -31,9 +31,8 @@
   const uint32_t strength = host->record.strength;
   return (struct fleet_host){ .key = host->key,
                               .dc = hash_string (host->record.dc),
-                              .weight = strength > 0
-                                            ? strength
-                                            : HOST_STRENGTH_UNKNOWN };
+                              .weight = strength > 0 ? strength
+                                                     : HOST_STRENGTH_UNKNOWN };
 }
 
 static void
@@ -93,8 +92,8 @@
   membership_watch (task->membership, clock_now_ms (), keys, choice.count);
 }
 
-/* Guards against a fleet whose hosts start together: each knows only itself for
-   a moment, takes itself for the only relay, and asks the platform for all
+/* Guards against a fleet whose hosts start together: each knows only itself
+   for a moment, takes itself for the only relay, and asks the platform for all
    there is at the full price. */
 static bool
 leads (const struct control_task *task, uint32_t per_dc)
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -158,9 +158,8 @@
 static void
 settle (struct control_task *task, int64_t now_ms)
 {
-  const int64_t settle_ms
-      = (int64_t)CONTROL_SETTLE_BEATS
-        * task->options.settings->times.heartbeat_ms;
+  const int64_t settle_ms = (int64_t)CONTROL_SETTLE_BEATS
+                            * task->options.settings->times.heartbeat_ms;
   if (task->settled_ms > 0 || now_ms - task->started_ms < settle_ms)
     return;
   task->settled_ms = now_ms;
--- a/node/control/tests/control_pulls_test.cc
+++ b/node/control/tests/control_pulls_test.cc
@@ -39,9 +39,9 @@
 };
 
 /* A configuration of a thousand routes changes, and within milliseconds all
- * seven neighbours of a host offer it.  Fetched from each of them, every change
- * moves seven times its size over a link of 20 Mbit/s, at hundreds of hosts at
- * once. */
+ * seven neighbours of a host offer it.  Fetched from each of them, every
+ * change moves seven times its size over a link of 20 Mbit/s, at hundreds of
+ * hosts at once. */
 TEST_F (ControlPulls, AValueIsFetchedFromOneOfThoseWhoOfferIt)
 {
   EXPECT_TRUE (wants ("near-1", 5, SMALL));
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -153,9 +153,9 @@
   }));
 }
 
-/* Hundreds of hosts start at once, and each knows only itself at first.  If each
-   took itself for the relay, all would ask for the newest of everything, at ten
-   times the price, just when the platform is busiest. */
+/* Hundreds of hosts start at once, and each knows only itself at first.  If
+   each took itself for the relay, all would ask for the newest of everything,
+   at ten times the price, just when the platform is busiest. */
 TEST_F (ControlRegistry, HostsThatStartTogetherDoNotAllAskForTheNewest)
 {
   start_watching (6, 100ms);
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -250,9 +250,9 @@
   if (!fails_much)
     return (struct wanted_use){ .percent = percent, .all = all };
   const uint32_t most = percent + (100 - percent) / 2;
-  return (struct wanted_use){
-    .percent = all ? most : percent_of_subset (policy, most), .all = all
-  };
+  return (struct wanted_use){ .percent
+                              = all ? most : percent_of_subset (policy, most),
+                              .all = all };
 }
 
 /* Guards against a service that lives on a few targets which answered last
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -278,8 +278,7 @@
   set->scratch = xcalloc (count + 1, sizeof *set->scratch);
   for (int tier = 0; tier < TIER_COUNT; tier++)
     for (int part = 0; part < PART_COUNT; part++)
-      set->listed[tier][part].numbers
-          = xcalloc (count + 1, sizeof (uint32_t));
+      set->listed[tier][part].numbers = xcalloc (count + 1, sizeof (uint32_t));
   key_index_init (&set->index, count);
 }
 
--- a/policy/choice/tests/naive_choice.h
+++ b/policy/choice/tests/naive_choice.h
@@ -224,9 +224,7 @@
     return latency_of (t)
            * (1 + (double)t.in_flight / t.config.slots
               + f / (1 - f) * (repeatable ? 2 : 24))
-           * (t.config.is_backup
-                  ? 1 + options.backup_cost_percent / 100.0
-                  : 1)
+           * (t.config.is_backup ? 1 + options.backup_cost_percent / 100.0 : 1)
            / t.warmth (now);
   }
   /* One that costs more than half as much again as any other can't win:
--- a/policy/fleet/tests/host_set_test.cc
+++ b/policy/fleet/tests/host_set_test.cc
@@ -22,8 +22,7 @@
   std::vector<fleet_host> hosts;
   for (uint64_t dc = 1; dc <= DCS; dc++)
     for (uint32_t i = 0; i < strong + weak; i++)
-      hosts.push_back (
-          { hash_pair (dc, i), dc, i < strong ? 1000u : 200u });
+      hosts.push_back ({ hash_pair (dc, i), dc, i < strong ? 1000u : 200u });
   return hosts;
 }
 
--- a/policy/fleet/tests/subset_test.cc
+++ b/policy/fleet/tests/subset_test.cc
@@ -70,9 +70,9 @@
   hosts.erase (std::remove_if (hosts.begin (), hosts.end (), is_lost),
                hosts.end ());
   for (uint64_t t = 2; t < TARGETS; t += DCS)
-    EXPECT_LT (subset_owner (hash_pair (2, t), t % DCS, hosts.data (),
-                             hosts.size ()),
-               hosts.size ());
+    EXPECT_LT (
+        subset_owner (hash_pair (2, t), t % DCS, hosts.data (), hosts.size ()),
+        hosts.size ());
 }
 
 }
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -32,11 +32,11 @@
   uint64_t key;   /**< hash of service and target name; stays over changes */
   uint32_t slots; /**< this host's share of its slots, at least 1 */
   uint32_t distance_us; /**< extra one-way time when in another dc */
-  bool is_backup; /**< outside this host's subset: another host of the set
-                       uses it, and this one when its own are worse */
-  bool accepts_work;    /**< false: drained or leaving */
-  int64_t warm_up_us;   /**< it says that it is slow for so long yet; -1: it
-                             doesn't say, and starts slowly when it is new */
+  bool is_backup;     /**< outside this host's subset: another host of the set
+                           uses it, and this one when its own are worse */
+  bool accepts_work;  /**< false: drained or leaving */
+  int64_t warm_up_us; /**< it says that it is slow for so long yet; -1: it
+                           doesn't say, and starts slowly when it is new */
 };
 
 /** Bounds and preferences of the service. */
