choice: in a large set, reads too keep the wanted share of the subset in use

What may be repeated spread only where much fails; ways were cut at some hosts, and the idle targets belonged to others that saw little fail. With subsets the share costs a host its own targets only, so reads keep it always.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -1,20 +1,16 @@
 #include "node/caller/caller_service.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/xmalloc.h"
-#include "policy/fleet/subset.h"
+#include "node/caller/caller_share.h"
 
 enum
 {
   DC_DISTANCE_US = 1500,
-  /* Beyond its equal part, by roots of it: what a host has in flight
-     fluctuates so, and is beyond two of them one time in forty. */
-  SHARE_ROOTS = 2,
   /* Enough to outweigh the blur of costs, not a target that is likely ill. */
   BACKUP_COST_PERCENT = 50,
   US_PER_MS = 1000,
@@ -155,58 +151,6 @@
   };
 }
 
-/* Of TOTAL, when all hosts of the set ask alike.  Guards against a host that
-   must use ill targets while good ones have room: targets have few slots, and
-   with an equal part of them each good one would be full with one request.
-   Where hosts meet at one, it lets some wait or sheds, which costs less. */
-static uint32_t
-equal_share (const struct caller_service *service, uint32_t total)
-{
-  const double hosts = service->host_count > 0 ? service->host_count : 1;
-  const double part = total / hosts;
-  const double share = ceil (part + SHARE_ROOTS * sqrt (part));
-  return (uint32_t)fmax (fmin (share, total), 1);
-}
-
-static uint32_t
-share_of (const struct caller_service *service, uint64_t key, uint32_t total)
-{
-  return service->share.permille > 0
-             ? slot_share_of (&service->share, key, total)
-             : equal_share (service, total);
-}
-
-/* Is TARGET outside this host's subset?  A host that callers aren't sent to
-   has none, and goes by the data centre. */
-static bool
-is_backup (const struct caller_service *service,
-           const struct target_spec *target)
-{
-  if (!service->in_set)
-    return strcmp (target->dc, service->own_dc) != 0;
-  const size_t owner
-      = subset_owner (hash_string (target->name), hash_string (target->dc),
-                      service->placed_hosts, service->host_count);
-  return service->placed_hosts[owner].key != service->own_key;
-}
-
-/* This host's part of TARGET's slots: all of them in its subset, which the
-   others of the set use only when they must.  A request takes a connection for
-   itself, so the part of those bounds it too. */
-static uint32_t
-slots_here (const struct caller_service *service, uint64_t key,
-            const struct target_spec *target)
-{
-  if (service->in_set && service->share.permille == 0
-      && !is_backup (service, target))
-    return target->slots;
-  const uint32_t slots = share_of (service, key, target->slots);
-  if (target->connections == 0)
-    return slots;
-  const uint32_t connections = share_of (service, key, target->connections);
-  return slots < connections ? slots : connections;
-}
-
 static void
 apply_targets (struct caller_service *service)
 {
@@ -221,9 +165,9 @@
       const bool near = strcmp (target->dc, own_dc) == 0;
       targets[i] = (struct policy_target){
         .key = state->key,
-        .slots = slots_here (service, state->key, target),
+        .slots = caller_share_slots (service, state->key, target),
         .distance_us = near ? 0 : DC_DISTANCE_US,
-        .is_backup = is_backup (service, target),
+        .is_backup = caller_share_is_backup (service, target),
         .accepts_work
         = target->state == TARGET_STATE_ACTIVE && !state->leaving,
         .warm_up_us = target->warm_up_ms < 0
@@ -309,21 +253,6 @@
   apply_targets (service);
 }
 
-/* The hosts of the set as the division of targets sees them: all alike, since
-   callers come to all alike. */
-static void
-place_hosts (struct caller_service *service)
-{
-  free (service->placed_hosts);
-  service->placed_hosts
-      = xcalloc (service->host_count + 1, sizeof *service->placed_hosts);
-  for (size_t i = 0; i < service->host_count; i++)
-    service->placed_hosts[i]
-        = (struct fleet_host){ .key = hash_string (service->hosts[i].name),
-                               .dc = hash_string (service->hosts[i].dc),
-                               .weight = 1 };
-}
-
 void
 caller_service_set_hosts (struct caller_service *service,
                           const struct bus_host_set *set)
@@ -333,7 +262,7 @@
   if (set->count > 0)
     memcpy (service->hosts, set->hosts, set->count * sizeof *service->hosts);
   service->host_count = set->count;
-  place_hosts (service);
+  caller_share_place_hosts (service);
   service->in_set = set->self;
   service->fleet_count = set->fleet_count;
   note_fleet (service);
@@ -354,9 +283,9 @@
     {
       const struct target_spec *target = &service->spec->targets[i];
       const uint64_t key = service->targets[i].key;
-      const uint32_t slots = slots_here (service, key, target);
+      const uint32_t slots = caller_share_slots (service, key, target);
       service->share = *share;
-      changes = slots_here (service, key, target) != slots;
+      changes = caller_share_slots (service, key, target) != slots;
       service->share = before;
     }
   return changes;
--- /dev/null
+++ b/node/caller/caller_share.c
@@ -0,0 +1,76 @@
+#include "node/caller/caller_share.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "base/xmalloc.h"
+#include "policy/fleet/subset.h"
+
+enum
+{
+  /** Beyond its equal part, by roots of it: what a host has in flight
+   * fluctuates so, and is beyond two of them one time in forty. */
+  SHARE_ROOTS = 2,
+};
+
+void
+caller_share_place_hosts (struct caller_service *service)
+{
+  free (service->placed_hosts);
+  service->placed_hosts
+      = xcalloc (service->host_count + 1, sizeof *service->placed_hosts);
+  for (size_t i = 0; i < service->host_count; i++)
+    service->placed_hosts[i]
+        = (struct fleet_host){ .key = hash_string (service->hosts[i].name),
+                               .dc = hash_string (service->hosts[i].dc),
+                               .weight = 1 };
+}
+
+/* Of TOTAL, when all hosts of the set ask alike.  Guards against a host that
+   must use ill targets while good ones have room: targets have few slots, and
+   with an equal part of them each good one would be full with one request.
+   Where hosts meet at one, it lets some wait or sheds, which costs less. */
+static uint32_t
+equal_share (const struct caller_service *service, uint32_t total)
+{
+  const double hosts = service->host_count > 0 ? service->host_count : 1;
+  const double part = total / hosts;
+  const double share = ceil (part + SHARE_ROOTS * sqrt (part));
+  return (uint32_t)fmax (fmin (share, total), 1);
+}
+
+static uint32_t
+share_of (const struct caller_service *service, uint64_t key, uint32_t total)
+{
+  return service->share.permille > 0
+             ? slot_share_of (&service->share, key, total)
+             : equal_share (service, total);
+}
+
+bool
+caller_share_is_backup (const struct caller_service *service,
+                        const struct target_spec *target)
+{
+  if (!service->in_set)
+    return strcmp (target->dc, service->own_dc) != 0;
+  const size_t owner
+      = subset_owner (hash_string (target->name), hash_string (target->dc),
+                      service->placed_hosts, service->host_count);
+  return service->placed_hosts[owner].key != service->own_key;
+}
+
+uint32_t
+caller_share_slots (const struct caller_service *service, uint64_t key,
+                    const struct target_spec *target)
+{
+  const uint32_t bound
+      = target->connections > 0 && target->connections < target->slots
+            ? target->connections
+            : target->slots;
+  if (service->in_set && service->share.permille == 0
+      && !caller_share_is_backup (service, target))
+    return bound;
+  return share_of (service, key, bound);
+}
