control: what was offered and never came is forgotten after ten seconds

The list of values that are being fetched kept an entry for each object that was gone before it came.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -381,6 +381,7 @@
 /** VERSION of the object is held. */
 void control_pulls_end (struct control_task *task, uint64_t key,
                         uint64_t version);
+void control_pulls_expire (struct control_task *task, int64_t now_ms);
 void control_pulls_prepare (struct control_task *task);
 void control_pulls_release (struct control_task *task);
 
--- a/node/control/control_pulls.c
+++ b/node/control/control_pulls.c
@@ -17,6 +17,9 @@
    * this, if no host near by has it sooner: then few hosts fetch it from afar
    * and the rest from those. */
   FAR_DELAY_MS = 200,
+  /** What didn't come in this time is forgotten; offers come with each
+   * heartbeat for as long as there is a difference. */
+  EXPIRES_MS = 10000,
   /** A value of so many bytes is large: a configuration of many routes, no
    * record of a host or target. */
   LARGE_BYTES = 4096,
@@ -149,6 +152,22 @@
   free (pull);
 }
 
+/* Guards against a list that grows for ever: what was offered may be gone
+   before it is fetched, or be refused when it comes. */
+void
+control_pulls_expire (struct control_task *task, int64_t now_ms)
+{
+  struct control_pull *pull;
+  struct control_pull *next;
+  HASH_ITER (hh, task->pulls, pull, next)
+  {
+    if (now_ms - pull->due_ms < EXPIRES_MS)
+      continue;
+    HASH_DEL (task->pulls, pull);
+    free (pull);
+  }
+}
+
 void
 control_pulls_prepare (struct control_task *task)
 {
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -175,6 +175,7 @@
   control_members_beat (task, now_ms);
   control_cleanup_beat (task, now_ms);
   control_tombstones_expire (task, now_ms);
+  control_pulls_expire (task, now_ms);
   control_hosts_close_idle (task, now_ms);
   if (task->has_settings && HASH_COUNT (task->hosts) >= SEEDS_UNTIL_HOSTS)
     control_seeds_close (task);
--- a/node/control/tests/control_pulls_test.cc
+++ b/node/control/tests/control_pulls_test.cc
@@ -2,6 +2,7 @@
 
 extern "C"
 {
+#include "base/clock.h"
 #include "base/hash.h"
 #include "node/control/control_internal.h"
 }
@@ -70,6 +71,18 @@
   EXPECT_FALSE (wants ("far", 5, LARGE));
 }
 
+/* Targets come and go by the thousand; some are offered and gone before they
+ * are fetched.  What is kept of them must not grow. */
+TEST_F (ControlPulls, WhatNeverCameIsForgotten)
+{
+  control_task *task = nodes[0]->task;
+  EXPECT_TRUE (wants ("near-1", 5, SMALL));
+  control_pulls_expire (task, clock_now_ms () + 5000);
+  EXPECT_NE (task->pulls, nullptr);
+  control_pulls_expire (task, clock_now_ms () + 20000);
+  EXPECT_EQ (task->pulls, nullptr);
+}
+
 /* No host near by has the value: it comes from afar all the same. */
 TEST_F (ControlPulls, ALargeValueThatOnlyAFarHostHasIsFetched)
 {
