--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -145,7 +145,29 @@
   feed_next (feed);
 }
 
-static bool asks_often (const struct control_task *task);
+/* Guards against relays that are all cut from the platform and know it not, or
+   are killed at once: the others would wait for their long watch.  A relay's
+   news is two seconds old at most, and each heartbeat on the way adds half a
+   second.  Relays begin to ask once they have settled, so news can't be old
+   before that. */
+static bool
+news_is_old (const struct control_task *task)
+{
+  const struct control_times *times = &task->options.settings->times;
+  const int64_t most_ms = (int64_t)times->relay_watch_ms
+                          + (int64_t)NEWS_BEATS * times->heartbeat_ms;
+  const int64_t since_ms = task->contact_ms > task->settled_ms
+                               ? task->contact_ms
+                               : task->settled_ms;
+  return task->settled_ms > 0 && clock_now_ms () - since_ms > most_ms;
+}
+
+/* Does the host have to find out for itself what is new? */
+static bool
+asks_often (const struct control_task *task)
+{
+  return task->is_leading || task->is_stale || news_is_old (task);
+}
 
 static void
 feed_pause (struct control_feed *feed)
@@ -183,30 +205,6 @@
     feed_next (feed);
 }
 
-/* Guards against relays that are all cut from the platform and know it not, or
-   are killed at once: the others would wait for their long watch.  A relay's
-   news is two seconds old at most, and each heartbeat on the way adds half a
-   second.  Relays begin to ask once they have settled, so news can't be old
-   before that. */
-static bool
-news_is_old (const struct control_task *task)
-{
-  const struct control_times *times = &task->options.settings->times;
-  const int64_t most_ms = (int64_t)times->relay_watch_ms
-                          + (int64_t)NEWS_BEATS * times->heartbeat_ms;
-  const int64_t since_ms = task->contact_ms > task->settled_ms
-                               ? task->contact_ms
-                               : task->settled_ms;
-  return task->settled_ms > 0 && clock_now_ms () - since_ms > most_ms;
-}
-
-/* Does the host have to find out for itself what is new? */
-static bool
-asks_often (const struct control_task *task)
-{
-  return task->is_leading || task->is_stale || news_is_old (task);
-}
-
 /* What all hosts but the relays ask is a tenth of the price when it may be
    seconds old; the relays tell them sooner.  A first list may be old as well:
    the watch goes on from its revision.  After a watch was refused it may not,
