choice: reads keep the share of a subset no longer

Hosts keep 0.98 of their subset in use, but only where much fails at themselves: the service fails 0.13 of its requests, unevenly over hosts.

--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -235,10 +235,8 @@
    way and lets nobody spread after it.
 
    Each host of a large set sees to its subset, so that a target is owed one
-   visit and not one by each host.  Then all requests spread always: much may
-   fail at other hosts of the set, whose ways to targets are cut, and nothing
-   here, where the idle targets are.  In a set of few hosts the loss of one
-   would leave too many targets idle, and every host sees to all of them. */
+   visit and not one by each host.  In a set of few hosts the loss of one would
+   leave too many targets idle, and every host sees to all of them. */
 static struct wanted_use
 wanted_in_use (const struct service_policy *policy,
                const struct policy_request *r)
@@ -246,9 +244,9 @@
   const uint32_t percent = policy->options.used_percent;
   const bool fails_much
       = target_set_failing_share (&policy->set) >= failing_much;
-  const bool all = !subsets_are_small (policy);
-  if (percent == 0 || (!fails_much && r->repeatable && all))
+  if (percent == 0 || (!fails_much && r->repeatable))
     return (struct wanted_use){ 0 };
+  const bool all = !subsets_are_small (policy);
   if (!fails_much)
     return (struct wanted_use){ .percent = percent, .all = all };
   const uint32_t most = percent + (100 - percent) / 2;
