control: records of hosts gone for good are removed by leading relays

Since only some relays ask the platform for the newest, the others never count it as heard, and remove nothing; but records fell to any relay by chance, so in fleets of more than three data centres a third or more of them stayed for ever.

--- a/node/control/control_cleanup.c
+++ b/node/control/control_cleanup.c
@@ -67,7 +67,7 @@
   return host != task->self && host->is_listed
          && host_cleanup_is_due (now_ms, host->gone_ms, after_ms)
          && host_cleanup_is_ours (host->key, task->self->key, task->fleet,
-                                  &task->relays);
+                                  &task->leading);
 }
 
 /* A lost answer isn't read back: if the removal took effect, the watch or the
@@ -116,12 +116,14 @@
                 version, NULL, removed, task);
 }
 
+/* Leading relays do it: the others hear of the platform's hosts by answers
+   that may be old, so they can't tell whether it still answers. */
 void
 control_cleanup_beat (struct control_task *task, int64_t now_ms)
 {
   struct control_cleanup *cleanup = &task->cleanup;
   excuse_pause (task, now_ms);
-  if (!task->is_relay || task->is_stale || task->is_leaving
+  if (!task->is_leading || task->is_stale || task->is_leaving
       || cleanup->is_waiting || now_ms < cleanup->pause_until_ms
       || !control_platform_is_heard (task, now_ms))
     return;
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -96,18 +96,26 @@
    for a moment, takes itself for the only relay, and asks the platform for all
    there is at the full price. */
 static bool
-leads (const struct control_task *task, uint32_t per_dc)
+leads (const struct control_task *task)
 {
   if (task->settled_ms == 0)
     return false;
-  const uint32_t leading
-      = relays_leading (task->fleet, task->fleet_count, per_dc);
-  for (uint32_t i = 0; i < task->relays.count && i < leading; i++)
-    if (task->fleet[task->relays.hosts[i]].key == task->self->key)
+  for (uint32_t i = 0; i < task->leading.count; i++)
+    if (task->fleet[task->leading.hosts[i]].key == task->self->key)
       return true;
   return false;
 }
 
+static void
+choose_leading (struct control_task *task, uint32_t per_dc)
+{
+  const uint32_t most
+      = relays_leading (task->fleet, task->fleet_count, per_dc);
+  task->leading = task->relays;
+  if (task->leading.count > most)
+    task->leading.count = most;
+}
+
 static void
 choose_relays (struct control_task *task)
 {
@@ -118,7 +126,8 @@
   const bool was_relay = task->is_relay;
   const bool was_leading = task->is_leading;
   task->is_relay = control_hosts_is_relay (task, task->self->key);
-  task->is_leading = leads (task, per_dc);
+  choose_leading (task, per_dc);
+  task->is_leading = leads (task);
   if (was_relay != task->is_relay || was_leading != task->is_leading)
     LOG_INFO ("relay", LOG_INT ("is_relay", task->is_relay),
               LOG_INT ("is_leading", task->is_leading),
