--- a/node/control/control_pulls.c
+++ b/node/control/control_pulls.c
@@ -142,30 +142,39 @@
   return false;
 }
 
+static void
+drop (struct control_task *task, struct control_pull *pull)
+{
+  HASH_DEL (task->pulls, pull);
+  free (pull);
+}
+
 void
 control_pulls_end (struct control_task *task, uint64_t key, uint64_t version)
 {
   struct control_pull *pull = find (task, key);
-  if (pull == NULL || pull->version > version)
-    return;
-  HASH_DEL (task->pulls, pull);
-  free (pull);
+  if (pull != NULL && pull->version <= version)
+    drop (task, pull);
+}
+
+static struct control_pull *
+find_expired (const struct control_task *task, int64_t now_ms)
+{
+  struct control_pull *pull = task->pulls;
+  while (pull != NULL && now_ms - pull->due_ms < EXPIRES_MS)
+    pull = pull->hh.next;
+  return pull;
 }
 
 /* Guards against a list that grows for ever: what was offered may be gone
-   before it is fetched, or be refused when it comes. */
+   before it is fetched, or be refused when it comes.  One goes a heartbeat,
+   which is more than come to this. */
 void
 control_pulls_expire (struct control_task *task, int64_t now_ms)
 {
-  struct control_pull *pull;
-  struct control_pull *next;
-  HASH_ITER (hh, task->pulls, pull, next)
-  {
-    if (now_ms - pull->due_ms < EXPIRES_MS)
-      continue;
-    HASH_DEL (task->pulls, pull);
-    free (pull);
-  }
+  struct control_pull *pull = find_expired (task, now_ms);
+  if (pull != NULL)
+    drop (task, pull);
 }
 
 void
