control, caller: a key that was taken away stops within a bound, cut off or not

Ruled out: counting what a waiting watch didn't show (it may be deaf), and what a watch shows together with changes (it may hold the first of several). Change: policy/access/freshness.h has the arithmetic: a proof is a time on the host's own clock, from an answer of no age counted from its question, passed on with the answers to heartbeats. While nothing is proved, a request with a key waits for a quarter of a second at most for the answer, then all are refused at once with a time to come back.

--- a/node/bus.c
+++ b/node/bus.c
@@ -56,6 +56,8 @@
     case BUS_OUTCOME_SEEN:
     case BUS_OUTCOME_HEARD:
     case BUS_MEMBERS:
+    case BUS_FRESHNESS:
+    case BUS_FRESHNESS_WANTED:
     case BUS_SHUTDOWN:
     case BUS_TOPIC_COUNT:
       break;
--- a/node/bus.h
+++ b/node/bus.h
@@ -16,6 +16,7 @@
 
 #include <ev.h>
 
+#include "policy/access/freshness.h"
 #include "policy/choice/slot_shares.h"
 #include "policy/service_policy.h"
 #include "wire/fleet_config.h"
@@ -25,15 +26,17 @@
 {
   BUS_SERVICE_IN_FORCE, /**< a service appeared or changed */
   BUS_SERVICE_REMOVED,
-  BUS_CONFIG_IN_FORCE, /**< the fleet's configuration changed */
-  BUS_EJECTIONS,       /**< the enforced ejections of a service changed */
-  BUS_SLOT_SHARES,     /**< this host's part of a service's slots changed */
-  BUS_PATH_FAULTS,     /**< targets that this host should avoid changed */
-  BUS_HOST_SET,        /**< the hosts to hand out for a service changed */
-  BUS_OUTCOME_SEEN,    /**< an attempt of this host ended */
-  BUS_OUTCOME_HEARD,   /**< an attempt of another host ended */
-  BUS_MEMBERS,         /**< what is believed of the other hosts changed */
-  BUS_SHUTDOWN,        /**< this host is leaving */
+  BUS_CONFIG_IN_FORCE,  /**< the fleet's configuration changed */
+  BUS_EJECTIONS,        /**< the enforced ejections of a service changed */
+  BUS_SLOT_SHARES,      /**< this host's part of a service's slots changed */
+  BUS_PATH_FAULTS,      /**< targets that this host should avoid changed */
+  BUS_HOST_SET,         /**< the hosts to hand out for a service changed */
+  BUS_OUTCOME_SEEN,     /**< an attempt of this host ended */
+  BUS_OUTCOME_HEARD,    /**< an attempt of another host ended */
+  BUS_MEMBERS,          /**< what is believed of the other hosts changed */
+  BUS_FRESHNESS,        /**< a proof that the configuration is the newest */
+  BUS_FRESHNESS_WANTED, /**< requests wait for such a proof */
+  BUS_SHUTDOWN,         /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
 
@@ -118,6 +121,7 @@
     struct bus_slot_shares slot_shares;
     struct bus_path_faults path_faults;
     struct bus_outcome outcome;
+    struct freshness_proof freshness;
   };
 };
 
--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -20,6 +20,7 @@
 #include "node/caller/workspace_table.h"
 #include "node/host_settings.h"
 #include "node/mhd_loop.h"
+#include "policy/access/freshness.h"
 #include "wire/curl_loop.h"
 
 struct exchange;
@@ -35,6 +36,10 @@
   struct hangup_watch *hangup;
   struct route_table *routes;
   struct caller_service *services; /**< by name */
+  /** Of the configuration in force, for keys. */
+  struct freshness freshness;
+  int64_t proof_wanted_us; /**< since when a proof is waited for; 0: isn't */
+  uint32_t awaiting;       /**< requests that wait to be judged */
   struct host_directory *directory;
   struct ticket_desk *tickets;
   struct fleet_config *config; /**< in force; NULL: none, or none yet */
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -16,6 +16,7 @@
 #include "node/caller/address_answer.h"
 #include "node/caller/caller_server.h"
 #include "node/caller/exchange.h"
+#include "node/caller/exchange_access.h"
 #include "node/caller/leaving_probe.h"
 #include "node/plain_server.h"
 #include "node/tables.h"
@@ -108,9 +109,20 @@
   fleet_config_destroy (context->config);
   context->config = fleet_config_copy (config);
   context->workspaces = workspace_table_create (context->config);
+  freshness_in_force (&context->freshness, context->config->version);
   route_table_set_config (context->routes, config, task->seed);
 }
 
+/* Requests that wait to be judged are looked at again. */
+static void
+on_freshness (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  struct caller_context *context = &task->context;
+  freshness_prove (&context->freshness, &message->freshness);
+  exchange_access_proved (context);
+}
+
 static void
 on_host_set (void *owner, const struct bus_message *message)
 {
@@ -177,6 +189,7 @@
   bus_subscribe (task->bus, BUS_SERVICE_IN_FORCE, on_in_force, task);
   bus_subscribe (task->bus, BUS_SERVICE_REMOVED, on_removed, task);
   bus_subscribe (task->bus, BUS_CONFIG_IN_FORCE, on_config, task);
+  bus_subscribe (task->bus, BUS_FRESHNESS, on_freshness, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
   bus_subscribe (task->bus, BUS_OUTCOME_HEARD, on_outcome_heard, task);
@@ -196,6 +209,7 @@
       ->interface = options->interface != NULL ? options->interface : &caller_interface_own;
   context->curl = curl_loop_create (options->loop, &curl);
   context->routes = route_table_create ();
+  freshness_init (&context->freshness);
   context->directory = host_directory_create ();
   context->tickets
       = ticket_desk_create (options->settings->name, options->incarnation);
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -111,10 +111,30 @@
                            clock_now_us () - x->begun_us);
 }
 
+void
+exchange_await (struct exchange *x, enum exchange_awaits what,
+                int64_t limit_us)
+{
+  const int64_t left_us = x->deadline_us - clock_now_us ();
+  x->awaits = what;
+  x->context->awaiting++;
+  exchange_arm (x, limit_us < left_us ? limit_us : left_us);
+}
+
+static void
+await_no_more (struct exchange *x)
+{
+  if (x->awaits == EXCHANGE_AWAITS_NOTHING)
+    return;
+  x->awaits = EXCHANGE_AWAITS_NOTHING;
+  x->context->awaiting--;
+}
+
 static void
 exchange_destroy (struct exchange *x)
 {
   struct caller_context *context = x->context;
+  await_no_more (x);
   ev_timer_stop (context->loop, &x->timer);
   ev_clear_pending (context->loop, &x->kick);
   if (x->service != NULL)
@@ -149,9 +169,18 @@
   ev_timer_start (loop, &x->timer);
 }
 
+void
+exchange_resume (struct exchange *x)
+{
+  await_no_more (x);
+  exchange_arm (x, x->deadline_us - clock_now_us ());
+  exchange_begin_again (x);
+}
+
 void
 exchange_abandon (struct exchange *x)
 {
+  await_no_more (x);
   if (x->service != NULL)
     caller_service_forget (x->service, &x->waiter);
   exchange_drop_attempt (x, ATTEMPT_CANCELLED);
@@ -192,6 +221,7 @@
 {
   if (x->service != NULL)
     caller_service_forget (x->service, &x->waiter);
+  await_no_more (x);
   x->own = *own;
   if (x->own.outcome == ANSWER_UNKNOWN && is_promise (own->status))
     x->own.status = MHD_HTTP_BAD_GATEWAY;
@@ -395,7 +425,9 @@
   switch (x->state)
     {
     case EXCHANGE_WAITING:
-      if (left_us > 0)
+      if (x->awaits != EXCHANGE_AWAITS_NOTHING)
+        exchange_resume (x);
+      else if (left_us > 0)
         exchange_arm (x, left_us);
       else
         deadline_passed (x);
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -39,6 +39,13 @@
   EXCHANGE_OVER       /**< nothing more happens but its release */
 };
 
+/** What a request waits for before its service is asked for a target. */
+enum exchange_awaits
+{
+  EXCHANGE_AWAITS_NOTHING,
+  EXCHANGE_AWAITS_PROOF /**< that its key may be judged */
+};
+
 /** The attempt under way, or the one that was answered. */
 struct exchange_attempt
 {
@@ -91,6 +98,7 @@
   struct own_answer own;
 
   enum exchange_state state;
+  enum exchange_awaits awaits;
   int fd;
   uint32_t timeout_ms;   /**< most time until the answer begins */
   uint32_t attempts_max; /**< targets that it may be sent to */
@@ -108,6 +116,7 @@
   bool caller_gone;
   bool answer_cut; /**< what was buffered of it is all that comes */
   bool repeatable;
+  bool needs_key;
   bool bounded_by_route; /**< timeout_ms holds beside the caller's deadline */
   bool ticket_claimed;
   bool kicked;
@@ -126,6 +135,16 @@
 void exchange_begin (struct exchange *x, const char *method,
                      const char *version);
 
+/** Go on with a request that was held up before its service was asked. */
+void exchange_begin_again (struct exchange *x);
+
+/** What X waited for has come, or never will: look at it again. */
+void exchange_resume (struct exchange *x);
+
+/** Have X wait for WHAT, for at most LIMIT_US; exchange_resume() follows. */
+void exchange_await (struct exchange *x, enum exchange_awaits what,
+                     int64_t limit_us);
+
 /** The library has released the request.  OK says that all of a response was
  * written. */
 void exchange_released (struct exchange *x, bool ok);
--- a/node/caller/exchange_access.c
+++ b/node/caller/exchange_access.c
@@ -3,6 +3,17 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <utlist.h>
+
+#include "base/clock.h"
+
+enum
+{
+  /** Relays and platform are asked again in less. */
+  STALE_RETRY_AFTER_MS = 500,
+  PROOF_WAIT_US = 250 * 1000,
+};
+
 static const char *
 key_remedy (enum request_key_state state)
 {
@@ -40,16 +51,80 @@
   exchange_answer_own (x, &own);
 }
 
+/* Guards against a host that goes on with keys that were taken away, since it
+   is cut off, frozen, or has just started and can't know.  Shows as work that
+   is done for whoever has a leaked key.  It says neither yes nor no then: a
+   key that it doesn't know may be a new one. */
+static bool
+is_fresh (const struct exchange *x)
+{
+  const uint32_t bound_ms = x->context->settings->access.revoke_ms;
+  return bound_ms == 0
+         || freshness_holds (&x->context->freshness, clock_now_ms (),
+                             bound_ms);
+}
+
+static void
+refuse_stale (struct exchange *x)
+{
+  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                            .outcome = ANSWER_NOT_RUN,
+                            .reason = "config-not-fresh",
+                            .retry_after_ms = STALE_RETRY_AFTER_MS };
+  snprintf (own.message, sizeof own.message,
+            "this host can't tell now which keys are in force: come back "
+            "after the time given, or ask another one");
+  exchange_answer_own (x, &own);
+}
+
+/* The question is answered within milliseconds where it is answered at all.
+   While it isn't, requests are refused at once. */
+static void
+await_proof (struct exchange *x)
+{
+  static const struct bus_message wanted = { .topic = BUS_FRESHNESS_WANTED };
+  struct caller_context *context = x->context;
+  const int64_t now_us = clock_now_us ();
+  if (context->proof_wanted_us == 0)
+    context->proof_wanted_us = now_us;
+  const int64_t left_us = context->proof_wanted_us + PROOF_WAIT_US - now_us;
+  bus_post (context->bus, &wanted);
+  if (left_us > 0)
+    exchange_await (x, EXCHANGE_AWAITS_PROOF, left_us);
+  else
+    refuse_stale (x);
+}
+
+void
+exchange_access_proved (struct caller_context *context)
+{
+  struct exchange *x;
+  struct exchange *next;
+  context->proof_wanted_us = 0;
+  if (context->awaiting == 0)
+    return;
+  DL_FOREACH_SAFE (context->exchanges, x, next)
+  {
+    if (x->awaits == EXCHANGE_AWAITS_PROOF)
+      exchange_resume (x);
+  }
+}
+
 bool
-exchange_access_check (struct exchange *x, const struct route *route)
+exchange_access_check (struct exchange *x)
 {
   const struct workspace_table *workspaces = x->context->workspaces;
   if (workspaces == NULL)
     return true;
   /* Nobody behind this host gets a key, needed or not. */
   header_list_remove_spellings (&x->head.headers, "Authorization");
-  if (route->is_open)
+  if (!x->needs_key)
     return true;
+  if (!is_fresh (x))
+    {
+      await_proof (x);
+      return false;
+    }
   const struct request_key *key = &x->head.key;
   const struct fleet_workspace *workspace
       = key->state == REQUEST_KEY_GIVEN
--- a/node/caller/exchange_begin.c
+++ b/node/caller/exchange_begin.c
@@ -63,6 +63,7 @@
       = route->timeout_ms > 0 ? route->timeout_ms : limits->timeout_ms;
   x->attempts_max = route->attempts > 0 ? route->attempts : limits->attempts;
   x->bounded_by_route = route->timeout_ms > 0;
+  x->needs_key = !route->is_open;
   snprintf (x->route, sizeof x->route, "%.63s", route->spec.path_prefix);
 }
 
@@ -178,10 +179,17 @@
   if (comes_too_late (x))
     return;
   const struct route *route = find_route (x);
-  if (route == NULL || !exchange_access_check (x, route)
-      || !find_service (x, route) || !check_limits (x) || !set_deadline (x))
+  if (route == NULL || !find_service (x, route) || !set_deadline (x))
     return;
   exchange_arm (x, x->deadline_us - clock_now_us ());
+  exchange_begin_again (x);
+}
+
+void
+exchange_begin_again (struct exchange *x)
+{
+  if (!exchange_access_check (x) || !check_limits (x))
+    return;
   const bool by_ticket = !x->repeatable && x->head.ticket[0] != '\0';
   if (by_ticket && !exchange_ticket_claim (x))
     return;
--- a/node/caller/tests/access_test.cc
+++ b/node/caller/tests/access_test.cc
@@ -1,6 +1,11 @@
 /* Callers with and without keys, and what targets are told of them. */
 #include "node/caller/tests/caller_fixture.h"
 
+extern "C"
+{
+#include "base/clock.h"
+}
+
 namespace
 {
 std::string
@@ -160,6 +165,113 @@
     }
 }
 
+/* A host starts, or is cut off, and can't tell which keys are in force. */
+class FreshnessTest : public AccessTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    AccessTest::SetUp ();
+    settings.access.revoke_ms = 5000;
+    bus_subscribe (
+        the_bus, BUS_FRESHNESS_WANTED,
+        [] (void *owner, const bus_message *) {
+          static_cast<FreshnessTest *> (owner)->wanted++;
+        },
+        this);
+  }
+
+  void
+  TearDown () override
+  {
+    bus_unsubscribe (the_bus, this);
+    AccessTest::TearDown ();
+  }
+
+  void
+  prove (uint64_t config_version, int64_t age_ms)
+  {
+    bus_message message = {};
+    message.topic = BUS_FRESHNESS;
+    message.freshness = { config_version, clock_now_ms () - age_ms };
+    bus_post (the_bus, &message);
+  }
+
+  const std::string good = "Authorization: Bearer key-june";
+  const std::string unknown = "Authorization: Bearer other";
+  int wanted = 0;
+};
+
+/* Neither yes nor no: a key that this host doesn't know may be a new one, and
+   one that it knows may have been taken away. */
+TEST_F (FreshnessTest, WithoutAProofNoKeyIsJudged)
+{
+  for (const std::string &field : { good, unknown })
+    {
+      const auto call = send ("/x", { field });
+      EXPECT_EQ (call->status, 503);
+      EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
+      EXPECT_NE (call->field ("retry-after"), "");
+    }
+  EXPECT_EQ (target_server_counts (target).runs, 0u);
+  EXPECT_EQ (send ("/open/x", {})->status, 200);
+}
+
+TEST_F (FreshnessTest, ARequestWaitsForTheProofThatComesSoon)
+{
+  auto call = make ("GET", "/x", "r1");
+  call->fields.push_back (good);
+  begin (call.get ());
+  ASSERT_TRUE (run_until ([this] { return wanted > 0; }));
+  prove (version, 0);
+  ASSERT_TRUE (run_until ([&call] { return call->done; }));
+  EXPECT_EQ (call->status, 200);
+}
+
+/* A body that comes while its request waits is neither lost nor a crash. */
+TEST_F (FreshnessTest, AnUploadWaitsAsWell)
+{
+  auto call = make ("POST", "/x", "r1");
+  call->body = std::string (300000, 'b');
+  call->fields.push_back (good);
+  begin (call.get ());
+  ASSERT_TRUE (run_until ([this] { return wanted > 0; }));
+  prove (version, 0);
+  ASSERT_TRUE (run_until ([&call] { return call->done; }));
+  EXPECT_EQ (call->status, 200);
+  EXPECT_NE (call->answer.find (" 300000"), std::string::npos);
+}
+
+TEST_F (FreshnessTest, AProofThatIsTooOldIsNone)
+{
+  prove (version, 4990);
+  EXPECT_EQ (send ("/x", { good })->status, 503);
+  prove (version, 3000);
+  EXPECT_EQ (send ("/x", { good })->status, 200);
+}
+
+/* A neighbour proves that there is a newer version, which takes the key away.
+   Until that has come here the old one says nothing. */
+TEST_F (FreshnessTest, AProofOfAnotherVersionWaitsForIt)
+{
+  prove (version + 1, 0);
+  EXPECT_EQ (send ("/x", { good })->status, 503);
+  put_config (", 'workspaces': [" + workspace ("june", "key-june-2") + "]");
+  EXPECT_EQ (send ("/x", { good })->status, 401);
+}
+
+/* Nothing answers: after the first ones have waited, all others are refused
+   at once. */
+TEST_F (FreshnessTest, NobodyWaitsTwiceForAnAnswerThatDoesNotCome)
+{
+  EXPECT_EQ (send ("/x", { good })->status, 503);
+  const int64_t before_ms = clock_now_ms ();
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (send ("/x", { good })->status, 503);
+  EXPECT_LT (clock_now_ms () - before_ms, 20 * 250);
+}
+
 /* A fleet without workspaces passes Authorization on: it is the targets'. */
 TEST_F (AccessTest, WithoutWorkspacesTheKeyIsTheTargets)
 {
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -16,6 +16,7 @@
 #include "node/control/control_task.h"
 #include "node/control/host_record.h"
 #include "node/registry/registry.h"
+#include "policy/access/freshness.h"
 #include "policy/fleet/host_set.h"
 #include "policy/fleet/membership.h"
 #include "policy/fleet/settings_index.h"
@@ -115,6 +116,7 @@
   bool is_waiting;       /**< a call is under way */
   uint32_t wait_ms;      /**< of the watch under way */
   bool is_for_all;       /**< every host watches, not only relays */
+  int64_t asked_ms;      /**< when the call under way was made */
   bool was_refused;      /**< the platform didn't know the revision any more */
   enum platform_age age; /**< that the call under way asked for */
   int64_t answered_ms;   /**< when an answer of no age came */
@@ -148,6 +150,15 @@
   struct counter *forgotten;
 };
 
+/** A question to the platform whether the configuration is the newest. */
+struct control_freshness_ask
+{
+  struct control_task *task;
+  bool is_waiting;
+  int64_t asked_ms;
+  uint64_t revision; /**< changes up to it have been seen */
+};
+
 /** A heartbeat sent for another host that can't get an answer. */
 struct control_check
 {
@@ -187,6 +198,8 @@
   struct control_feed feeds[CONTROL_FEEDS_MAX];
   size_t feed_count;
   struct control_registration registration;
+  struct freshness freshness;
+  struct control_freshness_ask freshness_ask;
   struct control_cleanup cleanup;
   struct control_tombstone *tombstones; /**< a ring */
   size_t tombstone_first;               /**< oldest */
@@ -343,6 +356,28 @@
                                 int64_t now_ms);
 void control_platform_stop (struct control_task *task);
 
+/* control_freshness.c: is the configuration in force here the newest? */
+void control_freshness_start (struct control_task *task);
+/** Is the answer needed: do keys have to stop within a bound? */
+bool control_freshness_is_wanted (const struct control_task *task);
+/** How long a leading relay's watch of configurations may wait. */
+uint32_t control_freshness_watch_ms (const struct control_task *task);
+/** The platform has shown all that was accepted before ASKED_MS. */
+void control_freshness_heard (struct control_task *task, int64_t asked_ms);
+/** The platform has shown a change, and there may be more. */
+void control_freshness_changed (struct control_task *task);
+/** Another host answered a heartbeat of this one. */
+void control_freshness_answered (struct control_task *task,
+                                 const struct peer_heartbeat *answer);
+/** The configuration of VERSION is in force. */
+void control_freshness_in_force (struct control_task *task, uint64_t version);
+/** Must this host refuse requests with keys? */
+bool control_freshness_is_lost (const struct control_task *task,
+                                int64_t now_ms);
+/** Ask others, and at last the platform, before that is so. */
+void control_freshness_beat (struct control_task *task, int64_t now_ms);
+void control_freshness_stop (struct control_task *task);
+
 /* control_registration.c: this host's own record at the platform */
 void control_registration_start (struct control_task *task);
 /** Write the record anew. */
--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -21,10 +21,13 @@
 {
   return (struct peer_message){
     .type = type,
-    .heartbeat = { .sequence = sequence,
-                   .relay_age_ms = relay_age (task, clock_now_ms ()),
-                   .leaving = task->is_leaving,
-                   .settings_hash = settings_index_total (task->index) }
+    .heartbeat
+    = { .sequence = sequence,
+        .relay_age_ms = relay_age (task, clock_now_ms ()),
+        .leaving = task->is_leaving,
+        .settings_hash = settings_index_total (task->index),
+        .config_version = freshness_told (&task->freshness).version,
+        .config_age_ms = freshness_age_ms (&task->freshness, clock_now_ms ()) }
   };
 }
 
@@ -146,13 +149,16 @@
 judge_staleness (struct control_task *task, int64_t now_ms)
 {
   const uint32_t limit_ms = task->options.settings->times.stale_after_ms;
-  const bool is_stale = now_ms - task->contact_ms >= limit_ms;
+  const bool is_stale = now_ms - task->contact_ms >= limit_ms
+                        || control_freshness_is_lost (task, now_ms);
   if (is_stale == task->is_stale)
     return;
   task->is_stale = is_stale;
   if (is_stale)
-    LOG_WARN ("stale", LOG_INT ("silent_ms", now_ms - task->contact_ms),
-              LOG_STR ("effect", "this host isn't handed out"));
+    LOG_WARN (
+        "stale", LOG_INT ("silent_ms", now_ms - task->contact_ms),
+        LOG_INT ("config_age_ms", freshness_age_ms (&task->freshness, now_ms)),
+        LOG_STR ("effect", "this host isn't handed out"));
   else
     LOG_INFO ("not-stale", LOG_STR ("effect", "this host is handed out"));
   control_hosts_changed (task);
@@ -185,6 +191,7 @@
   probe_dead (task, now_ms);
   judge_staleness (task, now_ms);
   control_platform_check_news (task, now_ms);
+  control_freshness_beat (task, now_ms);
 }
 
 void
@@ -268,6 +275,7 @@
   membership_answered (task->membership, (int64_t)beat->sequence,
                        source->host->key, source->host->record.incarnation);
   note_relay (task, beat, now_ms);
+  control_freshness_answered (task, beat);
   answer_checks (task, source->host->key);
 }
 
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -103,6 +103,21 @@
   }
 }
 
+/* A list holds all there is; a watch that shows changes may hold the first of
+   them only. */
+static void
+note_freshness (const struct control_feed *feed,
+                const struct platform_reply *reply)
+{
+  if (feed->age != PLATFORM_AGE_NONE
+      || strcmp (feed->kind, PLATFORM_KIND_CONFIG) != 0)
+    return;
+  if (!feed->is_listed || reply->count == 0)
+    control_freshness_heard (feed->task, feed->asked_ms);
+  else
+    control_freshness_changed (feed->task);
+}
+
 static void feed_next (struct control_feed *feed);
 
 static void
@@ -138,6 +153,7 @@
   answered (feed);
   apply_reply (feed, reply);
   remove_missing (feed, reply);
+  note_freshness (feed, reply);
   feed->is_listed = true;
   feed->was_refused = false;
   note_listed (feed->task);
@@ -198,6 +214,7 @@
     {
       answered (feed);
       apply_reply (feed, reply);
+      note_freshness (feed, reply);
     }
   if (reply->status == STATUS_OK && reply->count > 0)
     feed_pause (feed);
@@ -234,7 +251,11 @@
   const bool is_short = asks_often (task)
                         && strcmp (feed->kind, PLATFORM_KIND_HOST) != 0
                         && times->relay_watch_ms < times->watch_ms;
-  return is_short ? times->relay_watch_ms : times->watch_ms;
+  if (!is_short)
+    return times->watch_ms;
+  return strcmp (feed->kind, PLATFORM_KIND_CONFIG) == 0
+             ? control_freshness_watch_ms (task)
+             : times->relay_watch_ms;
 }
 
 /* A host that has become a relay, or hears of none any more, ends the pause
@@ -264,6 +285,7 @@
       feed->is_waiting = true;
       feed->revision = 0;
       feed->age = list_age (feed);
+      feed->asked_ms = clock_now_ms ();
       platform_list (task->options.platform, feed->kind, feed->age, list_done,
                      feed);
       return;
@@ -274,6 +296,7 @@
   feed->is_waiting = true;
   feed->wait_ms = watch_ms (feed);
   feed->age = watch_age (feed);
+  feed->asked_ms = clock_now_ms ();
   platform_watch (task->options.platform, feed->kind, feed->revision,
                   feed->wait_ms, feed->age, watch_done, feed);
 }
--- a/node/control/control_registry.c
+++ b/node/control/control_registry.c
@@ -24,6 +24,7 @@
       = { .topic = BUS_CONFIG_IN_FORCE,
           .config_in_force = { .config = fleet_config_copy (config) } };
   bus_post (task->options.bus, &message);
+  control_freshness_in_force (task, config->version);
   LOG_INFO ("config-in-force", LOG_INT ("version", config->version));
 }
 
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -301,6 +301,7 @@
       return status;
     }
   bus_subscribe (options->bus, BUS_SHUTDOWN, shutdown_cb, task);
+  control_freshness_start (task);
   control_registry_create (task);
   control_removals_start (task);
   control_outcomes_start (task);
@@ -326,6 +327,7 @@
         tables_unregister (task->options.tables, task);
       ev_timer_stop (loop, &task->beat);
       control_cleanup_stop (task);
+      control_freshness_stop (task);
       control_platform_stop (task);
       control_registration_stop (task);
       control_removals_stop (task);
--- a/node/control/tests/control_fixture.h
+++ b/node/control/tests/control_fixture.h
@@ -71,6 +71,7 @@
     settings.times.stale_after_ms = 2000;
     settings.relays_per_dc = 1;
     settings.set_hosts_per_dc = 1;
+    freshness_init (&proofs);
     bus = bus_create (loop);
     counters = counters_create ();
     for (int topic = 0; topic < BUS_TOPIC_COUNT; topic++)
@@ -137,7 +138,10 @@
         const uint64_t version = message->config_in_force.config->version;
         EXPECT_GT (version, self->config_version) << "reverted";
         self->config_version = version;
+        freshness_in_force (&self->proofs, version);
       }
+    else if (message->topic == BUS_FRESHNESS)
+      freshness_prove (&self->proofs, &message->freshness);
     else if (message->topic == BUS_SERVICE_REMOVED)
       {
         const auto &removed = message->service_removed;
@@ -163,6 +167,7 @@
   std::map<std::string, uint64_t> in_force, highest;
   std::map<std::string, std::vector<std::string>> sets, targets;
   uint64_t config_version = 0;
+  freshness proofs; /**< as the caller task would have them */
 };
 
 class ControlFixture : public testing::Test
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -114,6 +114,16 @@
   options_close (top, &options);
 }
 
+static void
+read_access (struct options *top, struct access_settings *access)
+{
+  struct options options;
+  if (!options_object (top, "access", false, &options))
+    return;
+  read_ms (&options, "revoke_ms", 0, HOUR_MS, &access->revoke_ms);
+  options_close (top, &options);
+}
+
 /* Times that contradict one another would break a promise later and quietly,
    so they are refused here. */
 static void
@@ -351,6 +361,7 @@
   options_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
   read_modes (&top, &settings->modes);
   read_retry (&top, &settings->retry);
+  read_access (&top, &settings->access);
   read_limits (&top, &settings->resources, &settings->limits);
   read_times (&top, &settings->times);
   read_log (&top, settings);
@@ -404,6 +415,8 @@
                "caller_limits has padding: compare its members");
 _Static_assert(sizeof (struct fleet_modes) == 4 * sizeof (bool),
                "fleet_modes has padding: compare its members");
+_Static_assert(sizeof (struct access_settings) == 1 * sizeof (uint32_t),
+               "access_settings has padding: compare its members");
 _Static_assert(sizeof (struct retry_settings) == 4 * sizeof (uint32_t),
                "retry_settings has padding: compare its members");
 _Static_assert(sizeof (struct control_times) == 13 * sizeof (uint32_t),
@@ -420,6 +433,7 @@
          && a->relays_per_dc == b->relays_per_dc
          && memcmp (&a->modes, &b->modes, sizeof a->modes) == 0
          && memcmp (&a->retry, &b->retry, sizeof a->retry) == 0
+         && memcmp (&a->access, &b->access, sizeof a->access) == 0
          && memcmp (&a->limits, &b->limits, sizeof a->limits) == 0
          && memcmp (&a->times, &b->times, sizeof a->times) == 0;
 }
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -81,6 +81,14 @@
   uint32_t outage_hold_ms;
 };
 
+/** Who may send requests. */
+struct access_settings
+{
+  /** A key that was taken away isn't taken for longer, on any host; 0: as long
+   * as a host hasn't heard of it. */
+  uint32_t revoke_ms;
+};
+
 struct host_settings
 {
   char name[HOST_NAME_SIZE];
@@ -113,6 +121,7 @@
   struct fleet_modes modes;
   struct caller_limits limits;
   struct retry_settings retry;
+  struct access_settings access;
   struct control_times times;
   enum log_level log_level;
   bool log_json;
--- /dev/null
+++ b/policy/access/freshness.c
@@ -0,0 +1,84 @@
+#include "policy/access/freshness.h"
+
+enum
+{
+  /** Of the bound, left for clocks that run unevenly. */
+  DRIFT_PARTS = 100,
+};
+
+void
+freshness_init (struct freshness *freshness)
+{
+  *freshness = (struct freshness){ .time_ms = INT64_MIN,
+                                   .awaited = { .time_ms = INT64_MIN } };
+}
+
+static bool
+raise_time (struct freshness *freshness, int64_t time_ms)
+{
+  if (time_ms <= freshness->time_ms)
+    return false;
+  freshness->time_ms = time_ms;
+  return true;
+}
+
+static void
+await (struct freshness *freshness, const struct freshness_proof *proof)
+{
+  struct freshness_proof *awaited = &freshness->awaited;
+  const bool is_newer = proof->version > awaited->version
+                        || (proof->version == awaited->version
+                            && proof->time_ms > awaited->time_ms);
+  if (is_newer)
+    *awaited = *proof;
+}
+
+bool
+freshness_prove (struct freshness *freshness,
+                 const struct freshness_proof *proof)
+{
+  if (proof->version == 0)
+    return false;
+  if (proof->version <= freshness->version)
+    return raise_time (freshness, proof->time_ms);
+  await (freshness, proof);
+  return false;
+}
+
+void
+freshness_in_force (struct freshness *freshness, uint64_t version)
+{
+  if (version < freshness->version)
+    return;
+  freshness->version = version;
+  if (freshness->awaited.version > version)
+    return;
+  raise_time (freshness, freshness->awaited.time_ms);
+  freshness->awaited = (struct freshness_proof){ .time_ms = INT64_MIN };
+}
+
+struct freshness_proof
+freshness_told (const struct freshness *freshness)
+{
+  return (struct freshness_proof){ .version = freshness->version,
+                                   .time_ms = freshness->time_ms };
+}
+
+uint32_t
+freshness_age_ms (const struct freshness *freshness, int64_t now_ms)
+{
+  if (freshness->version == 0 || freshness->time_ms == INT64_MIN)
+    return FRESHNESS_NO_AGE_MS;
+  const int64_t age_ms = now_ms - freshness->time_ms;
+  if (age_ms < 0)
+    return 0;
+  return age_ms < FRESHNESS_NO_AGE_MS ? (uint32_t)age_ms : FRESHNESS_NO_AGE_MS;
+}
+
+bool
+freshness_holds (const struct freshness *freshness, int64_t now_ms,
+                 uint32_t bound_ms)
+{
+  const uint32_t age_ms = freshness_age_ms (freshness, now_ms);
+  return age_ms < bound_ms - bound_ms / DRIFT_PARTS;
+}
--- a/wire/peer/peer_decode.c
+++ b/wire/peer/peer_decode.c
@@ -174,6 +174,8 @@
   heartbeat->leaving = take_bool (fields);
   heartbeat->return_wanted = take_bool (fields);
   heartbeat->settings_hash = take_number (fields, UINT64_MAX);
+  heartbeat->config_version = take_number (fields, UINT64_MAX);
+  heartbeat->config_age_ms = (uint32_t)take_number (fields, UINT32_MAX);
 }
 
 static void
--- a/wire/peer/peer_encode.c
+++ b/wire/peer/peer_encode.c
@@ -41,6 +41,8 @@
   put_bool (packer, heartbeat->leaving);
   put_bool (packer, heartbeat->return_wanted);
   msgpack_pack_uint64 (packer, heartbeat->settings_hash);
+  msgpack_pack_uint64 (packer, heartbeat->config_version);
+  msgpack_pack_uint32 (packer, heartbeat->config_age_ms);
 }
 
 static void
@@ -142,7 +144,7 @@
       return 2;
     case PEER_HEARTBEAT:
     case PEER_HEARTBEAT_ACK:
-      return 6;
+      return 8;
     case PEER_SETTINGS_PUSH:
       return 5;
     case PEER_INDIRECT_CHECK:
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -82,6 +82,10 @@
   bool leaving;
   bool return_wanted;     /**< the sender watches the receiver by itself */
   uint64_t settings_hash; /**< of all settings the sender holds */
+  /** The sender's proof that the fleet's configuration in force there was the
+   * newest; see policy/access/freshness.h. */
+  uint64_t config_version;
+  uint32_t config_age_ms; /**< FRESHNESS_NO_AGE_MS: none */
 };
 
 /** "Can you reach that host?", and the answer. */
--- a/wire/peer/tests/peer_message_test.cc
+++ b/wire/peer/tests/peer_message_test.cc
@@ -55,7 +55,7 @@
         break;
       case PEER_HEARTBEAT:
       case PEER_HEARTBEAT_ACK:
-        m.heartbeat = { 77, 1234, true, true, 1ull << 60 };
+        m.heartbeat = { 77, 1234, true, true, 1ull << 60, 12, 900 };
         break;
       case PEER_INDIRECT_CHECK:
       case PEER_INDIRECT_RESULT:
