--- a/node/bus.c
+++ b/node/bus.c
@@ -58,6 +58,8 @@
     case BUS_MEMBERS:
     case BUS_FRESHNESS:
     case BUS_FRESHNESS_WANTED:
+    case BUS_QUOTA_WANTED:
+    case BUS_QUOTA_GRANTED:
     case BUS_SHUTDOWN:
     case BUS_TOPIC_COUNT:
       break;
--- a/node/bus.h
+++ b/node/bus.h
@@ -18,6 +18,7 @@
 
 #include "policy/access/freshness.h"
 #include "policy/choice/slot_shares.h"
+#include "policy/quota/quota_stock.h"
 #include "policy/service_policy.h"
 #include "wire/fleet_config.h"
 #include "wire/service_spec.h"
@@ -36,6 +37,8 @@
   BUS_MEMBERS,          /**< what is believed of the other hosts changed */
   BUS_FRESHNESS,        /**< a proof that the configuration is the newest */
   BUS_FRESHNESS_WANTED, /**< requests wait for such a proof */
+  BUS_QUOTA_WANTED,     /**< requests want tokens of a workspace */
+  BUS_QUOTA_GRANTED,    /**< a keeper's answer */
   BUS_SHUTDOWN,         /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
@@ -108,6 +111,13 @@
   enum attempt_end end;
 };
 
+/** Tokens of a workspace: wanted (only answer.wanted counts), or granted. */
+struct bus_quota
+{
+  uint64_t workspace; /**< hash_string() of its name */
+  struct quota_answer answer;
+};
+
 struct bus_message
 {
   enum bus_topic topic;
@@ -122,6 +132,7 @@
     struct bus_path_faults path_faults;
     struct bus_outcome outcome;
     struct freshness_proof freshness;
+    struct bus_quota quota;
   };
 };
 
--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -15,6 +15,7 @@
 #include "node/caller/decision_ring.h"
 #include "node/caller/hangup_watch.h"
 #include "node/caller/host_directory.h"
+#include "node/caller/quota_desk.h"
 #include "node/caller/route_table.h"
 #include "node/caller/ticket_desk.h"
 #include "node/caller/workspace_table.h"
@@ -39,7 +40,8 @@
   /** Of the configuration in force, for keys. */
   struct freshness freshness;
   int64_t proof_wanted_us; /**< since when a proof is waited for; 0: isn't */
-  uint32_t awaiting;       /**< requests that wait to be judged */
+  struct quota_desk *quotas;
+  uint32_t awaiting; /**< requests that wait to be judged */
   struct host_directory *directory;
   struct ticket_desk *tickets;
   struct fleet_config *config; /**< in force; NULL: none, or none yet */
@@ -51,6 +53,7 @@
   char own_address[HOST_ADDRESS_SIZE]; /**< where callers reach this host */
   size_t address_answers;              /**< given so far */
   uint64_t last_request_id;
+  int64_t started_us;
   uint32_t in_flight;
   struct caller_server *server; /**< callers are connected to it */
   bool leaving;
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -17,6 +17,7 @@
 #include "node/caller/caller_server.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
+#include "node/caller/exchange_quota.h"
 #include "node/caller/leaving_probe.h"
 #include "node/plain_server.h"
 #include "node/tables.h"
@@ -111,6 +112,16 @@
   context->workspaces = workspace_table_create (context->config);
   freshness_in_force (&context->freshness, context->config->version);
   route_table_set_config (context->routes, config, task->seed);
+  exchange_resume_all (context, EXCHANGE_AWAITS_SETTINGS);
+}
+
+static void
+on_quota_granted (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  const struct bus_quota *quota = &message->quota;
+  quota_desk_granted (task->context.quotas, quota->workspace, &quota->answer);
+  exchange_quota_granted (&task->context, quota->workspace);
 }
 
 /* Requests that wait to be judged are looked at again. */
@@ -190,6 +201,7 @@
   bus_subscribe (task->bus, BUS_SERVICE_REMOVED, on_removed, task);
   bus_subscribe (task->bus, BUS_CONFIG_IN_FORCE, on_config, task);
   bus_subscribe (task->bus, BUS_FRESHNESS, on_freshness, task);
+  bus_subscribe (task->bus, BUS_QUOTA_GRANTED, on_quota_granted, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
   bus_subscribe (task->bus, BUS_OUTCOME_HEARD, on_outcome_heard, task);
@@ -203,6 +215,7 @@
 {
   const struct curl_loop_options curl = { 0 };
   context->loop = options->loop;
+  context->started_us = clock_now_us ();
   context->bus = options->bus;
   context->settings = options->settings;
   context
@@ -210,6 +223,7 @@
   context->curl = curl_loop_create (options->loop, &curl);
   context->routes = route_table_create ();
   freshness_init (&context->freshness);
+  context->quotas = quota_desk_create (options->bus);
   context->directory = host_directory_create ();
   context->tickets
       = ticket_desk_create (options->settings->name, options->incarnation);
@@ -295,6 +309,7 @@
   ticket_desk_destroy (context->tickets);
   host_directory_destroy (context->directory);
   route_table_destroy (context->routes);
+  quota_desk_destroy (context->quotas);
   workspace_table_destroy (context->workspaces);
   fleet_config_destroy (context->config);
   free (task);
--- a/node/caller/decision_note.c
+++ b/node/caller/decision_note.c
@@ -27,7 +27,8 @@
   LOG_INFO ("route", LOG_STR ("id", id), LOG_STR ("service", service),
             LOG_STR ("route", route), LOG_INT ("request", x->id),
             LOG_INT ("attempt", attempt), LOG_STR ("verdict", verdict),
-            LOG_STR ("target", target), LOG_STR ("why", why));
+            LOG_STR ("target", target), LOG_STR ("why", why),
+            LOG_STR ("workspace", x->workspace));
 }
 
 void
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_caller.h"
 #include "node/caller/exchange_ticket.h"
@@ -126,6 +127,8 @@
 {
   if (x->awaits == EXCHANGE_AWAITS_NOTHING)
     return;
+  if (x->awaits == EXCHANGE_AWAITS_TOKEN)
+    quota_desk_leave (x->context->quotas, x->workspace_key);
   x->awaits = EXCHANGE_AWAITS_NOTHING;
   x->context->awaiting--;
 }
@@ -177,6 +180,20 @@
   exchange_begin_again (x);
 }
 
+void
+exchange_resume_all (struct caller_context *context, enum exchange_awaits what)
+{
+  struct exchange *x;
+  struct exchange *next;
+  if (context->awaiting == 0)
+    return;
+  DL_FOREACH_SAFE (context->exchanges, x, next)
+  {
+    if (x->awaits == what)
+      exchange_resume (x);
+  }
+}
+
 void
 exchange_abandon (struct exchange *x)
 {
@@ -222,6 +239,8 @@
   if (x->service != NULL)
     caller_service_forget (x->service, &x->waiter);
   await_no_more (x);
+  if (own->outcome == ANSWER_NOT_RUN)
+    exchange_quota_return (x);
   x->own = *own;
   if (x->own.outcome == ANSWER_UNKNOWN && is_promise (own->status))
     x->own.status = MHD_HTTP_BAD_GATEWAY;
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -43,7 +43,9 @@
 enum exchange_awaits
 {
   EXCHANGE_AWAITS_NOTHING,
-  EXCHANGE_AWAITS_PROOF /**< that its key may be judged */
+  EXCHANGE_AWAITS_SETTINGS, /**< a host that starts has none yet */
+  EXCHANGE_AWAITS_PROOF,    /**< that its key may be judged */
+  EXCHANGE_AWAITS_TOKEN     /**< of its workspace's quota */
 };
 
 /** The attempt under way, or the one that was answered. */
@@ -85,6 +87,9 @@
   struct caller_service *service;
   char route[SERVICE_NAME_SIZE];     /**< its prefix, cut to fit */
   char workspace[SERVICE_NAME_SIZE]; /**< whose key it bears; "" is nobody's */
+  uint64_t workspace_key;            /**< hash of its name */
+  int64_t token_until_ms;  /**< end of the token that was taken; 0: none */
+  int64_t token_wanted_us; /**< since when one is waited for; 0: isn't */
   uint64_t ticket_sequence;
 
   int64_t begun_us; /**< when its head was complete */
@@ -117,6 +122,7 @@
   bool answer_cut; /**< what was buffered of it is all that comes */
   bool repeatable;
   bool needs_key;
+  bool has_quota;        /**< its workspace has one */
   bool bounded_by_route; /**< timeout_ms holds beside the caller's deadline */
   bool ticket_claimed;
   bool kicked;
@@ -141,6 +147,10 @@
 /** What X waited for has come, or never will: look at it again. */
 void exchange_resume (struct exchange *x);
 
+/** Go on with all that wait for WHAT. */
+void exchange_resume_all (struct caller_context *context,
+                          enum exchange_awaits what);
+
 /** Have X wait for WHAT, for at most LIMIT_US; exchange_resume() follows. */
 void exchange_await (struct exchange *x, enum exchange_awaits what,
                      int64_t limit_us);
--- a/node/caller/exchange_access.c
+++ b/node/caller/exchange_access.c
@@ -3,9 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#include <utlist.h>
-
 #include "base/clock.h"
+#include "base/hash.h"
 
 enum
 {
@@ -98,16 +97,8 @@
 void
 exchange_access_proved (struct caller_context *context)
 {
-  struct exchange *x;
-  struct exchange *next;
   context->proof_wanted_us = 0;
-  if (context->awaiting == 0)
-    return;
-  DL_FOREACH_SAFE (context->exchanges, x, next)
-  {
-    if (x->awaits == EXCHANGE_AWAITS_PROOF)
-      exchange_resume (x);
-  }
+  exchange_resume_all (context, EXCHANGE_AWAITS_PROOF);
 }
 
 bool
@@ -136,5 +127,7 @@
       return false;
     }
   memcpy (x->workspace, workspace->name, sizeof x->workspace);
+  x->workspace_key = hash_string (workspace->name);
+  x->has_quota = workspace->quota.rate_millis > 0;
   return true;
 }
--- a/node/caller/exchange_begin.c
+++ b/node/caller/exchange_begin.c
@@ -6,6 +6,7 @@
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_ticket.h"
 
 enum
@@ -13,6 +14,8 @@
   US_PER_MS = 1000,
   /* A host that starts has its settings within a second mostly. */
   SETTINGS_RETRY_AFTER_MS = 500,
+  /* From the start of the process on. */
+  SETTINGS_WAIT_US = 1000 * US_PER_MS,
   /* Another host can be asked at once; the time is for asking which. */
   LEAVING_RETRY_AFTER_MS = 50
 };
@@ -67,14 +70,30 @@
   snprintf (x->route, sizeof x->route, "%.63s", route->spec.path_prefix);
 }
 
-static const struct route *
-find_route (struct exchange *x)
+/* A host that has just started mostly has its settings within a tenth of a
+   second; callers that are told to come back may not. */
+static void
+await_settings (struct exchange *x)
 {
-  struct caller_context *context = x->context;
+  const struct caller_context *context = x->context;
+  const int64_t left_us
+      = context->started_us + SETTINGS_WAIT_US - clock_now_us ();
+  if (left_us > 0)
+    exchange_await (x, EXCHANGE_AWAITS_SETTINGS, left_us);
+  else
+    refuse_unknown_yet (x, "no-settings");
+}
+
+/* The service that takes X, by the configuration in force now.
+   @return false when X is answered or waits */
+static bool
+find_service (struct exchange *x)
+{
+  const struct caller_context *context = x->context;
   if (context->settings->modes.has_registry && context->config == NULL)
     {
-      refuse_unknown_yet (x, "no-settings");
-      return NULL;
+      await_settings (x);
+      return false;
     }
   const uint32_t method = route_method_bit (x->head.method);
   const struct route *route = route_table_match (context->routes, x->head.host,
@@ -82,14 +101,9 @@
   if (route == NULL)
     {
       refuse_unrouted (x);
+      return false;
     }
-  return route;
-}
-
-static bool
-find_service (struct exchange *x, const struct route *route)
-{
-  x->service = caller_context_service (x->context, route_next_service (route));
+  x->service = caller_context_service (context, route_next_service (route));
   if (x->service == NULL)
     {
       refuse_unknown_yet (x, "no-service");
@@ -135,7 +149,7 @@
   int64_t left_ms = x->head.deadline_ms;
   if (left_ms < 0 || (x->bounded_by_route && x->timeout_ms < left_ms))
     left_ms = x->timeout_ms;
-  x->deadline_us = clock_now_us () + left_ms * US_PER_MS;
+  x->deadline_us = x->begun_us + left_ms * US_PER_MS;
   if (left_ms > 0)
     return true;
   refuse (x, MHD_HTTP_GATEWAY_TIMEOUT, "deadline",
@@ -178,17 +192,21 @@
     }
   if (comes_too_late (x))
     return;
-  const struct route *route = find_route (x);
-  if (route == NULL || !find_service (x, route) || !set_deadline (x))
-    return;
-  exchange_arm (x, x->deadline_us - clock_now_us ());
+  x->deadline_us = x->begun_us + SETTINGS_WAIT_US;
   exchange_begin_again (x);
 }
 
 void
 exchange_begin_again (struct exchange *x)
 {
-  if (!exchange_access_check (x) || !check_limits (x))
+  if (x->service == NULL)
+    {
+      if (!find_service (x) || !set_deadline (x))
+        return;
+      exchange_arm (x, x->deadline_us - clock_now_us ());
+    }
+  if (!exchange_access_check (x) || !check_limits (x)
+      || !exchange_quota_check (x))
     return;
   const bool by_ticket = !x->repeatable && x->head.ticket[0] != '\0';
   if (by_ticket && !exchange_ticket_claim (x))
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -206,7 +206,8 @@
     }
   const size_t taken = stream_buffer_append (&x->upload, data, *size);
   x->upload_bytes += taken;
-  if (x->upload_bytes > x->service->spec->limits.body_bytes)
+  if (x->service != NULL
+      && x->upload_bytes > x->service->spec->limits.body_bytes)
     {
       body_too_large (x);
       *size = 0;
--- /dev/null
+++ b/node/caller/exchange_quota.c
@@ -0,0 +1,110 @@
+#include "node/caller/exchange_quota.h"
+
+#include <stdio.h>
+
+#include <utlist.h>
+
+#include "base/clock.h"
+
+enum
+{
+  ASK_AGAIN_US = 50 * 1000,
+  HOLD_MOST_US = 1000 * 1000,
+  NO_ANSWER_RETRY_AFTER_MS = 250,
+};
+
+static void
+refuse_over_quota (struct exchange *x)
+{
+  struct own_answer own = { .status = MHD_HTTP_TOO_MANY_REQUESTS,
+                            .outcome = ANSWER_NOT_RUN,
+                            .reason = "over-quota",
+                            .retry_after_ms = quota_desk_due_ms (
+                                x->context->quotas, x->workspace_key) };
+  snprintf (own.message, sizeof own.message,
+            "the workspace sends more than its quota: come back after the "
+            "time given, or ask for a higher one");
+  exchange_answer_own (x, &own);
+}
+
+/* Guards against a quota that is passed while nobody can tell how much of it
+   is used: none runs then. */
+static void
+refuse_unknown (struct exchange *x)
+{
+  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                            .outcome = ANSWER_NOT_RUN,
+                            .reason = "quota-not-known",
+                            .retry_after_ms = NO_ANSWER_RETRY_AFTER_MS };
+  snprintf (own.message, sizeof own.message,
+            "this host can't tell now how much of the workspace's quota is "
+            "used: come back after the time given, or ask another one");
+  exchange_answer_own (x, &own);
+}
+
+/* Guards against requests that are held for a token that doesn't come: all
+   together no longer than a moment, and none once nobody answers. */
+static void
+await_token (struct exchange *x)
+{
+  const int64_t now_us = clock_now_us ();
+  if (x->token_wanted_us == 0)
+    x->token_wanted_us = now_us;
+  const int64_t left_us = x->token_wanted_us + HOLD_MOST_US - now_us;
+  if (left_us <= 0
+      || quota_desk_hold_ms (x->context->quotas, x->workspace_key) == 0)
+    {
+      quota_desk_leave (x->context->quotas, x->workspace_key);
+      refuse_unknown (x);
+      return;
+    }
+  /* Now and then the keeper has to be asked again. */
+  exchange_await (x, EXCHANGE_AWAITS_TOKEN,
+                  left_us < ASK_AGAIN_US ? left_us : ASK_AGAIN_US);
+}
+
+bool
+exchange_quota_check (struct exchange *x)
+{
+  if (!x->has_quota || x->token_until_ms != 0)
+    return true;
+  const bool again = x->token_wanted_us != 0;
+  switch (quota_desk_take (x->context->quotas, x->workspace_key, again,
+                           &x->token_until_ms))
+    {
+    case QUOTA_TAKEN:
+      return true;
+    case QUOTA_WAIT:
+      x->token_until_ms = 0;
+      await_token (x);
+      return false;
+    case QUOTA_EMPTY:
+      break;
+    }
+  x->token_until_ms = 0;
+  refuse_over_quota (x);
+  return false;
+}
+
+void
+exchange_quota_return (struct exchange *x)
+{
+  if (x->token_until_ms == 0)
+    return;
+  quota_desk_return (x->context->quotas, x->workspace_key, x->token_until_ms);
+  x->token_until_ms = 0;
+}
+
+void
+exchange_quota_granted (struct caller_context *context, uint64_t workspace)
+{
+  struct exchange *x;
+  struct exchange *next;
+  if (context->awaiting == 0)
+    return;
+  DL_FOREACH_SAFE (context->exchanges, x, next)
+  {
+    if (x->awaits == EXCHANGE_AWAITS_TOKEN && x->workspace_key == workspace)
+      exchange_resume (x);
+  }
+}
--- /dev/null
+++ b/node/caller/quota_desk.c
@@ -0,0 +1,163 @@
+#include "node/caller/quota_desk.h"
+
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "base/clock.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  /** From so many on, stocks that nobody used lately are dropped before
+   * another is made. */
+  STOCKS_KEPT = 1024,
+  UNUSED_MS = 10 * 1000,
+};
+
+struct desk_stock
+{
+  uint64_t workspace;
+  struct quota_stock stock;
+  int64_t used_ms;
+  UT_hash_handle hh;
+};
+
+struct quota_desk
+{
+  struct bus *bus;
+  struct desk_stock *stocks;
+};
+
+struct quota_desk *
+quota_desk_create (struct bus *bus)
+{
+  struct quota_desk *desk = xcalloc (1, sizeof *desk);
+  desk->bus = bus;
+  return desk;
+}
+
+/* Drop the stocks that weren't used since BEFORE_MS. */
+static void
+drop_unused (struct quota_desk *desk, int64_t before_ms)
+{
+  struct desk_stock *held;
+  struct desk_stock *next;
+  HASH_ITER (hh, desk->stocks, held, next)
+  {
+    if (held->used_ms > before_ms || held->stock.waiting > 0)
+      continue;
+    HASH_DEL (desk->stocks, held);
+    free (held);
+  }
+}
+
+void
+quota_desk_destroy (struct quota_desk *desk)
+{
+  struct desk_stock *held;
+  struct desk_stock *next;
+  if (desk == NULL)
+    return;
+  HASH_ITER (hh, desk->stocks, held, next)
+  {
+    HASH_DEL (desk->stocks, held);
+    free (held);
+  }
+  free (desk);
+}
+
+static struct desk_stock *
+find (const struct quota_desk *desk, uint64_t workspace)
+{
+  struct desk_stock *held;
+  HASH_FIND (hh, desk->stocks, &workspace, sizeof workspace, held);
+  return held;
+}
+
+static struct desk_stock *
+stock_of (struct quota_desk *desk, uint64_t workspace, int64_t now_ms)
+{
+  struct desk_stock *held = find (desk, workspace);
+  if (held == NULL)
+    {
+      if (HASH_COUNT (desk->stocks) >= STOCKS_KEPT)
+        drop_unused (desk, now_ms - UNUSED_MS);
+      held = xcalloc (1, sizeof *held);
+      held->workspace = workspace;
+      HASH_ADD (hh, desk->stocks, workspace, sizeof held->workspace, held);
+    }
+  held->used_ms = now_ms;
+  return held;
+}
+
+static void
+ask_if_low (struct quota_desk *desk, struct desk_stock *held, int64_t now_ms)
+{
+  const uint32_t wanted = quota_stock_wants (&held->stock, now_ms);
+  if (wanted == 0)
+    return;
+  const struct bus_message message
+      = { .topic = BUS_QUOTA_WANTED,
+          .quota
+          = { .workspace = held->workspace, .answer = { .wanted = wanted } } };
+  bus_post (desk->bus, &message);
+  quota_stock_asked (&held->stock, now_ms);
+}
+
+enum quota_verdict
+quota_desk_take (struct quota_desk *desk, uint64_t workspace, bool again,
+                 int64_t *until_ms)
+{
+  const int64_t now_ms = clock_now_ms ();
+  struct desk_stock *held = stock_of (desk, workspace, now_ms);
+  *until_ms = quota_stock_until_ms (&held->stock, now_ms);
+  const enum quota_verdict verdict
+      = again ? quota_stock_take_again (&held->stock, now_ms)
+              : quota_stock_take (&held->stock, now_ms);
+  if (verdict == QUOTA_WAIT)
+    quota_stock_join (&held->stock);
+  ask_if_low (desk, held, now_ms);
+  return verdict;
+}
+
+void
+quota_desk_leave (struct quota_desk *desk, uint64_t workspace)
+{
+  struct desk_stock *held = find (desk, workspace);
+  if (held != NULL)
+    quota_stock_leave (&held->stock);
+}
+
+void
+quota_desk_return (struct quota_desk *desk, uint64_t workspace,
+                   int64_t until_ms)
+{
+  const int64_t now_ms = clock_now_ms ();
+  quota_stock_return (&stock_of (desk, workspace, now_ms)->stock, now_ms,
+                      until_ms);
+}
+
+uint32_t
+quota_desk_due_ms (const struct quota_desk *desk, uint64_t workspace)
+{
+  const struct desk_stock *held = find (desk, workspace);
+  return held != NULL ? quota_stock_due_ms (&held->stock, clock_now_ms ()) : 1;
+}
+
+uint32_t
+quota_desk_hold_ms (const struct quota_desk *desk, uint64_t workspace)
+{
+  const struct desk_stock *held = find (desk, workspace);
+  return held != NULL ? quota_stock_hold_ms (&held->stock, clock_now_ms ())
+                      : 0;
+}
+
+void
+quota_desk_granted (struct quota_desk *desk, uint64_t workspace,
+                    const struct quota_answer *answer)
+{
+  struct desk_stock *held = find (desk, workspace);
+  if (held != NULL)
+    quota_stock_granted (&held->stock, clock_now_ms (), answer);
+}
--- a/node/caller/tests/access_test.cc
+++ b/node/caller/tests/access_test.cc
@@ -272,6 +272,151 @@
   EXPECT_LT (clock_now_ms () - before_ms, 20 * 250);
 }
 
+/* Requests of a workspace with a quota, and a keeper that the test plays. */
+class QuotaTest : public AccessTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    AccessTest::SetUp ();
+    put_config (", 'workspaces': [ { 'name': 'june', 'keys': [ '"
+                + digest_text ("key-june") + "' ], 'rate_per_s': 5 }, "
+                + workspace ("july", "key-july") + "]");
+    bus_subscribe (
+        the_bus, BUS_QUOTA_WANTED,
+        [] (void *owner, const bus_message *message) {
+          auto *self = static_cast<QuotaTest *> (owner);
+          self->wanted += message->quota.answer.wanted;
+          self->answer (message->quota);
+        },
+        this);
+    ev_run (loop, EVRUN_NOWAIT);
+  }
+
+  void
+  TearDown () override
+  {
+    bus_unsubscribe (the_bus, this);
+    AccessTest::TearDown ();
+  }
+
+  void
+  answer (const bus_quota &asked)
+  {
+    if (is_silent)
+      return;
+    const uint32_t wants = asked.answer.wanted;
+    bus_message message = {};
+    message.topic = BUS_QUOTA_GRANTED;
+    message.quota.workspace = asked.workspace;
+    message.quota.answer.asked_ms = clock_now_ms ();
+    message.quota.answer.wanted = wants;
+    message.quota.answer.tokens = wants < left ? wants : left;
+    message.quota.answer.term_ms = 400;
+    message.quota.answer.due_ms = due_ms;
+    left -= message.quota.answer.tokens;
+    bus_post (the_bus, &message);
+  }
+
+  std::unique_ptr<Call>
+  send_june ()
+  {
+    return send ("/x", { "Authorization: Bearer key-june" });
+  }
+
+  uint32_t wanted = 0;
+  uint32_t left = 0; /**< of the keeper's tokens */
+  uint32_t due_ms = 1500;
+  bool is_silent = false;
+};
+
+TEST_F (QuotaTest, EachRequestTakesAToken)
+{
+  left = 3;
+  for (int i = 0; i < 3; i++)
+    EXPECT_EQ (send_june ()->status, 200);
+  EXPECT_EQ (left, 0u);
+  EXPECT_EQ (wanted, 3u);
+}
+
+TEST_F (QuotaTest, PastTheQuotaItIsToldWhenToComeBack)
+{
+  const auto call = send_june ();
+  EXPECT_EQ (call->status, 429);
+  EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
+  EXPECT_GT (std::stol (call->field ("jaystair-retry-after-ms")), 1000);
+  EXPECT_EQ (target_server_counts (target).runs, 0u);
+  EXPECT_EQ (send ("/x", { "Authorization: Bearer key-july" })->status, 200);
+  EXPECT_EQ (send ("/open/x", {})->status, 200);
+}
+
+/* A target is lost and another one does the work: that is one request of the
+   caller's, however often it was tried. */
+TEST_F (QuotaTest, AnotherAttemptTakesNoToken)
+{
+  add_target ("t2");
+  put_service (usual_routes);
+  ev_run (loop, EVRUN_NOWAIT);
+  target_server_faults (targets[0])->shed = 100;
+  left = 1;
+  EXPECT_EQ (send_june ()->status, 200);
+  EXPECT_EQ (left, 0u);
+}
+
+/* No target takes it, so it surely hasn't run: its token is another one's. */
+TEST_F (QuotaTest, WhatHasNotRunGivesItsTokenBack)
+{
+  target_server_faults (target)->shed = 100;
+  left = 1;
+  EXPECT_EQ (send_june ()->status, 503);
+  target_server_faults (target)->shed = 0;
+  EXPECT_EQ (send_june ()->status, 200);
+}
+
+TEST_F (QuotaTest, ATokenThatIsDueSoonIsWaitedFor)
+{
+  due_ms = 50;
+  auto call = make ("GET", "/x", "r1");
+  call->fields.push_back ("Authorization: Bearer key-june");
+  begin (call.get ());
+  ASSERT_TRUE (run_until ([this] { return wanted > 0; }));
+  left = 1;
+  ASSERT_TRUE (run_until ([&call] { return call->done; }));
+  EXPECT_EQ (call->status, 200);
+}
+
+/* No keeper answers.  The first ones wait for a moment, all others are refused
+   at once, and not as if the quota were used up. */
+TEST_F (QuotaTest, NobodyWaitsLongForAKeeperThatDoesNotAnswer)
+{
+  is_silent = true;
+  EXPECT_EQ (send_june ()->status, 503);
+  const int64_t before_ms = clock_now_ms ();
+  for (int i = 0; i < 20; i++)
+    {
+      const auto call = send_june ();
+      EXPECT_EQ (call->status, 503);
+      EXPECT_NE (call->field ("retry-after"), "");
+    }
+  EXPECT_LT (clock_now_ms () - before_ms, 2000);
+  EXPECT_EQ (target_server_counts (target).runs, 0u);
+}
+
+/* A key is taken away while its request waits for a token. */
+TEST_F (QuotaTest, AKeyThatIsTakenAwayMeanwhileIsRefused)
+{
+  due_ms = 50;
+  auto call = make ("GET", "/x", "r1");
+  call->fields.push_back ("Authorization: Bearer key-june");
+  begin (call.get ());
+  ASSERT_TRUE (run_until ([this] { return wanted > 0; }));
+  put_config (", 'workspaces': [" + workspace ("june", "key-june-2") + "]");
+  left = 1;
+  ASSERT_TRUE (run_until ([&call] { return call->done; }));
+  EXPECT_EQ (call->status, 401);
+}
+
 /* A fleet without workspaces passes Authorization on: it is the targets'. */
 TEST_F (AccessTest, WithoutWorkspacesTheKeyIsTheTargets)
 {
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -226,6 +226,7 @@
   task->generation++;
   gather (task);
   choose_relays (task);
+  keepers_choose (task->fleet, task->fleet_count, &task->keepers);
   watch_neighbours (task);
   control_platform_wake (task);
   const struct bus_message message = { .topic = BUS_MEMBERS };
@@ -258,6 +259,42 @@
   free (service);
 }
 
+size_t
+control_keepers (const struct control_task *task, const char **names,
+                 size_t max)
+{
+  const char *own_dc = task->self->record.dc;
+  size_t count = 0;
+  for (uint32_t i = 0; i < task->keepers.count && count < max; i++)
+    {
+      const uint64_t key = task->fleet[task->keepers.hosts[i]].key;
+      const struct control_host *host = control_hosts_find (task, key);
+      if (host == NULL)
+        continue;
+      names[count++] = host->record.name;
+      if (strcmp (host->record.dc, own_dc) != 0)
+        continue;
+      const char *first = names[0];
+      names[0] = names[count - 1];
+      names[count - 1] = first;
+    }
+  return count;
+}
+
+uint32_t
+control_listed_hosts (const struct control_task *task)
+{
+  const struct control_feed *feed = &task->feeds[task->feed_count - 1];
+  const struct control_host *host;
+  uint32_t count = 0;
+  if (!feed->is_listed)
+    return 0;
+  for (host = task->hosts; host != NULL; host = host->hh.next)
+    if (!host->is_removed)
+      count++;
+  return count;
+}
+
 size_t
 control_host_set (const struct control_task *task, const char *service,
                   const char **names, size_t max)
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -58,6 +58,8 @@
     case PEER_EVIDENCE:
     case PEER_DECISION:
     case PEER_DEMAND:
+    case PEER_QUOTA_ASK:
+    case PEER_QUOTA_GRANT:
       control_call_handler (task, source->host->record.name, message);
       break;
     case PEER_OUTCOMES:
--- a/node/control/control_task.h
+++ b/node/control/control_task.h
@@ -53,8 +53,8 @@
 typedef void control_handler (void *owner, const char *from,
                               const struct peer_message *message);
 
-/** Call HANDLER for messages of TYPE: PEER_EVIDENCE, PEER_DECISION or
- * PEER_DEMAND, one handler a type. */
+/** Call HANDLER for messages of TYPE: PEER_EVIDENCE, PEER_DECISION,
+ * PEER_DEMAND or PEER_QUOTA_*, one handler a type. */
 void control_subscribe (struct control_task *task, enum peer_type type,
                         control_handler *handler, void *owner);
 
@@ -72,6 +72,16 @@
 size_t control_host_set (const struct control_task *task, const char *service,
                          const char **names, size_t max);
 
+/** The hosts that keep quotas, one in each data centre, that of this host's
+ * own first; names are good until the next BUS_MEMBERS.
+ * @return how many were written to NAMES */
+size_t control_keepers (const struct control_task *task, const char **names,
+                        size_t max);
+
+/** How many hosts the platform's list shows, live or not; 0: it hasn't come
+ * yet. */
+uint32_t control_listed_hosts (const struct control_task *task);
+
 /** May HOST be handed out: believed live, not leaving, not dead? */
 bool control_host_is_live (const struct control_task *task, const char *host);
 
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -18,6 +18,8 @@
 #include "node/ejection/ejection_task.h"
 #include "node/operator/operator_task.h"
 #include "node/plain_server.h"
+#include "node/quota/control_quota.h"
+#include "node/quota/quota_task.h"
 #include "node/tables.h"
 #include "platform/platform_adapter.h"
 #include "wire/platform_file.h"
@@ -49,6 +51,8 @@
   struct control_task *control;
   struct control_transport transport;
   struct ejection_task *ejection;
+  struct control_quota quota_transport;
+  struct quota_task *quota;
   struct operator_backend *backend;
   struct operator_task *operator_side;
   struct plain_server *readiness;
@@ -175,6 +179,22 @@
   control_transport_deliver (&host->transport, host->ejection);
 }
 
+static void
+create_quota (struct host *host)
+{
+  control_quota_init (&host->quota_transport, host->control);
+  const struct quota_task_options options = {
+    .loop = host->loop,
+    .bus = host->bus,
+    .settings = &host->settings,
+    .counters = host->counters,
+    .tables = host->tables,
+    .transport = &host->quota_transport.base,
+  };
+  host->quota = quota_task_create (&options);
+  control_quota_deliver (&host->quota_transport, host->quota);
+}
+
 static enum status
 create_operator (struct host *host)
 {
@@ -243,6 +263,7 @@
     return status;
   if (host->settings.modes.has_ejection)
     create_ejection (host, incarnation);
+  create_quota (host);
   status = create_readiness (host);
   if (status != STATUS_OK)
     return status;
@@ -280,6 +301,7 @@
   backend_destroy (host->backend);
   if (host->ejection != NULL)
     ejection_task_destroy (host->ejection);
+  quota_task_destroy (host->quota);
   if (host->control != NULL)
     control_task_destroy (host->control);
   if (host->caller != NULL)
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -26,6 +26,8 @@
     .relays_per_dc = 3,
     .modes = { .has_ejection = true },
     .retry = { .percent = 10, .window_ms = 10000, .reserve = 30 },
+    .access = { .quota_window_ms = 5000, .quota_over_percent = 10,
+                .quota_slack = 20 },
     .limits = {
       .connections = 1000,
       .header_bytes = 8 * KIBIBYTE,
@@ -121,6 +123,12 @@
   if (!options_object (top, "access", false, &options))
     return;
   read_ms (&options, "revoke_ms", 0, HOUR_MS, &access->revoke_ms);
+  read_ms (&options, "quota_window_ms", 100, HOUR_MS,
+           &access->quota_window_ms);
+  double over = access->quota_over_percent / 100.0;
+  options_double (&options, "quota_overshoot", 0, 1, &over);
+  access->quota_over_percent = (uint32_t)(over * 100 + 0.5);
+  options_uint32 (&options, "quota_slack", 0, 1000000, &access->quota_slack);
   options_close (top, &options);
 }
 
@@ -415,7 +423,7 @@
                "caller_limits has padding: compare its members");
 _Static_assert(sizeof (struct fleet_modes) == 4 * sizeof (bool),
                "fleet_modes has padding: compare its members");
-_Static_assert(sizeof (struct access_settings) == 1 * sizeof (uint32_t),
+_Static_assert(sizeof (struct access_settings) == 4 * sizeof (uint32_t),
                "access_settings has padding: compare its members");
 _Static_assert(sizeof (struct retry_settings) == 4 * sizeof (uint32_t),
                "retry_settings has padding: compare its members");
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -87,6 +87,11 @@
   /** A key that was taken away isn't taken for longer, on any host; 0: as long
    * as a host hasn't heard of it. */
   uint32_t revoke_ms;
+  /** In any window of quota_window_ms a workspace's requests pass its quota by
+   * no more than this part of it and quota_slack requests. */
+  uint32_t quota_window_ms;
+  uint32_t quota_over_percent;
+  uint32_t quota_slack;
 };
 
 struct host_settings
--- /dev/null
+++ b/node/quota/control_quota.c
@@ -0,0 +1,54 @@
+#include "node/quota/control_quota.h"
+
+static struct control_task *
+control_of (struct quota_transport *base)
+{
+  return ((struct control_quota *)base)->control;
+}
+
+static enum status
+send_control (struct quota_transport *base, const char *to,
+              const struct peer_message *message)
+{
+  return control_send (control_of (base), to, message);
+}
+
+static size_t
+keepers (struct quota_transport *base, const char *names[QUOTA_KEEPERS_MAX])
+{
+  return control_keepers (control_of (base), names, QUOTA_KEEPERS_MAX);
+}
+
+static uint32_t
+known_hosts (struct quota_transport *base)
+{
+  return control_listed_hosts (control_of (base));
+}
+
+static const struct quota_transport_ops ops = {
+  .send = send_control,
+  .keepers = keepers,
+  .known_hosts = known_hosts,
+};
+
+void
+control_quota_init (struct control_quota *transport,
+                    struct control_task *control)
+{
+  transport->base.ops = &ops;
+  transport->control = control;
+}
+
+static void
+receive (void *owner, const char *from, const struct peer_message *message)
+{
+  quota_task_receive (owner, from, message);
+}
+
+void
+control_quota_deliver (struct control_quota *transport,
+                       struct quota_task *task)
+{
+  control_subscribe (transport->control, PEER_QUOTA_ASK, receive, task);
+  control_subscribe (transport->control, PEER_QUOTA_GRANT, receive, task);
+}
--- /dev/null
+++ b/node/quota/quota_hold.c
@@ -0,0 +1,140 @@
+#include "node/quota/quota_internal.h"
+
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "policy/quota/quota_stamp.h"
+
+enum
+{
+  /** A keeper that doesn't answer for so long isn't waited for. */
+  ANSWER_MS = 60,
+};
+
+static bool
+answers (const struct quota_peer *peer, int64_t now_ms)
+{
+  return peer->asked_ms == 0 || now_ms - peer->asked_ms < ANSWER_MS;
+}
+
+/* What keeper grants goes to the caller task, which holds the tokens. */
+static void
+hand_out (struct quota_task *task, const struct quota_row *row,
+          int64_t asked_ms)
+{
+  const struct bus_message message
+      = { .topic = BUS_QUOTA_GRANTED,
+          .quota = { .workspace = row->workspace,
+                     .answer = { .asked_ms = asked_ms,
+                                 .wanted = row->wanted,
+                                 .tokens = row->tokens,
+                                 .term_ms = row->term_ms,
+                                 .due_ms = row->due_ms } } };
+  bus_post (task->options.bus, &message);
+}
+
+/* Take what is wanted out of the list, up to a report's rows. */
+static void
+add_wanted (struct quota_task *task)
+{
+  struct quota_report *report = &task->report;
+  while (task->wanted != NULL && report->row_count < QUOTA_ROWS_MAX)
+    {
+      struct quota_entry *entry = task->wanted;
+      DL_DELETE2 (task->wanted, entry, wanted_prev, wanted_next);
+      entry->is_wanted = false;
+      report->rows[report->row_count++]
+          = (struct quota_row){ .workspace = entry->workspace,
+                                .wanted = entry->wanted };
+      entry->wanted = 0;
+    }
+}
+
+static void
+grant_self (struct quota_task *task, int64_t now_ms)
+{
+  while (task->wanted != NULL)
+    {
+      struct quota_entry *entry = task->wanted;
+      DL_DELETE2 (task->wanted, entry, wanted_prev, wanted_next);
+      entry->is_wanted = false;
+      const struct quota_row row
+          = quota_keep_grant (task, entry, entry->wanted, now_ms);
+      entry->wanted = 0;
+      hand_out (task, &row, now_ms);
+    }
+}
+
+/* The first keeper that answers; the one of the own data centre if none
+   does. */
+const char *
+quota_hold_keeper (struct quota_task *task, int64_t now_ms)
+{
+  const char *names[QUOTA_KEEPERS_MAX];
+  struct quota_transport *transport = task->options.transport;
+  const size_t count = transport->ops->keepers (transport, names);
+  for (size_t i = 0; i < count; i++)
+    if (quota_task_is_self (task, names[i])
+        || answers (quota_task_peer (task, names[i]), now_ms))
+      return names[i];
+  return count > 0 ? names[0] : NULL;
+}
+
+static void
+ask (struct quota_task *task, const char *keeper, int64_t now_ms)
+{
+  struct quota_peer *peer = quota_task_peer (task, keeper);
+  quota_task_begin_report (task, peer, now_ms);
+  task->report.lends
+      = quota_lending_lend (&task->lending, now_ms, hash_string (keeper));
+  quota_shares_own (task->shares, now_ms, task->lending.until_ms);
+  add_wanted (task);
+  if (peer->asked_ms == 0)
+    peer->asked_ms = now_ms;
+  quota_task_send_report (task, keeper, PEER_QUOTA_ASK);
+}
+
+/* Ask for what requests here want; RENEW: also when that is nothing. */
+void
+quota_hold_ask (struct quota_task *task, bool renew)
+{
+  const int64_t now_ms = clock_now_ms ();
+  const char *keeper = quota_hold_keeper (task, now_ms);
+  if (keeper == NULL)
+    return;
+  if (quota_task_is_self (task, keeper))
+    {
+      grant_self (task, now_ms);
+      return;
+    }
+  while (renew || task->wanted != NULL)
+    {
+      ask (task, keeper, now_ms);
+      renew = false;
+    }
+}
+
+void
+quota_hold_receive (struct quota_task *task, const char *from,
+                    const struct quota_report *answer)
+{
+  const int64_t now_ms = clock_now_ms ();
+  struct quota_peer *peer = quota_task_peer (task, from);
+  int64_t asked_ms;
+  const bool is_first = peer->stamp == 0;
+  peer->stamp = answer->stamp;
+  peer->asked_ms = 0;
+  /* What was lent with the question couldn't be counted by the keeper yet. */
+  if (is_first && !answer->is_keeper)
+    ask (task, from, now_ms);
+  if (!quota_stamp_time (task->life, answer->echo, now_ms, &asked_ms))
+    return;
+  if (answer->is_keeper)
+    {
+      quota_keep_add (task, answer);
+      return;
+    }
+  for (size_t i = 0; i < answer->row_count; i++)
+    hand_out (task, &answer->rows[i], asked_ms);
+}
--- /dev/null
+++ b/node/quota/quota_keep.c
@@ -0,0 +1,165 @@
+#include "node/quota/quota_internal.h"
+
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "policy/quota/quota_stamp.h"
+
+enum
+{
+  /** Between two looks at what this keeper lacks: short against the time that
+   * a small burst lasts. */
+  LEVEL_MS = 50,
+  /** A keeper looks after a workspace for so long after it was asked for. */
+  ACTIVE_MS = 2000,
+};
+
+static const double MS_PER_SECOND = 1000.0;
+
+static void
+note_active (struct quota_task *task, struct quota_entry *entry,
+             int64_t now_ms)
+{
+  entry->active_ms = now_ms;
+  if (entry->is_active)
+    return;
+  entry->is_active = true;
+  DL_APPEND2 (task->active, entry, active_prev, active_next);
+  if (!ev_is_active (&task->level))
+    ev_timer_again (task->options.loop, &task->level);
+}
+
+struct quota_row
+quota_keep_grant (struct quota_task *task, struct quota_entry *entry,
+                  uint32_t wanted, int64_t now_ms)
+{
+  const struct quota_grant granted = quota_ledger_grant (
+      task->ledger, now_ms, entry->workspace, &entry->limit, wanted);
+  note_active (task, entry, now_ms);
+  entry->granted += granted.tokens;
+  return (struct quota_row){ .workspace = entry->workspace,
+                             .wanted = wanted,
+                             .tokens = granted.tokens,
+                             .term_ms = granted.term_ms,
+                             .due_ms = granted.due_ms };
+}
+
+/* The same for another keeper. */
+static struct quota_row
+spare (struct quota_task *task, const struct quota_entry *entry,
+       uint32_t wanted, int64_t now_ms)
+{
+  const uint32_t tokens = quota_ledger_spare (
+      task->ledger, now_ms, entry->workspace, &entry->limit, wanted);
+  return (struct quota_row){ .workspace = entry->workspace,
+                             .wanted = wanted,
+                             .tokens = tokens };
+}
+
+void
+quota_keep_receive (struct quota_task *task, const char *from,
+                    const struct quota_report *asked)
+{
+  const int64_t now_ms = clock_now_ms ();
+  struct quota_peer *peer = quota_task_peer (task, from);
+  int64_t lent_after_ms;
+  peer->stamp = asked->stamp;
+  if (asked->lends
+      && quota_stamp_time (task->life, asked->echo, now_ms, &lent_after_ms))
+    quota_shares_take (task->shares, now_ms, hash_string (from),
+                       lent_after_ms);
+  quota_task_begin_report (task, peer, now_ms);
+  task->report.is_keeper = asked->is_keeper;
+  for (size_t i = 0; i < asked->row_count; i++)
+    {
+      struct quota_entry *entry
+          = quota_task_entry (task, asked->rows[i].workspace);
+      if (entry == NULL)
+        continue;
+      task->report.rows[task->report.row_count++]
+          = asked->is_keeper
+                ? spare (task, entry, asked->rows[i].wanted, now_ms)
+                : quota_keep_grant (task, entry, asked->rows[i].wanted,
+                                    now_ms);
+    }
+  quota_task_send_report (task, from, PEER_QUOTA_GRANT);
+}
+
+void
+quota_keep_add (struct quota_task *task, const struct quota_report *answer)
+{
+  const int64_t now_ms = clock_now_ms ();
+  for (size_t i = 0; i < answer->row_count; i++)
+    {
+      const struct quota_row *row = &answer->rows[i];
+      const struct quota_entry *entry
+          = quota_task_entry (task, row->workspace);
+      if (entry != NULL)
+        quota_ledger_add (task->ledger, now_ms, row->workspace, &entry->limit,
+                          row->tokens);
+    }
+}
+
+/* Guards against refusals in one data centre while another one's keeper has
+   tokens to spare: a workspace's requests come where its callers are, its
+   shares where hosts are.  Each keeper asks the others before it is empty. */
+void
+quota_keep_level (struct quota_task *task, int64_t now_ms)
+{
+  const char *names[QUOTA_KEEPERS_MAX];
+  struct quota_transport *transport = task->options.transport;
+  struct quota_row lacking[QUOTA_ROWS_MAX];
+  size_t lacking_count = 0;
+  struct quota_entry *entry;
+  struct quota_entry *next;
+  DL_FOREACH_SAFE2 (task->active, entry, next, active_next)
+  {
+    if (now_ms - entry->active_ms > ACTIVE_MS)
+      {
+        entry->is_active = false;
+        DL_DELETE2 (task->active, entry, active_prev, active_next);
+        continue;
+      }
+    const uint32_t lacks = quota_ledger_lacks (
+        task->ledger, now_ms, entry->workspace, &entry->limit);
+    if (lacks > 0 && lacking_count < QUOTA_ROWS_MAX)
+      lacking[lacking_count++]
+          = (struct quota_row){ .workspace = entry->workspace,
+                                .wanted = lacks };
+  }
+  if (task->active == NULL)
+    ev_timer_stop (task->options.loop, &task->level);
+  if (lacking_count == 0)
+    return;
+  const size_t count = transport->ops->keepers (transport, names);
+  for (size_t i = 0; i < count; i++)
+    {
+      if (quota_task_is_self (task, names[i]))
+        continue;
+      quota_task_begin_report (task, quota_task_peer (task, names[i]), now_ms);
+      task->report.is_keeper = true;
+      memcpy (task->report.rows, lacking, lacking_count * sizeof *lacking);
+      task->report.row_count = lacking_count;
+      quota_task_send_report (task, names[i], PEER_QUOTA_ASK);
+    }
+}
+
+static void
+level_cb (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  quota_keep_level (timer->data, clock_now_ms ());
+}
+
+void
+quota_keep_start (struct quota_task *task)
+{
+  ev_timer_init (&task->level, level_cb, 0., LEVEL_MS / MS_PER_SECOND);
+  task->level.data = task;
+}
+
+void
+quota_keep_stop (struct quota_task *task)
+{
+  ev_timer_stop (task->options.loop, &task->level);
+}
--- /dev/null
+++ b/node/quota/quota_messages.c
@@ -0,0 +1,92 @@
+#include "node/quota/quota_messages.h"
+
+#include "base/xmalloc.h"
+
+enum
+{
+  COLUMNS = 5,
+};
+
+/* Of the first row. */
+enum first_column
+{
+  FIRST_HOSTS,
+  FIRST_LENDS,
+  FIRST_IS_KEEPER,
+};
+
+enum row_column
+{
+  ROW_WORKSPACE,
+  ROW_WANTED,
+  ROW_TOKENS,
+  ROW_TERM_MS,
+  ROW_DUE_MS,
+};
+
+struct peer_message
+quota_report_message (enum peer_type type, const struct quota_report *report,
+                      int64_t **values)
+{
+  int64_t *row = xcalloc ((report->row_count + 1) * COLUMNS, sizeof *row);
+  *values = row;
+  row[FIRST_HOSTS] = report->hosts;
+  row[FIRST_LENDS] = report->lends;
+  row[FIRST_IS_KEEPER] = report->is_keeper;
+  for (size_t i = 0; i < report->row_count; i++)
+    {
+      row += COLUMNS;
+      row[ROW_WORKSPACE] = (int64_t)report->rows[i].workspace;
+      row[ROW_WANTED] = report->rows[i].wanted;
+      row[ROW_TOKENS] = report->rows[i].tokens;
+      row[ROW_TERM_MS] = report->rows[i].term_ms;
+      row[ROW_DUE_MS] = report->rows[i].due_ms;
+    }
+  return (struct peer_message){
+    .type = type,
+    .report = { .epoch = report->echo,
+                .sequence = report->stamp,
+                .columns = COLUMNS,
+                .values = *values,
+                .value_count = (report->row_count + 1) * COLUMNS }
+  };
+}
+
+/* A number of a row; whatever another host may send fits. */
+static uint32_t
+number (int64_t value)
+{
+  if (value < 0)
+    return 0;
+  return value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
+}
+
+bool
+quota_report_read (const struct peer_message *message,
+                   struct quota_report *report)
+{
+  const struct peer_report *from = &message->report;
+  if (from->columns != COLUMNS || from->value_count < COLUMNS
+      || from->value_count % COLUMNS != 0
+      || from->value_count / COLUMNS > QUOTA_ROWS_MAX + 1)
+    return false;
+  const int64_t *row = from->values;
+  report->echo = from->epoch;
+  report->stamp = from->sequence;
+  report->hosts = number (row[FIRST_HOSTS]);
+  report->lends = row[FIRST_LENDS] != 0;
+  report->is_keeper = row[FIRST_IS_KEEPER] != 0;
+  report->row_count = from->value_count / COLUMNS - 1;
+  for (size_t i = 0; i < report->row_count; i++)
+    {
+      row += COLUMNS;
+      report->rows[i] = (struct quota_row){
+        .workspace = (uint64_t)row[ROW_WORKSPACE],
+        .wanted = number (row[ROW_WANTED]),
+        .tokens = number (row[ROW_TOKENS]),
+        .term_ms = number (row[ROW_TERM_MS]),
+        .due_ms = number (row[ROW_DUE_MS]),
+      };
+    }
+  return true;
+}
--- a/policy/fleet/host_set.c
+++ b/policy/fleet/host_set.c
@@ -16,6 +16,7 @@
 {
   SUBJECT_RELAYS = 1,
   SUBJECT_NEIGHBOURS = 2,
+  SUBJECT_KEEPERS = 3,
 };
 
 enum
@@ -28,7 +29,7 @@
   /** Leading binary digits of the slots that count: a change below an eighth
    * to a quarter moves no callers. */
   SLOT_DIGITS = 3,
-  /** What one strong host can do is enough for a relay. */
+  /** What one strong host can do is enough for a relay, or a keeper. */
   RELAY_RATE = 1,
   /** Data centres with leading relays, at least. */
   LEADING_DCS_LEAST = 3,
@@ -149,6 +150,15 @@
   free (copy);
 }
 
+void
+keepers_choose (const struct fleet_host *hosts, size_t count,
+                struct fleet_choice *choice)
+{
+  struct fleet_host *copy = preferred (hosts, count, RELAY_RATE);
+  rendezvous_choose (SUBJECT_KEEPERS, copy, count, 1, NO_HOST, choice);
+  free (copy);
+}
+
 uint32_t
 relays_leading (const struct fleet_host *hosts, size_t count, uint32_t per_dc)
 {
--- a/policy/fleet/host_set.h
+++ b/policy/fleet/host_set.h
@@ -45,6 +45,11 @@
 void relays_choose (const struct fleet_host *hosts, size_t count,
                     uint32_t per_dc, struct fleet_choice *choice);
 
+/** The hosts that keep the quotas of workspaces: one in each data centre, a
+ * strong one where there are any. */
+void keepers_choose (const struct fleet_host *hosts, size_t count,
+                     struct fleet_choice *choice);
+
 /** How many of the relays, from the best placed on, ask the platform for the
  * newest several times a second: those of more than half of the data centres.
  * The rest hear from them sooner than from the platform, through neighbours
--- /dev/null
+++ b/policy/quota/quota_limit.h
@@ -0,0 +1,95 @@
+/** @file
+ * Quotas of workspaces over a whole fleet: the terms that its parts share.
+ *
+ * What must hold: in any window, the requests of a workspace that run, over
+ * all hosts, cut off or not, killed and started again, are at most
+ *
+ *     (rate * window + burst) * (1 + overshoot) + slack.
+ *
+ * How it holds.  Tokens are made in one place each and only move afterwards;
+ * nobody has to agree with anybody.
+ *  - The quota of each workspace is divided into equal shares, one for each
+ *    host that the fleet knows, live or not.  A share makes 1/hosts of the
+ *    rate, and may hold 1/hosts of the burst (and of the slack, which is
+ *    treated as burst).
+ *  - A host may lend its share, for all workspaces at once and for a term, to
+ *    a keeper (quota_lending.h).  It doesn't use what is lent until the term
+ * is over on its own clock; the keeper counts the term from a time on its own
+ *    clock before which the host can't have lent (quota_shares.h).  So no
+ *    share is used twice, whatever is lost, late or frozen.
+ *  - A keeper grants tokens to hosts (quota_ledger.h), each for a term on the
+ *    holder's clock, counted from its question (quota_stock.h).  What a keeper
+ *    holds, and what it has granted and may be unused yet beyond what the rate
+ *    makes in a time p, are together at most its part of burst and slack.
+ *  - So what can be used in a window is at most what the rate makes in
+ *    window + p, and burst and slack.
+ *  - A host that starts doesn't know whether its former life has lent its
+ *    share to another keeper.  It waits for the term of a loan less a time q:
+ * a share that is used twice for q makes rate * q too much.
+ *  - The overshoot pays for both: (p + q) * rate = overshoot * window * rate.
+ *
+ * What it rests on: that hosts know how many they are, within the overshoot.
+ * That number comes from the platform's list, and each takes the highest that
+ * it is told (quota_shares_fleet()).
+ */
+#ifndef POLICY_QUOTA_QUOTA_LIMIT_H
+#define POLICY_QUOTA_QUOTA_LIMIT_H
+
+#include <stdint.h>
+
+/** What one workspace may send. */
+struct quota_limit
+{
+  double rate_per_s;
+  double burst;
+};
+
+/** What operators tolerate beyond it, and the times that follow. */
+struct quota_terms
+{
+  uint32_t window_ms;
+  uint32_t overshoot_percent;
+  uint32_t slack; /**< requests in each window */
+};
+
+enum
+{
+  /** A share is lent for so long.  Short, so that the shares of a keeper that
+   * is lost come back soon; long against the time between two renewals. */
+  QUOTA_LEND_MS = 500,
+  /** Time between renewals: one that is lost or late ends no loan. */
+  QUOTA_RENEW_MS = 150,
+  /** A granted token may be used for so long, from the question on, while
+   * there are enough, and for so long while there are few: what is granted and
+   * not used is lacking elsewhere. */
+  QUOTA_TOKEN_MS = 400,
+  QUOTA_TOKEN_FEW_MS = 150,
+  /** Hundredths of what the overshoot pays for that are for tokens that are
+   * granted and not used (p); the rest is for shares after a start (q). */
+  QUOTA_PAID_TOKENS_PERCENT = 20,
+  /** Hundredths by which two clocks may run apart. */
+  QUOTA_DRIFT_PERCENT = 1,
+};
+
+/** The time p + q that the overshoot pays for. */
+static inline int64_t
+quota_terms_paid_ms (const struct quota_terms *terms)
+{
+  return (int64_t)terms->window_ms * terms->overshoot_percent / 100;
+}
+
+/** The time p. */
+static inline int64_t
+quota_terms_paid_tokens_ms (const struct quota_terms *terms)
+{
+  return quota_terms_paid_ms (terms) * QUOTA_PAID_TOKENS_PERCENT / 100;
+}
+
+/** TERM_MS as counted by who may use what it ends: a little less. */
+static inline int64_t
+quota_term_of_user_ms (int64_t term_ms)
+{
+  return term_ms - term_ms * QUOTA_DRIFT_PERCENT / 100;
+}
+
+#endif
--- /dev/null
+++ b/policy/quota/quota_shares.c
@@ -0,0 +1,168 @@
+#include "policy/quota/quota_shares.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "base/xmalloc.h"
+#include "policy/quota/quota_limit.h"
+
+enum
+{
+  FLEET_KEPT_MS = 60 * 1000,
+};
+
+static const double MS_PER_SECOND = 1000.0;
+
+struct lent_share
+{
+  uint64_t lender;
+  int64_t until_ms;
+  UT_hash_handle hh;
+};
+
+struct quota_shares
+{
+  struct lent_share *lent;
+  int64_t own_from_ms;
+  uint32_t hosts;
+  int64_t hosts_ms;     /* when `hosts` was last told */
+  uint32_t fewer_hosts; /* the highest of the numbers below it since */
+  int64_t counted_ms;   /* up to which `seconds` is counted */
+  double seconds;
+};
+
+struct quota_shares *
+quota_shares_create (int64_t now_ms, int64_t own_from_ms)
+{
+  struct quota_shares *shares = xcalloc (1, sizeof *shares);
+  shares->counted_ms = now_ms;
+  shares->own_from_ms = own_from_ms;
+  return shares;
+}
+
+static void
+drop (struct quota_shares *shares, struct lent_share *share)
+{
+  HASH_DEL (shares->lent, share);
+  free (share);
+}
+
+void
+quota_shares_destroy (struct quota_shares *shares)
+{
+  struct lent_share *share;
+  struct lent_share *next;
+  if (shares == NULL)
+    return;
+  HASH_ITER (hh, shares->lent, share, next)
+  {
+    drop (shares, share);
+  }
+  free (shares);
+}
+
+/* The time within [FROM_MS, UNTIL_MS) that isn't counted yet. */
+static int64_t
+uncounted_ms (const struct quota_shares *shares, int64_t now_ms,
+              int64_t from_ms, int64_t until_ms)
+{
+  const int64_t begin_ms
+      = from_ms > shares->counted_ms ? from_ms : shares->counted_ms;
+  const int64_t end_ms = until_ms < now_ms ? until_ms : now_ms;
+  return end_ms > begin_ms ? end_ms - begin_ms : 0;
+}
+
+/* Count up to NOW_MS and drop what is over. */
+static void
+count (struct quota_shares *shares, int64_t now_ms)
+{
+  struct lent_share *share;
+  struct lent_share *next;
+  if (now_ms <= shares->counted_ms)
+    return;
+  int64_t usable_ms
+      = uncounted_ms (shares, now_ms, shares->own_from_ms, INT64_MAX);
+  HASH_ITER (hh, shares->lent, share, next)
+  {
+    usable_ms += uncounted_ms (shares, now_ms, INT64_MIN, share->until_ms);
+    if (share->until_ms <= now_ms)
+      drop (shares, share);
+  }
+  if (shares->hosts > 0)
+    shares->seconds += (double)usable_ms / MS_PER_SECOND / shares->hosts;
+  shares->counted_ms = now_ms;
+}
+
+void
+quota_shares_fleet (struct quota_shares *shares, int64_t now_ms,
+                    uint32_t hosts)
+{
+  count (shares, now_ms);
+  if (hosts >= shares->hosts)
+    {
+      shares->hosts = hosts;
+      shares->hosts_ms = now_ms;
+      shares->fewer_hosts = 0;
+      return;
+    }
+  if (hosts > shares->fewer_hosts)
+    shares->fewer_hosts = hosts;
+  if (now_ms - shares->hosts_ms < FLEET_KEPT_MS)
+    return;
+  shares->hosts = shares->fewer_hosts;
+  shares->hosts_ms = now_ms;
+  shares->fewer_hosts = 0;
+}
+
+uint32_t
+quota_shares_hosts (const struct quota_shares *shares)
+{
+  return shares->hosts;
+}
+
+void
+quota_shares_own (struct quota_shares *shares, int64_t now_ms, int64_t from_ms)
+{
+  count (shares, now_ms);
+  shares->own_from_ms = from_ms;
+}
+
+void
+quota_shares_take (struct quota_shares *shares, int64_t now_ms,
+                   uint64_t lender, int64_t after_ms)
+{
+  struct lent_share *share;
+  const int64_t until_ms = after_ms + quota_term_of_user_ms (QUOTA_LEND_MS);
+  count (shares, now_ms);
+  if (until_ms <= now_ms)
+    return;
+  HASH_FIND (hh, shares->lent, &lender, sizeof lender, share);
+  if (share == NULL)
+    {
+      share = xcalloc (1, sizeof *share);
+      share->lender = lender;
+      HASH_ADD (hh, shares->lent, lender, sizeof share->lender, share);
+    }
+  if (until_ms > share->until_ms)
+    share->until_ms = until_ms;
+}
+
+double
+quota_shares_part (struct quota_shares *shares, int64_t now_ms)
+{
+  count (shares, now_ms);
+  if (shares->hosts == 0)
+    return 0;
+  const bool has_own = now_ms >= shares->own_from_ms;
+  const uint32_t usable = HASH_COUNT (shares->lent) + (has_own ? 1 : 0);
+  return usable < shares->hosts ? (double)usable / shares->hosts : 1;
+}
+
+double
+quota_shares_seconds (struct quota_shares *shares, int64_t now_ms)
+{
+  count (shares, now_ms);
+  return shares->seconds;
+}
--- /dev/null
+++ b/policy/quota/tests/quota_ledger_test.cc
@@ -0,0 +1,164 @@
+/* What a keeper grants. */
+#include <gtest/gtest.h>
+
+#include <memory>
+
+extern "C"
+{
+#include "policy/quota/quota_ledger.h"
+}
+
+namespace
+{
+const quota_terms terms = { 5000, 10, 20 };
+const quota_limit limit = { 100, 100 };
+
+struct Keeper
+{
+  quota_shares *shares = quota_shares_create (0, 0);
+  quota_ledger *ledger = quota_ledger_create (shares, 0, &terms);
+
+  explicit Keeper (uint32_t hosts = 1)
+  {
+    quota_shares_fleet (shares, 0, hosts);
+  }
+  Keeper (const Keeper &) = delete;
+  Keeper &operator= (const Keeper &) = delete;
+  ~Keeper ()
+  {
+    quota_ledger_destroy (ledger);
+    quota_shares_destroy (shares);
+  }
+
+  uint32_t
+  grant (int64_t now_ms, uint32_t wanted, const quota_limit &of = limit)
+  {
+    return quota_ledger_grant (ledger, now_ms, 1, &of, wanted).tokens;
+  }
+};
+
+TEST (QuotaLedger, BeginsWithNothingAndFillsUpToTheBurst)
+{
+  Keeper keeper;
+  EXPECT_EQ (keeper.grant (0, 10), 0u);
+  EXPECT_EQ (keeper.grant (100, 100), 10u);
+  EXPECT_EQ (keeper.grant (60000, 1000), 120u);
+}
+
+/* A workspace at its full rate gets it, however short its burst: what is
+   granted and used must not stand in the way of what is made. */
+TEST (QuotaLedger, TheFullRateIsHadAtAnyBurst)
+{
+  for (const double burst : { 0.0, 10.0, 100.0 })
+    {
+      Keeper keeper;
+      const quota_limit each = { 100, burst };
+      uint32_t tokens = 0;
+      for (int64_t now_ms = 0; now_ms <= 20000; now_ms += 20)
+        tokens += keeper.grant (now_ms, 5, each);
+      EXPECT_GE (tokens, 1950u) << burst;
+      EXPECT_LE (tokens, 2000 + burst + terms.slack) << burst;
+    }
+}
+
+/* A holder has all that there is and hasn't used it yet.  Were the account
+   filled again meanwhile, both together would be two bursts at once. */
+TEST (QuotaLedger, WhatIsGrantedAndPerhapsUnusedTakesRoom)
+{
+  Keeper keeper;
+  const quota_grant all
+      = quota_ledger_grant (keeper.ledger, 60000, 1, &limit, 1000);
+  EXPECT_EQ (all.tokens, 120u);
+  const double paid
+      = limit.rate_per_s * quota_terms_paid_tokens_ms (&terms) / 1000;
+  EXPECT_LE (keeper.grant (60000 + all.term_ms - 1, 1000), paid);
+}
+
+TEST (QuotaLedger, ALowerLimitCountsAtOnce)
+{
+  Keeper keeper;
+  keeper.grant (60000, 0);
+  const quota_limit lower = { 1, 1 };
+  EXPECT_LE (keeper.grant (60000, 1000, lower), 21u);
+}
+
+TEST (QuotaLedger, SaysWhenTheNextTokenIsDue)
+{
+  Keeper keeper;
+  const quota_limit slow = { 4, 0 };
+  keeper.grant (60000, 20, slow);
+  const quota_grant none
+      = quota_ledger_grant (keeper.ledger, 60000, 1, &slow, 1);
+  EXPECT_EQ (none.tokens, 0u);
+  EXPECT_GE (none.due_ms, 250u);
+  EXPECT_LE (none.due_ms, 500u);
+  EXPECT_EQ (keeper.grant (60000 + none.due_ms, 1, slow), 1u);
+}
+
+/* Many hosts want a token each: the last one is told of its place behind the
+   others, not of the next token, which is another one's. */
+TEST (QuotaLedger, SaysSoBehindWhatOthersWant)
+{
+  Keeper keeper;
+  const quota_limit slow = { 4, 0 };
+  keeper.grant (60000, 20, slow);
+  uint32_t due_ms = 0;
+  for (int i = 0; i < 4; i++)
+    due_ms = quota_ledger_grant (keeper.ledger, 60000, 1, &slow, 1).due_ms;
+  EXPECT_GT (due_ms, 800u);
+  EXPECT_LE (due_ms, 1000u);
+}
+
+/* All hosts were killed, and callers come back to them while the keeper has
+   few shares yet.  Told by these when to come back, they would wait for
+   seconds. */
+TEST (QuotaLedger, AKeeperThatHasJustStartedCantTell)
+{
+  Keeper keeper (100);
+  quota_grant none = quota_ledger_grant (keeper.ledger, 100, 1, &limit, 1);
+  EXPECT_EQ (none.tokens, 0u);
+  EXPECT_EQ (none.due_ms, 0u);
+  none = quota_ledger_grant (keeper.ledger, 1600, 1, &limit, 2);
+  EXPECT_LT (none.tokens, 2u);
+  EXPECT_GT (none.due_ms, 0u);
+}
+
+TEST (QuotaLedger, FewTokensAreGrantedForAShortTime)
+{
+  Keeper keeper;
+  const quota_grant many
+      = quota_ledger_grant (keeper.ledger, 60000, 1, &limit, 10);
+  EXPECT_EQ (many.term_ms, (uint32_t)QUOTA_TOKEN_MS);
+  keeper.grant (60000, 100);
+  const quota_grant few
+      = quota_ledger_grant (keeper.ledger, 60010, 1, &limit, 10);
+  EXPECT_EQ (few.term_ms, (uint32_t)QUOTA_TOKEN_FEW_MS);
+}
+
+/* Requests of a workspace come to one data centre more than to another, whose
+   keeper has more than its holders need. */
+TEST (QuotaLedger, AKeeperLacksBeforeItIsEmptyAndAnotherSparesWhatItCan)
+{
+  Keeper busy (2);
+  Keeper idle (2);
+  int64_t now_ms = 10000;
+  busy.grant (now_ms, 0);
+  for (; now_ms < 13000; now_ms += 10)
+    busy.grant (now_ms, 1);
+  const uint32_t lacks = quota_ledger_lacks (busy.ledger, now_ms, 1, &limit);
+  EXPECT_GT (lacks, 0u);
+  const uint32_t spare
+      = quota_ledger_spare (idle.ledger, now_ms, 1, &limit, lacks);
+  EXPECT_EQ (spare, lacks);
+  quota_ledger_add (busy.ledger, now_ms, 1, &limit, spare);
+  EXPECT_GE (busy.grant (now_ms, lacks), lacks);
+  EXPECT_EQ (quota_ledger_lacks (idle.ledger, now_ms, 1, &limit), 0u);
+}
+
+TEST (QuotaLedger, WhatIsGivenCantPassTheBurst)
+{
+  Keeper keeper (2);
+  quota_ledger_add (keeper.ledger, 60000, 1, &limit, 100000);
+  EXPECT_LE (keeper.grant (60000, 1000), 60u);
+}
+} // namespace
--- a/wire/peer/peer_decode.c
+++ b/wire/peer/peer_decode.c
@@ -40,6 +40,8 @@
   [PEER_DECISION] = "decision",
   [PEER_DEMAND] = "demand",
   [PEER_OUTCOMES] = "outcomes",
+  [PEER_QUOTA_ASK] = "quota-ask",
+  [PEER_QUOTA_GRANT] = "quota-grant",
 };
 
 const char *
@@ -333,6 +335,8 @@
     case PEER_DECISION:
     case PEER_DEMAND:
     case PEER_OUTCOMES:
+    case PEER_QUOTA_ASK:
+    case PEER_QUOTA_GRANT:
       get_report (fields, &message->report);
       break;
     case PEER_TYPE_END:
@@ -409,6 +413,8 @@
     case PEER_DECISION:
     case PEER_DEMAND:
     case PEER_OUTCOMES:
+    case PEER_QUOTA_ASK:
+    case PEER_QUOTA_GRANT:
       free (message->report.values);
       free (message->report.names);
       break;
--- a/wire/peer/peer_encode.c
+++ b/wire/peer/peer_encode.c
@@ -158,6 +158,8 @@
     case PEER_DECISION:
     case PEER_DEMAND:
     case PEER_OUTCOMES:
+    case PEER_QUOTA_ASK:
+    case PEER_QUOTA_GRANT:
       return 7;
     case PEER_TYPE_END:
       break;
@@ -207,6 +209,8 @@
     case PEER_DECISION:
     case PEER_DEMAND:
     case PEER_OUTCOMES:
+    case PEER_QUOTA_ASK:
+    case PEER_QUOTA_GRANT:
       put_report (packer, &message->report);
       break;
     case PEER_TYPE_END:
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -48,10 +48,12 @@
   PEER_SETTINGS_PUSH = 11,
   PEER_IN_FORCE_ASK = 12,
   PEER_IN_FORCE_ANSWER = 13,
-  PEER_EVIDENCE = 14, /**< from an observing host to a service's owner */
-  PEER_DECISION = 15, /**< from a service's owner to the observing hosts */
-  PEER_DEMAND = 16,   /**< slots a host asks of a service's owner */
-  PEER_OUTCOMES = 17, /**< how attempts ended, to the hosts of a set */
+  PEER_EVIDENCE = 14,    /**< from an observing host to a service's owner */
+  PEER_DECISION = 15,    /**< from a service's owner to the observing hosts */
+  PEER_DEMAND = 16,      /**< slots a host asks of a service's owner */
+  PEER_OUTCOMES = 17,    /**< how attempts ended, to the hosts of a set */
+  PEER_QUOTA_ASK = 18,   /**< tokens a host wants, and its share lent */
+  PEER_QUOTA_GRANT = 19, /**< a keeper's answer */
   PEER_TYPE_END
 };
 
@@ -155,8 +157,9 @@
   uint64_t version; /**< asked for; in the answer: the one in force */
 };
 
-/** EVIDENCE, DECISION, DEMAND and OUTCOMES: rows of fixed-width numbers, whose
- * columns the sender and receiver share, and names that go with the rows. */
+/** EVIDENCE, DECISION, DEMAND, OUTCOMES and QUOTA_*: rows of fixed-width
+ * numbers, whose columns the sender and receiver share, and names that go with
+ * the rows. */
 struct peer_report
 {
   char service[PEER_NAME_SIZE];
