quota, caller: tables are emptied in a way that the linter follows

Cause: the linter took freed entries for used ones where a hash table was emptied one by one; lent shares were a hash table of a few hundred entries. Change: lent shares lie in an array, the other tables are taken apart whole.

--- a/node/caller/quota_desk.c
+++ b/node/caller/quota_desk.c
@@ -37,33 +37,33 @@
   return desk;
 }
 
-/* Drop the stocks that weren't used since BEFORE_MS. */
+/* Drop the stocks that nobody waits at and that weren't used since BEFORE_MS;
+   INT64_MAX: all. */
 static void
 drop_unused (struct quota_desk *desk, int64_t before_ms)
 {
-  struct desk_stock *held;
-  struct desk_stock *next;
-  HASH_ITER (hh, desk->stocks, held, next)
-  {
-    if (held->used_ms > before_ms || held->stock.waiting > 0)
-      continue;
-    HASH_DEL (desk->stocks, held);
-    free (held);
-  }
+  struct desk_stock *held = desk->stocks;
+  HASH_CLEAR (hh, desk->stocks);
+  while (held != NULL)
+    {
+      struct desk_stock *next = held->hh.next;
+      const bool is_used
+          = held->used_ms > before_ms
+            || (held->stock.waiting > 0 && before_ms != INT64_MAX);
+      if (is_used)
+        HASH_ADD (hh, desk->stocks, workspace, sizeof held->workspace, held);
+      else
+        free (held);
+      held = next;
+    }
 }
 
 void
 quota_desk_destroy (struct quota_desk *desk)
 {
-  struct desk_stock *held;
-  struct desk_stock *next;
   if (desk == NULL)
     return;
-  HASH_ITER (hh, desk->stocks, held, next)
-  {
-    HASH_DEL (desk->stocks, held);
-    free (held);
-  }
+  drop_unused (desk, INT64_MAX);
   free (desk);
 }
 
--- a/node/quota/quota_internal.h
+++ b/node/quota/quota_internal.h
@@ -31,8 +31,9 @@
   uint64_t workspace;
   char name[SERVICE_NAME_SIZE];
   struct quota_limit limit;
-  uint32_t wanted;   /**< here, and not asked for yet */
-  int64_t active_ms; /**< when a holder asked this host for it last */
+  uint64_t generation; /**< of the configuration that named it last */
+  uint32_t wanted;     /**< here, and not asked for yet */
+  int64_t active_ms;   /**< when a holder asked this host for it last */
   bool is_wanted;
   bool is_active;
   uint64_t granted; /**< by this host as a keeper, in all */
@@ -50,6 +51,7 @@
   struct quota_ledger *ledger;
   struct quota_lending lending;
   struct quota_peer *peers;    /**< by name */
+  uint64_t generation;         /**< counts configurations */
   struct quota_entry *entries; /**< by workspace */
   struct quota_entry *wanted;  /**< those with tokens to ask for */
   struct quota_entry *active;  /**< those that this host keeps */
--- a/node/quota/quota_task.c
+++ b/node/quota/quota_task.c
@@ -116,17 +116,34 @@
 }
 
 static void
-drop_entry (struct quota_task *task, struct quota_entry *entry)
+free_entry (struct quota_task *task, struct quota_entry *entry)
 {
   if (entry->is_wanted)
     DL_DELETE2 (task->wanted, entry, wanted_prev, wanted_next);
   if (entry->is_active)
     DL_DELETE2 (task->active, entry, active_prev, active_next);
-  HASH_DEL (task->entries, entry);
   free (entry);
 }
 
-static struct quota_entry *
+/* Take all entries out of the table; those of GENERATION go back in. */
+static void
+keep_entries (struct quota_task *task, uint64_t generation)
+{
+  struct quota_entry *entry = task->entries;
+  HASH_CLEAR (hh, task->entries);
+  while (entry != NULL)
+    {
+      struct quota_entry *next = entry->hh.next;
+      if (entry->generation == generation)
+        HASH_ADD (hh, task->entries, workspace, sizeof entry->workspace,
+                  entry);
+      else
+        free_entry (task, entry);
+      entry = next;
+    }
+}
+
+static void
 learn_entry (struct quota_task *task, const struct fleet_workspace *workspace)
 {
   const uint64_t key = hash_string (workspace->name);
@@ -138,11 +155,11 @@
       memcpy (entry->name, workspace->name, sizeof entry->name);
       HASH_ADD (hh, task->entries, workspace, sizeof entry->workspace, entry);
     }
+  entry->generation = task->generation;
   entry->limit = (struct quota_limit){
     .rate_per_s = (double)workspace->quota.rate_millis / WORKSPACE_RATE_UNIT,
     .burst = workspace->quota.burst,
   };
-  return entry;
 }
 
 /* Entries of workspaces that are gone, or have no quota any more, go. */
@@ -151,22 +168,11 @@
 {
   struct quota_task *task = owner;
   const struct fleet_config *config = message->config_in_force.config;
-  struct quota_entry *kept = NULL;
-  struct quota_entry *entry;
-  struct quota_entry *next;
+  task->generation++;
   for (size_t i = 0; i < config->workspace_count; i++)
-    {
-      if (config->workspaces[i].quota.rate_millis == 0)
-        continue;
-      entry = learn_entry (task, &config->workspaces[i]);
-      HASH_DEL (task->entries, entry);
-      HASH_ADD (hh, kept, workspace, sizeof entry->workspace, entry);
-    }
-  HASH_ITER (hh, task->entries, entry, next)
-  {
-    drop_entry (task, entry);
-  }
-  task->entries = kept;
+    if (config->workspaces[i].quota.rate_millis > 0)
+      learn_entry (task, &config->workspaces[i]);
+  keep_entries (task, task->generation);
 }
 
 void
@@ -248,19 +254,15 @@
   ev_timer_stop (task->options.loop, &task->renew);
   quota_keep_stop (task);
   ev_timer_stop (task->options.loop, &task->gather);
-  struct quota_entry *entry;
-  struct quota_entry *next_entry;
-  HASH_ITER (hh, task->entries, entry, next_entry)
-  {
-    drop_entry (task, entry);
-  }
-  struct quota_peer *peer;
-  struct quota_peer *next_peer;
-  HASH_ITER (hh, task->peers, peer, next_peer)
-  {
-    HASH_DEL (task->peers, peer);
-    free (peer);
-  }
+  keep_entries (task, task->generation + 1);
+  struct quota_peer *peer = task->peers;
+  HASH_CLEAR (hh, task->peers);
+  while (peer != NULL)
+    {
+      struct quota_peer *next = peer->hh.next;
+      free (peer);
+      peer = next;
+    }
   quota_ledger_destroy (task->ledger);
   quota_shares_destroy (task->shares);
   free (task);
--- a/policy/quota/quota_ledger.c
+++ b/policy/quota/quota_ledger.c
@@ -75,15 +75,16 @@
 void
 quota_ledger_destroy (struct quota_ledger *ledger)
 {
-  struct quota_account *account;
-  struct quota_account *next;
   if (ledger == NULL)
     return;
-  HASH_ITER (hh, ledger->accounts, account, next)
-  {
-    HASH_DEL (ledger->accounts, account);
-    free (account);
-  }
+  struct quota_account *account = ledger->accounts;
+  HASH_CLEAR (hh, ledger->accounts);
+  while (account != NULL)
+    {
+      struct quota_account *next = account->hh.next;
+      free (account);
+      account = next;
+    }
   free (ledger);
 }
 
--- a/policy/quota/quota_shares.c
+++ b/policy/quota/quota_shares.c
@@ -3,14 +3,13 @@
 #include <stdbool.h>
 #include <stdlib.h>
 
-#include <uthash.h>
-
 #include "base/xmalloc.h"
 #include "policy/quota/quota_limit.h"
 
 enum
 {
   FLEET_KEPT_MS = 60 * 1000,
+  FIRST_ROOM = 16,
 };
 
 static const double MS_PER_SECOND = 1000.0;
@@ -19,12 +18,13 @@
 {
   uint64_t lender;
   int64_t until_ms;
-  UT_hash_handle hh;
 };
 
 struct quota_shares
 {
   struct lent_share *lent;
+  size_t lent_count;
+  size_t lent_room;
   int64_t own_from_ms;
   uint32_t hosts;
   int64_t hosts_ms;     /* when `hosts` was last told */
@@ -42,24 +42,12 @@
   return shares;
 }
 
-static void
-drop (struct quota_shares *shares, struct lent_share *share)
-{
-  HASH_DEL (shares->lent, share);
-  free (share);
-}
-
 void
 quota_shares_destroy (struct quota_shares *shares)
 {
-  struct lent_share *share;
-  struct lent_share *next;
   if (shares == NULL)
     return;
-  HASH_ITER (hh, shares->lent, share, next)
-  {
-    drop (shares, share);
-  }
+  free (shares->lent);
   free (shares);
 }
 
@@ -78,18 +66,19 @@
 static void
 count (struct quota_shares *shares, int64_t now_ms)
 {
-  struct lent_share *share;
-  struct lent_share *next;
+  size_t kept = 0;
   if (now_ms <= shares->counted_ms)
     return;
   int64_t usable_ms
       = uncounted_ms (shares, now_ms, shares->own_from_ms, INT64_MAX);
-  HASH_ITER (hh, shares->lent, share, next)
-  {
-    usable_ms += uncounted_ms (shares, now_ms, INT64_MIN, share->until_ms);
-    if (share->until_ms <= now_ms)
-      drop (shares, share);
-  }
+  for (size_t i = 0; i < shares->lent_count; i++)
+    {
+      const struct lent_share share = shares->lent[i];
+      usable_ms += uncounted_ms (shares, now_ms, INT64_MIN, share.until_ms);
+      if (share.until_ms > now_ms)
+        shares->lent[kept++] = share;
+    }
+  shares->lent_count = kept;
   if (shares->hosts > 0)
     shares->seconds += (double)usable_ms / MS_PER_SECOND / shares->hosts;
   shares->counted_ms = now_ms;
@@ -129,22 +118,33 @@
   shares->own_from_ms = from_ms;
 }
 
+static struct lent_share *
+share_of (struct quota_shares *shares, uint64_t lender)
+{
+  for (size_t i = 0; i < shares->lent_count; i++)
+    if (shares->lent[i].lender == lender)
+      return &shares->lent[i];
+  if (shares->lent_count == shares->lent_room)
+    {
+      shares->lent_room
+          = shares->lent_room > 0 ? shares->lent_room * 2 : FIRST_ROOM;
+      shares->lent = xreallocarray (shares->lent, shares->lent_room,
+                                    sizeof *shares->lent);
+    }
+  struct lent_share *share = &shares->lent[shares->lent_count++];
+  *share = (struct lent_share){ .lender = lender };
+  return share;
+}
+
 void
 quota_shares_take (struct quota_shares *shares, int64_t now_ms,
                    uint64_t lender, int64_t after_ms)
 {
-  struct lent_share *share;
   const int64_t until_ms = after_ms + quota_term_of_user_ms (QUOTA_LEND_MS);
   count (shares, now_ms);
   if (until_ms <= now_ms)
     return;
-  HASH_FIND (hh, shares->lent, &lender, sizeof lender, share);
-  if (share == NULL)
-    {
-      share = xcalloc (1, sizeof *share);
-      share->lender = lender;
-      HASH_ADD (hh, shares->lent, lender, sizeof share->lender, share);
-    }
+  struct lent_share *share = share_of (shares, lender);
   if (until_ms > share->until_ms)
     share->until_ms = until_ms;
 }
@@ -156,7 +156,7 @@
   if (shares->hosts == 0)
     return 0;
   const bool has_own = now_ms >= shares->own_from_ms;
-  const uint32_t usable = HASH_COUNT (shares->lent) + (has_own ? 1 : 0);
+  const size_t usable = shares->lent_count + (has_own ? 1 : 0);
   return usable < shares->hosts ? (double)usable / shares->hosts : 1;
 }
 
