quota: keepers whose shares have just grown can't tell when a token is due

Ruled out: a stock to begin with; what the life before used isn't known. Change: shares say whether they have grown much within two seconds; until they have not, requests are held for half of their time, at most two seconds.

--- a/node/caller/exchange_quota.c
+++ b/node/caller/exchange_quota.c
@@ -9,7 +9,10 @@
 enum
 {
   ASK_AGAIN_US = 50 * 1000,
-  HOLD_MOST_US = 1000 * 1000,
+  /** Most time that is waited for a token, and most of what the request has.
+   */
+  HOLD_MOST_US = 2000 * 1000,
+  HOLD_PARTS = 2,
   NO_ANSWER_RETRY_AFTER_MS = 250,
 };
 
@@ -50,7 +53,11 @@
   const int64_t now_us = clock_now_us ();
   if (x->token_wanted_us == 0)
     x->token_wanted_us = now_us;
-  const int64_t left_us = x->token_wanted_us + HOLD_MOST_US - now_us;
+  const int64_t time_us = x->deadline_us - x->token_wanted_us;
+  const int64_t most_us = time_us / HOLD_PARTS < HOLD_MOST_US
+                              ? time_us / HOLD_PARTS
+                              : HOLD_MOST_US;
+  const int64_t left_us = x->token_wanted_us + most_us - now_us;
   if (left_us <= 0
       || quota_desk_hold_ms (x->context->quotas, x->workspace_key) == 0)
     {
--- a/node/quota/quota_task.c
+++ b/node/quota/quota_task.c
@@ -228,7 +228,7 @@
   rng_secret (&task->life, sizeof task->life);
   quota_lending_init (&task->lending, now_ms, &task->terms);
   task->shares = quota_shares_create (now_ms, task->lending.until_ms);
-  task->ledger = quota_ledger_create (task->shares, now_ms, &task->terms);
+  task->ledger = quota_ledger_create (task->shares, &task->terms);
   ev_timer_init (&task->gather, gather_cb, 0., 0.);
   task->gather.data = task;
   const double renew_s = QUOTA_RENEW_MS / MS_PER_SECOND;
--- a/policy/quota/quota_ledger.c
+++ b/policy/quota/quota_ledger.c
@@ -10,9 +10,6 @@
 
 enum
 {
-  /** Hosts that start together have lent their shares after half of that, and
-   * what callers sent meanwhile is made up for after the other half. */
-  SETTLE_MS = 1500,
   /** Granted tokens are forgotten by parts of the longest term. */
   GRANT_PARTS = 20,
   PART_MS = QUOTA_TOKEN_MS / GRANT_PARTS,
@@ -57,18 +54,16 @@
 {
   struct quota_shares *shares;
   struct quota_terms terms;
-  int64_t settled_ms; /* when those who lend have done so */
   struct quota_account *accounts;
 };
 
 struct quota_ledger *
-quota_ledger_create (struct quota_shares *shares, int64_t now_ms,
+quota_ledger_create (struct quota_shares *shares,
                      const struct quota_terms *terms)
 {
   struct quota_ledger *ledger = xcalloc (1, sizeof *ledger);
   ledger->shares = shares;
   ledger->terms = *terms;
-  ledger->settled_ms = now_ms + SETTLE_MS;
   return ledger;
 }
 
@@ -228,7 +223,7 @@
   /* Guards against callers that are sent away for long, since their workspace
      seems to have used up its quota, when hosts have just started and haven't
      lent their shares yet. */
-  if (rate <= 0 || now_ms < ledger->settled_ms)
+  if (!quota_shares_settled (ledger->shares, now_ms))
     return 0;
   if (rate * DUE_MOST_MS / MS_PER_SECOND < lacking)
     return DUE_MOST_MS;
--- a/policy/quota/quota_ledger.h
+++ b/policy/quota/quota_ledger.h
@@ -12,10 +12,8 @@
 
 struct quota_ledger;
 
-/** Accounts fed by SHARES, which outlives them, of a process that starts at
- * NOW_MS. */
+/** Accounts fed by SHARES, which outlives them. */
 struct quota_ledger *quota_ledger_create (struct quota_shares *shares,
-                                          int64_t now_ms,
                                           const struct quota_terms *terms);
 void quota_ledger_destroy (struct quota_ledger *ledger);
 
--- a/policy/quota/quota_shares.c
+++ b/policy/quota/quota_shares.c
@@ -10,9 +10,14 @@
 {
   FLEET_KEPT_MS = 60 * 1000,
   FIRST_ROOM = 16,
+  /** Hosts that start together, or whose keeper is lost, have lent their
+   * shares within a third of that; the rest is for what callers sent
+   * meanwhile. */
+  SETTLE_MS = 2000,
 };
 
 static const double MS_PER_SECOND = 1000.0;
+static const double much_grown = 1.25;
 
 struct lent_share
 {
@@ -29,6 +34,8 @@
   uint32_t hosts;
   int64_t hosts_ms;     /* when `hosts` was last told */
   uint32_t fewer_hosts; /* the highest of the numbers below it since */
+  double part;          /* the least since it grew much */
+  int64_t grown_ms;     /* when that was */
   int64_t counted_ms;   /* up to which `seconds` is counted */
   double seconds;
 };
@@ -149,6 +156,15 @@
     share->until_ms = until_ms;
 }
 
+static void
+note_growth (struct quota_shares *shares, int64_t now_ms, double part)
+{
+  if (part > shares->part * much_grown)
+    shares->grown_ms = now_ms;
+  if (part > shares->part * much_grown || part < shares->part)
+    shares->part = part;
+}
+
 double
 quota_shares_part (struct quota_shares *shares, int64_t now_ms)
 {
@@ -157,7 +173,17 @@
     return 0;
   const bool has_own = now_ms >= shares->own_from_ms;
   const size_t usable = shares->lent_count + (has_own ? 1 : 0);
-  return usable < shares->hosts ? (double)usable / shares->hosts : 1;
+  const double part
+      = usable < shares->hosts ? (double)usable / shares->hosts : 1;
+  note_growth (shares, now_ms, part);
+  return part;
+}
+
+bool
+quota_shares_settled (struct quota_shares *shares, int64_t now_ms)
+{
+  const double part = quota_shares_part (shares, now_ms);
+  return part > 0 && now_ms - shares->grown_ms >= SETTLE_MS;
 }
 
 double
--- a/policy/quota/quota_shares.h
+++ b/policy/quota/quota_shares.h
@@ -5,6 +5,7 @@
 #ifndef POLICY_QUOTA_QUOTA_SHARES_H
 #define POLICY_QUOTA_QUOTA_SHARES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct quota_shares;
@@ -35,6 +36,10 @@
 /** The part of all quotas that is usable at NOW_MS, 0 to 1. */
 double quota_shares_part (struct quota_shares *shares, int64_t now_ms);
 
+/** Has the part not grown much lately?  Until then, what it makes says little
+ * of what it will make. */
+bool quota_shares_settled (struct quota_shares *shares, int64_t now_ms);
+
 /** Seconds for which all of a quota would have to be usable to make as much as
  * the parts that were usable up to NOW_MS: never falls. */
 double quota_shares_seconds (struct quota_shares *shares, int64_t now_ms);
--- a/policy/quota/quota_stock.c
+++ b/policy/quota/quota_stock.c
@@ -16,7 +16,7 @@
   ANSWER_MS = 60,
   /** Keepers are replaced, and hosts that start have lent their shares, in
    * less. */
-  HOLD_MS = 1000,
+  HOLD_MS = 2000,
   /** A keeper that has nothing is asked again no sooner. */
   EMPTY_LEAST_MS = 20,
   /** And no later, while requests come. */
