fleet, registry: slow services get fewer hosts, by what callers want

Cause: a set was sized as if each slot did four requests a second. Of a service whose answers take half a second and more, 42 to 49 of 118 hosts shared 349 targets of six slots. Each met each target every few seconds, so that what it knew of spells was old, and opened a connection for every third request.

Change: the rate of a slot is four requests within the goal of the service's routes, their harmonic mean, told with the service (`limits.goal_ms`). Routes whose goal is no shorter than their timeout say nothing; a second where none does.

--- a/node/control/control_services.c
+++ b/node/control/control_services.c
@@ -33,12 +33,12 @@
 }
 
 static uint64_t
-slots_of (const struct service_spec *spec)
+rate_of (const struct service_spec *spec)
 {
   uint64_t slots = 0;
   for (size_t i = 0; i < spec->target_count; i++)
     slots += spec->targets[i].slots;
-  return slots;
+  return host_set_rate (slots, spec->limits.goal_ms);
 }
 
 /* All services of a group have one set. */
@@ -63,11 +63,11 @@
     }
   const uint64_t key
       = hash_string (spec->group[0] != '\0' ? spec->group : spec->name);
-  const uint64_t slots = slots_of (spec);
-  if (service->key != key || service->slots != slots)
+  const uint64_t rate = rate_of (spec);
+  if (service->key != key || service->rate != rate)
     {
       service->key = key;
-      service->slots = slots;
+      service->rate = rate;
       choose_anew (task, key);
     }
   service->version = spec->version;
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -176,17 +176,17 @@
   return hash;
 }
 
-/* The slots of all services that share SERVICE's set. */
+/* What the targets of all services that share SERVICE's set may get. */
 static uint64_t
-group_slots (const struct control_task *task,
+group_rate (const struct control_task *task,
              const struct control_service *service)
 {
-  uint64_t slots = 0;
+  uint64_t rate = 0;
   const struct control_service *other;
   for (other = task->services; other != NULL; other = other->hh.next)
     if (other->key == service->key)
-      slots += other->slots;
-  return slots;
+      rate += other->rate;
+  return host_set_round (rate);
 }
 
 static void
@@ -194,7 +194,7 @@
 {
   struct host_set_need need
       = { .per_dc = task->options.settings->set_hosts_per_dc,
-          .rate = host_set_rate (group_slots (task, service)) };
+          .rate = group_rate (task, service) };
   if (need.per_dc > FLEET_PER_DC_MAX)
     need.per_dc = FLEET_PER_DC_MAX;
   struct fleet_choice choice;
--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -2,6 +2,7 @@
 
 #include "node/registry/registry.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,6 +38,8 @@
 {
   char name[SERVICE_NAME_SIZE];
   char group[SERVICE_NAME_SIZE];
+  uint32_t goals; /* routes to it that name one */
+  double per_ms;  /* sum of 1 / goal */
   bool changed;
   UT_hash_handle hh;
 };
@@ -126,6 +129,17 @@
          compare_targets);
 }
 
+/* The harmonic mean, of the routes that name a goal: as many answers fit in a
+   second as when each route had its own.  One route that changes among many
+   changes little. */
+static uint32_t
+goal_of (const struct registry_service *service)
+{
+  return service->goals == 0
+             ? 0
+             : (uint32_t)lround (service->goals / service->per_ms);
+}
+
 static void
 tell_service (struct registry *registry, struct registry_service *service)
 {
@@ -143,6 +157,7 @@
   spec.prefer = registry->options.prefer;
   spec.limits = registry->options.limits;
   spec.limits.body_bytes = config->limits.body_bytes;
+  spec.limits.goal_ms = goal_of (service);
   gather_targets (registry, &spec, declared->connections);
   registry->options.events->service (registry->options.owner, &spec);
   free (spec.targets);
@@ -231,6 +246,23 @@
   free (registry);
 }
 
+/* A goal that is no shorter than the time allowed says nothing. */
+static void
+note_goal (struct registry *registry, const struct fleet_route *route)
+{
+  if (route->latency_goal_ms >= route->timeout_ms)
+    return;
+  for (size_t i = 0; i < route->part_count; i++)
+    {
+      struct registry_service *service;
+      HASH_FIND_STR (registry->services, route->parts[i].service, service);
+      if (service == NULL)
+        continue;
+      service->goals++;
+      service->per_ms += 1.0 / route->latency_goal_ms;
+    }
+}
+
 static void
 note_services (struct registry *registry)
 {
@@ -242,9 +274,13 @@
       struct registry_service *service
           = service_entry (registry, config->services[i].name);
       service->changed = true;
+      service->goals = 0;
+      service->per_ms = 0;
       memcpy (service->group, config->services[groups[i]].name,
               sizeof service->group);
     }
+  for (size_t i = 0; i < config->route_count; i++)
+    note_goal (registry, &config->routes[i]);
   free (groups);
 }
 
--- a/node/registry/tests/registry_test.cc
+++ b/node/registry/tests/registry_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
 protected:
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
   std::vector<std::string> told;
+  std::map<std::string, uint32_t> goals;
   registry *r = nullptr;
 
   static Registry *
@@ -70,6 +72,7 @@
                               ? ""
                               : "(drained)");
              of (owner)->told.push_back (line);
+             of (owner)->goals[spec->name] = spec->limits.goal_ms;
            },
             [] (void *owner, const fleet_config *config) {
               of (owner)->told.push_back ("config "
@@ -130,6 +133,38 @@
   EXPECT_EQ (run (), (lines{ "service b", "config 4", "removed a" }));
 }
 
+/* How long a service's answers may take says how many requests its targets can
+   get, and so how many hosts serve it.  All its routes count, so that one which
+   changes moves few callers; one that names no goal of its own, or none below
+   its timeout, says nothing. */
+TEST_F (Registry, AServiceIsToldTheMeanGoalOfItsRoutes)
+{
+  const char *routes
+      = "{ 'version': %d, 'routes': ["
+        "{ 'name': 'a', 'path_prefix': '/a/', 'timeout_ms': 9000,"
+        "  'latency_goal_ms': %d, 'parts': [ { 'service': 'holds' } ] },"
+        "{ 'name': 'b', 'path_prefix': '/b/', 'timeout_ms': 9000,"
+        "  'latency_goal_ms': 3000, 'parts': [ { 'service': 'holds' },"
+        "                                      { 'service': 'views' } ] },"
+        "{ 'name': 'c', 'path_prefix': '/c/', 'timeout_ms': 500,"
+        "  'parts': [ { 'service': 'views' }, { 'service': 'plain' } ] } ],"
+        "'services': [ { 'name': 'holds' }, { 'name': 'views' },"
+        "              { 'name': 'plain' } ] }";
+  char text[2048];
+  snprintf (text, sizeof text, routes, 1, 2000);
+  ASSERT_EQ (registry_take_config (r, "main", quoted (text).c_str ()),
+             STATUS_OK)
+      << status_message ();
+  run ();
+  EXPECT_EQ (goals["holds"], 2400u); /* 2 / (1/2000 + 1/3000) */
+  EXPECT_EQ (goals["views"], 3000u);
+  EXPECT_EQ (goals["plain"], 0u);
+  snprintf (text, sizeof text, routes, 2, 4000);
+  registry_take_config (r, "main", quoted (text).c_str ());
+  run ();
+  EXPECT_EQ (goals["holds"], 3429u); /* 2 / (1/4000 + 1/3000) */
+}
+
 /* A host heard version 8 from a peer; then a list of its own that was taken
    before brings version 7.  Put in force, requests would go where they went
    a moment ago, and then to the new place again. */
--- a/policy/fleet/host_set.c
+++ b/policy/fleet/host_set.c
@@ -22,13 +22,15 @@
 enum
 {
   NO_HOST = 0,
-  /** Requests a second at one slot when it is never free: work of a quarter of
-   * a second each, shorter than that of most services, which leaves room for
-   * a host lost and for bursts. */
-  SLOT_RATE = 4,
-  /** Leading binary digits of the slots that count: a change below an eighth
+  /** A slot that is never free does so many requests within the time in which
+   * callers want an answer: they want it when all goes well, with room for one
+   * that doesn't and for waiting. */
+  REQUESTS_PER_GOAL = 4,
+  GOAL_UNKNOWN_MS = 1000,
+  MS_PER_SECOND = 1000,
+  /** Leading binary digits of the rate that count: a change below an eighth
    * to a quarter moves no callers. */
-  SLOT_DIGITS = 3,
+  RATE_DIGITS = 3,
   /** What one strong host can do is enough for a relay, or a keeper. */
   RELAY_RATE = 1,
   /** Data centres with leading relays, at least. */
@@ -36,12 +38,19 @@
 };
 
 uint64_t
-host_set_rate (uint64_t slots)
+host_set_rate (uint64_t slots, uint32_t goal_ms)
+{
+  const uint64_t in_ms = goal_ms > 0 ? goal_ms : GOAL_UNKNOWN_MS;
+  return (slots * REQUESTS_PER_GOAL * MS_PER_SECOND + in_ms - 1) / in_ms;
+}
+
+uint64_t
+host_set_round (uint64_t rate)
 {
   uint64_t unit = 1;
-  while (slots / unit >= 1u << SLOT_DIGITS)
+  while (rate / unit >= 1u << RATE_DIGITS)
     unit *= 2;
-  return (slots + unit - 1) / unit * unit * SLOT_RATE;
+  return (rate + unit - 1) / unit * unit;
 }
 
 /* What one data centre has of a choice. */
--- a/policy/fleet/host_set.h
+++ b/policy/fleet/host_set.h
@@ -24,10 +24,14 @@
   uint64_t rate;   /**< requests a second in all data centres; 0: no matter */
 };
 
-/** The requests a second that targets with SLOTS slots together may get: what
- * their hosts must be able to carry, however much callers want.  SLOTS is
- * rounded up, so that few targets more or less leave the hosts as they are. */
-uint64_t host_set_rate (uint64_t slots);
+/** The requests a second that targets with SLOTS slots together may get when
+ * callers want their answers within GOAL_MS (0: it isn't known): what their
+ * hosts must be able to carry, however much callers ask. */
+uint64_t host_set_rate (uint64_t slots, uint32_t goal_ms);
+
+/** RATE rounded up, so that few targets more or less leave the hosts as they
+ * are. */
+uint64_t host_set_round (uint64_t rate);
 
 /** The host set of the service with key SERVICE.  Each data centre takes part
  * with as many hosts as NEED says, and with more until they carry its part of
--- a/wire/service_spec.c
+++ b/wire/service_spec.c
@@ -174,6 +174,7 @@
   options_uint32 (&child, "retry_percent", 0, PERCENT_MAX,
                   &limits->retry_percent);
   options_uint32 (&child, "attempts", 1, ATTEMPTS_MAX, &limits->attempts);
+  options_uint32 (&child, "goal_ms", 0, TIMEOUT_MAX_MS, &limits->goal_ms);
   options_close (top, &child);
 }
 
--- a/wire/service_spec.h
+++ b/wire/service_spec.h
@@ -17,7 +17,7 @@
  *       "limits": { "queue_requests": 64, "queue_bytes": 1048576,
  *                   "body_bytes": 1048576, "timeout_ms": 10000,
  *                   "connect_timeout_ms": 1000, "retry_percent": 10,
- *                   "attempts": 3 } }
+ *                   "attempts": 3, "goal_ms": 0 } }
  */
 #ifndef WIRE_SERVICE_SPEC_H
 #define WIRE_SERVICE_SPEC_H
@@ -98,6 +98,7 @@
   uint32_t connect_timeout_ms; /**< to a target */
   uint32_t retry_percent;      /**< retries per 100 recent requests */
   uint32_t attempts;           /**< most tries of one request */
+  uint32_t goal_ms; /**< an answer within it is worth most; 0: not told */
 };
 
 /** A service in force. */
--- a/wire/service_spec_format.c
+++ b/wire/service_spec_format.c
@@ -59,6 +59,7 @@
   add_u32 (node, "connect_timeout_ms", limits->connect_timeout_ms);
   add_u32 (node, "retry_percent", limits->retry_percent);
   add_u32 (node, "attempts", limits->attempts);
+  add_u32 (node, "goal_ms", limits->goal_ms);
   return node;
 }
 
