--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -88,7 +88,7 @@
   char name[PEER_NAME_SIZE];
   uint64_t key;        /**< hash of the name of its group */
   uint64_t version;    /**< in force; a newer bad one may be held */
-  uint64_t rate; /**< that its targets may get, also those that leave */
+  uint64_t rate;       /**< that its targets may get, also those that leave */
   uint64_t generation; /**< of hosts that its set was chosen from */
   bool is_posted;
   bool has_self;
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -179,7 +179,7 @@
 /* What the targets of all services that share SERVICE's set may get. */
 static uint64_t
 group_rate (const struct control_task *task,
-             const struct control_service *service)
+            const struct control_service *service)
 {
   uint64_t rate = 0;
   const struct control_service *other;
--- a/node/registry/tests/registry_test.cc
+++ b/node/registry/tests/registry_test.cc
@@ -134,9 +134,9 @@
 }
 
 /* How long a service's answers may take says how many requests its targets can
-   get, and so how many hosts serve it.  All its routes count, so that one which
-   changes moves few callers; one that names no goal of its own, or none below
-   its timeout, says nothing. */
+   get, and so how many hosts serve it.  All its routes count, so that one
+   which changes moves few callers; one that names no goal of its own, or none
+   below its timeout, says nothing. */
 TEST_F (Registry, AServiceIsToldTheMeanGoalOfItsRoutes)
 {
   const char *routes
--- a/policy/fleet/tests/host_set_test.cc
+++ b/policy/fleet/tests/host_set_test.cc
@@ -123,10 +123,9 @@
   for (uint64_t dc = 1; dc <= 3; dc++)
     for (uint32_t i = 0; i < 40; i++)
       hosts.push_back ({ hash_pair (dc, i), dc, i < 2 ? 1000u : 125u });
-  const uint64_t rate
-      = host_set_round (host_set_rate (174 * 6, 2000)
-                        + host_set_rate (81 * 6, 2000)
-                        + host_set_rate (94 * 6, 3000));
+  const uint64_t rate = host_set_round (host_set_rate (174 * 6, 2000)
+                                        + host_set_rate (81 * 6, 2000)
+                                        + host_set_rate (94 * 6, 3000));
   const fleet_choice choice = choose (hosts, 1, rate);
   EXPECT_EQ (choice.count, 6u);
   const uint64_t unknown = host_set_round (host_set_rate (349 * 6, 0));
