quota: half of a burst is made in each window, the other half held

Cause: a workspace that asked for a little more than its rate all the time got the rate and nothing of its burst: the accounts were filled by the rate alone. In each window it stayed below its quota, and was refused.

--- a/policy/quota/quota_ledger.c
+++ b/policy/quota/quota_ledger.c
@@ -139,7 +139,7 @@
 most_held (struct quota_ledger *ledger, int64_t now_ms,
            const struct quota_limit *limit)
 {
-  return (limit->burst + ledger->terms.slack)
+  return quota_limit_held (limit, &ledger->terms)
          * quota_shares_part (ledger->shares, now_ms);
 }
 
@@ -148,9 +148,10 @@
 room (struct quota_ledger *ledger, const struct quota_account *account,
       int64_t now_ms, const struct quota_limit *limit)
 {
-  const double paid
-      = limit->rate_per_s * quota_shares_part (ledger->shares, now_ms)
-        * quota_terms_paid_tokens_ms (&ledger->terms) / MS_PER_SECOND;
+  const double paid = quota_limit_made_per_s (limit, &ledger->terms)
+                      * quota_shares_part (ledger->shares, now_ms)
+                      * quota_terms_paid_tokens_ms (&ledger->terms)
+                      / MS_PER_SECOND;
   const double granted = granted_and_good (account);
   double most = most_held (ledger, now_ms, limit);
   if (granted > paid)
@@ -174,7 +175,8 @@
 {
   struct quota_account *account = account_of (ledger, now_ms, workspace);
   const double seconds = quota_shares_seconds (ledger->shares, now_ms);
-  account->level += limit->rate_per_s * (seconds - account->seconds);
+  account->level += quota_limit_made_per_s (limit, &ledger->terms)
+                    * (seconds - account->seconds);
   account->seconds = seconds;
   forget_granted (account, now_ms);
   bound_level (ledger, account, now_ms, limit);
@@ -216,7 +218,7 @@
         int64_t now_ms, const struct quota_limit *limit, double ahead)
 {
   const double part = quota_shares_part (ledger->shares, now_ms);
-  const double rate = limit->rate_per_s * part;
+  const double rate = quota_limit_made_per_s (limit, &ledger->terms) * part;
   const double lacking = 1 - account->level + ahead;
   if (lacking <= 0)
     return 1;
--- a/policy/quota/quota_limit.h
+++ b/policy/quota/quota_limit.h
@@ -10,8 +10,8 @@
  * nobody has to agree with anybody.
  *  - The quota of each workspace is divided into equal shares, one for each
  *    host that the fleet knows, live or not.  A share makes 1/hosts of the
- *    rate, and may hold 1/hosts of the burst (and of the slack, which is
- *    treated as burst).
+ *    rate and of a part of the burst in each window, and may hold 1/hosts of
+ *    the rest of the burst (and of the slack, which is treated as burst).
  *  - A host may lend its share, for all workspaces at once and for a term, to
  *    a keeper (quota_lending.h).  It doesn't use what is lent until the term
  * is over on its own clock; the keeper counts the term from a time on its own
@@ -21,12 +21,19 @@
  *    holder's clock, counted from its question (quota_stock.h).  What a keeper
  *    holds, and what it has granted and may be unused yet beyond what the rate
  *    makes in a time p, are together at most its part of burst and slack.
- *  - So what can be used in a window is at most what the rate makes in
- *    window + p, and burst and slack.
+ *  - So what can be used in a window is at most what is made in window + p,
+ *    and what is held.
  *  - A host that starts doesn't know whether its former life has lent its
  *    share to another keeper.  It waits for the term of a loan less a time q:
- * a share that is used twice for q makes rate * q too much.
- *  - The overshoot pays for both: (p + q) * rate = overshoot * window * rate.
+ *    a share that is used twice for q makes so much too much.
+ *  - The overshoot pays for both: p + q = overshoot * window.
+ *
+ * How the burst is divided.  All of it held, a workspace that wants a little
+ * more than its rate all the time gets no more than the rate, though it stays
+ * below its quota in every window; none of it held, one that sends it at once
+ * waits for a window.  With half of it, the first gets half of the burst in
+ * each window, and the second waits for less than the time in which its rate
+ * makes the other half.
  *
  * What it rests on: that hosts know how many they are, within the overshoot.
  * That number comes from the platform's list, and each takes the highest that
@@ -71,6 +78,27 @@
   QUOTA_DRIFT_PERCENT = 1,
 };
 
+/** What of the burst is made in each window; the rest may be held. */
+#define QUOTA_BURST_MADE 0.5
+
+/** Tokens a second that all shares together make. */
+static inline double
+quota_limit_made_per_s (const struct quota_limit *limit,
+                        const struct quota_terms *terms)
+{
+  return limit->rate_per_s
+         + QUOTA_BURST_MADE * limit->burst * 1000 / terms->window_ms;
+}
+
+/** Tokens that all shares together may hold. */
+static inline double
+quota_limit_held (const struct quota_limit *limit,
+                  const struct quota_terms *terms)
+{
+  const double over = 1 + terms->overshoot_percent / 100.0;
+  return (1 - QUOTA_BURST_MADE) * limit->burst * over + terms->slack;
+}
+
 /** The time p + q that the overshoot pays for. */
 static inline int64_t
 quota_terms_paid_ms (const struct quota_terms *terms)
