quota: messages under way end with the fleet of a test

Cause: under the address sanitizer quota_task_test failed for a leak though its ten tests passed: messages that hosts still had under way when a test ended (six reports of 8 kB) were held by one-shot timers which nobody owned.

Ruled out: a leak in the program; all allocations named are the test's own.

Change: the fleet of the test owns the messages under way and drops them.

--- a/node/quota/tests/quota_task_test.cc
+++ b/node/quota/tests/quota_task_test.cc
@@ -46,6 +46,25 @@
   }
 };
 
+/* A message between hosts that is on its way. */
+struct Packet
+{
+  Packet () = default;
+  Packet (const Packet &) = delete;
+  Packet &operator= (const Packet &) = delete;
+  ~Packet ()
+  {
+    free (bytes);
+  }
+
+  Fleet *fleet = nullptr;
+  Host *to = nullptr;
+  std::string from;
+  char *bytes = nullptr;
+  size_t size = 0;
+  ev_timer due;
+};
+
 class Fleet : public testing::Test
 {
 protected:
@@ -68,6 +87,8 @@
         bus_destroy (host->bus);
         counters_destroy (host->counters);
       }
+    for (const auto &packet : packets)
+      ev_timer_stop (loop, &packet->due);
     ev_timer_stop (loop, &tick);
     ev_loop_destroy (loop);
   }
@@ -198,36 +219,39 @@
     return STATUS_OK;
   }
 
-  /* A copy, delivered from the loop. */
+  /* A copy, delivered from the loop.  What is still on its way when a test
+     ends is dropped with the fleet. */
   void
   deliver (const std::string &from, Host &to, const peer_message *message)
   {
-    struct packet
-    {
-      Host *to;
-      std::string from;
-      char *bytes;
-      size_t size;
-    };
-    auto *sent_packet = new packet{ &to, from, nullptr, 0 };
-    sent_packet->bytes = peer_message_encode (message, &sent_packet->size);
-    ev_once (
-        loop, -1, 0, 0.0005,
-        [] (int, void *owner) {
-          auto *came = static_cast<packet *> (owner);
-          peer_message decoded;
-          if (came->to->task != nullptr
-              && peer_message_decode (came->bytes, came->size, &decoded)
-                     == STATUS_OK)
-            {
-              quota_task_receive (came->to->task, came->from.c_str (),
-                                  &decoded);
-              peer_message_release (&decoded);
-            }
-          free (came->bytes);
-          delete came;
-        },
-        sent_packet);
+    packets.push_back (std::make_unique<Packet> ());
+    Packet &packet = *packets.back ();
+    packet.fleet = this;
+    packet.to = &to;
+    packet.from = from;
+    packet.bytes = peer_message_encode (message, &packet.size);
+    ev_timer_init (&packet.due, arrive, 0.0005, 0);
+    packet.due.data = &packet;
+    ev_timer_start (loop, &packet.due);
+  }
+
+  static void
+  arrive (struct ev_loop *, ev_timer *due, int)
+  {
+    auto *packet = static_cast<Packet *> (due->data);
+    peer_message decoded;
+    if (packet->to->task != nullptr
+        && peer_message_decode (packet->bytes, packet->size, &decoded)
+               == STATUS_OK)
+      {
+        quota_task_receive (packet->to->task, packet->from.c_str (), &decoded);
+        peer_message_release (&decoded);
+      }
+    auto &all = packet->fleet->packets;
+    all.erase (
+        std::find_if (all.begin (), all.end (), [packet] (const auto &each) {
+          return each.get () == packet;
+        }));
   }
 
   static size_t
@@ -262,6 +286,7 @@
   struct ev_loop *loop;
   ev_timer tick;
   std::vector<std::unique_ptr<Host>> hosts;
+  std::vector<std::unique_ptr<Packet>> packets; /**< on their way */
   std::set<std::string> cut;
   int rate = 100;
   int burst = 10;
