choice: attempts without an answer count as evidence

Cause: a target that hangs was judged only when the time of an attempt was over.

Ruled out: a bound on attempts that are open at a target (all become slow at once when a service is loaded); ages told among the hosts of a set (a target is in one host's subset, the others hardly use it).

Change: the age of each open attempt is weighed by Bayes' rule against the learned times of answers and the share of failures that hang; a target that is known to be slow gets as much more time.

--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -41,7 +41,7 @@
                  int64_t now_us, bool repeatable)
 {
   const double busy = (double)t->in_flight / t->config.slots;
-  const double f = fmin (t->estimate.failure, failure_cap);
+  const double f = fmin (t->failure, failure_cap);
   const double per_failure
       = repeatable ? FAILURE_COST : FAILURE_COST_UNREPEATABLE;
   const double expected_failures = f / (1 - f);
@@ -55,9 +55,9 @@
 double
 chooser_answer_us (const struct target_set *set, const struct target_state *t)
 {
-  if (t->estimate.failure > hopeless_failure)
+  if (t->failure > hopeless_failure)
     return INFINITY;
-  return latency_us (set, t) / (1 - t->estimate.failure);
+  return latency_us (set, t) / (1 - t->failure);
 }
 
 static void
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -203,8 +203,7 @@
   for (uint32_t i = 0; i < r->tried_count; i++)
     if (r->tried[i] == t)
       return false;
-  return than == POLICY_NO_TARGET
-         || state->estimate.ill < set->targets[than].estimate.ill;
+  return than == POLICY_NO_TARGET || state->ill < set->targets[than].ill;
 }
 
 /* Is a subset so small a part of all targets that the others' subsets are
--- a/policy/choice/target_estimate.c
+++ b/policy/choice/target_estimate.c
@@ -8,12 +8,30 @@
 static const double ill_least = 0.02;
 static const double ill_most = 0.999;
 
+static double
+bounded (double ill)
+{
+  return fmin (fmax (ill, ill_least), ill_most);
+}
+
+double
+target_estimate_failure (double ill)
+{
+  return ill * ESTIMATE_ILL_FAILS + (1 - ill) * ESTIMATE_WELL_FAILS;
+}
+
+double
+target_estimate_ill (const struct target_estimate *e, double odds)
+{
+  const double ill = e->ill * odds;
+  return bounded (ill / (ill + 1 - e->ill));
+}
+
 static void
 set_ill (struct target_estimate *e, double ill)
 {
-  e->ill = fmin (fmax (ill, ill_least), ill_most);
-  e->failure
-      = e->ill * ESTIMATE_ILL_FAILS + (1 - e->ill) * ESTIMATE_WELL_FAILS;
+  e->ill = bounded (ill);
+  e->failure = target_estimate_failure (e->ill);
 }
 
 void
--- a/policy/choice/target_estimate.h
+++ b/policy/choice/target_estimate.h
@@ -55,6 +55,13 @@
 void target_estimate_observe (struct target_estimate *e, enum attempt_end end,
                               int64_t latency_us);
 
+/** The share of attempts that fail at a target that is ill with ILL. */
+double target_estimate_failure (double ill);
+
+/** The probability that it is ill when the odds of it are ODDS times as high
+ * as E says. */
+double target_estimate_ill (const struct target_estimate *e, double odds);
+
 /** Learn how an attempt of another host ended, whose latency says nothing
  * here. */
 void target_estimate_hear (struct target_estimate *e, enum attempt_end end);
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -120,13 +120,33 @@
   list->numbers[t->tier_at] = number;
 }
 
+/* What attempts without an answer add to what those that ended say. */
+static void
+weigh_open (const struct target_set *set, struct target_state *t,
+            int64_t now_us)
+{
+  const double usual_us
+      = set->baseline.latency_us + 2.0 * t->config.distance_us;
+  const double slower = usual_us > 0 ? t->estimate.latency_us / usual_us : 1;
+  const struct open_evidence evidence = {
+    .times = &set->times,
+    .hung = set->hung,
+    .slower = slower > 1 ? slower : 1,
+    .fades_us = ESTIMATE_SPELL_US,
+  };
+  const double odds = open_attempts_odds (&t->open, &evidence, now_us);
+  t->ill = target_estimate_ill (&t->estimate, odds);
+  t->failure = target_estimate_failure (t->ill);
+}
+
 static void
 judge (struct target_set *set, struct target_state *t, int64_t now_us)
 {
+  weigh_open (set, t, now_us);
   const bool counted
       = target_state_is_eligible (t) && target_state_is_suspect (t);
-  t->failing = standing_is_failing (&t->estimate, t->failing,
-                                    set->prefer_faster_detection);
+  t->failing
+      = standing_is_failing (t->ill, t->failing, set->prefer_faster_detection);
   /* A cold target is slow for a while; slow start bounds what it gets. */
   t->slow = target_state_warmth (t, now_us) >= 1
             && standing_is_slow (&t->estimate, &set->baseline, t->slow,
@@ -260,6 +280,8 @@
   };
   t.is_new = warm_from_us != INT64_MIN;
   target_estimate_init (&t.estimate, now_us, t.is_new ? ILL_WHEN_NEW : ill);
+  t.ill = t.estimate.ill;
+  t.failure = t.estimate.failure;
   return t;
 }
 
@@ -370,6 +392,7 @@
   struct target_state *t = &set->targets[number];
   assert (target_state_is_eligible (t) && t->in_flight < t->config.slots);
   t->in_flight++;
+  open_attempts_add (&t->open, now_us);
   t->used_us = now_us;
   set->in_flight++;
   place (set, now_us, number);
@@ -456,6 +479,7 @@
       t->in_flight--;
       set->in_flight--;
     }
+  open_attempts_remove (&t->open, now_us - outcome->latency_us);
   advance (set, t, now_us);
   target_estimate_observe (&t->estimate, outcome->end, outcome->latency_us);
   t->is_new = t->is_new && t->estimate.samples == 0;
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -12,6 +12,7 @@
 
 #include "policy/choice/answer_times.h"
 #include "policy/choice/key_index.h"
+#include "policy/choice/open_attempts.h"
 #include "policy/choice/target_estimate.h"
 #include "policy/choice/target_standing.h"
 #include "policy/service_policy.h"
@@ -54,7 +55,10 @@
 struct target_state
 {
   struct policy_target config;
-  struct target_estimate estimate;
+  struct target_estimate estimate; /**< from attempts that ended */
+  struct open_attempts open;
+  double ill;     /**< probability that it is ill, open attempts counted */
+  double failure; /**< expected share of attempts that fail, the same */
   uint32_t in_flight;
   bool ejected;
   bool failing;         /**< its failure share stands out */
--- a/policy/choice/target_standing.c
+++ b/policy/choice/target_standing.c
@@ -59,10 +59,10 @@
 }
 
 bool
-standing_is_failing (const struct target_estimate *e, bool was, bool faster)
+standing_is_failing (double ill, bool was, bool faster)
 {
   const double enter = faster ? failing_enter_faster : failing_enter;
-  return e->ill > (was ? failing_leave : enter);
+  return ill > (was ? failing_leave : enter);
 }
 
 double
--- a/policy/choice/target_standing.h
+++ b/policy/choice/target_standing.h
@@ -24,10 +24,9 @@
 /** The lower median of COUNT values, which are reordered; 0 when empty. */
 double standing_median (double *values, uint32_t count);
 
-/** Is it more likely ill than not?  WAS gives hysteresis; FASTER lowers the
- * threshold. */
-bool standing_is_failing (const struct target_estimate *e, bool was,
-                          bool faster);
+/** Is a target that is ill with ILL more likely so than not?  WAS gives
+ * hysteresis; FASTER lowers the threshold. */
+bool standing_is_failing (double ill, bool was, bool faster);
 
 /** The share of time that targets are ill, learned over seconds from SHARE,
  * the mean of what is believed of them now.
--- a/policy/choice/tests/naive_choice.h
+++ b/policy/choice/tests/naive_choice.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <cstdlib>
 #include <numeric>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 
 extern "C"
 {
+#include "policy/choice/answer_times.h"
 #include "policy/service_policy.h"
 }
 
@@ -26,7 +28,9 @@
   policy_target config = {};
   uint32_t in_flight = 0;
   bool ejected = false, failing = false, slow = false, fresh = false;
-  double latency = 0, failure = 0, ill = 0;
+  /* ILL and FAILURE count attempts without an answer, KNOWN doesn't. */
+  double latency = 0, failure = 0, ill = 0, known = 0;
+  std::vector<int64_t> open;
   uint32_t latencies = 0, samples = 0;
   int64_t updated = 0;
   int64_t warm_from = INT64_MIN;
@@ -82,7 +86,8 @@
   service_policy_options options;
   std::vector<naive_target> targets;
   std::vector<naive_waiting> queue;
-  double base_latency = 0, base_ill = 0.05;
+  double base_latency = 0, base_ill = 0.05, hung = 0.5;
+  answer_times times;
   int64_t refreshed = INT64_MIN / 2, learned = 0, now = 0;
   uint32_t outcomes = 0;
   double trickle = 0;
@@ -117,12 +122,51 @@
   {
     return suspects () * 2 <= eligible ();
   }
+  naive_choice ()
+  {
+    answer_times_init (&times);
+  }
+  static double
+  bounded (double ill)
+  {
+    return std::clamp (ill, 0.02, 0.999);
+  }
   static void
-  set_ill (naive_target &t, double ill)
+  set_known (naive_target &t, double ill)
   {
-    t.ill = std::clamp (ill, 0.02, 0.999);
+    t.known = bounded (ill);
+  }
+  /* Bayes' rule for each attempt that has no answer yet. */
+  void
+  weigh_open (naive_target &t) const
+  {
+    const double usual = base_latency + 2.0 * t.config.distance_us;
+    const double slower = usual > 0 ? std::max (t.latency / usual, 1.0) : 1.0;
+    double odds = 1;
+    for (int64_t begun : t.open)
+      {
+        const double age = now - begun;
+        const double late
+            = answer_times_longer (&times, (int64_t)(age / slower));
+        const double ratio
+            = (0.75 * hung + 0.25 * late) / (0.01 * hung + 0.99 * late);
+        if (ratio > 1)
+          odds *= std::pow (ratio, std::exp (-age / 6000000));
+      }
+    t.ill = bounded (t.known * odds / (t.known * odds + 1 - t.known));
     t.failure = t.ill * 0.75 + (1 - t.ill) * 0.01;
   }
+  /* The one that began nearest to BEGUN; only the oldest eight are kept. */
+  static void
+  close (naive_target &t, int64_t begun)
+  {
+    const auto off = [&] (int64_t a) { return std::llabs (a - begun); };
+    const auto at = std::min_element (
+        t.open.begin (), t.open.end (),
+        [&] (int64_t a, int64_t b) { return off (a) < off (b); });
+    if (at != t.open.end () && (t.open.size () < 8 || off (*at) <= 50000))
+      t.open.erase (at);
+  }
   void
   advance (naive_target &t)
   {
@@ -133,7 +177,7 @@
     t.updated = now;
     const double known = std::exp (-(double)(now - before) / 6000000);
     const double share = t.fresh ? 0 : base_ill;
-    set_ill (t, share + (t.ill - share) * known);
+    set_known (t, share + (t.known - share) * known);
     const double peers = base_latency + 2.0 * t.config.distance_us;
     if (t.latencies > 0 && base_latency > 0)
       t.latency = peers + (t.latency - peers) * kept;
@@ -142,6 +186,7 @@
   judge (naive_target &t)
   {
     const double enter = options.prefer_faster_detection ? 0.4 : 0.5;
+    weigh_open (t);
     t.failing = t.ill > (t.failing ? 0.35 : enter);
     t.slow = t.warmth (now) == 1 && t.latencies >= 4 && base_latency > 0
              && t.own_latency () > (t.slow ? 2.0 : 3.0) * base_latency + 1000;
@@ -161,7 +206,7 @@
       {
         advance (t);
         if (t.eligible () && t.samples > 0)
-          ills.push_back (t.ill);
+          ills.push_back (t.known);
         if (t.eligible () && t.latencies > 0)
           latencies.push_back (t.own_latency ());
       }
--- a/policy/choice/tests/naive_judge.h
+++ b/policy/choice/tests/naive_judge.h
@@ -20,6 +20,8 @@
     if ((d.reason == POLICY_REASON_ONLY_CHOICE) != only)
       return "wrong reason to send";
     targets[d.target].in_flight++;
+    if (targets[d.target].open.size () < 8)
+      targets[d.target].open.push_back (now);
     targets[d.target].placed = now;
     return "";
   }
@@ -231,6 +233,7 @@
   {
     naive_target &t = targets[o.target];
     t.in_flight -= t.in_flight > 0;
+    close (t, now - o.latency_us);
     advance (t);
     if (o.end != ATTEMPT_CANCELLED)
       {
@@ -242,12 +245,18 @@
         const double ill = o.end == ATTEMPT_ANSWERED ? 0.25
                            : o.end == ATTEMPT_SHED   ? 0.25
                                                      : 0.75;
-        set_ill (t, t.ill * ill / (t.ill * ill + (1 - t.ill) * well));
+        set_known (t, t.known * ill / (t.known * ill + (1 - t.known) * well));
         if (o.end == ATTEMPT_ANSWERED || o.latency_us > t.latency)
           t.latency = t.latencies++ == 0
                           ? o.latency_us
                           : t.latency + (o.latency_us - t.latency) / 16;
       }
+    if (o.end == ATTEMPT_TIMED_OUT)
+      hung += 0.05 * (1 - hung);
+    if (o.end == ATTEMPT_CUT || o.end == ATTEMPT_FAILED)
+      hung -= 0.05 * hung;
+    if (o.end == ATTEMPT_ANSWERED)
+      answer_times_add (&times, o.latency_us);
     outcomes++;
     judge (t);
     t.placed = now;
@@ -283,7 +292,7 @@
         t.updated = now;
         t.warm_from = old.empty () ? INT64_MIN : now;
         t.fresh = !old.empty ();
-        set_ill (t, t.fresh ? 0 : base_ill);
+        set_known (t, t.fresh ? 0 : base_ill);
         for (auto &o : old)
           if (o.config.key == c.key)
             {
--- a/policy/choice/tests/target_standing_test.cc
+++ b/policy/choice/tests/target_standing_test.cc
@@ -40,16 +40,16 @@
 {
   const target_estimate well = estimate (10000, 0.3);
   const target_estimate ill = estimate (10000, 0.6);
-  EXPECT_FALSE (standing_is_failing (&well, false, false));
-  EXPECT_TRUE (standing_is_failing (&ill, false, false));
+  EXPECT_FALSE (standing_is_failing (well.ill, false, false));
+  EXPECT_TRUE (standing_is_failing (ill.ill, false, false));
 }
 
 TEST (target_standing, stays_until_clearly_better_and_enters_sooner_on_wish)
 {
   const target_estimate e = estimate (10000, 0.45);
-  EXPECT_FALSE (standing_is_failing (&e, false, false));
-  EXPECT_TRUE (standing_is_failing (&e, true, false));
-  EXPECT_TRUE (standing_is_failing (&e, false, true));
+  EXPECT_FALSE (standing_is_failing (e.ill, false, false));
+  EXPECT_TRUE (standing_is_failing (e.ill, true, false));
+  EXPECT_TRUE (standing_is_failing (e.ill, false, true));
 }
 
 /* Half of all targets fail for a minute.  If the share that is expected to be
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -151,7 +151,7 @@
   const struct attempt_outlook outlook = {
     .left_us = r->deadline_us - now_us,
     .goal_us = goal_us - now_us,
-    .hangs = target_set_hangs (set, set->targets[target].estimate.ill),
+    .hangs = target_set_hangs (set, set->targets[target].ill),
     .other_hangs = target_set_hangs (set, set->baseline.ill / 2),
     .attempts_left = r->attempt < most ? most - r->attempt : 0,
   };
@@ -313,7 +313,7 @@
   return (struct policy_belief){
     .in_flight = t->in_flight,
     .latency_us = (int64_t)t->estimate.latency_us,
-    .failure_permille = (uint32_t)lround (t->estimate.failure * 1000),
+    .failure_permille = (uint32_t)lround (t->failure * 1000),
     .suspect
     = target_state_is_suspect (t) && target_set_avoids_suspects (&policy->set),
     .ejected = t->ejected,
