caller, choice: a try of which no byte was sent costs no retry

Ruled out: a larger part of the reserve for hosts of a set (the bound is arithmetic over all hosts); a shorter time to connect (lost packets are sent again after longer).

Change: the policy is told how many tries surely reached no target. They neither count as attempts nor cost a retry; what was paid for one that was not sent pays for the next. Three of them at most, since each takes its time. The bound of retries is over what arrives at targets, and so is untouched.

Tests: service_policy_test, fault_test (both red without it), the naive version of the differential test.

--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -109,6 +109,7 @@
   uint32_t timeout_ms;   /**< most time until the answer begins */
   uint32_t attempts_max; /**< targets that it may be sent to */
   uint32_t attempts;
+  uint32_t unsent; /**< attempts of which no byte was sent */
   uint32_t tried_count;
   uint32_t shed_retry_after_ms; /**< as a target that shed it said */
 
@@ -127,6 +128,7 @@
   bool bounded_by_route; /**< timeout_ms holds beside the caller's deadline */
   bool ticket_claimed;
   bool kicked;
+  bool after_unsent; /**< the last attempt that ended is among them */
   bool perhaps_ran; /**< an attempt that was given up may have run */
 };
 
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -94,6 +94,8 @@
     x->perhaps_ran = true;
   if (attempt->relay)
     return;
+  x->after_unsent = end == ATTEMPT_NOT_SENT;
+  x->unsent += (uint32_t)x->after_unsent;
   caller_counters_add (x->context->counters.attempts, x->service->name,
                        end_name (end));
   caller_counters_observe (x->context->counters.attempt_times,
@@ -242,6 +244,8 @@
     .queued_bytes = held_bytes (x),
     .repeatable = x->repeatable,
     .attempt = x->attempts + 1,
+    .unsent = x->unsent,
+    .after_unsent = x->after_unsent,
     .attempts_max = x->attempts_max,
   };
   for (uint32_t i = 0; i < x->tried_count; i++)
--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -56,13 +56,15 @@
 {
   if (x->upload.dropped || x->context->leaving)
     return false;
-  const struct policy_request r = exchange_policy_request (x);
+  const bool sent = target_call_perhaps_sent (x->attempt.call);
+  struct policy_request r = exchange_policy_request (x);
+  r.unsent += (uint32_t)!sent;
+  r.after_unsent = !sent;
   struct policy_decision decision;
   if (!service_policy_admit_elsewhere (x->service->policy, clock_now_us (), &r,
                                        &decision))
     return false;
   note (x, "elsewhere");
-  const bool sent = target_call_perhaps_sent (x->attempt.call);
   exchange_drop_attempt (x, sent ? ATTEMPT_TIMED_OUT : ATTEMPT_NOT_SENT);
   exchange_decided (x, &decision);
   return true;
--- a/node/caller/tests/fault_test.cc
+++ b/node/caller/tests/fault_test.cc
@@ -54,6 +54,30 @@
     EXPECT_EQ (get ("/calendar", "r")->status, 200) << i;
 }
 
+/* One of two targets can't be connected to, and the service has no retries.
+   No byte of the holds that are meant for it leaves the host, so that asking
+   the other target is their first try: all are made, each once. */
+TEST_F (FaultTest, WhatReachedNoTargetIsNoRetry)
+{
+  second = add_target ("t2");
+  settings.retry.reserve = 0;
+  start ();
+  post_service (
+      "{ 'name': 't1', 'address': '127.0.0.1:1', 'dc': 'dc-a', 'slots': 64,"
+      "  'connections': 200 }, { 'name': 't2', 'address': '"
+          + std::string (target_server_address (second))
+          + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200 }",
+      usual_routes, ", 'limits': { 'retry_percent': 0 }");
+  for (int i = 0; i < 20; i++)
+    {
+      const std::string id = "hold-" + std::to_string (i);
+      auto call = make ("POST", "/holds", id);
+      finish (call.get ());
+      EXPECT_EQ (call->status, 200) << i;
+      EXPECT_EQ (target_server_runs (second, id.c_str ()), 1u) << i;
+    }
+}
+
 TEST_F (FaultTest, FailedPostIsPassedOnAndNotRepeated)
 {
   add_two ();
--- a/policy/choice/tests/service_policy_differential_test.cc
+++ b/policy/choice/tests/service_policy_differential_test.cc
@@ -193,7 +193,11 @@
     std::string wrong = drain ();
     if (wrong.empty () && service_policy_may_retry (end, a.r.repeatable)
         && below (4) != 0)
-      wrong = retry (a.r, target);
+      {
+        a.r.after_unsent = end == ATTEMPT_NOT_SENT;
+        a.r.unsent += (uint32_t)a.r.after_unsent;
+        wrong = retry (a.r, target);
+      }
     return wrong;
   }
   std::string
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -244,6 +244,42 @@
   EXPECT_GT (d.retry_after_ms, 0u);
 }
 
+/* Ways to half of the targets are cut, and there are no retries left.  A
+ * request whose first try found no way is refused, though it is no load for
+ * anybody to ask another target: it is asked, a bounded number of times. */
+TEST_F (service_policy_test, a_try_that_reached_no_target_costs_no_retry)
+{
+  start (8, 100);
+  while (ask (true, 1000000, { 0 }).reason != POLICY_REASON_RETRY_BUDGET)
+    ;
+  policy_request r = {};
+  r.id = 1000;
+  r.deadline_us = now + 1000000;
+  r.attempt = 1;
+  for (uint32_t i = 0; i < POLICY_UNSENT_MAX; i++)
+    {
+      r.attempt++;
+      r.unsent++;
+      r.after_unsent = true;
+      EXPECT_EQ (service_policy_admit (policy, now, &r).verdict, POLICY_SEND);
+    }
+  r.attempt++;
+  r.unsent++;
+  EXPECT_EQ (service_policy_admit (policy, now, &r).reason,
+             POLICY_REASON_ATTEMPTS);
+  /* One that did reach a target costs one. */
+  r.attempt = 2;
+  r.unsent = 0;
+  r.after_unsent = false;
+  EXPECT_EQ (service_policy_admit (policy, now, &r).reason,
+             POLICY_REASON_RETRY_BUDGET);
+  /* It was paid for, and then found no way. */
+  r.attempt = 3;
+  r.unsent = 1;
+  r.after_unsent = true;
+  EXPECT_EQ (service_policy_admit (policy, now, &r).verdict, POLICY_SEND);
+}
+
 /* A page hangs at a gray target.  It goes elsewhere only where that helps: to
  * an untried target with a free slot, and what can't go takes no retry from
  * those that can. */
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -116,6 +116,27 @@
   return r->attempts_max > 0 ? r->attempts_max : policy->options.attempts;
 }
 
+/* Have as many targets been asked as may be? */
+static bool
+has_used_attempts (const struct service_policy *policy,
+                   const struct policy_request *r)
+{
+  const uint32_t asked = r->attempt - 1 - r->unsent;
+  return r->attempt > 1
+         && (asked >= attempts_max (policy, r)
+             || r->unsent > POLICY_UNSENT_MAX);
+}
+
+/* What reached no target adds to nobody's load: the next try is still the
+   first one, or has the retry that the unsent one was paid with.  Guards
+   against callers that are refused since ways to some targets are cut, while
+   others would take the request. */
+static bool
+costs_retry (const struct policy_request *r)
+{
+  return r->attempt - r->unsent > 1 && !r->after_unsent;
+}
+
 struct policy_decision
 service_policy_admit (struct service_policy *policy, int64_t now_us,
                       const struct policy_request *r)
@@ -128,9 +149,9 @@
     return placement_refuse (policy, r, POLICY_REASON_NO_TARGET);
   if (r->deadline_us <= now_us)
     return placement_refuse (policy, r, POLICY_REASON_TOO_LATE);
-  if (r->attempt > 1 && r->attempt > attempts_max (policy, r))
+  if (has_used_attempts (policy, r))
     return placement_refuse (policy, r, POLICY_REASON_ATTEMPTS);
-  if (r->attempt > 1
+  if (costs_retry (r)
       && !retry_budget_take (&policy->budget, &policy->options.retries,
                              now_us))
     return placement_refuse (policy, r, POLICY_REASON_RETRY_BUDGET);
@@ -145,6 +166,7 @@
 {
   const struct target_set *set = &policy->set;
   const uint32_t most = attempts_max (policy, r);
+  const uint32_t asked = r->attempt - r->unsent;
   const int64_t goal_us = r->goal_us > 0 ? r->goal_us : r->deadline_us;
   if (target >= set->count)
     return ATTEMPT_NO_TIMEOUT;
@@ -153,7 +175,7 @@
     .goal_us = goal_us - now_us,
     .hangs = target_set_hangs (set, set->targets[target].ill),
     .other_hangs = target_set_hangs (set, set->baseline.ill / 2),
-    .attempts_left = r->attempt < most ? most - r->attempt : 0,
+    .attempts_left = asked < most ? most - asked : 0,
   };
   return attempt_timeout_us (&set->times, &outlook);
 }
@@ -166,9 +188,11 @@
   policy->now_us = now_us;
   target_set_refresh (&policy->set, now_us);
   if (!r->repeatable || r->deadline_us <= now_us
-      || r->attempt > attempts_max (policy, r))
+      || has_used_attempts (policy, r))
     return false;
   const struct retry_bound *bound = &policy->options.retries;
+  if (!costs_retry (r))
+    return placement_elsewhere (policy, r, decision);
   if (!retry_budget_has (&policy->budget, bound, now_us)
       || !placement_elsewhere (policy, r, decision))
     return false;
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -22,6 +22,9 @@
 
 /** Most targets one request can have tried. */
 #define POLICY_TRIED_MAX 8
+/** Most tries of a request of which no byte is sent.  They are no load, but
+ * each takes its time. */
+#define POLICY_UNSENT_MAX 3
 #define POLICY_NO_TARGET UINT32_MAX
 /** A time that never passes. */
 #define ATTEMPT_NO_TIMEOUT INT64_MAX
@@ -67,6 +70,8 @@
   uint32_t queued_bytes; /**< what it holds while it waits */
   bool repeatable;
   uint32_t attempt;      /**< 1 for the first try */
+  uint32_t unsent;       /**< tries before it of which no byte was sent */
+  bool after_unsent;     /**< the last one before it is among these */
   uint32_t attempts_max; /**< 0: as the service's options say */
   uint32_t tried[POLICY_TRIED_MAX];
   uint32_t tried_count;
