caller: an attempt that hangs looks again for another target

Cause: what an attempt that hangs could do was decided once.

Ruled out: waiting for it in the queue (the first attempt would be given up for nothing sure).

Change: it looks again each 100 ms, as long as another attempt would rather come in time than not; logged once.

Test: attempt_timeout_test, red without it.

--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -63,6 +63,7 @@
   bool relay;              /**< to another host, which decides in our place */
   bool head_seen;          /**< status, length_bytes and headers are good */
   bool open;               /**< the policy waits for its end */
+  bool waits;              /**< hangs, and there was nowhere else to go */
   bool held_back;          /**< the caller was slower than the target */
   uint32_t status;
   int64_t length_bytes;
--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  LOOK_AGAIN_US = 10000 /* least time between two looks at an attempt */
+  LOOK_AGAIN_US = 10000, /* least time between two looks at an attempt */
+  ELSEWHERE_AGAIN_US = 100000
 };
 
 /* Arm the timer for the attempt's end in REST_US, or for the deadline. */
@@ -28,6 +29,7 @@
     return;
   struct policy_request r = exchange_policy_request (x);
   r.attempt = x->attempts;
+  x->attempt.waits = false;
   x->attempt.timeout_us = service_policy_attempt_timeout_us (
       x->service->policy, x->attempt.started_us, &r,
       caller_service_find (x->service, x->attempt.key));
@@ -70,6 +72,20 @@
   return true;
 }
 
+/* There is no retry to take now, or no target to go to.  Guards against an
+   attempt that then hangs to its deadline, though a moment later there is. */
+static void
+wait_on (struct exchange *x)
+{
+  struct exchange_attempt *attempt = &x->attempt;
+  if (!attempt->waits)
+    note (x, "waits");
+  attempt->waits = true;
+  attempt->timeout_us
+      = exchange_attempt_latency_us (attempt) + ELSEWHERE_AGAIN_US;
+  arm (x, ELSEWHERE_AGAIN_US);
+}
+
 void
 exchange_timeout_due (struct exchange *x)
 {
@@ -83,9 +99,5 @@
   else if (rest_us > 0)
     arm (x, rest_us > LOOK_AGAIN_US ? rest_us : LOOK_AGAIN_US);
   else if (!go_elsewhere (x))
-    {
-      note (x, "waits");
-      attempt->timeout_us = ATTEMPT_NO_TIMEOUT;
-      arm (x, ATTEMPT_NO_TIMEOUT);
-    }
+    wait_on (x);
 }
--- a/node/caller/tests/attempt_timeout_test.cc
+++ b/node/caller/tests/attempt_timeout_test.cc
@@ -259,6 +259,27 @@
   EXPECT_EQ (followed ("waits"), 2) << exposed ();
 }
 
+/* A page hangs, and the other target is full just when it would be asked.  A
+   moment later it has room; the page goes there and comes in time. */
+TEST_F (AttemptTimeoutTest, WhatHangsGoesElsewhereOnceThereIsRoom)
+{
+  target_options = ", 'slots': 1";
+  begin_with ();
+  delay_both (1300);
+  auto hold = make ("POST", "/holds", "hold");
+  begin (hold.get ());
+  ASSERT_TRUE (run_until ([this] { return runs ("hold") == 1; }));
+  delay_both (0);
+  const bool full_is_first = target_server_runs (first, "hold") == 1;
+  target_server_faults (full_is_first ? second : first)->hang = 100;
+  auto page = within ("GET", "/calendar", "page", 2000);
+  finish (page.get ());
+  EXPECT_EQ (page->status, 200);
+  EXPECT_EQ (page->field ("x-target"), full_is_first ? "t1" : "t2");
+  EXPECT_EQ (followed ("waits"), 1) << exposed ();
+  EXPECT_EQ (followed ("elsewhere"), 1) << exposed ();
+}
+
 TEST_F (AttemptTimeoutTest, LastAttemptWaitsForItsDeadline)
 {
   begin_with (", 'limits': { 'attempts': 1 }");
--- a/policy/choice/attempt_timeout.c
+++ b/policy/choice/attempt_timeout.c
@@ -78,3 +78,10 @@
   come += answers * longer * (1 - impatience);
   return best > come ? best_us : ATTEMPT_NO_TIMEOUT;
 }
+
+bool
+attempt_timeout_is_too_late (const struct answer_times *times, int64_t left_us)
+{
+  return answer_times_known (times)
+         && answer_times_longer (times, left_us) > 0.5;
+}
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -187,8 +187,9 @@
 {
   policy->now_us = now_us;
   target_set_refresh (&policy->set, now_us);
-  if (!r->repeatable || r->deadline_us <= now_us
-      || has_used_attempts (policy, r))
+  const int64_t left_us = r->deadline_us - now_us;
+  if (!r->repeatable || left_us <= 0 || has_used_attempts (policy, r)
+      || attempt_timeout_is_too_late (&policy->set.times, left_us))
     return false;
   const struct retry_bound *bound = &policy->options.retries;
   if (!costs_retry (r))
