choice: the end of an old attempt elsewhere is no use of its target

Cause: hosts tell each other how attempts end. What hangs is told of seconds after it was sent, and counted as work that the target got just now, so that its turn among the unused ones came after 2.5 to 5 seconds instead of 1.5.

Change: an attempt that timed out elsewhere is no use; any other one was begun as long ago as answers take.

Test: service_policy_test, red without it.

--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -504,6 +504,20 @@
   place (set, now_us, outcome->target);
 }
 
+/* Guards against a target that counts as in use while nothing is sent to it:
+   what hangs is told of seconds after it was sent.  Shows as targets that get
+   nothing for longer than a turn while the ends of old attempts come in. */
+static void
+note_heard_use (const struct target_set *set, struct target_state *t,
+                int64_t now_us, enum attempt_end end)
+{
+  if (end == ATTEMPT_TIMED_OUT)
+    return;
+  const int64_t begun_us = now_us - (int64_t)set->baseline.latency_us;
+  if (begun_us > t->used_us)
+    t->used_us = begun_us;
+}
+
 void
 target_set_hear (struct target_set *set, int64_t now_us, uint32_t number,
                  enum attempt_end end)
@@ -511,7 +525,7 @@
   struct target_state *t = &set->targets[number];
   advance (set, t, now_us);
   target_estimate_hear (&t->estimate, end);
-  t->used_us = now_us;
+  note_heard_use (set, t, now_us, end);
   t->is_new = t->is_new && t->estimate.samples == 0;
   judge (set, t, now_us);
   place (set, now_us, number);
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -379,6 +379,28 @@
     }
 }
 
+/* Five of ten targets fail: other hosts tell all the time that their attempts
+ * there timed out, which began seconds ago.  Nobody sends them anything now,
+ * and they are good again. */
+TEST_F (service_policy_test, old_attempts_of_others_are_no_use_of_a_target)
+{
+  start (10, 3, 100, 70);
+  std::set<uint32_t> used;
+  for (int i = 0; i < 500; i++)
+    {
+      now += 10000;
+      if (i % 50 == 0)
+        for (uint32_t t = 0; t < 5; t++)
+          service_policy_hear (policy, now, t, ATTEMPT_TIMED_OUT);
+      const uint32_t t = ask (false).target;
+      if (i >= 300)
+        used.insert (t);
+      const policy_outcome o = { t, ATTEMPT_ANSWERED, 10000, false };
+      service_policy_outcome (policy, now, &o);
+    }
+  EXPECT_GE (used.size (), 7u);
+}
+
 /* A workspace sends far more than its quota, so that a third of a service's
  * requests are refused.  The rest are served by a few targets that failed last
  * long ago; no attempt fails, so nothing would ask the others. */
