choice, caller: targets that their host can't reach are visited by others

Cause: in a large set each host sees to its own subset of the targets. Where ways are cut between some hosts and some targets, a target whose host can't reach it got nothing from anybody: the others left it to that host.

Change: a host tells its set, once a second a target, that it couldn't send. Each of the others is drawn with the chance that makes two of them visit the target if they have not, while the wanted share is owed and unless they can't reach it themselves.

Test: service_policy_test, red without it.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -17,7 +17,8 @@
   /* A good answer of a target that was doubted is news; of another one it is
      told now and then, since a success says less with every second. */
   DOUBT_PERMILLE = 100,
-  TELL_GOOD_US = 500000
+  TELL_GOOD_US = 500000,
+  TELL_UNSENT_US = 1000000,
 };
 
 static const double US_PER_SECOND = 1e6;
@@ -447,10 +448,17 @@
 {
   const uint32_t number = caller_service_find (service, key);
   if (number == POLICY_NO_TARGET || end == ATTEMPT_CANCELLED
-      || end == ATTEMPT_NOT_SENT || end == ATTEMPT_SHED)
+      || end == ATTEMPT_SHED)
     return false;
   struct caller_target *target = &service->targets[number];
   const int64_t now_us = clock_now_us ();
+  if (end == ATTEMPT_NOT_SENT)
+    {
+      const bool is_new = now_us - target->told_unsent_us >= TELL_UNSENT_US;
+      if (is_new)
+        target->told_unsent_us = now_us;
+      return is_new;
+    }
   const struct policy_belief belief
       = service_policy_belief (service->policy, number);
   const bool is_expected = end == ATTEMPT_ANSWERED
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -27,9 +27,10 @@
   uint64_t key;
   bool leaving; /**< it said so itself */
   bool ejected;
-  bool avoided;     /**< the path from here to it is at fault */
-  bool probing;     /**< it is being asked whether it still leaves */
-  int64_t told_us;  /**< when an outcome there was last told to other hosts */
+  bool avoided;    /**< the path from here to it is at fault */
+  bool probing;    /**< it is being asked whether it still leaves */
+  int64_t told_us; /**< when an outcome there was last told to other hosts */
+  int64_t told_unsent_us; /**< the same of one that couldn't be sent */
   uint32_t idle_ms; /**< it closes connections idle so long; 0: not told */
 };
 
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -130,7 +130,7 @@
   bool ticket_claimed;
   bool kicked;
   bool after_unsent; /**< the last attempt that ended is among them */
-  bool perhaps_ran; /**< an attempt that was given up may have run */
+  bool perhaps_ran;  /**< an attempt that was given up may have run */
 };
 
 /** A new exchange for the request that begins on CONNECTION. */
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -197,7 +197,9 @@
 {
   const struct target_set *set = &policy->set;
   const struct target_state *state = &set->targets[t];
-  if (state->tier == TIER_NONE || (state->config.is_backup && !all)
+  const bool needs_cover = target_state_needs_cover (state, policy->now_us);
+  if (state->tier == TIER_NONE
+      || (state->config.is_backup && !all && !needs_cover)
       || state->used_us >= policy->now_us - UNUSED_US)
     return false;
   for (uint32_t i = 0; i < r->tried_count; i++)
@@ -254,6 +256,17 @@
                               .all = all };
 }
 
+static bool
+are_too_few_used (const struct service_policy *policy,
+                  const struct wanted_use *wanted)
+{
+  if (wanted->percent == 0)
+    return false;
+  const struct target_use use
+      = target_set_use (&policy->set, policy->now_us - UNUSED_US, wanted->all);
+  return use.used < (use.eligible * wanted->percent + 99) / 100;
+}
+
 /* Guards against a service that lives on a few targets which answered last
    and finds no others while these fail as well: all others look worse, since
    nothing is heard of them.  Shows as most good targets idle while one request
@@ -265,15 +278,16 @@
 {
   const struct target_set *set = &policy->set;
   const struct wanted_use wanted = wanted_in_use (policy, r);
-  if (wanted.percent == 0)
-    return false;
-  const struct target_use use
-      = target_set_use (set, policy->now_us - UNUSED_US, wanted.all);
-  if (use.used >= (use.eligible * wanted.percent + 99) / 100)
+  const bool needs_cover
+      = wanted.percent > 0 && target_set_needs_cover (set, policy->now_us);
+  const bool too_few = are_too_few_used (policy, &wanted);
+  if (!too_few && !needs_cover)
     return false;
   uint32_t best = POLICY_NO_TARGET;
   for (uint32_t t = 0; t < set->count; t++)
-    if (is_better_chance (policy, r, wanted.all, t, best))
+    if ((too_few
+         || target_state_needs_cover (&set->targets[t], policy->now_us))
+        && is_better_chance (policy, r, wanted.all, t, best))
       best = t;
   if (best == POLICY_NO_TARGET)
     return false;
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -10,6 +10,8 @@
 {
   FAILING_FADES_US = 1500000, /* some requests of a quiet host */
   FAILING_LEAST_ENDED = 5,
+  /* Until the other host tells of its next try. */
+  COVER_US = 1200000,
 };
 
 /* Of attempts that fail and may be tried elsewhere.  Where one in six fails,
@@ -234,6 +236,7 @@
 target_set_init (struct target_set *set)
 {
   *set = (struct target_set){ .refreshed_us = INT64_MIN / 2,
+                              .cover_us = INT64_MIN / 2,
                               .baseline = { .ill = ILL_AT_FIRST },
                               .hung = HUNG_AT_FIRST };
   answer_times_init (&set->times);
@@ -277,6 +280,7 @@
   struct target_state t = {
     .config = *config,
     .warm_from_us = warm_from_us,
+    .cover_us = now_us - COVER_US,
   };
   t.is_new = warm_from_us != INT64_MIN;
   target_estimate_init (&t.estimate, now_us, t.is_new ? ILL_WHEN_NEW : ill);
@@ -518,6 +522,26 @@
     t->used_us = begun_us;
 }
 
+bool
+target_state_needs_cover (const struct target_state *t, int64_t now_us)
+{
+  return t->config.is_backup && !target_state_is_suspect (t)
+         && now_us - t->cover_us < COVER_US;
+}
+
+bool
+target_set_needs_cover (const struct target_set *set, int64_t now_us)
+{
+  return now_us - set->cover_us < COVER_US;
+}
+
+void
+target_set_cover (struct target_set *set, int64_t now_us, uint32_t number)
+{
+  set->targets[number].cover_us = now_us;
+  set->cover_us = now_us;
+}
+
 void
 target_set_hear (struct target_set *set, int64_t now_us, uint32_t number,
                  enum attempt_end end)
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -67,6 +67,7 @@
   int64_t warm_from_us; /**< start of its warm-up; INT64_MIN: warm */
   bool is_new;          /**< it joined, and nothing was heard of it yet */
   int64_t used_us;      /**< when any host was known to use it last */
+  int64_t cover_us;     /**< when a host told last that it can't reach it */
   uint64_t requests;
   uint64_t failures;
   enum target_tier tier;
@@ -88,6 +89,7 @@
   struct standing_baseline baseline;
   int64_t refreshed_us;
   int64_t learned_us; /**< when baseline.ill was, a refresh forced or not */
+  int64_t cover_us;   /**< the latest of the targets' */
   uint32_t outcomes;  /**< since the refresh */
   struct answer_times times; /**< of good answers */
   double hung;   /**< share of failed attempts that hung, as learned */
@@ -121,6 +123,10 @@
 void target_set_release (struct target_set *set, int64_t now_us,
                          const struct policy_outcome *outcome);
 
+/** Another host can't reach a target: see target_state_needs_cover(). */
+void target_set_cover (struct target_set *set, int64_t now_us,
+                       uint32_t number);
+
 /** Learn from an attempt of another host. */
 void target_set_hear (struct target_set *set, int64_t now_us, uint32_t number,
                       enum attempt_end end);
@@ -154,6 +160,15 @@
 struct target_use target_set_use (const struct target_set *set,
                                   int64_t since_us, bool all);
 
+/** Guards against a target that gets nothing since the host whose subset it is
+ * in can't reach it, while the others leave it to that host.  Does T need this
+ * host's visits for now?  It doesn't when it is in its subset anyway, or this
+ * host can't reach it either. */
+bool target_state_needs_cover (const struct target_state *t, int64_t now_us);
+
+/** Does any target? */
+bool target_set_needs_cover (const struct target_set *set, int64_t now_us);
+
 /** Are suspects avoided?  Not when they are most of the eligible. */
 bool target_set_avoids_suspects (const struct target_set *set);
 
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -401,6 +401,33 @@
   EXPECT_GE (used.size (), 7u);
 }
 
+/* The host whose subset a target is in can't reach it, and says so.  It gets
+ * nothing from anybody, though all but that host could use it: they do. */
+TEST_F (service_policy_test, targets_that_their_host_cannot_reach_are_visited)
+{
+  start (1, 1, 100, 70);
+  std::vector<policy_target> targets;
+  for (uint32_t i = 0; i < 12; i++)
+    targets.push_back ({ i + 1, 3, 0, i >= 2, true, -1 });
+  service_policy_options options
+      = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 6 };
+  service_policy_configure (policy, &options);
+  service_policy_set_targets (policy, now, targets.data (), targets.size ());
+  std::set<uint32_t> used[3];
+  for (int i = 0; i < 600; i++)
+    {
+      now += 10000;
+      for (int host = 1; host < 6; host++)
+        if (i >= 200 && i < 400 && i % 100 == 0)
+          service_policy_hear (policy, now, 5, ATTEMPT_NOT_SENT);
+      const uint32_t t = ask (false).target;
+      used[i / 200].insert (t);
+      end (t, ATTEMPT_ANSWERED);
+    }
+  EXPECT_EQ (used[0].count (5), 0u);
+  EXPECT_EQ (used[1].count (5), 1u);
+}
+
 /* A workspace sends far more than its quota, so that a third of a service's
  * requests are refused.  The rest are served by a few targets that failed last
  * long ago; no attempt fails, so nothing would ask the others. */
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -14,6 +14,7 @@
 {
   POLL_US = 20000, /* standings change and standstills show with time */
   LOOK_PAST = 4,   /* entries held back for another target */
+  COVERING_HOSTS = 2,
 };
 
 const char *
@@ -223,13 +224,28 @@
   service_rate_end (&policy->rate, now_us, policy->queue.count > 0);
 }
 
+/* Some of the others visit a target that one can't reach.  They are drawn, as
+   one visit is enough. */
+static void
+hear_unsent (struct service_policy *policy, uint32_t target)
+{
+  const uint32_t others
+      = policy->options.set_hosts > 1 ? policy->options.set_hosts - 1 : 1;
+  if (rng_below (&policy->rng, others) < COVERING_HOSTS)
+    target_set_cover (&policy->set, policy->now_us, target);
+}
+
 void
 service_policy_hear (struct service_policy *policy, int64_t now_us,
                      uint32_t target, enum attempt_end end)
 {
   policy->now_us = now_us;
   policy->asked_us = INT64_MIN;
-  if (target < policy->set.count)
+  if (target >= policy->set.count)
+    return;
+  if (end == ATTEMPT_NOT_SENT)
+    hear_unsent (policy, target);
+  else
     target_set_hear (&policy->set, now_us, target, end);
 }
 
