caller: what couldn't be sent is told of the own subset only

Cause: every host told its set of targets that it couldn't reach, also of those that the host which sees to them reaches well; most hosts that are cut off from some targets are outside the set. The others visited all of these.

Change: only hosts of the set tell, of the targets in their own subsets.

Test: caller_service_test.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -442,6 +442,20 @@
   service_policy_refused (service->policy, clock_now_us ());
 }
 
+/* The others cover for this host where it is the one that sees to a target. */
+static bool
+is_unsent_news (struct caller_service *service, uint32_t number,
+                int64_t now_us)
+{
+  struct caller_target *target = &service->targets[number];
+  if (!service->in_set
+      || caller_share_is_backup (service, &service->spec->targets[number])
+      || now_us - target->told_unsent_us < TELL_UNSENT_US)
+    return false;
+  target->told_unsent_us = now_us;
+  return true;
+}
+
 bool
 caller_service_is_news (struct caller_service *service, uint64_t key,
                         enum attempt_end end)
@@ -453,12 +467,7 @@
   struct caller_target *target = &service->targets[number];
   const int64_t now_us = clock_now_us ();
   if (end == ATTEMPT_NOT_SENT)
-    {
-      const bool is_new = now_us - target->told_unsent_us >= TELL_UNSENT_US;
-      if (is_new)
-        target->told_unsent_us = now_us;
-      return is_new;
-    }
+    return is_unsent_news (service, number, now_us);
   const struct policy_belief belief
       = service_policy_belief (service->policy, number);
   const bool is_expected = end == ATTEMPT_ANSWERED
--- a/node/caller/tests/caller_service_test.cc
+++ b/node/caller/tests/caller_service_test.cc
@@ -3,6 +3,7 @@
 extern "C"
 {
 #include "node/caller/caller_service.h"
+#include "node/caller/caller_share.h"
 }
 
 namespace
@@ -78,4 +79,29 @@
   EXPECT_EQ (service_policy_belief (service->policy, 0).failures, 1u);
 }
 
+/* The way from a host to half of all targets is cut, and it tells so of each.
+ * The others would visit targets that the host which sees to them reaches
+ * well; so it tells of its own subset only, and not with each request. */
+TEST_F (CallerService, WhatCouldNotBeSentIsNewsOfTheOwnSubset)
+{
+  EXPECT_FALSE (caller_service_is_news (service, service->targets[0].key,
+                                        ATTEMPT_NOT_SENT));
+  bus_set_host hosts[3] = {};
+  strcpy (hosts[1].name, "host-2");
+  strcpy (hosts[2].name, "host-3");
+  bus_host_set set = {};
+  set.self = true;
+  set.hosts = hosts;
+  set.count = set.fleet_count = 3;
+  caller_service_set_hosts (service, &set);
+  for (int i = 0; i < 2; i++)
+    {
+      const uint64_t key = service->targets[i].key;
+      const bool is_own = !caller_share_is_backup (service, &targets[i]);
+      EXPECT_EQ (caller_service_is_news (service, key, ATTEMPT_NOT_SENT),
+                 is_own);
+      EXPECT_FALSE (caller_service_is_news (service, key, ATTEMPT_NOT_SENT));
+    }
+}
+
 } // namespace
