choice: while answers are few, half of the time is left for another attempt

Its attempt had been given no time to leave: of 12 to about 43 answers, one longer than all of them is still likelier than a target that hangs and was believed good, so that waiting promised more. Before 12 answers half of the time is the rule.

Ruled out: missing retries (it was never asked for one); no free target.

Change: the rule of half of the time holds until answers are enough (100) for a rare longer one to be told from none.

--- a/policy/choice/answer_times.c
+++ b/policy/choice/answer_times.c
@@ -85,6 +85,12 @@
   return times->count >= KNOWN_FROM * times->weight;
 }
 
+bool
+answer_times_are_few (const struct answer_times *times)
+{
+  return times->weight > times->count * longer_least;
+}
+
 double
 answer_times_longer (const struct answer_times *times, int64_t age_us)
 {
--- a/policy/choice/answer_times.h
+++ b/policy/choice/answer_times.h
@@ -39,6 +39,9 @@
 /** Is enough known for answer_times_longer() to mean anything? */
 bool answer_times_known (const struct answer_times *times);
 
+/** Are they too few for a rare longer one to be told from none? */
+bool answer_times_are_few (const struct answer_times *times);
+
 /** The share of answers that take longer than AGE_US: never 0, since longer
  * ones than any before may come. */
 double answer_times_longer (const struct answer_times *times, int64_t age_us);
--- a/policy/choice/attempt_timeout.c
+++ b/policy/choice/attempt_timeout.c
@@ -76,7 +76,13 @@
   /* Guards honest answers that take longer than all before, as when all
      targets become slow at once: they are taken to come. */
   come += answers * longer * (1 - impatience);
-  return best > come ? best_us : ATTEMPT_NO_TIMEOUT;
+  if (best > come)
+    return best_us;
+  /* Guards a request whose target hangs soon after the start: while answers
+     are few, many longer ones may come for all that is known, and it would
+     wait to its deadline. */
+  return answer_times_are_few (times) ? outlook->left_us / 2
+                                      : ATTEMPT_NO_TIMEOUT;
 }
 
 bool
--- a/policy/choice/tests/attempt_timeout_policy_test.cc
+++ b/policy/choice/tests/attempt_timeout_policy_test.cc
@@ -62,6 +62,19 @@
   EXPECT_EQ (attempt_timeout_us (&times, &pages), ATTEMPT_NO_TIMEOUT);
 }
 
+/* A host has started, and twenty answers came at once.  Then a target hangs of
+   which nobody believes it.  Twenty answers are too few to say that none takes
+   longer; the page must all the same leave time for another attempt. */
+TEST (AttemptTimeout, FewAnswersLeaveTimeForAnother)
+{
+  answer_times times;
+  answer_times_init (&times);
+  for (int i = 0; i < 20; i++)
+    answer_times_add (&times, 2000);
+  const attempt_outlook page = outlook (10, 10, 0.0075);
+  EXPECT_EQ (attempt_timeout_us (&times, &page), 5 * (int64_t)second);
+}
+
 /* The more likely the target hangs, the sooner it is left. */
 TEST (AttemptTimeout, ADoubtedTargetIsLeftSooner)
 {
