--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -258,6 +258,18 @@
   exchange_kick (x);
 }
 
+void
+exchange_refuse (struct exchange *x, uint32_t status, const char *reason,
+                 uint32_t retry_after_ms, const char *message)
+{
+  struct own_answer own = { .status = status,
+                            .outcome = ANSWER_NOT_RUN,
+                            .reason = reason,
+                            .retry_after_ms = retry_after_ms };
+  snprintf (own.message, sizeof own.message, "%s", message);
+  exchange_answer_own (x, &own);
+}
+
 void
 exchange_answer_target (struct exchange *x)
 {
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -172,6 +172,11 @@
 /** Choose an answer of the fleet's own. */
 void exchange_answer_own (struct exchange *x, const struct own_answer *own);
 
+/** Refuse X, which no target has seen, with MESSAGE for people.
+ * RETRY_AFTER_MS as in struct own_answer. */
+void exchange_refuse (struct exchange *x, uint32_t status, const char *reason,
+                      uint32_t retry_after_ms, const char *message);
+
 /** What may truly be said of the request when no answer is had. */
 enum answer_outcome exchange_outcome (const struct exchange *x);
 
--- a/node/caller/exchange_access.c
+++ b/node/caller/exchange_access.c
@@ -66,14 +66,10 @@
 static void
 refuse_stale (struct exchange *x)
 {
-  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-                            .outcome = ANSWER_NOT_RUN,
-                            .reason = "config-not-fresh",
-                            .retry_after_ms = STALE_RETRY_AFTER_MS };
-  snprintf (own.message, sizeof own.message,
-            "this host can't tell now which keys are in force: come back "
-            "after the time given, or ask another one");
-  exchange_answer_own (x, &own);
+  exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, "config-not-fresh",
+                   STALE_RETRY_AFTER_MS,
+                   "this host can't tell now which keys are in force: come "
+                   "back after the time given, or ask another one");
 }
 
 /* The question is answered within milliseconds where it is answered at all.
--- a/node/caller/exchange_begin.c
+++ b/node/caller/exchange_begin.c
@@ -20,17 +20,6 @@
   LEAVING_RETRY_AFTER_MS = 50
 };
 
-/* Refuse what no target has seen. */
-static void
-refuse (struct exchange *x, uint32_t status, const char *reason,
-        const char *message)
-{
-  struct own_answer own
-      = { .status = status, .outcome = ANSWER_NOT_RUN, .reason = reason };
-  snprintf (own.message, sizeof own.message, "%s", message);
-  exchange_answer_own (x, &own);
-}
-
 static void
 refuse_unrouted (struct exchange *x)
 {
@@ -38,7 +27,7 @@
   snprintf (message, sizeof message,
             "no route takes %.16s %.100s: check host, path and method",
             x->head.method, x->head.path);
-  refuse (x, MHD_HTTP_NOT_FOUND, "no-route", message);
+  exchange_refuse (x, MHD_HTTP_NOT_FOUND, "no-route", 0, message);
 }
 
 /* Guards against a host that has just started and calls what it doesn't know
@@ -47,13 +36,10 @@
 static void
 refuse_unknown_yet (struct exchange *x, const char *reason)
 {
-  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-                            .outcome = ANSWER_NOT_RUN,
-                            .reason = reason,
-                            .retry_after_ms = SETTINGS_RETRY_AFTER_MS };
-  strcpy (own.message, "this host doesn't know its settings yet: come back "
-                       "after the time given or ask another one");
-  exchange_answer_own (x, &own);
+  exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, reason,
+                   SETTINGS_RETRY_AFTER_MS,
+                   "this host doesn't know its settings yet: come back after "
+                   "the time given or ask another one");
 }
 
 static void
@@ -130,8 +116,8 @@
                 "the request's head is larger than %u bytes: send fewer or "
                 "shorter fields",
                 head_bytes);
-      refuse (x, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "head-too-large",
-              message);
+      exchange_refuse (x, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                       "head-too-large", 0, message);
       return false;
     }
   if (x->head.body == REQUEST_BODY_SIZED && x->head.body_bytes > body_bytes)
@@ -139,7 +125,8 @@
       snprintf (message, sizeof message,
                 "the body is larger than the service's %u bytes: send less",
                 body_bytes);
-      refuse (x, MHD_HTTP_CONTENT_TOO_LARGE, "body-too-large", message);
+      exchange_refuse (x, MHD_HTTP_CONTENT_TOO_LARGE, "body-too-large", 0,
+                       message);
       return false;
     }
   return true;
@@ -154,8 +141,8 @@
   x->deadline_us = x->begun_us + left_ms * US_PER_MS;
   if (left_ms > 0)
     return true;
-  refuse (x, MHD_HTTP_GATEWAY_TIMEOUT, "deadline",
-          "the request came with no time left: send it with more");
+  exchange_refuse (x, MHD_HTTP_GATEWAY_TIMEOUT, "deadline", 0,
+                   "the request came with no time left: send it with more");
   return false;
 }
 
@@ -171,12 +158,9 @@
   if (!context->leaving
       || clock_now_ms () - context->leaving_since_ms < half_ms)
     return false;
-  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-                            .outcome = ANSWER_NOT_RUN,
-                            .reason = "host-leaves",
-                            .retry_after_ms = LEAVING_RETRY_AFTER_MS };
-  strcpy (own.message, "this host is leaving: ask for other addresses");
-  exchange_answer_own (x, &own);
+  exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, "host-leaves",
+                   LEAVING_RETRY_AFTER_MS,
+                   "this host is leaving: ask for other addresses");
   return true;
 }
 
@@ -189,7 +173,8 @@
       &x->head, x->context->interface, x->connection, x->uri, method, version);
   if (status != STATUS_OK)
     {
-      refuse (x, MHD_HTTP_BAD_REQUEST, "bad-request", status_message ());
+      exchange_refuse (x, MHD_HTTP_BAD_REQUEST, "bad-request", 0,
+                       status_message ());
       return;
     }
   if (comes_too_late (x))
--- a/node/caller/exchange_quota.c
+++ b/node/caller/exchange_quota.c
@@ -1,7 +1,5 @@
 #include "node/caller/exchange_quota.h"
 
-#include <stdio.h>
-
 #include <utlist.h>
 
 #include "base/clock.h"
@@ -19,16 +17,11 @@
 static void
 refuse_over_quota (struct exchange *x)
 {
-  struct own_answer own = { .status = MHD_HTTP_TOO_MANY_REQUESTS,
-                            .outcome = ANSWER_NOT_RUN,
-                            .reason = "over-quota",
-                            .retry_after_ms = quota_desk_due_ms (
-                                x->context->quotas, x->workspace_key) };
-  snprintf (own.message, sizeof own.message,
-            "the workspace sends more than its quota: come back after the "
-            "time given, or ask for a higher one");
   caller_service_refused (x->service);
-  exchange_answer_own (x, &own);
+  exchange_refuse (x, MHD_HTTP_TOO_MANY_REQUESTS, "over-quota",
+                   quota_desk_due_ms (x->context->quotas, x->workspace_key),
+                   "the workspace sends more than its quota: come back after "
+                   "the time given, or ask for a higher one");
 }
 
 /* Guards against a quota that is passed while nobody can tell how much of it
@@ -36,14 +29,12 @@
 static void
 refuse_unknown (struct exchange *x)
 {
-  struct own_answer own = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-                            .outcome = ANSWER_NOT_RUN,
-                            .reason = "quota-not-known",
-                            .retry_after_ms = NO_ANSWER_RETRY_AFTER_MS };
-  snprintf (own.message, sizeof own.message,
-            "this host can't tell now how much of the workspace's quota is "
-            "used: come back after the time given, or ask another one");
-  exchange_answer_own (x, &own);
+  exchange_refuse (
+      x, MHD_HTTP_SERVICE_UNAVAILABLE, "quota-not-known",
+      NO_ANSWER_RETRY_AFTER_MS,
+      "this host can't tell now how much of the workspace's quota "
+      "is used: come back after the time given, or ask another "
+      "one");
 }
 
 /* Guards against requests that are held for a token that doesn't come: all
--- a/node/caller/exchange_ticket.c
+++ b/node/caller/exchange_ticket.c
@@ -52,17 +52,14 @@
 static void
 answer_not_run (struct exchange *x, enum ticket_claim claim)
 {
-  const bool full = claim == TICKET_CLAIM_FULL;
-  struct own_answer own
-      = { .status = full ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_BAD_REQUEST,
-          .outcome = ANSWER_NOT_RUN,
-          .reason = full ? "tickets-full" : "ticket-forged",
-          .retry_after_ms = full ? FULL_RETRY_AFTER_MS : 0 };
-  snprintf (own.message, sizeof own.message, "%s",
-            full ? "too many tickets are in use at this host: come back later"
-                 : "this ticket was never handed out: take one from an "
-                   "address answer");
-  exchange_answer_own (x, &own);
+  if (claim == TICKET_CLAIM_FULL)
+    exchange_refuse (
+        x, MHD_HTTP_SERVICE_UNAVAILABLE, "tickets-full", FULL_RETRY_AFTER_MS,
+        "too many tickets are in use at this host: come back later");
+  else
+    exchange_refuse (x, MHD_HTTP_BAD_REQUEST, "ticket-forged", 0,
+                     "this ticket was never handed out: take one from an "
+                     "address answer");
 }
 
 static void
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -271,7 +271,8 @@
    and finds no others while these fail as well: all others look worse, since
    nothing is heard of them.  Shows as most good targets idle while one request
    in ten fails.  Then the best of the unused ones get work in turn, until the
-   share that the operator wants is in use. */
+   share that the operator wants is in use; and so do those that this host
+   covers for another one. */
 static bool
 try_unused (struct service_policy *policy, const struct policy_request *r,
             struct policy_decision *d)
