choice: what isn't served is counted over the set of hosts

Cause: each host saw to unused targets by its own failing share.

Change: hosts hear each failure of the others in their set; with as many requests there as here it is a share of the set. What is refused for a quota here is taken to be refused there as well.

Test: served_share_test.

--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -244,7 +244,8 @@
 {
   const uint32_t percent = policy->options.used_percent;
   const bool fails_much
-      = served_share_missing (&policy->set.served) >= failing_much;
+      = served_share_missing (&policy->set.served, policy->options.set_hosts)
+        >= failing_much;
   if (percent == 0 || (!fails_much && r->repeatable))
     return (struct wanted_use){ 0 };
   const bool all = !subsets_are_small (policy);
--- a/policy/choice/served_share.c
+++ b/policy/choice/served_share.c
@@ -13,12 +13,14 @@
 static const double unserved_of_repeatable = 0.6;
 
 static void
-add (struct served_share *share, int64_t now_us, double unserved)
+fade (struct served_share *share, int64_t now_us)
 {
   const double kept = exp (-(double)(now_us - share->faded_us) / FADES_US);
   share->faded_us = now_us;
-  share->ended = share->ended * kept + 1;
-  share->failed = share->failed * kept + unserved;
+  share->ended *= kept;
+  share->failed *= kept;
+  share->refused *= kept;
+  share->heard *= kept;
 }
 
 void
@@ -27,18 +29,38 @@
 {
   if (outcome->end == ATTEMPT_CANCELLED)
     return;
-  const double unserved = outcome->repeatable ? unserved_of_repeatable : 1;
-  add (share, now_us, outcome->end != ATTEMPT_ANSWERED ? unserved : 0);
+  fade (share, now_us);
+  share->unserved = outcome->repeatable ? unserved_of_repeatable : 1;
+  share->ended += 1;
+  if (outcome->end != ATTEMPT_ANSWERED)
+    share->failed += share->unserved;
 }
 
 void
 served_share_add_refused (struct served_share *share, int64_t now_us)
 {
-  add (share, now_us, 1);
+  fade (share, now_us);
+  share->ended += 1;
+  share->refused += 1;
+}
+
+void
+served_share_hear (struct served_share *share, int64_t now_us,
+                   enum attempt_end end)
+{
+  if (end == ATTEMPT_CANCELLED || end == ATTEMPT_ANSWERED)
+    return;
+  fade (share, now_us);
+  share->heard += share->unserved;
 }
 
 double
-served_share_missing (const struct served_share *share)
+served_share_missing (const struct served_share *share, uint32_t set_hosts)
 {
-  return share->ended < LEAST_ENDED ? 0 : share->failed / share->ended;
+  if (share->ended < LEAST_ENDED)
+    return 0;
+  if (set_hosts < 2)
+    return (share->failed + share->refused) / share->ended;
+  const double failed = (share->failed + share->heard) / set_hosts;
+  return (failed + share->refused) / share->ended;
 }
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -349,6 +349,7 @@
   struct target_state *t = &set->targets[number];
   target_state_advance (t, &set->baseline, now_us);
   target_estimate_hear (&t->estimate, end);
+  served_share_hear (&set->served, now_us, end);
   target_state_note_heard_use (t, now_us, end,
                                (int64_t)set->baseline.latency_us);
   t->is_new = t->is_new && t->estimate.samples == 0;
--- a/policy/choice/tests/served_share_test.cc
+++ b/policy/choice/tests/served_share_test.cc
@@ -20,9 +20,9 @@
   served_share share = {};
   for (int i = 0; i < 4; i++)
     add (&share, 0, ATTEMPT_CUT, false);
-  EXPECT_EQ (served_share_missing (&share), 0);
+  EXPECT_EQ (served_share_missing (&share, 0), 0);
   add (&share, 0, ATTEMPT_CUT, false);
-  EXPECT_EQ (served_share_missing (&share), 1);
+  EXPECT_EQ (served_share_missing (&share, 0), 1);
 }
 
 TEST (ServedShare, WhatMayBeRepeatedIsMostlyServedInTheEnd)
@@ -34,8 +34,9 @@
       add (&once, 0, ATTEMPT_CUT, false);
       add (&often, 0, ATTEMPT_CUT, true);
     }
-  EXPECT_LT (served_share_missing (&often), served_share_missing (&once));
-  EXPECT_GT (served_share_missing (&often), 0.5);
+  EXPECT_LT (served_share_missing (&often, 0),
+             served_share_missing (&once, 0));
+  EXPECT_GT (served_share_missing (&often, 0), 0.5);
 }
 
 /* A third of a service's requests is over a quota: no attempt fails. */
@@ -47,7 +48,7 @@
       served_share_add_refused (&share, 0);
     else
       add (&share, 0, ATTEMPT_ANSWERED, true);
-  EXPECT_NEAR (served_share_missing (&share), 1.0 / 3, 0.001);
+  EXPECT_NEAR (served_share_missing (&share, 0), 1.0 / 3, 0.001);
 }
 
 TEST (ServedShare, ACallerThatLeavesSaysNothingAndAllFades)
@@ -57,9 +58,37 @@
     add (&share, 0, ATTEMPT_CUT, false);
   for (int i = 0; i < 100; i++)
     add (&share, 0, ATTEMPT_CANCELLED, false);
-  EXPECT_EQ (served_share_missing (&share), 1);
+  EXPECT_EQ (served_share_missing (&share, 0), 1);
   for (int i = 0; i < 20; i++)
     add (&share, 10000000, ATTEMPT_ANSWERED, false);
-  EXPECT_LT (served_share_missing (&share), 0.01);
+  EXPECT_LT (served_share_missing (&share, 0), 0.01);
+}
+
+/* One of six hosts has lost its ways to most targets, and a tenth of the
+   service's requests fails, all of them there.  The other five see nothing of
+   it but what it tells. */
+TEST (ServedShare, WhatFailsAtOthersCounts)
+{
+  served_share share = {};
+  for (int i = 0; i < 100; i++)
+    {
+      add (&share, 0, ATTEMPT_ANSWERED, false);
+      if (i % 10 < 6)
+        served_share_hear (&share, 0, ATTEMPT_TIMED_OUT);
+    }
+  EXPECT_EQ (served_share_missing (&share, 0), 0);
+  EXPECT_NEAR (served_share_missing (&share, 6), 0.1, 0.001);
+}
+
+/* What this host refuses for quotas, the others refuse as well. */
+TEST (ServedShare, RefusalsAreTakenForThoseOfAll)
+{
+  served_share share = {};
+  for (int i = 0; i < 100; i++)
+    if (i % 5 == 0)
+      served_share_add_refused (&share, 0);
+    else
+      add (&share, 0, ATTEMPT_ANSWERED, false);
+  EXPECT_NEAR (served_share_missing (&share, 6), 0.2, 0.001);
 }
 }
