--- a/ctl/request_cause.c
+++ b/ctl/request_cause.c
@@ -33,9 +33,22 @@
   { "method", "its method isn't one that is passed on" },
   { "bad-request", "it could not be understood" },
   { "body-too-large", "its body is larger than the configuration allows" },
+  { "head-too-large", "its head is larger than the configuration allows" },
+  { "no-key", "its route needs a key, and it bore none" },
+  { "malformed-key", "its key could not be read" },
+  { "unknown-key", "its key belongs to no workspace of the configuration in "
+                   "force" },
+  { "config-not-fresh", "the host could not tell which keys are in force" },
+  { "over-quota", "its workspace had used up its quota" },
+  { "quota-not-known",
+    "the host could not tell how much of its workspace's quota was used" },
   { "ticket-duplicate", "its ticket had been used before" },
+  { "ticket-forged", "its ticket was never handed out" },
+  { "ticket-elsewhere", "its ticket is of another host" },
+  { "tickets-full", "the host had too many tickets in use" },
   { "leaving", "the host was shutting down" },
   { "host-leaves", "the host was shutting down" },
+  { "host-stops", "the host was stopping" },
   { NULL, "the host gave it up" },
 };
 
@@ -257,6 +270,24 @@
     }
 }
 
+/* Was it refused before anybody asked for a target? */
+static bool
+was_refused_unasked (const struct log_line *own, size_t count)
+{
+  static const char *const unasked[]
+      = { "no-key",     "malformed-key",   "unknown-key", "config-not-fresh",
+          "over-quota", "quota-not-known", "no-settings", "no-route",
+          "no-host",    "method",          "bad-request", "head-too-large" };
+  const struct log_line *refused = last_of (own, count, "refused");
+  if (refused == NULL)
+    return false;
+  const char *reason = log_line_text (refused, "reason");
+  for (size_t i = 0; i < sizeof unasked / sizeof *unasked; i++)
+    if (strcmp (reason, unasked[i]) == 0)
+      return true;
+  return false;
+}
+
 void
 request_cause_missing (const struct log_line *own, size_t count,
                        const struct log_line *context, size_t context_count,
@@ -279,7 +310,8 @@
     if (!has_attempt (own, count, number))
       add (missing, xasprintf ("how attempt %" PRId64 " of %" PRId64 " ended",
                                number, attempts));
-  if (last_of (own, count, "route") == NULL)
+  if (!was_refused_unasked (own, count)
+      && last_of (own, count, "route") == NULL)
     add (missing, xstrdup ("why its targets were chosen (no route line)"));
   add_withheld (context, context_count, missing);
 }
--- a/ctl/tests/request_story_test.cc
+++ b/ctl/tests/request_story_test.cc
@@ -97,6 +97,29 @@
   EXPECT_HAS (text, "missing: why its targets were chosen");
 }
 
+/* A workspace sends more than its quota, and asks why it was refused.  No
+   target was ever looked for, so no line on that is missing. */
+TEST_F (RequestStory, AQuotaThatIsUsedUpIsTheCause)
+{
+  read ("h1", day
+                  + "2.000Z warning caller refused id=ab12 workspace=june "
+                    "status=429 outcome=not-run reason=over-quota "
+                    "retry_after_ms=960 attempts=0\n");
+  const std::string text = told ();
+  EXPECT_HAS (text, "cause: host h1 answered 429 by itself (over-quota), and "
+                    "it never ran, since its workspace had used up its quota");
+  EXPECT_LACKS (text, "missing");
+}
+
+/* It waited for a target in vain: the decision has a line. */
+TEST_F (RequestStory, ADecisionWithoutALineIsMissed)
+{
+  read ("h1", day
+                  + "2.000Z warning caller refused id=ab12 status=503 "
+                    "outcome=not-run reason=queue-full attempts=0\n");
+  EXPECT_HAS (told (), "missing: why its targets were chosen");
+}
+
 TEST_F (RequestStory, ACallerThatWentAwayIsTold)
 {
   read ("h1", day
