choice: what is shed or can't be sent is not told, and so counts as it does here

Cause: read before it was played: the share over the set divided by its hosts also what hosts don't tell each other. Of a service whose targets all shed half, a host of six saw a twelfth, and would not have looked for unused targets.

Change: failures that aren't told are taken to be as frequent at other hosts.

Test: served_share_test, red without it.

--- a/policy/choice/served_share.c
+++ b/policy/choice/served_share.c
@@ -19,7 +19,7 @@
   share->faded_us = now_us;
   share->ended *= kept;
   share->failed *= kept;
-  share->refused *= kept;
+  share->untold *= kept;
   share->heard *= kept;
 }
 
@@ -32,7 +32,9 @@
   fade (share, now_us);
   share->unserved = outcome->repeatable ? unserved_of_repeatable : 1;
   share->ended += 1;
-  if (outcome->end != ATTEMPT_ANSWERED)
+  if (outcome->end == ATTEMPT_SHED || outcome->end == ATTEMPT_NOT_SENT)
+    share->untold += share->unserved;
+  else if (outcome->end != ATTEMPT_ANSWERED)
     share->failed += share->unserved;
 }
 
@@ -41,7 +43,7 @@
 {
   fade (share, now_us);
   share->ended += 1;
-  share->refused += 1;
+  share->untold += 1;
 }
 
 void
@@ -60,7 +62,7 @@
   if (share->ended < LEAST_ENDED)
     return 0;
   if (set_hosts < 2)
-    return (share->failed + share->refused) / share->ended;
+    return (share->failed + share->untold) / share->ended;
   const double failed = (share->failed + share->heard) / set_hosts;
-  return (failed + share->refused) / share->ended;
+  return (failed + share->untold) / share->ended;
 }
--- a/policy/choice/served_share.h
+++ b/policy/choice/served_share.h
@@ -17,9 +17,9 @@
 struct served_share
 {
   double ended;    /**< here lately, fading */
-  double failed;   /**< of them, not served */
-  double refused;  /**< of them, before any target was asked */
-  double heard;    /**< not served elsewhere */
+  double failed;   /**< of them, not served, and told the other hosts */
+  double untold;   /**< the same, not told: taken to be as many elsewhere */
+  double heard;    /**< not served elsewhere, as told */
   double unserved; /**< what a failure here counted last; 0: none yet */
   int64_t faded_us;
 };
--- a/policy/choice/tests/served_share_test.cc
+++ b/policy/choice/tests/served_share_test.cc
@@ -80,6 +80,17 @@
   EXPECT_NEAR (served_share_missing (&share, 6), 0.1, 0.001);
 }
 
+/* All targets shed half of what they get, which hosts don't tell each other.
+ */
+TEST (ServedShare, WhatIsShedHereIsShedElsewhere)
+{
+  served_share share = {};
+  for (int i = 0; i < 100; i++)
+    add (&share, 0, i % 2 == 0 ? ATTEMPT_SHED : ATTEMPT_ANSWERED, false);
+  EXPECT_NEAR (served_share_missing (&share, 6), 0.5, 0.001);
+  EXPECT_NEAR (served_share_missing (&share, 0), 0.5, 0.001);
+}
+
 /* What this host refuses for quotas, the others refuse as well. */
 TEST (ServedShare, RefusalsAreTakenForThoseOfAll)
 {
