caller: log request fingerprints and detect target crashes

The logs couldn't distinguish three causes: one request that is resent under new ids and crashes each target, one id that is sent too often, or targets that exit for another reason. The log lines of an attempt had no field that identifies a repeated request, and a connection that closes without an answer looks the same whether or not its target exited.

When the connection of an attempt breaks, the host opens one more connection to the target, with at most one such check per target at a time. If it is refused, a "target-crashed" line is logged for each request from this host whose connection broke meanwhile (64 at most), and jaystair_target_crashes_total is incremented. A stand-in target can crash on a request whose path contains "/crash".

--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -24,6 +24,7 @@
 #include "policy/access/freshness.h"
 #include "wire/curl_loop.h"
 
+struct crash_checks;
 struct exchange;
 
 struct caller_context
@@ -55,6 +56,7 @@
   uint64_t last_request_id;
   int64_t started_us;
   uint32_t in_flight;
+  struct crash_checks *crash_checks;
   struct caller_server *server; /**< callers are connected to it */
   bool leaving;
   int64_t leaving_since_ms;
--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -23,6 +23,11 @@
       = { .name = "jaystair_refusals_total",
           .help = "Requests answered by the fleet itself, by reason.",
           .label_names = { "service", "reason" } };
+  const struct counter_family_options target_crashes
+      = { .name = "jaystair_target_crashes_total",
+          .help = "Targets found not to listen any more after the connection "
+                  "of a request broke.",
+          .label_names = { "service" } };
   const struct counter_family_options in_flight
       = { .name = "jaystair_requests_in_flight",
           .help = "Requests taken in and not yet answered to the end.",
@@ -47,6 +52,7 @@
   own->retries = counters_family (counters, &retries);
   own->timeouts = counters_family (counters, &timeouts);
   own->refusals = counters_family (counters, &refusals);
+  own->target_crashes = counters_family (counters, &target_crashes);
   own->in_flight
       = counter_series (counters_family (counters, &in_flight), NULL);
   own->address_answers
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -9,13 +9,14 @@
 /** The families; series are looked up by their labels at each use. */
 struct caller_counters
 {
-  struct counter_family *requests;      /**< by service and outcome */
-  struct counter_family *attempts;      /**< by service and end */
-  struct counter_family *retries;       /**< by service */
-  struct counter_family *timeouts;      /**< by service and what followed */
-  struct counter_family *refusals;      /**< by service and reason */
-  struct counter_family *request_times; /**< by service and outcome */
-  struct counter_family *attempt_times; /**< by service and end */
+  struct counter_family *requests;       /**< by service and outcome */
+  struct counter_family *attempts;       /**< by service and end */
+  struct counter_family *retries;        /**< by service */
+  struct counter_family *timeouts;       /**< by service and what followed */
+  struct counter_family *refusals;       /**< by service and reason */
+  struct counter_family *target_crashes; /**< by service */
+  struct counter_family *request_times;  /**< by service and outcome */
+  struct counter_family *attempt_times;  /**< by service and end */
   struct counter *in_flight;
   struct counter *address_answers;
 };
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -15,6 +15,7 @@
 #include "node/caller/caller_rows.h"
 #include "node/caller/address_answer.h"
 #include "node/caller/caller_server.h"
+#include "node/caller/crash_check.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_quota.h"
@@ -228,6 +229,7 @@
   context->tickets
       = ticket_desk_create (options->settings->name, options->incarnation);
   caller_counters_init (&context->counters, options->counters);
+  context->crash_checks = crash_checks_create (context);
 }
 
 static enum MHD_Result
@@ -300,6 +302,7 @@
   plain_server_destroy (task->directory);
   caller_server_destroy (task->context.server);
   curl_loop_destroy (context->curl);
+  crash_checks_destroy (context->crash_checks);
   struct caller_service *service;
   struct caller_service *next;
   HASH_ITER (hh, context->services, service, next)
--- /dev/null
+++ b/node/caller/crash_check.c
@@ -0,0 +1,141 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/crash_check.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/caller/exchange_fingerprint.h"
+#include "node/ejection/target_probe.h"
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 1000,
+  REQUESTS_PER_CHECK_MAX = 64,
+  CONCURRENT_CHECKS_MAX = 64,
+};
+
+struct crash_check
+{
+  struct crash_checks *checks;
+  struct target_probe *probe;
+  char service[SERVICE_NAME_SIZE];
+  char target[SERVICE_NAME_SIZE];
+  uint64_t key; /* of the target */
+  int64_t begun_us;
+  struct fingerprint requests[REQUESTS_PER_CHECK_MAX];
+  uint32_t request_count;
+  struct crash_check *prev, *next;
+};
+
+struct crash_checks
+{
+  struct caller_context *context;
+  struct crash_check *list;
+  uint32_t count;
+};
+
+struct crash_checks *
+crash_checks_create (struct caller_context *context)
+{
+  struct crash_checks *checks = xcalloc (1, sizeof *checks);
+  checks->context = context;
+  return checks;
+}
+
+static void
+check_destroy (struct crash_check *check)
+{
+  DL_DELETE (check->checks->list, check);
+  check->checks->count--;
+  target_probe_destroy (check->probe);
+  free (check);
+}
+
+void
+crash_checks_destroy (struct crash_checks *checks)
+{
+  struct crash_check *check;
+  struct crash_check *next;
+  if (checks == NULL)
+    return;
+  DL_FOREACH_SAFE (checks->list, check, next)
+  {
+    check_destroy (check);
+  }
+  free (checks);
+}
+
+static void
+report_crash (const struct crash_check *check)
+{
+  const struct caller_counters *counters = &check->checks->context->counters;
+  caller_counters_add (counters->target_crashes, check->service, NULL);
+  for (uint32_t i = 0; i < check->request_count; i++)
+    {
+      char text[FINGERPRINT_TEXT_SIZE];
+      char *fingerprint = text;
+      fingerprint_format (&check->requests[i], fingerprint);
+      LOG_WARN ("target-crashed", LOG_STR ("service", check->service),
+                LOG_STR ("target", check->target),
+                LOG_STR ("fingerprint", fingerprint),
+                LOG_INT ("under_way_here", check->request_count),
+                LOG_INT ("checked_us", clock_now_us () - check->begun_us));
+    }
+}
+
+static void
+on_probe_done (void *owner, struct target_probe *probe, bool ok)
+{
+  struct crash_check *check = owner;
+  if (target_probe_was_refused (probe))
+    report_crash (check);
+  check_destroy (check);
+}
+
+/* Returns the check in progress of the target of X, or starts one.  Returns
+   NULL if the target is no longer configured or too many checks are in
+   progress. */
+static struct crash_check *
+find_or_start_check (struct crash_checks *checks, const struct exchange *x)
+{
+  struct crash_check *check;
+  DL_SEARCH_SCALAR (checks->list, check, key, x->attempt.key);
+  if (check != NULL)
+    return check;
+  const uint32_t number = caller_service_find (x->service, x->attempt.key);
+  if (number == POLICY_NO_TARGET || checks->count == CONCURRENT_CHECKS_MAX)
+    return NULL;
+  check = xcalloc (1, sizeof *check);
+  check->checks = checks;
+  check->key = x->attempt.key;
+  check->begun_us = clock_now_us ();
+  snprintf (check->service, sizeof check->service, "%s", x->service->name);
+  snprintf (check->target, sizeof check->target, "%s", x->attempt.target);
+  DL_APPEND (checks->list, check);
+  checks->count++;
+  check->probe = target_probe_start (checks->context->loop,
+                                     x->service->spec->targets[number].address,
+                                     CONNECT_TIMEOUT_MS, on_probe_done, check);
+  return check;
+}
+
+void
+crash_checks_add (struct crash_checks *checks, const struct exchange *x)
+{
+  struct fingerprint fingerprint;
+  if (!exchange_fingerprint (x, &fingerprint))
+    return;
+  struct crash_check *check = find_or_start_check (checks, x);
+  if (check == NULL || check->request_count == REQUESTS_PER_CHECK_MAX)
+    return;
+  for (uint32_t i = 0; i < check->request_count; i++)
+    if (fingerprint_equal (&check->requests[i], &fingerprint))
+      return;
+  check->requests[check->request_count++] = fingerprint;
+}
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -146,6 +146,7 @@
   count_in_flight (x, false);
   stream_buffer_release (&x->upload);
   stream_buffer_release (&x->answer);
+  body_prefix_release (&x->body_prefix);
   header_list_release (&x->attempt.headers);
   request_head_release (&x->head);
   free (x->uri);
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -22,6 +22,7 @@
 #include <ev.h>
 #include <microhttpd.h>
 
+#include "node/caller/body_prefix.h"
 #include "node/caller/caller_context.h"
 #include "node/caller/caller_service.h"
 #include "node/caller/own_answer.h"
@@ -84,6 +85,7 @@
   struct stream_buffer upload;
   struct stream_buffer answer;
   uint64_t upload_bytes; /**< of the body, as read so far */
+  struct body_prefix body_prefix;
 
   struct caller_service *service;
   char route[SERVICE_NAME_SIZE];     /**< its prefix, cut to fit */
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -10,7 +10,9 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "node/caller/answer_check.h"
+#include "node/caller/crash_check.h"
 #include "node/caller/decision_note.h"
+#include "node/caller/exchange_fingerprint.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_ticket.h"
 
@@ -194,9 +196,15 @@
   const char *service = x->service->name;
   const char *target = x->attempt.target;
   const char *id = x->head.id;
+  char text[FINGERPRINT_TEXT_SIZE];
+  const char *fingerprint = text;
+  exchange_fingerprint_format (x, text);
   LOG_WARN ("attempt-broken", LOG_STR ("id", id), LOG_STR ("service", service),
             LOG_INT ("request", x->id), LOG_STR ("target", target),
-            LOG_STR ("end", end_name (end)), LOG_STR ("why", message));
+            LOG_STR ("end", end_name (end)), LOG_STR ("why", message),
+            LOG_STR ("fingerprint", fingerprint));
+  if (end == ATTEMPT_CUT && !x->attempt.relay)
+    crash_checks_add (x->context->crash_checks, x);
   settle (x, end);
   if (x->queued)
     {
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -206,6 +206,7 @@
     }
   const size_t taken = stream_buffer_append (&x->upload, data, *size);
   x->upload_bytes += taken;
+  body_prefix_append (&x->body_prefix, data, taken);
   if (x->service != NULL
       && x->upload_bytes > x->service->spec->limits.body_bytes)
     {
--- /dev/null
+++ b/node/caller/tests/crash_check_test.cc
@@ -0,0 +1,87 @@
+/* Tests that target crashes are told apart from closed connections. */
+#include <cstdio>
+#include <unistd.h>
+
+#include "node/caller/tests/caller_fixture.h"
+
+class CrashCheckTest : public CallerTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    CallerTest::SetUp ();
+    write_log_to (fileno (log));
+  }
+
+  void
+  TearDown () override
+  {
+    CallerTest::TearDown ();
+    fclose (log);
+  }
+
+  int
+  crash_count () const
+  {
+    const std::string series
+        = "jaystair_target_crashes_total{service=\"holds\"} ";
+    const std::string text = exposed ();
+    const size_t at = text.find (series);
+    return at == std::string::npos
+               ? 0
+               : atoi (text.c_str () + at + series.size ());
+  }
+
+  std::string
+  logged ()
+  {
+    std::string text (1 << 20, '\0');
+    rewind (log);
+    text.resize (fread (&text[0], 1, text.size (), log));
+    return text;
+  }
+
+  FILE *log = tmpfile ();
+};
+
+/* Guards against a crash that is not logged, or logged with another request.
+ */
+TEST_F (CrashCheckTest, CrashIsLoggedWithRequestFingerprint)
+{
+  target_server *target = add_target ("t1");
+  target_server_faults (target)->crash = 1;
+  start ();
+  put_service (usual_routes);
+  auto call = make ("POST", "/crash", "r1");
+  call->body = "date=2027-02-14";
+  finish (call.get ());
+  EXPECT_EQ (call->status, 502);
+  ASSERT_TRUE (run_until ([this] { return crash_count () == 1; }));
+  const std::string text = logged ();
+  const size_t broken = text.find ("attempt-broken");
+  const size_t crashed = text.find ("target-crashed");
+  ASSERT_NE (broken, std::string::npos) << text;
+  ASSERT_NE (crashed, std::string::npos) << text;
+  const std::string key = "fingerprint=";
+  const size_t size = key.size () + 32;
+  EXPECT_EQ (text.substr (text.find (key, broken), size),
+             text.substr (text.find (key, crashed), size));
+}
+
+/* Guards against a running target that is reported as crashed because it
+   closed a connection. */
+TEST_F (CrashCheckTest, ConnectionClosedByRunningTargetIsNotACrash)
+{
+  target_server *target = add_target ("t1");
+  target_server_faults (target)->close = 100;
+  start ();
+  put_service (usual_routes);
+  EXPECT_EQ (get ("/calendar", "r1")->status, 502);
+  ASSERT_TRUE (run_until ([&] {
+    const target_counts counts = target_server_counts (target);
+    return counts.connections > counts.runs;
+  }));
+  EXPECT_EQ (get ("/calendar", "r2")->status, 502);
+  EXPECT_EQ (crash_count (), 0) << logged ();
+}
--- a/node/ejection/target_probe.c
+++ b/node/ejection/target_probe.c
@@ -12,6 +12,7 @@
 {
   struct ev_loop *loop;
   int fd;
+  int error; /* errno of the connection attempt; 0: none */
   struct ev_io writable;
   struct ev_timer timeout;
   target_probe_done *done;
@@ -22,11 +23,10 @@
 on_writable (struct ev_loop *loop, struct ev_io *watcher, int events)
 {
   struct target_probe *probe = watcher->data;
-  int error = 0;
-  socklen_t size = sizeof error;
+  socklen_t size = sizeof probe->error;
   const bool ok
-      = getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0
-        && error == 0;
+      = getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &probe->error, &size) == 0
+        && probe->error == 0;
   probe->done (probe->owner, probe, ok);
 }
 
@@ -38,7 +38,7 @@
 }
 
 static int
-start_connect (const char *address)
+start_connect (const char *address, int *error)
 {
   struct sockaddr_storage to;
   socklen_t size;
@@ -50,6 +50,7 @@
     return -1;
   if (connect (fd, (struct sockaddr *)&to, size) < 0 && errno != EINPROGRESS)
     {
+      *error = errno;
       close (fd);
       return -1;
     }
@@ -64,7 +65,7 @@
   probe->loop = loop;
   probe->done = done;
   probe->owner = owner;
-  probe->fd = start_connect (address);
+  probe->fd = start_connect (address, &probe->error);
   const double timeout_s = probe->fd < 0 ? 0 : timeout_ms / 1000.0;
   ev_timer_init (&probe->timeout, on_timeout, timeout_s, 0);
   probe->timeout.data = probe;
@@ -76,6 +77,12 @@
   return probe;
 }
 
+bool
+target_probe_was_refused (const struct target_probe *probe)
+{
+  return probe->error == ECONNREFUSED;
+}
+
 void
 target_probe_destroy (struct target_probe *probe)
 {
--- a/node/ejection/target_probe.h
+++ b/node/ejection/target_probe.h
@@ -23,6 +23,9 @@
                                          const char *address,
                                          uint32_t timeout_ms,
                                          target_probe_done *done, void *owner);
+/** Whether the connection was refused (ECONNREFUSED); a timeout doesn't count.
+ * To be called from `done`. */
+bool target_probe_was_refused (const struct target_probe *probe);
 /** End without calling back. */
 void target_probe_destroy (struct target_probe *probe);
 
--- a/tests/standins/target_faults.c
+++ b/tests/standins/target_faults.c
@@ -16,7 +16,7 @@
     { "cut", &faults->cut },       { "close", &faults->close },
     { "shed", &faults->shed },     { "delay_ms", &faults->delay_ms },
     { "jitter", &faults->jitter }, { "close_reused", &faults->close_reused },
-    { "leave", &faults->leave }
+    { "crash", &faults->crash },   { "leave", &faults->leave }
   };
   for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
     if (strcmp (name, known[i].name) == 0)
--- a/tests/standins/target_faults.h
+++ b/tests/standins/target_faults.h
@@ -22,6 +22,9 @@
   /** 1: a request on a connection that carried one before runs and is then
    * closed without an answer. */
   uint32_t close_reused;
+  /** 1: a request whose path contains "/crash" crashes the target after its
+   * run was recorded. */
+  uint32_t crash;
   uint32_t leave; /**< 1: says so in each answer, and sheds */
 };
 
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -61,6 +61,7 @@
   struct request *requests;
   struct rng rng;
   FILE *run_log;
+  ev_timer crash_timer;
 };
 
 static bool
@@ -255,6 +256,13 @@
   return queue (request, MHD_HTTP_SERVICE_UNAVAILABLE, response);
 }
 
+static bool
+is_crash_request (const struct request *request)
+{
+  return request->server->faults.crash != 0
+         && strstr (request->url, "/crash") != NULL;
+}
+
 /* All of the request was read: run it, or shed it. */
 static enum MHD_Result
 run (struct request *request)
@@ -267,6 +275,12 @@
   if (faults->leave != 0 || strikes (server, faults->shed))
     return queue_shed (request);
   note_run (request);
+  if (is_crash_request (request))
+    {
+      ev_timer_start (server->loop, &server->crash_timer);
+      suspend (request);
+      return MHD_YES;
+    }
   if (strikes (server, faults->close) || (reused && faults->close_reused != 0))
     return MHD_NO;
   if (strikes (server, faults->hang))
@@ -412,6 +426,30 @@
   *socket_context = NULL;
 }
 
+/* Closes the listener and all connections, as when the process exits. */
+static void
+stop (struct target_server *server)
+{
+  if (server->daemon == NULL)
+    return;
+  ev_timer_stop (server->loop, &server->crash_timer);
+  struct request *request;
+  DL_FOREACH (server->requests, request)
+  {
+    request->gone = true;
+    wake (request);
+  }
+  mhd_loop_destroy (server->mhd_loop);
+  MHD_stop_daemon (server->daemon);
+  server->daemon = NULL;
+}
+
+static void
+on_crash (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  stop (timer->data);
+}
+
 struct target_server *
 target_server_create (struct ev_loop *loop, const char *address,
                       const char *name)
@@ -436,6 +474,8 @@
   server->runs = run_book_create ();
   server->mhd_loop = mhd_loop_create (loop, server->daemon);
   server->hangup = hangup_watch_create (loop, on_gone);
+  ev_timer_init (&server->crash_timer, on_crash, 0., 0.);
+  server->crash_timer.data = server;
   snprintf (server->address, sizeof server->address, "%.*s:%u",
             (int)(strrchr (address, ':') - address), address,
             mhd_loop_port (server->daemon));
@@ -447,14 +487,7 @@
 {
   if (server == NULL)
     return;
-  struct request *request;
-  DL_FOREACH (server->requests, request)
-  {
-    request->gone = true;
-    wake (request);
-  }
-  mhd_loop_destroy (server->mhd_loop);
-  MHD_stop_daemon (server->daemon);
+  stop (server);
   hangup_watch_destroy (server->hangup);
   run_book_destroy (server->runs);
   free (server);
