--- /dev/null
+++ b/tests/fleet/poison_fleet_test.cc
@@ -0,0 +1,114 @@
+/** Fleet-wide blocking of requests that crash targets. */
+#include <gtest/gtest.h>
+
+#include "tests/harness/fleet.h"
+
+namespace
+{
+
+constexpr int hosts = 6;
+constexpr int set_hosts = 3; /* size of the service's set */
+constexpr int targets = 16;
+
+class PoisonFleet : public testing::Test
+{
+protected:
+  PoisonFleet () : fleet (options ())
+  {
+  }
+
+  static FleetOptions
+  options ()
+  {
+    FleetOptions options;
+    options.hosts = hosts;
+    options.targets = targets;
+    options.set_hosts_per_dc = set_hosts;
+    options.times = short_times;
+    return options;
+  }
+
+  void
+  SetUp () override
+  {
+    ASSERT_TRUE (fleet.start ());
+    ASSERT_TRUE (wait_until ([this] {
+      for (int host = 1; host <= hosts; host++)
+        if (json_at (http_get (fleet.operator_url (host, "/v1/services")).body,
+                     "rows.0.hosts")
+            != std::to_string (set_hosts))
+          return false;
+      return true;
+    }));
+    for (int target = 1; target <= targets; target++)
+      ASSERT_TRUE (
+          fleet.control (fleet.target_url (target, "/control/set?crash=1")));
+  }
+
+  long
+  send (int host)
+  {
+    HttpRequest request;
+    request.method = "POST";
+    request.url = fleet.caller_url (host, "/holds/crash");
+    request.body = "date=2027-02-14";
+    request.headers = { "X-Request-Id: poison-" + std::to_string (++sent) };
+    return http (request).status;
+  }
+
+  int
+  runs ()
+  {
+    int total = 0;
+    for (const auto &[id, times] : fleet.all_runs ())
+      if (id.find ("poison-") == 0)
+        total += times;
+    return total;
+  }
+
+  bool
+  logged (const std::string &event, size_t times, int by_hosts)
+  {
+    return wait_until (
+        [&] {
+          int count = 0;
+          for (const auto &host : fleet.hosts)
+            count += host->count_lines ({ event }) >= times;
+          return count >= by_hosts;
+        },
+        10);
+  }
+
+  bool
+  blocked_everywhere ()
+  {
+    return logged ("\"poison-blocked\"", 1, hosts);
+  }
+
+  /* Causes three consecutive crashes, each through another host. */
+  void
+  crash_three ()
+  {
+    for (int i = 1; i <= 3; i++)
+      {
+        EXPECT_EQ (send (i), 502);
+        ASSERT_TRUE (logged ("\"poison-suspected\"", (size_t)i, set_hosts));
+      }
+    ASSERT_TRUE (blocked_everywhere ()) << fleet.logs ();
+    ASSERT_EQ (runs (), 3);
+  }
+
+  Fleet fleet;
+  int sent = 0;
+};
+
+/* Guards against a request that crashes one target after another through
+   different hosts. */
+TEST_F (PoisonFleet, RepeatedRequestCrashesFewTargets)
+{
+  for (int i = 0; i < targets - 2; i++)
+    send (1 + i % hosts);
+  EXPECT_LE (runs (), 6);
+}
+
+} // namespace
