--- a/base/clock.c
+++ b/base/clock.c
@@ -18,3 +18,13 @@
 {
   return clock_now_us () / 1000;
 }
+
+int64_t
+clock_unix_ms (void)
+{
+  struct timespec now;
+  const int rc = clock_gettime (CLOCK_REALTIME, &now);
+  assert (rc == 0);
+  (void)rc;
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
--- a/base/clock.h
+++ b/base/clock.h
@@ -16,4 +16,8 @@
 /** Milliseconds since boot. */
 int64_t clock_now_ms (void);
 
+/** Milliseconds since the Unix epoch, for times that are stored or sent to
+ * other hosts.  This clock may jump and differs slightly between hosts. */
+int64_t clock_unix_ms (void);
+
 #endif
--- a/base/fingerprint.c
+++ b/base/fingerprint.c
@@ -9,6 +9,13 @@
 #include "base/hash.h"
 #include "base/xmalloc.h"
 
+static const char hex_digits[] = "0123456789abcdef";
+
+enum
+{
+  DIGITS_OF_HALF = 16,
+};
+
 /* Reads a big-endian 64-bit integer at OFFSET of DIGEST. */
 static uint64_t
 digest_uint64_be (const struct digest *digest, size_t offset)
@@ -59,3 +66,27 @@
   snprintf (text, FINGERPRINT_TEXT_SIZE, "%016" PRIx64 "%016" PRIx64,
             fingerprint->high, fingerprint->low);
 }
+
+static bool
+parse_half (const char *text, uint64_t *half)
+{
+  *half = 0;
+  for (size_t i = 0; i < DIGITS_OF_HALF; i++)
+    {
+      const char *digit
+          = text[i] != '\0' ? strchr (hex_digits, text[i]) : NULL;
+      if (digit == NULL)
+        return false;
+      *half = *half << 4 | (uint64_t)(digit - hex_digits);
+    }
+  return true;
+}
+
+bool
+fingerprint_parse (const char *text, struct fingerprint *fingerprint)
+{
+  *fingerprint = (struct fingerprint){ 0 };
+  return parse_half (text, &fingerprint->high)
+         && parse_half (text + DIGITS_OF_HALF, &fingerprint->low)
+         && text[2 * DIGITS_OF_HALF] == '\0';
+}
--- a/base/fingerprint.h
+++ b/base/fingerprint.h
@@ -37,6 +37,10 @@
 bool fingerprint_equal (const struct fingerprint *a,
                         const struct fingerprint *b);
 
+/** Read what fingerprint_format() writes; `head_hash` becomes 0.
+ * @return whether TEXT is a fingerprint */
+bool fingerprint_parse (const char *text, struct fingerprint *fingerprint);
+
 /** Format the digest as lower-case hexadecimal digits. */
 void fingerprint_format (const struct fingerprint *fingerprint,
                          char text[FINGERPRINT_TEXT_SIZE]);
--- a/node/bus.c
+++ b/node/bus.c
@@ -51,6 +51,10 @@
     case BUS_HOST_SET:
       free (message->host_set.hosts);
       break;
+    case BUS_POISON_ANNOUNCED:
+    case BUS_POISON_HEARD:
+      free (message->poison.rows);
+      break;
     case BUS_SERVICE_REMOVED:
     case BUS_SLOT_SHARES:
     case BUS_OUTCOME_SEEN:
--- a/node/bus.h
+++ b/node/bus.h
@@ -18,6 +18,7 @@
 
 #include "policy/access/freshness.h"
 #include "policy/choice/slot_shares.h"
+#include "policy/poison/poison_row.h"
 #include "policy/quota/quota_stock.h"
 #include "policy/service_policy.h"
 #include "wire/fleet_config.h"
@@ -39,6 +40,8 @@
   BUS_FRESHNESS_WANTED, /**< requests wait for such a proof */
   BUS_QUOTA_WANTED,     /**< requests want tokens of a workspace */
   BUS_QUOTA_GRANTED,    /**< a keeper's answer */
+  BUS_POISON_ANNOUNCED, /**< a change of poison requests, for other hosts */
+  BUS_POISON_HEARD,     /**< such a change from another host */
   BUS_SHUTDOWN,         /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
@@ -118,6 +121,25 @@
   struct quota_answer answer;
 };
 
+/** Which hosts receive an announcement. */
+enum poison_recipients
+{
+  POISON_TO_SET,        /**< the hosts that serve the service */
+  POISON_TO_RANDOM_FEW, /**< a few random hosts, which forward it */
+  POISON_TO_RANDOM_ONE, /**< one random host */
+};
+
+/** State of requests that may crash targets. */
+struct bus_poison
+{
+  char service[SERVICE_NAME_SIZE]; /**< "": rows of several */
+  struct poison_row *rows;
+  size_t count;
+  enum poison_recipients to; /**< with BUS_POISON_ANNOUNCED */
+  bool is_stored; /**< with BUS_POISON_ANNOUNCED: write the first row to the
+                       platform, or remove it if it is not a block */
+};
+
 struct bus_message
 {
   enum bus_topic topic;
@@ -133,6 +155,7 @@
     struct bus_outcome outcome;
     struct freshness_proof freshness;
     struct bus_quota quota;
+    struct bus_poison poison;
   };
 };
 
--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -26,6 +26,7 @@
 
 struct crash_checks;
 struct exchange;
+struct poison_desk;
 
 struct caller_context
 {
@@ -57,6 +58,7 @@
   int64_t started_us;
   uint32_t in_flight;
   struct crash_checks *crash_checks;
+  struct poison_desk *poison;
   struct caller_server *server; /**< callers are connected to it */
   bool leaving;
   int64_t leaving_since_ms;
--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -28,6 +28,11 @@
           .help = "Targets found not to listen any more after the connection "
                   "of a request broke.",
           .label_names = { "service" } };
+  const struct counter_family_options poison_blocks
+      = { .name = "jaystair_poison_blocks_total",
+          .help = "Requests blocked because targets crashed while they ran "
+                  "them, by where that was learned.",
+          .label_names = { "source" } };
   const struct counter_family_options in_flight
       = { .name = "jaystair_requests_in_flight",
           .help = "Requests taken in and not yet answered to the end.",
@@ -52,6 +57,7 @@
   own->retries = counters_family (counters, &retries);
   own->timeouts = counters_family (counters, &timeouts);
   own->refusals = counters_family (counters, &refusals);
+  own->poison_blocks = counters_family (counters, &poison_blocks);
   own->target_crashes = counters_family (counters, &target_crashes);
   own->in_flight
       = counter_series (counters_family (counters, &in_flight), NULL);
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -15,6 +15,7 @@
   struct counter_family *timeouts;       /**< by service and what followed */
   struct counter_family *refusals;       /**< by service and reason */
   struct counter_family *target_crashes; /**< by service */
+  struct counter_family *poison_blocks;  /**< by source */
   struct counter_family *request_times;  /**< by service and outcome */
   struct counter_family *attempt_times;  /**< by service and end */
   struct counter *in_flight;
--- a/node/caller/caller_rows.c
+++ b/node/caller/caller_rows.c
@@ -1,5 +1,6 @@
 #include "node/caller/caller_rows.h"
 
+#include "node/caller/poison_desk.h"
 #include "node/json_row.h"
 
 static const char *
@@ -99,11 +100,19 @@
   return decision_ring_rows (&context->decisions);
 }
 
+static struct json_object *
+poison_rows (void *owner)
+{
+  const struct caller_context *context = owner;
+  return poison_desk_rows (context->poison);
+}
+
 void
 caller_rows_register (struct tables *tables, struct caller_context *context)
 {
   tables_register (tables, "targets", target_rows, context);
   tables_register (tables, "services", service_rows, context);
+  tables_register (tables, "poison", poison_rows, context);
   tables_register (tables, "routes", route_rows, context);
   tables_register (tables, "decisions", decision_rows, context);
 }
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -20,6 +20,7 @@
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_quota.h"
 #include "node/caller/leaving_probe.h"
+#include "node/caller/poison_desk.h"
 #include "node/plain_server.h"
 #include "node/tables.h"
 
@@ -135,6 +136,13 @@
   exchange_access_proved (context);
 }
 
+static void
+on_poison_heard (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  poison_desk_receive (task->context.poison, &message->poison);
+}
+
 static void
 on_host_set (void *owner, const struct bus_message *message)
 {
@@ -203,6 +211,7 @@
   bus_subscribe (task->bus, BUS_CONFIG_IN_FORCE, on_config, task);
   bus_subscribe (task->bus, BUS_FRESHNESS, on_freshness, task);
   bus_subscribe (task->bus, BUS_QUOTA_GRANTED, on_quota_granted, task);
+  bus_subscribe (task->bus, BUS_POISON_HEARD, on_poison_heard, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
   bus_subscribe (task->bus, BUS_OUTCOME_HEARD, on_outcome_heard, task);
@@ -230,6 +239,7 @@
       = ticket_desk_create (options->settings->name, options->incarnation);
   caller_counters_init (&context->counters, options->counters);
   context->crash_checks = crash_checks_create (context);
+  context->poison = poison_desk_create (context);
 }
 
 static enum MHD_Result
@@ -303,6 +313,7 @@
   caller_server_destroy (task->context.server);
   curl_loop_destroy (context->curl);
   crash_checks_destroy (context->crash_checks);
+  poison_desk_destroy (context->poison);
   struct caller_service *service;
   struct caller_service *next;
   HASH_ITER (hh, context->services, service, next)
--- a/node/caller/crash_check.c
+++ b/node/caller/crash_check.c
@@ -11,10 +11,12 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/caller/exchange_fingerprint.h"
+#include "node/caller/poison_desk.h"
 #include "node/ejection/target_probe.h"
 
 enum
 {
+  US_PER_MS = 1000,
   CONNECT_TIMEOUT_MS = 1000,
   REQUESTS_PER_CHECK_MAX = 64,
   CONCURRENT_CHECKS_MAX = 64,
@@ -28,7 +30,7 @@
   char target[SERVICE_NAME_SIZE];
   uint64_t key; /* of the target */
   int64_t begun_us;
-  struct fingerprint requests[REQUESTS_PER_CHECK_MAX];
+  struct poison_crash requests[REQUESTS_PER_CHECK_MAX];
   uint32_t request_count;
   struct crash_check *prev, *next;
 };
@@ -80,12 +82,14 @@
     {
       char text[FINGERPRINT_TEXT_SIZE];
       char *fingerprint = text;
-      fingerprint_format (&check->requests[i], fingerprint);
+      fingerprint_format (&check->requests[i].fingerprint, fingerprint);
       LOG_WARN ("target-crashed", LOG_STR ("service", check->service),
                 LOG_STR ("target", check->target),
                 LOG_STR ("fingerprint", fingerprint),
                 LOG_INT ("under_way_here", check->request_count),
                 LOG_INT ("checked_us", clock_now_us () - check->begun_us));
+      poison_desk_add_crash (check->checks->context->poison, check->service,
+                             &check->requests[i]);
     }
 }
 
@@ -135,7 +139,11 @@
   if (check == NULL || check->request_count == REQUESTS_PER_CHECK_MAX)
     return;
   for (uint32_t i = 0; i < check->request_count; i++)
-    if (fingerprint_equal (&check->requests[i], &fingerprint))
+    if (fingerprint_equal (&check->requests[i].fingerprint, &fingerprint))
       return;
-  check->requests[check->request_count++] = fingerprint;
+  check->requests[check->request_count++]
+      = (struct poison_crash){ .fingerprint = fingerprint,
+                               .target = check->key,
+                               .began_ms = x->attempt.started_us / US_PER_MS,
+                               .crashed_ms = clock_now_ms () };
 }
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -15,6 +15,7 @@
 #include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_caller.h"
+#include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_ticket.h"
 #include "node/caller/exchange_timeout.h"
 
@@ -356,6 +357,8 @@
     }
   if (x->caller_gone && x->state != EXCHANGE_OVER)
     caller_went_away (x);
+  if (exchange_poison_is_ready (x))
+    exchange_resume (x);
   if (x->state == EXCHANGE_SENT && x->attempt.head_seen)
     exchange_judge (x);
   if (x->attempt.call != NULL)
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -46,7 +46,8 @@
   EXCHANGE_AWAITS_NOTHING,
   EXCHANGE_AWAITS_SETTINGS, /**< a host that starts has none yet */
   EXCHANGE_AWAITS_PROOF,    /**< that its key may be judged */
-  EXCHANGE_AWAITS_TOKEN     /**< of its workspace's quota */
+  EXCHANGE_AWAITS_TOKEN,    /**< of its workspace's quota */
+  EXCHANGE_AWAITS_BODY      /**< body prefix, needed for the fingerprint */
 };
 
 /** The attempt under way, or the one that was answered. */
@@ -88,7 +89,8 @@
   struct body_prefix body_prefix;
 
   struct caller_service *service;
-  char route[SERVICE_NAME_SIZE];     /**< its prefix, cut to fit */
+  char route[SERVICE_NAME_SIZE];      /**< its prefix, cut to fit */
+  char route_host[SERVICE_NAME_SIZE]; /**< its host; "": any */
   char workspace[SERVICE_NAME_SIZE]; /**< whose key it bears; "" is nobody's */
   uint64_t workspace_key;            /**< hash of its name */
   int64_t token_until_ms;  /**< end of the token that was taken; 0: none */
@@ -132,6 +134,7 @@
   bool ticket_claimed;
   bool kicked;
   bool after_unsent; /**< the last attempt that ended is among them */
+  bool is_trial;     /**< sent as the trial of a blocked request */
   bool perhaps_ran;  /**< an attempt that was given up may have run */
 };
 
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -13,6 +13,7 @@
 #include "node/caller/crash_check.h"
 #include "node/caller/decision_note.h"
 #include "node/caller/exchange_fingerprint.h"
+#include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_ticket.h"
 
@@ -187,6 +188,8 @@
     return;
   x->answer.whole = true;
   exchange_ticket_finish (x);
+  if (!x->attempt.relay && !is_server_error (x))
+    exchange_poison_answered (x);
   settle (x, is_server_error (x) ? ATTEMPT_FAILED : ATTEMPT_ANSWERED);
 }
 
@@ -285,6 +288,22 @@
   exchange_answer_own (x, &own);
 }
 
+/* Checks again, because the request may have been blocked while it was queued
+   or between two attempts. */
+static void
+send_unless_poison (struct exchange *x, uint32_t target)
+{
+  uint32_t left_ms = 0;
+  if (exchange_poison_may_send (x, &left_ms))
+    {
+      exchange_send (x, target);
+      return;
+    }
+  caller_service_outcome (x->service, x->service->targets[target].key,
+                          ATTEMPT_CANCELLED, 0, x->repeatable);
+  exchange_poison_refuse (x, left_ms);
+}
+
 void
 exchange_decided (struct exchange *x, const struct policy_decision *decision)
 {
@@ -292,7 +311,7 @@
   switch (decision->verdict)
     {
     case POLICY_SEND:
-      exchange_send (x, decision->target);
+      send_unless_poison (x, decision->target);
       break;
     case POLICY_QUEUE:
       x->state = EXCHANGE_WAITING;
--- a/node/caller/exchange_begin.c
+++ b/node/caller/exchange_begin.c
@@ -6,6 +6,7 @@
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_ticket.h"
 
@@ -56,6 +57,7 @@
   if (route->latency_goal_ms > 0)
     x->goal_us = x->begun_us + (int64_t)route->latency_goal_ms * US_PER_MS;
   snprintf (x->route, sizeof x->route, "%.63s", route->spec.path_prefix);
+  memcpy (x->route_host, route->spec.host, sizeof x->route_host);
 }
 
 /* A host that has just started mostly has its settings within a tenth of a
@@ -193,7 +195,7 @@
       exchange_arm (x, x->deadline_us - clock_now_us ());
     }
   if (!exchange_access_check (x) || !check_limits (x)
-      || !exchange_quota_check (x))
+      || !exchange_poison_check (x) || !exchange_quota_check (x))
     return;
   const bool by_ticket = !x->repeatable && x->head.ticket[0] != '\0';
   if (by_ticket && !exchange_ticket_claim (x))
--- a/node/caller/exchange_fingerprint.c
+++ b/node/caller/exchange_fingerprint.c
@@ -6,10 +6,12 @@
 
 #include "base/xmalloc.h"
 
+/* Uses the route's host: the request's may be the address of the entry host,
+   which differs between repeated sends. */
 static char *
 head_text (const struct exchange *x)
 {
-  return xasprintf ("%s\n%s\n%s\n%s", x->head.method, x->head.host, x->uri,
+  return xasprintf ("%s\n%s\n%s\n%s", x->head.method, x->route_host, x->uri,
                     x->workspace);
 }
 
--- a/node/caller/exchange_fingerprint.h
+++ b/node/caller/exchange_fingerprint.h
@@ -1,6 +1,6 @@
 /** @file
- * The fingerprint of an exchange's request, computed from its method, host,
- * path with query, workspace, body length and body prefix.
+ * The fingerprint of an exchange's request, computed from its method, its
+ * route's host, path with query, workspace, body length and body prefix.
  */
 #ifndef NODE_CALLER_EXCHANGE_FINGERPRINT_H
 #define NODE_CALLER_EXCHANGE_FINGERPRINT_H
--- /dev/null
+++ b/node/caller/exchange_poison.c
@@ -0,0 +1,135 @@
+#include "node/caller/exchange_poison.h"
+
+#include <stdio.h>
+
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "node/caller/exchange.h"
+#include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_fingerprint.h"
+#include "node/caller/poison_desk.h"
+
+/* Cheap check before the full fingerprint is computed. */
+static bool
+may_be_poison (const struct exchange *x)
+{
+  const struct poison_desk *desk = x->context->poison;
+  return !poison_desk_is_empty (desk)
+         && poison_desk_has_head (desk, exchange_head_hash (x));
+}
+
+static bool
+is_blocked (struct exchange *x, const struct fingerprint *fingerprint,
+            uint32_t *left_ms)
+{
+  const enum poison_verdict verdict = poison_desk_check (
+      x->context->poison, x->service, fingerprint, left_ms);
+  x->is_trial = verdict == POISON_TRIAL;
+  return verdict == POISON_BLOCKED;
+}
+
+bool
+exchange_poison_may_send (struct exchange *x, uint32_t *left_ms)
+{
+  struct fingerprint fingerprint;
+  const bool was_granted = x->is_trial;
+  x->is_trial = false;
+  if (was_granted || !may_be_poison (x)
+      || !exchange_fingerprint (x, &fingerprint))
+    return true;
+  const bool blocked = is_blocked (x, &fingerprint, left_ms);
+  x->is_trial = false;
+  return !blocked;
+}
+
+void
+exchange_poison_refuse (struct exchange *x, uint32_t left_ms)
+{
+  const enum answer_outcome outcome = exchange_outcome (x);
+  const bool unknown = outcome == ANSWER_UNKNOWN;
+  struct own_answer own = { .status = unknown ? MHD_HTTP_BAD_GATEWAY
+                                              : MHD_HTTP_SERVICE_UNAVAILABLE,
+                            .outcome = outcome,
+                            .reason = "poison-request",
+                            .retry_after_ms = unknown ? 0 : left_ms };
+  snprintf (own.message, sizeof own.message, "%s",
+            unknown ? "targets crashed while they ran this request: find out "
+                      "whether it has run, and don't send it again unchanged"
+                    : "targets crashed while they ran this request: change "
+                      "it, or come back after the time given");
+  exchange_answer_own (x, &own);
+}
+
+static void
+refuse_late_body (struct exchange *x)
+{
+  exchange_refuse (x, MHD_HTTP_REQUEST_TIMEOUT, "body-late", 0,
+                   "the body didn't come in time: send the request again");
+}
+
+bool
+exchange_poison_check (struct exchange *x)
+{
+  struct fingerprint fingerprint;
+  uint32_t left_ms = 0;
+  if (x->is_trial || !may_be_poison (x))
+    return true;
+  if (!exchange_fingerprint (x, &fingerprint))
+    {
+      const int64_t left_us = x->deadline_us - clock_now_us ();
+      if (left_us > 0)
+        exchange_await (x, EXCHANGE_AWAITS_BODY, left_us);
+      else
+        refuse_late_body (x);
+      return false;
+    }
+  if (!is_blocked (x, &fingerprint, &left_ms))
+    return true;
+  exchange_poison_refuse (x, left_ms);
+  return false;
+}
+
+bool
+exchange_poison_is_ready (const struct exchange *x)
+{
+  struct fingerprint fingerprint;
+  return x->awaits == EXCHANGE_AWAITS_BODY
+         && exchange_fingerprint (x, &fingerprint);
+}
+
+void
+exchange_poison_answered (const struct exchange *x)
+{
+  struct fingerprint fingerprint;
+  if (may_be_poison (x) && exchange_fingerprint (x, &fingerprint))
+    poison_desk_clear (x->context->poison, x->service->name, &fingerprint);
+}
+
+/* X was sent to a target that has not started to answer. */
+static bool
+is_unanswered (const struct exchange *x)
+{
+  return x->state == EXCHANGE_SENT && x->attempt.call != NULL
+         && !x->attempt.relay && !x->attempt.head_seen;
+}
+
+void
+exchange_poison_blocked (struct caller_context *context,
+                         const struct fingerprint *fingerprint,
+                         uint32_t left_ms)
+{
+  struct exchange *x;
+  struct exchange *next;
+  struct fingerprint own;
+  DL_FOREACH_SAFE (context->exchanges, x, next)
+  {
+    if (x->service == NULL || !is_unanswered (x)
+        || exchange_head_hash (x) != fingerprint->head_hash
+        || !exchange_fingerprint (x, &own)
+        || !fingerprint_equal (&own, fingerprint))
+      continue;
+    exchange_drop_attempt (x, ATTEMPT_CANCELLED);
+    exchange_poison_refuse (x, left_ms);
+  }
+}
--- /dev/null
+++ b/node/caller/poison_desk.c
@@ -0,0 +1,253 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/poison_desk.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/caller/exchange_poison.h"
+#include "node/json_row.h"
+#include "policy/fleet/rendezvous.h"
+
+enum
+{
+  REFRESH_ROWS_MAX = 64,
+};
+
+static const double REFRESH_INTERVAL_S = 2.0;
+
+struct poison_desk
+{
+  struct caller_context *context;
+  struct poison_table *table;
+  ev_timer refresh; /* active while the table is not empty */
+};
+
+static void
+announce (const struct poison_desk *desk, const char *service,
+          const struct poison_row *rows, size_t count,
+          enum poison_recipients to, bool is_stored)
+{
+  struct bus_message message
+      = { .topic = BUS_POISON_ANNOUNCED,
+          .poison = { .count = count, .to = to, .is_stored = is_stored } };
+  snprintf (message.poison.service, sizeof message.poison.service, "%s",
+            service);
+  message.poison.rows = xcalloc (count, sizeof *rows);
+  memcpy (message.poison.rows, rows, count * sizeof *rows);
+  bus_post (desk->context->bus, &message);
+}
+
+/* Periodic resend for hosts that were partitioned or have just started. */
+static void
+on_refresh (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct poison_desk *desk = timer->data;
+  struct poison_row rows[REFRESH_ROWS_MAX];
+  const int64_t now_ms = clock_now_ms ();
+  poison_table_expire (desk->table, now_ms);
+  const size_t count
+      = poison_table_rows (desk->table, now_ms, rows, REFRESH_ROWS_MAX);
+  if (count > 0)
+    announce (desk, "", rows, count, POISON_TO_RANDOM_ONE, false);
+  if (poison_table_is_empty (desk->table))
+    ev_timer_stop (loop, timer);
+}
+
+struct poison_desk *
+poison_desk_create (struct caller_context *context)
+{
+  const struct poison_settings *settings = &context->settings->poison;
+  const struct poison_options options
+      = { .crashes = settings->crashes,
+          .block_ms = settings->block_ms,
+          .block_max_ms = settings->block_max_ms };
+  struct poison_desk *desk = xcalloc (1, sizeof *desk);
+  desk->context = context;
+  desk->table = poison_table_create (&options);
+  ev_timer_init (&desk->refresh, on_refresh, 0., REFRESH_INTERVAL_S);
+  desk->refresh.data = desk;
+  return desk;
+}
+
+void
+poison_desk_destroy (struct poison_desk *desk)
+{
+  if (desk == NULL)
+    return;
+  ev_timer_stop (desk->context->loop, &desk->refresh);
+  poison_table_destroy (desk->table);
+  free (desk);
+}
+
+bool
+poison_desk_is_empty (const struct poison_desk *desk)
+{
+  return poison_table_is_empty (desk->table);
+}
+
+bool
+poison_desk_has_head (const struct poison_desk *desk, uint64_t head)
+{
+  return poison_table_has_head (desk->table, head);
+}
+
+/* Rendezvous hashing selects the one host of the service's set that runs the
+   trials of a request. */
+static bool
+owns_trials (const struct caller_service *service,
+             const struct fingerprint *fingerprint)
+{
+  const struct fleet_host *first = NULL;
+  for (size_t i = 0; i < service->host_count; i++)
+    if (first == NULL
+        || rendezvous_before (fingerprint->low, &service->placed_hosts[i],
+                              first))
+      first = &service->placed_hosts[i];
+  return first == NULL || first->key == service->own_key;
+}
+
+enum poison_verdict
+poison_desk_check (struct poison_desk *desk,
+                   const struct caller_service *service,
+                   const struct fingerprint *fingerprint, uint32_t *left_ms)
+{
+  const enum poison_verdict verdict
+      = poison_table_check (desk->table, clock_now_ms (), fingerprint,
+                            owns_trials (service, fingerprint), left_ms);
+  if (verdict == POISON_TRIAL)
+    {
+      char text[FINGERPRINT_TEXT_SIZE];
+      const char *name = text;
+      fingerprint_format (fingerprint, text);
+      LOG_WARN ("poison-trial", LOG_STR ("service", service->name),
+                LOG_STR ("fingerprint", name));
+    }
+  return verdict;
+}
+
+static void
+log_change (const char *event, const char *service,
+            const struct fingerprint *fingerprint,
+            const struct poison_row *row, const char *source)
+{
+  char text[FINGERPRINT_TEXT_SIZE];
+  const char *name = text;
+  fingerprint_format (fingerprint, text);
+  LOG_WARN (event, LOG_STR ("service", service), LOG_STR ("fingerprint", name),
+            LOG_STR ("source", source), LOG_INT ("strikes", row->strikes),
+            LOG_INT ("left_ms", row->left_ms),
+            LOG_INT ("crashed_ago_ms", row->crashed_ago_ms));
+}
+
+static void
+start_refresh (struct poison_desk *desk)
+{
+  if (!ev_is_active (&desk->refresh))
+    ev_timer_again (desk->context->loop, &desk->refresh);
+}
+
+static struct poison_row
+current_block (const struct poison_desk *desk,
+               const struct fingerprint *fingerprint)
+{
+  return poison_table_get_block (desk->table, clock_now_ms (), fingerprint);
+}
+
+/* Announces a block that applying ROW has created.  Only a host that counted
+   the crashes itself, rather than received the block, has it stored. */
+static void
+announce_block (struct poison_desk *desk, const char *service,
+                const struct poison_row *row, uint32_t strikes_before,
+                bool is_counted)
+{
+  const struct poison_row block = current_block (desk, &row->fingerprint);
+  const char *source = is_counted ? "counted" : "heard";
+  if (block.strikes <= strikes_before)
+    return;
+  log_change ("poison-blocked", service, &row->fingerprint, &block, source);
+  caller_counters_add (desk->context->counters.poison_blocks, source, NULL);
+  announce (desk, service, &block, 1, POISON_TO_RANDOM_FEW, is_counted);
+  exchange_poison_blocked (desk->context, &row->fingerprint, block.left_ms);
+}
+
+void
+poison_desk_add_crash (struct poison_desk *desk, const char *service,
+                       const struct poison_crash *crash)
+{
+  struct poison_row row;
+  const uint32_t before = current_block (desk, &crash->fingerprint).strikes;
+  start_refresh (desk);
+  if (!poison_table_add_crash (desk->table, clock_now_ms (), crash, &row))
+    return;
+  log_change ("poison-suspected", service, &crash->fingerprint, &row, "own");
+  announce (desk, service, &row, 1, POISON_TO_SET, false);
+  announce_block (desk, service, &row, before, true);
+}
+
+void
+poison_desk_clear (struct poison_desk *desk, const char *service,
+                   const struct fingerprint *fingerprint)
+{
+  struct poison_row row;
+  const bool was_blocked = current_block (desk, fingerprint).strikes > 0;
+  if (!poison_table_clear (desk->table, clock_now_ms (), fingerprint, &row))
+    return;
+  log_change ("poison-cleared", service, fingerprint, &row, "own");
+  announce (desk, service, &row, 1, POISON_TO_SET, was_blocked);
+  announce (desk, service, &row, 1, POISON_TO_RANDOM_FEW, false);
+}
+
+static void
+merge_row (struct poison_desk *desk, const char *service,
+           const struct poison_row *row)
+{
+  const uint32_t before = current_block (desk, &row->fingerprint).strikes;
+  if (!poison_table_merge (desk->table, clock_now_ms (), row))
+    return;
+  if (row->target != 0)
+    log_change ("poison-suspected", service, &row->fingerprint, row, "heard");
+  else if (row->strikes == 0)
+    {
+      log_change ("poison-cleared", service, &row->fingerprint, row, "heard");
+      announce (desk, service, row, 1, POISON_TO_RANDOM_FEW, false);
+    }
+  announce_block (desk, service, row, before, row->target != 0);
+}
+
+void
+poison_desk_receive (struct poison_desk *desk,
+                     const struct bus_poison *received)
+{
+  start_refresh (desk);
+  for (size_t i = 0; i < received->count; i++)
+    merge_row (desk, received->service, &received->rows[i]);
+}
+
+struct json_object *
+poison_desk_rows (const struct poison_desk *desk)
+{
+  struct poison_summary summaries[POISON_ENTRIES_MAX];
+  struct json_object *rows = json_object_new_array ();
+  const size_t count = poison_table_summaries (desk->table, clock_now_ms (),
+                                               summaries, POISON_ENTRIES_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      char text[FINGERPRINT_TEXT_SIZE];
+      struct json_object *row = json_object_new_object ();
+      fingerprint_format (&summaries[i].fingerprint, text);
+      json_row_text (row, "fingerprint", text);
+      json_row_text (row, "state",
+                     summaries[i].strikes > 0 ? "blocked" : "suspected");
+      json_row_number (row, "crashes", summaries[i].crashes);
+      json_row_number (row, "crashed_ago_ms", summaries[i].crashed_ago_ms);
+      json_row_number (row, "strikes", summaries[i].strikes);
+      json_row_number (row, "left_ms", summaries[i].left_ms);
+      json_object_array_add (rows, row);
+    }
+  return rows;
+}
--- /dev/null
+++ b/node/caller/poison_desk.h
@@ -0,0 +1,47 @@
+/** @file
+ * Blocks requests that crash targets and synchronizes the state with other
+ * hosts: BUS_POISON_ANNOUNCED carries local changes, BUS_POISON_HEARD changes
+ * of other hosts.
+ */
+#ifndef NODE_CALLER_POISON_DESK_H
+#define NODE_CALLER_POISON_DESK_H
+
+#include <json-c/json.h>
+
+#include "node/caller/caller_context.h"
+#include "policy/poison/poison_table.h"
+
+struct poison_desk;
+
+struct poison_desk *poison_desk_create (struct caller_context *context);
+/** @param desk may be NULL */
+void poison_desk_destroy (struct poison_desk *desk);
+
+/** Decide whether a request of SERVICE may be sent; see
+ * poison_table_check(). */
+enum poison_verdict poison_desk_check (struct poison_desk *desk,
+                                       const struct caller_service *service,
+                                       const struct fingerprint *fingerprint,
+                                       uint32_t *left_ms);
+
+/** Return whether a request with this head hash is known; others need no
+ * poison_desk_check(). */
+bool poison_desk_has_head (const struct poison_desk *desk, uint64_t head);
+bool poison_desk_is_empty (const struct poison_desk *desk);
+
+/** Record a crash of a target of SERVICE. */
+void poison_desk_add_crash (struct poison_desk *desk, const char *service,
+                            const struct poison_crash *crash);
+
+/** Clear a request that a target of SERVICE answered completely. */
+void poison_desk_clear (struct poison_desk *desk, const char *service,
+                        const struct fingerprint *fingerprint);
+
+/** Merge rows received from another host. */
+void poison_desk_receive (struct poison_desk *desk,
+                          const struct bus_poison *received);
+
+/** Return the rows of the operator table "poison". */
+struct json_object *poison_desk_rows (const struct poison_desk *desk);
+
+#endif
--- /dev/null
+++ b/node/caller/tests/poison_test.cc
@@ -0,0 +1,222 @@
+/* Blocking of requests that crash targets, on a single host. */
+#include "node/caller/tests/caller_fixture.h"
+
+#include <cstring>
+
+extern "C"
+{
+#include "policy/poison/poison_row.h"
+}
+
+class PoisonTest : public CallerTest
+{
+protected:
+  void
+  begin_with (int count)
+  {
+    for (int i = 1; i <= count; i++)
+      target_server_faults (add_target ("t" + std::to_string (i)))->crash = 1;
+    bus_subscribe (the_bus, BUS_POISON_ANNOUNCED, on_announced, this);
+    start ();
+    put_service (usual_routes);
+  }
+
+  void
+  TearDown () override
+  {
+    bus_unsubscribe (the_bus, this);
+    CallerTest::TearDown ();
+  }
+
+  static void
+  on_announced (void *owner, const bus_message *message)
+  {
+    auto *test = static_cast<PoisonTest *> (owner);
+    if (message->poison.rows[0].strikes > 0)
+      test->block = message->poison.rows[0];
+    if (message->poison.is_stored)
+      test->stored++;
+  }
+
+  void
+  receive (const poison_row &row)
+  {
+    bus_message message = {};
+    message.topic = BUS_POISON_HEARD;
+    strcpy (message.poison.service, "holds");
+    message.poison.rows
+        = static_cast<poison_row *> (calloc (1, sizeof (poison_row)));
+    message.poison.rows[0] = row;
+    message.poison.count = 1;
+    bus_post (the_bus, &message);
+    ev_run (loop, EVRUN_NOWAIT);
+  }
+
+  uint64_t
+  runs () const
+  {
+    uint64_t total = 0;
+    for (const target_server *target : targets)
+      total += target_server_counts (target).runs;
+    return total;
+  }
+
+  std::unique_ptr<Call>
+  put (const std::string &path, const std::string &body)
+  {
+    auto call = make ("PUT", path, "r" + std::to_string (++sent));
+    call->body = body;
+    finish (call.get ());
+    return call;
+  }
+
+  poison_row block = {};
+  int stored = 0;
+  int sent = 0;
+};
+
+/* Guards against a request that crashes one target after another under new
+   request ids. */
+TEST_F (PoisonTest, RequestIsBlockedAfterThreeCrashes)
+{
+  begin_with (12);
+  for (int i = 0; i < 10; i++)
+    {
+      const auto call = put ("/crash", "the same");
+      EXPECT_GE (call->status, 502);
+    }
+  EXPECT_LE (runs (), 4u);
+  EXPECT_EQ (block.strikes, 1u);
+  EXPECT_EQ (stored, 1);
+  const auto refused = put ("/crash", "the same");
+  EXPECT_EQ (refused->status, 503);
+  EXPECT_EQ (refused->field ("jaystair-outcome"), "not-run");
+  EXPECT_EQ (refused->field ("retry-after"), "60");
+  EXPECT_NE (exposed ().find ("reason=\"poison-request\""), std::string::npos);
+}
+
+/* Guards against refusing requests that differ from the blocked one. */
+TEST_F (PoisonTest, OtherRequestsAreServed)
+{
+  begin_with (12);
+  for (int i = 0; i < 5; i++)
+    put ("/crash", "the same");
+  ASSERT_EQ (block.strikes, 1u);
+  EXPECT_EQ (put ("/echo", "the same")->status, 200);
+  EXPECT_EQ (get ("/calendar", "r")->status, 200);
+  for (target_server *target : targets)
+    target_server_faults (target)->crash = 0;
+  EXPECT_EQ (put ("/crash", "another")->status, 200);
+  EXPECT_EQ (put ("/crash?page=2", "the same")->status, 200);
+  EXPECT_EQ (put ("/crash", "the same")->status, 503);
+}
+
+/* Guards against sending a request before its fingerprint is available. */
+TEST_F (PoisonTest, WaitsForBodyPrefixBeforeSending)
+{
+  begin_with (8);
+  const std::string small (3000, 'p');
+  for (int i = 0; i < 5; i++)
+    put ("/crash", small);
+  ASSERT_EQ (block.strikes, 1u);
+  const uint64_t before = runs ();
+  auto raw = connect_raw ();
+  raw->write ("PUT /crash HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+              "Content-Length: 3000\r\nX-Request-Id: slow\r\n\r\n"
+              + small.substr (0, 1000));
+  for (int i = 0; i < 20; i++)
+    get ("/calendar", "between");
+  EXPECT_EQ (raw->received, "");
+  const uint64_t between = runs ();
+  raw->write (small.substr (1000));
+  ASSERT_TRUE (run_until ([&raw] {
+    return raw->received.find (" 503 ") != std::string::npos;
+  })) << raw->received;
+  EXPECT_EQ (runs (), between);
+  EXPECT_EQ (between, before + 20);
+  for (target_server *target : targets)
+    target_server_faults (target)->crash = 0;
+  const auto longer = put ("/crash", small + "and more");
+  EXPECT_EQ (longer->status, 200);
+  auto chunked = make ("PUT", "/crash", "long");
+  chunked->body = std::string (300000, 'q');
+  chunked->chunked = true;
+  finish (chunked.get ());
+  EXPECT_EQ (chunked->status, 200);
+}
+
+/* Guards against a host that observed no crash and ignores the block. */
+TEST_F (PoisonTest, BlockFromAnotherHostIsEnforced)
+{
+  begin_with (12);
+  for (int i = 0; i < 5; i++)
+    put ("/crash", "the same");
+  ASSERT_EQ (block.strikes, 1u);
+  caller_task_destroy (task);
+  start ();
+  put_service (usual_routes);
+  receive (block);
+  const uint64_t before = runs ();
+  EXPECT_EQ (put ("/crash", "the same")->status, 503);
+  EXPECT_EQ (runs (), before);
+}
+
+/* Guards against sent and queued duplicates that continue after the request is
+   blocked. */
+TEST_F (PoisonTest, InFlightDuplicatesAreCancelled)
+{
+  target_options = ", 'slots': 1";
+  begin_with (8);
+  for (int i = 0; i < 5; i++)
+    put ("/crash", "the same");
+  ASSERT_EQ (block.strikes, 1u);
+  caller_task_destroy (task);
+  start ();
+  put_service (usual_routes);
+  for (target_server *target : targets)
+    {
+      target_server_faults (target)->crash = 0;
+      target_server_faults (target)->delay_ms = 5000;
+    }
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int i = 0; i < 12; i++)
+    {
+      calls.push_back (make ("PUT", "/crash", "c" + std::to_string (i)));
+      calls.back ()->body = "the same";
+      begin (calls.back ().get ());
+    }
+  const uint64_t before = runs ();
+  ASSERT_TRUE (run_until ([&] { return runs () >= before + 4; }));
+  receive (block);
+  ASSERT_TRUE (run_until ([&calls] {
+    for (const auto &call : calls)
+      if (!call->done)
+        return false;
+    return true;
+  }));
+  int unknown = 0;
+  for (const auto &call : calls)
+    {
+      EXPECT_TRUE (call->status == 502 || call->status == 503) << call->status;
+      unknown += call->field ("jaystair-outcome") == "unknown";
+    }
+  EXPECT_GE (unknown, 4);
+}
+
+/* Guards against a block that persists although the targets were at fault. */
+TEST_F (PoisonTest, SuccessfulTrialLiftsBlock)
+{
+  settings.poison.block_ms = 50;
+  begin_with (8);
+  for (int i = 0; i < 5; i++)
+    put ("/crash", "the same");
+  ASSERT_EQ (block.strikes, 1u);
+  for (target_server *target : targets)
+    target_server_faults (target)->crash = 0;
+  bool lifted = false;
+  for (int i = 0; i < 20000 && !lifted; i++)
+    lifted = put ("/crash", "the same")->status == 200;
+  EXPECT_TRUE (lifted);
+  EXPECT_EQ (put ("/crash", "the same")->status, 200);
+  EXPECT_EQ (stored, 2);
+}
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -176,8 +176,23 @@
 struct control_ask;
 struct control_local;
 struct control_outcomes;
+struct control_poison_write;
 struct control_pull;
 
+/** Blocked requests in the platform, listed at start and written one at a
+ * time. */
+struct control_poison_store
+{
+  struct control_task *task;
+  struct control_poison_write *writes;
+  size_t write_count;
+  bool is_waiting;
+  struct ev_timer retry;
+  uint32_t backoff_ms;
+  struct ev_timer list_retry;
+  uint32_t list_backoff_ms;
+};
+
 struct control_task
 {
   struct control_task_options options;
@@ -213,7 +228,8 @@
   struct control_local *local;
   struct control_outcomes *outcomes; /**< to be told */
   struct ev_timer report;            /**< of outcomes */
-  struct control_pull *pulls;        /**< under way, by key */
+  struct control_poison_store poison;
+  struct control_pull *pulls; /**< under way, by key */
   struct ev_timer pull_due;
   struct control_ask *asks;
   uint64_t ask_id;
@@ -346,6 +362,25 @@
 void control_outcomes_prepare (struct control_task *task);
 void control_outcomes_release (struct control_task *task);
 
+/* control_poison.c: requests that crash targets */
+/** Start announcing changes to other hosts and load the stored blocks. */
+void control_poison_start (struct control_task *task);
+void control_poison_receive (struct control_task *task,
+                             const struct peer_message *message);
+/** Pass COUNT rows to the caller task, which takes ownership of them. */
+void control_poison_deliver (struct control_task *task, const char *service,
+                             struct poison_row *rows, size_t count);
+
+/* control_poison_store.c */
+void control_poison_store_prepare (struct control_task *task);
+/** List the stored blocks. */
+void control_poison_store_start (struct control_task *task);
+/** Store the first row of ANNOUNCED, or remove it if it is not a block. */
+void control_poison_store_write (struct control_task *task,
+                                 const struct bus_poison *announced);
+void control_poison_store_stop (struct control_task *task);
+void control_poison_store_release (struct control_task *task);
+
 /* control_platform.c */
 void control_platform_start (struct control_task *task);
 /** Relays watch; others stop. */
--- /dev/null
+++ b/node/control/control_poison.c
@@ -0,0 +1,105 @@
+#include "node/control/control_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "node/control/poison_message.h"
+
+enum
+{
+  /** All but a few hosts in a thousand are reached in a few rounds; periodic
+   * refreshes reach the rest. */
+  GOSSIP_FANOUT = 6,
+};
+
+static void
+send_to_set (struct control_task *task, const char *name,
+             const struct peer_message *message)
+{
+  const struct control_service *service;
+  HASH_FIND_STR (task->services, name, service);
+  for (size_t i = 0; service != NULL && i < service->set_count; i++)
+    {
+      struct control_host *host = control_hosts_find (task, service->set[i]);
+      if (host != NULL && host != task->self)
+        control_hosts_send (task, host, message);
+    }
+}
+
+static void
+send_to_number (struct control_task *task, size_t number,
+                const struct peer_message *message)
+{
+  struct control_host *host
+      = control_hosts_find (task, task->fleet[number].key);
+  if (host != NULL && host != task->self)
+    control_hosts_send (task, host, message);
+}
+
+/* Sends to all hosts of a small fleet; of a larger one a host may be selected
+   more than once. */
+static void
+send_to_random (struct control_task *task, uint32_t wanted,
+                const struct peer_message *message)
+{
+  const uint32_t count = (uint32_t)task->fleet_count;
+  if (count == 0)
+    return;
+  for (uint32_t i = 0; wanted > 1 && count <= wanted + 1 && i < count; i++)
+    send_to_number (task, i, message);
+  for (uint32_t i = 0; (wanted == 1 || count > wanted + 1) && i < wanted; i++)
+    send_to_number (task, rng_below (&task->random, count), message);
+}
+
+static void
+on_announced (void *owner, const struct bus_message *bus_message)
+{
+  struct control_task *task = owner;
+  const struct bus_poison *announced = &bus_message->poison;
+  int64_t *values;
+  const struct peer_message message = poison_message_make (
+      announced->service, announced->rows, announced->count, &values);
+  switch (announced->to)
+    {
+    case POISON_TO_SET:
+      send_to_set (task, announced->service, &message);
+      break;
+    case POISON_TO_RANDOM_FEW:
+      send_to_random (task, GOSSIP_FANOUT, &message);
+      break;
+    case POISON_TO_RANDOM_ONE:
+      send_to_random (task, 1, &message);
+      break;
+    }
+  free (values);
+  if (announced->is_stored)
+    control_poison_store_write (task, announced);
+}
+
+void
+control_poison_deliver (struct control_task *task, const char *service,
+                        struct poison_row *rows, size_t count)
+{
+  struct bus_message message = { .topic = BUS_POISON_HEARD,
+                                 .poison = { .rows = rows, .count = count } };
+  snprintf (message.poison.service, sizeof message.poison.service, "%s",
+            service);
+  bus_post (task->options.bus, &message);
+}
+
+void
+control_poison_receive (struct control_task *task,
+                        const struct peer_message *message)
+{
+  struct poison_row *rows;
+  const size_t count = poison_message_read (message, &rows);
+  if (count > 0)
+    control_poison_deliver (task, message->report.service, rows, count);
+}
+
+void
+control_poison_start (struct control_task *task)
+{
+  bus_subscribe (task->options.bus, BUS_POISON_ANNOUNCED, on_announced, task);
+  control_poison_store_start (task);
+}
--- /dev/null
+++ b/node/control/control_poison_store.c
@@ -0,0 +1,241 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/control/poison_record.h"
+#include "policy/poison/poison_table.h"
+
+enum
+{
+  QUEUED_WRITES_MAX = 64,
+};
+
+/** A queued write or removal of a platform object. */
+struct control_poison_write
+{
+  char name[FINGERPRINT_TEXT_SIZE];
+  char *value; /* NULL: remove */
+  struct control_poison_write *prev, *next;
+};
+
+static void next_write (struct control_task *task);
+
+static void
+drop_write (struct control_task *task)
+{
+  struct control_poison_write *write = task->poison.writes;
+  DL_DELETE (task->poison.writes, write);
+  task->poison.write_count--;
+  free (write->value);
+  free (write);
+}
+
+static void
+retry_later (struct control_task *task, const struct platform_reply *reply)
+{
+  LOG_WARN ("poison-store-failed",
+            LOG_STR ("status", status_name (reply->status)),
+            LOG_STR ("why", reply->message));
+  control_retry_later (task, &task->poison.retry, &task->poison.backoff_ms);
+}
+
+/* A retry reads the object first and so detects a write whose reply was lost.
+ */
+static void
+put_done (void *owner, const struct platform_reply *reply)
+{
+  struct control_poison_store *store = owner;
+  struct control_task *task = store->task;
+  store->is_waiting = false;
+  if (reply->status != STATUS_OK && reply->status != STATUS_NOT_FOUND)
+    {
+      retry_later (task, reply);
+      return;
+    }
+  store->backoff_ms = 0;
+  drop_write (task);
+  next_write (task);
+}
+
+/* The current object provides the version for a conditional write. */
+static void
+get_done (void *owner, const struct platform_reply *reply)
+{
+  struct control_poison_store *store = owner;
+  struct control_task *task = store->task;
+  const struct control_poison_write *write = store->writes;
+  const bool exists = reply->status == STATUS_OK && reply->count == 1
+                      && reply->objects[0].value != NULL;
+  const bool is_done
+      = exists ? write->value != NULL
+                     && strcmp (reply->objects[0].value, write->value) == 0
+               : write->value == NULL;
+  store->is_waiting = false;
+  if (reply->status != STATUS_OK && reply->status != STATUS_NOT_FOUND)
+    retry_later (task, reply);
+  else if (is_done)
+    {
+      drop_write (task);
+      next_write (task);
+    }
+  else
+    {
+      store->is_waiting = true;
+      platform_put (task->options.platform, PLATFORM_KIND_POISON, write->name,
+                    exists ? reply->objects[0].version : PLATFORM_VERSION_NONE,
+                    write->value, put_done, store);
+    }
+}
+
+static void
+next_write (struct control_task *task)
+{
+  struct control_poison_store *store = &task->poison;
+  if (store->is_waiting || store->writes == NULL
+      || ev_is_active (&store->retry))
+    return;
+  store->is_waiting = true;
+  platform_get (task->options.platform, PLATFORM_KIND_POISON,
+                store->writes->name, get_done, store);
+}
+
+/* Takes ownership of VALUE, which is NULL for a removal. */
+static void
+add_write (struct control_task *task, const char *name, char *value)
+{
+  struct control_poison_store *store = &task->poison;
+  if (store->write_count == QUEUED_WRITES_MAX)
+    {
+      LOG_WARN ("poison-store-failed", LOG_STR ("name", name),
+                LOG_STR ("why", "too many writes are queued"));
+      free (value);
+      return;
+    }
+  struct control_poison_write *write = xcalloc (1, sizeof *write);
+  snprintf (write->name, sizeof write->name, "%s", name);
+  write->value = value;
+  DL_APPEND (store->writes, write);
+  store->write_count++;
+  next_write (task);
+}
+
+void
+control_poison_store_write (struct control_task *task,
+                            const struct bus_poison *announced)
+{
+  const struct poison_row *row = &announced->rows[0];
+  struct poison_record record
+      = { .row = *row, .until_ms = clock_unix_ms () + row->left_ms };
+  char name[FINGERPRINT_TEXT_SIZE];
+  fingerprint_format (&row->fingerprint, name);
+  snprintf (record.service, sizeof record.service, "%s", announced->service);
+  add_write (task, name,
+             row->strikes > 0 ? poison_record_format (&record) : NULL);
+}
+
+static void
+read_object (struct control_task *task, const struct platform_object *object,
+             struct poison_row *rows, size_t *count)
+{
+  struct poison_record record;
+  if (poison_record_parse (object->name, object->value, &record) != STATUS_OK)
+    {
+      LOG_WARN ("poison-record-refused", LOG_STR ("name", object->name),
+                LOG_STR ("why", status_message ()));
+      return;
+    }
+  const int64_t left_ms = record.until_ms - clock_unix_ms ();
+  if (left_ms < -POISON_BLOCK_RETENTION_MS)
+    {
+      add_write (task, object->name, NULL);
+      return;
+    }
+  record.row.left_ms = 0;
+  if (left_ms > 0)
+    record.row.left_ms = left_ms < UINT32_MAX ? (uint32_t)left_ms : UINT32_MAX;
+  rows[(*count)++] = record.row;
+}
+
+static void list_blocks (struct control_poison_store *store);
+
+static void
+list_done (void *owner, const struct platform_reply *reply)
+{
+  struct control_poison_store *store = owner;
+  struct control_task *task = store->task;
+  if (reply->status != STATUS_OK)
+    {
+      control_retry_later (task, &store->list_retry, &store->list_backoff_ms);
+      return;
+    }
+  if (reply->count == 0)
+    return;
+  struct poison_row *rows = xcalloc (reply->count, sizeof *rows);
+  size_t count = 0;
+  for (size_t i = 0; i < reply->count && count < POISON_ENTRIES_MAX; i++)
+    if (reply->objects[i].value != NULL)
+      read_object (task, &reply->objects[i], rows, &count);
+  LOG_INFO ("poison-listed", LOG_INT ("blocked", count));
+  control_poison_deliver (task, "", rows, count);
+}
+
+static void
+list_blocks (struct control_poison_store *store)
+{
+  platform_list (store->task->options.platform, PLATFORM_KIND_POISON,
+                 PLATFORM_AGE_NONE, list_done, store);
+}
+
+static void
+list_retry_cb (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  list_blocks (timer->data);
+}
+
+static void
+retry_cb (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  next_write (timer->data);
+}
+
+void
+control_poison_store_prepare (struct control_task *task)
+{
+  struct control_poison_store *store = &task->poison;
+  store->task = task;
+  ev_timer_init (&store->retry, retry_cb, 0, 0);
+  store->retry.data = task;
+  ev_timer_init (&store->list_retry, list_retry_cb, 0, 0);
+  store->list_retry.data = store;
+}
+
+void
+control_poison_store_start (struct control_task *task)
+{
+  list_blocks (&task->poison);
+}
+
+void
+control_poison_store_stop (struct control_task *task)
+{
+  struct control_poison_store *store = &task->poison;
+  ev_timer_stop (task->options.loop, &store->retry);
+  ev_timer_stop (task->options.loop, &store->list_retry);
+  platform_cancel (task->options.platform, store);
+}
+
+void
+control_poison_store_release (struct control_task *task)
+{
+  while (task->poison.writes != NULL)
+    drop_write (task);
+}
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -65,6 +65,9 @@
     case PEER_OUTCOMES:
       control_outcomes_receive (task, &message->report);
       break;
+    case PEER_POISON:
+      control_poison_receive (task, message);
+      break;
     case PEER_HELLO:
     case PEER_PROOF:
     case PEER_TYPE_END:
@@ -290,6 +293,7 @@
   task->refresh.data = task;
   control_send_prepare (task);
   control_outcomes_prepare (task);
+  control_poison_store_prepare (task);
   control_pulls_prepare (task);
   describe_self (task);
   make_membership (task);
@@ -312,6 +316,7 @@
   start_timers (task);
   control_seeds_open (task);
   control_platform_start (task);
+  control_poison_start (task);
   *created = task;
   return STATUS_OK;
 }
@@ -333,12 +338,14 @@
       control_platform_stop (task);
       control_registration_stop (task);
       control_removals_stop (task);
+      control_poison_store_stop (task);
     }
   ev_timer_stop (loop, &task->refresh);
   control_seeds_close (task);
   peer_server_destroy (task->server);
   control_send_release (task);
   control_outcomes_release (task);
+  control_poison_store_release (task);
   control_pulls_release (task);
   control_ask_release (task);
   registry_destroy (task->registry);
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -5,6 +5,7 @@
 
 #include "base/options.h"
 #include "node/host_resources.h"
+#include "policy/poison/poison_table.h"
 
 enum
 {
@@ -25,6 +26,8 @@
     .set_hosts_per_dc = 2,
     .relays_per_dc = 3,
     .modes = { .has_ejection = true },
+    .poison
+    = { .crashes = 3, .block_ms = 60 * 1000, .block_max_ms = HOUR_MS },
     .retry = { .percent = 10, .window_ms = 10000, .reserve = 30 },
     .access = { .quota_window_ms = 5000, .quota_over_percent = 10,
                 .quota_slack = 20 },
@@ -132,6 +135,23 @@
   options_close (top, &options);
 }
 
+static void
+read_poison (struct options *top, struct poison_settings *poison)
+{
+  struct options options;
+  if (!options_object (top, "poison", false, &options))
+    return;
+  options_uint32 (&options, "crashes", 1, POISON_CRASHES_MAX,
+                  &poison->crashes);
+  read_ms (&options, "block_ms", 1000, DAY_MS, &poison->block_ms);
+  read_ms (&options, "block_max_ms", 1000, DAY_MS, &poison->block_max_ms);
+  if (poison->block_max_ms < poison->block_ms)
+    options_fail (&options, "block_max_ms",
+                  "expected at least block_ms (%u), found %u; raise it",
+                  poison->block_ms, poison->block_max_ms);
+  options_close (top, &options);
+}
+
 /* Times that contradict one another would break a promise later and quietly,
    so they are refused here. */
 static void
@@ -369,6 +389,7 @@
   options_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
   read_modes (&top, &settings->modes);
   read_retry (&top, &settings->retry);
+  read_poison (&top, &settings->poison);
   read_access (&top, &settings->access);
   read_limits (&top, &settings->resources, &settings->limits);
   read_times (&top, &settings->times);
@@ -425,6 +446,8 @@
                "fleet_modes has padding: compare its members");
 _Static_assert(sizeof (struct access_settings) == 4 * sizeof (uint32_t),
                "access_settings has padding: compare its members");
+_Static_assert(sizeof (struct poison_settings) == 3 * sizeof (uint32_t),
+               "poison_settings has padding: compare its members");
 _Static_assert(sizeof (struct retry_settings) == 4 * sizeof (uint32_t),
                "retry_settings has padding: compare its members");
 _Static_assert(sizeof (struct control_times) == 13 * sizeof (uint32_t),
@@ -440,6 +463,7 @@
          && a->resources.files == b->resources.files
          && a->relays_per_dc == b->relays_per_dc
          && memcmp (&a->modes, &b->modes, sizeof a->modes) == 0
+         && memcmp (&a->poison, &b->poison, sizeof a->poison) == 0
          && memcmp (&a->retry, &b->retry, sizeof a->retry) == 0
          && memcmp (&a->access, &b->access, sizeof a->access) == 0
          && memcmp (&a->limits, &b->limits, sizeof a->limits) == 0
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -58,6 +58,14 @@
   uint32_t used_percent;
 };
 
+/** Requests that crash the targets that run them. */
+struct poison_settings
+{
+  uint32_t crashes;      /**< consecutive, that block a request */
+  uint32_t block_ms;     /**< first block; doubled each time */
+  uint32_t block_max_ms; /**< upper bound */
+};
+
 /** Times of the control plane. */
 struct control_times
 {
@@ -127,6 +135,7 @@
   struct caller_limits limits;
   struct retry_settings retry;
   struct access_settings access;
+  struct poison_settings poison;
   struct control_times times;
   enum log_level log_level;
   bool log_json;
--- a/tests/fleet/poison_fleet_test.cc
+++ b/tests/fleet/poison_fleet_test.cc
@@ -111,4 +111,45 @@
   EXPECT_LE (runs (), 6);
 }
 
+/* Guards against counting crashes per host instead of fleet-wide. */
+TEST_F (PoisonFleet, CrashesAtSeveralHostsBlockRequestFleetWide)
+{
+  crash_three ();
+  for (int i = 0; i < 4 * hosts; i++)
+    EXPECT_EQ (send (1 + i % hosts), 503);
+  EXPECT_EQ (runs (), 3) << fleet.logs ();
+  EXPECT_EQ (http_get (fleet.caller_url (1, "/calendar/june")).status, 200);
+}
+
+/* Guards against losing a block when all hosts are restarted. */
+TEST_F (PoisonFleet, BlockSurvivesRestartOfAllHosts)
+{
+  crash_three ();
+  ASSERT_TRUE (wait_until ([this] {
+    return json_length (http_get (fleet.platform_url ("/objects/poison")).body,
+                        "objects")
+           == 1;
+  }));
+  for (auto &host : fleet.hosts)
+    host->kill ();
+  for (int number = 1; number <= hosts; number++)
+    fleet.start_host (number);
+  for (int number = 1; number <= hosts; number++)
+    ASSERT_TRUE (fleet.wait_serving (number));
+  ASSERT_TRUE (blocked_everywhere ()) << fleet.logs ();
+  for (int i = 0; i < 2 * hosts; i++)
+    EXPECT_EQ (send (1 + i % hosts), 503);
+  EXPECT_EQ (runs (), 3) << fleet.logs ();
+}
+
+/* Guards against blocks that depend on the platform being available. */
+TEST_F (PoisonFleet, BlocksDuringPlatformOutage)
+{
+  fleet.platform->kill ();
+  crash_three ();
+  for (int i = 0; i < 2 * hosts; i++)
+    EXPECT_EQ (send (1 + i % hosts), 503);
+  EXPECT_EQ (runs (), 3) << fleet.logs ();
+}
+
 } // namespace
--- a/wire/peer/peer_decode.c
+++ b/wire/peer/peer_decode.c
@@ -42,6 +42,7 @@
   [PEER_OUTCOMES] = "outcomes",
   [PEER_QUOTA_ASK] = "quota-ask",
   [PEER_QUOTA_GRANT] = "quota-grant",
+  [PEER_POISON] = "poison",
 };
 
 const char *
@@ -337,6 +338,7 @@
     case PEER_OUTCOMES:
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
+    case PEER_POISON:
       get_report (fields, &message->report);
       break;
     case PEER_TYPE_END:
@@ -415,6 +417,7 @@
     case PEER_OUTCOMES:
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
+    case PEER_POISON:
       free (message->report.values);
       free (message->report.names);
       break;
--- a/wire/peer/peer_encode.c
+++ b/wire/peer/peer_encode.c
@@ -160,6 +160,7 @@
     case PEER_OUTCOMES:
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
+    case PEER_POISON:
       return 7;
     case PEER_TYPE_END:
       break;
@@ -211,6 +212,7 @@
     case PEER_OUTCOMES:
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
+    case PEER_POISON:
       put_report (packer, &message->report);
       break;
     case PEER_TYPE_END:
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -54,6 +54,7 @@
   PEER_OUTCOMES = 17,    /**< how attempts ended, to the hosts of a set */
   PEER_QUOTA_ASK = 18,   /**< tokens a host wants, and its share lent */
   PEER_QUOTA_GRANT = 19, /**< a keeper's answer */
+  PEER_POISON = 20,      /**< requests that crash targets */
   PEER_TYPE_END
 };
 
@@ -157,9 +158,9 @@
   uint64_t version; /**< asked for; in the answer: the one in force */
 };
 
-/** EVIDENCE, DECISION, DEMAND, OUTCOMES and QUOTA_*: rows of fixed-width
- * numbers, whose columns the sender and receiver share, and names that go with
- * the rows. */
+/** EVIDENCE, DECISION, DEMAND, OUTCOMES, QUOTA_* and POISON: rows of
+ * fixed-width numbers, whose columns the sender and receiver share, and names
+ * that go with the rows. */
 struct peer_report
 {
   char service[PEER_NAME_SIZE];
@@ -186,7 +187,7 @@
     struct peer_settings_entries settings; /**< OFFER, PULL */
     struct peer_settings_push push;
     struct peer_in_force in_force; /**< IN_FORCE_ASK, _ANSWER */
-    struct peer_report report;     /**< EVIDENCE, DECISION, DEMAND, OUTCOMES */
+    struct peer_report report;     /**< EVIDENCE to POISON */
   };
 };
 
--- a/wire/platform.h
+++ b/wire/platform.h
@@ -32,6 +32,7 @@
 #define PLATFORM_KIND_HOST "host"         /**< live and leaving hosts */
 #define PLATFORM_KIND_CONFIG "config"     /**< fleet_config.h */
 #define PLATFORM_KIND_TARGET "target"     /**< target_record.h */
+#define PLATFORM_KIND_POISON "poison"     /**< blocked requests */
 
 /** The object of kind `config` that is in force. */
 #define PLATFORM_CONFIG_NAME "main"
