operator: add clear poison; remove cleared blocks from the platform

A block ended only by expiry, a trial or an answer, so operators who knew that the targets had been fixed had to wait. Cause: there was no command to clear one.

Change: `jaystair clear poison FINGERPRINT` (command "clear-poison") takes the fingerprint shown by `jaystair show poison` and in the log lines. Other hosts are notified as they are when a complete answer clears a request. An unknown request is an error that refers to the list. Each host removes the blocks that it stored when it learns that the request is cleared. explain request describes the reasons poison-request and body-late.

--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -154,6 +154,9 @@
   if (statement->target[0] != '\0')
     json_object_object_add (command, "target",
                             json_object_new_string (statement->target));
+  if (statement->fingerprint[0] != '\0')
+    json_object_object_add (command, "fingerprint",
+                            json_object_new_string (statement->fingerprint));
   if (statement->floor >= 0)
     json_object_object_add (command, "floor",
                             json_object_new_int64 (statement->floor));
@@ -163,6 +166,14 @@
   return command;
 }
 
+static void
+print_cleared (const struct commands *commands, struct json_object *body)
+{
+  fprintf (commands->out, "%s %s: accepted, announced to the other hosts\n",
+           json_member_text (body, "command"),
+           json_member_text (body, "fingerprint"));
+}
+
 static void
 print_accepted (const struct commands *commands, struct json_object *body)
 {
@@ -205,6 +216,8 @@
     print_failure (commands, reply.body);
   else if (commands->json)
     commands_print_json (commands, reply.body);
+  else if (statement->fingerprint[0] != '\0')
+    print_cleared (commands, reply.body);
   else
     print_accepted (commands, reply.body);
   json_object_put (reply.body);
--- a/ctl/request_cause.c
+++ b/ctl/request_cause.c
@@ -45,6 +45,8 @@
   { "ticket-duplicate", "its ticket had been used before" },
   { "ticket-forged", "its ticket was never handed out" },
   { "ticket-elsewhere", "its ticket is of another host" },
+  { "poison-request", "targets had crashed while running the same request" },
+  { "body-late", "its body did not arrive in time" },
   { "tickets-full", "the host had too many tickets in use" },
   { "leaving", "the host was shutting down" },
   { "host-leaves", "the host was shutting down" },
--- a/ctl/statement.c
+++ b/ctl/statement.c
@@ -14,8 +14,8 @@
 };
 
 static const char *const table_names[]
-    = { "services", "targets",   "hosts",    "routes",
-        "settings", "decisions", "counters", "ejections" };
+    = { "services",  "targets",  "hosts",     "routes", "settings",
+        "decisions", "counters", "ejections", "poison" };
 
 static const char *
 peek (const struct cursor *cursor)
@@ -223,7 +223,7 @@
       statement->table = table_names[i];
   if (statement->table == NULL)
     return expected ("services, targets, hosts, routes, settings, decisions, "
-                     "counters or ejections",
+                     "counters, ejections or poison",
                      word);
   return take_filters (cursor, statement);
 }
@@ -287,6 +287,20 @@
   return status == STATUS_OK ? take_version (cursor, statement) : status;
 }
 
+static enum status
+parse_clear (struct cursor *cursor, struct statement *statement)
+{
+  static const char what[] = "the fingerprint of a request";
+  const enum status status = take_keyword_or_fail (cursor, "poison");
+  if (status != STATUS_OK)
+    return status;
+  const char *word = take (cursor);
+  if (word == NULL)
+    return expected (what, NULL);
+  return copy (statement->fingerprint, sizeof statement->fingerprint, word,
+               strlen (word), what);
+}
+
 /** What the first word of a statement leads to. */
 struct verb
 {
@@ -305,7 +319,8 @@
         { "reinstate", "reinstate", parse_target_command },
         { "pause", "pause-ejection", parse_ejection_command },
         { "resume", "resume-ejection", parse_ejection_command },
-        { "set", "set-floor", parse_set } };
+        { "set", "set-floor", parse_set },
+        { "clear", "clear-poison", parse_clear } };
 
 enum status
 statement_parse (const char *const *words, size_t count,
@@ -322,7 +337,7 @@
       verb = &verbs[i];
   if (verb == NULL)
     return expected ("show, explain, addresses, drain, undrain, eject, "
-                     "reinstate, pause, resume or set",
+                     "reinstate, pause, resume, set or clear",
                      word);
   statement->command = verb->command;
   const enum status status = verb->parse (&cursor, statement);
--- a/ctl/statement.h
+++ b/ctl/statement.h
@@ -8,10 +8,11 @@
  *     drain|undrain|eject|reinstate TARGET [at version N]
  *     pause|resume ejection SERVICE [at version N]
  *     set floor SERVICE CAPACITY [at version N]
+ *     clear poison FINGERPRINT
  *
- * TABLE is services, targets, hosts, routes, settings, decisions, counters or
- * ejections; OP is one of = != < > ~ (contains), with or without blanks
- * around it.  TARGET is a target's name, or SERVICE/NAME where several
+ * TABLE is services, targets, hosts, routes, settings, decisions, counters,
+ * ejections or poison; OP is one of = != < > ~ (contains), with or without
+ * blanks around it.  TARGET is a target's name, or SERVICE/NAME where several
  * services have one of that name.  Words of the language may be written in
  * any case; names are taken as they are.
  */
@@ -44,9 +45,10 @@
   const char *command; /**< command: its name in the operator's protocol */
   struct filter filters[STATEMENT_FILTERS_MAX];
   size_t filter_count;
-  char service[STATEMENT_NAME_SIZE]; /**< "" where the target tells it */
-  char target[STATEMENT_NAME_SIZE];  /**< "" where there is none */
-  const char *request;               /**< explain request: its identity */
+  char service[STATEMENT_NAME_SIZE];     /**< "" where the target tells it */
+  char target[STATEMENT_NAME_SIZE];      /**< "" where there is none */
+  char fingerprint[STATEMENT_NAME_SIZE]; /**< clear poison; otherwise "" */
+  const char *request;                   /**< explain request: its identity */
   const char *const *files; /**< explain request: logs; none: the input */
   size_t file_count;
   int64_t floor;    /**< set floor; -1: none */
--- a/ctl/tests/statement_test.cc
+++ b/ctl/tests/statement_test.cc
@@ -93,6 +93,14 @@
     }
 }
 
+TEST (Statement, ClearParsesFingerprint)
+{
+  struct statement statement;
+  ASSERT_EQ (parse ({ "clear", "Poison", "0f" }, &statement), STATUS_OK);
+  EXPECT_STREQ (statement.command, "clear-poison");
+  EXPECT_STREQ (statement.fingerprint, "0f");
+}
+
 TEST (Statement, ErrorsNameTheWordAndWhatWasExpected)
 {
   const struct
@@ -123,6 +131,8 @@
                 { "set floor s", "capacity" },
                 { "set floor s -3", "found \"-3\"" },
                 { "set floor s 4294967296", "capacity" },
+                { "clear", "expected poison" },
+                { "clear poison", "the fingerprint of a request" },
                 { "addresses", "name of a service" } };
   for (const auto &c : cases)
     {
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -392,6 +392,13 @@
   return service != NULL ? service->recorder : NULL;
 }
 
+bool
+caller_task_clear_poison (struct caller_task *task,
+                          const struct fingerprint *fingerprint)
+{
+  return poison_desk_clear_manually (task->context.poison, fingerprint);
+}
+
 uint32_t
 caller_task_demand (struct caller_task *task, const char *name)
 {
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -15,6 +15,7 @@
 #include <ev.h>
 
 #include "base/counters.h"
+#include "base/fingerprint.h"
 #include "node/bus.h"
 #include "node/host_settings.h"
 
@@ -74,6 +75,11 @@
 struct detection_recorder *caller_task_recorder (struct caller_task *task,
                                                  const char *name);
 
+/** Clear a request that crashed targets and announce this to the other hosts.
+ * @return false if this host has no state for FINGERPRINT */
+bool caller_task_clear_poison (struct caller_task *task,
+                               const struct fingerprint *fingerprint);
+
 /** The most requests of the service called NAME that were at targets or
  * waited for one at once lately; 0 when it isn't in force. */
 uint32_t caller_task_demand (struct caller_task *task, const char *name);
--- a/node/caller/poison_desk.c
+++ b/node/caller/poison_desk.c
@@ -189,17 +189,34 @@
   announce_block (desk, service, &row, before, true);
 }
 
-void
-poison_desk_clear (struct poison_desk *desk, const char *service,
-                   const struct fingerprint *fingerprint)
+/* SERVICE is "" if unknown: the hosts of its set then receive the change from
+   other hosts only. */
+static bool
+clear_request (struct poison_desk *desk, const char *service,
+               const struct fingerprint *fingerprint, const char *source)
 {
   struct poison_row row;
   const bool was_blocked = current_block (desk, fingerprint).strikes > 0;
   if (!poison_table_clear (desk->table, clock_now_ms (), fingerprint, &row))
-    return;
-  log_change ("poison-cleared", service, fingerprint, &row, "own");
+    return false;
+  log_change ("poison-cleared", service, fingerprint, &row, source);
   announce (desk, service, &row, 1, POISON_TO_SET, was_blocked);
   announce (desk, service, &row, 1, POISON_TO_RANDOM_FEW, false);
+  return true;
+}
+
+void
+poison_desk_clear (struct poison_desk *desk, const char *service,
+                   const struct fingerprint *fingerprint)
+{
+  clear_request (desk, service, fingerprint, "own");
+}
+
+bool
+poison_desk_clear_manually (struct poison_desk *desk,
+                            const struct fingerprint *fingerprint)
+{
+  return clear_request (desk, "", fingerprint, "operator");
 }
 
 static void
--- a/node/caller/poison_desk.h
+++ b/node/caller/poison_desk.h
@@ -37,6 +37,11 @@
 void poison_desk_clear (struct poison_desk *desk, const char *service,
                         const struct fingerprint *fingerprint);
 
+/** Clear a request on an operator's command.
+ * @return false if this host has no state for FINGERPRINT */
+bool poison_desk_clear_manually (struct poison_desk *desk,
+                                 const struct fingerprint *fingerprint);
+
 /** Merge rows received from another host. */
 void poison_desk_receive (struct poison_desk *desk,
                           const struct bus_poison *received);
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -176,6 +176,7 @@
 struct control_ask;
 struct control_local;
 struct control_outcomes;
+struct control_poison_stored_name;
 struct control_poison_write;
 struct control_pull;
 
@@ -185,6 +186,8 @@
 {
   struct control_task *task;
   struct control_poison_write *writes;
+  /** The blocks that this host has written to the platform. */
+  struct control_poison_stored_name *stored_names;
   size_t write_count;
   bool is_waiting;
   struct ev_timer retry;
@@ -378,6 +381,9 @@
 /** Store the first row of ANNOUNCED, or remove it if it is not a block. */
 void control_poison_store_write (struct control_task *task,
                                  const struct bus_poison *announced);
+/** Remove a cleared block from the platform if this host stored it. */
+void control_poison_store_clear (struct control_task *task,
+                                 const struct fingerprint *fingerprint);
 void control_poison_store_stop (struct control_task *task);
 void control_poison_store_release (struct control_task *task);
 
--- a/node/control/control_poison.c
+++ b/node/control/control_poison.c
@@ -72,8 +72,11 @@
       break;
     }
   free (values);
+  const struct poison_row *first = &announced->rows[0];
   if (announced->is_stored)
     control_poison_store_write (task, announced);
+  else if (first->strikes == 0 && first->target == 0)
+    control_poison_store_clear (task, &first->fingerprint);
 }
 
 void
--- a/node/control/control_poison_store.c
+++ b/node/control/control_poison_store.c
@@ -17,6 +17,7 @@
 enum
 {
   QUEUED_WRITES_MAX = 64,
+  STORED_NAMES_MAX = 1024,
 };
 
 /** A queued write or removal of a platform object. */
@@ -27,6 +28,13 @@
   struct control_poison_write *prev, *next;
 };
 
+/** The name of a block that this host has stored or queued for storing. */
+struct control_poison_stored_name
+{
+  char name[FINGERPRINT_TEXT_SIZE];
+  UT_hash_handle hh;
+};
+
 static void next_write (struct control_task *task);
 
 static void
@@ -128,6 +136,45 @@
   next_write (task);
 }
 
+static void
+remove_stored_name (struct control_poison_store *store,
+                    struct control_poison_stored_name *name)
+{
+  HASH_DEL (store->stored_names, name);
+  free (name);
+}
+
+static void
+add_stored_name (struct control_poison_store *store, const char *text)
+{
+  struct control_poison_stored_name *name;
+  HASH_FIND_STR (store->stored_names, text, name);
+  if (name != NULL)
+    return;
+  if (HASH_COUNT (store->stored_names) == STORED_NAMES_MAX)
+    remove_stored_name (store, store->stored_names);
+  name = xcalloc (1, sizeof *name);
+  snprintf (name->name, sizeof name->name, "%s", text);
+  HASH_ADD_STR (store->stored_names, name, name);
+}
+
+/* Guards against a stale block on the platform: several hosts store the same
+   block, and one may write it after another has removed it. */
+void
+control_poison_store_clear (struct control_task *task,
+                            const struct fingerprint *fingerprint)
+{
+  struct control_poison_store *store = &task->poison;
+  struct control_poison_stored_name *name;
+  char text[FINGERPRINT_TEXT_SIZE];
+  fingerprint_format (fingerprint, text);
+  HASH_FIND_STR (store->stored_names, text, name);
+  if (name == NULL)
+    return;
+  remove_stored_name (store, name);
+  add_write (task, text, NULL);
+}
+
 void
 control_poison_store_write (struct control_task *task,
                             const struct bus_poison *announced)
@@ -138,6 +185,8 @@
   char name[FINGERPRINT_TEXT_SIZE];
   fingerprint_format (&row->fingerprint, name);
   snprintf (record.service, sizeof record.service, "%s", announced->service);
+  if (row->strikes > 0)
+    add_stored_name (&task->poison, name);
   add_write (task, name,
              row->strikes > 0 ? poison_record_format (&record) : NULL);
 }
@@ -238,4 +287,12 @@
 {
   while (task->poison.writes != NULL)
     drop_write (task);
+  struct control_poison_stored_name *name = task->poison.stored_names;
+  HASH_CLEAR (hh, task->poison.stored_names);
+  while (name != NULL)
+    {
+      struct control_poison_stored_name *next = name->hh.next;
+      free (name);
+      name = next;
+    }
 }
--- a/node/control/tests/control_poison_test.cc
+++ b/node/control/tests/control_poison_test.cc
@@ -80,6 +80,26 @@
   std::map<node *, std::vector<poison_row>> received;
 };
 
+/* Guards against a cleared block that remains stored because one host wrote it
+   after another had removed it. */
+TEST_F (ControlPoison, ClearedBlockIsRemovedByHostThatStoredIt)
+{
+  node &host = add ("h0", "d0");
+  host.start (loop);
+  ASSERT_TRUE (until ([&] { return control_has_settings (host.task); }));
+  put_record (2, 60000);
+  announce (host, make_block (1), POISON_TO_RANDOM_FEW, true);
+  ASSERT_TRUE (until ([&] { return stored () == 2; }));
+  for (const uint64_t number : { 2, 1 })
+    {
+      poison_row cleared = make_block (number);
+      cleared.strikes = 0;
+      announce (host, cleared, POISON_TO_RANDOM_FEW, false);
+    }
+  EXPECT_TRUE (until ([&] { return stored () == 1; }));
+  EXPECT_EQ (store.kinds[PLATFORM_KIND_POISON].size (), 2u);
+}
+
 /* Guards against a block that is not stored because the platform was down. */
 TEST_F (ControlPoison, BlockIsStoredAfterPlatformRecovers)
 {
--- a/node/daemon/backend.c
+++ b/node/daemon/backend.c
@@ -92,6 +92,15 @@
   ejection_task_command (backend->options.ejection, command, done, owner);
 }
 
+static bool
+clear_poison (struct operator_backend *base,
+              const struct operator_command *command)
+{
+  const struct backend_options *options = &((struct backend *)base)->options;
+  return options->clear_poison (options->clear_poison_owner,
+                                &command->fingerprint);
+}
+
 static void
 asked (void *owner, const struct control_in_force *result)
 {
@@ -180,6 +189,7 @@
   static const struct operator_backend_ops ops = {
     .change_service = change_service,
     .change_ejection = change_ejection,
+    .clear_poison = clear_poison,
     .ask_in_force = ask_in_force,
     .news_age_ms = news_age_ms,
     .not_heard_from = not_heard_from,
--- a/node/daemon/backend.h
+++ b/node/daemon/backend.h
@@ -22,7 +22,10 @@
   struct platform *platform;
   struct control_task *control;
   struct ejection_task *ejection; /**< NULL: ejection is off */
-  bool has_registry;              /**< services aren't objects of their own */
+  /** Clear a request that crashed targets; false if it is unknown. */
+  bool (*clear_poison) (void *owner, const struct fingerprint *fingerprint);
+  void *clear_poison_owner;
+  bool has_registry; /**< services aren't objects of their own */
 };
 
 struct operator_backend *
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -195,6 +195,13 @@
   control_quota_deliver (&host->quota_transport, host->quota);
 }
 
+static bool
+clear_poison (void *owner, const struct fingerprint *fingerprint)
+{
+  const struct host *host = owner;
+  return caller_task_clear_poison (host->caller, fingerprint);
+}
+
 static enum status
 create_operator (struct host *host)
 {
@@ -203,6 +210,8 @@
     .platform = host->platform,
     .control = host->control,
     .ejection = host->ejection,
+    .clear_poison = clear_poison,
+    .clear_poison_owner = host,
     .has_registry = host->settings.modes.has_registry,
   };
   host->backend = backend_create (&backend);
--- a/node/operator/operator_backend.h
+++ b/node/operator/operator_backend.h
@@ -9,11 +9,13 @@
 #ifndef NODE_OPERATOR_OPERATOR_BACKEND_H
 #define NODE_OPERATOR_OPERATOR_BACKEND_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include <json-c/json.h>
 
+#include "base/fingerprint.h"
 #include "base/status.h"
 #include "wire/service_spec.h"
 
@@ -27,6 +29,7 @@
   OPERATOR_SET_FLOOR,
   OPERATOR_EJECT,
   OPERATOR_REINSTATE,
+  OPERATOR_CLEAR_POISON,
   OPERATOR_VERB_COUNT
 };
 
@@ -39,8 +42,10 @@
   enum operator_verb verb;
   char service[SERVICE_NAME_SIZE];
   char target[SERVICE_NAME_SIZE]; /**< "" where the verb takes none */
-  uint32_t floor_capacity;        /**< with OPERATOR_SET_FLOOR */
-  uint64_t version;               /**< the one to act on, or any */
+  /** Set for OPERATOR_CLEAR_POISON only. */
+  struct fingerprint fingerprint;
+  uint32_t floor_capacity; /**< with OPERATOR_SET_FLOOR */
+  uint64_t version;        /**< the one to act on, or any */
 };
 
 /** How a command ended; pointers are good during the callback only.
@@ -82,6 +87,10 @@
   void (*change_ejection) (struct operator_backend *backend,
                            const struct operator_command *command,
                            operator_result_done *done, void *owner);
+  /** Clear the request with the command's fingerprint at all hosts.
+   * @return false if this host has no state for it */
+  bool (*clear_poison) (struct operator_backend *backend,
+                        const struct operator_command *command);
   /** Ask the other hosts whether they have what COMMAND wrote as VERSION, or
    * a later one, for at most WITHIN_MS. */
   void (*ask_in_force) (struct operator_backend *backend,
--- a/node/operator/operator_exchange.c
+++ b/node/operator/operator_exchange.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "node/json_row.h"
 #include "node/mhd_loop.h"
 #include "node/operator/operator_answer.h"
 #include "node/operator/operator_request.h"
@@ -99,6 +100,36 @@
                          exchange);
 }
 
+void
+operator_exchange_clear_poison (struct operator_exchange *exchange)
+{
+  char text[FINGERPRINT_TEXT_SIZE];
+  const char *name = text;
+  const bool found = exchange->backend->ops->clear_poison (exchange->backend,
+                                                           &exchange->command);
+  fingerprint_format (&exchange->command.fingerprint, text);
+  LOG_INFO ("command", LOG_STR ("command", "clear-poison"),
+            LOG_STR ("fingerprint", name),
+            LOG_STR ("status", found ? "ok" : "not-found"));
+  if (!found)
+    {
+      operator_exchange_fail (
+          exchange,
+          status_set (STATUS_NOT_FOUND,
+                      "this host has no blocked or suspected request "
+                      "with fingerprint \"%s\": list them with "
+                      "\"show poison\"",
+                      text));
+      return;
+    }
+  struct json_object *answer = json_object_new_object ();
+  json_row_text (answer, "status", status_name (STATUS_OK));
+  json_row_text (answer, "command", "clear-poison");
+  json_row_text (answer, "fingerprint", text);
+  json_row_flag (answer, "accepted", true);
+  operator_exchange_answer (exchange, MHD_HTTP_OK, answer);
+}
+
 /* Guards against telling an operator "not done" of a command that was: the
    write may have left already, so a host that leaves can only say that it
    doesn't know, unless the write's own answer was seen. */
--- a/node/operator/operator_exchange.h
+++ b/node/operator/operator_exchange.h
@@ -52,6 +52,9 @@
  * until that has ended. */
 void operator_exchange_command (struct operator_exchange *exchange);
 
+/** Run OPERATOR_CLEAR_POISON and answer synchronously. */
+void operator_exchange_clear_poison (struct operator_exchange *exchange);
+
 /** End the wait for the backend, whose answer is no longer of use. */
 void operator_exchange_abandon (struct operator_exchange *exchange);
 
--- a/node/operator/operator_request.c
+++ b/node/operator/operator_request.c
@@ -13,6 +13,7 @@
   [OPERATOR_SET_FLOOR] = "set-floor",
   [OPERATOR_EJECT] = "eject",
   [OPERATOR_REINSTATE] = "reinstate",
+  [OPERATOR_CLEAR_POISON] = "clear-poison",
 };
 
 const char *
@@ -45,9 +46,27 @@
   command->verb = verb < 0 ? OPERATOR_DRAIN : (enum operator_verb)verb;
 }
 
+static void
+read_fingerprint (struct options *options, struct operator_command *command)
+{
+  char text[FINGERPRINT_TEXT_SIZE] = "";
+  options_string (options, "fingerprint", true, text, sizeof text);
+  if (options->status == STATUS_OK
+      && !fingerprint_parse (text, &command->fingerprint))
+    options_fail (options, "fingerprint",
+                  "expected 32 hexadecimal digits, found \"%s\"; copy it from "
+                  "\"show poison\"",
+                  text);
+}
+
 static void
 read_operands (struct options *options, struct operator_command *command)
 {
+  if (command->verb == OPERATOR_CLEAR_POISON)
+    {
+      read_fingerprint (options, command);
+      return;
+    }
   const bool takes_target = operator_verb_takes_target (command->verb);
   int64_t version = OPERATOR_ANY_VERSION;
   int64_t floor = -1;
--- a/node/operator/operator_task.c
+++ b/node/operator/operator_task.c
@@ -154,7 +154,8 @@
                        OPERATOR_BODY_MAX_BYTES);
   const enum status status = operator_request_parse (
       exchange->body, exchange->body_size, &exchange->command);
-  if (status != STATUS_OK || exchange->command.service[0] != '\0')
+  if (status != STATUS_OK || exchange->command.service[0] != '\0'
+      || exchange->command.verb == OPERATOR_CLEAR_POISON)
     return status;
   struct json_object *rows = tables_read (task->options.tables, "targets");
   const enum status found
@@ -171,6 +172,8 @@
   const enum status status = read_command (task, exchange);
   if (status != STATUS_OK)
     operator_exchange_fail (exchange, status);
+  else if (exchange->command.verb == OPERATOR_CLEAR_POISON)
+    operator_exchange_clear_poison (exchange);
   else
     operator_exchange_command (exchange);
 }
--- a/node/operator/tests/operator_fixture.h
+++ b/node/operator/tests/operator_fixture.h
@@ -71,6 +71,13 @@
   fake_answer (fake (backend), command, done, owner);
 }
 
+inline bool
+fake_clear_poison (struct operator_backend *,
+                   const struct operator_command *command)
+{
+  return command->fingerprint.low == 1;
+}
+
 inline void
 fake_ask_in_force (struct operator_backend *, const struct operator_command *,
                    uint64_t, uint32_t, operator_in_force_done *done,
@@ -113,8 +120,9 @@
   explicit OperatorFixture (const std::string &secret_file = "")
   {
     static const struct operator_backend_ops ops
-        = { fake_change_service, fake_change_ejection, fake_ask_in_force,
-            fake_news_age_ms,    fake_not_heard_from,  fake_cancel };
+        = { fake_change_service, fake_change_ejection, fake_clear_poison,
+            fake_ask_in_force,   fake_news_age_ms,     fake_not_heard_from,
+            fake_cancel };
     backend.backend.ops = &ops;
     snprintf (settings.name, sizeof settings.name, "h1");
     snprintf (settings.operator_address, sizeof settings.operator_address,
--- a/node/operator/tests/operator_request_test.cc
+++ b/node/operator/tests/operator_request_test.cc
@@ -19,6 +19,8 @@
   for (int i = 0; i < OPERATOR_VERB_COUNT; i++)
     {
       const auto verb = static_cast<enum operator_verb> (i);
+      if (verb == OPERATOR_CLEAR_POISON)
+        continue; /* see ClearPoisonRequiresValidFingerprint */
       std::string text = std::string ("{\"command\":\"")
                          + operator_verb_name (verb)
                          + "\",\"service\":\"holds\",\"version\":7";
@@ -36,6 +38,25 @@
     }
 }
 
+TEST (OperatorRequest, ClearPoisonRequiresValidFingerprint)
+{
+  struct operator_command command;
+  const std::string prefix = "{\"command\":\"clear-poison\"";
+  ASSERT_EQ (parse (prefix
+                        + ",\"fingerprint\":"
+                          "\"00000000000000020000000000000001\"}",
+                    &command),
+             STATUS_OK)
+      << status_message ();
+  EXPECT_EQ (command.fingerprint.high, 2u);
+  EXPECT_EQ (command.fingerprint.low, 1u);
+  for (const char *suffix :
+       { "}", ",\"fingerprint\":\"12\"}", ",\"fingerprint\":7}",
+         ",\"fingerprint\":\"0000000000000002000000000000000g\"}",
+         ",\"service\":\"holds\"}" })
+    EXPECT_EQ (parse (prefix + suffix, &command), STATUS_INVALID) << suffix;
+}
+
 TEST (OperatorRequest, RefusesWhatIsNotWholeWithTheRemedy)
 {
   const char *const bad[] = {
--- a/tests/fleet/poison_fleet_test.cc
+++ b/tests/fleet/poison_fleet_test.cc
@@ -142,6 +142,30 @@
   EXPECT_EQ (runs (), 3) << fleet.logs ();
 }
 
+/* Guards against a block that an operator cannot clear before it expires. */
+TEST_F (PoisonFleet, OperatorClearsRequestAtAllHosts)
+{
+  crash_three ();
+  const std::string fingerprint
+      = json_at (http_get (fleet.operator_url (1, "/v1/poison")).body,
+                 "rows.0.fingerprint");
+  ASSERT_EQ (fingerprint.size (), 32u);
+  int code = 0;
+  fleet.jaystair (2, { "clear", "poison", std::string (32, '0') }, &code);
+  EXPECT_EQ (code, 5);
+  fleet.jaystair (2, { "clear", "poison", fingerprint }, &code);
+  EXPECT_EQ (code, 0);
+  ASSERT_TRUE (logged ("\"poison-cleared\"", 1, hosts)) << fleet.logs ();
+  EXPECT_TRUE (wait_until ([this] {
+    return json_length (http_get (fleet.platform_url ("/objects/poison")).body,
+                        "objects")
+           == 0;
+  }));
+  for (int host = 5; host <= hosts; host++)
+    EXPECT_EQ (send (host), 502);
+  EXPECT_EQ (runs (), 5);
+}
+
 /* Guards against blocks that depend on the platform being available. */
 TEST_F (PoisonFleet, BlocksDuringPlatformOutage)
 {
