policy: count target crashes regardless of the order of their reports

A host that received the report of a request's second crash before that of the first didn't count the first, because it had begun before the last counted crash. Such a request would crash one or two more targets before it was blocked.

Cause: the table kept crashes in the order in which they were reported and compared each one with the last only. Change: it keeps all crashes of a request, at most eight, in order of time and counts the longest sequence of them in which the request was sent after the preceding crash, with a tolerance of 5 ms for the delay of reports. While there is a crash from the last ten seconds, the periodic refresh is sent to six hosts instead of one. A test of the stored blocks checks which record is removed.

--- a/node/caller/poison_desk.c
+++ b/node/caller/poison_desk.c
@@ -16,6 +16,7 @@
 enum
 {
   REFRESH_ROWS_MAX = 64,
+  RECENT_CRASH_MS = 10 * 1000,
 };
 
 static const double REFRESH_INTERVAL_S = 2.0;
@@ -42,6 +43,17 @@
   bus_post (desk->context->bus, &message);
 }
 
+/* Recent crashes are resent to more hosts, because a lost report may be the
+   one that would block the request. */
+static bool
+has_recent_crash (const struct poison_row *rows, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (rows[i].target != 0 && rows[i].crashed_ago_ms < RECENT_CRASH_MS)
+      return true;
+  return false;
+}
+
 /* Periodic resend for hosts that were partitioned or have just started. */
 static void
 on_refresh (struct ev_loop *loop, ev_timer *timer, int events)
@@ -53,7 +65,10 @@
   const size_t count
       = poison_table_rows (desk->table, now_ms, rows, REFRESH_ROWS_MAX);
   if (count > 0)
-    announce (desk, "", rows, count, POISON_TO_RANDOM_ONE, false);
+    announce (desk, "", rows, count,
+              has_recent_crash (rows, count) ? POISON_TO_RANDOM_FEW
+                                             : POISON_TO_RANDOM_ONE,
+              false);
   if (poison_table_is_empty (desk->table))
     ev_timer_stop (loop, timer);
 }
--- a/node/control/tests/control_poison_test.cc
+++ b/node/control/tests/control_poison_test.cc
@@ -98,6 +98,8 @@
     }
   EXPECT_TRUE (until ([&] { return stored () == 1; }));
   EXPECT_EQ (store.kinds[PLATFORM_KIND_POISON].size (), 2u);
+  for (const auto &[name, object] : store.kinds[PLATFORM_KIND_POISON])
+    EXPECT_EQ (object.removed, name.back () == '1') << name;
 }
 
 /* Guards against a block that is not stored because the platform was down. */
--- a/policy/poison/poison_table.c
+++ b/policy/poison/poison_table.c
@@ -11,6 +11,9 @@
 {
   BACKOFF_SHIFT_MAX = 16,
   CRASH_DEDUP_WINDOW_MS = 1000,
+  /* Transmission delay makes crashes reported by other hosts appear later
+     than they were. */
+  REPORT_DELAY_TOLERANCE_MS = 5,
   /** Retry-after while another host runs the trial. */
   TRIAL_RETRY_MS = 1000,
 };
@@ -221,31 +224,64 @@
         remove_crash (other, i);
 }
 
-static bool
+/* Returns the length of the longest sequence of crashes in which the request
+   was sent after the preceding crash, whatever the order of the reports. */
+static uint32_t
+sequential_crashes (const struct poison_entry *entry)
+{
+  int64_t last_ms = INT64_MIN;
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < entry->crash_count; i++)
+    if (count == 0
+        || entry->crashes[i].began_ms >= last_ms - REPORT_DELAY_TOLERANCE_MS)
+      {
+        last_ms = entry->crashes[i].crashed_ms;
+        count++;
+      }
+  return count;
+}
+
+/* Inserts CRASH in order of time.  If the list is full, drops the oldest
+   crash, or returns NULL if CRASH itself is the oldest. */
+static const struct crash *
+insert_crash (struct poison_entry *entry, const struct poison_crash *crash)
+{
+  if (entry->crash_count == POISON_CRASHES_MAX)
+    {
+      if (crash->crashed_ms < entry->crashes[0].crashed_ms)
+        return NULL;
+      remove_crash (entry, 0);
+    }
+  uint32_t at = entry->crash_count;
+  while (at > 0 && entry->crashes[at - 1].crashed_ms > crash->crashed_ms)
+    at--;
+  memmove (&entry->crashes[at + 1], &entry->crashes[at],
+           (entry->crash_count - at) * sizeof entry->crashes[0]);
+  entry->crashes[at] = (struct crash){ .target = crash->target,
+                                       .began_ms = crash->began_ms,
+                                       .crashed_ms = crash->crashed_ms };
+  entry->crash_count++;
+  return &entry->crashes[at];
+}
+
+static const struct crash *
 count_crash (struct poison_table *table, struct poison_entry *entry,
              int64_t now_ms, const struct poison_crash *crash)
 {
   remove_expired_crashes (entry, now_ms);
-  const struct crash *last = entry->crash_count > 0
-                                 ? &entry->crashes[entry->crash_count - 1]
-                                 : NULL;
   if (has_crash (entry, crash->target, crash->crashed_ms)
-      || (last != NULL && crash->began_ms < last->crashed_ms)
       || is_attributed_to_block (table, entry, crash))
-    return false;
-  if (entry->crash_count == POISON_CRASHES_MAX)
-    remove_crash (entry, 0);
-  entry->crashes[entry->crash_count++]
-      = (struct crash){ .target = crash->target,
-                        .began_ms = crash->began_ms,
-                        .crashed_ms = crash->crashed_ms };
+    return NULL;
+  const struct crash *counted = insert_crash (entry, crash);
+  if (counted == NULL)
+    return NULL;
   entry->changed_ms = now_ms;
-  const bool is_due = entry->strikes > 0
-                          ? crash->crashed_ms >= entry->until_ms
-                          : entry->crash_count >= table->options.crashes;
+  const bool is_due = entry->strikes > 0 ? crash->crashed_ms >= entry->until_ms
+                                         : sequential_crashes (entry)
+                                               >= table->options.crashes;
   if (is_due)
     block_entry (table, entry, now_ms);
-  return true;
+  return counted;
 }
 
 static uint32_t
@@ -286,9 +322,10 @@
 {
   struct poison_entry *entry
       = find_or_add (table, &crash->fingerprint, now_ms);
-  if (!count_crash (table, entry, now_ms, crash))
+  const struct crash *counted = count_crash (table, entry, now_ms, crash);
+  if (counted == NULL)
     return false;
-  *row = crash_row (entry, &entry->crashes[entry->crash_count - 1], now_ms);
+  *row = crash_row (entry, counted, now_ms);
   return true;
 }
 
@@ -333,7 +370,7 @@
               .target = row->target,
               .began_ms = now_ms - row->began_ago_ms,
               .crashed_ms = now_ms - row->crashed_ago_ms };
-      return count_crash (table, entry, now_ms, &crash) || is_newer;
+      return count_crash (table, entry, now_ms, &crash) != NULL || is_newer;
     }
   if (row->strikes <= entry->strikes)
     return is_newer;
--- a/policy/poison/poison_table.h
+++ b/policy/poison/poison_table.h
@@ -9,8 +9,8 @@
  *
  * Three rules keep unrelated requests on the same targets from being blocked:
  *  - a complete answer clears a request and all its counted crashes;
- *  - a crash counts only if the request was sent after the previously counted
- *    crash, so simultaneous failures of several targets count once;
+ *  - crashes count only in sequence, each request sent after the crash before
+ *    it, so simultaneous failures of several targets count once;
  *  - a crash that is attributed to a blocked request counts for no other.
  *
  * Merging state from several hosts prefers the higher epoch, then the higher
--- a/policy/poison/tests/poison_table_test.cc
+++ b/policy/poison/tests/poison_table_test.cc
@@ -253,4 +253,23 @@
   EXPECT_FALSE (poison_table_has_head (table, 2));
   EXPECT_EQ (check (8), POISON_PASS);
 }
+
+/* Guards against crashes that are not counted because reports of other hosts
+   arrive out of order. */
+TEST_F (PoisonTable, CrashesReportedOutOfOrderAreCounted)
+{
+  const int order[] = { 2, 0, 1 };
+  for (const int i : order)
+    {
+      const poison_row reported = { request (1),
+                                    (uint64_t)(11 + i),
+                                    0,
+                                    0,
+                                    0,
+                                    (uint32_t)(1000 - 100 * i),
+                                    (uint32_t)(950 - 100 * i) };
+      EXPECT_TRUE (poison_table_merge (table, now, &reported));
+    }
+  EXPECT_EQ (check (1), POISON_BLOCKED);
+}
 } // namespace
