caller: repeat a crash probe that an exiting target still accepts

Cause, from the logs of a failing run: the attempt's connection broke ("Empty reply from server"), but no "target-crashed" line followed. The connection that probes the target was accepted, since an exiting process closes its connections before its listening socket.

Change: a probe that is accepted is followed by a second one after 50 ms. Cost: two connections instead of one for each attempt whose connection broke at a target that is still running.

--- a/node/caller/crash_check.c
+++ b/node/caller/crash_check.c
@@ -18,16 +18,23 @@
 {
   US_PER_MS = 1000,
   CONNECT_TIMEOUT_MS = 1000,
+  PROBES_PER_CHECK_MAX = 2,
+  PROBE_DELAY_MS = 50,
   REQUESTS_PER_CHECK_MAX = 64,
   CONCURRENT_CHECKS_MAX = 64,
 };
 
+static const double MS_PER_SECOND = 1000.0;
+
 struct crash_check
 {
   struct crash_checks *checks;
-  struct target_probe *probe;
+  ev_timer probe_timer;
+  struct target_probe *probe; /* NULL between probes */
+  uint32_t probe_count;
   char service[SERVICE_NAME_SIZE];
   char target[SERVICE_NAME_SIZE];
+  char address[SERVICE_ADDRESS_SIZE];
   uint64_t key; /* of the target */
   int64_t begun_us;
   struct poison_crash requests[REQUESTS_PER_CHECK_MAX];
@@ -55,6 +62,7 @@
 {
   DL_DELETE (check->checks->list, check);
   check->checks->count--;
+  ev_timer_stop (check->checks->context->loop, &check->probe_timer);
   target_probe_destroy (check->probe);
   free (check);
 }
@@ -93,13 +101,38 @@
     }
 }
 
+/* An exiting target may close its connections before its listening socket and
+   still accept a probe, so a probe that is not refused is repeated. */
 static void
 on_probe_done (void *owner, struct target_probe *probe, bool ok)
 {
   struct crash_check *check = owner;
-  if (target_probe_was_refused (probe))
+  const bool was_refused = target_probe_was_refused (probe);
+  if (was_refused)
     report_crash (check);
-  check_destroy (check);
+  if (was_refused || check->probe_count == PROBES_PER_CHECK_MAX)
+    {
+      check_destroy (check);
+      return;
+    }
+  target_probe_destroy (probe);
+  check->probe = NULL;
+  ev_timer_start (check->checks->context->loop, &check->probe_timer);
+}
+
+static void
+start_probe (struct crash_check *check)
+{
+  check->probe_count++;
+  check->probe
+      = target_probe_start (check->checks->context->loop, check->address,
+                            CONNECT_TIMEOUT_MS, on_probe_done, check);
+}
+
+static void
+on_probe_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  start_probe (timer->data);
 }
 
 /* Returns the check in progress of the target of X, or starts one.  Returns
@@ -123,9 +156,12 @@
   snprintf (check->target, sizeof check->target, "%s", x->attempt.target);
   DL_APPEND (checks->list, check);
   checks->count++;
-  check->probe = target_probe_start (checks->context->loop,
-                                     x->service->spec->targets[number].address,
-                                     CONNECT_TIMEOUT_MS, on_probe_done, check);
+  snprintf (check->address, sizeof check->address, "%s",
+            x->service->spec->targets[number].address);
+  ev_timer_init (&check->probe_timer, on_probe_timer,
+                 PROBE_DELAY_MS / MS_PER_SECOND, 0.);
+  check->probe_timer.data = check;
+  start_probe (check);
   return check;
 }
 
--- a/node/caller/tests/crash_check_test.cc
+++ b/node/caller/tests/crash_check_test.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "node/caller/tests/caller_fixture.h"
+#include "node/caller/tests/raw_target.h"
 
 class CrashCheckTest : public CallerTest
 {
@@ -21,6 +22,14 @@
     fclose (log);
   }
 
+  std::unique_ptr<Call>
+  make_and_finish (const std::string &method, const std::string &path)
+  {
+    auto call = make (method, path, "r1");
+    finish (call.get ());
+    return call;
+  }
+
   int
   crash_count () const
   {
@@ -69,6 +78,18 @@
              text.substr (text.find (key, crashed), size));
 }
 
+/* Guards against a missed crash when the exiting target still accepts the
+   first probe. */
+TEST_F (CrashCheckTest, CrashOfTargetThatClosesListenerLastIsDetected)
+{
+  auto target = std::make_unique<RawTarget> (loop);
+  start ();
+  put_service_at (target->address ());
+  EXPECT_EQ (make_and_finish ("POST", "/holds")->status, 502);
+  target.reset ();
+  EXPECT_TRUE (run_until ([this] { return crash_count () == 1; }));
+}
+
 /* Guards against a running target that is reported as crashed because it
    closed a connection. */
 TEST_F (CrashCheckTest, ConnectionClosedByRunningTargetIsNotACrash)
