--- a/tests/standins/target_faults.c
+++ b/tests/standins/target_faults.c
@@ -1,5 +1,6 @@
 #include "tests/standins/target_faults.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,6 +19,8 @@
     { "jitter", &faults->jitter }, { "close_reused", &faults->close_reused },
     { "crash", &faults->crash },   { "leave", &faults->leave }
   };
+  if (strcmp (name, "limit") == 0)
+    snprintf (faults->limit, sizeof faults->limit, "%s", value);
   for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
     if (strcmp (name, known[i].name) == 0)
       *known[i].value = (uint32_t)strtoul (value, NULL, 10);
--- a/tests/standins/target_faults.h
+++ b/tests/standins/target_faults.h
@@ -8,6 +8,11 @@
 
 #include <json-c/json.h>
 
+enum
+{
+  TARGET_LIMIT_SIZE = 32,
+};
+
 /** What goes wrong; shares are in percent of requests. */
 struct target_faults
 {
@@ -25,6 +30,8 @@
   /** 1: a request whose path contains "/crash" crashes the target after its
    * run was recorded. */
   uint32_t crash;
+  /** Value of Jaystair-Limit in each answer; "": the field is absent. */
+  char limit[TARGET_LIMIT_SIZE];
   uint32_t leave; /**< 1: says so in each answer, and sheds */
 };
 
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -108,6 +108,8 @@
                            field (request, "X-Request-Id"));
   MHD_add_response_header (response, "X-Seen-Deadline",
                            field (request, "Jaystair-Deadline-Ms"));
+  if (server->faults.limit[0] != '\0')
+    MHD_add_response_header (response, "Jaystair-Limit", server->faults.limit);
   if (server->faults.leave != 0)
     MHD_add_response_header (response, "Jaystair-Leaving", "1");
   request->answered = true;
