caller, policy: enforce rate limits of targets across all hosts

Cause: hosts didn't read the limit that targets send in their answers, so the rate at a target depended on the load alone. The class of fault: each host decides on its own about a resource that all hosts share, as with quotas and retry budgets. Ruled out: further attempts (retries, visits) as the only cause (all seven logged sends to one target in the last three seconds were first attempts), and each host enforcing the limit by itself.

Change: the limit is read from each answer (Jaystair-Limit, Server-Limit on the platform). The answer to the request that was sent last takes precedence. An invalid value is logged and neither sets nor lifts a limit. A limit is withdrawn once answers have lacked the field for 1 s. Hosts announce changes to each other as they do for blocked requests, and repeat limits and withdrawals every 2 s.

policy/limit divides a limit: the first max (1, floor (limit / 2)) hosts in the rendezvous order of the service's set send, each with an equal share of 0.95 of the limit, and no other host does; limit_share.h has the arithmetic. Targets that have reached their limit are excluded from selection for first attempts, retries and visits alike.

Quota keepers weren't tried: each request would wait for a keeper's answer.

--- a/node/bus.c
+++ b/node/bus.c
@@ -55,6 +55,10 @@
     case BUS_POISON_HEARD:
       free (message->poison.rows);
       break;
+    case BUS_LIMITS_ANNOUNCED:
+    case BUS_LIMITS_HEARD:
+      free (message->limits.rows);
+      break;
     case BUS_SERVICE_REMOVED:
     case BUS_SLOT_SHARES:
     case BUS_OUTCOME_SEEN:
--- a/node/bus.h
+++ b/node/bus.h
@@ -18,6 +18,7 @@
 
 #include "policy/access/freshness.h"
 #include "policy/choice/slot_shares.h"
+#include "policy/limit/limit_row.h"
 #include "policy/poison/poison_row.h"
 #include "policy/quota/quota_stock.h"
 #include "policy/service_policy.h"
@@ -42,6 +43,8 @@
   BUS_QUOTA_GRANTED,    /**< a keeper's answer */
   BUS_POISON_ANNOUNCED, /**< a change of poison requests, for other hosts */
   BUS_POISON_HEARD,     /**< such a change from another host */
+  BUS_LIMITS_ANNOUNCED, /**< a change of targets' limits, for other hosts */
+  BUS_LIMITS_HEARD,     /**< such a change from another host */
   BUS_SHUTDOWN,         /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
@@ -140,6 +143,23 @@
                        platform, or remove it if it is not a block */
 };
 
+/** Which hosts receive an announcement. */
+enum limit_recipients
+{
+  LIMIT_TO_SET,        /**< the hosts that serve the service */
+  LIMIT_TO_RANDOM_FEW, /**< a few random hosts, which forward it */
+  LIMIT_TO_RANDOM_ONE, /**< one random host */
+};
+
+/** Rate limits of a service's targets. */
+struct bus_limits
+{
+  char service[SERVICE_NAME_SIZE];
+  struct limit_row *rows;
+  size_t count;
+  enum limit_recipients to; /**< with BUS_LIMITS_ANNOUNCED */
+};
+
 struct bus_message
 {
   enum bus_topic topic;
@@ -156,6 +176,7 @@
     struct freshness_proof freshness;
     struct bus_quota quota;
     struct bus_poison poison;
+    struct bus_limits limits;
   };
 };
 
--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -60,6 +60,7 @@
   struct crash_checks *crash_checks;
   struct poison_desk *poison;
   struct caller_server *server; /**< callers are connected to it */
+  ev_timer limit_refresh;
   bool leaving;
   int64_t leaving_since_ms;
 };
--- a/node/caller/caller_interface.c
+++ b/node/caller/caller_interface.c
@@ -36,6 +36,7 @@
   .not_run_value = "not-run",
   .workspace = "Jaystair-Workspace",
   .retry_after_ms = "Jaystair-Retry-After-Ms",
+  .target_limit = "Jaystair-Limit",
   .leaving = "Jaystair-Leaving",
   .addresses_path = "/.well-known/jaystair/addresses",
   .asked_service = "service",
--- a/node/caller/caller_interface.h
+++ b/node/caller/caller_interface.h
@@ -57,6 +57,9 @@
   bool retry_after_has_decimals;
   /** Callers ask for bodies without coding, so a coded one is not whole. */
   bool refuses_coding;
+  /** In a target's answer: its limit on the requests a second from all hosts
+   * together. */
+  const char *target_limit;
   /** In a target's answer: it takes no new work. */
   const char *leaving;
 
--- a/node/caller/caller_rows.c
+++ b/node/caller/caller_rows.c
@@ -30,6 +30,7 @@
   json_row_number (row, "in_flight", belief.in_flight);
   json_row_number (row, "latency_us", belief.latency_us);
   json_row_number (row, "failure_permille", belief.failure_permille);
+  json_row_number (row, "limit_millis", state->limit.rate_millis);
   json_row_flag (row, "suspect", belief.suspect);
   json_row_flag (row, "warming", belief.warming);
   json_row_flag (row, "ejected", belief.ejected);
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -152,6 +152,16 @@
   };
 }
 
+static void
+apply_rates (struct caller_service *service)
+{
+  for (uint32_t i = 0; i < service->spec->target_count; i++)
+    service_policy_set_rate (
+        service->policy, clock_now_us (), i,
+        caller_share_rate_millis (service, &service->spec->targets[i],
+                                  &service->targets[i]));
+}
+
 static void
 apply_targets (struct caller_service *service)
 {
@@ -164,13 +174,16 @@
       const struct target_spec *target = &service->spec->targets[i];
       const struct caller_target *state = &service->targets[i];
       const bool near = strcmp (target->dc, own_dc) == 0;
+      const bool is_withheld
+          = state->limit.rate_millis > 0
+            && caller_share_rate_millis (service, target, state) == 0;
       targets[i] = (struct policy_target){
         .key = state->key,
         .slots = caller_share_slots (service, state->key, target),
         .distance_us = near ? 0 : DC_DISTANCE_US,
         .is_backup = caller_share_is_backup (service, target),
-        .accepts_work
-        = target->state == TARGET_STATE_ACTIVE && !state->leaving,
+        .accepts_work = target->state == TARGET_STATE_ACTIVE && !state->leaving
+                        && !is_withheld,
         .warm_up_us = target->warm_up_ms < 0
                           ? -1
                           : (int64_t)target->warm_up_ms * US_PER_MS,
@@ -179,12 +192,19 @@
     }
   service_policy_set_targets (service->policy, clock_now_us (), targets,
                               count);
+  apply_rates (service);
   detection_recorder_set_targets (service->recorder, keys, count);
   free (keys);
   free (targets);
   run_queue (service);
 }
 
+void
+caller_service_apply_limits (struct caller_service *service)
+{
+  apply_targets (service);
+}
+
 uint32_t
 caller_service_find (const struct caller_service *service, uint64_t key)
 {
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -18,6 +18,7 @@
 #include "policy/choice/slot_shares.h"
 #include "policy/detection/recorder.h"
 #include "policy/fleet/fleet_host.h"
+#include "policy/limit/limit_state.h"
 #include "policy/service_policy.h"
 #include "wire/service_spec.h"
 
@@ -32,6 +33,7 @@
   int64_t told_us; /**< when an outcome there was last told to other hosts */
   int64_t told_unsent_us; /**< the same of one that couldn't be sent */
   uint32_t idle_ms; /**< it closes connections idle so long; 0: not told */
+  struct limit_state limit;
 };
 
 /** A request that waits; embedded in what waits. */
@@ -107,6 +109,9 @@
 void caller_service_set_idle (struct caller_service *service, uint64_t key,
                               uint32_t idle_ms);
 
+/** Recompute this host's shares after the rate limit of a target changed. */
+void caller_service_apply_limits (struct caller_service *service);
+
 /** The number of the target with KEY in the spec, or POLICY_NO_TARGET. */
 uint32_t caller_service_find (const struct caller_service *service,
                               uint64_t key);
--- a/node/caller/caller_share.c
+++ b/node/caller/caller_share.c
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "base/xmalloc.h"
 #include "policy/fleet/subset.h"
+#include "policy/limit/limit_share.h"
 
 enum
 {
@@ -74,3 +75,15 @@
     return bound;
   return share_of (service, key, bound);
 }
+
+uint32_t
+caller_share_rate_millis (const struct caller_service *service,
+                          const struct target_spec *target,
+                          const struct caller_target *state)
+{
+  if (state->limit.rate_millis == 0)
+    return 0;
+  return limit_share (state->limit.rate_millis, hash_string (target->name),
+                      service->own_key, service->placed_hosts,
+                      service->host_count);
+}
--- a/node/caller/caller_share.h
+++ b/node/caller/caller_share.h
@@ -25,4 +25,10 @@
 uint32_t caller_share_slots (const struct caller_service *service,
                              uint64_t key, const struct target_spec *target);
 
+/** This host's share of the rate limit of TARGET, in thousandths of a request
+ * a second; 0 if the target has no limit or this host has no share of it. */
+uint32_t caller_share_rate_millis (const struct caller_service *service,
+                                   const struct target_spec *target,
+                                   const struct caller_target *state);
+
 #endif
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -21,6 +21,7 @@
 #include "node/caller/exchange_quota.h"
 #include "node/caller/leaving_probe.h"
 #include "node/caller/poison_desk.h"
+#include "node/caller/target_limits.h"
 #include "node/plain_server.h"
 #include "node/tables.h"
 
@@ -143,6 +144,13 @@
   poison_desk_receive (task->context.poison, &message->poison);
 }
 
+static void
+on_limits_heard (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  target_limits_receive (&task->context, &message->limits);
+}
+
 static void
 on_host_set (void *owner, const struct bus_message *message)
 {
@@ -212,6 +220,7 @@
   bus_subscribe (task->bus, BUS_FRESHNESS, on_freshness, task);
   bus_subscribe (task->bus, BUS_QUOTA_GRANTED, on_quota_granted, task);
   bus_subscribe (task->bus, BUS_POISON_HEARD, on_poison_heard, task);
+  bus_subscribe (task->bus, BUS_LIMITS_HEARD, on_limits_heard, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
   bus_subscribe (task->bus, BUS_OUTCOME_HEARD, on_outcome_heard, task);
@@ -240,6 +249,7 @@
   caller_counters_init (&context->counters, options->counters);
   context->crash_checks = crash_checks_create (context);
   context->poison = poison_desk_create (context);
+  target_limits_start (context);
 }
 
 static enum MHD_Result
@@ -314,6 +324,7 @@
   curl_loop_destroy (context->curl);
   crash_checks_destroy (context->crash_checks);
   poison_desk_destroy (context->poison);
+  target_limits_stop (context);
   struct caller_service *service;
   struct caller_service *next;
   HASH_ITER (hh, context->services, service, next)
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -16,6 +16,7 @@
 #include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_ticket.h"
+#include "node/caller/target_limits.h"
 
 enum
 {
@@ -400,6 +401,7 @@
     {
       if (ends_soon (x))
         return;
+      target_limits_note_answer (x);
       answer_check_note_retry_after (x);
       exchange_drop_attempt (x, ATTEMPT_SHED);
       try_again (x, ATTEMPT_SHED, "the target sheds load");
@@ -414,6 +416,7 @@
     }
   if (waits_for_whole (x))
     return;
+  target_limits_note_answer (x);
   if (is_server_error (x) && tried_elsewhere (x))
     return;
   exchange_answer_target (x);
--- /dev/null
+++ b/node/caller/target_limits.h
@@ -0,0 +1,27 @@
+/** @file
+ * Tracks the rate limits that targets set in their answers and exchanges them
+ * with other hosts: BUS_LIMITS_ANNOUNCED carries local changes,
+ * BUS_LIMITS_HEARD changes of other hosts.
+ */
+#ifndef NODE_CALLER_TARGET_LIMITS_H
+#define NODE_CALLER_TARGET_LIMITS_H
+
+#include "node/bus.h"
+#include "node/caller/caller_context.h"
+
+struct exchange;
+
+/** Update the limit of X's target from the answer to X's attempt, which may
+ * lack the field. */
+void target_limits_note_answer (const struct exchange *x);
+
+/** Apply limits received from another host. */
+void target_limits_receive (struct caller_context *context,
+                            const struct bus_limits *heard);
+
+/** Start or stop the periodic resend for hosts that were partitioned or have
+ * just started. */
+void target_limits_start (struct caller_context *context);
+void target_limits_stop (struct caller_context *context);
+
+#endif
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -365,6 +365,20 @@
 void control_outcomes_prepare (struct control_task *task);
 void control_outcomes_release (struct control_task *task);
 
+/* control_spread.c */
+/** Send MESSAGE to the other hosts that serve service NAME. */
+void control_spread_to_set (struct control_task *task, const char *name,
+                            const struct peer_message *message);
+/** Send MESSAGE to WANTED random hosts. */
+void control_spread_to_random (struct control_task *task, uint32_t wanted,
+                               const struct peer_message *message);
+
+/* control_limits.c: rate limits of targets */
+/** Start announcing changes to other hosts. */
+void control_limits_start (struct control_task *task);
+void control_limits_receive (struct control_task *task,
+                             const struct peer_message *message);
+
 /* control_poison.c: requests that crash targets */
 /** Start announcing changes to other hosts and load the stored blocks. */
 void control_poison_start (struct control_task *task);
--- a/node/control/control_poison.c
+++ b/node/control/control_poison.c
@@ -12,45 +12,6 @@
   GOSSIP_FANOUT = 6,
 };
 
-static void
-send_to_set (struct control_task *task, const char *name,
-             const struct peer_message *message)
-{
-  const struct control_service *service;
-  HASH_FIND_STR (task->services, name, service);
-  for (size_t i = 0; service != NULL && i < service->set_count; i++)
-    {
-      struct control_host *host = control_hosts_find (task, service->set[i]);
-      if (host != NULL && host != task->self)
-        control_hosts_send (task, host, message);
-    }
-}
-
-static void
-send_to_number (struct control_task *task, size_t number,
-                const struct peer_message *message)
-{
-  struct control_host *host
-      = control_hosts_find (task, task->fleet[number].key);
-  if (host != NULL && host != task->self)
-    control_hosts_send (task, host, message);
-}
-
-/* Sends to all hosts of a small fleet; of a larger one a host may be selected
-   more than once. */
-static void
-send_to_random (struct control_task *task, uint32_t wanted,
-                const struct peer_message *message)
-{
-  const uint32_t count = (uint32_t)task->fleet_count;
-  if (count == 0)
-    return;
-  for (uint32_t i = 0; wanted > 1 && count <= wanted + 1 && i < count; i++)
-    send_to_number (task, i, message);
-  for (uint32_t i = 0; (wanted == 1 || count > wanted + 1) && i < wanted; i++)
-    send_to_number (task, rng_below (&task->random, count), message);
-}
-
 static void
 on_announced (void *owner, const struct bus_message *bus_message)
 {
@@ -62,13 +23,13 @@
   switch (announced->to)
     {
     case POISON_TO_SET:
-      send_to_set (task, announced->service, &message);
+      control_spread_to_set (task, announced->service, &message);
       break;
     case POISON_TO_RANDOM_FEW:
-      send_to_random (task, GOSSIP_FANOUT, &message);
+      control_spread_to_random (task, GOSSIP_FANOUT, &message);
       break;
     case POISON_TO_RANDOM_ONE:
-      send_to_random (task, 1, &message);
+      control_spread_to_random (task, 1, &message);
       break;
     }
   free (values);
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -65,6 +65,9 @@
     case PEER_OUTCOMES:
       control_outcomes_receive (task, &message->report);
       break;
+    case PEER_LIMITS:
+      control_limits_receive (task, message);
+      break;
     case PEER_POISON:
       control_poison_receive (task, message);
       break;
@@ -317,6 +320,7 @@
   control_seeds_open (task);
   control_platform_start (task);
   control_poison_start (task);
+  control_limits_start (task);
   *created = task;
   return STATUS_OK;
 }
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -244,12 +244,21 @@
   place (set, now_us, number);
 }
 
+void
+target_set_limit_rate (struct target_set *set, int64_t now_us, uint32_t number,
+                       uint32_t rate_millis)
+{
+  target_state_set_rate (&set->targets[number], now_us, rate_millis);
+  place (set, now_us, number);
+}
+
 void
 target_set_take (struct target_set *set, int64_t now_us, uint32_t number)
 {
   struct target_state *t = &set->targets[number];
   assert (target_state_is_eligible (t) && t->in_flight < t->config.slots);
   t->in_flight++;
+  target_state_note_sent (t);
   open_attempts_add (&t->open, now_us);
   t->used_us = now_us;
   set->in_flight++;
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -70,6 +70,11 @@
 void target_set_avoid (struct target_set *set, int64_t now_us, uint32_t number,
                        bool avoided);
 
+/** Limit the rate of requests to the target; RATE_MILLIS is in thousandths of
+ * a request a second, 0: no limit. */
+void target_set_limit_rate (struct target_set *set, int64_t now_us,
+                            uint32_t number, uint32_t rate_millis);
+
 /** Take a free slot of the target. */
 void target_set_take (struct target_set *set, int64_t now_us, uint32_t number);
 
--- a/policy/choice/target_state.c
+++ b/policy/choice/target_state.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "policy/limit/limit_share.h"
+
 static const double coldest = 0.1;
 /* One that says how long it needs is slower by about this. */
 static const double coldest_told = 0.5;
@@ -20,6 +22,7 @@
     .config = *config,
     .warm_from_us = warm_from_us,
     .cover_us = now_us - TARGET_COVER_US,
+    .tokens_us = now_us,
   };
   t.is_new = warm_from_us != INT64_MIN;
   target_estimate_init (&t.estimate, now_us, t.is_new ? ILL_WHEN_NEW : ill);
@@ -87,13 +90,47 @@
   return (uint32_t)ceil (t->config.slots * target_state_warmth (t, now_us));
 }
 
+/* Refills the token bucket.
+   @return whether it has a token for a request */
+static bool
+rate_allows (struct target_state *t, int64_t now_us)
+{
+  if (t->rate_millis == 0)
+    return true;
+  const double elapsed_us = (double)(now_us - t->tokens_us);
+  t->tokens = fmin (t->tokens + elapsed_us * t->rate_millis / 1e9,
+                    limit_burst (t->rate_millis));
+  t->tokens_us = now_us;
+  return t->tokens >= 1;
+}
+
+void
+target_state_set_rate (struct target_state *t, int64_t now_us,
+                       uint32_t rate_millis)
+{
+  if (t->rate_millis == 0)
+    {
+      t->tokens = 0;
+      t->tokens_us = now_us;
+    }
+  t->rate_millis = rate_millis;
+}
+
+void
+target_state_note_sent (struct target_state *t)
+{
+  if (t->rate_millis > 0)
+    t->tokens -= 1;
+}
+
 enum target_tier
 target_state_tier (struct target_state *t, int64_t now_us)
 {
   if (t->warm_from_us != INT64_MIN
       && now_us - t->warm_from_us >= warm_up_us (t))
     t->warm_from_us = INT64_MIN;
-  if (!target_state_is_eligible (t) || t->in_flight >= t->config.slots)
+  if (!target_state_is_eligible (t) || t->in_flight >= t->config.slots
+      || !rate_allows (t, now_us))
     return TIER_NONE;
   if (target_state_is_suspect (t))
     return TIER_SUSPECT;
--- a/policy/choice/target_state.h
+++ b/policy/choice/target_state.h
@@ -48,6 +48,9 @@
   double ill;     /**< probability that it is ill, open attempts counted */
   double failure; /**< expected share of attempts that fail, the same */
   uint32_t in_flight;
+  uint32_t rate_millis; /**< thousandths of a request a second; 0: no limit */
+  double tokens;        /**< of the token bucket that enforces the rate */
+  int64_t tokens_us;    /**< when they were last refilled */
   bool ejected;
   bool failing;         /**< its failure share stands out */
   bool slow;            /**< its latency stands out */
@@ -91,6 +94,14 @@
 /** Where T belongs at NOW_US.  Ends its warm-up when that is over. */
 enum target_tier target_state_tier (struct target_state *t, int64_t now_us);
 
+/** Limit the rate of requests to T; RATE_MILLIS of 0: no limit.  A new limit
+ * starts without tokens. */
+void target_state_set_rate (struct target_state *t, int64_t now_us,
+                            uint32_t rate_millis);
+
+/** Consume a token for a request to T, whose tier isn't TIER_NONE. */
+void target_state_note_sent (struct target_state *t);
+
 /** From 0.1 when cold to 1 when warm. */
 double target_state_warmth (const struct target_state *t, int64_t now_us);
 
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -110,6 +110,16 @@
     target_set_avoid (&policy->set, now_us, target, avoided);
 }
 
+void
+service_policy_set_rate (struct service_policy *policy, int64_t now_us,
+                         uint32_t target, uint32_t rate_millis)
+{
+  policy->now_us = now_us;
+  policy->asked_us = INT64_MIN;
+  if (target < policy->set.count)
+    target_set_limit_rate (&policy->set, now_us, target, rate_millis);
+}
+
 static uint32_t
 attempts_max (const struct service_policy *policy,
               const struct policy_request *r)
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -164,6 +164,11 @@
 void service_policy_set_avoided (struct service_policy *policy, int64_t now_us,
                                  uint32_t target, bool avoided);
 
+/** Limit the rate of requests from here to TARGET to RATE_MILLIS thousandths
+ * of a request a second; 0: no limit. */
+void service_policy_set_rate (struct service_policy *policy, int64_t now_us,
+                              uint32_t target, uint32_t rate_millis);
+
 /** Decide on a new request or on a further attempt of one. */
 struct policy_decision service_policy_admit (struct service_policy *policy,
                                              int64_t now_us,
--- a/wire/peer/peer_decode.c
+++ b/wire/peer/peer_decode.c
@@ -43,6 +43,7 @@
   [PEER_QUOTA_ASK] = "quota-ask",
   [PEER_QUOTA_GRANT] = "quota-grant",
   [PEER_POISON] = "poison",
+  [PEER_LIMITS] = "limits",
 };
 
 const char *
@@ -339,6 +340,7 @@
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
     case PEER_POISON:
+    case PEER_LIMITS:
       get_report (fields, &message->report);
       break;
     case PEER_TYPE_END:
@@ -418,6 +420,7 @@
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
     case PEER_POISON:
+    case PEER_LIMITS:
       free (message->report.values);
       free (message->report.names);
       break;
--- a/wire/peer/peer_encode.c
+++ b/wire/peer/peer_encode.c
@@ -161,6 +161,7 @@
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
     case PEER_POISON:
+    case PEER_LIMITS:
       return 7;
     case PEER_TYPE_END:
       break;
@@ -213,6 +214,7 @@
     case PEER_QUOTA_ASK:
     case PEER_QUOTA_GRANT:
     case PEER_POISON:
+    case PEER_LIMITS:
       put_report (packer, &message->report);
       break;
     case PEER_TYPE_END:
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -55,6 +55,7 @@
   PEER_QUOTA_ASK = 18,   /**< tokens a host wants, and its share lent */
   PEER_QUOTA_GRANT = 19, /**< a keeper's answer */
   PEER_POISON = 20,      /**< requests that crash targets */
+  PEER_LIMITS = 21,      /**< rate limits of targets */
   PEER_TYPE_END
 };
 
