policy: repeatable requests use nearly all targets at all times

Cause: repeatable requests kept the wanted share of targets in use only while much fails. Then six of ten hosts were killed, and what was under way failed after the fact. A target at which a request failed doesn't count as sound, so hardly any but the idle ones were left to count. Ruled out: the subsets of the killed hosts, as the window ends before they are killed.

Change: what may be tried again, on its first attempt and while a retry is left, keeps 95 of 100 targets in use for a share of 70, at all times; targets of other hosts' subsets a second later, so that one visit is made and not one by each host, and yet a killed host's targets get theirs. What may run once keeps the share that it had.

--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -54,7 +54,8 @@
   uint32_t percent;   /**< of the requests of the window */
   uint32_t window_ms; /**< any span of that length counts */
   uint32_t reserve;   /**< retries beyond the share */
-  /** While many requests fail, so many of a service's targets are used. */
+  /** At least so many of a service's targets are used within two seconds; 0:
+   * any number will do. */
   uint32_t used_percent;
 };
 
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -15,6 +15,13 @@
   SUBSETS_LEAST = 5,
   /* Within two seconds each gets its turn, whatever the way of news takes. */
   UNUSED_US = 1500000,
+  /* Leaves the host whose subset a target is in time to use it, and to tell.
+   */
+  UNUSED_ELSEWHERE_US = 2500000,
+  /* Of the targets, by requests that may be tried again, while little fails.
+   */
+  SPREAD_PARTS = 6, /* how the rest beyond the operator's share is divided */
+  SPREAD_WANTED = 5,
 };
 
 /* Below it, what fails is no more than random errors of good targets. */
@@ -185,22 +192,25 @@
 /** How many targets are to be in use, and of which. */
 struct wanted_use
 {
-  uint32_t percent; /**< 0: any number will do */
-  bool all;         /**< of all targets, not of the subset */
+  uint32_t percent;     /**< 0: any number will do */
+  bool all;             /**< of all targets, not of the subset */
+  int64_t elsewhere_us; /**< after which one outside the subset is unused */
 };
 
 /* Is T the better chance: unused for long, with room, and cheaper? */
 static bool
 is_better_chance (const struct service_policy *policy,
-                  const struct policy_request *r, bool all, uint32_t t,
-                  uint32_t than)
+                  const struct policy_request *r,
+                  const struct wanted_use *wanted, uint32_t t, uint32_t than)
 {
   const struct target_set *set = &policy->set;
   const struct target_state *state = &set->targets[t];
-  const bool needs_cover = target_state_needs_cover (state, policy->now_us);
-  if (state->tier == TIER_NONE
-      || (state->config.is_backup && !all && !needs_cover)
-      || state->used_us >= policy->now_us - UNUSED_US)
+  const bool is_elsewhere
+      = state->config.is_backup
+        && !target_state_needs_cover (state, policy->now_us);
+  const int64_t unused_us = is_elsewhere ? wanted->elsewhere_us : UNUSED_US;
+  if (state->tier == TIER_NONE || (is_elsewhere && !wanted->all)
+      || state->used_us >= policy->now_us - unused_us)
     return false;
   for (uint32_t i = 0; i < r->tried_count; i++)
     if (r->tried[i] == t)
@@ -228,33 +238,74 @@
   return wanted < 100 ? wanted : 100;
 }
 
-/* How many targets must be in use, for R not to look for an unused one.  While
-   much fails it is half of the rest more than the operator wants: some of
-   those that are used are ill, and the share is wanted of the good ones.  What
-   may be repeated is served in the end, so it spreads only then; what may run
-   once always does, since a loss of power of all hosts fails all that is under
-   way and lets nobody spread after it.
+uint32_t
+service_state_attempts_max (const struct service_policy *policy,
+                            const struct policy_request *r)
+{
+  return r->attempts_max > 0 ? r->attempts_max : policy->options.attempts;
+}
+
+/* Is a failure of this attempt of R made good by another one? */
+static bool
+can_fail_once (struct service_policy *policy, const struct policy_request *r)
+{
+  return r->repeatable && r->attempt == 1
+         && service_state_attempts_max (policy, r) > 1
+         && retry_budget_has (&policy->budget, &policy->options.retries,
+                              policy->now_us);
+}
+
+static struct wanted_use
+wanted_percent (const struct service_policy *policy, uint32_t percent)
+{
+  const bool all = !subsets_are_small (policy);
+  return (struct wanted_use){
+    .percent = all ? percent : percent_of_subset (policy, percent),
+    .all = all,
+    .elsewhere_us = UNUSED_US,
+  };
+}
+
+/* How many targets must be in use, for R not to look for an unused one.
+
+   Guards against targets that stay idle while the hosts believe that all is
+   well: a loss of power of many hosts fails what was under way at the others,
+   and lets nobody spread the load after it.  So the share is kept at all
+   times, and not only while much fails.  What may run once pays for each visit
+   to an ill target with a request, and keeps the share that the operator
+   wants.  What may be tried again pays with a retry, and keeps nearly all in
+   use.  While much fails, half of the rest is wanted at least: some of those
+   that are used are ill, and the share is wanted of the good ones.
 
    Each host of a large set sees to its subset, so that a target is owed one
    visit and not one by each host.  In a set of few hosts the loss of one would
-   leave too many targets idle, and every host sees to all of them. */
+   leave too many targets idle, and every host sees to all of them; while
+   little fails, to those of the others' subsets later. */
 static struct wanted_use
-wanted_in_use (const struct service_policy *policy,
-               const struct policy_request *r)
+wanted_in_use (struct service_policy *policy, const struct policy_request *r)
 {
   const uint32_t percent = policy->options.used_percent;
+  if (percent == 0)
+    return (struct wanted_use){ 0 };
+  const uint32_t rest = 100 - percent;
+  const uint32_t spread = percent + rest * SPREAD_WANTED / SPREAD_PARTS;
   const bool fails_much
       = served_share_missing (&policy->set.served, policy->options.set_hosts)
         >= failing_much;
-  if (percent == 0 || (!fails_much && r->repeatable))
+  if (can_fail_once (policy, r))
+    {
+      struct wanted_use wanted = wanted_percent (policy, spread);
+      if (!fails_much)
+        wanted.elsewhere_us = UNUSED_ELSEWHERE_US;
+      return wanted;
+    }
+  if (fails_much)
+    return wanted_percent (policy, percent + rest / 2);
+  if (r->repeatable)
     return (struct wanted_use){ 0 };
-  const bool all = !subsets_are_small (policy);
-  if (!fails_much)
-    return (struct wanted_use){ .percent = percent, .all = all };
-  const uint32_t most = percent + (100 - percent) / 2;
-  return (struct wanted_use){ .percent
-                              = all ? most : percent_of_subset (policy, most),
-                              .all = all };
+  return (struct wanted_use){ .percent = percent,
+                              .all = !subsets_are_small (policy),
+                              .elsewhere_us = UNUSED_US };
 }
 
 static bool
@@ -289,7 +340,7 @@
   for (uint32_t t = 0; t < set->count; t++)
     if ((too_few
          || target_state_needs_cover (&set->targets[t], policy->now_us))
-        && is_better_chance (policy, r, wanted.all, t, best))
+        && is_better_chance (policy, r, &wanted, t, best))
       best = t;
   if (best == POLICY_NO_TARGET)
     return false;
--- a/policy/choice/service_state.h
+++ b/policy/choice/service_state.h
@@ -30,4 +30,8 @@
 /** Mean time between two ends of attempts while requests wait. */
 double service_state_interval_us (const struct service_policy *policy);
 
+/** Most targets that R may be sent to. */
+uint32_t service_state_attempts_max (const struct service_policy *policy,
+                                     const struct policy_request *r);
+
 #endif
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -120,13 +120,6 @@
     target_set_limit_rate (&policy->set, now_us, target, rate_millis);
 }
 
-static uint32_t
-attempts_max (const struct service_policy *policy,
-              const struct policy_request *r)
-{
-  return r->attempts_max > 0 ? r->attempts_max : policy->options.attempts;
-}
-
 /* Have as many targets been asked as may be? */
 static bool
 has_used_attempts (const struct service_policy *policy,
@@ -134,7 +127,7 @@
 {
   const uint32_t asked = r->attempt - 1 - r->unsent;
   return r->attempt > 1
-         && (asked >= attempts_max (policy, r)
+         && (asked >= service_state_attempts_max (policy, r)
              || r->unsent > POLICY_UNSENT_MAX);
 }
 
@@ -183,7 +176,7 @@
                                    uint32_t target)
 {
   const struct target_set *set = &policy->set;
-  const uint32_t most = attempts_max (policy, r);
+  const uint32_t most = service_state_attempts_max (policy, r);
   const uint32_t asked = r->attempt - r->unsent;
   const int64_t goal_us = r->goal_us > 0 ? r->goal_us : r->deadline_us;
   if (target >= set->count)
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -53,8 +53,9 @@
   bool prefer_faster_detection;
   /** How much more a backup target costs, beyond the way there. */
   uint32_t backup_cost_percent;
-  /** While many attempts fail, this share of the eligible targets gets work
-   * within any two seconds; 0: however few. */
+  /** This share of the eligible targets gets work within any two seconds, and
+   * more while many attempts fail or by requests that may be tried again; 0:
+   * however few. */
   uint32_t used_percent;
   /** Hosts that divide the targets into subsets, this one among them; 0: it
    * has no subset, or isn't known. */
