policy: the trickle tests targets that nobody has used for seconds

Operators saw a target that failed every request and was never ejected: the README's tour went on for 200 s. Of 54,000 requests the fastest target got all but thirteen.

Cause, two ways to the same end. Trials of the tour's lines, 2,000 requests each, ended with "show targets". In one of nine the failing target had its estimate of 466 us from before it failed, 32 permille of failures and no request since, beside one of 120 us: a target half as dear again as the cheapest is never chosen, with three targets the median is its own latency, so the estimate never fades to less, and the trickle went to suspects only. In another one the failing target and one that had begun with 3.7 ms were both suspects; as two of three are, they weren't avoided, and without avoidance there was no trickle either. Ruled out: the detector, which ejects after 48 to 62 visits where the trickle makes them, in 5 s (five trials).

Change: the trickle also goes to targets of the subset that could be chosen, but got no work for three seconds, and to suspects so while these aren't avoided. Its bound, a twentieth of a fair share, stays.

Both new tests are red without the change; the naive version of the differential test has the same rule.

--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -165,24 +165,45 @@
   return own->count > 0 ? own : &set->listed[tier][PART_BACKUP];
 }
 
+/* A suspect without attempts under way, one of those that nobody used for
+   long, or POLICY_NO_TARGET. */
+static uint32_t
+draw_untested (struct service_policy *policy, uint32_t suspects,
+               uint32_t neglected)
+{
+  const struct target_set *set = &policy->set;
+  const uint64_t n = rng_below (&policy->rng, suspects + neglected);
+  if (n >= suspects)
+    return target_set_neglected (set, policy->now_us, (uint32_t)n - suspects);
+  const struct target_list *listed = own_first (set, TIER_SUSPECT);
+  const uint32_t target = listed->numbers[n];
+  return set->targets[target].in_flight > 0 ? POLICY_NO_TARGET : target;
+}
+
 /* A bounded trickle of repeatable requests shows whether a suspect is good
- * again; without it, one that gets no work could never clear itself. */
+ * again; without it, one that gets no work could never clear itself.
+ *
+ * Guards as well against a target that starts to fail while it is a little
+ * slower than the others, or while most are suspects: nobody chooses it, so
+ * nobody would notice. */
 static bool
 try_trickle (struct service_policy *policy, const struct policy_request *r,
              struct policy_decision *d)
 {
   const struct target_set *set = &policy->set;
-  if (!r->repeatable || r->attempt > 1 || set->suspects == 0
-      || !target_set_avoids_suspects (set))
+  const bool avoids = target_set_avoids_suspects (set);
+  const uint32_t untested = (avoids ? set->suspects : 0) + set->neglected;
+  if (!r->repeatable || r->attempt > 1 || untested == 0)
     return false;
-  policy->trickle += (double)set->suspects / set->eligible / TRICKLE_DIVISOR;
+  policy->trickle += (double)untested / set->eligible / TRICKLE_DIVISOR;
   policy->trickle = fmin (policy->trickle, TRICKLE_MOST);
-  const struct target_list *suspects = own_first (set, TIER_SUSPECT);
-  if (policy->trickle < 1 || suspects->count == 0)
+  if (policy->trickle < 1)
+    return false;
+  const uint32_t suspects = avoids ? own_first (set, TIER_SUSPECT)->count : 0;
+  if (suspects + set->neglected == 0)
     return false;
-  const uint32_t n = (uint32_t)rng_below (&policy->rng, suspects->count);
-  const uint32_t target = suspects->numbers[n];
-  if (set->targets[target].in_flight > 0)
+  const uint32_t target = draw_untested (policy, suspects, set->neglected);
+  if (target == POLICY_NO_TARGET)
     return false;
   policy->trickle -= 1;
   *d = send_to (policy, r, target, POLICY_REASON_TRICKLE);
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -94,6 +94,17 @@
   set->baseline.latency_us = standing_median (set->scratch, used);
 }
 
+static bool
+is_neglected (const struct target_set *set, const struct target_state *t,
+              int64_t now_us)
+{
+  const bool may_be_chosen
+      = t->tier == TIER_CLEAR
+        || (t->tier == TIER_SUSPECT && !target_set_avoids_suspects (set));
+  return may_be_chosen && !t->config.is_backup
+         && now_us - t->used_us >= TARGET_NEGLECTED_US;
+}
+
 static void
 refresh_all (struct target_set *set, int64_t now_us)
 {
@@ -110,6 +121,9 @@
       judge (set, &set->targets[i], now_us);
       place (set, now_us, i);
     }
+  set->neglected = 0;
+  for (uint32_t i = 0; i < set->count; i++)
+    set->neglected += (uint32_t)is_neglected (set, &set->targets[i], now_us);
 }
 
 void
@@ -297,6 +311,15 @@
          + set->listed[tier][PART_BACKUP].count;
 }
 
+uint32_t
+target_set_neglected (const struct target_set *set, int64_t now_us, uint32_t n)
+{
+  for (uint32_t i = 0; i < set->count; i++)
+    if (is_neglected (set, &set->targets[i], now_us) && n-- == 0)
+      return i;
+  return POLICY_NO_TARGET;
+}
+
 struct target_use
 target_set_use (const struct target_set *set, int64_t since_us, bool all)
 {
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -19,8 +19,9 @@
 
 enum
 {
-  TARGET_REFRESH_US = 100000,   /**< most time between two looks at all */
-  TARGET_REFRESH_OUTCOMES = 32, /**< or so many outcomes, or one a target */
+  TARGET_REFRESH_US = 100000,    /**< most time between two looks at all */
+  TARGET_REFRESH_OUTCOMES = 32,  /**< or so many outcomes, or one a target */
+  TARGET_NEGLECTED_US = 3000000, /**< without use, though it has room */
 };
 
 /** Numbers of targets in no order. */
@@ -38,7 +39,8 @@
   struct key_index index;
   struct target_list listed[TIER_COUNT][PART_COUNT];
   uint32_t eligible;
-  uint32_t suspects; /**< among the eligible, with or without room */
+  uint32_t suspects;  /**< among the eligible, with or without room */
+  uint32_t neglected; /**< at the refresh, see target_set_neglected() */
   uint32_t in_flight;
   bool prefer_faster_detection;
   uint32_t backup_cost_percent; /**< of a target outside the subset */
@@ -112,6 +114,11 @@
 struct target_use target_set_use (const struct target_set *set,
                                   int64_t since_us, bool all);
 
+/** The N-th of the targets of the subset that aren't avoided, have room and
+ * weren't used for TARGET_NEGLECTED_US, or POLICY_NO_TARGET. */
+uint32_t target_set_neglected (const struct target_set *set, int64_t now_us,
+                               uint32_t n);
+
 /** Does any target need this host's visits, see target_state_needs_cover()? */
 bool target_set_needs_cover (const struct target_set *set, int64_t now_us);
 
--- a/policy/choice/tests/naive_choice.h
+++ b/policy/choice/tests/naive_choice.h
@@ -35,6 +35,7 @@
   int64_t updated = 0;
   int64_t warm_from = INT64_MIN;
   int64_t placed = 0; /* when its slow start was last looked at */
+  int64_t used = 0;
 
   bool
   eligible () const
@@ -91,6 +92,7 @@
   int64_t refreshed = INT64_MIN / 2, learned = 0, now = 0;
   uint32_t outcomes = 0;
   double trickle = 0;
+  uint32_t neglected = 0; /* at the refresh */
   double interval = 0;
   int64_t last_end = 0;
   uint32_t intervals = 0;
@@ -223,6 +225,23 @@
         judge (t);
         t.placed = now;
       }
+    neglected = neglected_now ().size ();
+  }
+  std::vector<uint32_t>
+  neglected_now () const
+  {
+    std::vector<uint32_t> found;
+    for (uint32_t i = 0; i < targets.size (); i++)
+      {
+        const naive_target &t = targets[i];
+        const double slots = std::ceil (t.config.slots * t.warmth (t.placed));
+        const bool may_be_chosen
+            = t.suspect () ? !avoids () : t.in_flight < (uint32_t)slots;
+        if (t.room () && may_be_chosen && !t.config.is_backup
+            && now - t.used >= 3000000)
+          found.push_back (i);
+      }
+    return found;
   }
 
   /* Candidates and costs. */
--- a/policy/choice/tests/naive_judge.h
+++ b/policy/choice/tests/naive_judge.h
@@ -23,6 +23,7 @@
     if (targets[d.target].open.size () < 8)
       targets[d.target].open.push_back (now);
     targets[d.target].placed = now;
+    targets[d.target].used = now;
     return "";
   }
   std::string
@@ -72,15 +73,16 @@
   trickled (const policy_request &r, const policy_decision &d,
             std::string &wrong)
   {
-    if (!r.repeatable || r.attempt > 1 || suspects () == 0 || !avoids ())
+    const uint32_t untested = (avoids () ? suspects () : 0) + neglected;
+    if (!r.repeatable || r.attempt > 1 || untested == 0)
       {
         if (d.reason == POLICY_REASON_TRICKLE)
           wrong = "trickle where there is none";
         return false;
       }
-    trickle = std::min (trickle + (double)suspects () / eligible () / 20, 2.0);
+    trickle = std::min (trickle + (double)untested / eligible () / 20, 2.0);
     const auto found = candidates (SUSPECT, r, true);
-    if (trickle < 1 || found.empty ())
+    if (trickle < 1 || found.size () + neglected == 0)
       {
         if (d.reason == POLICY_REASON_TRICKLE)
           wrong = "more than a trickle";
@@ -90,9 +92,12 @@
     for (uint32_t i : found)
       if (targets[i].in_flight == 0)
         idle.push_back (i);
+    const bool all_idle = idle.size () == found.size ();
+    const auto unused = neglected_now ();
+    idle.insert (idle.end (), unused.begin (), unused.end ());
     if (d.reason != POLICY_REASON_TRICKLE)
       {
-        if (idle.size () == found.size ())
+        if (all_idle && unused.size () >= neglected)
           wrong = "chance withheld";
         return false;
       }
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -91,6 +91,45 @@
   EXPECT_LT (got, 20);
 }
 
+/* Guards against a target that begins to fail while it is slower than the
+ * others: nobody chooses it, so it is never a suspect and never ejected. */
+TEST_F (service_policy_test, a_slower_target_that_begins_to_fail_is_noticed)
+{
+  start (3, 5);
+  for (int i = 0; i < 8; i++)
+    for (uint32_t t = 0; t < 3; t++)
+      end (t, ATTEMPT_ANSWERED, t == 1 ? 4000 : 1000);
+  for (int i = 0; i < 3000 && !service_policy_belief (policy, 1).suspect; i++)
+    {
+      now += 5000;
+      const uint32_t t = ask (true).target;
+      end (t, t == 1 ? ATTEMPT_FAILED : ATTEMPT_ANSWERED, 1000);
+    }
+  EXPECT_TRUE (service_policy_belief (policy, 1).suspect);
+}
+
+/* Guards against a failing target that nobody tests while as many others are
+ * suspects that these aren't avoided: it costs more than any other. */
+TEST_F (service_policy_test,
+        a_failing_target_is_tested_while_most_are_suspects)
+{
+  start (3, 5);
+  for (int i = 0; i < 8; i++)
+    for (uint32_t t = 0; t < 3; t++)
+      end (t, t == 1 ? ATTEMPT_FAILED : ATTEMPT_ANSWERED,
+           t == 2 ? 90000 : 1000);
+  int tests = 0;
+  for (int i = 0; i < 2400; i++)
+    {
+      now += 5000;
+      const uint32_t t = ask (true).target;
+      tests += t == 1;
+      end (t, t == 1 ? ATTEMPT_FAILED : ATTEMPT_ANSWERED,
+           t == 2 ? 90000 : 1000);
+    }
+  EXPECT_GE (tests, 2);
+}
+
 /* A disbursement sent to a half-dead target can't be sent again, so nobody
  * learns what became of it.  It must not be what tests the target. */
 TEST_F (service_policy_test, an_unrepeatable_request_is_no_test_of_a_suspect)
