policy: a failure before any answer says nothing of a target's latency

Seen in the code while the failures at hosts outside a service's set were traced: an end without an answer counts as latency where it is longer than the estimate, and before any sample the estimate is 0. A target whose first outcome is a 500 after 2 ms is taken to answer in 2 ms, until the estimate has drifted to its peers'.

Change: before any answer a failure is no sample, unless the attempt had all of its time.

The test of the estimate is red without the change; the naive version of the differential test has the same rule.

--- a/policy/choice/target_estimate.c
+++ b/policy/choice/target_estimate.c
@@ -1,6 +1,7 @@
 #include "policy/choice/target_estimate.h"
 
 #include <math.h>
+#include <stdbool.h>
 
 static const double latency_gain = 1.0 / (1 << ESTIMATE_LATENCY_SHIFT);
 
@@ -124,7 +125,10 @@
     return;
   learn (e, likelihood_of (end));
   /* A quick failure must not make the target look fast: an end without an
-   * answer only says that an answer takes at least as long. */
-  if (end == ATTEMPT_ANSWERED || (double)latency_us > e->latency_us)
+   * answer only says that an answer takes at least as long.  Before any answer
+   * that is nothing, unless the attempt had all of its time. */
+  const bool is_known = e->latency_samples > 0 || end == ATTEMPT_TIMED_OUT;
+  if (end == ATTEMPT_ANSWERED
+      || (is_known && (double)latency_us > e->latency_us))
     observe_latency (e, (double)latency_us);
 }
--- a/policy/choice/tests/naive_judge.h
+++ b/policy/choice/tests/naive_judge.h
@@ -252,7 +252,8 @@
                            : o.end == ATTEMPT_SHED   ? 0.25
                                                      : 0.75;
         set_known (t, t.known * ill / (t.known * ill + (1 - t.known) * well));
-        if (o.end == ATTEMPT_ANSWERED || o.latency_us > t.latency)
+        const bool known = t.latencies > 0 || o.end == ATTEMPT_TIMED_OUT;
+        if (o.end == ATTEMPT_ANSWERED || (known && o.latency_us > t.latency))
           t.latency = t.latencies++ == 0
                           ? o.latency_us
                           : t.latency + (o.latency_us - t.latency) / 16;
--- a/policy/choice/tests/target_estimate_test.cc
+++ b/policy/choice/tests/target_estimate_test.cc
@@ -110,6 +110,18 @@
   EXPECT_GT (e.latency_us, 10000);
 }
 
+/* Guards against a target whose first outcome is a quick failure: its latency
+ * was taken from it. */
+TEST (target_estimate, a_failure_before_any_answer_says_nothing_of_latency)
+{
+  struct target_estimate e;
+  target_estimate_init (&e, 0, 0);
+  target_estimate_observe (&e, ATTEMPT_FAILED, 100);
+  EXPECT_EQ (e.latency_samples, 0u);
+  target_estimate_observe (&e, ATTEMPT_ANSWERED, 10000);
+  EXPECT_EQ (e.latency_us, 10000);
+}
+
 TEST (target_estimate, a_caller_that_leaves_says_nothing)
 {
   struct target_estimate e;
