control: hosts outside a set are told of the service's failed targets

Change: a host outside the set reports its attempts to the set already. One host of the set, of the same data centre if there is one, now answers such a report with the targets that failed last and since it told that host before, at most twice a second, at most four seconds old. Hosts that send nothing cost nothing; the memory is bounded by service of which a host is in the set. Weighed: all hosts of the set tell all listeners all outcomes, left out for its bytes (estimated, not built).

--- a/node/caller/decision_note.c
+++ b/node/caller/decision_note.c
@@ -49,3 +49,13 @@
 {
   note (x, "relay", host, "ticket-of-that-host");
 }
+
+void
+decision_note_failure_passed (const struct exchange *x,
+                              const struct policy_decision *decision)
+{
+  LOG_INFO ("failure-passed-on", LOG_STR ("id", x->head.id),
+            LOG_STR ("service", x->service->name), LOG_STR ("route", x->route),
+            LOG_INT ("request", x->id), LOG_INT ("attempts", x->attempts),
+            LOG_STR ("why", policy_reason_name (decision->reason)));
+}
--- a/node/caller/decision_note.h
+++ b/node/caller/decision_note.h
@@ -13,4 +13,9 @@
 /** X is passed on to HOST. */
 void decision_note_relay (struct exchange *x, const char *host);
 
+/** Logs why a target's failure is passed on to the caller of X instead of
+ * another attempt: DECISION, which isn't to send. */
+void decision_note_failure_passed (const struct exchange *x,
+                                   const struct policy_decision *decision);
+
 #endif
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -347,7 +347,10 @@
       = caller_service_admit (x->service, &r, &x->waiter);
   caller_service_forget (x->service, &x->waiter);
   if (decision.verdict != POLICY_SEND)
-    return false;
+    {
+      decision_note_failure_passed (x, &decision);
+      return false;
+    }
   if (failed != NULL)
     target_call_cancel (failed);
   exchange_decided (x, &decision);
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -360,7 +360,10 @@
 /* control_outcomes.c */
 /** Tell the hosts of a service's set how attempts here end. */
 void control_outcomes_start (struct control_task *task);
+/** Learn from REPORT; its sender is told of failed targets if it is outside
+ * the set and this host is in it. */
 void control_outcomes_receive (struct control_task *task,
+                               const struct control_source *source,
                                const struct peer_report *report);
 void control_outcomes_prepare (struct control_task *task);
 void control_outcomes_release (struct control_task *task);
--- a/node/control/control_outcomes.c
+++ b/node/control/control_outcomes.c
@@ -9,7 +9,9 @@
 #include <utlist.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/xmalloc.h"
+#include "node/control/outcome_digest.h"
 
 enum
 {
@@ -21,22 +23,48 @@
   REPORT_ROWS_MAX = 256,
 };
 
-/** The outcomes of a service that the other hosts of its set aren't told
- * yet. */
+/** The outcomes of a service: those that the other hosts of its set aren't
+ * told yet, and what hosts outside it are told. */
 struct control_outcomes
 {
   char service[PEER_NAME_SIZE];
   int64_t *values; /**< NULL: none */
   size_t value_count;
   int64_t reported_ms;
+  struct outcome_digest *digest; /**< NULL while this host isn't in the set */
   struct control_outcomes *prev, *next;
 };
 
+static const struct control_service *
+service_of (const struct control_task *task, const char *name)
+{
+  const struct control_service *service;
+  HASH_FIND_STR (task->services, name, service);
+  return service;
+}
+
+/* Keeps the failed targets of services whose set this host is in. */
+static void
+note_in_digest (struct control_outcomes *outcomes,
+                const struct control_service *service, uint64_t target,
+                enum attempt_end end)
+{
+  const bool is_kept = service != NULL && service->has_self;
+  if (!is_kept)
+    {
+      free (outcomes->digest);
+      outcomes->digest = NULL;
+      return;
+    }
+  if (outcomes->digest == NULL)
+    outcomes->digest = xcalloc (1, sizeof *outcomes->digest);
+  outcome_digest_note (outcomes->digest, clock_now_ms (), target, end);
+}
+
 static void
 report (struct control_task *task, struct control_outcomes *outcomes)
 {
-  const struct control_service *service;
-  HASH_FIND_STR (task->services, outcomes->service, service);
+  const struct control_service *service = service_of (task, outcomes->service);
   struct peer_message told
       = { .type = PEER_OUTCOMES,
           .report = { .columns = OUTCOME_COLUMNS,
@@ -99,6 +127,8 @@
   outcomes->values[at] = (int64_t)outcome->target_key;
   outcomes->values[at + 1] = (int64_t)outcome->end;
   outcomes->value_count += OUTCOME_COLUMNS;
+  note_in_digest (outcomes, service_of (task, outcome->service),
+                  outcome->target_key, outcome->end);
   const bool is_full
       = outcomes->value_count == REPORT_ROWS_MAX * OUTCOME_COLUMNS;
   if (is_full || clock_now_ms () - outcomes->reported_ms >= REPORT_PAUSE_MS)
@@ -110,25 +140,97 @@
     }
 }
 
+static bool
+is_in_set (const struct control_service *service, uint64_t host)
+{
+  for (size_t i = 0; i < service->set_count; i++)
+    if (service->set[i] == host)
+      return true;
+  return false;
+}
+
+/* One host of the set answers HOST: the first one of its data centre, or of
+   all where it has none. */
+static bool
+answers (const struct control_task *task,
+         const struct control_service *service,
+         const struct control_host *host)
+{
+  uint64_t first = service->set_count > 0 ? service->set[0] : 0;
+  for (size_t i = service->set_count; i-- > 0;)
+    {
+      const struct control_host *other
+          = control_hosts_find (task, service->set[i]);
+      if (other != NULL && strcmp (other->record.dc, host->record.dc) == 0)
+        first = other->key;
+    }
+  return first == task->self->key;
+}
+
+/* Tells the sender of a report, which is outside the set, of failed targets.
+ */
+static void
+tell_outsider (struct control_task *task, const struct control_source *source,
+               struct control_outcomes *outcomes)
+{
+  struct outcome_digest_target targets[OUTCOME_DIGEST_TARGETS];
+  const size_t count = outcome_digest_tell (outcomes->digest, clock_now_ms (),
+                                            source->host->key, targets);
+  if (count == 0)
+    return;
+  int64_t values[OUTCOME_DIGEST_TARGETS * OUTCOME_COLUMNS];
+  for (size_t i = 0; i < count; i++)
+    {
+      values[i * OUTCOME_COLUMNS] = (int64_t)targets[i].key;
+      values[i * OUTCOME_COLUMNS + 1] = (int64_t)targets[i].end;
+    }
+  struct peer_message told
+      = { .type = PEER_OUTCOMES,
+          .report = { .columns = OUTCOME_COLUMNS,
+                      .values = values,
+                      .value_count = count * OUTCOME_COLUMNS } };
+  memcpy (told.report.service, outcomes->service, sizeof told.report.service);
+  control_reply (task, source, &told);
+  LOG_INFO ("failed-targets-told", LOG_STR ("service", outcomes->service),
+            LOG_STR ("host", source->host->record.name),
+            LOG_INT ("targets", count));
+}
+
+/* Makes an outcome of another host known here. */
+static void
+hear (struct control_task *task, const char *service, uint64_t target,
+      enum attempt_end end)
+{
+  struct bus_message message
+      = { .topic = BUS_OUTCOME_HEARD,
+          .outcome = { .target_key = target, .end = end } };
+  memcpy (message.outcome.service, service, sizeof message.outcome.service);
+  bus_post (task->options.bus, &message);
+}
+
 void
 control_outcomes_receive (struct control_task *task,
+                          const struct control_source *source,
                           const struct peer_report *report)
 {
   if (report->columns != OUTCOME_COLUMNS)
     return;
+  const struct control_service *service = service_of (task, report->service);
+  if (service == NULL)
+    return;
+  struct control_outcomes *outcomes = outcomes_of (task, report->service);
   for (size_t i = 0; i + 1 < report->value_count; i += OUTCOME_COLUMNS)
     {
       const int64_t end = report->values[i + 1];
       if (end < 0 || end > ATTEMPT_CANCELLED)
         continue;
-      struct bus_message message
-          = { .topic = BUS_OUTCOME_HEARD,
-              .outcome = { .target_key = (uint64_t)report->values[i],
-                           .end = (enum attempt_end)end } };
-      memcpy (message.outcome.service, report->service,
-              sizeof message.outcome.service);
-      bus_post (task->options.bus, &message);
+      const uint64_t target = (uint64_t)report->values[i];
+      note_in_digest (outcomes, service, target, (enum attempt_end)end);
+      hear (task, report->service, target, (enum attempt_end)end);
     }
+  if (outcomes->digest != NULL && !is_in_set (service, source->host->key)
+      && answers (task, service, source->host))
+    tell_outsider (task, source, outcomes);
 }
 
 void
@@ -153,6 +255,7 @@
   DL_FOREACH_SAFE (task->outcomes, outcomes, next)
   {
     free (outcomes->values);
+    free (outcomes->digest);
     free (outcomes);
   }
 }
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -63,7 +63,7 @@
       control_call_handler (task, source->host->record.name, message);
       break;
     case PEER_OUTCOMES:
-      control_outcomes_receive (task, &message->report);
+      control_outcomes_receive (task, source, &message->report);
       break;
     case PEER_LIMITS:
       control_limits_receive (task, message);
--- /dev/null
+++ b/node/control/outcome_digest.c
@@ -0,0 +1,89 @@
+#include "node/control/outcome_digest.h"
+
+#include <stdbool.h>
+
+static uint32_t
+find_target (const struct outcome_digest *digest, uint64_t key)
+{
+  uint32_t i = 0;
+  while (i < digest->target_count && digest->targets[i].key != key)
+    i++;
+  return i;
+}
+
+/* The place for a new target: a free one, or that of the oldest failure. */
+static uint32_t
+make_room (struct outcome_digest *digest)
+{
+  if (digest->target_count < OUTCOME_DIGEST_TARGETS)
+    return digest->target_count++;
+  uint32_t oldest = 0;
+  for (uint32_t i = 1; i < digest->target_count; i++)
+    if (digest->targets[i].failed_ms < digest->targets[oldest].failed_ms)
+      oldest = i;
+  return oldest;
+}
+
+static bool
+is_failure (enum attempt_end end)
+{
+  return end == ATTEMPT_FAILED || end == ATTEMPT_CUT
+         || end == ATTEMPT_TIMED_OUT;
+}
+
+void
+outcome_digest_note (struct outcome_digest *digest, int64_t now_ms,
+                     uint64_t target, enum attempt_end end)
+{
+  uint32_t at = find_target (digest, target);
+  const bool is_known = at < digest->target_count;
+  if (is_failure (end))
+    {
+      if (!is_known)
+        at = make_room (digest);
+      digest->targets[at] = (struct outcome_digest_target){
+        .key = target, .failed_ms = now_ms, .end = end
+      };
+    }
+  else if (is_known && end == ATTEMPT_ANSWERED)
+    digest->targets[at] = digest->targets[--digest->target_count];
+}
+
+/* The row of a host; a new one takes the place of that which was told longest
+   ago. */
+static struct outcome_digest_host *
+host_of (struct outcome_digest *digest, int64_t now_ms, uint64_t key)
+{
+  uint32_t oldest = 0;
+  for (uint32_t i = 0; i < digest->host_count; i++)
+    {
+      if (digest->hosts[i].key == key)
+        return &digest->hosts[i];
+      if (digest->hosts[i].told_ms < digest->hosts[oldest].told_ms)
+        oldest = i;
+    }
+  if (digest->host_count < OUTCOME_DIGEST_HOSTS)
+    oldest = digest->host_count++;
+  digest->hosts[oldest] = (struct outcome_digest_host){
+    .key = key, .told_ms = now_ms - OUTCOME_DIGEST_AGE_MS
+  };
+  return &digest->hosts[oldest];
+}
+
+size_t
+outcome_digest_tell (struct outcome_digest *digest, int64_t now_ms,
+                     uint64_t host, struct outcome_digest_target *targets)
+{
+  struct outcome_digest_host *row = host_of (digest, now_ms, host);
+  if (now_ms - row->told_ms < OUTCOME_DIGEST_PAUSE_MS)
+    return 0;
+  int64_t since_ms = now_ms - OUTCOME_DIGEST_AGE_MS;
+  if (since_ms < row->told_ms)
+    since_ms = row->told_ms;
+  row->told_ms = now_ms;
+  size_t count = 0;
+  for (uint32_t i = 0; i < digest->target_count; i++)
+    if (digest->targets[i].failed_ms >= since_ms)
+      targets[count++] = digest->targets[i];
+  return count;
+}
--- /dev/null
+++ b/node/control/outcome_digest.h
@@ -0,0 +1,62 @@
+/** @file
+ * The failed targets of one service, as a host of its set tells them to hosts
+ * outside it.
+ *
+ * Guards against requests that reach a host outside the set, as of a caller
+ * with an old address answer: such a host meets each target too seldom to know
+ * which ones fail, and has few retries to make that good.
+ */
+#ifndef NODE_CONTROL_OUTCOME_DIGEST_H
+#define NODE_CONTROL_OUTCOME_DIGEST_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "policy/service_policy.h"
+
+enum
+{
+  OUTCOME_DIGEST_TARGETS = 128, /**< the latest ones are kept */
+  OUTCOME_DIGEST_HOSTS = 64,    /**< the latest ones that were told */
+  OUTCOME_DIGEST_AGE_MS = 4000, /**< older failures say little */
+  OUTCOME_DIGEST_PAUSE_MS = 500 /**< between two digests for one host */
+};
+
+/** A target whose last known attempt failed. */
+struct outcome_digest_target
+{
+  uint64_t key;
+  int64_t failed_ms;
+  enum attempt_end end;
+};
+
+/** A host outside the set. */
+struct outcome_digest_host
+{
+  uint64_t key;
+  int64_t told_ms;
+};
+
+/** Empty when it is all zeros. */
+struct outcome_digest
+{
+  struct outcome_digest_target targets[OUTCOME_DIGEST_TARGETS];
+  uint32_t target_count;
+  struct outcome_digest_host hosts[OUTCOME_DIGEST_HOSTS];
+  uint32_t host_count;
+};
+
+/** An attempt at the target with key TARGET ended, here or at another host of
+ * the set. */
+void outcome_digest_note (struct outcome_digest *digest, int64_t now_ms,
+                          uint64_t target, enum attempt_end end);
+
+/** What the host with key HOST is to be told: targets that have failed since
+ * it was told last, none if that was a moment ago.
+ * @param targets receives up to OUTCOME_DIGEST_TARGETS
+ * @return how many */
+size_t outcome_digest_tell (struct outcome_digest *digest, int64_t now_ms,
+                            uint64_t host,
+                            struct outcome_digest_target *targets);
+
+#endif
