--- a/node/caller/decision_note.c
+++ b/node/caller/decision_note.c
@@ -54,8 +54,12 @@
 decision_note_failure_passed (const struct exchange *x,
                               const struct policy_decision *decision)
 {
-  LOG_INFO ("failure-passed-on", LOG_STR ("id", x->head.id),
-            LOG_STR ("service", x->service->name), LOG_STR ("route", x->route),
+  const char *service = x->service->name;
+  const char *route = x->route;
+  const char *id = x->head.id;
+  const char *why = policy_reason_name (decision->reason);
+  LOG_INFO ("failure-passed-on", LOG_STR ("id", id),
+            LOG_STR ("service", service), LOG_STR ("route", route),
             LOG_INT ("request", x->id), LOG_INT ("attempts", x->attempts),
-            LOG_STR ("why", policy_reason_name (decision->reason)));
+            LOG_STR ("why", why));
 }
