control: tell no host of a failure that it has seen itself

Read in the change before: a host outside a set reports an attempt that failed, the host of the set notes it, and its answer tells the same failure as that of another host. One outcome counted twice at the host that saw it, so that it avoided the target for longer than one failure says.

Change: the digest keeps which host saw a target fail, and leaves out what the host that is told has seen.

--- a/node/control/control_outcomes.c
+++ b/node/control/control_outcomes.c
@@ -46,8 +46,8 @@
 /* Keeps the failed targets of services whose set this host is in. */
 static void
 note_in_digest (struct control_outcomes *outcomes,
-                const struct control_service *service, uint64_t target,
-                enum attempt_end end)
+                const struct control_service *service, uint64_t host,
+                uint64_t target, enum attempt_end end)
 {
   const bool is_kept = service != NULL && service->has_self;
   if (!is_kept)
@@ -58,7 +58,7 @@
     }
   if (outcomes->digest == NULL)
     outcomes->digest = xcalloc (1, sizeof *outcomes->digest);
-  outcome_digest_note (outcomes->digest, clock_now_ms (), target, end);
+  outcome_digest_note (outcomes->digest, clock_now_ms (), host, target, end);
 }
 
 static void
@@ -128,7 +128,7 @@
   outcomes->values[at + 1] = (int64_t)outcome->end;
   outcomes->value_count += OUTCOME_COLUMNS;
   note_in_digest (outcomes, service_of (task, outcome->service),
-                  outcome->target_key, outcome->end);
+                  task->self->key, outcome->target_key, outcome->end);
   const bool is_full
       = outcomes->value_count == REPORT_ROWS_MAX * OUTCOME_COLUMNS;
   if (is_full || clock_now_ms () - outcomes->reported_ms >= REPORT_PAUSE_MS)
@@ -167,8 +167,7 @@
   return first == task->self->key;
 }
 
-/* Tells the sender of a report, which is outside the set, of failed targets.
- */
+/* Tells the sender of a report, outside the set, of failed targets. */
 static void
 tell_outsider (struct control_task *task, const struct control_source *source,
                struct control_outcomes *outcomes)
@@ -225,7 +224,8 @@
       if (end < 0 || end > ATTEMPT_CANCELLED)
         continue;
       const uint64_t target = (uint64_t)report->values[i];
-      note_in_digest (outcomes, service, target, (enum attempt_end)end);
+      note_in_digest (outcomes, service, source->host->key, target,
+                      (enum attempt_end)end);
       hear (task, report->service, target, (enum attempt_end)end);
     }
   if (outcomes->digest != NULL && !is_in_set (service, source->host->key)
--- a/node/control/outcome_digest.c
+++ b/node/control/outcome_digest.c
@@ -33,7 +33,7 @@
 
 void
 outcome_digest_note (struct outcome_digest *digest, int64_t now_ms,
-                     uint64_t target, enum attempt_end end)
+                     uint64_t host, uint64_t target, enum attempt_end end)
 {
   uint32_t at = find_target (digest, target);
   const bool is_known = at < digest->target_count;
@@ -42,7 +42,7 @@
       if (!is_known)
         at = make_room (digest);
       digest->targets[at] = (struct outcome_digest_target){
-        .key = target, .failed_ms = now_ms, .end = end
+        .key = target, .host = host, .failed_ms = now_ms, .end = end
       };
     }
   else if (is_known && end == ATTEMPT_ANSWERED)
@@ -83,7 +83,8 @@
   row->told_ms = now_ms;
   size_t count = 0;
   for (uint32_t i = 0; i < digest->target_count; i++)
-    if (digest->targets[i].failed_ms >= since_ms)
+    if (digest->targets[i].failed_ms >= since_ms
+        && digest->targets[i].host != host)
       targets[count++] = digest->targets[i];
   return count;
 }
--- a/node/control/outcome_digest.h
+++ b/node/control/outcome_digest.h
@@ -26,6 +26,7 @@
 struct outcome_digest_target
 {
   uint64_t key;
+  uint64_t host; /**< that saw it fail */
   int64_t failed_ms;
   enum attempt_end end;
 };
@@ -46,13 +47,15 @@
   uint32_t host_count;
 };
 
-/** An attempt at the target with key TARGET ended, here or at another host of
- * the set. */
+/** An attempt of the host with key HOST at the target with key TARGET ended.
+ */
 void outcome_digest_note (struct outcome_digest *digest, int64_t now_ms,
-                          uint64_t target, enum attempt_end end);
+                          uint64_t host, uint64_t target,
+                          enum attempt_end end);
 
 /** What the host with key HOST is to be told: targets that have failed since
- * it was told last, none if that was a moment ago.
+ * it was told last, none if that was a moment ago.  What it has seen itself is
+ * left out: it would count twice.
  * @param targets receives up to OUTCOME_DIGEST_TARGETS
  * @return how many */
 size_t outcome_digest_tell (struct outcome_digest *digest, int64_t now_ms,
--- a/node/control/tests/outcome_digest_test.cc
+++ b/node/control/tests/outcome_digest_test.cc
@@ -16,14 +16,15 @@
   enum
   {
     HOST = 7,
+    IN_SET = 1,
   };
   outcome_digest digest = {};
   int64_t now_ms = 1000000;
 
   void
-  note (uint64_t target, attempt_end end)
+  note (uint64_t target, attempt_end end, uint64_t by = IN_SET)
   {
-    outcome_digest_note (&digest, now_ms, target, end);
+    outcome_digest_note (&digest, now_ms, by, target, end);
   }
 
   std::set<uint64_t>
@@ -65,6 +66,15 @@
   EXPECT_EQ (tell (HOST).size (), 1u);
 }
 
+/* Guards against a host's own failure that comes back to it as another one. */
+TEST_F (OutcomeDigest, TellsNoHostOfWhatItHasSeenItself)
+{
+  note (1, ATTEMPT_FAILED, HOST);
+  note (2, ATTEMPT_FAILED);
+  EXPECT_EQ (tell (HOST), (std::set<uint64_t>{ 2 }));
+  EXPECT_EQ (tell (HOST + 1), (std::set<uint64_t>{ 1, 2 }));
+}
+
 /* Guards against a digest for each of many requests. */
 TEST_F (OutcomeDigest, PausesBetweenTwoDigestsForOneHost)
 {
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -15,13 +15,13 @@
   SUBSETS_LEAST = 5,
   /* Within two seconds each gets its turn, whatever the way of news takes. */
   UNUSED_US = 1500000,
-  /* Leaves the host whose subset a target is in time to use it, and to tell.
-   */
+  /* Leaves time to the host whose subset a target is in, to use it and to
+     tell. */
   UNUSED_ELSEWHERE_US = 2500000,
-  /* Of the targets, by requests that may be tried again, while little fails.
-   */
-  SPREAD_PARTS = 6, /* how the rest beyond the operator's share is divided */
+  /* Of the rest beyond the operator's share, requests that may be tried again
+     keep five sixths in use. */
   SPREAD_WANTED = 5,
+  SPREAD_PARTS = 6,
 };
 
 /* Below it, what fails is no more than random errors of good targets. */
