--- a/tests/fleet/leave_test.cc
+++ b/tests/fleet/leave_test.cc
@@ -30,7 +30,8 @@
     }
   load.stop ();
   EXPECT_EQ (load.check (), "") << fleet.logs ();
-  EXPECT_EQ (load.count_told (Told::ran), load.count ()) << load.summary ();
+  EXPECT_EQ (load.count_told (Told::ran), load.count ())
+      << load.summary () << fleet.logs ();
 }
 
 /* A target is drained by an operator.  Within seconds it gets no new work
