caller: a host is not ready before it knows targets

Cause: readiness asked for a configuration only, and targets are another list of the platform that may come later. Provoked with a store that withholds that list: the host was ready and knew no target.

Change: ready once any target is known, or three seconds after the first configuration, since a fleet may have none.

--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -47,6 +47,7 @@
   struct host_directory *directory;
   struct ticket_desk *tickets;
   struct fleet_config *config; /**< in force; NULL: none, or none yet */
+  int64_t config_ms;           /**< when the first one came into force */
   struct workspace_table
       *workspaces; /**< of it; NULL: keys aren't asked for */
   struct caller_counters counters;
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -27,6 +27,12 @@
 
 static const double LEAVING_CHECK_SECONDS = 0.05;
 
+enum
+{
+  /** A host that knows no target for so long is ready all the same. */
+  TARGETS_AWAITED_MS = 3000,
+};
+
 struct caller_task
 {
   struct caller_context context;
@@ -110,6 +116,8 @@
   struct caller_context *context = &task->context;
   const struct fleet_config *config = message->config_in_force.config;
   workspace_table_destroy (context->workspaces);
+  if (context->config == NULL)
+    context->config_ms = clock_now_ms ();
   fleet_config_destroy (context->config);
   context->config = fleet_config_copy (config);
   context->workspaces = workspace_table_create (context->config);
@@ -380,12 +388,32 @@
   }
 }
 
+static bool
+knows_targets (const struct caller_context *context)
+{
+  const struct caller_service *service;
+  for (service = context->services; service != NULL;
+       service = service->hh.next)
+    if (service->spec != NULL && service->spec->target_count > 0)
+      return true;
+  return false;
+}
+
+/* Targets come apart from the configuration, and moments later. */
+static bool
+has_registry_settings (const struct caller_context *context)
+{
+  return context->config != NULL
+         && (knows_targets (context)
+             || clock_now_ms () - context->config_ms >= TARGETS_AWAITED_MS);
+}
+
 bool
 caller_task_is_ready (const struct caller_task *task)
 {
   const struct caller_context *context = &task->context;
-  const bool has_settings
-      = context->config != NULL || !context->settings->modes.has_registry;
+  const bool has_settings = !context->settings->modes.has_registry
+                            || has_registry_settings (context);
   return has_settings && !context->leaving;
 }
 
