tests: the load tells what its unserved requests were told

Leave.RollingReplacementLosesNothing failed once with four requests not run, and neither the host's lines nor the count say whether a host refused them or the caller couldn't connect: a try at an address that is gone counts as not run, too. The summary lists the first ten. No check is changed.

--- a/tests/harness/caller.cc
+++ b/tests/harness/caller.cc
@@ -7,6 +7,7 @@
 
 constexpr int holds_every = 3; /* one request in so many is a POST /holds */
 constexpr long request_limit_ms = 30000;
+constexpr int unserved_shown = 10;
 
 Told
 judge (const HttpAnswer &answer, const std::string &id)
@@ -204,5 +205,18 @@
          + " answered with a failure, "
          + std::to_string (count_told (Told::not_run)) + " not run, "
          + std::to_string (count_told (Told::unknown)) + " unknown, "
-         + std::to_string (count_told (Told::wrong)) + " wrong";
+         + std::to_string (count_told (Told::wrong)) + " wrong\n"
+         + first_unserved ();
+}
+
+std::string
+Load::first_unserved ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::string lines;
+  int left = unserved_shown;
+  for (const auto &[id, record] : records_)
+    if (record.told != Told::ran && left-- > 0)
+      lines += id + ": " + record.detail + "\n";
+  return lines;
 }
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -53,6 +53,8 @@
   std::string summary ();
 
 private:
+  /** What the first requests that weren't answered whole were told. */
+  std::string first_unserved ();
   void run (int thread);
   void send_one (int thread, int number);
   void note (const std::string &id, const Record &record);
