--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -64,7 +64,7 @@
   size_t fleet_count; /**< hosts of the whole fleet */
   const struct retry_settings *retry;
   bool prefers_own_dc;
-  uint32_t used_percent; /**< of targets in use when many requests fail */
+  uint32_t used_percent;          /**< of the targets, wanted in use */
   struct retry_fleet retry_fleet; /**< the largest seen */
   struct slot_share share; /**< of the targets' slots, if one is granted */
   struct demand_peak demand;
@@ -127,11 +127,6 @@
 /** The most attempts and waiting requests there were at once lately. */
 uint32_t caller_service_demand (const struct caller_service *service);
 
-/** Is it worth telling other hosts that an attempt at target KEY ended as
- * END?  To be asked before caller_service_outcome(). */
-bool caller_service_is_news (struct caller_service *service, uint64_t key,
-                             enum attempt_end end);
-
 /** An attempt of another host at target KEY ended. */
 void caller_service_hear (struct caller_service *service, uint64_t key,
                           enum attempt_end end);
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "node/caller/answer_check.h"
 #include "node/caller/crash_check.h"
+#include "node/caller/caller_news.h"
 #include "node/caller/decision_note.h"
 #include "node/caller/exchange_fingerprint.h"
 #include "node/caller/exchange_poison.h"
@@ -105,7 +106,7 @@
   caller_counters_observe (x->context->counters.attempt_times,
                            x->service->name, end_name (end),
                            exchange_attempt_latency_us (attempt));
-  if (caller_service_is_news (x->service, attempt->key, end))
+  if (caller_news_is_worth_telling (x->service, attempt->key, end))
     tell_others (x, end);
   note_attempt (x, end);
   caller_service_outcome (x->service, attempt->key, end,
--- a/node/caller/tests/caller_service_test.cc
+++ b/node/caller/tests/caller_service_test.cc
@@ -2,6 +2,7 @@
 
 extern "C"
 {
+#include "node/caller/caller_news.h"
 #include "node/caller/caller_service.h"
 #include "node/caller/caller_share.h"
 }
@@ -84,8 +85,8 @@
  * well; so it tells of its own subset only, and not with each request. */
 TEST_F (CallerService, WhatCouldNotBeSentIsNewsOfTheOwnSubset)
 {
-  EXPECT_FALSE (caller_service_is_news (service, service->targets[0].key,
-                                        ATTEMPT_NOT_SENT));
+  EXPECT_FALSE (caller_news_is_worth_telling (service, service->targets[0].key,
+                                              ATTEMPT_NOT_SENT));
   bus_set_host hosts[3] = {};
   strcpy (hosts[1].name, "host-2");
   strcpy (hosts[2].name, "host-3");
@@ -98,9 +99,10 @@
     {
       const uint64_t key = service->targets[i].key;
       const bool is_own = !caller_share_is_backup (service, &targets[i]);
-      EXPECT_EQ (caller_service_is_news (service, key, ATTEMPT_NOT_SENT),
+      EXPECT_EQ (caller_news_is_worth_telling (service, key, ATTEMPT_NOT_SENT),
                  is_own);
-      EXPECT_FALSE (caller_service_is_news (service, key, ATTEMPT_NOT_SENT));
+      EXPECT_FALSE (
+          caller_news_is_worth_telling (service, key, ATTEMPT_NOT_SENT));
     }
 }
 
