exchange timeout: the line of a hanging attempt says what prevents a retry

service_policy_admit_failover() gives the reason of a refusal, the line has it as blocked_by. No decision changes.

--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -38,8 +38,10 @@
   set_timer (x, x->attempt.head_timeout_us);
 }
 
+/* BLOCKED_BY: why there is no other attempt; "": there is one. */
 static void
-log_timeout (const struct exchange *x, const char *then)
+log_timeout (const struct exchange *x, const char *then,
+             const char *blocked_by)
 {
   const char *service = x->service->name;
   const char *target = x->attempt.target;
@@ -47,7 +49,8 @@
   LOG_WARN ("attempt-hangs", LOG_STR ("id", id), LOG_STR ("service", service),
             LOG_INT ("request", x->id), LOG_STR ("target", target),
             LOG_INT ("timeout_us", x->attempt.head_timeout_us),
-            LOG_STR ("then", then), LOG_STR ("why", "attempt-timeout"));
+            LOG_STR ("then", then), LOG_STR ("why", "attempt-timeout"),
+            LOG_STR ("blocked_by", blocked_by));
   caller_counters_add (x->context->counters.timeouts, service, then);
 }
 
@@ -57,8 +60,9 @@
    target then fails, the caller gets no response although the first one was
    still to come. */
 static bool
-retry_on_other_target (struct exchange *x)
+retry_on_other_target (struct exchange *x, const char **blocked_by)
 {
+  *blocked_by = x->context->leaving ? "host-leaves" : "body-discarded";
   if (x->upload.start_discarded || x->context->leaving)
     return false;
   const bool sent = target_call_may_have_sent (x->attempt.call);
@@ -68,8 +72,11 @@
   struct policy_decision decision;
   if (!service_policy_admit_failover (x->service->policy, clock_now_us (), &r,
                                       &decision))
-    return false;
-  log_timeout (x, "elsewhere");
+    {
+      *blocked_by = policy_reason_name (decision.reason);
+      return false;
+    }
+  log_timeout (x, "elsewhere", "");
   exchange_cancel_attempt (x, sent ? ATTEMPT_TIMED_OUT : ATTEMPT_NOT_SENT);
   exchange_apply_decision (x, &decision);
   return true;
@@ -79,11 +86,11 @@
    repeated, since a retry may become possible shortly; otherwise the attempt
    would hang until the request's deadline. */
 static void
-extend_timeout (struct exchange *x)
+extend_timeout (struct exchange *x, const char *blocked_by)
 {
   struct exchange_attempt *attempt = &x->attempt;
   if (!attempt->retry_unavailable)
-    log_timeout (x, "waits");
+    log_timeout (x, "waits", blocked_by);
   attempt->retry_unavailable = true;
   attempt->head_timeout_us
       = exchange_attempt_latency_us (attempt) + RETRY_POLL_INTERVAL_US;
@@ -104,6 +111,10 @@
     set_timer (x, attempt_us > TIMEOUT_CHECK_INTERVAL_MIN_US
                       ? attempt_us
                       : TIMEOUT_CHECK_INTERVAL_MIN_US);
-  else if (!retry_on_other_target (x))
-    extend_timeout (x);
+  else
+    {
+      const char *blocked_by;
+      if (!retry_on_other_target (x, &blocked_by))
+        extend_timeout (x, blocked_by);
+    }
 }
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -208,16 +208,24 @@
   policy->now_us = now_us;
   target_set_refresh (&policy->set, now_us);
   const int64_t remaining_us = r->deadline_us - now_us;
-  if (!r->repeatable || remaining_us <= 0 || is_out_of_attempts (policy, r)
+  decision->reason = POLICY_REASON_ATTEMPTS;
+  if (!r->repeatable || is_out_of_attempts (policy, r))
+    return false;
+  decision->reason = POLICY_REASON_TOO_LATE;
+  if (remaining_us <= 0
       || attempt_timeout_is_deadline_unlikely (&policy->set.latencies,
                                                remaining_us))
     return false;
   const struct retry_limits *limits = &policy->options.retries;
-  if (!costs_retry (r))
-    return placement_failover (policy, r, decision);
-  if (!retry_budget_is_available (&policy->budget, limits, now_us)
-      || !placement_failover (policy, r, decision))
+  decision->reason = POLICY_REASON_RETRY_BUDGET;
+  if (costs_retry (r)
+      && !retry_budget_is_available (&policy->budget, limits, now_us))
     return false;
+  decision->reason = POLICY_REASON_NO_FREE_SLOT;
+  if (!placement_failover (policy, r, decision))
+    return false;
+  if (!costs_retry (r))
+    return true;
   const bool taken = retry_budget_take (&policy->budget, limits, now_us);
   assert (taken);
   (void)taken;
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -198,8 +198,8 @@
 /** Decide on another attempt of R while the previous one is still in
  * flight.  Only a healthy target that R hasn't tried and that has a free
  * slot is used; if there is none, the retry budget isn't charged.
- * @return false: keep waiting for the current attempt; else DECISION is
- * POLICY_SEND */
+ * @return false: keep waiting for the current attempt, for the reason in
+ * DECISION; else DECISION is POLICY_SEND */
 bool service_policy_admit_failover (struct service_policy *policy,
                                     int64_t now_us,
                                     const struct policy_request *r,
