retry budget: hosts of a set lend retries to hosts outside it

What callers saw: at hosts outside the set of a service requests failed with their first attempt, while hosts of the set still had retries.

Cause: a host outside the set earns a fifth of a retry with each of its about one request a second over all services, and has no part of the reserve.

Change: such a host asks a host of the set for a retry and is lent one; the bound over all hosts stays, since no token is new. The message is a report without rows, which older builds ignore.

--- a/node/bus.c
+++ b/node/bus.c
@@ -68,6 +68,10 @@
     case BUS_FRESHNESS_REQUESTED:
     case BUS_QUOTA_REQUESTED:
     case BUS_QUOTA_GRANTED:
+    case BUS_RETRIES_WANTED:
+    case BUS_RETRIES_REQUESTED:
+    case BUS_RETRIES_LENT:
+    case BUS_RETRIES_RECEIVED:
     case BUS_SHUTDOWN:
     case BUS_TOPIC_COUNT:
       break;
--- a/node/bus.h
+++ b/node/bus.h
@@ -45,6 +45,10 @@
   BUS_POISON_RECEIVED,     /**< such a change from another host */
   BUS_LIMITS_ANNOUNCED,    /**< a change of targets' limits, for other hosts */
   BUS_LIMITS_RECEIVED,     /**< such a change from another host */
+  BUS_RETRIES_WANTED,      /**< this host, outside a set, lacks retries */
+  BUS_RETRIES_REQUESTED,   /**< another host lacks retries */
+  BUS_RETRIES_LENT,        /**< this host lends some to that host */
+  BUS_RETRIES_RECEIVED,    /**< another host has lent some to this one */
   BUS_SHUTDOWN,            /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
@@ -162,6 +166,14 @@
   enum limit_recipients to; /**< with BUS_LIMITS_ANNOUNCED */
 };
 
+/** Retries of a service that one host lends another. */
+struct bus_retries
+{
+  char service[SERVICE_NAME_SIZE];
+  uint64_t host; /**< key of the borrower; with REQUESTED and LENT */
+  uint32_t count;
+};
+
 struct bus_message
 {
   enum bus_topic topic;
@@ -179,6 +191,7 @@
     struct bus_quota quota;
     struct bus_poison poison;
     struct bus_limits limits;
+    struct bus_retries retries;
   };
 };
 
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -63,8 +63,11 @@
   struct bus_host_entry *hosts;
   struct fleet_host *rendezvous_hosts; /**< parallel to `hosts` */
   size_t host_count;
-  bool in_set;        /**< this host is one of `hosts` */
-  size_t fleet_count; /**< hosts of the whole fleet */
+  bool in_set; /**< this host is one of `hosts` */
+  /** When retries were last requested from a host of the set. */
+  int64_t retries_requested_us;
+  uint32_t retries_requested; /**< and not received yet */
+  size_t fleet_count;         /**< hosts of the whole fleet */
   const struct retry_settings *retry;
   bool prefers_own_dc;
   uint32_t used_percent; /**< targets to keep in use; see the policy */
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -21,6 +21,7 @@
 #include "node/caller/exchange_quota.h"
 #include "node/caller/leaving_probe.h"
 #include "node/caller/poison_filter.h"
+#include "node/caller/retry_loans.h"
 #include "node/caller/target_limits.h"
 #include "node/plain_server.h"
 #include "node/tables.h"
@@ -161,6 +162,20 @@
   target_limits_receive (&task->context, &message->limits);
 }
 
+static void
+on_retries_requested (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  retry_loans_lend (&task->context, &message->retries);
+}
+
+static void
+on_retries_received (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  retry_loans_receive (&task->context, &message->retries);
+}
+
 static void
 on_host_set (void *owner, const struct bus_message *message)
 {
@@ -238,6 +253,8 @@
   bus_subscribe (task->bus, BUS_OUTCOME_RECEIVED, on_outcome_received, task);
   bus_subscribe (task->bus, BUS_SLOT_SHARES, on_slot_shares, task);
   bus_subscribe (task->bus, BUS_PATH_FAULTS, on_path_faults, task);
+  bus_subscribe (task->bus, BUS_RETRIES_REQUESTED, on_retries_requested, task);
+  bus_subscribe (task->bus, BUS_RETRIES_RECEIVED, on_retries_received, task);
 }
 
 static void
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -37,6 +37,8 @@
   /** Pending indirect checks on behalf of other hosts. */
   CONTROL_INDIRECT_CHECKS_MAX = 64,
   CONTROL_FEEDS_MAX = 3,
+  /** Of a report of outcomes: key of the target, how the attempt ended. */
+  CONTROL_OUTCOME_COLUMNS = 2,
   /** Heartbeat intervals within which hosts that start together have learned
    * of each other, from the list of hosts and from their neighbours. */
   CONTROL_SETTLE_HEARTBEATS = 3,
@@ -244,6 +246,13 @@
 void control_fanout_to_random (struct control_task *task, uint32_t wanted,
                                const struct peer_message *message);
 
+/* control_retries.c: retries that hosts of a set lend to hosts outside it */
+void control_retries_start (struct control_task *task);
+/** Process a request for retries, or retries lent, if REPORT is one. */
+void control_retries_receive (struct control_task *task,
+                              const struct control_source *source,
+                              const struct peer_report *report);
+
 /* control_limits.c: rate limits of targets */
 /** Start announcing changes to other hosts. */
 void control_limits_start (struct control_task *task);
--- a/node/control/control_outcomes.c
+++ b/node/control/control_outcomes.c
@@ -15,7 +15,6 @@
 
 enum
 {
-  OUTCOME_COLUMNS = 2, /* key of the target, how the attempt ended */
   /** Minimum interval of reports; outcomes in between are sent together.
    * This is short compared with the seconds for which a target fails, and
    * long compared with the time that a busy host spends on a message for one
@@ -69,7 +68,7 @@
       = find_service (task, outcomes->service);
   struct peer_message message
       = { .type = PEER_OUTCOMES,
-          .report = { .columns = OUTCOME_COLUMNS,
+          .report = { .columns = CONTROL_OUTCOME_COLUMNS,
                       .values = outcomes->values,
                       .value_count = outcomes->value_count } };
   memcpy (message.report.service, outcomes->service,
@@ -126,15 +125,16 @@
   struct control_outcomes *outcomes
       = find_or_add_outcomes (task, outcome->service);
   const size_t start = outcomes->value_count;
-  outcomes->values = xreallocarray (outcomes->values, start + OUTCOME_COLUMNS,
-                                    sizeof *outcomes->values);
+  outcomes->values
+      = xreallocarray (outcomes->values, start + CONTROL_OUTCOME_COLUMNS,
+                       sizeof *outcomes->values);
   outcomes->values[start] = (int64_t)outcome->target_key;
   outcomes->values[start + 1] = (int64_t)outcome->end;
-  outcomes->value_count += OUTCOME_COLUMNS;
+  outcomes->value_count += CONTROL_OUTCOME_COLUMNS;
   update_digest (outcomes, find_service (task, outcome->service),
                  task->self->key, outcome->target_key, outcome->end);
   const bool is_full
-      = outcomes->value_count == REPORT_ROWS_MAX * OUTCOME_COLUMNS;
+      = outcomes->value_count == REPORT_ROWS_MAX * CONTROL_OUTCOME_COLUMNS;
   if (is_full || clock_now_ms () - outcomes->reported_ms >= REPORT_INTERVAL_MS)
     send_report (task, outcomes);
   else if (!ev_is_active (&task->outcome_timer))
@@ -182,17 +182,17 @@
       outcomes->digest, clock_now_ms (), source->host->key, targets);
   if (count == 0)
     return;
-  int64_t values[OUTCOME_DIGEST_TARGETS_MAX * OUTCOME_COLUMNS];
+  int64_t values[OUTCOME_DIGEST_TARGETS_MAX * CONTROL_OUTCOME_COLUMNS];
   for (size_t i = 0; i < count; i++)
     {
-      values[i * OUTCOME_COLUMNS] = (int64_t)targets[i].key;
-      values[i * OUTCOME_COLUMNS + 1] = (int64_t)targets[i].end;
+      values[i * CONTROL_OUTCOME_COLUMNS] = (int64_t)targets[i].key;
+      values[i * CONTROL_OUTCOME_COLUMNS + 1] = (int64_t)targets[i].end;
     }
   struct peer_message message
       = { .type = PEER_OUTCOMES,
-          .report = { .columns = OUTCOME_COLUMNS,
+          .report = { .columns = CONTROL_OUTCOME_COLUMNS,
                       .values = values,
-                      .value_count = count * OUTCOME_COLUMNS } };
+                      .value_count = count * CONTROL_OUTCOME_COLUMNS } };
   memcpy (message.report.service, outcomes->service,
           sizeof message.report.service);
   control_reply (task, source, &message);
@@ -218,14 +218,14 @@
                           const struct control_source *source,
                           const struct peer_report *report)
 {
-  if (report->columns != OUTCOME_COLUMNS)
+  if (report->columns != CONTROL_OUTCOME_COLUMNS)
     return;
   const struct control_service *service = find_service (task, report->service);
   if (service == NULL)
     return;
   struct control_outcomes *outcomes
       = find_or_add_outcomes (task, report->service);
-  for (size_t i = 0; i + 1 < report->value_count; i += OUTCOME_COLUMNS)
+  for (size_t i = 0; i + 1 < report->value_count; i += CONTROL_OUTCOME_COLUMNS)
     {
       const int64_t end = report->values[i + 1];
       if (end < 0 || end > ATTEMPT_CANCELLED)
@@ -238,6 +238,7 @@
   if (outcomes->digest != NULL && !is_in_set (service, source->host->key)
       && is_responder (task, service, source->host))
     send_digest (task, source, outcomes);
+  control_retries_receive (task, source, report);
 }
 
 void
--- /dev/null
+++ b/node/control/control_retries.c
@@ -0,0 +1,113 @@
+#define LOG_MODULE "control"
+
+#include "node/control/control_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+
+static const struct control_service *
+find_service (const struct control_task *task, const char *name)
+{
+  const struct control_service *service;
+  HASH_FIND_STR (task->services, name, service);
+  return service;
+}
+
+static struct peer_message
+make_message (const char *service, enum peer_retries what, uint32_t count)
+{
+  struct peer_message message = {
+    .type = PEER_OUTCOMES,
+    .report
+    = { .epoch = what, .sequence = count, .columns = CONTROL_OUTCOME_COLUMNS }
+  };
+  snprintf (message.report.service, sizeof message.report.service, "%s",
+            service);
+  return message;
+}
+
+/* A random host of the set, so that all of them share the lending; one of
+   this data centre if there is any, since it answers sooner. */
+static struct control_host *
+choose_lender (struct control_task *task,
+               const struct control_service *service)
+{
+  struct control_host *lender = NULL;
+  uint32_t local_count = 0;
+  uint32_t count = 0;
+  for (size_t i = 0; i < service->set_count; i++)
+    {
+      struct control_host *host = control_hosts_find (task, service->set[i]);
+      if (host == NULL || host == task->self)
+        continue;
+      const bool is_local
+          = strcmp (host->record.dc, task->self->record.dc) == 0;
+      if (is_local && rng_below (&task->random, ++local_count) == 0)
+        lender = host;
+      else if (local_count == 0 && rng_below (&task->random, ++count) == 0)
+        lender = host;
+    }
+  return lender;
+}
+
+static void
+on_wanted (void *owner, const struct bus_message *message)
+{
+  struct control_task *task = owner;
+  const struct bus_retries *retries = &message->retries;
+  const struct control_service *service
+      = find_service (task, retries->service);
+  if (service == NULL || service->includes_self)
+    return;
+  struct control_host *lender = choose_lender (task, service);
+  if (lender == NULL)
+    return;
+  const struct peer_message request = make_message (
+      retries->service, PEER_RETRIES_REQUESTED, retries->count);
+  control_hosts_send (task, lender, &request);
+}
+
+static void
+on_lent (void *owner, const struct bus_message *message)
+{
+  struct control_task *task = owner;
+  const struct bus_retries *retries = &message->retries;
+  struct control_host *borrower = control_hosts_find (task, retries->host);
+  if (borrower == NULL)
+    return;
+  const struct peer_message loan
+      = make_message (retries->service, PEER_RETRIES_LENT, retries->count);
+  control_hosts_send (task, borrower, &loan);
+  LOG_INFO ("retries-lent", LOG_STR ("service", retries->service),
+            LOG_STR ("host", borrower->record.name),
+            LOG_INT ("count", retries->count));
+}
+
+void
+control_retries_receive (struct control_task *task,
+                         const struct control_source *source,
+                         const struct peer_report *report)
+{
+  if (report->epoch != PEER_RETRIES_REQUESTED
+      && report->epoch != PEER_RETRIES_LENT)
+    return;
+  const bool is_request = report->epoch == PEER_RETRIES_REQUESTED;
+  struct bus_message message
+      = { .topic = is_request ? BUS_RETRIES_REQUESTED : BUS_RETRIES_RECEIVED,
+          .retries = { .host = source->host->key,
+                       .count = report->sequence < UINT32_MAX
+                                    ? (uint32_t)report->sequence
+                                    : UINT32_MAX } };
+  snprintf (message.retries.service, sizeof message.retries.service, "%s",
+            report->service);
+  bus_post (task->options.bus, &message);
+}
+
+void
+control_retries_start (struct control_task *task)
+{
+  bus_subscribe (task->options.bus, BUS_RETRIES_WANTED, on_wanted, task);
+  bus_subscribe (task->options.bus, BUS_RETRIES_LENT, on_lent, task);
+}
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -322,6 +322,7 @@
   control_platform_start (task);
   control_poison_start (task);
   control_limits_start (task);
+  control_retries_start (task);
   *created = task;
   return STATUS_OK;
 }
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -232,6 +232,29 @@
   return true;
 }
 
+bool
+service_policy_lacks_retry (struct service_policy *policy, int64_t now_us)
+{
+  return !retry_budget_is_available (&policy->budget, &policy->options.retries,
+                                     now_us);
+}
+
+uint32_t
+service_policy_lend_retries (struct service_policy *policy, int64_t now_us,
+                             uint32_t wanted)
+{
+  return retry_budget_lend (&policy->budget, &policy->options.retries, now_us,
+                            wanted);
+}
+
+void
+service_policy_add_lent_retries (struct service_policy *policy, int64_t now_us,
+                                 uint32_t count)
+{
+  retry_budget_add_lent (&policy->budget, &policy->options.retries, now_us,
+                         count);
+}
+
 void
 service_policy_outcome (struct service_policy *policy, int64_t now_us,
                         const struct policy_outcome *outcome)
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -205,6 +205,19 @@
                                     const struct policy_request *r,
                                     struct policy_decision *decision);
 
+/** Whether this host has no token for a retry. */
+bool service_policy_lacks_retry (struct service_policy *policy,
+                                 int64_t now_us);
+
+/** Lend up to WANTED retries to another host.
+ * @return how many */
+uint32_t service_policy_lend_retries (struct service_policy *policy,
+                                      int64_t now_us, uint32_t wanted);
+
+/** Another host has lent COUNT retries. */
+void service_policy_add_lent_retries (struct service_policy *policy,
+                                      int64_t now_us, uint32_t count);
+
 /** An attempt ended: release its slot and learn from the outcome.  Call
  * service_policy_next() afterwards until it returns false. */
 void service_policy_outcome (struct service_policy *policy, int64_t now_us,
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -167,6 +167,15 @@
   uint64_t version; /**< queried; in the answer: the one in force */
 };
 
+/** What an OUTCOMES report without rows is about, as its epoch.  Builds that
+ * don't know these find an empty report and ignore it. */
+enum peer_retries
+{
+  PEER_RETRIES_NONE = 0,
+  PEER_RETRIES_REQUESTED = 1, /**< by a host outside the set: `sequence` */
+  PEER_RETRIES_LENT = 2,      /**< to such a host: `sequence` */
+};
+
 /** Table of integers with names that belong to the rows, for EVIDENCE,
  * DECISION, DEMAND, OUTCOMES, QUOTA_*, POISON and LIMITS.  Sender and receiver
  * agree on the columns. */
