--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -24,6 +24,8 @@
   US_PER_MS = 1000,
   RAW_RESPONSE_DELAY_US = 10 * US_PER_MS,
   RAW_CLOSE_DELAY_US = 1000 * US_PER_MS,
+  /** Covers the way from a caller and back, and both processes' delays. */
+  CALLER_DEADLINE_MARGIN_US = 50 * US_PER_MS,
   SHUTDOWN_RETRY_AFTER_MS = 100,
   TIMEOUT_RETRY_AFTER_MS = 100
 };
@@ -196,13 +198,29 @@
   }
 }
 
+/* A caller that leaves because its time is over does so a little before or
+   after the deadline as computed here.  If that counted as cancelled, a target
+   that hangs would be chosen again and again for requests with a short
+   deadline, since none of them would count against it. */
+static enum attempt_end
+end_of_abandoned_attempt (const struct exchange *x)
+{
+  const bool hangs = x->state == EXCHANGE_SENT && x->attempt.call != NULL
+                     && !x->attempt.head_received
+                     && target_call_may_have_sent (x->attempt.call);
+  const int64_t remaining_us = x->deadline_us - clock_now_us ();
+  return hangs && remaining_us <= CALLER_DEADLINE_MARGIN_US
+             ? ATTEMPT_TIMED_OUT
+             : ATTEMPT_CANCELLED;
+}
+
 void
 exchange_cancel (struct exchange *x)
 {
   stop_waiting (x);
   if (x->service != NULL)
     caller_service_cancel_wait (x->service, &x->waiter);
-  exchange_cancel_attempt (x, ATTEMPT_CANCELLED);
+  exchange_cancel_attempt (x, end_of_abandoned_attempt (x));
   exchange_ticket_finish (x);
 }
 
--- a/node/caller/tests/attempt_timeout_test.cc
+++ b/node/caller/tests/attempt_timeout_test.cc
@@ -324,6 +324,38 @@
   EXPECT_EQ (timeouts_then ("elsewhere"), 1) << exposed ();
 }
 
+/* Guards against targets that hang for callers with a short deadline and are
+   chosen again: these callers leave just before the host's own deadline. */
+TEST_F (AttemptTimeoutTest, CallerThatLeavesAtItsDeadlineCountsAsTimeout)
+{
+  start_with ();
+  delay_both (10000);
+  auto raw = connect_raw ();
+  raw->write ("POST /holds HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+              "X-Request-Id: p1\r\nJaystair-Deadline-Ms: 400\r\n\r\n");
+  run_for (loop, 0.37);
+  raw->hang_up ();
+  EXPECT_TRUE (run_until ([this] { return timed_out () == 1; })) << exposed ();
+}
+
+/* A caller that leaves early shows nothing about the target. */
+TEST_F (AttemptTimeoutTest, CallerThatLeavesEarlyCountsAsCancelled)
+{
+  start_with ();
+  delay_both (10000);
+  auto raw = connect_raw ();
+  raw->write ("POST /holds HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+              "X-Request-Id: p1\r\nJaystair-Deadline-Ms: 9000\r\n\r\n");
+  ASSERT_TRUE (run_until ([this] { return runs ("p1") == 1; }));
+  raw->hang_up ();
+  EXPECT_TRUE (run_until ([this] {
+    return series_value (
+               "jaystair_attempts_total{service=\"holds\",end=\"cancelled\"}")
+           == 1;
+  })) << exposed ();
+  EXPECT_EQ (timed_out (), 0);
+}
+
 /* A caller uploads slowly.  The target that waits for the rest doesn't hang,
    and no failure counts against it. */
 TEST_F (AttemptTimeoutTest, SlowUploadDoesNotTimeOut)
