slot limit: hosts don't fill the queues of targets in an overload

What callers saw: while a service is overloaded, and seconds after it, its requests with a deadline of one second expired, 0 to 20 in a hundred served.

Cause: the three hosts of a set may have 16 requests at a target with 6 slots, and in an overload they do. Ten wait in its queue, in order of arrival.

Change: a host reduces its slots at a target to its fair share while responses take one and a half times as long as usual; the rest waits at the host, which knows the deadlines. This works since the targets stay fully used, and what arrives there starts soon.

The reference model has the limit too.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -178,6 +178,7 @@
       targets[i] = (struct policy_target){
         .key = state->key,
         .slots = caller_share_slots (service, state->key, target),
+        .fair_slots = caller_share_fair_slots (service, target),
         .distance_us = is_local ? 0 : DC_DISTANCE_US,
         .is_backup = caller_share_is_backup (service, target),
         .accepts_work = target->state == TARGET_STATE_ACTIVE && !state->leaving
--- a/node/caller/caller_share.c
+++ b/node/caller/caller_share.c
@@ -65,20 +65,37 @@
   return service->rendezvous_hosts[owner].key != service->own_key;
 }
 
+static uint32_t
+slots_bound (const struct target_spec *target)
+{
+  return target->connections > 0 && target->connections < target->slots
+             ? target->connections
+             : target->slots;
+}
+
 uint32_t
 caller_share_slots (const struct caller_service *service, uint64_t key,
                     const struct target_spec *target)
 {
-  const uint32_t bound
-      = target->connections > 0 && target->connections < target->slots
-            ? target->connections
-            : target->slots;
+  const uint32_t bound = slots_bound (target);
   if (service->in_set && service->share.permille == 0
       && !caller_share_is_backup (service, target))
     return bound;
   return share_of (service, key, bound);
 }
 
+uint32_t
+caller_share_fair_slots (const struct caller_service *service,
+                         const struct target_spec *target)
+{
+  const uint32_t slots = slots_bound (target);
+  const uint32_t hosts
+      = service->host_count > 0 ? (uint32_t)service->host_count : 1;
+  if (service->share.permille > 0 || hosts > slots)
+    return 0;
+  return (slots + hosts - 1) / hosts;
+}
+
 uint32_t
 caller_share_rate_millis (const struct caller_service *service,
                           const struct target_spec *target,
--- a/node/caller/caller_share.h
+++ b/node/caller/caller_share.h
@@ -26,6 +26,13 @@
 uint32_t caller_share_slots (const struct caller_service *service,
                              uint64_t key, const struct target_spec *target);
 
+/** The slots to which that share is reduced while TARGET responds slowly, so
+ * that the shares of all hosts of the set add up to its slots; 0: it isn't
+ * reduced.  A granted share needs no reduction, nor does the subset of a host
+ * whose set has more hosts than the target has slots. */
+uint32_t caller_share_fair_slots (const struct caller_service *service,
+                                  const struct target_spec *target);
+
 /** This host's share of the rate limit of TARGET, in thousandths of a request
  * per second; 0 if the target has no limit or this host has no share of it. */
 uint32_t caller_share_rate_millis (const struct caller_service *service,
--- /dev/null
+++ b/policy/choice/slot_limit.c
@@ -0,0 +1,48 @@
+#include "policy/choice/slot_limit.h"
+
+#include <math.h>
+
+/* A queue at the target shows within a few responses. */
+static const double ewma_gain = 0.25;
+
+/* Ratios to the usual latency, above which the limit falls and below which it
+   rises. */
+static const double slow_ratio = 1.5;
+static const double fast_ratio = 1.2;
+
+/* Changes per response.  The limit falls faster than it rises, since the queue
+   of a target that is over its slots grows with each request. */
+static const double decrease_slots = 0.5;
+static const double increase_slots = 0.05;
+
+static double
+reduction_max (const struct slot_bounds *bounds)
+{
+  return bounds->fair < bounds->max ? bounds->max - bounds->fair : 0;
+}
+
+void
+slot_limit_observe (struct slot_limit *limit, const struct slot_bounds *bounds,
+                    double latency_us, double usual_us)
+{
+  if (limit->latency_us <= 0)
+    limit->latency_us = latency_us;
+  else
+    limit->latency_us += ewma_gain * (latency_us - limit->latency_us);
+  if (usual_us <= 0)
+    return;
+  double reduction = limit->reduction;
+  if (limit->latency_us > slow_ratio * usual_us)
+    reduction += decrease_slots;
+  else if (limit->latency_us < fast_ratio * usual_us)
+    reduction -= increase_slots;
+  limit->reduction = fmin (fmax (reduction, 0), reduction_max (bounds));
+}
+
+uint32_t
+slot_limit_value (const struct slot_limit *limit,
+                  const struct slot_bounds *bounds)
+{
+  const double reduction = fmin (limit->reduction, reduction_max (bounds));
+  return bounds->max - (uint32_t)reduction;
+}
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -116,6 +116,7 @@
     target_state_advance (&set->targets[i], &set->baseline, now_us);
   learn_unhealthy_share (set, elapsed_us);
   measure_baseline (set);
+  usual_latency_update (&set->usual, set->baseline.latency_us, elapsed_us);
   for (uint32_t i = 0; i < set->count; i++)
     {
       evaluate (set, &set->targets[i], now_us);
@@ -202,6 +203,7 @@
       = old.count > 0 ? old.unhealthy_share_learned_us : now_us;
   set->latencies = old.latencies;
   set->hang_share = old.hang_share;
+  set->usual = old.usual;
   set->unserved = old.unserved;
   allocate (set, count);
   uint32_t *numbers = xcalloc (old.count + 1, sizeof *numbers);
@@ -363,7 +365,10 @@
   unserved_share_add (&set->unserved, now_us, outcome);
   learn_hang_share (set, outcome->end);
   if (outcome->end == ATTEMPT_ANSWERED)
-    latency_histogram_add (&set->latencies, outcome->latency_us);
+    {
+      latency_histogram_add (&set->latencies, outcome->latency_us);
+      target_state_adapt_slots (t, outcome->latency_us, &set->usual);
+    }
   set->outcomes++;
   evaluate (set, t, now_us);
   update_tier (set, now_us, outcome->target);
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -55,6 +55,7 @@
   uint32_t outcomes;                  /**< since the refresh */
   struct latency_histogram latencies; /**< of successful responses */
   double hang_share; /**< learned share of failed attempts that hung */
+  struct usual_latency usual;
   struct unserved_share unserved;
   double *scratch;
 };
--- a/policy/choice/target_state.c
+++ b/policy/choice/target_state.c
@@ -89,6 +89,31 @@
   return share > min_factor ? share : min_factor;
 }
 
+static struct slot_bounds
+slot_bounds_of (const struct target_state *t)
+{
+  const uint32_t fair = t->config.fair_slots;
+  return (struct slot_bounds){ .fair = fair > 0 ? fair : t->config.slots,
+                               .max = t->config.slots };
+}
+
+uint32_t
+target_state_slots (const struct target_state *t)
+{
+  const struct slot_bounds bounds = slot_bounds_of (t);
+  return slot_limit_value (&t->slot_limit, &bounds);
+}
+
+void
+target_state_adapt_slots (struct target_state *t, int64_t latency_us,
+                          const struct usual_latency *usual)
+{
+  const struct slot_bounds bounds = slot_bounds_of (t);
+  const double own_us
+      = fmax ((double)(latency_us - 2 * (int64_t)t->config.distance_us), 1);
+  slot_limit_observe (&t->slot_limit, &bounds, own_us, usual->latency_us);
+}
+
 static uint32_t
 slow_start_slots (const struct target_state *t, int64_t now_us)
 {
@@ -135,7 +160,7 @@
   if (t->warm_up_start_us != INT64_MIN
       && now_us - t->warm_up_start_us >= warm_up_us (t))
     t->warm_up_start_us = INT64_MIN;
-  if (!target_state_is_eligible (t) || t->in_flight >= t->config.slots
+  if (!target_state_is_eligible (t) || t->in_flight >= target_state_slots (t)
       || !refill_and_check_tokens (t, now_us))
     return TIER_NONE;
   if (target_state_is_suspect (t))
--- a/policy/choice/target_state.h
+++ b/policy/choice/target_state.h
@@ -9,8 +9,10 @@
 
 #include "policy/choice/latency_histogram.h"
 #include "policy/choice/open_attempts.h"
+#include "policy/choice/slot_limit.h"
 #include "policy/choice/target_estimate.h"
 #include "policy/choice/target_outlier.h"
+#include "policy/choice/usual_latency.h"
 #include "policy/service_policy.h"
 
 enum
@@ -51,6 +53,7 @@
   double failure_rate; /**< expected share of failed attempts, including
                             open ones */
   uint32_t in_flight;
+  struct slot_limit slot_limit;
   uint32_t rate_millis; /**< thousandths of a request a second; 0: no limit */
   double tokens;        /**< of the token bucket that enforces the rate */
   int64_t refilled_us;  /**< last refill of the bucket */
@@ -95,6 +98,14 @@
 bool target_state_is_suspect (const struct target_state *t);
 enum target_part target_state_part (const struct target_state *t);
 
+/** How many requests T may have from this host at the same time. */
+uint32_t target_state_slots (const struct target_state *t);
+
+/** A response of T has arrived after LATENCY_US.  USUAL is that of the
+ * service's targets. */
+void target_state_adapt_slots (struct target_state *t, int64_t latency_us,
+                               const struct usual_latency *usual);
+
 /** The tier of T at NOW_US.  Ends its warm-up when that is over. */
 enum target_tier target_state_tier (struct target_state *t, int64_t now_us);
 
--- a/policy/choice/tests/reference_checker.h
+++ b/policy/choice/tests/reference_checker.h
@@ -275,7 +275,18 @@
     if (o.end == ATTEMPT_CUT || o.end == ATTEMPT_FAILED)
       hang_share -= 0.05 * hang_share;
     if (o.end == ATTEMPT_ANSWERED)
-      latency_histogram_add (&histogram, o.latency_us);
+      {
+        latency_histogram_add (&histogram, o.latency_us);
+        const double own
+            = std::max (o.latency_us - 2.0 * t.config.distance_us, 1.0);
+        t.slot_latency
+            = t.slot_latency > 0 ? (3 * t.slot_latency + own) / 4 : own;
+        const double ratio
+            = usual_latency > 0 ? t.slot_latency / usual_latency : 1.3;
+        const double change = ratio > 1.5 ? 0.5 : ratio < 1.2 ? -0.05 : 0;
+        t.slot_reduction
+            = std::clamp (t.slot_reduction + change, 0.0, t.max_reduction ());
+      }
     outcomes++;
     evaluate (t);
     t.tier_updated = now;
--- a/policy/choice/tests/reference_model.h
+++ b/policy/choice/tests/reference_model.h
@@ -27,6 +27,7 @@
 {
   policy_target config = {};
   uint32_t in_flight = 0;
+  double slot_reduction = 0, slot_latency = 0;
   bool ejected = false, failing = false, slow = false, is_new = false;
   /* P_UNHEALTHY and FAILURE_RATE include attempts without a response,
      P_UNHEALTHY_ENDED doesn't. */
@@ -48,10 +49,18 @@
   {
     return failing || slow;
   }
+  double
+  max_reduction () const
+  {
+    const uint32_t fair = config.fair_slots;
+    return fair > 0 && fair < config.slots ? config.slots - fair : 0;
+  }
   bool
   has_free_slot () const
   {
-    return eligible () && in_flight < config.slots;
+    const double reduction = std::min (slot_reduction, max_reduction ());
+    return eligible ()
+           && in_flight < config.slots - (uint32_t)std::floor (reduction);
   }
   double
   own_latency () const
@@ -89,7 +98,8 @@
   service_policy_options options;
   std::vector<reference_target> targets;
   std::vector<reference_waiting> queue;
-  double base_latency = 0, base_unhealthy_share = 0.05, hang_share = 0.5;
+  double base_latency = 0, usual_latency = 0;
+  double base_unhealthy_share = 0.05, hang_share = 0.5;
   latency_histogram histogram;
   int64_t refreshed = INT64_MIN / 2, learned = 0, now = 0;
   uint32_t outcomes = 0;
@@ -230,6 +240,15 @@
             share + (base_unhealthy_share - share) * kept, 0.02, 0.4);
       }
     base_latency = median (latencies);
+    if (usual_latency <= 0)
+      usual_latency = base_latency;
+    else if (base_latency > 0)
+      usual_latency
+          += (base_latency - usual_latency)
+             * (1
+                - std::exp (
+                    -elapsed
+                    / (base_latency > usual_latency ? 30000000 : 2000000)));
     for (auto &t : targets)
       {
         evaluate (t);
--- a/policy/choice/tests/service_policy_differential_test.cc
+++ b/policy/choice/tests/service_policy_differential_test.cc
@@ -106,6 +106,7 @@
         c.slots = 1 + (uint32_t)below (4);
         c.distance_us = below (3) == 0 ? 1500 : 0;
         c.is_backup = below (3) == 0;
+        c.fair_slots = (uint32_t)below (c.slots + 1);
         c.accepts_work = below (10) != 0;
         c.warm_up_us = below (2) == 0 ? -1 : (int64_t)below (4000000);
       }
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -43,6 +43,8 @@
   bool accepts_work;    /**< false: drained or leaving */
   int64_t warm_up_us;   /**< remaining warm-up time that it reports; -1: it
                              doesn't, and starts slowly if it is new */
+  uint32_t fair_slots;  /**< to which `slots` is reduced while the target
+                             responds slowly; 0: it isn't */
 };
 
 /** Limits and preferences of the service. */
