slot limit: slots fall only while this host exceeds its share of all targets

The first version reduced a host's slots at a target whenever its responses were slow. With three slots and three hosts one request then filled the share of each healthy target, and what may run once went to worse ones.

Change: the limit falls only while the host has more requests in flight than its fair shares of all targets together; otherwise it rises.

Tests: StaysWhileTheHostKeepsToItsFairShare; the reference model follows.

--- a/policy/choice/slot_limit.c
+++ b/policy/choice/slot_limit.c
@@ -23,18 +23,21 @@
 
 void
 slot_limit_observe (struct slot_limit *limit, const struct slot_bounds *bounds,
-                    double latency_us, double usual_us)
+                    const struct slot_response *response)
 {
   if (limit->latency_us <= 0)
-    limit->latency_us = latency_us;
+    limit->latency_us = response->latency_us;
   else
-    limit->latency_us += ewma_gain * (latency_us - limit->latency_us);
-  if (usual_us <= 0)
+    limit->latency_us
+        += ewma_gain * (response->latency_us - limit->latency_us);
+  if (response->usual_us <= 0)
     return;
+  const double ratio = limit->latency_us / response->usual_us;
   double reduction = limit->reduction;
-  if (limit->latency_us > slow_ratio * usual_us)
+  if (response->is_busy && response->in_flight > bounds->fair
+      && ratio > slow_ratio)
     reduction += decrease_slots;
-  else if (limit->latency_us < fast_ratio * usual_us)
+  else if (!response->is_busy || ratio < fast_ratio)
     reduction -= increase_slots;
   limit->reduction = fmin (fmax (reduction, 0), reduction_max (bounds));
 }
--- a/policy/choice/slot_limit.h
+++ b/policy/choice/slot_limit.h
@@ -8,13 +8,14 @@
  * could wait longer.  The symptom is that a service without free slots serves
  * none of its requests with a short deadline.
  *
- * So the limit falls to the fair share while the target responds more slowly
- * than usual, and the requests wait at the host, which knows their deadlines.
- * It rises to the maximum again while the target responds as usual.
+ * So the limit falls to the fair share while all targets together are
+ * overloaded, and the requests wait at the host, which knows their deadlines.
+ * It rises to the maximum again afterwards.
  */
 #ifndef POLICY_CHOICE_SLOT_LIMIT_H
 #define POLICY_CHOICE_SLOT_LIMIT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Bounds of a limit, in slots. */
@@ -31,11 +32,22 @@
   double reduction;
 };
 
-/** A response has arrived after LATENCY_US.  It usually takes USUAL_US; 0:
- * unknown. */
+/** A response of the target. */
+struct slot_response
+{
+  double latency_us;
+  double usual_us;    /**< latency that is usual; 0: unknown */
+  uint32_t in_flight; /**< requests of this host there, this one included */
+  bool is_busy;       /**< this host has more requests in flight than its fair
+                           shares of all targets */
+};
+
+/** RESPONSE has arrived.  The limit falls only while this host exceeds its
+ * fair share of the target and of all targets together: otherwise the target
+ * is slow for another reason, or others have room. */
 void slot_limit_observe (struct slot_limit *limit,
-                         const struct slot_bounds *bounds, double latency_us,
-                         double usual_us);
+                         const struct slot_bounds *bounds,
+                         const struct slot_response *response);
 
 /** The limit in slots, within BOUNDS. */
 uint32_t slot_limit_value (const struct slot_limit *limit,
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -123,8 +123,14 @@
       update_tier (set, now_us, i);
     }
   set->idle = 0;
+  set->fair_slots = 0;
   for (uint32_t i = 0; i < set->count; i++)
-    set->idle += (uint32_t)is_idle (set, &set->targets[i], now_us);
+    {
+      const struct target_state *t = &set->targets[i];
+      set->idle += (uint32_t)is_idle (set, t, now_us);
+      if (target_state_is_eligible (t))
+        set->fair_slots += target_state_fair_slots (t);
+    }
 }
 
 void
@@ -350,6 +356,12 @@
                     const struct policy_outcome *outcome)
 {
   struct target_state *t = &set->targets[outcome->target];
+  const struct slot_response response = {
+    .latency_us = (double)outcome->latency_us,
+    .usual_us = set->usual.latency_us,
+    .in_flight = t->in_flight,
+    .is_busy = set->in_flight > set->fair_slots,
+  };
   /* A target that left and came back while attempts were in flight has lost
      their count; their ends must not free slots acquired since. */
   if (t->in_flight > 0)
@@ -367,7 +379,7 @@
   if (outcome->end == ATTEMPT_ANSWERED)
     {
       latency_histogram_add (&set->latencies, outcome->latency_us);
-      target_state_adapt_slots (t, outcome->latency_us, &set->usual);
+      target_state_adapt_slots (t, &response);
     }
   set->outcomes++;
   evaluate (set, t, now_us);
--- a/policy/choice/target_state.c
+++ b/policy/choice/target_state.c
@@ -89,11 +89,17 @@
   return share > min_factor ? share : min_factor;
 }
 
+uint32_t
+target_state_fair_slots (const struct target_state *t)
+{
+  const uint32_t fair = t->config.fair_slots;
+  return fair > 0 && fair < t->config.slots ? fair : t->config.slots;
+}
+
 static struct slot_bounds
 slot_bounds_of (const struct target_state *t)
 {
-  const uint32_t fair = t->config.fair_slots;
-  return (struct slot_bounds){ .fair = fair > 0 ? fair : t->config.slots,
+  return (struct slot_bounds){ .fair = target_state_fair_slots (t),
                                .max = t->config.slots };
 }
 
@@ -105,13 +111,13 @@
 }
 
 void
-target_state_adapt_slots (struct target_state *t, int64_t latency_us,
-                          const struct usual_latency *usual)
+target_state_adapt_slots (struct target_state *t,
+                          const struct slot_response *response)
 {
   const struct slot_bounds bounds = slot_bounds_of (t);
-  const double own_us
-      = fmax ((double)(latency_us - 2 * (int64_t)t->config.distance_us), 1);
-  slot_limit_observe (&t->slot_limit, &bounds, own_us, usual->latency_us);
+  struct slot_response own = *response;
+  own.latency_us = fmax (own.latency_us - 2.0 * t->config.distance_us, 1);
+  slot_limit_observe (&t->slot_limit, &bounds, &own);
 }
 
 static uint32_t
--- a/policy/choice/target_state.h
+++ b/policy/choice/target_state.h
@@ -101,10 +101,12 @@
 /** How many requests T may have from this host at the same time. */
 uint32_t target_state_slots (const struct target_state *t);
 
-/** A response of T has arrived after LATENCY_US.  USUAL is that of the
- * service's targets. */
-void target_state_adapt_slots (struct target_state *t, int64_t latency_us,
-                               const struct usual_latency *usual);
+/** This host's fair share of the slots of T. */
+uint32_t target_state_fair_slots (const struct target_state *t);
+
+/** RESPONSE of T has arrived; its latency includes the network distance. */
+void target_state_adapt_slots (struct target_state *t,
+                               const struct slot_response *response);
 
 /** The tier of T at NOW_US.  Ends its warm-up when that is over. */
 enum target_tier target_state_tier (struct target_state *t, int64_t now_us);
--- a/policy/choice/tests/reference_checker.h
+++ b/policy/choice/tests/reference_checker.h
@@ -245,6 +245,10 @@
   outcome (const policy_outcome &o)
   {
     reference_target &t = targets[o.target];
+    const uint32_t in_flight = t.in_flight;
+    uint32_t all_in_flight = 0;
+    for (auto &other : targets)
+      all_in_flight += other.in_flight;
     t.in_flight -= t.in_flight > 0;
     close (t, now - o.latency_us);
     advance (t);
@@ -283,7 +287,11 @@
             = t.slot_latency > 0 ? (3 * t.slot_latency + own) / 4 : own;
         const double ratio
             = usual_latency > 0 ? t.slot_latency / usual_latency : 1.3;
-        const double change = ratio > 1.5 ? 0.5 : ratio < 1.2 ? -0.05 : 0;
+        const bool is_busy = all_in_flight > fair_slots;
+        const bool is_over = in_flight > t.config.slots - t.max_reduction ();
+        const double change = is_busy && is_over && ratio > 1.5 ? 0.5
+                              : !is_busy || ratio < 1.2         ? -0.05
+                                                                : 0;
         t.slot_reduction
             = std::clamp (t.slot_reduction + change, 0.0, t.max_reduction ());
       }
--- a/policy/choice/tests/reference_model.h
+++ b/policy/choice/tests/reference_model.h
@@ -105,6 +105,7 @@
   uint32_t outcomes = 0;
   double probe_tokens = 0;
   uint32_t idle_count = 0; /* as of the refresh */
+  double fair_slots = 0;   /* of all eligible targets, as of the refresh */
   double interval = 0;
   int64_t last_end = 0;
   uint32_t intervals = 0;
@@ -255,6 +256,10 @@
         t.tier_updated = now;
       }
     idle_count = idle_targets ().size ();
+    fair_slots = 0;
+    for (auto &t : targets)
+      if (t.eligible ())
+        fair_slots += t.config.slots - t.max_reduction ();
   }
   std::vector<uint32_t>
   idle_targets () const
--- a/policy/choice/tests/slot_limit_test.cc
+++ b/policy/choice/tests/slot_limit_test.cc
@@ -17,16 +17,35 @@
 
 constexpr int64_t second_us = 1000000;
 
+const slot_response slow = { 2000, 1000, 5, true };
+const slot_response usual = { 1000, 1000, 5, true };
+
 TEST (SlotLimit, FallsToTheFairShareAndRisesAgain)
 {
   const slot_bounds bounds = { 2, 6 };
   slot_limit limit = {};
   EXPECT_EQ (slot_limit_value (&limit, &bounds), 6u);
   for (int i = 0; i < 100; i++)
-    slot_limit_observe (&limit, &bounds, 2000, 1000);
+    slot_limit_observe (&limit, &bounds, &slow);
   EXPECT_EQ (slot_limit_value (&limit, &bounds), 2u);
   for (int i = 0; i < 100; i++)
-    slot_limit_observe (&limit, &bounds, 1000, 1000);
+    slot_limit_observe (&limit, &bounds, &usual);
+  EXPECT_EQ (slot_limit_value (&limit, &bounds), 6u);
+}
+
+/* Guards against a target that is slow for another reason than an overload:
+   with a lower limit the host would have to use others that may fail. */
+TEST (SlotLimit, StaysWhileTheHostKeepsToItsFairShare)
+{
+  const slot_bounds bounds = { 2, 6 };
+  const slot_response few_here = { 5000, 1000, 2, true };
+  const slot_response few_in_all = { 5000, 1000, 5, false };
+  slot_limit limit = {};
+  for (int i = 0; i < 100; i++)
+    {
+      slot_limit_observe (&limit, &bounds, &few_here);
+      slot_limit_observe (&limit, &bounds, &few_in_all);
+    }
   EXPECT_EQ (slot_limit_value (&limit, &bounds), 6u);
 }
 
@@ -35,7 +54,7 @@
   slot_bounds bounds = { 2, 6 };
   slot_limit limit = {};
   for (int i = 0; i < 100; i++)
-    slot_limit_observe (&limit, &bounds, 2000, 1000);
+    slot_limit_observe (&limit, &bounds, &slow);
   bounds = { 3, 4 };
   EXPECT_EQ (slot_limit_value (&limit, &bounds), 3u);
   bounds = { 3, 3 };
@@ -46,25 +65,25 @@
    seconds. */
 TEST (UsualLatency, OverloadDoesNotBecomeUsual)
 {
-  usual_latency usual = {};
+  usual_latency latency = {};
   for (int i = 0; i < 100; i++)
-    usual_latency_update (&usual, 600000, second_us / 10);
+    usual_latency_update (&latency, 600000, second_us / 10);
   for (int i = 0; i < 100; i++)
-    usual_latency_update (&usual, 1600000, second_us / 10);
-  EXPECT_LT (usual.latency_us, 1000000);
+    usual_latency_update (&latency, 1600000, second_us / 10);
+  EXPECT_LT (latency.latency_us, 1000000);
 }
 
 /* Work that takes longer for good must not be limited forever. */
 TEST (UsualLatency, LastingChangeBecomesUsual)
 {
-  usual_latency usual = {};
-  usual_latency_update (&usual, 600000, second_us);
+  usual_latency latency = {};
+  usual_latency_update (&latency, 600000, second_us);
   for (int i = 0; i < 1200; i++)
-    usual_latency_update (&usual, 1600000, second_us / 10);
-  EXPECT_GT (usual.latency_us, 1500000);
+    usual_latency_update (&latency, 1600000, second_us / 10);
+  EXPECT_GT (latency.latency_us, 1500000);
   for (int i = 0; i < 100; i++)
-    usual_latency_update (&usual, 600000, second_us / 10);
-  EXPECT_LT (usual.latency_us, 650000);
+    usual_latency_update (&latency, 600000, second_us / 10);
+  EXPECT_LT (latency.latency_us, 650000);
 }
 
 /** Targets with SLOTS slots and a queue, used by HOSTS hosts. */
