placement: a request is queued only if twice the expected wait fits

What callers saw: with the slots limited in an overload requests wait at the host, some for 3.3 s of their 4 s, and were then refused as too late.

Cause: the wait is expected from the rate at which attempts end. An attempt that fails and is retried ends too, but serves nobody, so the rate was up to twice that of requests. The refusal of the last queued request allowed for that factor, the admission didn't.

Change: the admission allows for the factor too.

Tests: queued_request_is_served_at_half_the_expected_rate fails without it (the ninth of 100 requests is refused while queued). unservable_requests_are_refused_from_the_tail queues 20 requests first; these have 90 ms instead of 50 now, so that twice their expected wait fits; its checks are the same, and five of six targets lost is still what refuses them.

--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -23,6 +23,9 @@
      operator's share in use. */
   SPREAD_NUMERATOR = 5,
   SPREAD_DENOMINATOR = 6,
+  /* The expected wait may be wrong by this factor.  Requests that can't be
+     served must be refused when they arrive, not when their time is over. */
+  WAIT_MARGIN = 2,
 };
 
 /* A lower failure rate is explained by random errors of healthy targets. */
@@ -392,7 +395,7 @@
   return (struct wait_estimate){
     .wait_us = wait_us,
     .expires_us = r->deadline_us - (int64_t)response_us,
-    .fits = wait_us <= remaining_us - response_us
+    .fits = wait_us * WAIT_MARGIN <= remaining_us - response_us
             && wait_queue_has_space (&policy->queue, r->queued_bytes),
   };
 }
