placement: a target with a rate limit gets what it allows

Cause: one host of the set may send to it. Its first response took 6 to 12 ms there, those of the others 5 ms, so the others were cheaper each time, and only a probe after five seconds went to it. What a target can still take was lost, while a service in which targets name limits is short of it.

Change: a first attempt goes to a healthy target whose limit allows one now. The token bucket bounds that as before.

Test: rate_limited_target_gets_what_it_allows, one request in 4 s before, three or four after.

--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -381,6 +381,26 @@
   return true;
 }
 
+/* A target with a rate limit gets what it allows, even if the others respond
+   sooner: they would be chosen every time, and what this one can still take
+   would be lost. */
+static bool
+try_rate_limited (struct service_policy *policy,
+                  const struct policy_request *r, struct policy_decision *d)
+{
+  const struct target_set *set = &policy->set;
+  if (r->attempt > 1)
+    return false;
+  for (uint32_t t = 0; set->rate_limited > 0 && t < set->count; t++)
+    if (set->targets[t].rate_millis > 0
+        && set->targets[t].tier == TIER_HEALTHY)
+      {
+        *d = send_to (policy, r, t, POLICY_REASON_TRICKLE);
+        return true;
+      }
+  return false;
+}
+
 static struct wait_estimate
 estimate_wait (const struct service_policy *policy,
                const struct policy_request *r)
@@ -444,6 +464,8 @@
   if (try_unused (policy, r, &d))
     return d;
   const bool is_first = policy->queue.count == 0;
+  if (is_first && try_rate_limited (policy, r, &d))
+    return d;
   if (is_first && try_healthy (policy, r, &d))
     return d;
   const struct wait_estimate estimate = estimate_wait (policy, r);
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -124,12 +124,15 @@
     }
   set->idle = 0;
   set->fair_slots = 0;
+  set->rate_limited = 0;
   for (uint32_t i = 0; i < set->count; i++)
     {
       const struct target_state *t = &set->targets[i];
       set->idle += (uint32_t)is_idle (set, t, now_us);
-      if (target_state_is_eligible (t))
-        set->fair_slots += target_state_fair_slots (t);
+      if (!target_state_is_eligible (t))
+        continue;
+      set->fair_slots += target_state_fair_slots (t);
+      set->rate_limited += (uint32_t)(t->rate_millis > 0);
     }
 }
 
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -44,7 +44,9 @@
                           without a free slot */
   uint32_t idle;     /**< as of the refresh, see target_set_idle() */
   uint32_t in_flight;
-  uint32_t fair_slots; /**< of all eligible targets, as of the refresh */
+  uint32_t fair_slots;   /**< of all eligible targets, as of the refresh */
+  uint32_t rate_limited; /**< eligible targets with a rate limit, as of the
+                              refresh */
   bool prefer_faster_detection;
   uint32_t backup_cost_percent; /**< of a target outside the subset */
   struct peer_baseline baseline;
--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -149,6 +149,30 @@
     }
 }
 
+/* A target with a rate limit was slow at first.  Guards against others that
+   are chosen every time, while what it can still take is lost. */
+TEST_F (service_policy_test, rate_limited_target_gets_what_it_allows)
+{
+  start (3, 10);
+  end_attempt (admit (true).target, ATTEMPT_ANSWERED);
+  for (uint32_t t = 0; t < 3; t++)
+    for (int i = 0; i < 20; i++)
+      end_attempt (t, ATTEMPT_ANSWERED, t == 0 ? 12000 : 5000);
+  service_policy_set_rate (policy, now, 0, 950);
+  const int64_t end = now + 4000000;
+  int received = 0;
+  while (now < end)
+    {
+      now += 5000;
+      const uint32_t t = admit (true).target;
+      ASSERT_NE (t, POLICY_NO_TARGET);
+      received += t == 0;
+      end_attempt (t, ATTEMPT_ANSWERED, t == 0 ? 12000 : 5000);
+    }
+  EXPECT_GE (received, 3);
+  EXPECT_LE (received, 4);
+}
+
 /* The only target is ejected while requests are queued.  They must be
    refused immediately, not at their deadlines. */
 TEST_F (service_policy_test, queued_requests_are_refused_without_targets)
