--- a/policy/choice/tests/chooser_test.cc
+++ b/policy/choice/tests/chooser_test.cc
@@ -24,7 +24,7 @@
     target_set_init (&set);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
-      targets.push_back ({ i + 1, 10, 0, false, true, -1, 0 });
+      targets.push_back ({ i + 1, 10, 0, 0, false, true, -1 });
     target_set_replace (&set, 0, targets.data (), count, nullptr);
     for (uint32_t i = 0; i < count; i++)
       {
@@ -113,7 +113,7 @@
   start (300);
   std::vector<policy_target> targets;
   for (uint32_t i = 0; i < 300; i++)
-    targets.push_back ({ i + 1, 10, 0, i % 30 != 0, true, -1, 0 });
+    targets.push_back ({ i + 1, 10, 0, 0, i % 30 != 0, true, -1 });
   target_set_replace (&set, 0, targets.data (), 300, nullptr);
   set.backup_cost_percent = 50;
   choose (1000);
--- a/policy/choice/tests/open_attempts_test.cc
+++ b/policy/choice/tests/open_attempts_test.cc
@@ -119,7 +119,7 @@
     policy = service_policy_create (&options);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < TARGETS; i++)
-      targets.push_back ({ i + 1, 6, 0, false, true, -1, 0 });
+      targets.push_back ({ i + 1, 6, 0, 0, false, true, -1 });
     service_policy_set_targets (policy, 0, targets.data (), TARGETS);
     unhealthy_until.assign (TARGETS, 0);
     next_episode.assign (TARGETS, 0);
--- a/policy/choice/tests/path_fault_test.cc
+++ b/policy/choice/tests/path_fault_test.cc
@@ -26,7 +26,7 @@
     policy = service_policy_create (&options);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
-      targets.push_back ({ i + 1, 2, 0, false, true, -1, 0 });
+      targets.push_back ({ i + 1, 2, 0, 0, false, true, -1 });
     service_policy_set_targets (policy, now, targets.data (), count);
   }
   void
--- a/policy/choice/tests/slot_limit_test.cc
+++ b/policy/choice/tests/slot_limit_test.cc
@@ -116,7 +116,7 @@
     rng_seed (&random, 7);
     std::vector<policy_target> configs;
     for (uint32_t i = 0; i < target_count; i++)
-      configs.push_back ({ i + 1, share, 0, false, true, -1, slots / hosts });
+      configs.push_back ({ i + 1, share, slots / hosts, 0, false, true, -1 });
     for (int i = 0; i < hosts; i++)
       {
         const service_policy_options options = {
--- a/policy/choice/tests/target_state_test.cc
+++ b/policy/choice/tests/target_state_test.cc
@@ -14,7 +14,7 @@
 policy_target
 config (uint32_t slots = 4, int64_t warm_up_us = -1)
 {
-  return { 1, slots, 0, false, true, warm_up_us, 0 };
+  return { 1, slots, 0, 0, false, true, warm_up_us };
 }
 
 TEST (TargetState, ExistingTargetIsWarm)
--- a/policy/choice/tests/used_targets_test.cc
+++ b/policy/choice/tests/used_targets_test.cc
@@ -99,7 +99,7 @@
   start (1, 1, 100, 70);
   std::vector<policy_target> targets;
   for (uint32_t i = 0; i < 12; i++)
-    targets.push_back ({ i + 1, 3, 0, i >= 2, true, -1, 0 });
+    targets.push_back ({ i + 1, 3, 0, 0, i >= 2, true, -1 });
   service_policy_options options
       = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 6 };
   service_policy_configure (policy, &options);
@@ -206,7 +206,7 @@
   start (1, 1, 100, 70);
   std::vector<policy_target> targets;
   for (uint32_t i = 0; i < 12; i++)
-    targets.push_back ({ i + 1, 3, 0, i >= 4, true, -1, 0 });
+    targets.push_back ({ i + 1, 3, 0, 0, i >= 4, true, -1 });
   const service_policy_options options
       = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 3 };
   service_policy_configure (policy, &options);
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -36,6 +36,8 @@
   uint64_t key;         /**< hash of service and target name; stable across
                              changes */
   uint32_t slots;       /**< this host's share of its slots, at least 1 */
+  uint32_t fair_slots;  /**< to which `slots` is reduced while all targets are
+                             overloaded; 0: it isn't */
   uint32_t distance_us; /**< additional one-way delay if it is in another dc */
   bool is_backup;       /**< outside this host's subset: another host of the
                              set uses it, and this one if its own targets are
@@ -43,8 +45,6 @@
   bool accepts_work;    /**< false: drained or leaving */
   int64_t warm_up_us;   /**< remaining warm-up time that it reports; -1: it
                              doesn't, and starts slowly if it is new */
-  uint32_t fair_slots;  /**< to which `slots` is reduced while the target
-                             responds slowly; 0: it isn't */
 };
 
 /** Limits and preferences of the service. */
