--- a/node/control/control_retries.c
+++ b/node/control/control_retries.c
@@ -35,7 +35,7 @@
                const struct control_service *service)
 {
   struct control_host *lender = NULL;
-  uint32_t local_count = 0;
+  bool found_local = false;
   uint32_t count = 0;
   for (size_t i = 0; i < service->set_count; i++)
     {
@@ -44,9 +44,11 @@
         continue;
       const bool is_local
           = strcmp (host->record.dc, task->self->record.dc) == 0;
-      if (is_local && rng_below (&task->random, ++local_count) == 0)
-        lender = host;
-      else if (local_count == 0 && rng_below (&task->random, ++count) == 0)
+      /* The first local host replaces those found before it. */
+      if (is_local && !found_local)
+        count = 0;
+      found_local = found_local || is_local;
+      if (is_local == found_local && rng_below (&task->random, ++count) == 0)
         lender = host;
     }
   return lender;
