--- a/node/control/tests/control_outcomes_test.cc
+++ b/node/control/tests/control_outcomes_test.cc
@@ -1,11 +1,11 @@
-#include "node/control/tests/control_fixture.h"
+#include "node/control/tests/control_set_fixture.h"
 
 #include <set>
 
 namespace
 {
 
-class ControlOutcomes : public ControlFixture
+class ControlOutcomes : public ControlSetFixture
 {
 protected:
   enum
@@ -16,18 +16,10 @@
   std::map<node *, std::multiset<uint64_t>> received;
 
   void
-  SetUp () override
+  subscribe (node &added) override
   {
-    for (int i = 0; i < 4; i++)
-      {
-        node &added = add ("h" + std::to_string (i), "d0");
-        added.start (loop);
-        bus_subscribe (added.bus, BUS_OUTCOME_RECEIVED, on_received,
-                       &received[&added]);
-      }
-    ASSERT_TRUE (until ([&] { return all_live (); }));
-    store.put ("service", "holds", service_text ("holds", 4));
-    ASSERT_TRUE (until ([&] { return all_agree (); }));
+    bus_subscribe (added.bus, BUS_OUTCOME_RECEIVED, on_received,
+                   &received[&added]);
   }
 
   static void
@@ -37,33 +29,6 @@
     keys->insert (message->outcome.target_key);
   }
 
-  bool
-  all_agree ()
-  {
-    for (const auto &n : nodes)
-      if (n->set_size ("holds") == 0
-          || n->sets["holds"] != nodes[0]->sets["holds"])
-        return false;
-    return true;
-  }
-
-  bool
-  in_set (const node &at)
-  {
-    const auto &set = nodes[0]->sets["holds"];
-    return std::find (set.begin (), set.end (), at.settings.name)
-           != set.end ();
-  }
-
-  node *
-  find (bool is_in_set)
-  {
-    for (const auto &n : nodes)
-      if (in_set (*n) == is_in_set)
-        return n.get ();
-    return nullptr;
-  }
-
   static void
   post_outcome (node &at, uint64_t target, attempt_end end)
   {
--- a/node/control/tests/control_retries_test.cc
+++ b/node/control/tests/control_retries_test.cc
@@ -1,10 +1,10 @@
-#include "node/control/tests/control_fixture.h"
+#include "node/control/tests/control_set_fixture.h"
 
 namespace
 {
 
 /** Retries that hosts of a set lend to hosts outside it. */
-class ControlRetries : public ControlFixture
+class ControlRetries : public ControlSetFixture
 {
 protected:
   struct listener
@@ -14,18 +14,10 @@
   std::map<node *, listener> listeners;
 
   void
-  SetUp () override
+  subscribe (node &added) override
   {
-    for (int i = 0; i < 4; i++)
-      {
-        node &added = add ("h" + std::to_string (i), "d0");
-        added.start (loop);
-        for (bus_topic topic : { BUS_RETRIES_REQUESTED, BUS_RETRIES_RECEIVED })
-          bus_subscribe (added.bus, topic, on_retries, &listeners[&added]);
-      }
-    ASSERT_TRUE (until ([&] { return all_live (); }));
-    store.put ("service", "holds", service_text ("holds", 4));
-    ASSERT_TRUE (until ([&] { return all_agree (); }));
+    for (bus_topic topic : { BUS_RETRIES_REQUESTED, BUS_RETRIES_RECEIVED })
+      bus_subscribe (added.bus, topic, on_retries, &listeners[&added]);
   }
 
   static void
@@ -37,33 +29,6 @@
         .push_back (message->retries);
   }
 
-  bool
-  all_agree ()
-  {
-    for (const auto &n : nodes)
-      if (n->set_size ("holds") == 0
-          || n->sets["holds"] != nodes[0]->sets["holds"])
-        return false;
-    return true;
-  }
-
-  bool
-  in_set (const node &at)
-  {
-    const auto &set = nodes[0]->sets["holds"];
-    return std::find (set.begin (), set.end (), at.settings.name)
-           != set.end ();
-  }
-
-  node *
-  find (bool is_in_set)
-  {
-    for (const auto &n : nodes)
-      if (in_set (*n) == is_in_set)
-        return n.get ();
-    return nullptr;
-  }
-
   static void
   post (node &at, bus_topic topic, uint64_t host, uint32_t count)
   {
