caller: a starting host doesn't answer "not found"

What callers saw: a host that is started again answered 404, not run, until its services were in force; callers take that for final.

Cause: hosts that take one configuration for the fleet wait for it when they start, but hosts whose services are objects of their own didn't.

Evidence: a request sent to a restarted host at once, 5 of 5 plays of RestartingHostNeverAnswersNotFound failed on. That this is what refused 4 of 41,793 requests in RollingReplacementLosesNothing is suspected only: 54 plays of it beside load were clean on the same code.

Change: a request without a route waits for the first service, a second after the start at most, and 0.1 s for those that follow; then 503 without any service, else 404 as before.

Tests: RequestWaitsForTheServicesOfAStartingHost and HostWithoutServicesRefusesForNow got 404 before; RestartingHost... passes in 5 of 5 plays now. Hosts on the users' platform take one configuration and behave as before.

--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -60,6 +60,8 @@
   size_t address_answer_count;         /**< responses to address requests */
   uint64_t last_request_id;
   int64_t started_us;
+  int64_t first_service_us; /**< when the first one came into force; 0: none
+                                 has */
   uint32_t in_flight;
   struct crash_checks *crash_checks;
   struct poison_filter *poison;
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -96,6 +96,9 @@
     return;
   caller_service_set_spec (service, spec);
   route_table_set_service (task->context.routes, spec);
+  if (task->context.first_service_us == 0)
+    task->context.first_service_us = clock_now_us ();
+  exchange_resume_all (&task->context, EXCHANGE_WAIT_SETTINGS);
 }
 
 static void
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -17,6 +17,8 @@
   SETTINGS_RETRY_AFTER_MS = 500,
   /* Since the start of the process. */
   SETTINGS_WAIT_MAX_US = 1000 * US_PER_MS,
+  /* After the first service, others follow within this time. */
+  SERVICES_SETTLE_US = 100 * US_PER_MS,
   /* Other hosts can serve at once; the delay allows for an address query. */
   LEAVING_RETRY_AFTER_MS = 50
 };
@@ -74,6 +76,26 @@
     refuse_not_configured (x, "no-settings");
 }
 
+/* A host that gets its services one by one may have started too recently to
+   know the route of X. */
+static void
+handle_unrouted (struct exchange *x)
+{
+  const struct caller_context *context = x->context;
+  const bool has_service = context->first_service_us > 0;
+  const int64_t known_us = has_service
+                               ? context->first_service_us + SERVICES_SETTLE_US
+                               : context->started_us + SETTINGS_WAIT_MAX_US;
+  const int64_t remaining_us = known_us - clock_now_us ();
+  if (context->settings->modes.has_registry
+      || (has_service && remaining_us <= 0))
+    refuse_unrouted (x);
+  else if (remaining_us > 0)
+    exchange_wait_for (x, EXCHANGE_WAIT_SETTINGS, remaining_us);
+  else
+    refuse_not_configured (x, "no-settings");
+}
+
 /* Finds the service of X in the configuration in force.  Returns false if X
    was refused or waits. */
 static bool
@@ -90,7 +112,7 @@
                                                  x->head.path, method);
   if (route == NULL)
     {
-      refuse_unrouted (x);
+      handle_unrouted (x);
       return false;
     }
   x->service = caller_context_service (context, route_select_service (route));
--- a/node/caller/tests/caller_task_test.cc
+++ b/node/caller/tests/caller_task_test.cc
@@ -34,6 +34,15 @@
     put_service (usual_routes);
   }
 
+  /* Start the task again, after what was put in force before has arrived. */
+  void
+  restart_without_services ()
+  {
+    ev_run (loop, EVRUN_NOWAIT);
+    caller_task_destroy (task);
+    start ();
+  }
+
   std::unique_ptr<Call>
   get_addresses (const std::string &service = "holds")
   {
@@ -70,6 +79,29 @@
   target_server *target = nullptr;
 };
 
+/* Guards against a host that has just started and answers "not found" until
+   its services are in force: callers take that answer for final. */
+TEST_F (CallerTaskTest, RequestWaitsForTheServicesOfAStartingHost)
+{
+  restart_without_services ();
+  auto call = make ("GET", "/calendar", "early");
+  begin (call.get ());
+  for (int i = 0; i < 20; i++)
+    ev_run (loop, EVRUN_NOWAIT);
+  put_service (usual_routes);
+  ASSERT_TRUE (run_until ([&] { return call->done; }));
+  EXPECT_EQ (call->status, 200);
+}
+
+/* Without any service in force the answer must not be final either. */
+TEST_F (CallerTaskTest, HostWithoutServicesRefusesForNow)
+{
+  restart_without_services ();
+  const auto call = get ("/calendar", "early");
+  EXPECT_EQ (call->status, 503);
+  EXPECT_NE (call->field ("retry-after"), "");
+}
+
 TEST_F (CallerTaskTest, AddressesRotateWithEachAnswer)
 {
   put_hosts ({ host ("host-1", caller_task_address (task)),
--- a/tests/fleet/leave_test.cc
+++ b/tests/fleet/leave_test.cc
@@ -10,6 +10,7 @@
 
 constexpr int callers = 6;
 constexpr size_t batch_requests = 150;
+constexpr int restarts = 5;
 
 /* Every host is restarted in turn under load.  No request may be lost, and no
    unrepeatable one may run twice. */
@@ -34,6 +35,27 @@
       << load.summary () << fleet.logs ();
 }
 
+/* Callers keep a host's address while it restarts.  Guards against one that
+   listens before it knows its services and answers "not found". */
+TEST (Leave, RestartingHostNeverAnswersNotFound)
+{
+  Fleet fleet;
+  ASSERT_TRUE (fleet.start ());
+  for (int restart = 0; restart < restarts; restart++)
+    {
+      Process &host = *fleet.hosts[0];
+      host.signal (SIGKILL);
+      host.wait ();
+      fleet.start_host (1);
+      HttpResponse response;
+      while (response.status != 200)
+        {
+          response = http_get (fleet.caller_url (1, "/calendar/june"));
+          ASSERT_NE (response.status, 404) << fleet.logs ();
+        }
+    }
+}
+
 /* A target that an operator drains must get no new requests from any host
    within seconds, and its requests in flight must complete. */
 TEST (Leave, DrainedTargetGetsNoNewRequests)
