service policy test: exactly half the expected rate

queued_request_is_served_at_half_the_expected_rate had been drafted with exactly half the rate, was red for the last of 50 requests, and landed with 19.5 ms for 20 ms in. The cause was the test: no latency had been learned when the requests were queued, so no time was kept for the response, and the last one came to its turn at its deadline to the microsecond.

The test lets the latency be learned first and serves at exactly half the rate.

--- a/policy/choice/tests/service_policy_test.cc
+++ b/policy/choice/tests/service_policy_test.cc
@@ -124,8 +124,8 @@
   EXPECT_EQ (d.retry_after_ms, 20u);
 }
 
-/* The queue is served at nearly half the expected rate, as when every second
-   attempt must be retried.  Guards against requests that are queued and then
+/* The queue is served at half the expected rate, as when every second attempt
+   must be retried.  Guards against requests that are queued and then
    refused when their time is over. */
 TEST_F (service_policy_test,
         queued_request_is_served_at_half_the_expected_rate)
@@ -134,6 +134,7 @@
   EXPECT_EQ (admit (true).verdict, POLICY_SEND);
   now += 10000;
   end_attempt (0, ATTEMPT_ANSWERED);
+  now += 200000; /* the latency has been learned */
   EXPECT_EQ (admit (true).verdict, POLICY_SEND);
   int queued = 0;
   while (admit (false, 1000000).verdict == POLICY_QUEUE)
@@ -142,8 +143,8 @@
   policy_decision d;
   for (int served = 0; served < queued; served++)
     {
-      now += 19500;
-      end_attempt (0, ATTEMPT_ANSWERED, 19500);
+      now += 20000;
+      end_attempt (0, ATTEMPT_ANSWERED, 20000);
       ASSERT_TRUE (service_policy_next (policy, now, &d));
       ASSERT_EQ (d.verdict, POLICY_SEND) << served << " of " << queued;
     }
