retry transfer: the field's term for retries that move between hosts

The sources called them lent, with lenders and borrowers; "transfer" is used for tokens of buckets elsewhere. The message between hosts keeps its numbers.

--- a/node/bus.c
+++ b/node/bus.c
@@ -70,7 +70,7 @@
     case BUS_QUOTA_GRANTED:
     case BUS_RETRIES_WANTED:
     case BUS_RETRIES_REQUESTED:
-    case BUS_RETRIES_LENT:
+    case BUS_RETRIES_TRANSFERRED:
     case BUS_RETRIES_RECEIVED:
     case BUS_SHUTDOWN:
     case BUS_TOPIC_COUNT:
--- a/node/bus.h
+++ b/node/bus.h
@@ -47,8 +47,8 @@
   BUS_LIMITS_RECEIVED,     /**< such a change from another host */
   BUS_RETRIES_WANTED,      /**< this host, outside a set, lacks retries */
   BUS_RETRIES_REQUESTED,   /**< another host lacks retries */
-  BUS_RETRIES_LENT,        /**< this host lends some to that host */
-  BUS_RETRIES_RECEIVED,    /**< another host has lent some to this one */
+  BUS_RETRIES_TRANSFERRED, /**< this host gives some to that host */
+  BUS_RETRIES_RECEIVED,    /**< another host gives some to this one */
   BUS_SHUTDOWN,            /**< this host is leaving */
   BUS_TOPIC_COUNT
 };
@@ -166,11 +166,12 @@
   enum limit_recipients to; /**< with BUS_LIMITS_ANNOUNCED */
 };
 
-/** Retries of a service that one host lends another. */
+/** Retries of a service that move from one host to another. */
 struct bus_retries
 {
   char service[SERVICE_NAME_SIZE];
-  uint64_t host; /**< key of the borrower; with REQUESTED and LENT */
+  uint64_t host; /**< key of the receiver; with REQUESTED and
+                      TRANSFERRED */
   uint32_t count;
 };
 
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -21,7 +21,7 @@
 #include "node/caller/exchange_quota.h"
 #include "node/caller/leaving_probe.h"
 #include "node/caller/poison_filter.h"
-#include "node/caller/retry_loans.h"
+#include "node/caller/retry_transfer.h"
 #include "node/caller/target_limits.h"
 #include "node/plain_server.h"
 #include "node/tables.h"
@@ -169,14 +169,14 @@
 on_retries_requested (void *owner, const struct bus_message *message)
 {
   struct caller_task *task = owner;
-  retry_loans_lend (&task->context, &message->retries);
+  retry_transfer_send (&task->context, &message->retries);
 }
 
 static void
 on_retries_received (void *owner, const struct bus_message *message)
 {
   struct caller_task *task = owner;
-  retry_loans_receive (&task->context, &message->retries);
+  retry_transfer_receive (&task->context, &message->retries);
 }
 
 static void
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -17,7 +17,7 @@
 #include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_ticket.h"
-#include "node/caller/retry_loans.h"
+#include "node/caller/retry_transfer.h"
 #include "node/caller/target_limits.h"
 
 enum
@@ -339,7 +339,7 @@
   const struct policy_request r = exchange_policy_request (x);
   const struct policy_decision decision
       = caller_service_admit (x->service, &r, &x->waiter);
-  retry_loans_request (x->context, x->service);
+  retry_transfer_request (x->context, x->service);
   exchange_apply_decision (x, &decision);
 }
 
--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -5,7 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "node/caller/exchange_attempt.h"
-#include "node/caller/retry_loans.h"
+#include "node/caller/retry_transfer.h"
 
 enum
 {
@@ -93,7 +93,7 @@
   if (!attempt->retry_unavailable)
     log_timeout (x, "waits", blocked_by);
   attempt->retry_unavailable = true;
-  retry_loans_request (x->context, x->service);
+  retry_transfer_request (x->context, x->service);
   attempt->head_timeout_us
       = exchange_attempt_latency_us (attempt) + RETRY_POLL_INTERVAL_US;
   set_timer (x, RETRY_POLL_INTERVAL_US);
--- a/node/caller/retry_loans.c
+++ b/node/caller/retry_transfer.c
@@ -1,4 +1,4 @@
-#include "node/caller/retry_loans.h"
+#include "node/caller/retry_transfer.h"
 
 #include <stdio.h>
 
@@ -25,8 +25,8 @@
 }
 
 void
-retry_loans_request (const struct caller_context *context,
-                     struct caller_service *service)
+retry_transfer_request (const struct caller_context *context,
+                        struct caller_service *service)
 {
   const int64_t now_us = clock_now_us ();
   if (service->in_set || service->host_count == 0
@@ -39,8 +39,8 @@
 }
 
 void
-retry_loans_lend (const struct caller_context *context,
-                  const struct bus_retries *requested)
+retry_transfer_send (const struct caller_context *context,
+                     const struct bus_retries *requested)
 {
   const struct caller_service *service
       = caller_context_service (context, requested->service);
@@ -48,25 +48,26 @@
     return;
   const uint32_t wanted
       = requested->count < RETRIES_WANTED ? requested->count : RETRIES_WANTED;
-  const uint32_t lent
-      = service_policy_lend_retries (service->policy, clock_now_us (), wanted);
-  if (lent > 0)
-    post (context, BUS_RETRIES_LENT, service->name, requested->host, lent);
+  const uint32_t sent = service_policy_withdraw_retries (
+      service->policy, clock_now_us (), wanted);
+  if (sent > 0)
+    post (context, BUS_RETRIES_TRANSFERRED, service->name, requested->host,
+          sent);
 }
 
 /* Accepts no more than was requested: a second answer would give this host
    retries that nobody lacks. */
 void
-retry_loans_receive (const struct caller_context *context,
-                     const struct bus_retries *lent)
+retry_transfer_receive (const struct caller_context *context,
+                        const struct bus_retries *received)
 {
   struct caller_service *service
-      = caller_context_service (context, lent->service);
+      = caller_context_service (context, received->service);
   if (service == NULL)
     return;
-  const uint32_t count = lent->count < service->retries_requested
-                             ? lent->count
+  const uint32_t count = received->count < service->retries_requested
+                             ? received->count
                              : service->retries_requested;
   service->retries_requested -= count;
-  service_policy_add_lent_retries (service->policy, clock_now_us (), count);
+  service_policy_deposit_retries (service->policy, clock_now_us (), count);
 }
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -246,9 +246,10 @@
 void control_fanout_to_random (struct control_task *task, uint32_t wanted,
                                const struct peer_message *message);
 
-/* control_retries.c: retries that hosts of a set lend to hosts outside it */
+/* control_retries.c: transfer of retries from hosts of a set to hosts outside
+ * it */
 void control_retries_start (struct control_task *task);
-/** Process a request for retries, or retries lent, if REPORT is one. */
+/** Process a request for retries, or retries received, if REPORT is one. */
 void control_retries_receive (struct control_task *task,
                               const struct control_source *source,
                               const struct peer_report *report);
--- a/node/control/control_retries.c
+++ b/node/control/control_retries.c
@@ -28,13 +28,13 @@
   return message;
 }
 
-/* A random host of the set, so that all of them share the lending; one of
+/* A random host of the set, so that all of them share the cost; one of
    this data centre if there is any, since it answers sooner. */
 static struct control_host *
-choose_lender (struct control_task *task,
+choose_sender (struct control_task *task,
                const struct control_service *service)
 {
-  struct control_host *lender = NULL;
+  struct control_host *sender = NULL;
   bool found_local = false;
   uint32_t count = 0;
   for (size_t i = 0; i < service->set_count; i++)
@@ -49,9 +49,9 @@
         count = 0;
       found_local = found_local || is_local;
       if (is_local == found_local && rng_below (&task->random, ++count) == 0)
-        lender = host;
+        sender = host;
     }
-  return lender;
+  return sender;
 }
 
 static void
@@ -63,27 +63,27 @@
       = find_service (task, retries->service);
   if (service == NULL || service->includes_self)
     return;
-  struct control_host *lender = choose_lender (task, service);
-  if (lender == NULL)
+  struct control_host *sender = choose_sender (task, service);
+  if (sender == NULL)
     return;
   const struct peer_message request = make_message (
       retries->service, PEER_RETRIES_REQUESTED, retries->count);
-  control_hosts_send (task, lender, &request);
+  control_hosts_send (task, sender, &request);
 }
 
 static void
-on_lent (void *owner, const struct bus_message *message)
+on_transferred (void *owner, const struct bus_message *message)
 {
   struct control_task *task = owner;
   const struct bus_retries *retries = &message->retries;
-  struct control_host *borrower = control_hosts_find (task, retries->host);
-  if (borrower == NULL)
+  struct control_host *receiver = control_hosts_find (task, retries->host);
+  if (receiver == NULL)
     return;
-  const struct peer_message loan
-      = make_message (retries->service, PEER_RETRIES_LENT, retries->count);
-  control_hosts_send (task, borrower, &loan);
-  LOG_INFO ("retries-lent", LOG_STR ("service", retries->service),
-            LOG_STR ("host", borrower->record.name),
+  const struct peer_message transfer = make_message (
+      retries->service, PEER_RETRIES_TRANSFERRED, retries->count);
+  control_hosts_send (task, receiver, &transfer);
+  LOG_INFO ("retries-transferred", LOG_STR ("service", retries->service),
+            LOG_STR ("host", receiver->record.name),
             LOG_INT ("count", retries->count));
 }
 
@@ -93,7 +93,7 @@
                          const struct peer_report *report)
 {
   if (report->epoch != PEER_RETRIES_REQUESTED
-      && report->epoch != PEER_RETRIES_LENT)
+      && report->epoch != PEER_RETRIES_TRANSFERRED)
     return;
   const bool is_request = report->epoch == PEER_RETRIES_REQUESTED;
   struct bus_message message
@@ -111,5 +111,6 @@
 control_retries_start (struct control_task *task)
 {
   bus_subscribe (task->options.bus, BUS_RETRIES_WANTED, on_wanted, task);
-  bus_subscribe (task->options.bus, BUS_RETRIES_LENT, on_lent, task);
+  bus_subscribe (task->options.bus, BUS_RETRIES_TRANSFERRED, on_transferred,
+                 task);
 }
--- a/node/control/tests/control_retries_test.cc
+++ b/node/control/tests/control_retries_test.cc
@@ -3,7 +3,7 @@
 namespace
 {
 
-/** Retries that hosts of a set lend to hosts outside it. */
+/** Transfer of retries from hosts of a set to hosts outside it. */
 class ControlRetries : public ControlSetFixture
 {
 protected:
@@ -42,8 +42,8 @@
 };
 
 /* A host outside the set that lacks retries must reach one that has some, and
-   receive what that one lends. */
-TEST_F (ControlRetries, HostOutsideTheSetReceivesLentRetries)
+   receive what that one sends. */
+TEST_F (ControlRetries, HostOutsideTheSetReceivesRetries)
 {
   node *inside = find (true);
   node *outside = find (false);
@@ -53,7 +53,7 @@
   const auto &requested = listeners[inside].requested;
   ASSERT_TRUE (until ([&] { return requested.size () == 1; }));
   EXPECT_EQ (requested[0].count, 1u);
-  post (*inside, BUS_RETRIES_LENT, requested[0].host, 1);
+  post (*inside, BUS_RETRIES_TRANSFERRED, requested[0].host, 1);
   const auto &received = listeners[outside].received;
   ASSERT_TRUE (until ([&] { return received.size () == 1; }));
   EXPECT_EQ (received[0].count, 1u);
--- a/policy/choice/retry_budget.c
+++ b/policy/choice/retry_budget.c
@@ -101,23 +101,23 @@
 }
 
 uint32_t
-retry_budget_lend (struct retry_budget *budget,
-                   const struct retry_limits *limits, int64_t now_us,
-                   uint32_t wanted)
+retry_budget_withdraw (struct retry_budget *budget,
+                       const struct retry_limits *limits, int64_t now_us,
+                       uint32_t wanted)
 {
   const double kept = (limits->max_tokens - 1) / 2;
-  uint32_t lent = 0;
+  uint32_t withdrawn = 0;
   refill (budget, limits, now_us);
-  while (lent < wanted && budget->tokens - 1 >= kept
+  while (withdrawn < wanted && budget->tokens - 1 >= kept
          && retry_budget_take (budget, limits, now_us))
-    lent++;
-  return lent;
+    withdrawn++;
+  return withdrawn;
 }
 
 void
-retry_budget_add_lent (struct retry_budget *budget,
-                       const struct retry_limits *limits, int64_t now_us,
-                       uint32_t count)
+retry_budget_deposit (struct retry_budget *budget,
+                      const struct retry_limits *limits, int64_t now_us,
+                      uint32_t count)
 {
   refill (budget, limits, now_us);
   add_tokens (budget, limits, count);
--- a/policy/choice/retry_budget.h
+++ b/policy/choice/retry_budget.h
@@ -18,7 +18,7 @@
  * with a part of it, and the bound holds for one start per host and window.
  *
  * A host outside the set has few requests, so it earns a token only once in
- * many seconds.  Hosts of the set lend it some of theirs.  The bound still
+ * many seconds.  Hosts of the set transfer some of theirs.  The bound still
  * holds: a token that moves is not a new one, and the bucket that receives it
  * keeps its size.
  */
@@ -91,14 +91,14 @@
 /** Take up to WANTED tokens out of the bucket for another host.  Half of what
  * the bucket holds beyond its first token stays, for this host's own retries.
  * @return how many were taken */
-uint32_t retry_budget_lend (struct retry_budget *budget,
-                            const struct retry_limits *limits, int64_t now_us,
-                            uint32_t wanted);
+uint32_t retry_budget_withdraw (struct retry_budget *budget,
+                                const struct retry_limits *limits,
+                                int64_t now_us, uint32_t wanted);
 
-/** Add COUNT tokens that another host has lent.  Those that the bucket can't
+/** Add COUNT tokens withdrawn at another host.  Those that the bucket can't
  * hold are dropped. */
-void retry_budget_add_lent (struct retry_budget *budget,
-                            const struct retry_limits *limits, int64_t now_us,
-                            uint32_t count);
+void retry_budget_deposit (struct retry_budget *budget,
+                           const struct retry_limits *limits, int64_t now_us,
+                           uint32_t count);
 
 #endif
--- a/policy/choice/tests/retry_budget_test.cc
+++ b/policy/choice/tests/retry_budget_test.cc
@@ -240,40 +240,41 @@
     }
 }
 
-/* A host that lends must keep some retries for its own requests. */
-TEST (retry_budget, lender_keeps_half_beyond_its_first_token)
+/* A host that sends retries to another must keep some retries for its own
+ * requests. */
+TEST (retry_budget, sender_keeps_half_beyond_its_first_token)
 {
   const retry_limits limits = { 20, 5, 10, 0 };
   retry_budget b = empty_budget ();
-  EXPECT_EQ (retry_budget_lend (&b, &limits, 0, 5), 0u);
-  EXPECT_EQ (retry_budget_lend (&b, &limits, second_us, 5), 3u);
+  EXPECT_EQ (retry_budget_withdraw (&b, &limits, 0, 5), 0u);
+  EXPECT_EQ (retry_budget_withdraw (&b, &limits, second_us, 5), 3u);
   EXPECT_EQ (take_all (b, limits, second_us), 2);
 }
 
 /* In a large fleet the bucket of each host of the set holds one token. */
-TEST (retry_budget, only_token_is_lent_when_the_bucket_is_full)
+TEST (retry_budget, only_token_is_withdrawn_when_the_bucket_is_full)
 {
   const retry_limits limits = { 20, 1, 1, 0 };
   retry_budget b = empty_budget ();
-  EXPECT_EQ (retry_budget_lend (&b, &limits, 0, 1), 0u);
-  EXPECT_EQ (retry_budget_lend (&b, &limits, second_us, 1), 1u);
+  EXPECT_EQ (retry_budget_withdraw (&b, &limits, 0, 1), 0u);
+  EXPECT_EQ (retry_budget_withdraw (&b, &limits, second_us, 1), 1u);
   EXPECT_EQ (take_all (b, limits, second_us), 0);
 }
 
-/* Lent tokens must not exceed the borrower's part of the reserve. */
-TEST (retry_budget, borrower_drops_tokens_that_its_bucket_cannot_hold)
+/* Transferred tokens must not exceed the receiver's part of the reserve. */
+TEST (retry_budget, receiver_drops_tokens_that_its_bucket_cannot_hold)
 {
   const retry_limits outside = { 20, 1, 0, 0 };
   retry_budget b = empty_budget ();
   for (int i = 0; i < 5; i++)
-    retry_budget_add_lent (&b, &outside, 0, 3);
+    retry_budget_deposit (&b, &outside, 0, 3);
   EXPECT_EQ (take_all (b, outside, 0), 1);
 }
 
-/* Hosts outside the set borrow whenever they have no token, and use all that
-   they get; those of the set use theirs in bursts.  All hosts together must
-   keep the bound in every window. */
-TEST (retry_budget, lending_keeps_the_bound_of_all_hosts)
+/* Hosts outside the set request a token whenever they have no token, and use
+   all that they get; those of the set use theirs in bursts.  All hosts
+   together must keep the bound in every window. */
+TEST (retry_budget, transfers_keep_the_bound_of_all_hosts)
 {
   const int hosts = 32;
   const int in_set = 3;
@@ -291,7 +292,7 @@
           limits.push_back (retry_limits_of_host (&grant, &fleet));
         }
       std::vector<int64_t> requests, retries;
-      int lent = 0;
+      int transferred = 0;
       for (int64_t now = 0; now < 4 * window_us; now += 10000)
         {
           const size_t at = rng_below (&random, 4) > 0
@@ -302,17 +303,17 @@
           if (at >= in_set
               && !retry_budget_is_available (&budgets[at], &limits[at], now))
             {
-              const size_t lender = rng_below (&random, in_set);
-              const uint32_t count = retry_budget_lend (
-                  &budgets[lender], &limits[lender], now, 1);
-              retry_budget_add_lent (&budgets[at], &limits[at], now, count);
-              lent += (int)count;
+              const size_t sender = rng_below (&random, in_set);
+              const uint32_t count = retry_budget_withdraw (
+                  &budgets[sender], &limits[sender], now, 1);
+              retry_budget_deposit (&budgets[at], &limits[at], now, count);
+              transferred += (int)count;
             }
           const bool fails = at >= in_set || rng_below (&random, 40) == 0;
           while (fails && retry_budget_take (&budgets[at], &limits[at], now))
             retries.push_back (now);
         }
-      EXPECT_GT (lent, 100);
+      EXPECT_GT (transferred, 100);
       for (int64_t from = 0; from <= 3 * window_us; from += second_us / 2)
         {
           const auto count = [&] (const std::vector<int64_t> &times) {
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -240,19 +240,19 @@
 }
 
 uint32_t
-service_policy_lend_retries (struct service_policy *policy, int64_t now_us,
-                             uint32_t wanted)
+service_policy_withdraw_retries (struct service_policy *policy, int64_t now_us,
+                                 uint32_t wanted)
 {
-  return retry_budget_lend (&policy->budget, &policy->options.retries, now_us,
-                            wanted);
+  return retry_budget_withdraw (&policy->budget, &policy->options.retries,
+                                now_us, wanted);
 }
 
 void
-service_policy_add_lent_retries (struct service_policy *policy, int64_t now_us,
-                                 uint32_t count)
+service_policy_deposit_retries (struct service_policy *policy, int64_t now_us,
+                                uint32_t count)
 {
-  retry_budget_add_lent (&policy->budget, &policy->options.retries, now_us,
-                         count);
+  retry_budget_deposit (&policy->budget, &policy->options.retries, now_us,
+                        count);
 }
 
 void
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -211,14 +211,14 @@
 bool service_policy_lacks_retry (struct service_policy *policy,
                                  int64_t now_us);
 
-/** Lend up to WANTED retries to another host.
+/** Withdraw up to WANTED retries for another host.
  * @return how many */
-uint32_t service_policy_lend_retries (struct service_policy *policy,
-                                      int64_t now_us, uint32_t wanted);
+uint32_t service_policy_withdraw_retries (struct service_policy *policy,
+                                          int64_t now_us, uint32_t wanted);
 
-/** Another host has lent COUNT retries. */
-void service_policy_add_lent_retries (struct service_policy *policy,
-                                      int64_t now_us, uint32_t count);
+/** Add COUNT retries withdrawn at another host. */
+void service_policy_deposit_retries (struct service_policy *policy,
+                                     int64_t now_us, uint32_t count);
 
 /** An attempt ended: release its slot and learn from the outcome.  Call
  * service_policy_next() afterwards until it returns false. */
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -172,8 +172,8 @@
 enum peer_retries
 {
   PEER_RETRIES_NONE = 0,
-  PEER_RETRIES_REQUESTED = 1, /**< by a host outside the set: `sequence` */
-  PEER_RETRIES_LENT = 2,      /**< to such a host: `sequence` */
+  PEER_RETRIES_REQUESTED = 1,   /**< by a host outside the set: `sequence` */
+  PEER_RETRIES_TRANSFERRED = 2, /**< to such a host: `sequence` */
 };
 
 /** Table of integers with names that belong to the rows, for EVIDENCE,
