placement, exchange, control: files split by job; one look-up of services

Probes, unused and rate-limited targets are in placement_probe.c, what the timer of an exchange does in exchange_timer.c. control_outcomes.c and control_retries.c had the same look-up, which control_services.c exports now. Code moved, none changed.

--- /dev/null
+++ b/node/caller/exchange_timer.c
@@ -0,0 +1,128 @@
+#include "node/caller/exchange_timer.h"
+
+#include <stdio.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+#include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_caller.h"
+#include "node/caller/exchange_timeout.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  RAW_CLOSE_DELAY_US = 1000 * US_PER_MS,
+  SHUTDOWN_RETRY_AFTER_MS = 100,
+  TIMEOUT_RETRY_AFTER_MS = 100
+};
+
+/* Cancel the attempt and respond with the outcome as far as it is known. */
+static void
+fail_pending (struct exchange *x, uint32_t status, const char *reason,
+              uint32_t retry_after_ms)
+{
+  const bool sent
+      = x->attempt.call != NULL && target_call_may_have_sent (x->attempt.call);
+  exchange_cancel_attempt (x, sent ? ATTEMPT_TIMED_OUT : ATTEMPT_NOT_SENT);
+  struct local_response response
+      = { .status = status,
+          .outcome = exchange_outcome (x),
+          .reason = reason,
+          .retry_after_ms = x->may_have_run ? 0 : retry_after_ms };
+  snprintf (response.message, sizeof response.message, "%s",
+            x->may_have_run
+                ? "no target's answer came in time: find out whether the "
+                  "request has run before sending it again"
+                : "no target took the request in time: send it again later "
+                  "or with more time");
+  exchange_respond_locally (x, &response);
+}
+
+/* The caller may still have time after the route's timeout. */
+static void
+on_deadline (struct exchange *x)
+{
+  const bool sent
+      = x->attempt.call != NULL && target_call_may_have_sent (x->attempt.call);
+  const bool can_retry = x->has_route_timeout && !sent && !x->may_have_run;
+  fail_pending (
+      x, can_retry ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_GATEWAY_TIMEOUT,
+      "deadline", can_retry ? TIMEOUT_RETRY_AFTER_MS : 0);
+}
+
+void
+exchange_abort_pending (struct exchange *x)
+{
+  if (x->state == EXCHANGE_WAITING || x->state == EXCHANGE_SENT)
+    fail_pending (x, MHD_HTTP_SERVICE_UNAVAILABLE, "host-stops",
+                  SHUTDOWN_RETRY_AFTER_MS);
+}
+
+/* Once a response is forwarded, the deadline has been met.  From then on a
+   target may not stall for longer than the timeout of a whole request. */
+static void
+check_progress (struct exchange *x)
+{
+  const int64_t stall_max_us
+      = (int64_t)x->service->spec->limits.timeout_ms * US_PER_MS;
+  const bool stalled
+      = stream_buffer_pending_bytes (&x->response_body) == 0
+        && clock_now_us () - x->last_progress_us >= stall_max_us;
+  if (!stalled)
+    {
+      exchange_set_timer (x, stall_max_us);
+      return;
+    }
+  exchange_cancel_attempt (x, ATTEMPT_TIMED_OUT);
+  x->response_truncated = true;
+  exchange_schedule_run (x);
+}
+
+static void
+on_raw_response_timer (struct exchange *x)
+{
+  if (x->raw_response_sent)
+    {
+      x->caller_disconnected = true;
+      shutdown (x->fd, SHUT_RDWR);
+      exchange_schedule_run (x);
+      return;
+    }
+  if (x->upload_complete || x->connection == NULL)
+    return;
+  exchange_send_raw_response (x);
+  exchange_set_timer (x, RAW_CLOSE_DELAY_US);
+}
+
+void
+exchange_timer_expired (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct exchange *x = timer->data;
+  const int64_t remaining_us = x->deadline_us - clock_now_us ();
+  switch (x->state)
+    {
+    case EXCHANGE_WAITING:
+      if (x->waits_for != EXCHANGE_WAIT_NONE)
+        exchange_resume (x);
+      else if (remaining_us > 0)
+        exchange_set_timer (x, remaining_us);
+      else
+        on_deadline (x);
+      break;
+    case EXCHANGE_SENT:
+      if (remaining_us > 0)
+        exchange_timeout_check (x);
+      else
+        on_deadline (x);
+      break;
+    case EXCHANGE_FORWARDING:
+      check_progress (x);
+      break;
+    case EXCHANGE_LOCAL_RESPONSE:
+      on_raw_response_timer (x);
+      break;
+    case EXCHANGE_NEW:
+    case EXCHANGE_FINISHED:
+      break;
+    }
+}
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -203,6 +203,9 @@
 void control_settings_release (struct control_task *task);
 
 /* control_services.c */
+/** The service in force called NAME, or NULL. */
+struct control_service *control_services_find (const struct control_task *task,
+                                               const char *name);
 /** Put SPEC in force here; takes ownership of it. */
 void control_services_enforce (struct control_task *task,
                                struct service_spec *spec);
--- a/node/control/control_outcomes.c
+++ b/node/control/control_outcomes.c
@@ -35,14 +35,6 @@
   struct control_outcomes *prev, *next;
 };
 
-static const struct control_service *
-find_service (const struct control_task *task, const char *name)
-{
-  const struct control_service *service;
-  HASH_FIND_STR (task->services, name, service);
-  return service;
-}
-
 /* Keeps the failed targets of services whose set includes this host. */
 static void
 update_digest (struct control_outcomes *outcomes,
@@ -65,7 +57,7 @@
 send_report (struct control_task *task, struct control_outcomes *outcomes)
 {
   const struct control_service *service
-      = find_service (task, outcomes->service);
+      = control_services_find (task, outcomes->service);
   struct peer_message message
       = { .type = PEER_OUTCOMES,
           .report = { .columns = CONTROL_OUTCOME_COLUMNS,
@@ -131,7 +123,7 @@
   outcomes->values[start] = (int64_t)outcome->target_key;
   outcomes->values[start + 1] = (int64_t)outcome->end;
   outcomes->value_count += CONTROL_OUTCOME_COLUMNS;
-  update_digest (outcomes, find_service (task, outcome->service),
+  update_digest (outcomes, control_services_find (task, outcome->service),
                  task->self->key, outcome->target_key, outcome->end);
   const bool is_full
       = outcomes->value_count == REPORT_ROWS_MAX * CONTROL_OUTCOME_COLUMNS;
@@ -220,7 +212,8 @@
 {
   if (report->columns != CONTROL_OUTCOME_COLUMNS)
     return;
-  const struct control_service *service = find_service (task, report->service);
+  const struct control_service *service
+      = control_services_find (task, report->service);
   if (service == NULL)
     return;
   struct control_outcomes *outcomes
--- a/node/control/control_retries.c
+++ b/node/control/control_retries.c
@@ -7,14 +7,6 @@
 
 #include "base/log.h"
 
-static const struct control_service *
-find_service (const struct control_task *task, const char *name)
-{
-  const struct control_service *service;
-  HASH_FIND_STR (task->services, name, service);
-  return service;
-}
-
 static struct peer_message
 make_message (const char *service, enum peer_retries what, uint32_t count)
 {
@@ -60,7 +52,7 @@
   struct control_task *task = owner;
   const struct bus_retries *retries = &message->retries;
   const struct control_service *service
-      = find_service (task, retries->service);
+      = control_services_find (task, retries->service);
   if (service == NULL || service->includes_self)
     return;
   struct control_host *sender = choose_sender (task, service);
--- a/node/control/control_services.c
+++ b/node/control/control_services.c
@@ -6,8 +6,8 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 
-static struct control_service *
-find_service (const struct control_task *task, const char *name)
+struct control_service *
+control_services_find (const struct control_task *task, const char *name)
 {
   struct control_service *service;
   HASH_FIND_STR (task->services, name, service);
@@ -18,7 +18,7 @@
 control_services_remove (struct control_task *task, const char *name,
                          uint64_t version)
 {
-  struct control_service *service = find_service (task, name);
+  struct control_service *service = control_services_find (task, name);
   if (service == NULL)
     return;
   struct bus_message message = { .topic = BUS_SERVICE_REMOVED,
@@ -54,7 +54,7 @@
 void
 control_services_enforce (struct control_task *task, struct service_spec *spec)
 {
-  struct control_service *service = find_service (task, spec->name);
+  struct control_service *service = control_services_find (task, spec->name);
   if (service == NULL)
     {
       service = xcalloc (1, sizeof *service);
--- a/policy/choice/placement.h
+++ b/policy/choice/placement.h
@@ -29,6 +29,12 @@
                             const struct wait_entry *e,
                             struct policy_decision *d);
 
+/** Send R to TARGET, which has a free slot, for REASON. */
+struct policy_decision placement_send (struct service_policy *policy,
+                                       const struct policy_request *r,
+                                       uint32_t target,
+                                       enum policy_reason reason);
+
 /** The refusal of R, with a retry delay computed from the queue length and
  * the service rate. */
 struct policy_decision placement_refuse (const struct service_policy *policy,
