--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -8,60 +8,17 @@
 #include <microhttpd.h>
 #include <utlist.h>
 
-#include "base/hash.h"
 #include "base/rng.h"
 #include "base/xmalloc.h"
 #include "node/caller/hangup_watch.h"
 #include "node/mhd_loop.h"
 #include "tests/standins/run_counts.h"
-#include "tests/standins/target_body.h"
+#include "tests/standins/target_request.h"
+#include "tests/standins/target_response.h"
 
 enum
 {
-  ADDRESS_SIZE = 64,
-  NAME_SIZE = 64,
-  SEED = 7,
-  TRUNCATED_CONTENT_BYTES = 4096,
-  BLOCK_BYTES = 4096
-};
-
-struct request
-{
-  struct target_server *server;
-  struct MHD_Connection *connection;
-  char method[NAME_SIZE];
-  char *url;
-  char *body;
-  size_t body_bytes;
-  bool started;
-  bool complete;
-  bool responded;
-  bool suspended;
-  bool watched;
-  bool disconnected;
-  bool delay_elapsed;
-  int fd;
-  uint64_t remaining_bytes; /* of a truncated or chunked response */
-  ev_timer delay;
-  struct request *prev;
-  struct request *next;
-};
-
-struct target_server
-{
-  struct ev_loop *loop;
-  struct MHD_Daemon *daemon;
-  struct mhd_loop *mhd_loop;
-  struct hangup_watch *hangup;
-  char name[NAME_SIZE];
-  char address[ADDRESS_SIZE];
-  struct target_faults faults;
-  struct target_counts counts;
-  struct run_counts *runs;
-  struct request *requests;
-  struct rng rng;
-  FILE *run_log;
-  ev_timer crash_timer;
+  SEED = 7
 };
 
 static bool
@@ -70,19 +27,11 @@
   return percent > 0 && rng_below (&server->rng, 100) < percent;
 }
 
-static const char *
-field (const struct request *request, const char *name)
-{
-  const char *value = MHD_lookup_connection_value (request->connection,
-                                                   MHD_HEADER_KIND, name);
-  return value != NULL ? value : "-";
-}
-
 static void
 record_run (struct request *request)
 {
   struct target_server *server = request->server;
-  const char *id = field (request, "X-Request-Id");
+  const char *id = target_request_field (request, "X-Request-Id");
   run_counts_add (server->runs, id);
   server->counts.runs++;
   if (server->run_log == NULL)
@@ -98,101 +47,6 @@
   server->run_log = run_log;
 }
 
-static enum MHD_Result
-queue_response (struct request *request, unsigned int status,
-                struct MHD_Response *response)
-{
-  const struct target_server *server = request->server;
-  MHD_add_response_header (response, "X-Target", server->name);
-  MHD_add_response_header (response, "X-Request-Id",
-                           field (request, "X-Request-Id"));
-  MHD_add_response_header (response, "X-Seen-Deadline",
-                           field (request, "Jaystair-Deadline-Ms"));
-  if (server->faults.limit[0] != '\0')
-    MHD_add_response_header (response, "Jaystair-Limit", server->faults.limit);
-  if (server->faults.leave != 0)
-    MHD_add_response_header (response, "Jaystair-Leaving", "1");
-  request->responded = true;
-  const enum MHD_Result result
-      = MHD_queue_response (request->connection, status, response);
-  MHD_destroy_response (response);
-  return result;
-}
-
-static enum MHD_Result
-queue_text (struct request *request, unsigned int status, const char *text,
-            size_t size)
-{
-  return queue_response (
-      request, status,
-      MHD_create_response_from_buffer (size, (void *)(uintptr_t)text,
-                                       MHD_RESPMEM_MUST_COPY));
-}
-
-static ssize_t
-read_remaining (void *owner, uint64_t position, char *data, size_t size)
-{
-  struct request *request = owner;
-  if (request->remaining_bytes == 0)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (size > request->remaining_bytes)
-    size = request->remaining_bytes;
-  memset (data, 'h', size);
-  request->remaining_bytes -= size;
-  return (ssize_t)size;
-}
-
-static enum MHD_Result
-queue_truncated (struct request *request)
-{
-  request->remaining_bytes = TRUNCATED_CONTENT_BYTES / 2;
-  return queue_response (
-      request, MHD_HTTP_OK,
-      MHD_create_response_from_callback (TRUNCATED_CONTENT_BYTES, BLOCK_BYTES,
-                                         read_remaining, request, NULL));
-}
-
-static enum MHD_Result
-queue_default (struct request *request)
-{
-  char text[256];
-  const uint64_t hash = hash_bytes (request->body, request->body_bytes);
-  const int size
-      = snprintf (text, sizeof text, "%s %.64s %016llx %zu\n",
-                  request->server->name, field (request, "X-Request-Id"),
-                  (unsigned long long)hash, request->body_bytes);
-  return queue_text (request, MHD_HTTP_OK, text, (size_t)size);
-}
-
-static enum MHD_Result
-queue_by_path (struct request *request)
-{
-  const char *url = request->url;
-  if (strcmp (url, "/echo") == 0)
-    return queue_text (request, MHD_HTTP_OK, request->body,
-                       request->body_bytes);
-  if (strcmp (url, "/headers") == 0)
-    return queue_response (request, MHD_HTTP_OK,
-                           target_body_fields (request->connection));
-  if (strcmp (url, "/no-content") == 0)
-    return queue_text (request, MHD_HTTP_NO_CONTENT, "", 0);
-  if (strcmp (url, "/not-modified") == 0)
-    return queue_text (request, MHD_HTTP_NOT_MODIFIED, "", 0);
-  const bool chunked = strncmp (url, "/chunked/", 9) == 0;
-  if (!chunked && strncmp (url, "/bytes/", 7) != 0)
-    return queue_default (request);
-  const uint64_t size = strtoull (strrchr (url, '/') + 1, NULL, 10);
-  if (chunked)
-    {
-      request->remaining_bytes = size;
-      return queue_response (
-          request, MHD_HTTP_OK,
-          MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, BLOCK_BYTES,
-                                             read_remaining, request, NULL));
-    }
-  return queue_response (request, MHD_HTTP_OK, target_body_pattern (size));
-}
-
 static void
 suspend (struct request *request)
 {
@@ -243,10 +97,11 @@
 {
   struct target_server *server = request->server;
   if (fault_applies (server, server->faults.fail))
-    return queue_text (request, MHD_HTTP_INTERNAL_SERVER_ERROR, "failed\n", 7);
+    return target_response_queue_text (request, MHD_HTTP_INTERNAL_SERVER_ERROR,
+                                       "failed\n", 7);
   if (fault_applies (server, server->faults.cut))
-    return queue_truncated (request);
-  return queue_by_path (request);
+    return target_response_queue_truncated (request);
+  return target_response_queue_by_path (request);
 }
 
 static enum MHD_Result
@@ -256,7 +111,8 @@
       = MHD_create_response_from_buffer (5, "shed\n", MHD_RESPMEM_PERSISTENT);
   MHD_add_response_header (response, "Jaystair-Outcome", "not-run");
   MHD_add_response_header (response, "Retry-After", "2");
-  return queue_response (request, MHD_HTTP_SERVICE_UNAVAILABLE, response);
+  return target_response_queue (request, MHD_HTTP_SERVICE_UNAVAILABLE,
+                                response);
 }
 
 static bool
@@ -274,7 +130,7 @@
   const struct target_faults *faults = &server->faults;
   const bool reused = is_reused (request);
   if (strcmp (request->method, "OPTIONS") == 0)
-    return queue_text (request, MHD_HTTP_OK, "", 0);
+    return target_response_queue_text (request, MHD_HTTP_OK, "", 0);
   if (faults->leave != 0 || fault_applies (server, faults->shed))
     return queue_shed (request);
   record_run (request);
@@ -332,7 +188,7 @@
     body = target_counts_json (&server->counts);
   const char *text = json_object_to_json_string (body);
   const enum MHD_Result result
-      = queue_text (request, MHD_HTTP_OK, text, strlen (text));
+      = target_response_queue_text (request, MHD_HTTP_OK, text, strlen (text));
   json_object_put (body);
   return result;
 }
