control tests: the address of a host stays reserved

Cause: the fixture took a port from the system, closed the socket and used the number later, and once more at each restart. In between the port is one of those that the system gives to outgoing connections and to other tests that run at the same time.

A bound socket now reserves the address for as long as the host's fixture exists; it doesn't listen, so the host can.

AddressOfAStoppedHostStaysReserved takes the address of a stopped host with another socket: red before (the other socket gets it and the host can't start), green now. Looked for elsewhere: process tests use ports below the system's range at addresses that a lock reserves; other module tests listen on port 0 and keep the socket.

--- a/node/control/tests/control_fixture.h
+++ b/node/control/tests/control_fixture.h
@@ -27,19 +27,45 @@
 #include "node/tables.h"
 }
 
-inline std::string
-free_address ()
+/* An address of this machine that no other socket is given while a host
+   doesn't listen on it, before its start and between two starts.  A bound
+   socket that doesn't listen reserves it; only sockets that also set
+   SO_REUSEADDR and name the port, as the host does, may share it. */
+class reserved_address
 {
-  const int fd = socket (AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at = {};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  socklen_t size = sizeof at;
-  EXPECT_EQ (bind (fd, (sockaddr *)&at, size), 0);
-  EXPECT_EQ (getsockname (fd, (sockaddr *)&at, &size), 0);
-  close (fd);
-  return "127.0.0.1:" + std::to_string (ntohs (at.sin_port));
-}
+public:
+  reserved_address ()
+  {
+    fd_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    sockaddr_in at = {};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    EXPECT_EQ (setsockopt (fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on), 0);
+    EXPECT_EQ (bind (fd_, (sockaddr *)&at, size), 0);
+    EXPECT_EQ (getsockname (fd_, (sockaddr *)&at, &size), 0);
+    text_ = "127.0.0.1:" + std::to_string (ntohs (at.sin_port));
+  }
+
+  reserved_address (const reserved_address &) = delete;
+  reserved_address &operator= (const reserved_address &) = delete;
+
+  ~reserved_address ()
+  {
+    close (fd_);
+  }
+
+  const std::string &
+  text () const
+  {
+    return text_;
+  }
+
+private:
+  int fd_;
+  std::string text_;
+};
 
 inline std::string
 service_text (const std::string &name, int slots)
@@ -55,7 +81,7 @@
 {
   node (struct ev_loop *loop, fake_store *store, const std::string &name,
         const std::string &dc, const std::vector<std::string> &seeds = {})
-      : platform (loop, store), address (free_address ())
+      : platform (loop, store), address (reserved.text ())
   {
     host_settings_defaults (&settings);
     strcpy (settings.name, name.c_str ());
@@ -159,6 +185,7 @@
   }
 
   fake_platform platform;
+  reserved_address reserved;
   std::string address;
   host_settings settings;
   struct bus *bus;
--- a/node/control/tests/control_task_test.cc
+++ b/node/control/tests/control_task_test.cc
@@ -158,6 +158,25 @@
   EXPECT_TRUE (until ([&] { return nodes[0]->set_size ("holds") == 3; }));
 }
 
+/* Another socket of the machine takes the address of a host that is stopped,
+   so that the host can't be started again. */
+TEST_F (ControlTask, AddressOfAStoppedHostStaysReserved)
+{
+  start (1);
+  nodes[0]->stop ();
+  const std::string &address = nodes[0]->address;
+  sockaddr_in at = {};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  at.sin_port
+      = htons ((uint16_t)std::stoi (address.substr (address.rfind (':') + 1)));
+  const int other = socket (AF_INET, SOCK_STREAM, 0);
+  EXPECT_EQ (bind (other, (sockaddr *)&at, sizeof at), -1);
+  EXPECT_EQ (errno, EADDRINUSE);
+  nodes[0]->start (loop);
+  close (other);
+}
+
 /* A host is shut down while the platform is down.  Its peers must learn of it
    at once and no longer hand it out, though it still answers. */
 TEST_F (ControlTask, LeavingHostIsNoLongerHandedOut)
