control: other hosts read for relays that the platform refuses

Cause: only leading relays read the newest state from the platform. It refused all three (429) from 2.5 s on and served the other hosts, which read for themselves only once the relays' contact is 3.5 s old. Evidence, from all lines of all hosts: platform-failed at the three relays from 2.509 s, version 8 acknowledged at 2.763 s, the first newest read anywhere at 5.127 s by a host that isn't a relay, in force on all 32 hosts 0.053 s later. Ruled out: slow spreading (0.053 s), and other hosts that are refused (none was before 5.1 s).

The failure is known where it happens, so nobody waits for a timeout.

ControlRegistry.AnotherHostReadsForARefusedRelay and RefusedDelegateIsReplaced were red before (not in force after 20 s). Builds without this ignore the two new messages: an empty report with an unknown epoch.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -80,6 +80,7 @@
   struct control_registration registration;
   struct freshness freshness;
   struct control_freshness_query freshness_query;
+  struct control_delegates delegates;
   struct control_cleanup cleanup;
   struct control_tombstone *tombstones; /**< ring buffer */
   size_t tombstone_first;               /**< oldest */
@@ -285,6 +286,19 @@
 void control_poison_store_stop (struct control_task *task);
 void control_poison_store_release (struct control_task *task);
 
+/* control_delegates.c: hosts that read for relays that can't */
+void control_delegates_start (struct control_task *task);
+/** Whether this host has to read the newest state for a relay. */
+bool control_delegates_is_delegate (const struct control_task *task);
+/** The platform didn't answer a read of settings. */
+void control_delegates_note_failure (struct control_task *task);
+/** Process REPORT.
+ * @return whether it was about reading for a relay */
+bool control_delegates_receive (struct control_task *task,
+                                const struct control_source *source,
+                                const struct peer_report *report);
+void control_delegates_stop (struct control_task *task);
+
 /* control_platform.c */
 void control_platform_start (struct control_task *task);
 /** Relays start to watch, other hosts stop. */
--- a/node/control/control_outcomes.c
+++ b/node/control/control_outcomes.c
@@ -210,7 +210,8 @@
                           const struct control_source *source,
                           const struct peer_report *report)
 {
-  if (report->columns != CONTROL_OUTCOME_COLUMNS)
+  if (report->columns != CONTROL_OUTCOME_COLUMNS
+      || control_delegates_receive (task, source, report))
     return;
   const struct control_service *service
       = control_services_find (task, report->service);
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -130,6 +130,8 @@
             LOG_STR ("status", status_name (reply->status)),
             LOG_STR ("why", reply->message));
   control_retry_later (feed->task, &feed->retry, &feed->backoff_ms);
+  if (strcmp (feed->kind, PLATFORM_KIND_HOST) != 0)
+    control_delegates_note_failure (feed->task);
 }
 
 /* Settings are available once every kind except hosts has been listed. */
@@ -186,7 +188,8 @@
 static bool
 reads_newest (const struct control_task *task)
 {
-  return task->is_leading || task->is_stale || contact_is_old (task);
+  return task->is_leading || task->is_stale
+         || control_delegates_is_delegate (task) || contact_is_old (task);
 }
 
 static void
@@ -299,7 +302,8 @@
       return;
     }
   /* A stale host watches the platform itself to recover. */
-  if (!feed->is_watched_by_all && !task->is_relay && !task->is_stale)
+  if (!feed->is_watched_by_all && !task->is_relay && !task->is_stale
+      && !control_delegates_is_delegate (task))
     return;
   feed->is_pending = true;
   feed->watch_timeout_ms = watch_ms (feed);
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -106,6 +106,19 @@
   struct ev_timer retry;
 };
 
+/** Reading of the newest state by another host while the platform doesn't
+ * answer a leading relay. */
+struct control_delegates
+{
+  struct ev_timer timer;  /**< active while this leading relay can't read */
+  uint64_t delegate;      /**< key of the host that reads for this one; 0 */
+  uint32_t request_count; /**< different hosts requested */
+  int64_t requested_ms;
+  /** While this host is a delegate itself: the relay, and until when. */
+  uint64_t requester;
+  int64_t term_end_ms;
+};
+
 /** Removal of the records of dead hosts, one at a time. */
 struct control_cleanup
 {
--- a/node/control/control_retries.c
+++ b/node/control/control_retries.c
@@ -8,7 +8,7 @@
 #include "base/log.h"
 
 static struct peer_message
-make_message (const char *service, enum peer_retries what, uint32_t count)
+make_message (const char *service, enum peer_report_topic what, uint32_t count)
 {
   struct peer_message message = {
     .type = PEER_OUTCOMES,
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -319,6 +319,7 @@
   control_cleanup_start (task);
   start_timers (task);
   control_seeds_open (task);
+  control_delegates_start (task);
   control_platform_start (task);
   control_poison_start (task);
   control_limits_start (task);
@@ -342,6 +343,7 @@
       control_cleanup_stop (task);
       control_freshness_stop (task);
       control_platform_stop (task);
+      control_delegates_stop (task);
       control_registration_stop (task);
       control_removals_stop (task);
       control_poison_store_stop (task);
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -91,6 +91,41 @@
     });
   }
 
+  /* COUNT hosts whose watches never end by themselves and return nothing from
+     now on, so that a change is only found by a new watch. */
+  void
+  start_with_silent_watches (int count)
+  {
+    for (int i = 0; i < count; i++)
+      {
+        node &n = add_registry ("h" + std::to_string (i), "d0");
+        n.settings.modes.all_watch_registry = true;
+        n.settings.times.watch_ms = 7200 * 1000;
+        n.settings.times.relay_watch_ms = 3600 * 1000;
+        n.settings.times.stale_after_ms = 3600 * 1000;
+        n.start (loop);
+      }
+    store.put ("config", "main", config_text (4));
+    ASSERT_TRUE (until ([&] {
+      return all_live () && all_have_config (4)
+             && watching_count (PLATFORM_READ_LATEST) == 1;
+    }));
+    for (auto &n : nodes)
+      n->platform.silence_watches ();
+  }
+
+  /* The host that reads the newest state. */
+  node &
+  leading_relay ()
+  {
+    const auto found
+        = std::find_if (nodes.begin (), nodes.end (), [] (const auto &n) {
+            return n->platform.has_call ("watch", "config",
+                                         PLATFORM_READ_LATEST);
+          });
+    return found == nodes.end () ? *nodes[0] : **found;
+  }
+
   bool
   all_have_targets (const std::vector<std::string> &names) const
   {
@@ -191,6 +226,54 @@
   EXPECT_TRUE (until ([&] { return all_have_config (5); }));
 }
 
+/* The platform refuses the only relay and serves the other hosts, which wait
+   for changes from the relay. */
+TEST_F (ControlRegistry, AnotherHostReadsForARefusedRelay)
+{
+  start_with_silent_watches (4);
+  leading_relay ().platform.refuses = true;
+  store.put ("config", "main", config_text (5));
+  EXPECT_TRUE (until ([&] { return all_have_config (5); }));
+}
+
+/* The platform refuses the relay and most of the hosts that could read for
+   it. */
+TEST_F (ControlRegistry, RefusedDelegateIsReplaced)
+{
+  start_with_silent_watches (5);
+  node &relay = leading_relay ();
+  node &served = *nodes[&relay == nodes[4].get () ? 3 : 4];
+  for (auto &n : nodes)
+    n->platform.refuses = n.get () != &served;
+  store.put ("config", "main", config_text (5));
+  EXPECT_TRUE (until ([&] { return all_have_config (5); }));
+}
+
+/* A host that has read for a relay goes on at the full cost of the newest
+   state after the platform serves the relay again. */
+TEST_F (ControlRegistry, DelegateReadsOldStateAgainOnceTheRelayIsServed)
+{
+  start_watching (4);
+  store.put ("config", "main", config_text (4));
+  ASSERT_TRUE (until ([&] {
+    return all_live () && all_have_config (4)
+           && watching_count (PLATFORM_READ_LATEST) == 1;
+  }));
+  node &relay = leading_relay ();
+  relay.platform.refuses = true;
+  EXPECT_TRUE (until ([&] {
+    return watching_count (PLATFORM_READ_LATEST) > 0
+           && !relay.platform.has_call ("watch");
+  }));
+  relay.platform.refuses = false;
+  EXPECT_TRUE (until ([&] {
+    return watching_count (PLATFORM_READ_LATEST) == 1
+           && watching_count (PLATFORM_READ_STALE) == 3
+           && relay.platform.has_call ("watch", "config",
+                                       PLATFORM_READ_LATEST);
+  }));
+}
+
 /* The platform is unavailable for longer than the records of targets live.
    Afterwards its list shows none of them, though all still serve; within two
    seconds they have registered again.  A host that applied the list would
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -54,6 +54,7 @@
   struct ev_loop *loop;
   fake_store *store;
   bool is_down;
+  bool refuses = false;   /* refuses all calls: too many of them */
   bool forgets_revisions; /* refuses watches, their revision is unknown */
   int lost_responses;     /* of the next writes */
   bool delays_removals = false; /* delays the replies to removals */
@@ -175,6 +176,11 @@
     uint64_t revision;
     if (delays_removals && c.removes)
       return false;
+    if (refuses)
+      {
+        reply (c, STATUS_LIMIT, {}, 0);
+        return true;
+      }
     if (c.is_silent)
       {
         if (ev_now (loop) < c.end)
--- a/wire/peer/peer_message.h
+++ b/wire/peer/peer_message.h
@@ -169,11 +169,13 @@
 
 /** What an OUTCOMES report without rows is about, as its epoch.  Builds that
  * don't know these find an empty report and ignore it. */
-enum peer_retries
+enum peer_report_topic
 {
   PEER_RETRIES_NONE = 0,
   PEER_RETRIES_REQUESTED = 1,   /**< by a host outside the set: `sequence` */
   PEER_RETRIES_TRANSFERRED = 2, /**< to such a host: `sequence` */
+  PEER_READ_REQUESTED = 3,      /**< to read the newest state for a relay */
+  PEER_READ_FAILED = 4,         /**< the host that was to read can't either */
 };
 
 /** Table of integers with names that belong to the rows, for EVIDENCE,
