caller: targets that the set can't connect to are reached through other hosts

Callers: requests failed or were refused (21 of 127 in two seconds) while targets stood idle that other hosts could have used.

Cause: paths from some hosts to six of fourteen targets are cut for 8 s, those of all hosts of the set among them, and an attempt goes straight to its target. Ruled out: idle by choice (6 to 9 attempts at each), targets that are down.

Such an attempt now goes through a random host outside the set, which makes one attempt at that target and forwards the response.

IndirectAttempt.TargetIsReachedThroughAnotherHost and UnrepeatableRequestRunsOnce are red without the change.

--- a/node/bus.c
+++ b/node/bus.c
@@ -49,6 +49,7 @@
       free (message->path_faults.targets);
       break;
     case BUS_HOST_SET:
+    case BUS_HOST_SAMPLE:
       free (message->host_set.hosts);
       break;
     case BUS_POISON_ANNOUNCED:
--- a/node/bus.h
+++ b/node/bus.h
@@ -34,6 +34,7 @@
   BUS_SLOT_SHARES,     /**< this host's share of a service's slots changed */
   BUS_PATH_FAULTS,     /**< the targets that this host avoids changed */
   BUS_HOST_SET,        /**< the hosts listed to callers of a service changed */
+  BUS_HOST_SAMPLE,     /**< other hosts, after a change of the fleet */
   BUS_OUTCOME_OBSERVED,    /**< an attempt of this host ended */
   BUS_OUTCOME_RECEIVED,    /**< an attempt of another host ended */
   BUS_MEMBERS,             /**< the view of the other hosts changed */
@@ -87,7 +88,8 @@
   char caller_address[SERVICE_ADDRESS_SIZE];
 };
 
-/** The live hosts that serve a service, in order of preference. */
+/** The live hosts that serve a service, in order of preference.  With
+ * BUS_HOST_SAMPLE: random live hosts, whatever they serve. */
 struct bus_host_set
 {
   char service[SERVICE_NAME_SIZE];
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -15,6 +15,7 @@
 #include "node/bus.h"
 #include "node/host_settings.h"
 #include "policy/choice/demand_peak.h"
+#include "policy/choice/path_state.h"
 #include "policy/choice/slot_shares.h"
 #include "policy/detection/recorder.h"
 #include "policy/fleet/fleet_host.h"
@@ -36,6 +37,7 @@
   int64_t unsent_reported_us;
   /** It closes connections that are idle for this long; 0: unknown. */
   uint32_t idle_timeout_ms;
+  struct path_state path; /**< from this host to it */
   struct limit_state limit;
 };
 
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -188,6 +188,13 @@
   caller_service_set_hosts (get_or_create_service (task, set->service), set);
 }
 
+static void
+on_host_sample (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  host_directory_set_sample (task->context.host_directory, &message->host_set);
+}
+
 static void
 on_slot_shares (void *owner, const struct bus_message *message)
 {
@@ -252,6 +259,7 @@
   bus_subscribe (task->bus, BUS_POISON_RECEIVED, on_poison_received, task);
   bus_subscribe (task->bus, BUS_LIMITS_RECEIVED, on_limits_received, task);
   bus_subscribe (task->bus, BUS_HOST_SET, on_host_set, task);
+  bus_subscribe (task->bus, BUS_HOST_SAMPLE, on_host_sample, task);
   bus_subscribe (task->bus, BUS_EJECTIONS, on_ejections, task);
   bus_subscribe (task->bus, BUS_OUTCOME_RECEIVED, on_outcome_received, task);
   bus_subscribe (task->bus, BUS_SLOT_SHARES, on_slot_shares, task);
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -62,6 +62,7 @@
   int64_t head_timeout_us;       /**< or ATTEMPT_NO_TIMEOUT */
   uint32_t reuse_idle_max_ms;    /**< of the connection that it may use */
   bool is_relay;        /**< sent to another host, which selects the target */
+  bool is_indirect;     /**< sent to the target through another host */
   bool head_received;   /**< status, length_bytes and headers are valid */
   bool outcome_pending; /**< not reported to the policy yet */
   bool retry_unavailable; /**< timed out, but no retry was possible */
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -14,6 +14,7 @@
 #include "node/caller/outcome_report.h"
 #include "node/caller/decision_log.h"
 #include "node/caller/exchange_fingerprint.h"
+#include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_ticket.h"
@@ -101,6 +102,7 @@
     x->may_have_run = true;
   if (attempt->is_relay)
     return;
+  exchange_indirect_note_end (x, end);
   x->last_attempt_unsent = end == ATTEMPT_NOT_SENT;
   x->unsent_count += (uint32_t)x->last_attempt_unsent;
   caller_counters_add (x->context->counters.attempts, x->service->name,
@@ -162,6 +164,7 @@
 retry_or_fail (struct exchange *x, enum attempt_end end, const char *message)
 {
   const bool can_retry = !x->attempt.is_relay
+                         && !exchange_indirect_is_requested (x)
                          && service_policy_may_retry (end, x->repeatable)
                          && !x->upload.start_discarded;
   x->attempt.head_received = false;
@@ -215,7 +218,7 @@
             LOG_INT ("request", x->id), LOG_STR ("target", target),
             LOG_STR ("end", end_name (end)), LOG_STR ("why", message),
             LOG_STR ("fingerprint", fingerprint));
-  if (end == ATTEMPT_CUT && !x->attempt.is_relay)
+  if (end == ATTEMPT_CUT && !x->attempt.is_relay && !x->attempt.is_indirect)
     crash_checks_add (x->context->crash_checks, x);
   report_outcome (x, end);
   if (x->response_queued)
@@ -336,6 +339,11 @@
 void
 exchange_admit (struct exchange *x)
 {
+  if (exchange_indirect_is_requested (x))
+    {
+      exchange_indirect_admit (x);
+      return;
+    }
   const struct policy_request r = exchange_policy_request (x);
   const struct policy_decision decision
       = caller_service_admit (x->service, &r, &x->waiter);
@@ -349,7 +357,7 @@
 retry_server_error (struct exchange *x)
 {
   if (!service_policy_may_retry (ATTEMPT_FAILED, x->repeatable)
-      || x->upload.start_discarded)
+      || x->upload.start_discarded || exchange_indirect_is_requested (x))
     return false;
   struct target_call *failed = x->attempt.call;
   report_outcome (x, ATTEMPT_FAILED);
@@ -392,10 +400,10 @@
 }
 
 static void
-discard_response (struct exchange *x, const char *why)
+discard_response (struct exchange *x, enum attempt_end end, const char *why)
 {
-  exchange_cancel_attempt (x, ATTEMPT_CUT);
-  retry_or_fail (x, ATTEMPT_CUT, why);
+  exchange_cancel_attempt (x, end);
+  retry_or_fail (x, end, why);
 }
 
 void
@@ -403,7 +411,8 @@
 {
   if (response_check_is_too_large (x))
     {
-      discard_response (x, "the target's header fields are too large");
+      discard_response (x, ATTEMPT_CUT,
+                        "the target's header fields are too large");
       return;
     }
   if (x->attempt.is_relay)
@@ -411,6 +420,12 @@
       exchange_forward_response (x);
       return;
     }
+  enum attempt_end unreached;
+  if (exchange_indirect_is_unreached (x, &unreached))
+    {
+      discard_response (x, unreached, "the other host can't reach the target");
+      return;
+    }
   response_check_update_target (x);
   if (response_check_is_shed (x))
     {
@@ -425,8 +440,9 @@
   const char *error = response_check_error (x);
   if (error != NULL || response_check_is_unsigned_refusal (x))
     {
-      discard_response (x, error != NULL ? error
-                                         : "the target gave no whole answer");
+      discard_response (x, ATTEMPT_CUT,
+                        error != NULL ? error
+                                      : "the target gave no whole answer");
       return;
     }
   if (should_buffer_response (x))
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -7,6 +7,7 @@
 
 #include "node/caller/caller_server.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_indirect.h"
 
 enum
 {
@@ -172,6 +173,8 @@
       &x->local_response, interface, closes_connection (x));
   if (interface->targets_echo_request_id && x->head.id[0] != '\0')
     MHD_add_response_header (response, interface->request_id, x->head.id);
+  if (exchange_indirect_is_requested (x))
+    MHD_add_response_header (response, exchange_indirect_unreached_field, "1");
   return response;
 }
 
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -9,6 +9,7 @@
 #include "base/xmalloc.h"
 #include "node/caller/decision_log.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_timeout.h"
 
 enum
@@ -20,7 +21,7 @@
   DEADLINE_FIELD_SIZE = 64,
   NAME_FIELD_SIZE = SERVICE_NAME_SIZE + 64,
   TICKET_FIELD_SIZE = REQUEST_TICKET_SIZE + 32,
-  EXTRA_FIELDS_MAX = 4
+  EXTRA_FIELDS_MAX = 6
 };
 
 static void
@@ -161,17 +162,28 @@
   const struct target_spec *target = &x->service->spec->targets[index];
   struct exchange_attempt *attempt = &x->attempt;
   char deadline[DEADLINE_FIELD_SIZE];
-  char intended_target[NAME_FIELD_SIZE];
+  char named_target[NAME_FIELD_SIZE];
   char workspace[NAME_FIELD_SIZE];
+  char service[NAME_FIELD_SIZE];
   const char *extra[EXTRA_FIELDS_MAX] = { deadline };
   size_t extra_count = 1;
   const struct caller_interface *interface = x->context->interface;
+  const struct bus_host_entry *via = exchange_indirect_choose (x, index);
+  const char *target_field
+      = via != NULL ? "Jaystair-Target" : interface->intended_target;
   format_deadline (x, deadline);
-  if (interface->intended_target != NULL)
+  if (target_field != NULL)
     {
-      snprintf (intended_target, sizeof intended_target, "%s: %s",
-                interface->intended_target, target->name);
-      extra[extra_count++] = intended_target;
+      snprintf (named_target, sizeof named_target, "%s: %s", target_field,
+                target->name);
+      extra[extra_count++] = named_target;
+    }
+  if (via != NULL)
+    {
+      snprintf (service, sizeof service, "Jaystair-Service: %s",
+                x->service->name);
+      extra[extra_count++] = service;
+      extra[extra_count++] = "Jaystair-Relayed: 1";
     }
   if (x->workspace[0] != '\0')
     {
@@ -180,15 +192,17 @@
       extra[extra_count++] = workspace;
     }
   attempt->key = x->service->targets[index].key;
-  attempt->reuse_idle_max_ms = reuse_idle_max (x, &x->service->targets[index]);
   attempt->is_relay = false;
+  attempt->is_indirect = via != NULL;
+  attempt->reuse_idle_max_ms
+      = via != NULL ? 0 : reuse_idle_max (x, &x->service->targets[index]);
   snprintf (attempt->target, sizeof attempt->target, "%s", target->name);
   if (x->tried_count < POLICY_TRIED_MAX)
     x->tried_targets[x->tried_count++] = attempt->key;
   x->attempt_count++;
   if (x->attempt_count > 1)
     caller_counters_add (x->context->counters.retries, x->service->name, NULL);
-  send_to (x, target->address, extra);
+  send_to (x, via != NULL ? via->caller_address : target->address, extra);
   exchange_timeout_start (x);
 }
 
@@ -207,6 +221,7 @@
   /* The issuing host may have run the ticket before. */
   x->may_have_run = true;
   x->attempt.is_relay = true;
+  x->attempt.is_indirect = false;
   x->attempt.reuse_idle_max_ms = 0;
   snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host);
   decision_log_relay (x, host);
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -6,6 +6,7 @@
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_ticket.h"
@@ -115,7 +116,10 @@
       handle_unrouted (x);
       return false;
     }
-  x->service = caller_context_service (context, route_select_service (route));
+  const char *service = exchange_indirect_service (x, route);
+  if (service == NULL)
+    service = route_select_service (route);
+  x->service = caller_context_service (context, service);
   if (x->service == NULL)
     {
       refuse_not_configured (x, "no-service");
--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_indirect.h"
 #include "node/caller/retry_transfer.h"
 
 enum
@@ -28,7 +29,7 @@
 void
 exchange_timeout_start (struct exchange *x)
 {
-  if (!x->repeatable)
+  if (!x->repeatable || exchange_indirect_is_requested (x))
     return;
   struct policy_request r = exchange_policy_request (x);
   r.attempt = x->attempt_count;
--- a/node/caller/host_directory.c
+++ b/node/caller/host_directory.c
@@ -5,6 +5,7 @@
 
 #include <uthash.h>
 
+#include "base/hash.h"
 #include "base/xmalloc.h"
 
 enum
@@ -22,6 +23,8 @@
 {
   /* By name, the least recently updated first. */
   struct directory_entry *entries;
+  struct bus_host_entry *sample;
+  size_t sample_count;
 };
 
 struct host_directory *
@@ -43,6 +46,7 @@
       free (entry);
       entry = next;
     }
+  free (directory->sample);
   free (directory);
 }
 
@@ -77,3 +81,51 @@
   HASH_FIND_STR (directory->entries, name, entry);
   return entry != NULL ? entry->host.caller_address : NULL;
 }
+
+void
+host_directory_set_sample (struct host_directory *directory,
+                           const struct bus_host_set *sample)
+{
+  directory->sample = xreallocarray (directory->sample, sample->count + 1,
+                                     sizeof *directory->sample);
+  directory->sample_count = sample->count;
+  if (sample->count > 0)
+    memcpy (directory->sample, sample->hosts,
+            sample->count * sizeof *sample->hosts);
+}
+
+const struct bus_host_entry *
+host_directory_choose (const struct host_directory *directory,
+                       const struct host_directory_choice *choice)
+{
+  const struct bus_host_entry *best = NULL;
+  uint64_t best_rank = 0;
+  const uint64_t key = hash_pair (choice->key, choice->attempt);
+  for (size_t i = 0; i < directory->sample_count; i++)
+    {
+      const struct bus_host_entry *host = &directory->sample[i];
+      const uint64_t rank = hash_pair (key, hash_string (host->name));
+      if ((best != NULL && rank <= best_rank)
+          || !choice->is_candidate (choice->owner, host))
+        continue;
+      best = host;
+      best_rank = rank;
+    }
+  return best;
+}
+
+bool
+host_directory_has_ip (const struct host_directory *directory, const char *ip)
+{
+  const struct directory_entry *entry;
+  const size_t size = strlen (ip);
+  for (entry = directory->entries; entry != NULL; entry = entry->hh.next)
+    {
+      const char *address = entry->host.caller_address;
+      const char *start = address[0] == '[' ? address + 1 : address;
+      if (strncmp (start, ip, size) == 0
+          && (start[size] == ':' || start[size] == ']'))
+        return true;
+    }
+  return false;
+}
--- a/node/caller/request_head.c
+++ b/node/caller/request_head.c
@@ -86,6 +86,12 @@
     snprintf (head->ticket, sizeof head->ticket, "%s", ticket);
   head->relayed
       = header_list_find (&head->headers, "Jaystair-Relayed") != NULL;
+  const char *service = header_list_find (&head->headers, "Jaystair-Service");
+  const char *target = header_list_find (&head->headers, "Jaystair-Target");
+  if (!head->relayed || service == NULL || target == NULL)
+    return STATUS_OK;
+  snprintf (head->service, sizeof head->service, "%s", service);
+  snprintf (head->target, sizeof head->target, "%s", target);
   return STATUS_OK;
 }
 
--- a/node/caller/request_head.h
+++ b/node/caller/request_head.h
@@ -47,7 +47,9 @@
   /** Authorization as sent by the caller, for the host that issued the ticket;
    * NULL without a ticket. */
   char *credentials;
-  bool relayed; /**< relayed by another host */
+  bool relayed;                    /**< relayed by another host */
+  char service[SERVICE_NAME_SIZE]; /**< chosen by that host */
+  char target[SERVICE_NAME_SIZE];  /**< chosen by that host; "": none */
   bool http_1_0;
   bool expects_continue;
   enum request_body body;
--- a/node/caller/route_table.c
+++ b/node/caller/route_table.c
@@ -241,6 +241,17 @@
   return route->parts[best].service;
 }
 
+bool
+route_has_service (const struct route *route, const char *service)
+{
+  if (route->parts == NULL)
+    return strcmp (route->service, service) == 0;
+  for (size_t i = 0; i < route->part_count; i++)
+    if (strcmp (route->parts[i].service, service) == 0)
+      return true;
+  return false;
+}
+
 const char *
 route_table_find_service_by_host (const struct route_table *table,
                                   const char *host)
--- a/node/caller/route_table.h
+++ b/node/caller/route_table.h
@@ -61,6 +61,9 @@
  * requests, not only on average. */
 const char *route_select_service (const struct route *route);
 
+/** Whether requests of ROUTE may go to SERVICE. */
+bool route_has_service (const struct route *route, const char *service);
+
 /** A service that requests to HOST may be routed to, or NULL: for callers that
  * request addresses by the host name of their requests. */
 const char *route_table_find_service_by_host (const struct route_table *table,
--- /dev/null
+++ b/node/caller/tests/indirect_attempt_test.cc
@@ -0,0 +1,213 @@
+/* Attempts at targets that only other hosts can reach. */
+#include "node/caller/tests/caller_fixture.h"
+
+#include <algorithm>
+
+namespace
+{
+
+/* The host of the fixture, and another one outside the set that has its own
+   settings.  Both have the service "holds". */
+class IndirectAttempt : public CallerTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    CallerTest::SetUp ();
+    target = add_target ("t1");
+    start ();
+    other_settings = settings;
+    strcpy (other_settings.name, "host-2");
+    other_bus = bus_create (loop);
+    caller_task_options options = {};
+    options.loop = loop;
+    options.bus = other_bus;
+    options.settings = &other_settings;
+    options.counters = the_counters;
+    options.seed = 2;
+    other = caller_task_create (&options);
+    ASSERT_NE (other, nullptr) << status_message ();
+    put_hosts ({ host ("host-1", caller_task_address (task)) });
+    put_other_hosts (the_bus, BUS_HOST_SAMPLE,
+                     { host ("host-2", caller_task_address (other)) });
+    put_other_hosts (other_bus, BUS_HOST_SET,
+                     { host ("host-1", caller_task_address (task)) });
+    /* Nothing listens on port 1. */
+    put_targets (the_bus, { { "t1", "127.0.0.1:1" } });
+    put_targets (other_bus, { { "t1", target_server_address (target) } });
+  }
+
+  void
+  TearDown () override
+  {
+    caller_task_destroy (other);
+    bus_destroy (other_bus);
+    CallerTest::TearDown ();
+  }
+
+  static bus_host_entry
+  host (const std::string &name, const std::string &address)
+  {
+    bus_host_entry entry = {};
+    strcpy (entry.name, name.c_str ());
+    strcpy (entry.dc, "dc-a");
+    strcpy (entry.caller_address, address.c_str ());
+    return entry;
+  }
+
+  /* A sample of hosts, or the set of another service. */
+  static void
+  put_other_hosts (struct bus *bus, bus_topic topic,
+                   const std::vector<bus_host_entry> &hosts)
+  {
+    bus_message message = {};
+    message.topic = topic;
+    strcpy (message.host_set.service, "other");
+    message.host_set.count = hosts.size ();
+    message.host_set.hosts = static_cast<bus_host_entry *> (
+        calloc (hosts.size () + 1, sizeof (bus_host_entry)));
+    for (size_t i = 0; i < hosts.size (); i++)
+      message.host_set.hosts[i] = hosts[i];
+    bus_post (bus, &message);
+  }
+
+  void
+  put_targets (struct bus *bus,
+               const std::vector<std::pair<std::string, std::string>> &list)
+  {
+    std::string text = "{ 'name': 'holds', 'targets': [";
+    for (const auto &[name, address] : list)
+      text += std::string (text.back () == '[' ? "" : ",") + "{ 'name': '"
+              + name + "', 'address': '" + address
+              + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200 }";
+    text += "], 'routes': " + std::string (usual_routes)
+            + ", 'limits': { 'retry_percent': 100 } }";
+    std::replace (text.begin (), text.end (), '\'', '"');
+    bus_message message = {};
+    message.topic = BUS_SERVICE_IN_FORCE;
+    ASSERT_EQ (service_spec_parse ("test", text.c_str (), ++version,
+                                   &message.service_in_force.spec),
+               STATUS_OK)
+        << status_message () << text;
+    bus_post (bus, &message);
+  }
+
+  /* The host has learned that it can't connect to t1. */
+  void
+  learn_that_t1_is_unreachable ()
+  {
+    for (int i = 0; i < 3; i++)
+      get ("/calendar", "first-" + std::to_string (i));
+  }
+
+  /* An attempt at t1 as another host requests it from host-2. */
+  std::unique_ptr<Call>
+  request_attempt (const std::string &method, const std::string &id,
+                   const std::string &name = "t1")
+  {
+    auto call = make (method, "/calendar", id);
+    call->url
+        = std::string ("http://") + caller_task_address (other) + "/calendar";
+    call->fields.push_back ("Jaystair-Relayed: 1");
+    call->fields.push_back ("Jaystair-Service: holds");
+    call->fields.push_back ("Jaystair-Target: " + name);
+    finish (call.get ());
+    return call;
+  }
+
+  target_server *target = nullptr;
+  host_settings other_settings;
+  struct bus *other_bus = nullptr;
+  caller_task *other = nullptr;
+};
+
+/* The path from every host of the set to a target is cut: the target would
+   stay idle, and its requests fail, though other hosts reach it. */
+TEST_F (IndirectAttempt, TargetIsReachedThroughAnotherHost)
+{
+  learn_that_t1_is_unreachable ();
+  for (int i = 0; i < 5; i++)
+    {
+      const std::string id = "read-" + std::to_string (i);
+      const auto call = get ("/calendar", id);
+      EXPECT_EQ (call->status, 200) << call->answer;
+      EXPECT_EQ (call->answer.rfind ("t1 " + id, 0), 0u) << call->answer;
+      EXPECT_EQ (call->field ("jaystair-outcome"), "ran");
+      EXPECT_EQ (target_server_runs (target, id.c_str ()), 1u);
+    }
+}
+
+/* An unrepeatable request must not run twice, nor may its caller be told that
+   it didn't run, when the other host doesn't know. */
+TEST_F (IndirectAttempt, UnrepeatableRequestRunsOnce)
+{
+  learn_that_t1_is_unreachable ();
+  auto call = make ("POST", "/holds", "hold");
+  finish (call.get ());
+  EXPECT_EQ (call->status, 200) << call->answer;
+  EXPECT_EQ (target_server_runs (target, "hold"), 1u);
+  target_server_faults (target)->cut = 100;
+  auto lost = make ("POST", "/holds", "lost");
+  finish (lost.get ());
+  EXPECT_EQ (lost->status, 502) << lost->answer;
+  EXPECT_EQ (lost->field ("jaystair-outcome"), "unknown");
+  EXPECT_EQ (target_server_runs (target, "lost"), 1u);
+}
+
+/* The other host can't reach the target either.  Its response must not pass
+   for the target's, and another target serves the request. */
+TEST_F (IndirectAttempt, UnreachedTargetIsReplacedByAnother)
+{
+  put_targets (other_bus, { { "t1", "127.0.0.1:1" } });
+  learn_that_t1_is_unreachable ();
+  put_targets (the_bus, { { "t1", "127.0.0.1:1" },
+                          { "t2", target_server_address (target) } });
+  for (int i = 0; i < 20; i++)
+    {
+      const auto call = get ("/calendar", "read-" + std::to_string (i));
+      EXPECT_EQ (call->status, 200) << call->answer;
+      EXPECT_EQ (call->field ("jaystair-unreached"), "");
+    }
+}
+
+/* A host that makes an attempt for another one must not retry: the other one
+   does, and the service would get the retries of both. */
+TEST_F (IndirectAttempt, HostMakesOneAttemptForAnother)
+{
+  target_server *second = add_target ("t2");
+  put_targets (other_bus, { { "t1", target_server_address (target) },
+                            { "t2", target_server_address (second) } });
+  target_server_faults (target)->fail = 100;
+  const auto failed = request_attempt ("GET", "once");
+  EXPECT_EQ (failed->status, 500);
+  EXPECT_EQ (failed->field ("jaystair-unreached"), "") << "it is the target's";
+  EXPECT_EQ (target_server_runs (target, "once"), 1u);
+  EXPECT_EQ (target_server_runs (second, "once"), 0u);
+}
+
+/* A target that was removed, or that the other host doesn't know yet. */
+TEST_F (IndirectAttempt, UnknownTargetIsRefused)
+{
+  const auto call = request_attempt ("POST", "unknown", "t9");
+  EXPECT_EQ (call->status, 503);
+  EXPECT_EQ (call->field ("jaystair-unreached"), "1");
+  EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
+  EXPECT_EQ (target_server_runs (target, "unknown"), 0u);
+}
+
+/* A caller that names a target would get round the choice among them. */
+TEST_F (IndirectAttempt, OnlyHostsNameATarget)
+{
+  target_server *second = add_target ("t2");
+  put_other_hosts (other_bus, BUS_HOST_SET,
+                   { host ("host-1", "127.0.0.9:1") });
+  put_targets (other_bus, { { "t1", target_server_address (target) },
+                            { "t2", target_server_address (second) } });
+  const auto call = request_attempt ("GET", "forged");
+  EXPECT_EQ (call->status, 503);
+  EXPECT_EQ (target_server_runs (target, "forged"), 0u);
+  EXPECT_EQ (target_server_runs (second, "forged"), 0u);
+}
+
+} // namespace
--- a/node/control/control_sets.c
+++ b/node/control/control_sets.c
@@ -15,6 +15,8 @@
    * millisecond, so that a change of hosts doesn't delay requests when there
    * are many services. */
   SCORES_PER_TURN = 20000,
+  /** Enough to include several hosts outside any set of a few hosts. */
+  SAMPLE_HOSTS = 16,
 };
 
 static bool
@@ -135,6 +137,35 @@
               LOG_INT ("relays", task->relays.count));
 }
 
+static void
+fill_entry (struct bus_host_entry *entry, const struct host_record *record)
+{
+  memcpy (entry->name, record->name, sizeof record->name);
+  memcpy (entry->dc, record->dc, sizeof record->dc);
+  memcpy (entry->caller_address, record->caller_address,
+          sizeof record->caller_address);
+}
+
+/* Other hosts through which targets can be reached that this host and the
+   others of its sets can't connect to. */
+static void
+post_sample (struct control_task *task)
+{
+  struct bus_message message = { .topic = BUS_HOST_SAMPLE };
+  struct bus_host_set *sample = &message.host_set;
+  sample->hosts = xcalloc (SAMPLE_HOSTS, sizeof *sample->hosts);
+  for (size_t i = 0; i < SAMPLE_HOSTS && task->fleet_count > 0; i++)
+    {
+      const uint32_t index
+          = rng_below (&task->random, (uint32_t)task->fleet_count);
+      const struct control_host *host
+          = control_hosts_find (task, task->fleet[index].key);
+      if (host != NULL && host != task->self)
+        fill_entry (&sample->hosts[sample->count++], &host->record);
+    }
+  bus_post (task->options.bus, &message);
+}
+
 static void
 post_set (struct control_task *task, const struct control_service *service)
 {
@@ -147,14 +178,8 @@
   memcpy (host_set->service, service->name, sizeof host_set->service);
   host_set->hosts = xcalloc (service->set_count, sizeof *host_set->hosts);
   for (size_t i = 0; i < service->set_count; i++)
-    {
-      const struct host_record *record
-          = &control_hosts_find (task, service->set[i])->record;
-      memcpy (host_set->hosts[i].name, record->name, sizeof record->name);
-      memcpy (host_set->hosts[i].dc, record->dc, sizeof record->dc);
-      memcpy (host_set->hosts[i].caller_address, record->caller_address,
-              sizeof record->caller_address);
-    }
+    fill_entry (&host_set->hosts[i],
+                &control_hosts_find (task, service->set[i])->record);
   bus_post (task->options.bus, &message);
   LOG_INFO ("host-set", LOG_STR ("service", service->name),
             LOG_INT ("hosts", service->set_count),
@@ -235,6 +260,7 @@
   control_platform_wake (task);
   const struct bus_message message = { .topic = BUS_MEMBERS };
   bus_post (task->options.bus, &message);
+  post_sample (task);
 }
 
 bool
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -232,6 +232,18 @@
   return true;
 }
 
+bool
+service_policy_acquire (struct service_policy *policy, int64_t now_us,
+                        uint32_t target)
+{
+  policy->now_us = now_us;
+  const struct target_state *t = &policy->set.targets[target];
+  if (!target_state_is_eligible (t) || t->in_flight >= t->config.slots)
+    return false;
+  target_set_acquire (&policy->set, now_us, target);
+  return true;
+}
+
 bool
 service_policy_lacks_retry (struct service_policy *policy, int64_t now_us)
 {
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -184,6 +184,12 @@
                                              int64_t now_us,
                                              const struct policy_request *r);
 
+/** Take a slot of TARGET for an attempt that another host chose.  Its outcome
+ * has to be recorded like any other.
+ * @return false if the target isn't eligible or has no free slot */
+bool service_policy_acquire (struct service_policy *policy, int64_t now_us,
+                             uint32_t target);
+
 /** Record that a request of the service was refused here for a reason
  * outside the policy, such as a workspace's quota. */
 void service_policy_note_refusal (struct service_policy *policy,
