control: a delegate that dies is replaced

A relay that the platform refuses went on requesting the same host to read the newest state while that host was dead: a dead host can't say that it fails. Found by reading the change; no caller saw it. The relay now requests another host once the delegate isn't usable. ControlRegistry.DeadDelegateIsReplaced was red before (not in force after 15 s), 1.1 s now.

--- a/node/caller/exchange_indirect.c
+++ b/node/caller/exchange_indirect.c
@@ -2,7 +2,6 @@
 
 #include "node/caller/exchange_indirect.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <arpa/inet.h>
@@ -10,7 +9,6 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "node/caller/exchange_attempt.h"
-#include "node/caller/target_limits.h"
 
 enum
 {
--- a/node/control/control_delegates.c
+++ b/node/control/control_delegates.c
@@ -82,7 +82,8 @@
 request_delegate (struct control_task *task)
 {
   struct control_delegates *delegates = &task->delegates;
-  const bool is_new = delegates->delegate == 0;
+  const bool is_new
+      = !membership_is_usable (task->membership, delegates->delegate);
   if (is_new)
     {
       delegates->delegate = choose_delegate (task);
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -249,6 +249,27 @@
   EXPECT_TRUE (until ([&] { return all_have_config (5); }));
 }
 
+/* The host that reads for the relay dies: it can't say that it fails. */
+TEST_F (ControlRegistry, DeadDelegateIsReplaced)
+{
+  start_with_silent_watches (4);
+  node &relay = leading_relay ();
+  relay.platform.refuses = true;
+  ASSERT_TRUE (until ([&] {
+    return !relay.platform.has_call ("watch")
+           && watching_count (PLATFORM_READ_LATEST) == 1;
+  }));
+  node &delegate = leading_relay ();
+  delegate.platform.calls.clear ();
+  delegate.stop ();
+  store.put ("config", "main", config_text (5));
+  EXPECT_TRUE (until ([&] {
+    return std::all_of (nodes.begin (), nodes.end (), [] (const auto &n) {
+      return n->task == nullptr || n->config_version == 5;
+    });
+  }));
+}
+
 /* A host that has read for a relay goes on at the full cost of the newest
    state after the platform serves the relay again. */
 TEST_F (ControlRegistry, DelegateReadsOldStateAgainOnceTheRelayIsServed)
