harness: nothing is allocated between fork and exec

Cause: a test program that starts a process forks while its other threads allocate memory. The child built its argument list after the fork, and waited forever for the allocator's lock, which another thread held at the fork. Evidence: the child of the hanging soak_test was still soak_test 190 s after it was started, with one thread, in futex wait on an address of the sanitizer's allocator.

The list is built before the fork, and the child makes system calls only.

--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -28,19 +28,19 @@
   return true;
 }
 
+/* Runs between fork() and exec, where the locks of the parent's other threads
+   stay locked: only system calls, no memory allocation. */
 [[noreturn]] void
-run_child (const std::vector<std::string> &args, int out)
+run_child (char *const *argv, int out)
 {
   /* A killed test program must not leave its children running. */
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   dup2 (out, STDOUT_FILENO);
   dup2 (out, STDERR_FILENO);
-  std::vector<char *> argv;
-  for (const std::string &arg : args)
-    argv.push_back (const_cast<char *> (arg.c_str ()));
-  argv.push_back (nullptr);
-  execv (argv[0], argv.data ());
-  perror (argv[0]);
+  execv (argv[0], argv);
+  static const char message[] = "the program can't be executed\n";
+  const ssize_t written = write (STDERR_FILENO, message, sizeof message - 1);
+  (void)written;
   _exit (127);
 }
 
@@ -72,9 +72,13 @@
   int ends[2];
   if (pipe2 (ends, O_CLOEXEC) != 0)
     abort ();
+  std::vector<char *> argv;
+  for (std::string &arg : args)
+    argv.push_back (arg.data ());
+  argv.push_back (nullptr);
   pid_ = fork ();
   if (pid_ == 0)
-    run_child (args, ends[1]);
+    run_child (argv.data (), ends[1]);
   close (ends[1]);
   reader_ = std::thread ([this, fd = ends[0]] { read_lines (fd); });
 }
