caller, control: logs say by which version a request was handled and how it came

In the incident nobody could tell by which configuration a served request was handled, how old the host's knowledge was, or from where a version had come: only refusals named a version.

--- a/ctl/request_timeline.c
+++ b/ctl/request_timeline.c
@@ -26,11 +26,20 @@
 
 /* Events of targets and hosts: one shortly before an attempt explains how the
    attempt ended. */
-static const char *const context_events[]
-    = { "target-gone",     "target-registered", "removal-held",
-        "platform-failed", "platform-regained", "config-in-force",
-        "config-accepted", "serving",           "leave",
-        "stale",           "log-withheld",      "log-lost" };
+static const char *const context_events[] = { "target-gone",
+                                              "target-registered",
+                                              "removal-held",
+                                              "platform-failed",
+                                              "platform-regained",
+                                              "config-in-force",
+                                              "config-accepted",
+                                              "serving",
+                                              "leave",
+                                              "stale",
+                                              "log-withheld",
+                                              "log-lost",
+                                              "setting-received",
+                                              "paused" };
 
 struct request_timeline *
 request_timeline_create (const char *id)
--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -46,6 +46,11 @@
           .help = "From a request's head to the end of its answer.",
           .kind = COUNTER_HISTOGRAM,
           .label_names = { "service", "outcome" } };
+  const struct counter_family_options config_age
+      = { .name = "jaystair_config_age_seconds",
+          .help = "Age of the proof that the configuration in force was the "
+                  "newest, when a request was routed by it.",
+          .kind = COUNTER_HISTOGRAM };
   const struct counter_family_options attempt_times
       = { .name = "jaystair_attempt_seconds",
           .help = "From the sending of an attempt to its end.",
@@ -53,6 +58,8 @@
           .label_names = { "service", "end" } };
   families->request_times = counters_family (counters, &request_times);
   families->attempt_times = counters_family (counters, &attempt_times);
+  families->config_age = counter_histogram_series (
+      counters_family (counters, &config_age), NULL);
   families->requests = counters_family (counters, &requests);
   families->attempts = counters_family (counters, &attempts);
   families->retries = counters_family (counters, &retries);
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -18,6 +18,7 @@
   struct counter_family *poison_blocks;  /**< by source */
   struct counter_family *request_times;  /**< by service and outcome */
   struct counter_family *attempt_times;  /**< by service and end */
+  struct counter_histogram *config_age;  /**< of each routed request */
   struct counter *in_flight;
   struct counter *address_answers;
 };
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -233,17 +233,28 @@
          || status == MHD_HTTP_SERVICE_UNAVAILABLE;
 }
 
+int64_t
+exchange_config_age_ms (const struct exchange *x)
+{
+  const bool is_known
+      = x->config_version > 0 && x->config_age_ms != FRESHNESS_AGE_UNKNOWN_MS;
+  return is_known ? (int64_t)x->config_age_ms : -1;
+}
+
 /* Refused and failed requests are logged under a rate limit of their own, so
    that lines of successful ones never displace them. */
 static void
 log_refusal (const struct exchange *x)
 {
   const struct fleet_config *config = x->context->config;
+  uint64_t version = x->config_version;
+  if (version == 0 && config != NULL)
+    version = config->version;
   LOG_WARN (
       "refused", LOG_STR ("id", x->head.id), LOG_INT ("request", x->id),
       LOG_STR ("service", service_name (x)), LOG_STR ("route", x->route),
-      LOG_STR ("workspace", x->workspace),
-      LOG_INT ("config_version", config != NULL ? config->version : 0),
+      LOG_STR ("workspace", x->workspace), LOG_INT ("config_version", version),
+      LOG_INT ("config_age_ms", exchange_config_age_ms (x)),
       LOG_INT ("status", x->local_response.status),
       LOG_STR ("outcome", request_outcome_name (x->local_response.outcome)),
       LOG_STR ("reason", x->local_response.reason),
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -91,10 +91,13 @@
   struct caller_service *service;
   char route[SERVICE_NAME_SIZE];      /**< path prefix, truncated */
   char route_host[SERVICE_NAME_SIZE]; /**< host name; "": any */
-  char workspace[SERVICE_NAME_SIZE];  /**< owner of its key; "": none */
-  uint64_t workspace_key;             /**< hash of the workspace's name */
-  int64_t token_expiry_ms;            /**< of the token taken; 0: none */
-  int64_t token_wait_start_us;        /**< 0: not waiting for a token */
+  uint64_t config_version; /**< by which it was routed; of the service where
+                                there is no fleet configuration; 0: not yet */
+  uint32_t config_age_ms;  /**< of its proof then; see freshness.h */
+  char workspace[SERVICE_NAME_SIZE]; /**< owner of its key; "": none */
+  uint64_t workspace_key;            /**< hash of the workspace's name */
+  int64_t token_expiry_ms;           /**< of the token taken; 0: none */
+  int64_t token_wait_start_us;       /**< 0: not waiting for a token */
   uint64_t ticket_sequence;
 
   int64_t started_us; /**< when its head was received */
@@ -183,6 +186,9 @@
 void exchange_refuse (struct exchange *x, uint32_t status, const char *reason,
                       uint32_t retry_after_ms, const char *message);
 
+/** The age to log of the configuration that X was routed by; -1: unknown. */
+int64_t exchange_config_age_ms (const struct exchange *x);
+
 /** The outcome to report when there is no response of a target. */
 enum request_outcome exchange_outcome (const struct exchange *x);
 
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -97,6 +97,18 @@
     refuse_not_configured (x, "no-settings");
 }
 
+static void
+note_config (struct exchange *x)
+{
+  const struct caller_context *context = x->context;
+  x->config_version = context->config != NULL ? context->config->version
+                                              : x->service->spec->version;
+  x->config_age_ms = freshness_age_ms (&context->freshness, clock_now_ms ());
+  if (x->config_age_ms != FRESHNESS_AGE_UNKNOWN_MS)
+    counter_observe (context->counters.config_age,
+                     (int64_t)x->config_age_ms * US_PER_MS);
+}
+
 /* Finds the service of X in the configuration in force.  Returns false if X
    was refused or waits. */
 static bool
@@ -126,6 +138,7 @@
       return false;
     }
   apply_route (x, route);
+  note_config (x);
   return true;
 }
 
--- a/node/control/control_cleanup.c
+++ b/node/control/control_cleanup.c
@@ -98,7 +98,7 @@
     counter_add (cleanup->forgotten_total, 1);
   if (reply->count == 1)
     control_settings_apply (task, PLATFORM_KIND_HOST, cleanup->name,
-                            reply->objects[0].version, NULL);
+                            reply->objects[0].version, NULL, "own removal");
 }
 
 /* A host may register again just before its record is removed.  The write is
--- a/node/control/control_freshness.c
+++ b/node/control/control_freshness.c
@@ -134,8 +134,8 @@
     }
   for (size_t i = 0; i < reply->count; i++)
     control_settings_apply (task, PLATFORM_KIND_CONFIG, reply->objects[i].name,
-                            reply->objects[i].version,
-                            reply->objects[i].value);
+                            reply->objects[i].version, reply->objects[i].value,
+                            "query");
   query->revision = reply->revision;
   if (reply->count > 0)
     query_platform (task, clock_now_ms ());
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -188,11 +188,12 @@
 void control_members_leave (struct control_task *task);
 
 /* control_settings.c */
-/** Apply an object if its version is higher than the one known here.
+/** Apply an object if its version is higher than the one known here.  VIA
+ * says how it arrived, for the log: "list", "watch", "host NAME", ...
  * @return whether it was */
 bool control_settings_apply (struct control_task *task, const char *kind,
                              const char *name, uint64_t version,
-                             const char *value);
+                             const char *value, const char *via);
 void control_settings_receive (struct control_task *task,
                                const struct control_source *source,
                                const struct peer_message *message);
--- a/node/control/control_registration.c
+++ b/node/control/control_registration.c
@@ -60,7 +60,7 @@
   LOG_INFO ("registered", LOG_INT ("version", version),
             LOG_STR ("state", task->is_leaving ? "leaving" : "live"));
   control_settings_apply (task, PLATFORM_KIND_HOST, task->self->record.name,
-                          version, value);
+                          version, value, "own record");
 }
 
 static platform_done put_done;
--- a/node/control/control_removals.c
+++ b/node/control/control_removals.c
@@ -43,7 +43,7 @@
       continue;
     DL_DELETE (task->removals, removal);
     control_settings_apply (task, PLATFORM_KIND_TARGET, removal->name,
-                            removal->version, NULL);
+                            removal->version, NULL, "deferred");
     free (removal);
   }
   schedule_timer (task);
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -2,6 +2,7 @@
 
 #include "node/control/control_internal.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "base/clock.h"
@@ -147,9 +148,24 @@
   return NULL;
 }
 
+/* Host records change with each start, and targets have lines of their
+   own. */
+static void
+log_arrival (const struct control_task *task, const char *kind,
+             const char *name, uint64_t version, const char *via)
+{
+  if (strcmp (kind, PLATFORM_KIND_CONFIG) != 0
+      && strcmp (kind, PLATFORM_KIND_SERVICE) != 0)
+    return;
+  LOG_INFO ("setting-received", LOG_STR ("kind", kind), LOG_STR ("name", name),
+            LOG_INT ("version", version), LOG_STR ("via", via),
+            LOG_INT ("contact_age_ms", control_contact_age_ms (task)));
+}
+
 bool
 control_settings_apply (struct control_task *task, const char *kind,
-                        const char *name, uint64_t version, const char *value)
+                        const char *name, uint64_t version, const char *value,
+                        const char *via)
 {
   object_handler *handler = find_object_handler (task, kind);
   if (handler == NULL || strlen (name) >= PEER_NAME_SIZE)
@@ -157,6 +173,7 @@
   const uint64_t key = settings_key (kind, name);
   if (!settings_index_update (task->index, key, version))
     return false;
+  log_arrival (task, kind, name, version, via);
   control_pulls_complete (task, key, version);
   struct control_object *object
       = store_object (task, key, kind, name, version, value);
@@ -319,6 +336,19 @@
     }
 }
 
+static void
+handle_push (struct control_task *task, const struct control_source *source,
+             const struct peer_settings_push *push)
+{
+  char via[HOST_NAME_SIZE + sizeof "host "];
+  snprintf (via, sizeof via, "host %s", source->host->record.name);
+  if (!control_tombstones_is_outdated (task, push->kind, push->name,
+                                       push->version, push->value)
+      && control_settings_apply (task, push->kind, push->name, push->version,
+                                 push->value, via))
+    task->has_settings = true;
+}
+
 void
 control_settings_receive (struct control_task *task,
                           const struct control_source *source,
@@ -336,13 +366,7 @@
       handle_pull (task, source, &message->settings);
       break;
     case PEER_SETTINGS_PUSH:
-      if (!control_tombstones_is_outdated (
-              task, message->push.kind, message->push.name,
-              message->push.version, message->push.value)
-          && control_settings_apply (task, message->push.kind,
-                                     message->push.name, message->push.version,
-                                     message->push.value))
-        task->has_settings = true;
+      handle_push (task, source, &message->push);
       break;
     default:
       break;
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -407,7 +407,7 @@
                        uint64_t version, const char *value)
 {
   if (control_settings_apply (task, PLATFORM_KIND_SERVICE, name, version,
-                              value))
+                              value, "operator"))
     return STATUS_OK;
   return status_set (STATUS_REFUSED,
                      "version %llu of service %s isn't newer than what is in "
--- a/node/control/tests/control_cleanup_test.cc
+++ b/node/control/tests/control_cleanup_test.cc
@@ -400,7 +400,7 @@
            && control_hosts_find (task, key)->is_listed;
   }));
   const uint64_t version = store.sequence;
-  control_settings_apply (task, "host", "r0", version + 1, nullptr);
+  control_settings_apply (task, "host", "r0", version + 1, nullptr, "test");
   peer_member_update update = {};
   update.host_key = key;
   update.incarnation = 2;
