soak, known red: routes that move under faults, over real processes; four red tests

config_fleet runs hosts on the platform's store with routes that move, come and go while callers use every host; config_judge judges by what callers sent, what targets ran and when the platform confirmed, with the rule's bounds (2 s, 3 s of stability, 0.25 s until an older version may not come back); its own test shows that it can fail. host_network silences each direction of each path; waiting bytes go on waiting until the kernel would send them again. The store can be slow or silent, and reads that may be old are. config_fault_test has single faults, config_soak_test plans from a seed.

--- /dev/null
+++ b/tests/harness/host_network.h
@@ -0,0 +1,101 @@
+/** @file
+ * The network between hosts, and from each host to the platform, in the test
+ * process: each direction of each path can be silenced.
+ *
+ * Bytes on a silenced direction wait, as with TCP whose packets are lost.
+ * When the path works again, they go on waiting until the kernel would send
+ * them again.  A connection that has had bytes to send for longer than the
+ * unacknowledged time of the hosts' sockets is closed.
+ */
+#ifndef TESTS_HARNESS_HOST_NETWORK_H
+#define TESTS_HARNESS_HOST_NETWORK_H
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+class HostNetwork
+{
+public:
+  using Clock = std::chrono::steady_clock;
+  /** Number of the platform; hosts are numbered from 1. */
+  static constexpr int platform = 0;
+
+  HostNetwork ();
+  ~HostNetwork ();
+  HostNetwork (const HostNetwork &) = delete;
+  HostNetwork &operator= (const HostNetwork &) = delete;
+
+  /** Forward connections to LISTEN, an IP:PORT, on to host TO at FORWARD.
+   * The host that connects is known by the name in its first message. */
+  void add_host (int to, const std::string &listen,
+                 const std::string &forward);
+  /** Forward connections of host FROM to the platform. */
+  void add_platform (int from, const std::string &listen,
+                     const std::string &forward);
+
+  /** Silence what FROM sends to TO, or let it pass again. */
+  void silence (int from, int to, bool is_silent);
+  /** Reset all connections of FROM to TO, also new ones, or none again. */
+  void refuse (int from, int to, bool is_refused);
+
+private:
+  struct Listener
+  {
+    int fd;
+    int from; /**< -1: known by the first message */
+    int to;
+    std::string forward;
+  };
+
+  /** One direction of a connection. */
+  struct Flow
+  {
+    int from_fd = -1;
+    int to_fd = -1;
+    std::string pending; /**< read, not yet written */
+    bool is_silent = false;
+    bool is_ended = false; /**< the source has sent all */
+    bool is_new = false;   /**< nothing has passed yet */
+    Clock::time_point silent_since{};
+    Clock::time_point resume_at{};
+  };
+
+  struct Connection
+  {
+    int from = -1;
+    int to = -1;
+    Flow forward;
+    Flow backward;
+    bool is_closed = false;
+  };
+
+  void run ();
+  void accept_one (const Listener &listener);
+  static Clock::time_point next_retransmission (const Flow &flow);
+  void update_silence (Flow &flow, bool is_silent);
+  bool is_open (const Flow &flow) const;
+  void read_flow (Connection &connection, Flow &flow);
+  void identify (Connection &connection);
+  void write_flow (Connection &connection, Flow &flow);
+  void check_unacknowledged (Connection &connection, const Flow &flow);
+  void close_connection (Connection &connection);
+  void poll_once ();
+
+  std::mutex mutex_;
+  std::vector<Listener> listeners_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+  std::map<std::pair<int, int>, bool> silenced_;
+  std::map<std::pair<int, int>, bool> refused_;
+  std::atomic<bool> stopping_{ false };
+  std::thread thread_;
+};
+
+#endif
--- a/tests/harness/kept_connection.cc
+++ b/tests/harness/kept_connection.cc
@@ -21,10 +21,15 @@
 std::string
 format_request (const HttpRequest &request)
 {
-  std::string text
-      = request.method + " " + request.url + " HTTP/1.1\r\nHost: test\r\n";
+  std::string text = request.method + " " + request.url + " HTTP/1.1\r\n";
+  bool has_host = false;
   for (const std::string &header : request.headers)
-    text += header + line_end;
+    {
+      has_host |= header.compare (0, 5, "Host:") == 0;
+      text += header + line_end;
+    }
+  if (!has_host)
+    text += std::string ("Host: test") + line_end;
   if (!request.body.empty () || request.method == "POST")
     text += "Content-Length: " + std::to_string (request.body.size ())
             + line_end;
--- /dev/null
+++ b/tests/soak/config_soak_test.cc
@@ -0,0 +1,224 @@
+/** Routes that move, come and go under faults that overlap: each request is
+ * handled by a configuration that may be in force. */
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "tests/soak/config_fleet.h"
+#include "tests/soak/config_plan.h"
+
+namespace
+{
+
+constexpr int hosts_max = 8;
+constexpr int64_t faults_ms = 20000, calm_ms = 5000;
+constexpr size_t lines_shown = 20;
+
+/** One run: executes a plan while the configuration changes. */
+class ConfigSoak
+{
+public:
+  ConfigSoak (uint64_t seed, int most)
+      : plan_ (config_plan (seed, most, faults_ms)),
+        plan_text_ (config_plan_text (plan_)),
+        fleet_ ({ plan_.hosts, 3, 2, 1500 })
+  {
+  }
+
+  void
+  run ()
+  {
+    ASSERT_TRUE (fleet_.start ()) << fleet_.logs ();
+    run_until (calm_ms);
+    start_ms_ = fleet_.now_ms ();
+    run_until (faults_ms);
+    run_until (faults_ms + calm_ms);
+    const ConfigVerdict verdict = fleet_.finish ();
+    std::cout << plan_.hosts << " hosts, " << plan_.events.size ()
+              << " events, " << verdict.checked << " requests checked, "
+              << verdict.excused << " excused, " << verdict.wrong.size ()
+              << " wrong\n";
+    EXPECT_GT (verdict.checked - verdict.excused, 0);
+    std::string text;
+    for (size_t i = 0; i < std::min (lines_shown, verdict.wrong.size ()); i++)
+      text += verdict.wrong[i] + "\n";
+    EXPECT_EQ (verdict.wrong.size (), 0U)
+        << text << plan_text_ << "faults begin at " << start_ms_ << "\n"
+        << write_logs ();
+  }
+
+private:
+  /* Changes the configuration and executes events until UNTIL_MS after the
+     start. */
+  void
+  run_until (int64_t until_ms)
+  {
+    const int64_t end_ms
+        = (start_ms_ > 0 ? start_ms_ : fleet_.now_ms ()) + until_ms;
+    int64_t change_ms = fleet_.now_ms ();
+    while (fleet_.now_ms () < end_ms)
+      {
+        if (fleet_.now_ms () >= change_ms)
+          {
+            fleet_.change ();
+            change_ms = fleet_.now_ms () + plan_.change_interval_ms;
+          }
+        if (start_ms_ > 0)
+          execute_due (fleet_.now_ms () - start_ms_);
+        const int64_t next_ms = fleet_.now_ms () + tick_ms;
+        wait_until ([&] { return fleet_.now_ms () >= next_ms; });
+      }
+  }
+
+  void
+  execute_due (int64_t now_ms)
+  {
+    for (ConfigFaultEvent &event : plan_.events)
+      {
+        if (event.to_ms <= now_ms && event.from_ms >= 0)
+          {
+            end (event);
+            event.from_ms = -1;
+          }
+      }
+    for (size_t i = begun_;
+         i < plan_.events.size () && plan_.events[i].from_ms <= now_ms; i++)
+      {
+        begin (plan_.events[i]);
+        begun_++;
+      }
+  }
+
+  void
+  begin (const ConfigFaultEvent &event)
+  {
+    static const StoreFault faults[]
+        = { StoreFault::busy, StoreFault::many, StoreFault::reset,
+            StoreFault::silent, StoreFault::slow };
+    switch (event.kind)
+      {
+      case ConfigFaultKind::suspend:
+        fleet_.suspend (event.host);
+        break;
+      case ConfigFaultKind::kill:
+        fleet_.kill (event.host);
+        break;
+      case ConfigFaultKind::terminate:
+        fleet_.terminate (event.host);
+        break;
+      case ConfigFaultKind::reload:
+        fleet_.reload (event.host);
+        break;
+      case ConfigFaultKind::store_fault:
+        fleet_.fail_store (faults[event.variant % 5]);
+        break;
+      case ConfigFaultKind::compact:
+        fleet_.compact_store ();
+        break;
+      default:
+        set_paths (event, true);
+      }
+  }
+
+  void
+  end (const ConfigFaultEvent &event)
+  {
+    switch (event.kind)
+      {
+      case ConfigFaultKind::suspend:
+        fleet_.resume (event.host);
+        break;
+      case ConfigFaultKind::kill:
+      case ConfigFaultKind::terminate:
+        fleet_.start_again (event.host);
+        break;
+      case ConfigFaultKind::store_fault:
+        fleet_.fail_store (StoreFault::none);
+        break;
+      case ConfigFaultKind::reload:
+      case ConfigFaultKind::compact:
+        break;
+      default:
+        set_paths (event, false);
+      }
+  }
+
+  void
+  set_paths (const ConfigFaultEvent &event, bool is_faulty)
+  {
+    const ConfigFaultKind kind = event.kind;
+    if (kind == ConfigFaultKind::silence_from)
+      fleet_.silence_from (event.host, is_faulty);
+    if (kind == ConfigFaultKind::silence_to)
+      fleet_.silence_to (event.host, is_faulty);
+    if (kind == ConfigFaultKind::silence_peers
+        || kind == ConfigFaultKind::cut_off)
+      fleet_.silence_peers (event.host, is_faulty);
+    if (kind == ConfigFaultKind::silence_platform
+        || kind == ConfigFaultKind::cut_off)
+      fleet_.silence_platform (event.host, is_faulty);
+    if (kind == ConfigFaultKind::refuse_platform)
+      fleet_.refuse_platform (event.host, is_faulty);
+  }
+
+  /* Keeps the logs of a failed run in the folder that the environment names.
+   */
+  std::string
+  write_logs ()
+  {
+    const char *folder = getenv ("JAYSTAIR_CONFIG_SOAK_LOGS");
+    if (folder == nullptr)
+      return "";
+    const std::string path = std::string (folder) + "/"
+                             + std::to_string (fleet_.now_ms ()) + ".log";
+    std::ofstream (path) << fleet_.logs ();
+    return path;
+  }
+
+  static constexpr int64_t tick_ms = 50;
+  ConfigPlan plan_;
+  std::string plan_text_;
+  ConfigFleet fleet_;
+  int64_t start_ms_ = 0;
+  size_t begun_ = 0;
+};
+
+void
+run_seed (uint64_t seed, int most = hosts_max)
+{
+  SCOPED_TRACE ("seed " + std::to_string (seed));
+  std::cout << "seed " << seed << ": ";
+  ConfigSoak soak (seed, most);
+  soak.run ();
+}
+
+/* Two fixed seeds in each CI run. */
+TEST (ConfigSoakTest, FirstSeed)
+{
+  run_seed (1);
+}
+
+TEST (ConfigSoakTest, SecondSeed)
+{
+  run_seed (2);
+}
+
+/* Runs COUNT seeds from FROM with up to MOST hosts as the environment has
+   FROM:COUNT:MOST. */
+TEST (ConfigSoakManual, SeedsFromEnvironment)
+{
+  const char *seeds = getenv ("JAYSTAIR_CONFIG_SOAK");
+  if (seeds == nullptr)
+    GTEST_SKIP () << "set JAYSTAIR_CONFIG_SOAK=FROM:COUNT:MOST to run others";
+  char *rest = nullptr;
+  const uint64_t from = strtoull (seeds, &rest, 10);
+  const uint64_t count = *rest == ':' ? strtoull (rest + 1, &rest, 10) : 1;
+  const int most = *rest == ':' ? atoi (rest + 1) : hosts_max;
+  for (uint64_t seed = from; seed < from + count; seed++)
+    run_seed (seed, most);
+}
+
+} // namespace
