control: a host that nobody else informs reads soon after an outage

Cause: reads of each kind of object back off by themselves, up to 5 s. host-1, which reached no other host, read its targets again while the reads of the configuration still waited for 3.4 s (platform-regained kind=target at 40.192, kind=config at 43.601, the first wrong request at 43.0); a call under way that nothing answers adds up to 4 s. A host that others inform doesn't notice.

One success ends the long back-offs of the other kinds; a leading relay, and a host that sees no other one counts as such, backs off for 0.8 s at the most; after a failure the next watch ends at once, so that silence is noticed within the call's time-out. Together these stay below the 3 s after which a host is in touch. Hosts that others inform keep their 5 s, so an outage doesn't end in a rush of all hosts.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -346,7 +346,10 @@
 void control_registration_restore (struct control_task *task);
 void control_registration_stop (struct control_task *task);
 /** Start TIMER, which repeats a call to the platform, after a back-off that
- * grows with each failure. */
+ * grows with each failure up to MAX_MS. */
+void control_retry_within (struct control_task *task, struct ev_timer *timer,
+                           uint32_t *backoff_ms, uint32_t max_ms);
+/** The same with the longest back-off. */
 void control_retry_later (struct control_task *task, struct ev_timer *timer,
                           uint32_t *backoff_ms);
 
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -23,6 +23,17 @@
   /** Maximum number of heartbeat intervals for a contact to spread from a
    * relay to any host. */
   SPREAD_HEARTBEATS = 3,
+  /** Longest back-off of a host that no other one informs: a leading relay, or
+   * one that is cut from the others.  It and a call that isn't answered end
+   * within three seconds. */
+  INFORMED_BY_NOBODY_BACKOFF_MAX_MS = 800,
+  OTHERS_BACKOFF_MAX_MS = 5000,
+  /** Longest rest of a back-off once the platform has answered for another
+   * kind of object. */
+  REGAINED_BACKOFF_MAX_MS = 200,
+  /** A watch after a failure ends at once, so that the failure of a path that
+   * stays silent is noticed soon. */
+  PROBE_WATCH_MS = 1,
 };
 
 /* The age of the contact is that of the kind of settings that was read the
@@ -39,6 +50,28 @@
     control_members_note_contact (task, contact_ms);
 }
 
+static void
+shorten_backoff (struct control_feed *feed, uint32_t max_ms)
+{
+  struct control_task *task = feed->task;
+  if (feed->backoff_ms == 0 || !ev_is_active (&feed->retry)
+      || ev_timer_remaining (task->options.loop, &feed->retry)
+             <= max_ms / 1000.0)
+    return;
+  control_retry_within (task, &feed->retry, &feed->backoff_ms, max_ms);
+}
+
+/* Each kind backs off for itself.  Without this, a host could read targets
+   again while it waits for seconds to read the configuration. */
+static void
+shorten_other_backoffs (const struct control_feed *feed)
+{
+  struct control_task *task = feed->task;
+  for (size_t i = 0; i < task->feed_count; i++)
+    if (&task->feeds[i] != feed)
+      shorten_backoff (&task->feeds[i], REGAINED_BACKOFF_MAX_MS);
+}
+
 static void
 feed_succeeded (struct control_feed *feed)
 {
@@ -52,6 +85,7 @@
                 LOG_INT ("revision", feed->revision));
     }
   feed->backoff_ms = 0;
+  shorten_other_backoffs (feed);
   note_contact (feed->task);
 }
 
@@ -132,7 +166,10 @@
   LOG_WARN ("platform-failed", LOG_STR ("kind", feed->kind),
             LOG_STR ("status", status_name (reply->status)),
             LOG_STR ("why", reply->message));
-  control_retry_later (feed->task, &feed->retry, &feed->backoff_ms);
+  control_retry_within (feed->task, &feed->retry, &feed->backoff_ms,
+                        feed->task->is_leading
+                            ? INFORMED_BY_NOBODY_BACKOFF_MAX_MS
+                            : OTHERS_BACKOFF_MAX_MS);
   if (strcmp (feed->kind, PLATFORM_KIND_HOST) != 0)
     control_delegates_note_failure (feed->task);
 }
@@ -261,6 +298,8 @@
 {
   const struct control_task *task = feed->task;
   const struct control_times *times = &task->options.settings->times;
+  if (feed->backoff_ms > 0)
+    return PROBE_WATCH_MS;
   const bool is_short = reads_newest (task)
                         && strcmp (feed->kind, PLATFORM_KIND_HOST) != 0
                         && times->relay_watch_ms < times->watch_ms;
@@ -279,6 +318,8 @@
   struct control_task *task = feed->task;
   if (reads_newest (task) && feed->backoff_ms == 0)
     ev_timer_stop (task->options.loop, &feed->retry);
+  if (task->is_leading)
+    shorten_backoff (feed, INFORMED_BY_NOBODY_BACKOFF_MAX_MS);
   if (!feed->is_pending || !feed->is_listed
       || feed->watch_timeout_ms <= watch_ms (feed))
     return;
--- a/node/control/control_registration.c
+++ b/node/control/control_registration.c
@@ -14,18 +14,25 @@
 };
 
 void
-control_retry_later (struct control_task *task, struct ev_timer *timer,
-                     uint32_t *backoff_ms)
+control_retry_within (struct control_task *task, struct ev_timer *timer,
+                      uint32_t *backoff_ms, uint32_t max_ms)
 {
   const double jitter = 0.5 + 0.5 * rng_unit (&task->random);
   if (*backoff_ms == 0)
     *backoff_ms = BACKOFF_MIN_MS;
+  if (*backoff_ms > max_ms)
+    *backoff_ms = max_ms;
   ev_timer_stop (task->options.loop, timer);
   ev_timer_set (timer, *backoff_ms * jitter / 1000.0, 0);
   ev_timer_start (task->options.loop, timer);
   *backoff_ms *= 2;
-  if (*backoff_ms > BACKOFF_MAX_MS)
-    *backoff_ms = BACKOFF_MAX_MS;
+}
+
+void
+control_retry_later (struct control_task *task, struct ev_timer *timer,
+                     uint32_t *backoff_ms)
+{
+  control_retry_within (task, timer, backoff_ms, BACKOFF_MAX_MS);
 }
 
 static char *
