control: a relay whose call is overdue asks another host to read at once

Cause: a relay noticed silence only when its call timed out, 2 s after a watch of 2 s, and asked for a delegate then; the other hosts waited until the contact was 3.5 s old.

A watch of a relay lasts 1 s, and a call that isn't answered 0.4 s after its watch ended counts as unanswered: the relay requests a delegate, and a delegate says so in its turn, without waiting for the time-out. So a change is read 1.4 s after the silence began at the latest. It costs one more read of the newest state a second and relay for each of the two kinds.

--- a/node/control/control_delegates.c
+++ b/node/control/control_delegates.c
@@ -42,7 +42,7 @@
 cannot_read (const struct control_task *task)
 {
   for (size_t i = 0; i < task->feed_count; i++)
-    if (task->feeds[i].backoff_ms > 0
+    if ((task->feeds[i].backoff_ms > 0 || task->feeds[i].is_overdue)
         && strcmp (task->feeds[i].kind, PLATFORM_KIND_HOST) != 0)
       return true;
   return false;
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -31,6 +31,9 @@
   /** Longest rest of a back-off once the platform has answered for another
    * kind of object. */
   REGAINED_BACKOFF_MAX_MS = 200,
+  /** The platform answers within this time after a watch has ended.  Later, a
+   * call counts as unanswered before its time-out. */
+  OVERDUE_MS = 400,
   /** A watch after a failure ends at once, so that the failure of a path that
    * stays silent is noticed soon. */
   PROBE_WATCH_MS = 1,
@@ -160,6 +163,37 @@
 
 static void feed_next (struct control_feed *feed);
 
+static void
+end_call (struct control_feed *feed)
+{
+  feed->is_pending = false;
+  feed->is_overdue = false;
+  ev_timer_stop (feed->task->options.loop, &feed->overdue);
+}
+
+static void
+begin_call (struct control_feed *feed, enum platform_read_mode mode,
+            uint32_t timeout_ms)
+{
+  feed->is_pending = true;
+  feed->read_mode = mode;
+  feed->requested_ms = clock_now_ms ();
+  feed->watch_timeout_ms = timeout_ms;
+  ev_timer_set (&feed->overdue, (timeout_ms + OVERDUE_MS) / 1000.0, 0);
+  ev_timer_start (feed->task->options.loop, &feed->overdue);
+}
+
+/* A path that fails silently would be noticed only when the call times out,
+   seconds after a change has to be in force. */
+static void
+overdue_cb (struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+  struct control_feed *feed = watcher->data;
+  feed->is_overdue = true;
+  if (strcmp (feed->kind, PLATFORM_KIND_HOST) != 0)
+    control_delegates_note_failure (feed->task);
+}
+
 static void
 feed_failed (struct control_feed *feed, const struct platform_reply *reply)
 {
@@ -189,7 +223,7 @@
 list_done (void *owner, const struct platform_reply *reply)
 {
   struct control_feed *feed = owner;
-  feed->is_pending = false;
+  end_call (feed);
   if (reply->status != STATUS_OK)
     {
       feed_failed (feed, reply);
@@ -246,7 +280,7 @@
 watch_done (void *owner, const struct platform_reply *reply)
 {
   struct control_feed *feed = owner;
-  feed->is_pending = false;
+  end_call (feed);
   if (reply->status == STATUS_REFUSED)
     {
       feed->is_listed = false;
@@ -324,7 +358,7 @@
       || feed->watch_timeout_ms <= watch_ms (feed))
     return;
   platform_cancel (task->options.platform, feed);
-  feed->is_pending = false;
+  end_call (feed);
 }
 
 /* Every host lists once.  Then relays watch, and the others receive changes
@@ -337,10 +371,8 @@
     return;
   if (!feed->is_listed)
     {
-      feed->is_pending = true;
       feed->revision = 0;
-      feed->read_mode = list_read_mode (feed);
-      feed->requested_ms = clock_now_ms ();
+      begin_call (feed, list_read_mode (feed), 0);
       platform_list (task->options.platform, feed->kind, feed->read_mode,
                      list_done, feed);
       return;
@@ -349,10 +381,7 @@
   if (!feed->is_watched_by_all && !task->is_relay && !task->is_stale
       && !control_delegates_is_delegate (task))
     return;
-  feed->is_pending = true;
-  feed->watch_timeout_ms = watch_ms (feed);
-  feed->read_mode = watch_read_mode (feed);
-  feed->requested_ms = clock_now_ms ();
+  begin_call (feed, watch_read_mode (feed), watch_ms (feed));
   platform_watch (task->options.platform, feed->kind, feed->revision,
                   feed->watch_timeout_ms, feed->read_mode, watch_done, feed);
 }
@@ -384,6 +413,8 @@
   feed->is_watched_by_all = is_watched_by_all;
   ev_timer_init (&feed->retry, feed_retry_cb, 0, 0);
   feed->retry.data = feed;
+  ev_timer_init (&feed->overdue, overdue_cb, 0, 0);
+  feed->overdue.data = feed;
 }
 
 /* The feed of hosts is the last one; control_platform_hosts_are_current()
@@ -431,6 +462,7 @@
   for (size_t i = 0; i < task->feed_count; i++)
     {
       ev_timer_stop (task->options.loop, &task->feeds[i].retry);
+      ev_timer_stop (task->options.loop, &task->feeds[i].overdue);
       platform_cancel (task->options.platform, &task->feeds[i]);
     }
 }
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -90,6 +90,8 @@
   int64_t recovered_ms; /**< when a call succeeded after one had failed */
   uint32_t backoff_ms;
   struct ev_timer retry;
+  bool is_overdue; /**< the call in flight should have been answered */
+  struct ev_timer overdue;
 };
 
 /** This host's own object on the platform. */
--- a/node/control/tests/control_task_test.cc
+++ b/node/control/tests/control_task_test.cc
@@ -10,7 +10,11 @@
   const uint64_t version
       = store.put ("service", "holds", service_text ("holds", 4));
   EXPECT_TRUE (until ([&] { return all_have ("holds", version); }));
-  EXPECT_TRUE (until ([&] { return nodes[1]->set_size ("holds") == 3; }));
+  EXPECT_TRUE (until ([&] {
+    return std::all_of (nodes.begin (), nodes.end (), [] (const auto &n) {
+      return n->set_size ("holds") == 3;
+    });
+  }));
   EXPECT_EQ (nodes[0]->sets["holds"], nodes[1]->sets["holds"]);
   const char *names[4];
   EXPECT_EQ (control_host_set (nodes[2]->task, "holds", names, 4), 3u);
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -48,7 +48,7 @@
       .enforce_ms = 3000,
       .owner_lease_ms = 5000,
       .watch_ms = 20000,
-      .relay_watch_ms = 2000,
+      .relay_watch_ms = 1000,
       .platform_timeout_ms = 2000,
       .evidence_ms = 250,
       .shutdown_ms = 30000,
