control: only answers of hosts with the same settings count as contact

Cause: the age of the contact with the platform came with any heartbeat and was counted from when it was read. A heartbeat that had waited in a buffer, while the process stood still or packets were sent again, made an old contact look new; and a host whose settings differed, since its requests for them got lost, took over the contact of those that had newer ones. A host without contact waited for 3.5 s, longer than the 2 s in which a change must be in force.

Only an answer to a heartbeat counts now, from the time of the heartbeat, and only if both have the same settings. A host that reads the newest state, with no answer overdue, has an age of 0.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -117,9 +117,15 @@
   bool is_leaving;
   bool is_stale;
   bool has_settings;
-  bool hosts_changed;       /**< since `fleet` was built */
-  int64_t last_contact_ms;  /**< with the platform or a relay */
-  int64_t last_compared_ms; /**< when bucket hashes were last compared */
+  bool hosts_changed;      /**< since `fleet` was built */
+  int64_t last_contact_ms; /**< with the platform or a relay */
+  /** Newest contact that other hosts have confirmed while they had the same
+   * settings. */
+  int64_t relayed_contact_ms;
+  /** This host reads the newest state until then, as nobody informs it. */
+  int64_t self_read_end_ms;
+  struct ev_timer contact_timer; /**< looks whether that is so */
+  int64_t last_compared_ms;      /**< when bucket hashes were last compared */
   uint64_t last_probed_key; /**< key of the dead host that was last probed */
 };
 
@@ -300,13 +306,22 @@
                                 const struct peer_report *report);
 void control_delegates_stop (struct control_task *task);
 
+/* control_contact.c: whether other hosts inform this one of changes */
+void control_contact_start (struct control_task *task);
+/** Another host answered a heartbeat of this one. */
+void control_contact_note_answer (struct control_task *task,
+                                  const struct peer_heartbeat *answer);
+/** Whether this host has to read the newest state since nobody informs it. */
+bool control_contact_reads_for_itself (const struct control_task *task);
+void control_contact_stop (struct control_task *task);
+
 /* control_platform.c */
 void control_platform_start (struct control_task *task);
 /** Relays start to watch, other hosts stop. */
 void control_platform_wake (struct control_task *task);
-/** Read the platform at once if the state that relays pass on has become
- * old. */
-void control_platform_check_age (struct control_task *task, int64_t now_ms);
+/** Whether this host would learn of a change within the time of a call: it is
+ * reading the newest state, and no answer is overdue. */
+bool control_platform_is_current (const struct control_task *task);
 /** Whether host records are being watched and the last call was answered. */
 bool control_platform_hosts_are_current (const struct control_task *task,
                                          int64_t now_ms);
--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -9,6 +9,8 @@
 static uint32_t
 contact_age_ms (const struct control_task *task, int64_t now_ms)
 {
+  if (control_platform_is_current (task))
+    return 0;
   const int64_t age = now_ms - task->last_contact_ms;
   return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
 }
@@ -193,7 +195,6 @@
   request_indirect_checks (task, keys, count, now_ms);
   probe_dead (task, now_ms);
   update_staleness (task, now_ms);
-  control_platform_check_age (task, now_ms);
   control_freshness_tick (task, now_ms);
 }
 
@@ -220,17 +221,6 @@
   control_hosts_changed (task);
 }
 
-/* Each host passes on the age of the newest contact with the platform, its
-   own or one reported by another host.  A leading relay ignores the reports,
-   which might originate from itself. */
-static void
-note_relay_contact (struct control_task *task,
-                    const struct peer_heartbeat *heartbeat, int64_t now_ms)
-{
-  if (!task->is_leading)
-    control_members_note_contact (task, now_ms - heartbeat->relay_age_ms);
-}
-
 static void
 handle_heartbeat (struct control_task *task,
                   const struct control_source *source,
@@ -243,7 +233,6 @@
   const struct peer_message answer
       = make_heartbeat (task, PEER_HEARTBEAT_ACK, heartbeat->sequence);
   control_reply (task, source, &answer);
-  note_relay_contact (task, heartbeat, now_ms);
 }
 
 static void
@@ -278,7 +267,7 @@
     return;
   membership_note_answer (task->membership, (int64_t)heartbeat->sequence,
                           source->host->key, source->host->record.incarnation);
-  note_relay_contact (task, heartbeat, now_ms);
+  control_contact_note_answer (task, heartbeat);
   control_freshness_receive_ack (task, heartbeat);
   complete_indirect_checks (task, source->host->key);
 }
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -20,9 +20,6 @@
    * old, they continue at once.  With hundreds of hosts, their watches are
    * most of the platform's calls. */
   OTHERS_WATCH_DELAY_MS = 8000,
-  /** Maximum number of heartbeat intervals for a contact to spread from a
-   * relay to any host. */
-  SPREAD_HEARTBEATS = 3,
   /** Longest back-off of a host that no other one informs: a leading relay, or
    * one that is cut from the others.  It and a call that isn't answered end
    * within three seconds. */
@@ -240,30 +237,13 @@
   feed_next (feed);
 }
 
-/* All relays may be disconnected from the platform without noticing, or be
-   killed at once; the other hosts would then wait for their long watch to end.
-   The state of a leading relay is at most two seconds old, and each heartbeat
-   on the way adds half a second.  Relays become leading once they have
-   settled, so the contact can't be old before that. */
-static bool
-contact_is_old (const struct control_task *task)
-{
-  const struct control_times *times = &task->options.settings->times;
-  const int64_t max_age_ms
-      = (int64_t)times->relay_watch_ms
-        + (int64_t)SPREAD_HEARTBEATS * times->heartbeat_ms;
-  const int64_t start_ms = task->last_contact_ms > task->settled_ms
-                               ? task->last_contact_ms
-                               : task->settled_ms;
-  return task->settled_ms > 0 && clock_now_ms () - start_ms > max_age_ms;
-}
-
 /* Whether this host has to read the newest state from the platform itself. */
 static bool
 reads_newest (const struct control_task *task)
 {
   return task->is_leading || task->is_stale
-         || control_delegates_is_delegate (task) || contact_is_old (task);
+         || control_delegates_is_delegate (task)
+         || control_contact_reads_for_itself (task);
 }
 
 static void
@@ -435,6 +415,7 @@
   for (size_t i = 0; i < task->feed_count; i++)
     feed_next (&task->feeds[i]);
   control_registration_start (task);
+  control_contact_start (task);
 }
 
 void
@@ -447,18 +428,27 @@
     }
 }
 
-void
-control_platform_check_age (struct control_task *task, int64_t now_ms)
+static bool
+feed_is_current (const struct control_feed *feed)
 {
-  const bool watches = task->registry != NULL
-                       && task->options.settings->modes.all_watch_registry;
-  if (watches && !task->is_leading && contact_is_old (task))
-    control_platform_wake (task);
+  return feed->is_listed && feed->backoff_ms == 0 && !feed->is_overdue
+         && feed->read_mode == PLATFORM_READ_LATEST;
+}
+
+bool
+control_platform_is_current (const struct control_task *task)
+{
+  for (size_t i = 0; i < task->feed_count; i++)
+    if (strcmp (task->feeds[i].kind, PLATFORM_KIND_HOST) != 0
+        && !feed_is_current (&task->feeds[i]))
+      return false;
+  return task->feed_count > 0 && reads_newest (task);
 }
 
 void
 control_platform_stop (struct control_task *task)
 {
+  control_contact_stop (task);
   for (size_t i = 0; i < task->feed_count; i++)
     {
       ev_timer_stop (task->options.loop, &task->feeds[i].retry);
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -103,6 +103,7 @@
         n.settings.times.watch_ms = 7200 * 1000;
         n.settings.times.relay_watch_ms = 3600 * 1000;
         n.settings.times.stale_after_ms = 3600 * 1000;
+        n.settings.times.config_apply_ms = 3600 * 1000;
         n.start (loop);
       }
     store.put ("config", "main", config_text (4));
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -49,6 +49,7 @@
       .owner_lease_ms = 5000,
       .watch_ms = 20000,
       .relay_watch_ms = 1000,
+      .config_apply_ms = 2000,
       .platform_timeout_ms = 2000,
       .evidence_ms = 250,
       .shutdown_ms = 30000,
@@ -203,6 +204,7 @@
     { "owner_lease_ms", &times->owner_lease_ms },
     { "watch_ms", &times->watch_ms },
     { "relay_watch_ms", &times->relay_watch_ms },
+    { "config_apply_ms", &times->config_apply_ms },
     { "platform_timeout_ms", &times->platform_timeout_ms },
     { "evidence_ms", &times->evidence_ms },
     { "shutdown_ms", &times->shutdown_ms },
@@ -452,7 +454,7 @@
                "poison_settings has padding: compare its members");
 _Static_assert(sizeof (struct retry_settings) == 4 * sizeof (uint32_t),
                "retry_settings has padding: compare its members");
-_Static_assert(sizeof (struct control_times) == 13 * sizeof (uint32_t),
+_Static_assert(sizeof (struct control_times) == 14 * sizeof (uint32_t),
                "control_times has padding: compare its members");
 
 static bool
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -84,6 +84,9 @@
   /** The same at a leading relay: a watch can stop delivering without an
    * error, and the relay learns of what it missed with the next watch. */
   uint32_t relay_watch_ms;
+  /** A confirmed change is in force on every host after this time; a host that
+   * isn't informed by others reads it itself before. */
+  uint32_t config_apply_ms;
   uint32_t platform_timeout_ms;
   uint32_t evidence_ms;    /**< interval of the reports to a service's owner */
   uint32_t shutdown_ms;    /**< how long a leaving host takes at most */
