caller, control: requests wait a moment while the settings may be old

Cause: the event loop reads callers' connections and those of other hosts in any order, and nothing compared the age of what the host knew with the time in which a change must be in force. A relay also took the answer of a watch that had waited in its buffer for a new one.

The control task tells the caller task up to when every confirmed change is in force: now while it reads the newest state, else the newest contact that a host with the same settings has confirmed. If that is older than 0.8 of config_apply_ms, a request waits while the host asks its neighbours and the platform, for a quarter of a second at the most and only once until the settings are confirmed again: in an outage callers don't wait, they are served by the best that is known. After a pause a relay makes its calls again, and only answers to those count.

--- a/node/bus.c
+++ b/node/bus.c
@@ -67,6 +67,8 @@
     case BUS_MEMBERS:
     case BUS_FRESHNESS:
     case BUS_FRESHNESS_REQUESTED:
+    case BUS_CONTACT:
+    case BUS_CONTACT_REQUESTED:
     case BUS_QUOTA_REQUESTED:
     case BUS_QUOTA_GRANTED:
     case BUS_RETRIES_WANTED:
--- a/node/bus.h
+++ b/node/bus.h
@@ -40,6 +40,8 @@
   BUS_MEMBERS,             /**< the view of the other hosts changed */
   BUS_FRESHNESS,           /**< proof that the configuration is the newest */
   BUS_FRESHNESS_REQUESTED, /**< requests wait for such a proof */
+  BUS_CONTACT,             /**< newest contact with the platform */
+  BUS_CONTACT_REQUESTED,   /**< requests wait for a newer one */
   BUS_QUOTA_REQUESTED,     /**< requests need tokens of a workspace */
   BUS_QUOTA_GRANTED,       /**< a coordinator's answer */
   BUS_POISON_ANNOUNCED,    /**< a change of poison requests, for other hosts */
@@ -124,6 +126,12 @@
   enum attempt_end end;
 };
 
+/** Every change that was confirmed before `at_ms` is in force here. */
+struct bus_contact
+{
+  int64_t at_ms;
+};
+
 /** Tokens of a workspace: requested (only answer.wanted is used) or
  * granted. */
 struct bus_quota
@@ -191,6 +199,7 @@
     struct bus_path_faults path_faults;
     struct bus_outcome outcome;
     struct freshness_proof freshness;
+    struct bus_contact contact;
     struct bus_quota quota;
     struct bus_poison poison;
     struct bus_limits limits;
--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -41,6 +41,11 @@
   struct caller_service *services; /**< by name */
   /** Whether the configuration in force is recent enough to check keys. */
   struct freshness freshness;
+  /** Every change confirmed before is in force; 0: not known yet. */
+  int64_t contact_ms;
+  /** Requests wait for a newer contact until then; 0: the first one that finds
+   * it old begins to. */
+  int64_t contact_wait_end_us;
   /** Since when requests wait for a freshness proof; 0: none do. */
   int64_t proof_wait_since_us;
   struct quota_client *quotas;
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -18,6 +18,7 @@
 #include "node/caller/crash_check.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
+#include "node/caller/exchange_contact.h"
 #include "node/caller/exchange_quota.h"
 #include "node/caller/leaving_probe.h"
 #include "node/caller/poison_filter.h"
@@ -153,6 +154,13 @@
   exchange_access_resume_all (context);
 }
 
+static void
+on_contact (void *owner, const struct bus_message *message)
+{
+  struct caller_task *task = owner;
+  exchange_contact_receive (&task->context, message->contact.at_ms);
+}
+
 static void
 on_poison_received (void *owner, const struct bus_message *message)
 {
@@ -277,6 +285,7 @@
   bus_subscribe (task->bus, BUS_SERVICE_REMOVED, on_service_removed, task);
   bus_subscribe (task->bus, BUS_CONFIG_IN_FORCE, on_config, task);
   bus_subscribe (task->bus, BUS_FRESHNESS, on_freshness, task);
+  bus_subscribe (task->bus, BUS_CONTACT, on_contact, task);
   bus_subscribe (task->bus, BUS_QUOTA_GRANTED, on_quota_granted, task);
   bus_subscribe (task->bus, BUS_POISON_RECEIVED, on_poison_received, task);
   bus_subscribe (task->bus, BUS_LIMITS_RECEIVED, on_limits_received, task);
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -44,6 +44,7 @@
 {
   EXCHANGE_WAIT_NONE,
   EXCHANGE_WAIT_SETTINGS,  /**< not received yet after the start */
+  EXCHANGE_WAIT_CONTACT,   /**< the settings may be old */
   EXCHANGE_WAIT_FRESHNESS, /**< proof that the configuration is fresh */
   EXCHANGE_WAIT_TOKEN,     /**< of the workspace's quota */
   EXCHANGE_WAIT_BODY       /**< prefix, for the fingerprint */
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -6,6 +6,7 @@
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_contact.h"
 #include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_quota.h"
@@ -120,6 +121,8 @@
       wait_for_settings (x);
       return false;
     }
+  if (!exchange_contact_check (x))
+    return false;
   const uint32_t method = route_method_bit (x->head.method);
   const struct route *route = route_table_match (context->routes, x->head.host,
                                                  x->head.path, method);
--- a/node/control/control_contact.c
+++ b/node/control/control_contact.c
@@ -18,6 +18,8 @@
    * platform would refuse most of them. */
   READERS_PER_CHECK = 8,
   READ_MS = 1000,
+  /** The caller task isn't told of every answer. */
+  POST_INTERVAL_MS = 50,
 };
 
 /* All relays may be disconnected from the platform without noticing, or be
@@ -51,11 +53,74 @@
   return clock_now_ms () < task->self_read_end_ms;
 }
 
+/* Tells the caller task, after what it has to know before. */
+static void
+post_contact (struct control_task *task)
+{
+  const int64_t at_ms = control_platform_is_current (task)
+                            ? clock_now_ms ()
+                            : task->relayed_contact_ms;
+  if (task->registry == NULL
+      || at_ms - task->posted_contact_ms < POST_INTERVAL_MS)
+    return;
+  task->posted_contact_ms = at_ms;
+  registry_publish_pending (task->registry);
+  const struct bus_message message
+      = { .topic = BUS_CONTACT, .contact = { .at_ms = at_ms } };
+  bus_post (task->options.bus, &message);
+}
+
+void
+control_contact_note_read (struct control_task *task)
+{
+  post_contact (task);
+}
+
+static void
+ask_neighbours (struct control_task *task, int64_t now_ms)
+{
+  uint64_t keys[CONTROL_MONITORED_MAX];
+  const size_t count
+      = membership_monitored (task->membership, keys, CONTROL_MONITORED_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct control_host *host = control_hosts_find (task, keys[i]);
+      if (host != NULL)
+        control_members_send_heartbeat (task, host, now_ms);
+    }
+}
+
+/* Requests wait: the next heartbeats and answers would take too long. */
+static void
+on_requested (void *owner, const struct bus_message *message)
+{
+  struct control_task *task = owner;
+  const int64_t now_ms = clock_now_ms ();
+  ask_neighbours (task, now_ms);
+  if (!control_contact_reads_for_itself (task))
+    LOG_INFO ("reads-for-itself",
+              LOG_INT ("uninformed_ms", uninformed_ms (task, now_ms)),
+              LOG_STR ("why", "requests wait for newer settings"));
+  task->self_read_end_ms = now_ms + READ_MS;
+  control_platform_wake (task);
+}
+
+/* Calls in flight may have been answered before the pause. */
+static void
+on_paused (void *owner, int64_t paused_ms)
+{
+  struct control_task *task = owner;
+  task->resumed_ms = clock_now_ms ();
+  if (task->is_leading)
+    control_platform_restart (task);
+}
+
 static void
 check_cb (struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
   struct control_task *task = watcher->data;
   const int64_t now_ms = clock_now_ms ();
+  post_contact (task);
   if (task->is_leading || !has_to_read (task, now_ms))
     return;
   const bool was_reading = control_contact_reads_for_itself (task);
@@ -84,6 +149,7 @@
   if (at_ms > task->relayed_contact_ms)
     task->relayed_contact_ms = at_ms;
   control_members_note_contact (task, at_ms);
+  post_contact (task);
 }
 
 void
@@ -95,10 +161,15 @@
   if (task->registry != NULL
       && task->options.settings->modes.all_watch_registry)
     ev_timer_start (task->options.loop, &task->contact_timer);
+  const struct pause_watch_options options
+      = { .loop = task->options.loop, .paused = on_paused, .owner = task };
+  pause_watch_start (&task->pause_watch, &options);
+  bus_subscribe (task->options.bus, BUS_CONTACT_REQUESTED, on_requested, task);
 }
 
 void
 control_contact_stop (struct control_task *task)
 {
   ev_timer_stop (task->options.loop, &task->contact_timer);
+  pause_watch_stop (&task->pause_watch);
 }
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -17,6 +17,7 @@
 #include "node/control/control_records.h"
 #include "node/control/control_task.h"
 #include "node/control/host_record.h"
+#include "node/pause_watch.h"
 #include "node/registry/registry.h"
 #include "policy/access/freshness.h"
 #include "policy/fleet/host_set.h"
@@ -125,7 +126,10 @@
   /** This host reads the newest state until then, as nobody informs it. */
   int64_t self_read_end_ms;
   struct ev_timer contact_timer; /**< looks whether that is so */
-  int64_t last_compared_ms;      /**< when bucket hashes were last compared */
+  int64_t posted_contact_ms;     /**< known to the caller task */
+  int64_t resumed_ms; /**< the process stood still until then; 0: never */
+  struct pause_watch pause_watch;
+  int64_t last_compared_ms; /**< when bucket hashes were last compared */
   uint64_t last_probed_key; /**< key of the dead host that was last probed */
 };
 
@@ -311,6 +315,8 @@
 /** Another host answered a heartbeat of this one. */
 void control_contact_note_answer (struct control_task *task,
                                   const struct peer_heartbeat *answer);
+/** A read of the newest state has succeeded. */
+void control_contact_note_read (struct control_task *task);
 /** Whether this host has to read the newest state since nobody informs it. */
 bool control_contact_reads_for_itself (const struct control_task *task);
 void control_contact_stop (struct control_task *task);
@@ -319,6 +325,8 @@
 void control_platform_start (struct control_task *task);
 /** Relays start to watch, other hosts stop. */
 void control_platform_wake (struct control_task *task);
+/** Make the calls in flight again. */
+void control_platform_restart (struct control_task *task);
 /** Whether this host would learn of a change within the time of a call: it is
  * reading the newest state, and no answer is overdue. */
 bool control_platform_is_current (const struct control_task *task);
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -77,7 +77,10 @@
 {
   const int64_t now_ms = clock_now_ms ();
   if (feed->read_mode == PLATFORM_READ_LATEST)
-    feed->last_current_reply_ms = now_ms;
+    {
+      feed->last_current_reply_ms = now_ms;
+      feed->proof_ms = feed->requested_ms;
+    }
   if (feed->backoff_ms > 0)
     {
       feed->recovered_ms = now_ms;
@@ -234,6 +237,7 @@
   feed->was_refused = false;
   update_has_settings (feed->task);
   control_tombstones_note_list (feed->task, feed->kind, reply->revision);
+  control_contact_note_read (feed->task);
   feed_next (feed);
 }
 
@@ -276,6 +280,7 @@
       feed_succeeded (feed);
       apply_reply (feed, reply);
       note_freshness (feed, reply);
+      control_contact_note_read (feed->task);
     }
   if (reply->status == STATUS_OK && reply->count > 0)
     feed_delay (feed);
@@ -301,6 +306,20 @@
                                    : PLATFORM_READ_STALE;
 }
 
+/* Whether an answer shows that this host would have learned of changes.
+   Answers to calls that were made before the process stood still may be as old
+   as the pause. */
+static bool
+has_recent_proof (const struct control_feed *feed)
+{
+  const struct control_task *task = feed->task;
+  const int64_t max_age_ms
+      = (int64_t)task->options.settings->times.relay_watch_ms + OVERDUE_MS
+        + RELAY_WATCH_DELAY_MS;
+  return feed->proof_ms >= task->resumed_ms
+         && clock_now_ms () - feed->proof_ms <= 2 * max_age_ms;
+}
+
 /* The platform may drop a watch without closing its connection.  The host
    then misses all changes until the watch times out.  Leading relays therefore
    watch for a few seconds at a time and pass changes on to the others; if all
@@ -312,7 +331,8 @@
 {
   const struct control_task *task = feed->task;
   const struct control_times *times = &task->options.settings->times;
-  if (feed->backoff_ms > 0)
+  if (feed->backoff_ms > 0
+      || (reads_newest (task) && !has_recent_proof (feed)))
     return PROBE_WATCH_MS;
   const bool is_short = reads_newest (task)
                         && strcmp (feed->kind, PLATFORM_KIND_HOST) != 0
@@ -428,11 +448,28 @@
     }
 }
 
+void
+control_platform_restart (struct control_task *task)
+{
+  for (size_t i = 0; i < task->feed_count; i++)
+    {
+      struct control_feed *feed = &task->feeds[i];
+      if (feed->backoff_ms == 0)
+        ev_timer_stop (task->options.loop, &feed->retry);
+      if (feed->is_pending)
+        {
+          platform_cancel (task->options.platform, feed);
+          end_call (feed);
+        }
+      feed_next (feed);
+    }
+}
+
 static bool
 feed_is_current (const struct control_feed *feed)
 {
   return feed->is_listed && feed->backoff_ms == 0 && !feed->is_overdue
-         && feed->read_mode == PLATFORM_READ_LATEST;
+         && feed->read_mode == PLATFORM_READ_LATEST && has_recent_proof (feed);
 }
 
 bool
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -87,6 +87,7 @@
   bool was_refused;          /**< the platform no longer knew the revision */
   enum platform_read_mode read_mode; /**< of the call in flight */
   int64_t last_current_reply_ms;     /**< of the last read of newest state */
+  int64_t proof_ms;     /**< when the last answered one of these was made */
   int64_t recovered_ms; /**< when a call succeeded after one had failed */
   uint32_t backoff_ms;
   struct ev_timer retry;
--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -206,6 +206,15 @@
   remove_undeclared (registry);
 }
 
+void
+registry_publish_pending (struct registry *registry)
+{
+  if (!ev_is_active (&registry->update_timer))
+    return;
+  ev_timer_stop (registry->options.loop, &registry->update_timer);
+  update_cb (registry->options.loop, &registry->update_timer, 0);
+}
+
 struct registry *
 registry_create (const struct registry_options *options)
 {
--- a/node/registry/registry.h
+++ b/node/registry/registry.h
@@ -56,6 +56,9 @@
 enum status registry_apply_target (struct registry *registry, const char *name,
                                    const char *text);
 
+/** Publish what has been applied without waiting for the end of a burst. */
+void registry_publish_pending (struct registry *registry);
+
 /** The configuration in force, or NULL. */
 const struct fleet_config *registry_config (const struct registry *registry);
 
--- a/tests/soak/config_fault_test.cc
+++ b/tests/soak/config_fault_test.cc
@@ -150,6 +150,21 @@
   expect_current ();
 }
 
+/* Guards against a relay that takes answers from before its pause for new
+   ones. */
+TEST_F (ConfigFault, RelayThatStoodStillHandlesNothingByOldSettings)
+{
+  begin ();
+  for (int i = 0; i < 3; i++)
+    {
+      fleet.suspend (leading[0], false);
+      run_for (4000);
+      fleet.resume (leading[0]);
+      run_for (2000);
+    }
+  expect_current ();
+}
+
 /* Guards against requests that are read before the settings that arrived
    while the process stood still.  Nobody outside may know of such a pause, so
    it excuses nothing. */
