--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -24,7 +24,6 @@
 #include "node/caller/poison_filter.h"
 #include "node/caller/retry_transfer.h"
 #include "node/caller/target_limits.h"
-#include "node/pause_watch.h"
 #include "node/plain_server.h"
 #include "node/tables.h"
 
@@ -43,7 +42,6 @@
   struct tables *tables;
   struct plain_server *address_server; /* NULL: at the caller address only */
   struct leaving_probe *probe;
-  struct pause_watch pause_watch;
   uint64_t seed;
   ev_timer leaving_check;
   int64_t leave_after_ms;
@@ -258,26 +256,6 @@
   task->done (task->done_owner);
 }
 
-static void
-on_paused (void *owner, int64_t paused_ms)
-{
-  const struct caller_task *task = owner;
-  const struct caller_context *context = &task->context;
-  const struct fleet_config *config = context->config;
-  LOG_WARN ("paused", LOG_INT ("paused_ms", paused_ms),
-            LOG_INT ("in_flight", context->in_flight),
-            LOG_INT ("config_version", config != NULL ? config->version : 0),
-            LOG_STR ("effect", "requests and settings have piled up"));
-}
-
-static void
-watch_pauses (struct caller_task *task)
-{
-  const struct pause_watch_options options
-      = { .loop = task->context.loop, .paused = on_paused, .owner = task };
-  pause_watch_start (&task->pause_watch, &options);
-}
-
 static void
 subscribe (struct caller_task *task)
 {
@@ -373,7 +351,6 @@
   if (task->context.interface->leaving != NULL)
     task->probe = leaving_probe_create (&task->context);
   subscribe (task);
-  watch_pauses (task);
   if (task->tables != NULL)
     caller_rows_register (task->tables, &task->context);
   const char *address = task->context.own_address;
@@ -388,7 +365,6 @@
     return;
   struct caller_context *context = &task->context;
   bus_unsubscribe (task->bus, task);
-  pause_watch_stop (&task->pause_watch);
   if (task->tables != NULL)
     tables_unregister (task->tables, context);
   ev_timer_stop (context->loop, &task->leaving_check);
--- a/node/control/control_contact.c
+++ b/node/control/control_contact.c
@@ -18,7 +18,7 @@
    * platform would refuse most of them. */
   READERS_PER_CHECK = 8,
   READ_MS = 1000,
-  /** The caller task isn't told of every answer. */
+  /** Shorter steps of the contact aren't posted to the caller task. */
   POST_INTERVAL_MS = 50,
 };
 
@@ -53,7 +53,7 @@
   return clock_now_ms () < task->self_read_end_ms;
 }
 
-/* Tells the caller task, after what it has to know before. */
+/* The caller task must have received the settings before the contact. */
 static void
 post_contact (struct control_task *task)
 {
@@ -76,27 +76,13 @@
   post_contact (task);
 }
 
-static void
-ask_neighbours (struct control_task *task, int64_t now_ms)
-{
-  uint64_t keys[CONTROL_MONITORED_MAX];
-  const size_t count
-      = membership_monitored (task->membership, keys, CONTROL_MONITORED_MAX);
-  for (size_t i = 0; i < count; i++)
-    {
-      struct control_host *host = control_hosts_find (task, keys[i]);
-      if (host != NULL)
-        control_members_send_heartbeat (task, host, now_ms);
-    }
-}
-
 /* Requests wait: the next heartbeats and answers would take too long. */
 static void
 on_requested (void *owner, const struct bus_message *message)
 {
   struct control_task *task = owner;
   const int64_t now_ms = clock_now_ms ();
-  ask_neighbours (task, now_ms);
+  control_members_send_heartbeats (task, now_ms);
   if (!control_contact_reads_for_itself (task))
     LOG_INFO ("reads-for-itself",
               LOG_INT ("uninformed_ms", uninformed_ms (task, now_ms)),
@@ -111,6 +97,9 @@
 {
   struct control_task *task = owner;
   task->resumed_ms = clock_now_ms ();
+  LOG_WARN ("paused", LOG_INT ("paused_ms", paused_ms),
+            LOG_INT ("contact_age_ms", control_contact_age_ms (task)),
+            LOG_STR ("effect", "requests and settings have piled up"));
   if (task->is_leading)
     control_platform_restart (task);
 }
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -186,6 +186,9 @@
 void control_members_send_heartbeat (struct control_task *task,
                                      struct control_host *host,
                                      int64_t now_ms);
+/** Send one heartbeat to each monitored host now. */
+void control_members_send_heartbeats (struct control_task *task,
+                                      int64_t now_ms);
 void control_members_receive (struct control_task *task,
                               const struct control_source *source,
                               const struct peer_message *message);
--- a/node/control/control_members.c
+++ b/node/control/control_members.c
@@ -368,11 +368,9 @@
 }
 
 void
-control_members_leave (struct control_task *task)
+control_members_send_heartbeats (struct control_task *task, int64_t now_ms)
 {
-  const int64_t now_ms = clock_now_ms ();
   uint64_t keys[CONTROL_MONITORED_MAX];
-  membership_leave (task->membership);
   const size_t count
       = membership_monitored (task->membership, keys, CONTROL_MONITORED_MAX);
   for (size_t i = 0; i < count; i++)
@@ -381,5 +379,12 @@
       if (host != NULL)
         control_members_send_heartbeat (task, host, now_ms);
     }
+}
+
+void
+control_members_leave (struct control_task *task)
+{
+  membership_leave (task->membership);
+  control_members_send_heartbeats (task, clock_now_ms ());
   control_members_apply_changes (task);
 }
--- a/tests/harness/host_network.cc
+++ b/tests/harness/host_network.cc
@@ -1,7 +1,6 @@
 #include "tests/harness/host_network.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cctype>
 #include <cerrno>
 #include <cstdlib>
@@ -11,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "tests/harness/socket_address.h"
+
 namespace
 {
 
@@ -21,22 +22,10 @@
 constexpr size_t pending_max = 256 * 1024;
 const char *const host_name_start = "host-";
 
-sockaddr_in
-parse_address (const std::string &address)
-{
-  const size_t colon = address.rfind (':');
-  sockaddr_in parsed{};
-  parsed.sin_family = AF_INET;
-  parsed.sin_port
-      = htons (static_cast<uint16_t> (std::stoi (address.substr (colon + 1))));
-  inet_pton (AF_INET, address.substr (0, colon).c_str (), &parsed.sin_addr);
-  return parsed;
-}
-
 int
 listen_at (const std::string &text)
 {
-  const sockaddr_in address = parse_address (text);
+  const sockaddr_in address = parse_socket_address (text);
   const int fd
       = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const int on = 1;
@@ -51,7 +40,7 @@
 int
 connect_to (const std::string &text)
 {
-  const sockaddr_in address = parse_address (text);
+  const sockaddr_in address = parse_socket_address (text);
   const int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (connect (fd, reinterpret_cast<const sockaddr *> (&address),
                sizeof address)
@@ -255,10 +244,10 @@
           flow.is_new = false;
         }
       else if (errno != EAGAIN && errno != EINTR)
-      {
-        close_connection (connection);
-        return;
-      }
+        {
+          close_connection (connection);
+          return;
+        }
     }
   if (flow.is_ended && flow.pending.empty ())
     close_connection (connection);
--- a/tests/harness/kept_connection.cc
+++ b/tests/harness/kept_connection.cc
@@ -1,6 +1,5 @@
 #include "tests/harness/kept_connection.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -10,6 +9,8 @@
 #include <cctype>
 #include <cstdlib>
 
+#include "tests/harness/socket_address.h"
+
 namespace
 {
 
@@ -41,15 +42,10 @@
 KeptConnection::KeptConnection (const std::string &address)
     : fd_ (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-  const size_t colon = address.rfind (':');
   const timeval timeout = { receive_timeout_s, 0 };
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_port
-      = htons (static_cast<uint16_t> (std::stoi (address.substr (colon + 1))));
-  inet_pton (AF_INET, address.substr (0, colon).c_str (), &at.sin_addr);
+  const sockaddr_in at = parse_socket_address (address);
   setsockopt (fd_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  if (connect (fd_, reinterpret_cast<sockaddr *> (&at), sizeof at) != 0)
+  if (connect (fd_, reinterpret_cast<const sockaddr *> (&at), sizeof at) != 0)
     close_now ();
 }
 
--- a/tests/harness/relay.cc
+++ b/tests/harness/relay.cc
@@ -1,25 +1,14 @@
 #include "tests/harness/relay.h"
 
 #include <chrono>
-#include <arpa/inet.h>
 #include <cstdlib>
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace
-{
+#include "tests/harness/socket_address.h"
 
-sockaddr_in
-parse_address (const std::string &address)
+namespace
 {
-  const size_t colon = address.rfind (':');
-  sockaddr_in parsed{};
-  parsed.sin_family = AF_INET;
-  parsed.sin_port
-      = htons (static_cast<uint16_t> (std::stoi (address.substr (colon + 1))));
-  inet_pton (AF_INET, address.substr (0, colon).c_str (), &parsed.sin_addr);
-  return parsed;
-}
 
 int
 new_socket ()
@@ -32,7 +21,7 @@
 Relay::Relay (const std::string &listen, const std::string &forward)
     : forward_ (forward), listener_ (new_socket ())
 {
-  const sockaddr_in address = parse_address (listen);
+  const sockaddr_in address = parse_socket_address (listen);
   const int on = 1;
   setsockopt (listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (listener_, reinterpret_cast<const sockaddr *> (&address),
@@ -74,7 +63,7 @@
 void
 Relay::accept_loop ()
 {
-  const sockaddr_in address = parse_address (forward_);
+  const sockaddr_in address = parse_socket_address (forward_);
   for (;;)
     {
       const int client_fd
