--- a/tests/soak/config_fleet.cc
+++ b/tests/soak/config_fleet.cc
@@ -312,9 +312,8 @@
 void
 ConfigFleet::compact_store ()
 {
-  begin_disturbance (0);
   fleet_.store->compact ();
-  end_disturbance (0);
+  disturbances_.push_back ({ 0, now_ms (), now_ms (), true });
 }
 
 void
--- a/tests/soak/config_judge.cc
+++ b/tests/soak/config_judge.cc
@@ -33,12 +33,13 @@
 bool
 is_disturbed (const ConfigBounds &bounds,
               const std::vector<ConfigDisturbance> &disturbances,
-              const ConfigRequest &request)
+              const ConfigRequest &request, bool only_stretches)
 {
   return std::any_of (
       disturbances.begin (), disturbances.end (), [&] (const auto &one) {
         const bool is_over = one.to_ms < request.sent_ms - bounds.stability_ms;
-        return (one.host == 0 || one.host == request.host) && !is_over
+        return one.only_stretches == only_stretches
+               && (one.host == 0 || one.host == request.host) && !is_over
                && one.from_ms <= request.end_ms;
       });
 }
@@ -126,12 +127,16 @@
       const size_t oldest = find_version (versions, request, 0);
       if (oldest < versions.size ())
         process.push_back ({ oldest, request.end_ms });
-      if (is_disturbed (bounds, disturbances, request))
+      if (is_disturbed (bounds, disturbances, request, false))
         {
           verdict.excused++;
           continue;
         }
-      const size_t bound = first_allowed (bounds, versions, request.sent_ms);
+      const bool is_stretched
+          = is_disturbed (bounds, disturbances, request, true);
+      const size_t bound = first_allowed (
+          bounds, versions,
+          request.sent_ms - (is_stretched ? bounds.stretch_ms : 0));
       if (find_version (versions, request, bound) == versions.size ())
         verdict.wrong.push_back (
             describe (request, "the platform had confirmed", bound,
--- a/tests/soak/config_judge.h
+++ b/tests/soak/config_judge.h
@@ -21,6 +21,8 @@
   /** A process is bound by this only when nothing has disturbed it for this
    * long. */
   int64_t stability_ms = 3000;
+  /** Longer by this while the platform is unstable. */
+  int64_t stretch_ms = 5000;
   /** A process that has shown a version handles nothing by an older one that
    * is sent later than this. */
   int64_t revert_ms = 250;
@@ -40,6 +42,9 @@
   int host; /**< 0: all */
   int64_t from_ms;
   int64_t to_ms; /**< INT64_MAX: it hasn't ended */
+  /** The platform was unstable, but neither down nor slow: the bound is longer
+   * instead. */
+  bool only_stretches = false;
 };
 
 struct ConfigRequest
--- a/tests/soak/config_judge_test.cc
+++ b/tests/soak/config_judge_test.cc
@@ -74,6 +74,18 @@
              0U);
 }
 
+TEST (ConfigJudge, UnstablePlatformStretchesTheBound)
+{
+  const std::vector<ConfigDisturbance> compaction
+      = { { 0, 11000, 11000, true }, { 0, 14000, 14000, true } };
+  EXPECT_EQ (count_wrong ({ request (13000, "a") }, compaction), 0U);
+  EXPECT_EQ (count_wrong ({ request (17000, "a") }, compaction), 0U);
+  EXPECT_EQ (count_wrong ({ request (17001, "a") }, compaction), 1U);
+  const std::vector<ConfigDisturbance> later = { { 0, 17000, 17000, true } };
+  EXPECT_EQ (count_wrong ({ request (17009, "a") }, later), 0U);
+  EXPECT_EQ (count_wrong ({ request (17010, "a") }, later), 1U);
+}
+
 TEST (ConfigJudge, ProcessThatGoesBackIsWrongAlsoWhileDisturbed)
 {
   const std::vector<ConfigDisturbance> always
