soak: events begin and end in the order of their times

Cause: waiting for a host that leaves takes seconds, and an event whose time passed meanwhile was ended before it began, so its SIGSTOP stayed and a later SIGTERM had no effect. Seen in the process list (state T) and in the code. Begins and ends now run in the order of their times.

--- a/tests/soak/config_soak_test.cc
+++ b/tests/soak/config_soak_test.cc
@@ -26,6 +26,16 @@
         plan_text_ (config_plan_text (plan_)),
         fleet_ ({ plan_.hosts, 3, 2, 1500 })
   {
+    for (size_t i = 0; i < plan_.events.size (); i++)
+      {
+        actions_.push_back ({ plan_.events[i].from_ms, true, i });
+        actions_.push_back ({ plan_.events[i].to_ms, false, i });
+      }
+    std::stable_sort (actions_.begin (), actions_.end (),
+                      [] (const Action &a, const Action &b) {
+                        return a.at_ms != b.at_ms ? a.at_ms < b.at_ms
+                                                  : !a.is_begin && b.is_begin;
+                      });
   }
 
   void
@@ -40,7 +50,7 @@
     std::cout << plan_.hosts << " hosts, " << plan_.events.size ()
               << " events, " << verdict.checked << " requests checked, "
               << verdict.excused << " excused, " << verdict.wrong.size ()
-              << " wrong\n";
+              << " wrong" << std::endl;
     EXPECT_GT (verdict.checked - verdict.excused, 0);
     std::string text;
     for (size_t i = 0; i < std::min (lines_shown, verdict.wrong.size ()); i++)
@@ -51,6 +61,14 @@
   }
 
 private:
+  /** The begin or the end of an event. */
+  struct Action
+  {
+    int64_t at_ms;
+    bool is_begin;
+    size_t event;
+  };
+
   /* Changes the configuration and executes events until UNTIL_MS after the
      start. */
   void
@@ -73,22 +91,19 @@
       }
   }
 
+  /* Begins and ends events in the order of their times, also when an earlier
+     one has taken long. */
   void
   execute_due (int64_t now_ms)
   {
-    for (ConfigFaultEvent &event : plan_.events)
-      {
-        if (event.to_ms <= now_ms && event.from_ms >= 0)
-          {
-            end (event);
-            event.from_ms = -1;
-          }
-      }
-    for (size_t i = begun_;
-         i < plan_.events.size () && plan_.events[i].from_ms <= now_ms; i++)
+    for (; next_ < actions_.size () && actions_[next_].at_ms <= now_ms;
+         next_++)
       {
-        begin (plan_.events[i]);
-        begun_++;
+        const Action &action = actions_[next_];
+        if (action.is_begin)
+          begin (plan_.events[action.event]);
+        else
+          end (plan_.events[action.event]);
       }
   }
 
@@ -183,7 +198,8 @@
   std::string plan_text_;
   ConfigFleet fleet_;
   int64_t start_ms_ = 0;
-  size_t begun_ = 0;
+  std::vector<Action> actions_;
+  size_t next_ = 0;
 };
 
 void
