--- a/tests/harness/host_network.cc
+++ b/tests/harness/host_network.cc
@@ -16,6 +16,7 @@
 {
 
 constexpr int poll_ms = 2;
+constexpr std::chrono::milliseconds gap_min{ 100 };
 constexpr std::chrono::milliseconds retransmission_interval{ 200 },
     connect_interval{ 1000 };
 constexpr std::chrono::seconds unacknowledged_max{ 10 };
@@ -299,14 +300,26 @@
       connections_.end ());
 }
 
+std::vector<HostNetwork::Gap>
+HostNetwork::gaps ()
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  return gaps_;
+}
+
 void
 HostNetwork::run ()
 {
+  Clock::time_point last = Clock::now ();
   while (!stopping_)
     {
       {
         const std::lock_guard<std::mutex> lock (mutex_);
         poll_once ();
+        const Clock::time_point now = Clock::now ();
+        if (now - last >= gap_min)
+          gaps_.push_back ({ last, now });
+        last = now;
       }
       poll (nullptr, 0, poll_ms);
     }
--- a/tests/harness/host_network.h
+++ b/tests/harness/host_network.h
@@ -46,6 +46,17 @@
   /** Reset all connections of FROM to TO, also new ones, or none again. */
   void refuse (int from, int to, bool is_refused);
 
+  /** A time in which the network forwarded nothing, since its thread wasn't
+   * run. */
+  struct Gap
+  {
+    Clock::time_point from;
+    Clock::time_point to;
+  };
+
+  /** The gaps so far that are long enough to delay a message noticeably. */
+  std::vector<Gap> gaps ();
+
 private:
   struct Listener
   {
@@ -94,6 +105,7 @@
   std::vector<std::unique_ptr<Connection>> connections_;
   std::map<std::pair<int, int>, bool> silenced_;
   std::map<std::pair<int, int>, bool> refused_;
+  std::vector<Gap> gaps_;
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
 };
--- a/tests/soak/config_fault_test.cc
+++ b/tests/soak/config_fault_test.cc
@@ -63,7 +63,7 @@
       text += verdict.wrong[i] + "\n";
     if (getenv ("CONFIG_LOGS") != nullptr)
       std::cout << fleet.logs ();
-    EXPECT_EQ (verdict.wrong.size (), 0U) << text;
+    EXPECT_EQ (verdict.wrong.size (), 0U) << text << fleet.network_gaps ();
   }
 };
 
--- a/tests/soak/config_fleet.cc
+++ b/tests/soak/config_fleet.cc
@@ -374,6 +374,23 @@
   return config_judge ({}, versions_, disturbances_, requests_);
 }
 
+std::string
+ConfigFleet::network_gaps ()
+{
+  using namespace std::chrono;
+  std::string text;
+  for (const HostNetwork::Gap &gap : network_.gaps ())
+    text += "network stood still from "
+            + std::to_string (
+                duration_cast<milliseconds> (gap.from.time_since_epoch ())
+                    .count ())
+            + " for "
+            + std::to_string (
+                duration_cast<milliseconds> (gap.to - gap.from).count ())
+            + " ms\n";
+  return text;
+}
+
 std::string
 ConfigFleet::logs ()
 {
--- a/tests/soak/config_fleet.h
+++ b/tests/soak/config_fleet.h
@@ -60,6 +60,9 @@
 
   /** Stop the callers and judge all that they sent. */
   ConfigVerdict finish ();
+  /** Times in which the simulated network stood still, for a failure's
+   * message. */
+  std::string network_gaps ();
   /** The last lines of all hosts about settings and faults. */
   std::string logs ();
   int hosts () const;
--- a/tests/soak/config_soak_test.cc
+++ b/tests/soak/config_soak_test.cc
@@ -56,7 +56,8 @@
     for (size_t i = 0; i < std::min (lines_shown, verdict.wrong.size ()); i++)
       text += verdict.wrong[i] + "\n";
     EXPECT_EQ (verdict.wrong.size (), 0U)
-        << text << plan_text_ << "faults begin at " << start_ms_ << "\n"
+        << text << fleet_.network_gaps () << plan_text_ << "faults begin at "
+        << start_ms_ << "\n"
         << write_logs ();
   }
 
