--- a/tests/soak/config_fleet.cc
+++ b/tests/soak/config_fleet.cc
@@ -154,8 +154,7 @@
   sent.lifetime = *lifetimes_[static_cast<size_t> (host) - 1];
   HttpRequest request;
   request.url = path + "x";
-  request.headers
-      = { "Host: a.example", "X-Deadline-Ms: 3000", "X-Attempt-Id: " + id };
+  request.headers = PlatformFleet::request_fields (id);
   sent.sent_ms = now_ms ();
   const HttpResponse response = connection->send (request);
   sent.status = response.complete ? response.status : 0;
