slot limit: sets with more hosts than slots have a limit too

Cause: the limit that keeps hosts from filling the queues of targets left out sets with more hosts than slots: their hosts were not reduced at all, so the queues were as full as before.

Change: the fair share, moved to the policy as slot_limit_fair_share(), is one slot for each host of such a set.

Test: AddedRoutes plays sets of 3, 6, 7 and 9 hosts at targets of 6 slots. It works since at most one request of each host is at a target, and the rest waits where its deadline is known.

--- a/node/caller/caller_share.c
+++ b/node/caller/caller_share.c
@@ -6,6 +6,7 @@
 
 #include "base/hash.h"
 #include "base/xmalloc.h"
+#include "policy/choice/slot_limit.h"
 #include "policy/fleet/subset.h"
 #include "policy/limit/limit_share.h"
 
@@ -88,12 +89,10 @@
 caller_share_fair_slots (const struct caller_service *service,
                          const struct target_spec *target)
 {
-  const uint32_t slots = slots_bound (target);
-  const uint32_t hosts
-      = service->host_count > 0 ? (uint32_t)service->host_count : 1;
-  if (service->share.permille > 0 || hosts > slots)
+  if (service->share.permille > 0)
     return 0;
-  return (slots + hosts - 1) / hosts;
+  return slot_limit_fair_share (slots_bound (target),
+                                (uint32_t)service->host_count);
 }
 
 uint32_t
--- a/node/caller/caller_share.h
+++ b/node/caller/caller_share.h
@@ -27,9 +27,9 @@
                              uint64_t key, const struct target_spec *target);
 
 /** The slots to which that share is reduced while all targets are overloaded,
- * so that the shares of all hosts of the set add up to its slots; 0: it isn't
- * reduced.  A granted share needs no reduction, nor does the subset of a host
- * whose set has more hosts than the target has slots. */
+ * so that the shares of all hosts of the set add up to its slots, or to one
+ * for each host if there are more of them; 0: it isn't reduced.  A granted
+ * share needs no reduction. */
 uint32_t caller_share_fair_slots (const struct caller_service *service,
                                   const struct target_spec *target);
 
--- a/policy/choice/slot_limit.c
+++ b/policy/choice/slot_limit.c
@@ -21,6 +21,14 @@
   return bounds->fair < bounds->max ? bounds->max - bounds->fair : 0;
 }
 
+uint32_t
+slot_limit_fair_share (uint32_t slots, uint32_t hosts)
+{
+  if (hosts == 0)
+    return slots;
+  return (slots + hosts - 1) / hosts;
+}
+
 void
 slot_limit_observe (struct slot_limit *limit, const struct slot_bounds *bounds,
                     const struct slot_response *response)
--- a/policy/choice/slot_limit.h
+++ b/policy/choice/slot_limit.h
@@ -42,6 +42,11 @@
                            shares of all targets */
 };
 
+/** The fair share of one of HOSTS hosts in a target's SLOTS, at least 1.  A
+ * set with more hosts than the target has slots exceeds them by the
+ * difference. */
+uint32_t slot_limit_fair_share (uint32_t slots, uint32_t hosts);
+
 /** RESPONSE has arrived.  The limit falls only while this host exceeds its
  * fair share of the target and of all targets together: otherwise the target
  * is slow for another reason, or others have room. */
--- a/policy/choice/tests/added_routes_test.cc
+++ b/policy/choice/tests/added_routes_test.cc
@@ -2,12 +2,15 @@
    routes that were just added, while the service recovers from an overload. */
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cmath>
 #include <deque>
 #include <vector>
 
 extern "C"
 {
 #include "base/rng.h"
+#include "policy/choice/slot_limit.h"
 #include "policy/service_policy.h"
 }
 
@@ -18,7 +21,6 @@
 constexpr int64_t step_us = 5000;
 constexpr uint32_t slots = 6;
 constexpr size_t queue_max = 24;
-constexpr int set_hosts = 3;
 constexpr int hosts = 36;
 
 struct route_load
@@ -50,17 +52,33 @@
   std::vector<uint64_t> running;
 };
 
+/* The hosts of the set, and how far each reduces its slots at a target. */
+struct set_options
+{
+  int hosts;
+  uint32_t fair_slots;
+};
+
+/* The slots of a host at targets of other subsets. */
+uint32_t
+backup_slots (int set_hosts)
+{
+  const double part = (double)slots / set_hosts;
+  const double share = std::ceil (part + 2 * std::sqrt (part));
+  return (uint32_t)std::min (share, (double)slots);
+}
+
 /* Six targets of which four go for good in a burst, which ends three seconds
    before all hosts lose power: what is in flight then is lost. */
 class service_model
 {
 public:
-  service_model (uint64_t seed, uint32_t fair_slots) : fair (fair_slots)
+  service_model (uint64_t seed, const set_options &options) : set (options)
   {
     rng_seed (&random, seed);
     for (int i = 0; i < hosts; i++)
       {
-        const service_policy_options options
+        const service_policy_options policy_options
             = { seed * hosts + (uint64_t)i,
                 1000,
                 1000000,
@@ -69,8 +87,8 @@
                 false,
                 0,
                 0,
-                i < set_hosts ? (uint32_t)set_hosts : 0 };
-        policies.push_back (service_policy_create (&options));
+                i < set.hosts ? (uint32_t)set.hosts : 0 };
+        policies.push_back (service_policy_create (&policy_options));
       }
     set_target_count (6);
   }
@@ -108,9 +126,10 @@
         std::vector<policy_target> configs;
         for (uint32_t i = 0; i < count; i++)
           {
-            const bool is_own = (int)i % set_hosts == host;
-            configs.push_back (
-                { i + 1, is_own ? slots : 5, fair, 0, !is_own, true, -1 });
+            const bool is_own = (int)i % set.hosts == host;
+            configs.push_back ({ i + 1,
+                                 is_own ? slots : backup_slots (set.hosts),
+                                 set.fair_slots, 0, !is_own, true, -1 });
           }
         service_policy_set_targets (policies[host], now, configs.data (),
                                     configs.size ());
@@ -141,7 +160,7 @@
     if (rng_unit (&random) >= load.per_s * factor * step_us / second_us)
       return;
     const int host = is_added ? (int)rng_below (&random, hosts)
-                              : (int)rng_below (&random, (uint64_t)set_hosts);
+                              : (int)rng_below (&random, (uint64_t)set.hosts);
     requests.push_back (
         { host, is_added, now, now + load.deadline_us, 0, 0, false });
     policy_request r = {};
@@ -206,7 +225,7 @@
       }
   }
 
-  uint32_t fair;
+  set_options set;
   rng random;
   std::vector<service_policy *> policies;
   std::vector<target> targets;
@@ -222,9 +241,9 @@
 };
 
 served_shares
-play_day (uint64_t seed, uint32_t fair_slots)
+play_day (uint64_t seed, const set_options &options)
 {
-  service_model model (seed, fair_slots);
+  service_model model (seed, options);
   model.play (17.5, 1);
   const double first = model.served_share (false, 0);
   model.play (0.5, 2.5);
@@ -238,28 +257,38 @@
 
 constexpr uint64_t seeds = 20;
 
+/* The sets that divide among them targets with six slots: fewer hosts than
+   slots, as many, and more. */
+class AddedRoutes : public testing::TestWithParam<int>
+{
+};
+
 /* Guards against requests on added routes that are served less than a quarter
    as often as those on the first routes after an overload. */
-TEST (AddedRoutes, AreServedAfterAnOverload)
+TEST_P (AddedRoutes, AreServedAfterAnOverload)
 {
+  const set_options options
+      = { GetParam (), slot_limit_fair_share (slots, (uint32_t)GetParam ()) };
   for (uint64_t seed = 1; seed <= seeds; seed++)
     {
-      const served_shares shares = play_day (seed, slots / set_hosts);
+      const served_shares shares = play_day (seed, options);
       EXPECT_GE (shares.added, shares.first / 4) << "seed " << seed;
     }
 }
 
 /* The load above must be one that breaks the bound if hosts fill the queues of
    targets. */
-TEST (AddedRoutes, AreNotServedWhileHostsFillTheQueues)
+TEST_P (AddedRoutes, AreNotServedWhileHostsFillTheQueues)
 {
   int broken = 0;
   for (uint64_t seed = 1; seed <= seeds; seed++)
     {
-      const served_shares shares = play_day (seed, 0);
+      const served_shares shares = play_day (seed, { GetParam (), 0 });
       broken += shares.added < shares.first / 4;
     }
   EXPECT_GT (broken, 0);
 }
 
+INSTANTIATE_TEST_SUITE_P (Sets, AddedRoutes, testing::Values (3, 6, 7, 9));
+
 }
