--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -116,11 +116,22 @@
          + path;
 }
 
+std::string
+Fleet::target_address (int target) const
+{
+  return addresses.at (target_last_byte_base + target, target_port);
+}
+
+std::string
+Fleet::target_relay (int host, int target) const
+{
+  return addresses.at (target_last_byte_base + target, target_port + host);
+}
+
 std::string
 Fleet::target_url (int target, const std::string &path) const
 {
-  return "http://" + addresses.at (target_last_byte_base + target, target_port)
-         + path;
+  return "http://" + target_address (target) + path;
 }
 
 std::string
@@ -219,14 +230,27 @@
       "target-" + std::to_string (number) });
 }
 
+std::vector<std::string>
+Fleet::host_command (int number)
+{
+  std::vector<std::string> command;
+  if (options_.relay_targets)
+    command = { "/usr/bin/env", "LD_PRELOAD=" TARGET_PORTS,
+                "ASAN_OPTIONS=verify_asan_link_order=0",
+                "TARGET_PORT=" + std::to_string (target_port),
+                "TARGET_RELAY_PORT=" + std::to_string (target_port + number) };
+  const auto found = options_.programs.find (number);
+  command.push_back (found == options_.programs.end () ? JAYSTAIRD
+                                                       : found->second);
+  command.insert (command.end (), { "--settings", write_settings (number) });
+  return command;
+}
+
 void
 Fleet::start_host (int number)
 {
-  const auto found = options_.programs.find (number);
   hosts[static_cast<size_t> (number - 1)]
-      = std::make_unique<Process> (std::vector<std::string>{
-          found == options_.programs.end () ? JAYSTAIRD : found->second,
-          "--settings", write_settings (number) });
+      = std::make_unique<Process> (host_command (number));
 }
 
 void
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -55,6 +55,9 @@
    * "platform", to insert a relay. */
   std::map<std::string, std::string> address_overrides;
   bool secret = false;
+  /** Each host connects to targets through an address of its own, which a
+   * HostNetwork has to forward; see target_relay(). */
+  bool relay_targets = false;
   /** Programs of hosts, by number, in place of this build's jaystaird. */
   std::map<int, std::string> programs;
   /** Members added to each host's settings, as JSON members. */
@@ -88,6 +91,9 @@
   /** The service "holds" as first declared. */
   std::string service_json () const;
 
+  /** The data centre of a host or target. */
+  std::string dc_of (int number) const;
+
   /** The settings file of a host that was started. */
   std::string settings_path (int number) const;
 
@@ -95,6 +101,9 @@
   std::string caller_url (int host, const std::string &path) const;
   std::string operator_url (int host, const std::string &path) const;
   std::string target_url (int target, const std::string &path) const;
+  std::string target_address (int target) const;
+  /** Where HOST connects to TARGET with `relay_targets`. */
+  std::string target_relay (int host, int target) const;
   std::string platform_url (const std::string &path) const;
 
   /** POST to a control endpoint of a stand-in. */
@@ -120,7 +129,7 @@
 
 private:
   std::string write_settings (int number);
-  std::string dc_of (int number) const;
+  std::vector<std::string> host_command (int number);
   std::string address_of (const std::string &name,
                           const std::string &real) const;
 
--- a/tests/harness/host_network.cc
+++ b/tests/harness/host_network.cc
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds retransmission_interval{ 200 },
     connect_interval{ 1000 };
 constexpr std::chrono::seconds unacknowledged_max{ 10 };
+constexpr int backlog = 256;
+constexpr int queue_fillers = 2;
 constexpr size_t pending_max = 256 * 1024;
 const char *const host_name_start = "host-";
 
@@ -33,7 +35,7 @@
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (fd, reinterpret_cast<const sockaddr *> (&address), sizeof address)
           != 0
-      || listen (fd, 256) != 0)
+      || listen (fd, backlog) != 0)
     abort ();
   return fd;
 }
@@ -54,6 +56,22 @@
   return -1;
 }
 
+/* Connects to the listening socket FD until its queue is full, so that the
+   kernel drops the packets of further connections. */
+void
+fill_queue (int fd, const std::string &text, std::vector<int> *fillers)
+{
+  const sockaddr_in address = parse_socket_address (text);
+  listen (fd, 0);
+  for (int i = 0; i < queue_fillers; i++)
+    {
+      fillers->push_back (
+          socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      connect (fillers->back (), reinterpret_cast<const sockaddr *> (&address),
+               sizeof address);
+    }
+}
+
 /* Closes the socket with a reset. */
 void
 reset_socket (int fd)
@@ -76,7 +94,11 @@
   for (const auto &connection : connections_)
     close_connection (*connection);
   for (const Listener &listener : listeners_)
-    close (listener.fd);
+    {
+      close (listener.fd);
+      for (int fd : listener.fillers)
+        close (fd);
+    }
 }
 
 void
@@ -84,7 +106,7 @@
                        const std::string &forward)
 {
   const std::lock_guard<std::mutex> lock (mutex_);
-  listeners_.push_back ({ listen_at (listen), -1, to, forward });
+  listeners_.push_back ({ listen_at (listen), -1, to, listen, forward, {} });
 }
 
 void
@@ -92,7 +114,69 @@
                            const std::string &forward)
 {
   const std::lock_guard<std::mutex> lock (mutex_);
-  listeners_.push_back ({ listen_at (listen), from, platform, forward });
+  listeners_.push_back (
+      { listen_at (listen), from, platform, listen, forward, {} });
+}
+
+void
+HostNetwork::add_target (int from, int to, const std::string &listen,
+                         const std::string &forward)
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  listeners_.push_back (
+      { listen_at (listen), from, target (to), listen, forward, {} });
+}
+
+HostNetwork::Listener *
+HostNetwork::find_listener (int from, int to)
+{
+  for (Listener &listener : listeners_)
+    if (listener.from == from && listener.to == to)
+      return &listener;
+  abort ();
+}
+
+void
+HostNetwork::silence_both_ways (int from, int to, bool is_silent)
+{
+  silence (from, to, is_silent);
+  silence (to, from, is_silent);
+}
+
+void
+HostNetwork::cut (int from, int to, Cut form)
+{
+  if (form == Cut::hang)
+    silence_both_ways (from, target (to), true);
+  const std::lock_guard<std::mutex> lock (mutex_);
+  Listener *listener = find_listener (from, target (to));
+  if (form == Cut::hang)
+    {
+      fill_queue (listener->fd, listener->address, &listener->fillers);
+      return;
+    }
+  close (listener->fd);
+  listener->fd = -1;
+  if (form == Cut::refuse_new)
+    return;
+  for (const auto &connection : connections_)
+    if (connection->from == from && connection->to == target (to))
+      close_connection (*connection);
+}
+
+void
+HostNetwork::restore (int from, int to)
+{
+  silence_both_ways (from, target (to), false);
+  const std::lock_guard<std::mutex> lock (mutex_);
+  Listener *listener = find_listener (from, target (to));
+  if (listener->fd < 0)
+    listener->fd = listen_at (listener->address);
+  else
+    listen (listener->fd, backlog);
+  for (int fd : listener->fillers)
+    close (fd);
+  listener->fillers.clear ();
 }
 
 void
@@ -267,8 +351,10 @@
 {
   std::vector<pollfd> fds;
   std::vector<std::pair<Connection *, Flow *>> readers;
+  /* Negative descriptors are ignored. */
   for (const Listener &listener : listeners_)
-    fds.push_back ({ listener.fd, POLLIN, 0 });
+    fds.push_back (
+        { listener.fillers.empty () ? listener.fd : -1, POLLIN, 0 });
   const size_t first = fds.size ();
   for (const auto &connection : connections_)
     for (Flow *flow : { &connection->forward, &connection->backward })
--- a/tests/harness/host_network.h
+++ b/tests/harness/host_network.h
@@ -1,6 +1,7 @@
 /** @file
- * The network between hosts, and from each host to the platform, in the test
- * process: each direction of each path can be silenced.
+ * The network between hosts, and from each host to the platform and to
+ * targets, in the test process: each direction of each path can be silenced,
+ * and paths to targets can be cut.
  *
  * Bytes on a silenced direction wait, as with TCP whose packets are lost.
  * When the path works again, they go on waiting until the kernel would send
@@ -28,6 +29,21 @@
   /** Number of the platform; hosts are numbered from 1. */
   static constexpr int platform = 0;
 
+  /** Number of a target, from 1. */
+  static constexpr int
+  target (int number)
+  {
+    return 1000 + number;
+  }
+
+  /** How a path to a target is cut. */
+  enum class Cut
+  {
+    hang,      /**< no packet passes: connections hang, also new ones */
+    reset,     /**< connections are reset, and new ones refused */
+    refuse_new /**< open connections live on, and new ones are refused */
+  };
+
   HostNetwork ();
   ~HostNetwork ();
   HostNetwork (const HostNetwork &) = delete;
@@ -41,6 +57,14 @@
   void add_platform (int from, const std::string &listen,
                      const std::string &forward);
 
+  /** Forward connections of host FROM to the target numbered TO. */
+  void add_target (int from, int to, const std::string &listen,
+                   const std::string &forward);
+  /** Cut the path from host FROM to the target numbered TO. */
+  void cut (int from, int to, Cut form);
+  /** Let a path that was cut work again. */
+  void restore (int from, int to);
+
   /** Silence what FROM sends to TO, or let it pass again. */
   void silence (int from, int to, bool is_silent);
   /** Reset all connections of FROM to TO, also new ones, or none again. */
@@ -63,7 +87,9 @@
     int fd;
     int from; /**< -1: known by the first message */
     int to;
+    std::string address;
     std::string forward;
+    std::vector<int> fillers; /**< occupy the queue of new connections */
   };
 
   /** One direction of a connection. */
@@ -90,6 +116,8 @@
 
   void run ();
   void accept_one (const Listener &listener);
+  Listener *find_listener (int from, int to);
+  void silence_both_ways (int from, int to, bool is_silent);
   static Clock::time_point next_retransmission (const Flow &flow);
   void update_silence (Flow &flow, bool is_silent);
   bool is_open (const Flow &flow) const;
--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -129,14 +129,21 @@
     }
 }
 
-size_t
-Process::count_lines (const std::vector<std::string> &parts)
+std::vector<std::string>
+Process::lines (const std::vector<std::string> &parts)
 {
   std::lock_guard<std::mutex> lock (mutex_);
-  size_t count = 0;
+  std::vector<std::string> found;
   for (const std::string &line : lines_)
-    count += contains_all (line, parts);
-  return count;
+    if (contains_all (line, parts))
+      found.push_back (line);
+  return found;
+}
+
+size_t
+Process::count_lines (const std::vector<std::string> &parts)
+{
+  return lines (parts).size ();
 }
 
 std::vector<std::string>
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -29,6 +29,8 @@
                   size_t *from = nullptr);
   /** The number of lines so far that contain all PARTS. */
   size_t count_lines (const std::vector<std::string> &parts);
+  /** The lines so far that contain all PARTS. */
+  std::vector<std::string> lines (const std::vector<std::string> &parts);
   /** The lines so far that start with PREFIX. */
   std::vector<std::string> lines_with (const std::string &prefix);
   /** The number of lines so far; as *FROM of wait_line() it selects the lines
