--- a/node/caller/exchange_indirect.c
+++ b/node/caller/exchange_indirect.c
@@ -149,15 +149,24 @@
           .reason = POLICY_REASON_ONLY_CHOICE,
           .target = find_target (x->service, x->head.target),
           .request_id = x->id };
-  const bool is_sent
-      = is_from_host (x) && decision.target != POLICY_NO_TARGET
-        && service_policy_acquire (x->service->policy, clock_now_us (),
-                                   decision.target);
-  if (is_sent)
-    exchange_apply_decision (x, &decision);
-  else
-    exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, "indirect-attempt",
-                     REFUSED_RETRY_AFTER_MS,
-                     "this host doesn't send to that target now: use another "
-                     "host");
+  const char *why = NULL;
+  if (!is_from_host (x))
+    why = "not-from-a-host";
+  else if (decision.target == POLICY_NO_TARGET)
+    why = "unknown-target";
+  else if (!service_policy_acquire (x->service->policy, clock_now_us (),
+                                    decision.target))
+    why = "no-slot";
+  if (why == NULL)
+    {
+      exchange_apply_decision (x, &decision);
+      return;
+    }
+  LOG_INFO ("indirect-refused", LOG_STR ("id", x->head.id),
+            LOG_INT ("request", x->id), LOG_STR ("target", x->head.target),
+            LOG_STR ("why", why));
+  exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, "indirect-attempt",
+                   REFUSED_RETRY_AFTER_MS,
+                   "this host doesn't send to that target now: use another "
+                   "host");
 }
