--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -9,6 +9,7 @@
 
 #include <ev.h>
 
+#include "node/caller/avoided_hosts.h"
 #include "node/caller/caller_counters.h"
 #include "node/caller/caller_interface.h"
 #include "node/caller/caller_service.h"
@@ -27,6 +28,7 @@
 struct crash_checks;
 struct exchange;
 struct poison_filter;
+struct reach_check;
 
 struct caller_context
 {
@@ -69,6 +71,8 @@
                                  has */
   uint32_t in_flight;
   struct crash_checks *crash_checks;
+  struct reach_check *reach_check;
+  struct avoided_hosts avoided_hosts; /**< for requests passed on whole */
   struct poison_filter *poison;
   struct caller_server *server; /**< accepts the callers' connections */
   ev_timer limit_refresh_timer;
--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -38,6 +38,15 @@
       = { .name = "jaystair_requests_in_flight",
           .help = "Requests taken in and not yet answered to the end.",
           .kind = COUNTER_GAUGE };
+  const struct counter_family_options forwards
+      = { .name = "jaystair_forwards_total",
+          .help = "Requests passed on whole to another host, since this one "
+                  "was cut from all targets.",
+          .label_names = { "service" } };
+  const struct counter_family_options cut_from_targets
+      = { .name = "jaystair_cut_from_targets",
+          .help = "Whether this host is cut from all targets.",
+          .kind = COUNTER_GAUGE };
   const struct counter_family_options addresses
       = { .name = "jaystair_address_answers_total",
           .help = "Address answers given to callers." };
@@ -67,6 +76,9 @@
   families->refusals = counters_family (counters, &refusals);
   families->poison_blocks = counters_family (counters, &poison_blocks);
   families->target_crashes = counters_family (counters, &target_crashes);
+  families->forwards = counters_family (counters, &forwards);
+  families->cut_from_targets
+      = counter_series (counters_family (counters, &cut_from_targets), NULL);
   families->in_flight
       = counter_series (counters_family (counters, &in_flight), NULL);
   families->address_answers
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -19,7 +19,9 @@
   struct counter_family *request_times;  /**< by service and outcome */
   struct counter_family *attempt_times;  /**< by service and end */
   struct counter_histogram *config_age;  /**< of each routed request */
+  struct counter_family *forwards;       /**< by service */
   struct counter *in_flight;
+  struct counter *cut_from_targets;
   struct counter *address_answers;
 };
 
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -22,6 +22,7 @@
 #include "node/caller/exchange_quota.h"
 #include "node/caller/leaving_probe.h"
 #include "node/caller/poison_filter.h"
+#include "node/caller/reach_check.h"
 #include "node/caller/retry_transfer.h"
 #include "node/caller/target_limits.h"
 #include "node/plain_server.h"
@@ -296,6 +297,7 @@
   context->tickets
       = ticket_issuer_create (options->settings->name, options->incarnation);
   caller_counters_init (&context->counters, options->counters);
+  context->reach_check = reach_check_create (context);
   context->crash_checks = crash_checks_create (context);
   context->poison = poison_filter_create (context);
   target_limits_start (context);
@@ -373,6 +375,7 @@
   caller_server_destroy (task->context.server);
   curl_loop_destroy (context->curl);
   crash_checks_destroy (context->crash_checks);
+  reach_check_destroy (context->reach_check);
   poison_filter_destroy (context->poison);
   target_limits_stop (context);
   struct caller_service *service;
--- a/node/caller/decision_log.c
+++ b/node/caller/decision_log.c
@@ -50,6 +50,12 @@
   log_and_store (x, "relay", host, "ticket-of-that-host");
 }
 
+void
+decision_log_forward (struct exchange *x, const char *host)
+{
+  log_and_store (x, "relay", host, "cut-from-targets");
+}
+
 void
 decision_log_failure_forwarded (const struct exchange *x,
                                 const struct policy_decision *decision)
--- a/node/caller/decision_log.h
+++ b/node/caller/decision_log.h
@@ -12,6 +12,9 @@
 /** Log that X is relayed to HOST. */
 void decision_log_relay (struct exchange *x, const char *host);
 
+/** Log that X is passed on whole to HOST. */
+void decision_log_forward (struct exchange *x, const char *host);
+
 /** Log why a target's failure is forwarded to the caller of X instead of
  * another attempt.  DECISION is the policy's, which isn't to send. */
 void decision_log_failure_forwarded (const struct exchange *x,
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -63,6 +63,7 @@
   int64_t head_timeout_us;       /**< or ATTEMPT_NO_TIMEOUT */
   uint32_t reuse_idle_max_ms;    /**< of the connection that it may use */
   bool is_relay;        /**< sent to another host, which selects the target */
+  bool is_forwarded;    /**< passed on whole; is_relay is set as well */
   bool is_indirect;     /**< sent to the target through another host */
   bool head_received;   /**< status, length_bytes and headers are valid */
   bool outcome_pending; /**< not reported to the policy yet */
@@ -120,6 +121,7 @@
   uint32_t attempt_count;
   uint32_t unsent_count; /**< attempts with no byte sent */
   uint32_t tried_count;
+  uint32_t forward_count;         /**< hosts that it was passed on to */
   uint32_t target_retry_after_ms; /**< from a target that shed the request */
 
   bool in_flight_counted; /**< counted in context->in_flight */
@@ -139,6 +141,7 @@
   bool run_scheduled;
   bool last_attempt_unsent; /**< the last attempt is in unsent_count */
   bool is_trial;            /**< trial of a blocked request */
+  bool targets_unreached;   /**< refused, since this host is cut from them */
   bool may_have_run;        /**< a cancelled or failed attempt may have run */
 };
 
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -14,10 +14,12 @@
 #include "node/caller/outcome_report.h"
 #include "node/caller/decision_log.h"
 #include "node/caller/exchange_fingerprint.h"
+#include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_ticket.h"
+#include "node/caller/reach_check.h"
 #include "node/caller/retry_transfer.h"
 #include "node/caller/target_limits.h"
 
@@ -104,6 +106,9 @@
     x->may_have_run = true;
   if (attempt->is_relay)
     return;
+  const bool is_direct = !attempt->is_indirect;
+  if (is_direct && (end == ATTEMPT_NOT_SENT || end == ATTEMPT_CUT))
+    reach_check_note_failure (x->context->reach_check);
   exchange_indirect_note_end (x, end);
   x->last_attempt_unsent = end == ATTEMPT_NOT_SENT;
   x->unsent_count += (uint32_t)x->last_attempt_unsent;
@@ -112,7 +117,9 @@
   caller_counters_observe (x->context->counters.attempt_times,
                            x->service->name, end_name (end),
                            exchange_attempt_latency_us (attempt));
-  if (outcome_report_is_due (x->service, attempt->key, end))
+  /* What a cut host sees of targets says nothing about them. */
+  if (!reach_check_is_cut (x->context->reach_check)
+      && outcome_report_is_due (x->service, attempt->key, end))
     announce_outcome (x, end);
   log_attempt (x, end);
   caller_service_record_outcome (x->service, attempt->key, end,
@@ -161,10 +168,25 @@
   exchange_respond_locally (x, &response);
 }
 
+/* The host that X was passed on to hasn't taken it. */
+static bool
+forward_again (struct exchange *x, enum attempt_end end)
+{
+  if (!x->attempt.is_forwarded || end != ATTEMPT_NOT_SENT
+      || !stream_buffer_rewind (&x->upload))
+    return false;
+  exchange_forward_avoid_host (x);
+  x->attempt.head_received = false;
+  exchange_check_and_admit (x);
+  return true;
+}
+
 /* Called after an attempt that ended as END without a response to forward. */
 static void
 retry_or_fail (struct exchange *x, enum attempt_end end, const char *message)
 {
+  if (forward_again (x, end))
+    return;
   const bool can_retry = !x->attempt.is_relay
                          && !exchange_indirect_is_requested (x)
                          && service_policy_may_retry (end, x->repeatable)
@@ -273,6 +295,7 @@
     .unsent = x->unsent_count,
     .after_unsent = x->last_attempt_unsent,
     .attempts_max = x->attempts_max,
+    .is_counted = x->head.is_counted,
   };
   for (uint32_t i = 0; i < x->tried_count; i++)
     {
@@ -346,6 +369,8 @@
       exchange_indirect_admit (x);
       return;
     }
+  if (exchange_forward (x))
+    return;
   const struct policy_request r = exchange_policy_request (x);
   const struct policy_decision decision
       = caller_service_admit (x->service, &r, &x->waiter);
@@ -408,6 +433,19 @@
   retry_or_fail (x, end, why);
 }
 
+static void
+evaluate_forwarded (struct exchange *x)
+{
+  const char *error = response_check_error (x);
+  if (exchange_forward_was_refused (x))
+    discard_response (x, ATTEMPT_NOT_SENT,
+                      "the other host is cut from all targets as well");
+  else if (error != NULL)
+    discard_response (x, ATTEMPT_CUT, error);
+  else
+    exchange_forward_response (x);
+}
+
 void
 exchange_evaluate_response (struct exchange *x)
 {
@@ -417,6 +455,11 @@
                         "the target's header fields are too large");
       return;
     }
+  if (x->attempt.is_forwarded)
+    {
+      evaluate_forwarded (x);
+      return;
+    }
   if (x->attempt.is_relay)
     {
       exchange_forward_response (x);
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -7,6 +7,7 @@
 
 #include "node/caller/caller_server.h"
 #include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
 
 enum
@@ -175,6 +176,8 @@
     MHD_add_response_header (response, interface->request_id, x->head.id);
   if (exchange_indirect_is_requested (x))
     MHD_add_response_header (response, exchange_indirect_unreached_field, "1");
+  if (x->targets_unreached && x->head.is_forwarded)
+    MHD_add_response_header (response, exchange_forward_unreached_field, "1");
   return response;
 }
 
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -11,6 +11,7 @@
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_timeout.h"
+#include "node/caller/reach_check.h"
 
 enum
 {
@@ -21,7 +22,10 @@
   DEADLINE_FIELD_SIZE = 64,
   NAME_FIELD_SIZE = SERVICE_NAME_SIZE + 64,
   TICKET_FIELD_SIZE = REQUEST_TICKET_SIZE + 32,
-  EXTRA_FIELDS_MAX = 6
+  ATTEMPTS_FIELD_SIZE = 32,
+  EXTRA_FIELDS_MAX = 6,
+  /* Another host can be chosen then. */
+  FORWARD_CONNECT_TIMEOUT_MS = 300
 };
 
 static void
@@ -62,6 +66,8 @@
       header_list_add (&attempt->headers, name, strlen (name), value,
                        strlen (value));
     }
+  if (!attempt->is_relay && !attempt->is_indirect)
+    reach_check_note_contact (x->context->reach_check);
   exchange_schedule_run (x);
 }
 
@@ -126,7 +132,8 @@
     .body_bytes = x->head.body == REQUEST_BODY_SIZED ? x->head.body_bytes : -1,
     .force_new_connection = attempt->reuse_idle_max_ms < CURL_IDLE_AGE_UNIT_MS,
     .reuse_idle_max_ms = attempt->reuse_idle_max_ms,
-    .connect_timeout_ms = limits->connect_timeout_ms,
+    .connect_timeout_ms = attempt->is_forwarded ? FORWARD_CONNECT_TIMEOUT_MS
+                                                : limits->connect_timeout_ms,
   };
   attempt->call = target_call_start (&options);
 }
@@ -193,6 +200,7 @@
     }
   attempt->key = x->service->targets[index].key;
   attempt->is_relay = false;
+  attempt->is_forwarded = false;
   attempt->is_indirect = via != NULL;
   attempt->reuse_idle_max_ms
       = via != NULL ? 0 : reuse_idle_max (x, &x->service->targets[index]);
@@ -221,6 +229,7 @@
   /* The issuing host may have run the ticket before. */
   x->may_have_run = true;
   x->attempt.is_relay = true;
+  x->attempt.is_forwarded = false;
   x->attempt.is_indirect = false;
   x->attempt.reuse_idle_max_ms = 0;
   snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host);
@@ -229,6 +238,41 @@
   free (credentials);
 }
 
+void
+exchange_send_whole (struct exchange *x, const struct bus_host_entry *host)
+{
+  char deadline[DEADLINE_FIELD_SIZE];
+  char attempts[ATTEMPTS_FIELD_SIZE];
+  const char *extra[EXTRA_FIELDS_MAX] = { deadline, "Jaystair-Forwarded: 1" };
+  size_t extra_count = 2;
+  char *credentials = NULL;
+  format_deadline (x, deadline);
+  if (x->attempt_count > 0)
+    {
+      snprintf (attempts, sizeof attempts, "Jaystair-Attempts: %u",
+                x->attempt_count - x->unsent_count);
+      extra[extra_count++] = attempts;
+    }
+  if (x->may_have_run)
+    extra[extra_count++] = "Jaystair-May-Have-Run: 1";
+  /* Without workspaces the field is one of the caller's own. */
+  if (x->head.credentials != NULL && x->context->workspaces != NULL)
+    {
+      credentials = xasprintf ("Authorization: %s", x->head.credentials);
+      extra[extra_count++] = credentials;
+    }
+  x->attempt.is_relay = true;
+  x->attempt.is_forwarded = true;
+  x->attempt.is_indirect = false;
+  x->attempt.reuse_idle_max_ms
+      = x->repeatable ? x->context->settings->limits.reuse_idle_ms : 0;
+  snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host->name);
+  decision_log_forward (x, host->name);
+  caller_counters_add (x->context->counters.forwards, x->service->name, NULL);
+  send_to (x, host->caller_address, extra);
+  free (credentials);
+}
+
 void
 exchange_unpause_attempt (struct exchange *x)
 {
--- a/node/caller/exchange_send.h
+++ b/node/caller/exchange_send.h
@@ -14,6 +14,10 @@
 void exchange_relay (struct exchange *x, const char *host,
                      const char *address);
 
+/** Pass X on whole to HOST. */
+void exchange_send_whole (struct exchange *x,
+                          const struct bus_host_entry *host);
+
 /** Unpause the call for the directions in which data or space is available. */
 void exchange_unpause_attempt (struct exchange *x);
 
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -7,10 +7,12 @@
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_contact.h"
+#include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_poison.h"
 #include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_ticket.h"
+#include "node/caller/reach_check.h"
 
 enum
 {
@@ -22,7 +24,11 @@
   /* After the first service, others follow within this time. */
   SERVICES_SETTLE_US = 100 * US_PER_MS,
   /* Other hosts can serve at once; the delay allows for an address query. */
-  LEAVING_RETRY_AFTER_MS = 50
+  LEAVING_RETRY_AFTER_MS = 50,
+  /* The path is probed again within this time. */
+  CUT_RETRY_AFTER_MS = 250,
+  /* Open connections to targets may still work until then. */
+  SILENCE_MIN_MS = 1000
 };
 
 static void
@@ -57,6 +63,8 @@
       = route->timeout_ms > 0 ? route->timeout_ms : limits->timeout_ms;
   x->attempts_max = route->attempts > 0 ? route->attempts : limits->attempts;
   x->has_route_timeout = route->timeout_ms > 0;
+  x->attempt_count = x->head.attempts;
+  x->may_have_run = x->head.may_have_run;
   x->needs_key = !route->is_open;
   if (route->latency_goal_ms > 0)
     x->goal_us = x->started_us + (int64_t)route->latency_goal_ms * US_PER_MS;
@@ -229,6 +237,27 @@
   exchange_check_and_admit (x);
 }
 
+/* An attempt of this host would wait for its deadline. */
+static bool
+refuse_if_cut (struct exchange *x)
+{
+  const bool is_hopeless
+      = reach_check_is_cut (x->context->reach_check)
+        && reach_check_silence_ms (x->context->reach_check) >= SILENCE_MIN_MS;
+  if (!is_hopeless && !exchange_forward_is_useless (x))
+    return false;
+  x->targets_unreached = true;
+  struct local_response response = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                                     .outcome = exchange_outcome (x),
+                                     .reason = "cut-from-targets",
+                                     .retry_after_ms = CUT_RETRY_AFTER_MS };
+  strcpy (response.message,
+          "this host can't reach any target now: come back after the time "
+          "given, or use another host");
+  exchange_respond_locally (x, &response);
+  return true;
+}
+
 void
 exchange_check_and_admit (struct exchange *x)
 {
@@ -238,10 +267,14 @@
         return;
       exchange_set_timer (x, x->deadline_us - clock_now_us ());
     }
-  if (!exchange_access_check (x) || !check_limits (x)
-      || !exchange_poison_check (x) || !exchange_quota_check (x))
+  if (!exchange_access_check (x) || !check_limits (x))
+    return;
+  const bool needs_ticket
+      = !x->repeatable && x->head.ticket[0] != '\0' && !x->ticket_claimed;
+  if (!needs_ticket && (exchange_forward (x) || refuse_if_cut (x)))
+    return;
+  if (!exchange_poison_check (x) || !exchange_quota_check (x))
     return;
-  const bool needs_ticket = !x->repeatable && x->head.ticket[0] != '\0';
   if (needs_ticket && !exchange_ticket_claim (x))
     return;
   exchange_admit (x);
--- a/node/caller/request_head.c
+++ b/node/caller/request_head.c
@@ -12,7 +12,8 @@
 
 enum
 {
-  DEADLINE_MAX_MS = 60 * 60 * 1000
+  DEADLINE_MAX_MS = 60 * 60 * 1000,
+  ATTEMPTS_MAX = 1000
 };
 
 static enum MHD_Result
@@ -86,6 +87,19 @@
     snprintf (head->ticket, sizeof head->ticket, "%s", ticket);
   head->relayed
       = header_list_find (&head->headers, "Jaystair-Relayed") != NULL;
+  head->is_forwarded
+      = header_list_find (&head->headers, "Jaystair-Forwarded") != NULL;
+  head->may_have_run
+      = head->is_forwarded
+        && header_list_find (&head->headers, "Jaystair-May-Have-Run") != NULL;
+  const char *attempts
+      = header_list_find (&head->headers, "Jaystair-Attempts");
+  if (head->is_forwarded && attempts != NULL)
+    {
+      const unsigned long count = strtoul (attempts, NULL, 10);
+      head->is_counted = true;
+      head->attempts = count < ATTEMPTS_MAX ? (uint32_t)count : ATTEMPTS_MAX;
+    }
   const char *service = header_list_find (&head->headers, "Jaystair-Service");
   const char *target = header_list_find (&head->headers, "Jaystair-Target");
   if (!head->relayed || service == NULL || target == NULL)
@@ -113,13 +127,12 @@
   return status;
 }
 
-/* A request with a ticket may be relayed to the host that issued it, which
-   checks the key again. */
+/* Another host that the request is passed on to checks the key again. */
 static void
 keep_credentials (struct request_head *head)
 {
   const char *credentials = header_list_find (&head->headers, "Authorization");
-  if (credentials != NULL && head->ticket[0] != '\0')
+  if (credentials != NULL)
     head->credentials = xstrdup (credentials);
 }
 
--- a/node/caller/request_head.h
+++ b/node/caller/request_head.h
@@ -44,10 +44,14 @@
   char id[REQUEST_ID_SIZE];         /**< as sent by the caller, truncated */
   char ticket[REQUEST_TICKET_SIZE]; /**< "": none */
   struct request_key key;
-  /** Authorization as sent by the caller, for the host that issued the ticket;
-   * NULL without a ticket. */
+  /** Authorization as sent by the caller, for a host that the request is
+   * passed on to; NULL: none. */
   char *credentials;
   bool relayed;                    /**< relayed by another host */
+  bool is_forwarded;               /**< passed on whole by another host */
+  bool is_counted;                 /**< in that host's retry budget already */
+  bool may_have_run;               /**< by an attempt of that host */
+  uint32_t attempts;               /**< sent by that host already */
   char service[SERVICE_NAME_SIZE]; /**< chosen by that host */
   char target[SERVICE_NAME_SIZE];  /**< chosen by that host; "": none */
   bool http_1_0;
--- /dev/null
+++ b/node/caller/tests/forward_test.cc
@@ -0,0 +1,224 @@
+/* Requests that a host passes on whole, since it is cut from all targets. */
+#include "node/caller/tests/caller_fixture.h"
+
+#include <algorithm>
+
+namespace
+{
+
+/* The host of the fixture, whose addresses of targets lead nowhere, and
+   another one that reaches them. */
+class ForwardTest : public CallerTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    CallerTest::SetUp ();
+    target = add_target ("t1");
+    start ();
+    other_settings = settings;
+    strcpy (other_settings.name, "host-2");
+    other_bus = bus_create (loop);
+    caller_task_options options = {};
+    options.loop = loop;
+    options.bus = other_bus;
+    options.settings = &other_settings;
+    options.counters = the_counters;
+    options.seed = 2;
+    other = caller_task_create (&options);
+    ASSERT_NE (other, nullptr) << status_message ();
+    put_hosts ({ host ("host-1", caller_task_address (task)),
+                 host ("host-2", caller_task_address (other)) });
+    put_target (the_bus, "127.0.0.1:1"); /* nothing listens there */
+    put_target (other_bus, target_server_address (target));
+  }
+
+  void
+  TearDown () override
+  {
+    caller_task_destroy (other);
+    bus_destroy (other_bus);
+    CallerTest::TearDown ();
+  }
+
+  static bus_host_entry
+  host (const std::string &name, const std::string &address)
+  {
+    bus_host_entry entry = {};
+    strcpy (entry.name, name.c_str ());
+    strcpy (entry.dc, "dc-a");
+    strcpy (entry.caller_address, address.c_str ());
+    return entry;
+  }
+
+  void
+  put_target (struct bus *bus, const std::string &address)
+  {
+    std::string text
+        = "{ 'name': 'holds', 'targets': [{ 'name': 't1', 'address': '"
+          + address
+          + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200 }], 'routes': "
+          + usual_routes + ", 'limits': { 'retry_percent': 100 } }";
+    std::replace (text.begin (), text.end (), '\'', '"');
+    bus_message message = {};
+    message.topic = BUS_SERVICE_IN_FORCE;
+    ASSERT_EQ (service_spec_parse ("test", text.c_str (), ++version,
+                                   &message.service_in_force.spec),
+               STATUS_OK)
+        << status_message () << text;
+    bus_post (bus, &message);
+  }
+
+  bool
+  is_cut () const
+  {
+    return exposed ().find ("\njaystair_cut_from_targets 1")
+           != std::string::npos;
+  }
+
+  /* The host has found that it is cut. */
+  void
+  find_cut ()
+  {
+    get ("/calendar", "first");
+    ASSERT_TRUE (run_until ([this] { return is_cut (); }));
+  }
+
+  target_server *target = nullptr;
+  host_settings other_settings;
+  struct bus *other_bus = nullptr;
+  caller_task *other = nullptr;
+};
+
+/* A cut host would use up the attempts of each request on targets that it
+   can't connect to. */
+TEST_F (ForwardTest, AnotherHostServesTheRequest)
+{
+  find_cut ();
+  for (const char *method : { "GET", "POST" })
+    {
+      const std::string id = std::string ("whole-") + method;
+      auto call = make (method, "/calendar", id);
+      finish (call.get ());
+      EXPECT_EQ (call->status, 200) << call->answer;
+      EXPECT_EQ (call->answer.rfind ("t1 " + id, 0), 0u) << call->answer;
+      EXPECT_EQ (call->field ("jaystair-outcome"), "ran");
+      EXPECT_EQ (target_server_runs (target, id.c_str ()), 1u);
+    }
+}
+
+/* A body that arrives in parts must be passed on from its first byte. */
+TEST_F (ForwardTest, BodyIsPassedOnWhole)
+{
+  find_cut ();
+  auto call = make ("POST", "/calendar", "body");
+  call->body = std::string (300000, 'x');
+  call->chunked = true;
+  finish (call.get ());
+  EXPECT_EQ (call->status, 200) << call->answer;
+  EXPECT_NE (call->answer.find (" 300000"), std::string::npos) << call->answer;
+}
+
+/* An answer that is lost behind the other host leaves the caller's request
+   unknown, and it isn't sent again. */
+TEST_F (ForwardTest, LostAnswerIsUnknown)
+{
+  find_cut ();
+  target_server_faults (target)->cut = 100;
+  auto call = make ("POST", "/calendar", "lost");
+  finish (call.get ());
+  EXPECT_EQ (call->status, 502) << call->answer;
+  EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+  EXPECT_EQ (target_server_runs (target, "lost"), 1u);
+}
+
+/* Two cut hosts would pass a request back and forth. */
+TEST_F (ForwardTest, IsPassedOnOnce)
+{
+  find_cut ();
+  auto call = make ("POST", "/calendar", "again");
+  call->fields.push_back ("Jaystair-Forwarded: 1");
+  finish (call.get ());
+  EXPECT_EQ (call->status, 503) << call->answer;
+  EXPECT_EQ (call->field ("jaystair-targets-unreached"), "1");
+  EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
+  EXPECT_EQ (target_server_runs (target, "again"), 0u);
+}
+
+/* A host that doesn't answer must not take the requests with it. */
+TEST_F (ForwardTest, DeadHostIsReplacedByAnother)
+{
+  put_hosts ({ host ("host-1", caller_task_address (task)),
+               host ("host-2", caller_task_address (other)),
+               host ("host-3", "127.0.0.1:1"),
+               host ("host-4", "127.0.0.1:1") });
+  find_cut ();
+  for (int i = 0; i < 10; i++)
+    {
+      auto call = make ("POST", "/calendar", "dead-" + std::to_string (i));
+      finish (call.get ());
+      EXPECT_EQ (call->status, 200) << call->answer;
+    }
+}
+
+/* An attempt that was sent before counts against the route's maximum at the
+   other host, which would else allow the same number again. */
+TEST_F (ForwardTest, EarlierAttemptsCount)
+{
+  find_cut ();
+  target_server_faults (target)->fail = 100;
+  auto call = make ("GET", "/calendar", "tried");
+  call->url
+      = std::string ("http://") + caller_task_address (other) + "/calendar";
+  call->fields.push_back ("Jaystair-Forwarded: 1");
+  call->fields.push_back ("Jaystair-Attempts: 1000");
+  finish (call.get ());
+  EXPECT_EQ (call->status, 503) << call->answer;
+  EXPECT_EQ (target_server_runs (target, "tried"), 0u);
+}
+
+/* A repeatable request may have run before it was passed on; its caller must
+   not be told that it wasn't. */
+TEST_F (ForwardTest, EarlierRunIsNotDenied)
+{
+  target_server_faults (target)->shed = 100;
+  auto call = make ("GET", "/calendar", "ran");
+  call->url
+      = std::string ("http://") + caller_task_address (other) + "/calendar";
+  call->fields.push_back ("Jaystair-Forwarded: 1");
+  call->fields.push_back ("Jaystair-Attempts: 1");
+  call->fields.push_back ("Jaystair-May-Have-Run: 1");
+  finish (call.get ());
+  EXPECT_EQ (call->status, 502) << call->answer;
+  EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+}
+
+/* What can't be served is refused at once, not held until its deadline. */
+TEST_F (ForwardTest, RefusedAtOnceWhileNoHostReachesTargets)
+{
+  put_hosts ({ host ("host-1", caller_task_address (task)) });
+  find_cut ();
+  ASSERT_TRUE (run_until ([this] {
+    const auto call = get ("/calendar", "refused");
+    return call->answer.find ("cut-from-targets") != std::string::npos;
+  }));
+  const auto call = get ("/calendar", "refused");
+  EXPECT_EQ (call->status, 503);
+  EXPECT_NE (call->field ("retry-after"), "");
+  EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
+}
+
+/* The path works again: requests go straight to the targets. */
+TEST_F (ForwardTest, PathIsUsedAgain)
+{
+  find_cut ();
+  put_target (the_bus, target_server_address (target));
+  EXPECT_TRUE (run_until ([this] { return !is_cut (); }));
+  caller_task_destroy (other);
+  other = nullptr;
+  const auto call = get ("/calendar", "direct");
+  EXPECT_EQ (call->status, 200) << call->answer;
+}
+
+} // namespace
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -160,7 +160,7 @@
 {
   policy->now_us = now_us;
   target_set_refresh (&policy->set, now_us);
-  if (r->attempt <= 1)
+  if (r->attempt <= 1 && !r->is_counted)
     retry_budget_add_request (&policy->budget, &policy->options.retries,
                               now_us);
   if (policy->set.eligible == 0)
@@ -431,6 +431,12 @@
   };
 }
 
+double
+service_policy_usual_latency_us (const struct service_policy *policy)
+{
+  return policy->set.usual.latency_us;
+}
+
 uint32_t
 service_policy_queued (const struct service_policy *policy)
 {
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -81,6 +81,7 @@
   uint32_t attempts_max; /**< 0: as in the service's options */
   uint32_t tried[POLICY_TRIED_MAX];
   uint32_t tried_count;
+  bool is_counted; /**< in another host's retry budget */
 };
 
 enum policy_verdict
@@ -272,6 +273,8 @@
 struct policy_target_status
 service_policy_target_status (const struct service_policy *policy,
                               uint32_t target);
+/** The latency of a typical response, in microseconds; 0: not known. */
+double service_policy_usual_latency_us (const struct service_policy *policy);
 uint32_t service_policy_queued (const struct service_policy *policy);
 /** Attempts in flight at all targets. */
 uint32_t service_policy_in_flight (const struct service_policy *policy);
