--- a/node/caller/crash_check.c
+++ b/node/caller/crash_check.c
@@ -2,6 +2,7 @@
 
 #include "node/caller/crash_check.h"
 
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -12,6 +13,7 @@
 #include "base/xmalloc.h"
 #include "node/caller/exchange_fingerprint.h"
 #include "node/caller/poison_filter.h"
+#include "node/caller/reach_check.h"
 #include "node/ejection/target_probe.h"
 
 enum
@@ -31,6 +33,8 @@
   struct crash_checks *checks;
   ev_timer probe_timer;
   struct target_probe *probe; /* NULL between probes */
+  struct reach_query query;
+  bool is_querying;
   uint32_t probe_count;
   char service[SERVICE_NAME_SIZE];
   char target[SERVICE_NAME_SIZE];
@@ -60,6 +64,9 @@
 static void
 check_destroy (struct crash_check *check)
 {
+  if (check->is_querying)
+    reach_check_cancel_query (check->checks->context->reach_check,
+                              &check->query);
   DL_DELETE (check->checks->list, check);
   check->checks->count--;
   ev_timer_stop (check->checks->context->loop, &check->probe_timer);
@@ -101,16 +108,54 @@
     }
 }
 
+/* A host that is cut from all targets is refused by targets that run. */
+static void
+on_reach_known (struct reach_query *query, bool is_reached)
+{
+  struct crash_check *check
+      = (struct crash_check *)((char *)query
+                               - offsetof (struct crash_check, query));
+  check->is_querying = false;
+  if (is_reached)
+    report_crash (check);
+  else
+    LOG_WARN ("target-crash-unconfirmed", LOG_STR ("service", check->service),
+              LOG_STR ("target", check->target),
+              LOG_INT ("under_way_here", check->request_count),
+              LOG_STR ("why", "this host can't connect to any target"));
+  check_destroy (check);
+}
+
+/* With a single target there is nothing to compare its refusal with. */
+static void
+confirm_crash (struct crash_check *check, struct target_probe *probe)
+{
+  struct reach_check *reach = check->checks->context->reach_check;
+  if (reach_check_target_count (reach) < 2)
+    {
+      report_crash (check);
+      check_destroy (check);
+      return;
+    }
+  target_probe_destroy (probe);
+  check->probe = NULL;
+  check->is_querying = true;
+  check->query.done = on_reach_known;
+  reach_check_start_query (reach, &check->query);
+}
+
 /* An exiting target may close its connections before its listening socket and
    still accept a probe, so a probe that is not refused is repeated. */
 static void
 on_probe_done (void *owner, struct target_probe *probe, bool ok)
 {
   struct crash_check *check = owner;
-  const bool was_refused = target_probe_was_refused (probe);
-  if (was_refused)
-    report_crash (check);
-  if (was_refused || check->probe_count == PROBES_PER_CHECK_MAX)
+  if (target_probe_was_refused (probe))
+    {
+      confirm_crash (check, probe);
+      return;
+    }
+  if (check->probe_count == PROBES_PER_CHECK_MAX)
     {
       check_destroy (check);
       return;
--- a/node/caller/tests/crash_check_test.cc
+++ b/node/caller/tests/crash_check_test.cc
@@ -30,6 +30,26 @@
     return call;
   }
 
+  static std::string
+  two_targets (const std::string &first, const std::string &second)
+  {
+    return "{ 'name': 't1', 'address': '" + first
+           + "', 'dc': 'dc-a', 'slots': 1 }, { 'name': 't2', 'address': '"
+           + second + "', 'dc': 'dc-a', 'slots': 1 }";
+  }
+
+  /* Send requests until t1 has broken one off. */
+  void
+  send_until_broken ()
+  {
+    const std::string at = "target=t1 end=cut";
+    ASSERT_TRUE (run_until ([&] {
+      auto call = make ("POST", "/holds", "r1");
+      finish (call.get ());
+      return logged ().find (at) != std::string::npos;
+    })) << logged ();
+  }
+
   int
   crash_count () const
   {
@@ -106,3 +126,35 @@
   EXPECT_EQ (get ("/calendar", "r2")->status, 502);
   EXPECT_EQ (crash_count (), 0) << logged ();
 }
+
+/* A host that is cut from all targets is refused by targets that run.  Three
+   such reports would block the request at all hosts. */
+TEST_F (CrashCheckTest, CutHostReportsNoCrash)
+{
+  auto target = std::make_unique<RawTarget> (loop);
+  start ();
+  post_service (two_targets (target->address (), "127.0.0.1:1"), usual_routes,
+                "");
+  send_until_broken ();
+  target.reset ();
+  EXPECT_TRUE (run_until ([this] {
+    return logged ().find ("target-crash-unconfirmed") != std::string::npos;
+  })) << logged ();
+  EXPECT_EQ (crash_count (), 0) << logged ();
+}
+
+/* One of two targets crashes: the host reaches the other one, so it isn't
+   cut. */
+TEST_F (CrashCheckTest, CrashOfOneOfTwoTargetsIsReported)
+{
+  auto target = std::make_unique<RawTarget> (loop);
+  target_server *other = add_target ("t2");
+  start ();
+  post_service (
+      two_targets (target->address (), target_server_address (other)),
+      usual_routes, "");
+  send_until_broken ();
+  target.reset ();
+  EXPECT_TRUE (run_until ([this] { return crash_count () == 1; }))
+      << logged ();
+}
