--- a/node/caller/caller_interface.h
+++ b/node/caller/caller_interface.h
@@ -65,6 +65,8 @@
   const char *target_limit;
   /** In a target's response: it takes no new work. */
   const char *leaving;
+  /** A target that leaves never comes back under its name. */
+  bool leaving_is_final;
 
   /** Path of address requests, and the names of their query parameters. */
   const char *addresses_path;
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -116,6 +116,7 @@
   detection_recorder_destroy (service->recorder);
   service_spec_destroy (service->spec);
   free (service->targets);
+  left_targets_release (&service->left);
   free (service->hosts);
   free (service->rendezvous_hosts);
   free (service);
@@ -244,6 +245,8 @@
       if (before != POLICY_NO_TARGET)
         targets[i] = service->targets[before];
       targets[i].key = key;
+      targets[i].leaving
+          = targets[i].leaving || left_targets_has (&service->left, key);
     }
   return targets;
 }
@@ -402,6 +405,13 @@
   apply_targets (service);
 }
 
+void
+caller_service_set_left (struct caller_service *service, uint64_t key)
+{
+  left_targets_add (&service->left, key);
+  caller_service_set_leaving (service, key, true);
+}
+
 void
 caller_service_set_idle_timeout (struct caller_service *service, uint64_t key,
                                  uint32_t idle_ms)
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -13,6 +13,7 @@
 #include <uthash.h>
 
 #include "node/bus.h"
+#include "node/caller/left_targets.h"
 #include "node/host_settings.h"
 #include "policy/choice/demand_peak.h"
 #include "policy/choice/path_state.h"
@@ -59,6 +60,7 @@
   char own_dc[SERVICE_NAME_SIZE]; /**< data centre of this host */
   struct service_spec *spec;
   struct caller_target *targets; /**< parallel to the targets of `spec` */
+  struct left_targets left;
   struct service_policy *policy;
   struct detection_recorder *recorder;
   uint64_t own_key; /**< hash of this host's name */
@@ -115,6 +117,9 @@
 void caller_service_set_leaving (struct caller_service *service, uint64_t key,
                                  bool leaving);
 
+/** Record that target KEY announced that it leaves for good. */
+void caller_service_set_left (struct caller_service *service, uint64_t key);
+
 /** Record that target KEY closes connections that are idle for IDLE_MS. */
 void caller_service_set_idle_timeout (struct caller_service *service,
                                       uint64_t key, uint32_t idle_ms);
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -350,7 +350,8 @@
       caller_task_destroy (task);
       return NULL;
     }
-  if (task->context.interface->leaving != NULL)
+  if (task->context.interface->leaving != NULL
+      && !task->context.interface->leaving_is_final)
     task->probe = leaving_probe_create (&task->context);
   subscribe (task);
   if (task->tables != NULL)
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -437,6 +437,7 @@
 evaluate_forwarded (struct exchange *x)
 {
   const char *error = response_check_error (x);
+  response_check_update_chosen_target (x);
   if (exchange_forward_was_refused (x))
     discard_response (x, ATTEMPT_NOT_SENT,
                       "the other host is cut from all targets as well");
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -9,6 +9,7 @@
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
+#include "node/caller/response_check.h"
 
 enum
 {
@@ -143,6 +144,11 @@
   for (size_t i = 0; i < headers->count; i++)
     add_header (response, header_list_name (headers, i),
                 header_list_value (headers, i));
+  /* The host that passed the request on doesn't know the target. */
+  if (!x->attempt.is_relay && x->head.is_forwarded
+      && response_check_is_leaving (x))
+    MHD_add_response_header (response, response_check_leaving_field,
+                             x->attempt.target);
   const char *outcome = x->context->interface->outcome;
   if (!x->attempt.is_relay && outcome != NULL)
     MHD_add_response_header (response, outcome,
--- a/node/caller/response_check.c
+++ b/node/caller/response_check.c
@@ -1,9 +1,15 @@
+#define LOG_MODULE "caller"
+
 #include "node/caller/response_check.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include "base/log.h"
+
+const char response_check_leaving_field[] = "Jaystair-Leaving-Target";
+
 enum
 {
   MS_PER_SECOND = 1000,
@@ -47,14 +53,58 @@
   x->target_retry_after_ms = (uint32_t)retry_ms;
 }
 
-static void
-update_leaving (struct exchange *x)
+static bool
+says_leaving (const struct exchange *x)
 {
   const char *name = x->context->interface->leaving;
   const char *leaving
       = name != NULL ? header_list_find (&x->attempt.headers, name) : NULL;
-  if (leaving != NULL && strcmp (leaving, "1") == 0)
-    caller_service_set_leaving (x->service, x->attempt.key, true);
+  return leaving != NULL && strcmp (leaving, "1") == 0;
+}
+
+static void
+set_leaving (struct exchange *x, uint32_t target)
+{
+  const struct caller_target *state = &x->service->targets[target];
+  if (!state->leaving)
+    LOG_INFO ("target-leaving", LOG_STR ("id", x->head.id),
+              LOG_STR ("service", x->service->name),
+              LOG_STR ("target", x->service->spec->targets[target].name),
+              LOG_STR ("source", "answer"));
+  if (x->context->interface->leaving_is_final)
+    caller_service_set_left (x->service, state->key);
+  else
+    caller_service_set_leaving (x->service, state->key, true);
+}
+
+/* Another target may answer at an address that is used again. */
+static void
+update_leaving (struct exchange *x)
+{
+  const uint32_t target
+      = caller_service_find_target (x->service, x->attempt.key);
+  if (says_leaving (x) && x->attempt.status != MHD_HTTP_MISDIRECTED_REQUEST
+      && target != POLICY_NO_TARGET)
+    set_leaving (x, target);
+}
+
+bool
+response_check_is_leaving (const struct exchange *x)
+{
+  const uint32_t target
+      = caller_service_find_target (x->service, x->attempt.key);
+  return target != POLICY_NO_TARGET && x->service->targets[target].leaving;
+}
+
+void
+response_check_update_chosen_target (struct exchange *x)
+{
+  const char *name
+      = header_list_find (&x->attempt.headers, response_check_leaving_field);
+  for (uint32_t i = 0; name != NULL && i < x->service->spec->target_count; i++)
+    if (strcmp (x->service->spec->targets[i].name, name) == 0)
+      set_leaving (x, i);
+  header_list_remove (&x->attempt.headers, response_check_leaving_field);
 }
 
 /* Parses `Keep-Alive: timeout=10`, in seconds. */
--- a/node/caller/response_check.h
+++ b/node/caller/response_check.h
@@ -29,4 +29,15 @@
  * and its idle timeout of connections. */
 void response_check_update_target (struct exchange *x);
 
+/** In the response to a host that passed a request on: the name of the target,
+ * if that is leaving. */
+extern const char response_check_leaving_field[];
+
+/** The target of X has said that it is leaving. */
+bool response_check_is_leaving (const struct exchange *x);
+
+/** Update what the response of another host reports about the target that it
+ * chose. */
+void response_check_update_chosen_target (struct exchange *x);
+
 #endif
--- a/node/caller/tests/forward_test.cc
+++ b/node/caller/tests/forward_test.cc
@@ -1,5 +1,6 @@
 /* Requests that a host passes on whole, since it is cut from all targets. */
 #include "node/caller/tests/caller_fixture.h"
+#include "node/caller/tests/raw_target.h"
 
 #include <algorithm>
 
@@ -178,6 +179,26 @@
   EXPECT_EQ (target_server_runs (target, "tried"), 0u);
 }
 
+/* The target that the other host chose says that it is leaving.  This host has
+   passed the response on, and must not send to that target when the path works
+   again. */
+TEST_F (ForwardTest, LeavingTargetIsLearned)
+{
+  RawTarget leaving (loop);
+  leaving.answer = "HTTP/1.1 200 OK\r\nJaystair-Leaving: 1\r\n"
+                   "Content-Length: 2\r\n\r\nok";
+  find_cut ();
+  put_target (other_bus, leaving.address ());
+  const auto call = get ("/calendar", "leaving");
+  EXPECT_EQ (call->status, 200) << call->answer;
+  EXPECT_EQ (call->field ("jaystair-leaving-target"), "");
+  put_target (the_bus, leaving.address ());
+  ASSERT_TRUE (run_until ([this] { return !is_cut (); }));
+  const int before = leaving.requests;
+  EXPECT_EQ (get ("/calendar", "direct")->status, 503);
+  EXPECT_EQ (leaving.requests, before);
+}
+
 /* A repeatable request may have run before it was passed on; its caller must
    not be told that it wasn't. */
 TEST_F (ForwardTest, EarlierRunIsNotDenied)
