--- a/node/caller/caller_interface.h
+++ b/node/caller/caller_interface.h
@@ -63,6 +63,9 @@
   /** In a target's response: its limit on the requests per second from all
    * hosts together. */
   const char *target_limit;
+  /** With a target's 503: how many seconds it wants no request from this
+   * host. */
+  const char *rest;
   /** In a target's response: it takes no new work. */
   const char *leaving;
   /** A target that leaves never comes back under its name. */
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -405,6 +405,17 @@
   apply_targets (service);
 }
 
+void
+caller_service_set_rest (struct caller_service *service, uint64_t key,
+                         uint32_t rest_ms)
+{
+  const int64_t now_us = clock_now_us ();
+  const uint32_t target = service_policy_find (service->policy, key);
+  if (target != POLICY_NO_TARGET)
+    service_policy_set_rest (service->policy, now_us, target,
+                             now_us + (int64_t)rest_ms * US_PER_MS);
+}
+
 void
 caller_service_set_left (struct caller_service *service, uint64_t key)
 {
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -117,6 +117,10 @@
 void caller_service_set_leaving (struct caller_service *service, uint64_t key,
                                  bool leaving);
 
+/** Record that target KEY wants no requests from this host for REST_MS. */
+void caller_service_set_rest (struct caller_service *service, uint64_t key,
+                              uint32_t rest_ms);
+
 /** Record that target KEY announced that it leaves for good. */
 void caller_service_set_left (struct caller_service *service, uint64_t key);
 
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -315,6 +315,11 @@
           .outcome = exchange_outcome (x),
           .reason = policy_reason_name (decision->reason),
           .retry_after_ms = retry_after_ms (x, decision->retry_after_ms) };
+  /* The first of the resting targets that takes requests again may be another
+     one than the last that asked for rest. */
+  if (decision->reason == POLICY_REASON_NO_TARGET
+      && decision->retry_after_ms > 0)
+    response.retry_after_ms = decision->retry_after_ms;
   if (response.outcome == REQUEST_OUTCOME_UNKNOWN)
     response.status = MHD_HTTP_BAD_GATEWAY;
   snprintf (response.message, sizeof response.message, "%s",
--- a/node/caller/response_check.c
+++ b/node/caller/response_check.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/decimal.h"
 #include "base/log.h"
 
 const char response_check_leaving_field[] = "Jaystair-Leaving-Target";
@@ -107,6 +108,25 @@
   header_list_remove (&x->attempt.headers, response_check_leaving_field);
 }
 
+/* Of another host's response it would be that host which is to rest. */
+static void
+update_rest (struct exchange *x)
+{
+  const char *name = x->context->interface->rest;
+  const char *text
+      = name != NULL ? header_list_find (&x->attempt.headers, name) : NULL;
+  uint32_t rest_ms;
+  if (text == NULL || x->attempt.status != MHD_HTTP_SERVICE_UNAVAILABLE
+      || x->attempt.is_indirect
+      || !decimal_parse_millis (text, RETRY_AFTER_MAX_MS, &rest_ms))
+    return;
+  LOG_INFO ("target-rests", LOG_STR ("id", x->head.id),
+            LOG_STR ("service", x->service->name),
+            LOG_STR ("target", x->attempt.target),
+            LOG_INT ("rest_ms", rest_ms));
+  caller_service_set_rest (x->service, x->attempt.key, rest_ms);
+}
+
 /* Parses `Keep-Alive: timeout=10`, in seconds. */
 static void
 update_idle_timeout (struct exchange *x)
@@ -127,6 +147,7 @@
 response_check_update_target (struct exchange *x)
 {
   update_leaving (x);
+  update_rest (x);
   update_idle_timeout (x);
 }
 
--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -41,7 +41,12 @@
     .request_id = r->id,
   };
   if (reason == POLICY_REASON_NO_TARGET)
-    return d;
+    {
+      const int64_t rest_us = policy->set.rest_end_us - policy->now_us;
+      if (rest_us > 0)
+        d.retry_after_ms = (uint32_t)(rest_us / 1000 + 1);
+      return d;
+    }
   const double wait_us
       = (policy->queue.count + 1) * service_state_mean_interval_us (policy);
   const double wait_ms = ceil (wait_us / 1000);
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -136,17 +136,6 @@
     }
 }
 
-void
-target_set_refresh (struct target_set *set, int64_t now_us)
-{
-  uint32_t bound = TARGET_REFRESH_OUTCOMES;
-  if (bound < set->count)
-    bound = set->count;
-  if (set->outcomes >= bound
-      || now_us - set->refreshed_us >= TARGET_REFRESH_US)
-    refresh_all (set, now_us);
-}
-
 void
 target_set_init (struct target_set *set)
 {
@@ -180,6 +169,9 @@
     t->config.slots = 1;
   t->tier = TIER_NONE;
   set->in_flight += t->in_flight;
+  if (t->rest_end_us != 0
+      && (set->rest_end_us == 0 || t->rest_end_us < set->rest_end_us))
+    set->rest_end_us = t->rest_end_us;
   set->eligible += (uint32_t)target_state_is_eligible (t);
   set->suspects += (uint32_t)(target_state_is_eligible (t)
                               && target_state_is_suspect (t));
@@ -243,22 +235,94 @@
     free (numbers);
 }
 
+/* What changes with the eligibility of a target. */
+struct eligibility
+{
+  uint32_t is_eligible;
+  uint32_t is_suspect;
+};
+
+static struct eligibility
+eligibility_of (const struct target_state *t)
+{
+  const bool is_eligible = target_state_is_eligible (t);
+  return (struct eligibility){
+    .is_eligible = is_eligible,
+    .is_suspect = is_eligible && target_state_is_suspect (t),
+  };
+}
+
+static void
+update_eligibility (struct target_set *set, int64_t now_us, uint32_t number,
+                    struct eligibility before)
+{
+  const struct eligibility now = eligibility_of (&set->targets[number]);
+  set->eligible += now.is_eligible - before.is_eligible;
+  set->suspects += now.is_suspect - before.is_suspect;
+  update_tier (set, now_us, number);
+}
+
 void
 target_set_eject (struct target_set *set, int64_t now_us, uint32_t number,
                   bool ejected)
 {
   struct target_state *t = &set->targets[number];
+  const struct eligibility before = eligibility_of (t);
   if (t->ejected == ejected)
     return;
-  const uint32_t was_eligible = target_state_is_eligible (t);
   t->ejected = ejected;
   if (!ejected)
     t->warm_up_start_us = now_us;
-  const uint32_t is_eligible = target_state_is_eligible (t);
-  set->eligible += is_eligible - was_eligible;
-  if (target_state_is_suspect (t))
-    set->suspects += is_eligible - was_eligible;
-  update_tier (set, now_us, number);
+  update_eligibility (set, now_us, number, before);
+}
+
+void
+target_set_rest (struct target_set *set, int64_t now_us, uint32_t number,
+                 int64_t end_us)
+{
+  struct target_state *t = &set->targets[number];
+  const struct eligibility before = eligibility_of (t);
+  if (end_us <= t->rest_end_us)
+    return;
+  t->rest_end_us = end_us;
+  if (set->rest_end_us == 0 || end_us < set->rest_end_us)
+    set->rest_end_us = end_us;
+  update_eligibility (set, now_us, number, before);
+}
+
+/* Use the targets again whose rest is over. */
+static void
+end_rests (struct target_set *set, int64_t now_us)
+{
+  set->rest_end_us = 0;
+  for (uint32_t i = 0; i < set->count; i++)
+    {
+      struct target_state *t = &set->targets[i];
+      const struct eligibility before = eligibility_of (t);
+      if (t->rest_end_us == 0)
+        continue;
+      if (t->rest_end_us > now_us)
+        {
+          if (set->rest_end_us == 0 || t->rest_end_us < set->rest_end_us)
+            set->rest_end_us = t->rest_end_us;
+          continue;
+        }
+      t->rest_end_us = 0;
+      update_eligibility (set, now_us, i, before);
+    }
+}
+
+void
+target_set_refresh (struct target_set *set, int64_t now_us)
+{
+  uint32_t bound = TARGET_REFRESH_OUTCOMES;
+  if (set->rest_end_us != 0 && set->rest_end_us <= now_us)
+    end_rests (set, now_us);
+  if (bound < set->count)
+    bound = set->count;
+  if (set->outcomes >= bound
+      || now_us - set->refreshed_us >= TARGET_REFRESH_US)
+    refresh_all (set, now_us);
 }
 
 void
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -55,7 +55,8 @@
                                            last updated, by a forced refresh
                                            too */
   int64_t unreachable_us;             /**< latest of the targets' times */
-  uint32_t outcomes;                  /**< since the refresh */
+  int64_t rest_end_us; /**< earliest of the targets' times; 0: none rests */
+  uint32_t outcomes;   /**< since the refresh */
   struct latency_histogram latencies; /**< of successful responses */
   double hang_share; /**< learned share of failed attempts that hung */
   struct usual_latency usual;
@@ -77,6 +78,10 @@
 void target_set_eject (struct target_set *set, int64_t now_us, uint32_t number,
                        bool ejected);
 
+/** The target wants no requests from this host until END_US. */
+void target_set_rest (struct target_set *set, int64_t now_us, uint32_t number,
+                      int64_t end_us);
+
 /** Record whether other hosts report the path from here to the target as
  * faulty. */
 void target_set_avoid (struct target_set *set, int64_t now_us, uint32_t number,
--- a/policy/choice/target_state.c
+++ b/policy/choice/target_state.c
@@ -54,7 +54,7 @@
 bool
 target_state_is_eligible (const struct target_state *t)
 {
-  return t->config.accepts_work && !t->ejected;
+  return t->config.accepts_work && !t->ejected && t->rest_end_us == 0;
 }
 
 bool
--- a/policy/choice/target_state.h
+++ b/policy/choice/target_state.h
@@ -58,6 +58,7 @@
   double tokens;        /**< of the token bucket that enforces the rate */
   int64_t refilled_us;  /**< last refill of the bucket */
   bool ejected;
+  int64_t rest_end_us;      /**< it wants no requests until then; 0: it does */
   bool failing;             /**< its failure rate is an outlier */
   bool slow;                /**< its latency is an outlier */
   bool avoided;             /**< other hosts report that the path to it is
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -126,6 +126,16 @@
     target_set_limit_rate (&policy->set, now_us, target, rate_millis);
 }
 
+void
+service_policy_set_rest (struct service_policy *policy, int64_t now_us,
+                         uint32_t target, int64_t end_us)
+{
+  policy->now_us = now_us;
+  policy->polled_us = INT64_MIN;
+  if (target < policy->set.count)
+    target_set_rest (&policy->set, now_us, target, end_us);
+}
+
 /* Has R used all of its attempts? */
 static bool
 is_out_of_attempts (const struct service_policy *policy,
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -180,6 +180,11 @@
 void service_policy_set_rate (struct service_policy *policy, int64_t now_us,
                               uint32_t target, uint32_t rate_millis);
 
+/** TARGET wants no requests from this host until END_US.  An earlier end than
+ * the one in force is ignored. */
+void service_policy_set_rest (struct service_policy *policy, int64_t now_us,
+                              uint32_t target, int64_t end_us);
+
 /** Decide on a new request or on another attempt of one. */
 struct policy_decision service_policy_admit (struct service_policy *policy,
                                              int64_t now_us,
