--- a/node/caller/response_check.c
+++ b/node/caller/response_check.c
@@ -44,14 +44,16 @@
   const char *name = x->context->interface->retry_after_ms;
   const char *exact = name != NULL ? header_list_find (headers, name) : NULL;
   const char *seconds = header_list_find (headers, "Retry-After");
-  long long retry_ms = 0;
+  uint32_t retry_ms = 0;
   if (exact != NULL)
-    retry_ms = strtoll (exact, NULL, 10);
-  else if (seconds != NULL)
-    retry_ms = (long long)(strtod (seconds, NULL) * MS_PER_SECOND);
-  if (retry_ms < 0 || retry_ms > RETRY_AFTER_MAX_MS)
-    return;
-  x->target_retry_after_ms = (uint32_t)retry_ms;
+    {
+      const long long exact_ms = strtoll (exact, NULL, 10);
+      if (exact_ms >= 0 && exact_ms <= RETRY_AFTER_MAX_MS)
+        x->target_retry_after_ms = (uint32_t)exact_ms;
+    }
+  else if (seconds != NULL
+           && decimal_parse_millis (seconds, RETRY_AFTER_MAX_MS, &retry_ms))
+    x->target_retry_after_ms = retry_ms;
 }
 
 static bool
