--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -26,9 +26,7 @@
   /* Other hosts can serve at once; the delay allows for an address query. */
   LEAVING_RETRY_AFTER_MS = 50,
   /* The path is probed again within this time. */
-  CUT_RETRY_AFTER_MS = 250,
-  /* Open connections to targets may still work until then. */
-  SILENCE_MIN_MS = 1000
+  CUT_RETRY_AFTER_MS = 250
 };
 
 static void
@@ -241,10 +239,8 @@
 static bool
 refuse_if_cut (struct exchange *x)
 {
-  const bool is_hopeless
-      = reach_check_is_cut (x->context->reach_check)
-        && reach_check_silence_ms (x->context->reach_check) >= SILENCE_MIN_MS;
-  if (!is_hopeless && !exchange_forward_is_useless (x))
+  if (!reach_check_is_silent (x->context->reach_check)
+      && !exchange_forward_is_useless (x))
     return false;
   x->targets_unreached = true;
   struct local_response response = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
--- a/node/caller/reach_check.c
+++ b/node/caller/reach_check.c
@@ -22,6 +22,7 @@
   /* Attempts that wait for longer than this, and than usual, are a sign. */
   HANG_MIN_MS = 300,
   CONNECT_HANG_MS = 150,
+  SILENCE_MIN_MS = 1000,
 };
 
 static const double CHECK_INTERVAL_S = 0.1;
@@ -34,7 +35,7 @@
   struct rng rng;
   ev_timer timer;
   struct target_probe *probes[PROBES_MAX]; /* NULL: none */
-  uint32_t refused_count;                  /* probes of the round */
+  uint32_t refused_count; /* probes of the last rounds, while cut */
   struct reach_query *queries;
 };
 
@@ -91,7 +92,8 @@
 {
   if (probes == 0)
     return;
-  check->refused_count = 0;
+  if (!check->state.is_cut)
+    check->refused_count = 0;
   start_probes (check, probes);
 }
 
@@ -220,7 +222,6 @@
   uint64_t seed;
   rng_secure_bytes (&seed, sizeof seed);
   check->context = context;
-  check->state.contact_ms = clock_now_ms ();
   rng_seed (&check->rng, seed);
   ev_timer_init (&check->timer, on_timer, CHECK_INTERVAL_S, CHECK_INTERVAL_S);
   check->timer.data = check;
@@ -245,10 +246,12 @@
   return check->state.is_cut;
 }
 
-int64_t
-reach_check_silence_ms (const struct reach_check *check)
+bool
+reach_check_is_silent (const struct reach_check *check)
 {
-  return reach_state_silence_ms (&check->state, clock_now_ms ());
+  return check->state.is_cut && check->refused_count == 0
+         && reach_state_silence_ms (&check->state, clock_now_ms ())
+                >= SILENCE_MIN_MS;
 }
 
 void
--- a/node/caller/reach_check.h
+++ b/node/caller/reach_check.h
@@ -31,8 +31,9 @@
 /** Whether this host is cut from all targets. */
 bool reach_check_is_cut (const struct reach_check *check);
 
-/** How long no target has connected or answered, in milliseconds. */
-int64_t reach_check_silence_ms (const struct reach_check *check);
+/** Whether attempts of this host would hang: it is cut, no probe was refused,
+ * and no target has answered lately. */
+bool reach_check_is_silent (const struct reach_check *check);
 
 /** A target has answered an attempt of this host. */
 void reach_check_note_contact (struct reach_check *check);
--- a/node/caller/tests/forward_test.cc
+++ b/node/caller/tests/forward_test.cc
@@ -3,10 +3,56 @@
 #include "node/caller/tests/raw_target.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace
 {
 
+/* A listening socket whose queue is full, so that connections to it hang. */
+class SilentListener
+{
+public:
+  SilentListener ()
+  {
+    sockaddr_in any = {};
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    socklen_t size = sizeof at_;
+    bind (fds_[0], reinterpret_cast<sockaddr *> (&any), sizeof any);
+    listen (fds_[0], 0);
+    getsockname (fds_[0], reinterpret_cast<sockaddr *> (&at_), &size);
+    for (int i = 1; i < socket_count; i++)
+      connect (fds_[i], reinterpret_cast<sockaddr *> (&at_), sizeof at_);
+  }
+
+  ~SilentListener ()
+  {
+    for (int fd : fds_)
+      close (fd);
+  }
+
+  std::string
+  address () const
+  {
+    return "127.0.0.1:" + std::to_string (ntohs (at_.sin_port));
+  }
+
+private:
+  static constexpr int socket_count = 3;
+
+  static int
+  make_socket ()
+  {
+    return socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  }
+
+  const int fds_[socket_count]
+      = { make_socket (), make_socket (), make_socket () };
+  sockaddr_in at_ = {};
+};
+
 /* The host of the fixture, whose addresses of targets lead nowhere, and
    another one that reaches them. */
 class ForwardTest : public CallerTest
@@ -218,8 +264,10 @@
 /* What can't be served is refused at once, not held until its deadline. */
 TEST_F (ForwardTest, RefusedAtOnceWhileNoHostReachesTargets)
 {
+  const SilentListener silent;
   put_hosts ({ host ("host-1", caller_task_address (task)) });
-  find_cut ();
+  put_target (the_bus, silent.address ());
+  ASSERT_TRUE (run_until ([this] { return is_cut (); }));
   ASSERT_TRUE (run_until ([this] {
     const auto call = get ("/calendar", "refused");
     return call->answer.find ("cut-from-targets") != std::string::npos;
@@ -230,6 +278,45 @@
   EXPECT_EQ (call->field ("jaystair-outcome"), "not-run");
 }
 
+/* A caller that has left must not keep a target at work through two hosts. */
+TEST_F (ForwardTest, CallerThatLeavesEndsTheAttempt)
+{
+  find_cut ();
+  target_server_faults (target)->hang = 100;
+  auto call = make ("GET", "/calendar", "left");
+  call->fields.push_back ("Jaystair-Deadline-Ms: 20000");
+  begin (call.get ());
+  ASSERT_TRUE (
+      run_until ([this] { return target_server_runs (target, "left") == 1; }));
+  curl_loop_cancel (client, call->easy);
+  call->easy = nullptr;
+  EXPECT_TRUE (run_until (
+      [this] { return target_server_counts (target).cancelled == 1; }));
+}
+
+/* A ticket is claimed at the host that issued it, which then passes the
+   request on; sent again, it must not run twice. */
+TEST_F (ForwardTest, TicketRunsOnce)
+{
+  find_cut ();
+  const auto addresses = get ("/.well-known/jaystair/addresses?service=holds");
+  const std::string mark = "\"tickets\":[\"";
+  const size_t at = addresses->answer.find (mark);
+  ASSERT_NE (at, std::string::npos) << addresses->answer;
+  const size_t from = at + mark.size ();
+  const std::string ticket = addresses->answer.substr (
+      from, addresses->answer.find ('"', from) - from);
+  for (int i = 0; i < 2; i++)
+    {
+      auto call = make ("POST", "/calendar", "ticket-" + std::to_string (i));
+      call->fields.push_back ("Jaystair-Ticket: " + ticket);
+      finish (call.get ());
+      EXPECT_EQ (call->status, i == 0 ? 200 : 409) << call->answer;
+    }
+  EXPECT_EQ (target_server_runs (target, "ticket-0"), 1u);
+  EXPECT_EQ (target_server_runs (target, "ticket-1"), 0u);
+}
+
 /* The path works again: requests go straight to the targets. */
 TEST_F (ForwardTest, PathIsUsedAgain)
 {
