--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -37,6 +37,12 @@
   return -1;
 }
 
+int
+port_of (const std::string &address)
+{
+  return std::stoi (address.substr (address.find (':') + 1));
+}
+
 } // namespace
 
 AddressBlock::AddressBlock ()
@@ -122,10 +128,19 @@
   return addresses.at (target_last_byte_base + target, target_port);
 }
 
+std::string
+Fleet::known_target_address (int target) const
+{
+  return address_of ("target-" + std::to_string (target),
+                     target_address (target));
+}
+
 std::string
 Fleet::target_relay (int host, int target) const
 {
-  return addresses.at (target_last_byte_base + target, target_port + host);
+  const std::string known = known_target_address (target);
+  return known.substr (0, known.find (':') + 1)
+         + std::to_string (port_of (known) + host);
 }
 
 std::string
@@ -237,8 +252,10 @@
   if (options_.relay_targets)
     command = { "/usr/bin/env", "LD_PRELOAD=" TARGET_PORTS,
                 "ASAN_OPTIONS=verify_asan_link_order=0",
-                "TARGET_PORT=" + std::to_string (target_port),
-                "TARGET_RELAY_PORT=" + std::to_string (target_port + number) };
+                "TARGET_PORT="
+                    + std::to_string (port_of (known_target_address (1))),
+                "TARGET_RELAY_PORT="
+                    + std::to_string (port_of (target_relay (number, 1))) };
   const auto found = options_.programs.find (number);
   command.push_back (found == options_.programs.end () ? JAYSTAIRD
                                                        : found->second);
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -56,7 +56,8 @@
   std::map<std::string, std::string> address_overrides;
   bool secret = false;
   /** Each host connects to targets through an address of its own, which a
-   * HostNetwork has to forward; see target_relay(). */
+   * HostNetwork has to forward; see target_relay().  All targets have to have
+   * one port, which nothing else has. */
   bool relay_targets = false;
   /** Programs of hosts, by number, in place of this build's jaystaird. */
   std::map<int, std::string> programs;
@@ -102,6 +103,8 @@
   std::string operator_url (int host, const std::string &path) const;
   std::string target_url (int target, const std::string &path) const;
   std::string target_address (int target) const;
+  /** The address of TARGET in the service's settings. */
+  std::string known_target_address (int target) const;
   /** Where HOST connects to TARGET with `relay_targets`. */
   std::string target_relay (int host, int target) const;
   std::string platform_url (const std::string &path) const;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -7,6 +7,7 @@
 {
 
 constexpr int relay_port = 9200;
+constexpr int target_relay_port = 9300;
 constexpr int target_relay_last_byte_base = 20;
 constexpr int peer_relay_last_byte_base = 120;
 constexpr int platform_relay_last_byte = 3;
@@ -60,7 +61,9 @@
   options.retry = "\"share\": 0.1, \"reserve\": 10";
   for (int n = 1; n <= targets; n++)
     options.address_overrides["target-" + std::to_string (n)]
-        = relay_addresses_.at (target_relay_last_byte_base + n, relay_port);
+        = relay_addresses_.at (target_relay_last_byte_base + n,
+                               target_relay_port);
+  options.relay_targets = true;
   for (int n = 1; n <= hosts; n++)
     options.address_overrides["host-" + std::to_string (n) + ".peer"]
         = relay_addresses_.at (peer_relay_last_byte_base + n, relay_port);
@@ -69,8 +72,11 @@
   fleet_ = std::make_unique<Fleet> (options);
   for (int n = 1; n <= targets; n++)
     target_relays_.push_back (std::make_unique<Relay> (
-        relay_addresses_.at (target_relay_last_byte_base + n, relay_port),
-        without_scheme (fleet_->target_url (n, ""))));
+        fleet_->known_target_address (n), fleet_->target_address (n)));
+  for (int host = 1; host <= hosts; host++)
+    for (int n = 1; n <= targets; n++)
+      network_.add_target (host, n, fleet_->target_relay (host, n),
+                           fleet_->known_target_address (n));
   for (int n = 1; n <= hosts; n++)
     peer_relays_.push_back (std::make_unique<Relay> (
         relay_addresses_.at (peer_relay_last_byte_base + n, relay_port),
@@ -158,6 +164,23 @@
   fleet_->declare (service);
 }
 
+void
+SoakFleet::cut_from_targets (int host, int variant)
+{
+  static const HostNetwork::Cut forms[]
+      = { HostNetwork::Cut::hang, HostNetwork::Cut::reset,
+          HostNetwork::Cut::refuse_new };
+  for (int n = 1; n <= static_cast<int> (target_relays_.size ()); n++)
+    network_.cut (host, n, forms[variant]);
+}
+
+void
+SoakFleet::restore_targets (int host)
+{
+  for (int n = 1; n <= static_cast<int> (target_relays_.size ()); n++)
+    network_.restore (host, n);
+}
+
 void
 SoakFleet::begin (const SoakEvent &event)
 {
@@ -213,6 +236,8 @@
       return change_settings ();
     case SoakKind::host_signals:
       return signal_host_in_series (event.which, event.variant);
+    case SoakKind::targets_cut:
+      return cut_from_targets (event.which, event.variant);
     case SoakKind::count:
       return;
     }
@@ -262,6 +287,8 @@
       platform_relay_->drop_forward = false;
       platform_relay_->drop_backward = false;
       return platform_relay_->reset ();
+    case SoakKind::targets_cut:
+      return restore_targets (event.which);
     case SoakKind::host_hup:
     case SoakKind::path_reset:
     case SoakKind::peer_reset:
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "tests/harness/fleet.h"
+#include "tests/harness/host_network.h"
 #include "tests/harness/relay.h"
 #include "tests/soak/soak_plan.h"
 
@@ -46,12 +47,15 @@
   void set_faults (int target, const std::string &query);
   void set_platform (const std::string &query);
   void change_settings ();
+  void cut_from_targets (int host, int variant);
+  void restore_targets (int host);
 
   AddressBlock relay_addresses_;
   std::vector<std::unique_ptr<Relay>> target_relays_;
   std::vector<std::unique_ptr<Relay>> peer_relays_;
   std::unique_ptr<Relay> platform_relay_;
   std::unique_ptr<Fleet> fleet_;
+  HostNetwork network_;
   std::mutex mutex_;
   std::vector<int> start_counts_;
   int floor_;
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -10,6 +10,8 @@
 constexpr int event_steps_max = 8;
 constexpr int series_interval_steps = 2;
 constexpr int series_steps_max = 4;
+constexpr int cut_interval_steps = 3;
+constexpr int cut_steps_max = 5;
 
 bool
 affects_host (SoakKind kind)
@@ -68,7 +70,8 @@
                                        "platform_cut",
                                        "settings",
                                        "",
-                                       "host_signals" };
+                                       "host_signals",
+                                       "targets_cut" };
   return names[static_cast<int> (kind)];
 }
 
@@ -124,6 +127,28 @@
     }
 }
 
+void
+soak_add_cuts (std::vector<SoakEvent> &plan, uint64_t seed, int steps,
+               int hosts)
+{
+  std::mt19937_64 random (seed);
+  const auto below = [&] (int limit) {
+    return static_cast<int> (random () % static_cast<uint64_t> (limit));
+  };
+  for (int step = 0; step < steps; step += cut_interval_steps)
+    for (int n = 1 + below (2); n > 0; n--)
+      {
+        const SoakEvent cut{
+          step, std::min (steps, step + 1 + below (cut_steps_max)),
+          SoakKind::targets_cut, 1 + below (hosts), below (3)
+        };
+        if (std::none_of (plan.begin (), plan.end (), [&] (const auto &e) {
+              return conflicts_with (cut, e);
+            }))
+          plan.push_back (cut);
+      }
+}
+
 std::string
 soak_plan_text (const std::vector<SoakEvent> &plan)
 {
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -32,6 +32,7 @@
   /** Several signals in a row, the last of which may be a second SIGTERM;
    * restarted at the end. */
   host_signals,
+  targets_cut, /**< a host is cut from all targets */
 };
 
 struct SoakEvent
@@ -55,6 +56,11 @@
 void soak_add_series (std::vector<SoakEvent> &plan, uint64_t seed, int steps,
                       int hosts);
 
+/** Add to PLAN hosts that are cut from all targets, one or two at a time, in
+ * overlapping times. */
+void soak_add_cuts (std::vector<SoakEvent> &plan, uint64_t seed, int steps,
+                    int hosts);
+
 /** One line per event, for a failure's message. */
 std::string soak_plan_text (const std::vector<SoakEvent> &plan);
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -49,6 +49,13 @@
     kept_callers_ = kept_callers;
   }
 
+  /** Besides, cut hosts from all targets. */
+  void
+  add_cuts (uint64_t seed)
+  {
+    soak_add_cuts (plan_, seed, steps, hosts);
+  }
+
   void
   run ()
   {
@@ -183,9 +190,23 @@
 
 INSTANTIATE_TEST_SUITE_P (Check, SoakSeries, testing::Values (1));
 
+class SoakCuts : public testing::TestWithParam<uint64_t>
+{
+};
+
+TEST_P (SoakCuts, GuaranteesHoldWhileHostsAreCutFromTargets)
+{
+  Soak soak (GetParam ());
+  soak.add_series (GetParam ());
+  soak.add_cuts (GetParam ());
+  soak.run ();
+}
+
+INSTANTIATE_TEST_SUITE_P (Check, SoakCuts, testing::Values (1));
+
 /* Runs COUNT seeds from FROM as VARIABLE in the environment has FROM:COUNT. */
 void
-run_seeds (const char *variable, bool has_series)
+run_seeds (const char *variable, bool has_series, bool has_cuts = false)
 {
   const char *seeds = getenv (variable);
   if (seeds == nullptr)
@@ -200,6 +221,8 @@
       Soak soak (seed);
       if (has_series)
         soak.add_series (seed);
+      if (has_cuts)
+        soak.add_cuts (seed);
       soak.run ();
       std::cout << "seed " << seed
                 << (testing::Test::HasFailure () && !failed_before ? " FAILED"
@@ -218,4 +241,9 @@
   run_seeds ("JAYSTAIR_SOAK_SERIES", true);
 }
 
+TEST (SoakManual, CutsFromEnvironment)
+{
+  run_seeds ("JAYSTAIR_SOAK_CUTS", true, true);
+}
+
 } // namespace
