--- a/node/caller/reach_check.c
+++ b/node/caller/reach_check.c
@@ -40,6 +40,7 @@
 };
 
 static void on_probe_done (void *owner, struct target_probe *probe, bool ok);
+static void cancel_round (struct reach_check *check);
 
 uint32_t
 reach_check_target_count (const struct reach_check *check)
@@ -75,6 +76,11 @@
 start_probes (struct reach_check *check, uint32_t count)
 {
   const uint32_t targets = reach_check_target_count (check);
+  if (targets == 0)
+    {
+      cancel_round (check);
+      return;
+    }
   const uint32_t first = (uint32_t)rng_below (&check->rng, targets);
   ev_now_update (check->context->loop);
   for (uint32_t i = 0; i < count; i++)
@@ -140,6 +146,15 @@
   exchange_forward_all (context, !is_refused);
 }
 
+/* The services were removed while their targets were probed. */
+static void
+cancel_round (struct reach_check *check)
+{
+  apply_change (check,
+                reach_state_cancel_round (&check->state, clock_now_ms ()));
+  answer_queries (check);
+}
+
 static void
 on_probe_done (void *owner, struct target_probe *probe, bool ok)
 {
--- a/node/caller/tests/forward_test.cc
+++ b/node/caller/tests/forward_test.cc
@@ -317,6 +317,35 @@
   EXPECT_EQ (target_server_runs (target, "ticket-1"), 0u);
 }
 
+/* The last service is removed between the first probe and the next ones. */
+TEST_F (ForwardTest, ServiceIsRemovedWhileItsTargetsAreProbed)
+{
+  const SilentListener silent;
+  put_target (the_bus, silent.address ());
+  auto call = make ("GET", "/calendar", "hangs");
+  call->fields.push_back ("Jaystair-Deadline-Ms: 900");
+  begin (call.get ());
+  int ticks = 0;
+  ev_timer timer;
+  ev_timer_init (
+      &timer,
+      [] (struct ev_loop *, ev_timer *at, int) {
+        ++*static_cast<int *> (at->data);
+      },
+      .2, .2);
+  timer.data = &ticks;
+  ev_timer_start (loop, &timer);
+  EXPECT_TRUE (run_until ([&] { return ticks == 1; }));
+  bus_message message = {};
+  message.topic = BUS_SERVICE_REMOVED;
+  strcpy (message.service_removed.name, "holds");
+  message.service_removed.version = ++version;
+  bus_post (the_bus, &message);
+  EXPECT_TRUE (run_until ([&] { return call->done && ticks > 6; }));
+  ev_timer_stop (loop, &timer);
+  EXPECT_FALSE (is_cut ());
+}
+
 /* The path works again: requests go straight to the targets. */
 TEST_F (ForwardTest, PathIsUsedAgain)
 {
--- a/policy/choice/reach_state.c
+++ b/policy/choice/reach_state.c
@@ -71,6 +71,18 @@
   return state->is_cut ? REACH_LOST : REACH_RESTORED;
 }
 
+enum reach_change
+reach_state_cancel_round (struct reach_state *state, int64_t now_ms)
+{
+  const bool was_cut = state->is_cut;
+  state->pending = 0;
+  state->is_reached = true;
+  state->is_cut = false;
+  state->good_rounds = 0;
+  state->round_end_ms = now_ms;
+  return was_cut ? REACH_RESTORED : REACH_UNCHANGED;
+}
+
 struct reach_step
 reach_state_note_probe (struct reach_state *state, int64_t now_ms,
                         bool is_connected)
--- a/policy/choice/reach_state.h
+++ b/policy/choice/reach_state.h
@@ -56,6 +56,10 @@
  * @return the number of probes to start */
 uint32_t reach_state_begin_now (struct reach_state *state);
 
+/** The round in progress can't go on, since there are no targets any more. */
+enum reach_change reach_state_cancel_round (struct reach_state *state,
+                                            int64_t now_ms);
+
 /** A probe of the round in progress has ended. */
 struct reach_step reach_state_note_probe (struct reach_state *state,
                                           int64_t now_ms, bool is_connected);
