--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "node/caller/exchange_admit.h"
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_send.h"
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -13,6 +13,7 @@
 #include "node/caller/crash_check.h"
 #include "node/caller/outcome_report.h"
 #include "node/caller/decision_log.h"
+#include "node/caller/exchange_admit.h"
 #include "node/caller/exchange_fingerprint.h"
 #include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
@@ -20,7 +21,6 @@
 #include "node/caller/exchange_send.h"
 #include "node/caller/exchange_ticket.h"
 #include "node/caller/reach_check.h"
-#include "node/caller/retry_transfer.h"
 #include "node/caller/target_limits.h"
 
 enum
@@ -142,12 +142,6 @@
   report_outcome (x, end);
 }
 
-static uint32_t
-retry_after_ms (const struct exchange *x, uint32_t own_ms)
-{
-  return own_ms > x->target_retry_after_ms ? own_ms : x->target_retry_after_ms;
-}
-
 /* There is no response to forward and no further attempt. */
 static void
 respond_after_failure (struct exchange *x, enum attempt_end end,
@@ -159,7 +153,7 @@
       = unknown ? MHD_HTTP_BAD_GATEWAY : MHD_HTTP_SERVICE_UNAVAILABLE;
   response.reason = end_name (end);
   response.retry_after_ms
-      = unknown ? 0 : retry_after_ms (x, DEFAULT_RETRY_AFTER_MS);
+      = unknown ? 0 : exchange_retry_after_ms (x, DEFAULT_RETRY_AFTER_MS);
   snprintf (response.message, sizeof response.message, "%s: %.120s",
             unknown ? "the answer was lost, find out whether the request has "
                       "run before sending it again"
@@ -267,122 +261,6 @@
         message);
 }
 
-/* The memory that X needs while it is queued: its head, and as much of its
-   body as fits the buffer, received or not. */
-static uint32_t
-queued_bytes (const struct exchange *x)
-{
-  uint64_t body_bytes = 0;
-  if (x->head.body == REQUEST_BODY_SIZED)
-    body_bytes = (uint64_t)x->head.body_bytes;
-  else if (x->head.body == REQUEST_BODY_CHUNKED)
-    body_bytes = x->upload.capacity_bytes;
-  if (body_bytes > x->upload.capacity_bytes)
-    body_bytes = x->upload.capacity_bytes;
-  return x->head.head_bytes + (uint32_t)body_bytes;
-}
-
-struct policy_request
-exchange_policy_request (const struct exchange *x)
-{
-  struct policy_request r = {
-    .id = x->id,
-    .deadline_us = x->deadline_us,
-    .goal_us = x->goal_us,
-    .queued_bytes = queued_bytes (x),
-    .repeatable = x->repeatable,
-    .attempt = x->attempt_count + 1,
-    .unsent = x->unsent_count,
-    .after_unsent = x->last_attempt_unsent,
-    .attempts_max = x->attempts_max,
-    .is_counted = x->head.is_counted,
-  };
-  for (uint32_t i = 0; i < x->tried_count; i++)
-    {
-      const uint32_t target
-          = service_policy_find (x->service->policy, x->tried_targets[i]);
-      if (target != POLICY_NO_TARGET)
-        r.tried[r.tried_count++] = target;
-    }
-  return r;
-}
-
-static void
-refuse_by_policy (struct exchange *x, const struct policy_decision *decision)
-{
-  struct local_response response
-      = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-          .outcome = exchange_outcome (x),
-          .reason = policy_reason_name (decision->reason),
-          .retry_after_ms = retry_after_ms (x, decision->retry_after_ms) };
-  /* The first of the resting targets that takes requests again may be another
-     one than the last that asked for rest. */
-  if (decision->reason == POLICY_REASON_NO_TARGET
-      && decision->retry_after_ms > 0)
-    response.retry_after_ms = decision->retry_after_ms;
-  if (response.outcome == REQUEST_OUTCOME_UNKNOWN)
-    response.status = MHD_HTTP_BAD_GATEWAY;
-  snprintf (response.message, sizeof response.message, "%s",
-            response.outcome == REQUEST_OUTCOME_UNKNOWN
-                ? "an attempt was lost and none further is allowed: find out "
-                  "whether it has run before sending it again"
-                : "the service can't take the request now: come back after "
-                  "the time given, or ask for other addresses");
-  exchange_respond_locally (x, &response);
-}
-
-/* Checks again, because the request may have been blocked while it was queued
-   or between two attempts. */
-static void
-send_unless_blocked (struct exchange *x, uint32_t target)
-{
-  uint32_t remaining_ms = 0;
-  if (exchange_poison_may_send (x, &remaining_ms))
-    {
-      exchange_send (x, target);
-      return;
-    }
-  caller_service_record_outcome (x->service, x->service->targets[target].key,
-                                 ATTEMPT_CANCELLED, 0, x->repeatable);
-  exchange_poison_refuse (x, remaining_ms);
-}
-
-void
-exchange_apply_decision (struct exchange *x,
-                         const struct policy_decision *decision)
-{
-  decision_log (x, decision);
-  switch (decision->verdict)
-    {
-    case POLICY_SEND:
-      send_unless_blocked (x, decision->target);
-      break;
-    case POLICY_QUEUE:
-      x->state = EXCHANGE_WAITING;
-      break;
-    case POLICY_REFUSE:
-      refuse_by_policy (x, decision);
-      break;
-    }
-}
-
-void
-exchange_admit (struct exchange *x)
-{
-  if (exchange_indirect_is_requested (x))
-    {
-      exchange_indirect_admit (x);
-      return;
-    }
-  if (exchange_forward (x))
-    return;
-  const struct policy_request r = exchange_policy_request (x);
-  const struct policy_decision decision
-      = caller_service_admit (x->service, &r, &x->waiter);
-  retry_transfer_request (x->context, x->service);
-  exchange_apply_decision (x, &decision);
-}
-
 /* A server error can be forwarded, so another target is tried only if the
    policy grants one at once. */
 static bool
--- a/node/caller/exchange_attempt.h
+++ b/node/caller/exchange_attempt.h
@@ -1,22 +1,15 @@
 /** @file
- * The attempts of an exchange: selects targets, evaluates responses and
- * decides on retries.
+ * The attempts of an exchange: evaluates responses and decides on retries.
  */
 #ifndef NODE_CALLER_EXCHANGE_ATTEMPT_H
 #define NODE_CALLER_EXCHANGE_ATTEMPT_H
 
 #include "node/caller/exchange.h"
 
-/** Ask the policy for a target and apply its decision. */
-void exchange_admit (struct exchange *x);
-
 /** The time that the target has taken so far, excluding the time spent waiting
  * for the caller. */
 int64_t exchange_attempt_latency_us (const struct exchange_attempt *attempt);
 
-/** The next attempt of X as a policy request. */
-struct policy_request exchange_policy_request (const struct exchange *x);
-
 /** Evaluate a response whose head was received: forward it, or retry. */
 void exchange_evaluate_response (struct exchange *x);
 
@@ -27,8 +20,4 @@
 void exchange_attempt_ended (struct exchange *x, enum target_call_end end,
                              const char *message);
 
-/** Apply the policy's DECISION on X. */
-void exchange_apply_decision (struct exchange *x,
-                              const struct policy_decision *decision);
-
 #endif
--- a/node/caller/exchange_indirect.c
+++ b/node/caller/exchange_indirect.c
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_admit.h"
 
 enum
 {
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -5,7 +5,7 @@
 #include "base/status.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
-#include "node/caller/exchange_attempt.h"
+#include "node/caller/exchange_admit.h"
 #include "node/caller/exchange_contact.h"
 #include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "node/caller/exchange_admit.h"
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_indirect.h"
 #include "node/caller/retry_transfer.h"
