--- a/node/caller/tests/caller_fixture.cc
+++ b/node/caller/tests/caller_fixture.cc
@@ -164,6 +164,12 @@
 
 void
 CallerTest::put_config (const std::string &members)
+{
+  put_config (members, the_bus);
+}
+
+void
+CallerTest::put_config (const std::string &members, struct bus *bus)
 {
   std::string text
       = "{ 'version': " + std::to_string (++version)
@@ -185,7 +191,7 @@
                                  &message.config_in_force.config),
              STATUS_OK)
       << status_message () << text;
-  bus_post (the_bus, &message);
+  bus_post (bus, &message);
 }
 
 void
--- a/node/caller/tests/caller_fixture.h
+++ b/node/caller/tests/caller_fixture.h
@@ -79,6 +79,8 @@
   /** Put a configuration in force whose JSON has MEMBERS, with apostrophes for
    * quotes, and whose route "/" leads to the service of put_service(). */
   void put_config (const std::string &members);
+  /** The same at the host whose tasks use BUS. */
+  void put_config (const std::string &members, struct bus *bus);
   void put_hosts (const std::vector<bus_host_entry> &hosts);
   void start ();
 
--- a/node/caller/tests/forward_test.cc
+++ b/node/caller/tests/forward_test.cc
@@ -1,12 +1,16 @@
 /* Requests that a host passes on whole, since it is cut from all targets. */
-#include "node/caller/tests/caller_fixture.h"
 #include "node/caller/tests/raw_target.h"
+#include "node/caller/tests/two_hosts_fixture.h"
 
-#include <algorithm>
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+extern "C"
+{
+#include "base/digest.h"
+}
+
 namespace
 {
 
@@ -55,66 +59,23 @@
 
 /* The host of the fixture, whose addresses of targets lead nowhere, and
    another one that reaches them. */
-class ForwardTest : public CallerTest
+class ForwardTest : public TwoHostsTest
 {
 protected:
   void
   SetUp () override
   {
-    CallerTest::SetUp ();
-    target = add_target ("t1");
-    start ();
-    other_settings = settings;
-    strcpy (other_settings.name, "host-2");
-    other_bus = bus_create (loop);
-    caller_task_options options = {};
-    options.loop = loop;
-    options.bus = other_bus;
-    options.settings = &other_settings;
-    options.counters = the_counters;
-    options.seed = 2;
-    other = caller_task_create (&options);
-    ASSERT_NE (other, nullptr) << status_message ();
+    TwoHostsTest::SetUp ();
     put_hosts ({ host ("host-1", caller_task_address (task)),
                  host ("host-2", caller_task_address (other)) });
     put_target (the_bus, "127.0.0.1:1"); /* nothing listens there */
     put_target (other_bus, target_server_address (target));
   }
 
-  void
-  TearDown () override
-  {
-    caller_task_destroy (other);
-    bus_destroy (other_bus);
-    CallerTest::TearDown ();
-  }
-
-  static bus_host_entry
-  host (const std::string &name, const std::string &address)
-  {
-    bus_host_entry entry = {};
-    strcpy (entry.name, name.c_str ());
-    strcpy (entry.dc, "dc-a");
-    strcpy (entry.caller_address, address.c_str ());
-    return entry;
-  }
-
   void
   put_target (struct bus *bus, const std::string &address)
   {
-    std::string text
-        = "{ 'name': 'holds', 'targets': [{ 'name': 't1', 'address': '"
-          + address
-          + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200 }], 'routes': "
-          + usual_routes + ", 'limits': { 'retry_percent': 100 } }";
-    std::replace (text.begin (), text.end (), '\'', '"');
-    bus_message message = {};
-    message.topic = BUS_SERVICE_IN_FORCE;
-    ASSERT_EQ (service_spec_parse ("test", text.c_str (), ++version,
-                                   &message.service_in_force.spec),
-               STATUS_OK)
-        << status_message () << text;
-    bus_post (bus, &message);
+    put_targets (bus, { { "t1", address } });
   }
 
   bool
@@ -131,11 +92,6 @@
     get ("/calendar", "first");
     ASSERT_TRUE (run_until ([this] { return is_cut (); }));
   }
-
-  target_server *target = nullptr;
-  host_settings other_settings;
-  struct bus *other_bus = nullptr;
-  caller_task *other = nullptr;
 };
 
 /* A cut host would use up the attempts of each request on targets that it
@@ -294,6 +250,33 @@
       [this] { return target_server_counts (target).cancelled == 1; }));
 }
 
+/* The other host checks the key again, which targets never receive. */
+TEST_F (ForwardTest, KeyIsPassedOn)
+{
+  const std::string key = "key-june";
+  const digest made = digest_of (key.data (), key.size ());
+  char text[DIGEST_TEXT_SIZE];
+  digest_format (&made, text);
+  const std::string members
+      = std::string (", 'workspaces': [{ 'name': 'june', 'keys': [ '") + text
+        + "' ] }]";
+  put_config (members);
+  put_config (members, other_bus);
+  find_cut ();
+  for (const char *path : { "/headers", "/calendar" })
+    {
+      auto call = make ("GET", path, std::string ("keyed") + (path + 1));
+      call->fields.push_back ("Authorization: Bearer " + key);
+      finish (call.get ());
+      EXPECT_EQ (call->status, 200) << call->answer;
+      EXPECT_EQ (call->answer.find (key), std::string::npos) << call->answer;
+    }
+  auto forged = make ("GET", "/calendar", "forged");
+  forged->fields.push_back ("Authorization: Bearer other");
+  finish (forged.get ());
+  EXPECT_EQ (forged->status, 401) << forged->answer;
+}
+
 /* A ticket is claimed at the host that issued it, which then passes the
    request on; sent again, it must not run twice. */
 TEST_F (ForwardTest, TicketRunsOnce)
--- a/node/caller/tests/indirect_attempt_test.cc
+++ b/node/caller/tests/indirect_attempt_test.cc
@@ -1,33 +1,17 @@
 /* Attempts at targets that only other hosts can reach. */
-#include "node/caller/tests/caller_fixture.h"
-
-#include <algorithm>
+#include "node/caller/tests/two_hosts_fixture.h"
 
 namespace
 {
 
-/* The host of the fixture, and another one outside the set that has its own
-   settings.  Both have the service "holds". */
-class IndirectAttempt : public CallerTest
+/* The second host is outside the set. */
+class IndirectAttempt : public TwoHostsTest
 {
 protected:
   void
   SetUp () override
   {
-    CallerTest::SetUp ();
-    target = add_target ("t1");
-    start ();
-    other_settings = settings;
-    strcpy (other_settings.name, "host-2");
-    other_bus = bus_create (loop);
-    caller_task_options options = {};
-    options.loop = loop;
-    options.bus = other_bus;
-    options.settings = &other_settings;
-    options.counters = the_counters;
-    options.seed = 2;
-    other = caller_task_create (&options);
-    ASSERT_NE (other, nullptr) << status_message ();
+    TwoHostsTest::SetUp ();
     put_hosts ({ host ("host-1", caller_task_address (task)) });
     put_other_hosts (the_bus, BUS_HOST_SAMPLE,
                      { host ("host-2", caller_task_address (other)) });
@@ -38,24 +22,6 @@
     put_targets (other_bus, { { "t1", target_server_address (target) } });
   }
 
-  void
-  TearDown () override
-  {
-    caller_task_destroy (other);
-    bus_destroy (other_bus);
-    CallerTest::TearDown ();
-  }
-
-  static bus_host_entry
-  host (const std::string &name, const std::string &address)
-  {
-    bus_host_entry entry = {};
-    strcpy (entry.name, name.c_str ());
-    strcpy (entry.dc, "dc-a");
-    strcpy (entry.caller_address, address.c_str ());
-    return entry;
-  }
-
   /* A sample of hosts, or the set of another service. */
   static void
   put_other_hosts (struct bus *bus, bus_topic topic,
@@ -72,27 +38,6 @@
     bus_post (bus, &message);
   }
 
-  void
-  put_targets (struct bus *bus,
-               const std::vector<std::pair<std::string, std::string>> &list)
-  {
-    std::string text = "{ 'name': 'holds', 'targets': [";
-    for (const auto &[name, address] : list)
-      text += std::string (text.back () == '[' ? "" : ",") + "{ 'name': '"
-              + name + "', 'address': '" + address
-              + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200 }";
-    text += "], 'routes': " + std::string (usual_routes)
-            + ", 'limits': { 'retry_percent': 100 } }";
-    std::replace (text.begin (), text.end (), '\'', '"');
-    bus_message message = {};
-    message.topic = BUS_SERVICE_IN_FORCE;
-    ASSERT_EQ (service_spec_parse ("test", text.c_str (), ++version,
-                                   &message.service_in_force.spec),
-               STATUS_OK)
-        << status_message () << text;
-    bus_post (bus, &message);
-  }
-
   /* The host has learned that it can't connect to t1. */
   void
   learn_that_t1_is_unreachable ()
@@ -115,11 +60,6 @@
     finish (call.get ());
     return call;
   }
-
-  target_server *target = nullptr;
-  host_settings other_settings;
-  struct bus *other_bus = nullptr;
-  caller_task *other = nullptr;
 };
 
 /* The path from every host of the set to a target is cut: the target would
