--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -334,11 +334,9 @@
   return http (request).status == 200;
 }
 
-std::map<std::string, int>
-Fleet::all_runs ()
+void
+Fleet::read_target_lines ()
 {
-  std::map<std::string, int> runs;
-  /* A line that a target wrote may not have been read from its pipe yet. */
   for (size_t i = 0; i < targets.size (); i++)
     {
       size_t from = targets[i]->line_count ();
@@ -348,6 +346,13 @@
                  == 200)
         targets[i]->wait_line ({ "counted" }, &from);
     }
+}
+
+std::map<std::string, int>
+Fleet::all_runs ()
+{
+  std::map<std::string, int> runs;
+  read_target_lines ();
   for (const auto *list : { &past_targets, &targets })
     for (const auto &target : *list)
       for (const std::string &line : target->lines_with ("run "))
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -111,6 +111,9 @@
 
   /** POST to a control endpoint of a stand-in. */
   bool post_control (const std::string &url);
+  /** Wait until all lines that the running targets have written so far are
+   * read from their pipes. */
+  void read_target_lines ();
   /** The number of runs of each request, by id, over all targets.  It is
    * taken from the lines that targets print, so the runs of a killed target
    * are included. */
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -138,8 +138,10 @@
     /* Requests sent before the drain have ended. */
     ASSERT_TRUE (load.wait_for_requests (batch_requests));
     Process &target = *fleet_.fleet ().targets[0];
+    fleet_.fleet ().read_target_lines ();
     const size_t runs = target.lines_with ("run ").size ();
     ASSERT_TRUE (load.wait_for_requests (batch_requests));
+    fleet_.fleet ().read_target_lines ();
     EXPECT_EQ (target.lines_with ("run ").size (), runs) << describe ();
   }
 
