--- a/policy/choice/reach_state.c
+++ b/policy/choice/reach_state.c
@@ -9,8 +9,9 @@
   /* Between two rounds. */
   CUT_INTERVAL_MS = 250,
   SUSPICIOUS_INTERVAL_MS = 200,
-  /* A host without requests finds out within this time. */
-  IDLE_INTERVAL_MS = 2000,
+  /* A host without requests finds out within this time.  One with requests
+     needs no such probes, since these show it. */
+  IDLE_INTERVAL_MS = 10000,
   /* A path that works only at times would else take requests back and forth.
    */
   GOOD_ROUNDS_MIN = 2,
