--- a/ctl/request_cause.c
+++ b/ctl/request_cause.c
@@ -53,6 +53,8 @@
   { "leaving", "the host was shutting down" },
   { "host-leaves", "the host was shutting down" },
   { "host-stops", "the host was stopping" },
+  { "cut-from-targets", "the host could not connect to any target, and no "
+                        "other host that can took the request" },
   { NULL, "the host gave up on it" },
 };
 
