control: log settings that are ignored as outdated, and revisions that go back

An object whose version is below the known one was dropped without a line, so the record of the incident can't say whether a version that isn't in force was read at all, or read and dropped: hypotheses 1 and 2 of docs/incidents/store-restored-from-a-copy.md look alike. Nor was there a line for a list whose revision is below the last one. No logic is changed.

--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -219,6 +219,18 @@
   task->has_settings = true;
 }
 
+static void
+note_revision (struct control_feed *feed, const struct platform_reply *reply)
+{
+  if (reply->revision < feed->last_revision
+      && feed->read_mode == PLATFORM_READ_LATEST)
+    LOG_WARN ("platform-revision-back", LOG_STR ("kind", feed->kind),
+              LOG_INT ("from_revision", feed->last_revision),
+              LOG_INT ("to_revision", reply->revision),
+              LOG_INT ("objects", reply->count));
+  feed->last_revision = reply->revision;
+}
+
 static void
 list_done (void *owner, const struct platform_reply *reply)
 {
@@ -230,6 +242,7 @@
       return;
     }
   feed_succeeded (feed);
+  note_revision (feed, reply);
   apply_reply (feed, reply);
   remove_missing (feed, reply);
   note_freshness (feed, reply);
@@ -278,6 +291,7 @@
   else
     {
       feed_succeeded (feed);
+      note_revision (feed, reply);
       apply_reply (feed, reply);
       note_freshness (feed, reply);
       control_contact_note_read (feed->task);
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -79,6 +79,7 @@
   struct control_task *task;
   const char *kind;
   uint64_t revision;
+  uint64_t last_revision;    /**< of the last list or watch */
   bool is_listed;            /**< `revision` is one to watch from */
   bool is_pending;           /**< a call is in flight */
   uint32_t watch_timeout_ms; /**< of the watch in flight */
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -162,6 +162,16 @@
             LOG_INT ("contact_age_ms", control_contact_age_ms (task)));
 }
 
+/* Lists repeat what is known, but nothing older unless they are stale. */
+static void
+log_outdated (const char *kind, const char *name, uint64_t version,
+              uint64_t known_version, const char *via)
+{
+  LOG_INFO ("setting-ignored", LOG_STR ("kind", kind), LOG_STR ("name", name),
+            LOG_INT ("version", version),
+            LOG_INT ("known_version", known_version), LOG_STR ("via", via));
+}
+
 bool
 control_settings_apply (struct control_task *task, const char *kind,
                         const char *name, uint64_t version, const char *value,
@@ -171,8 +181,13 @@
   if (handler == NULL || strlen (name) >= PEER_NAME_SIZE)
     return false;
   const uint64_t key = settings_key (kind, name);
+  const uint64_t known_version = settings_index_version (task->index, key);
   if (!settings_index_update (task->index, key, version))
-    return false;
+    {
+      if (version < known_version)
+        log_outdated (kind, name, version, known_version, via);
+      return false;
+    }
   log_arrival (task, kind, name, version, via);
   control_pulls_complete (task, key, version);
   struct control_object *object
