control: configurations are ordered by their own version

What callers saw: after the platform's store had come back from a copy some seconds old, requests on a route that had moved were run by its former service, at all hosts, until the store's revisions had passed those that it had lost.

Cause: control_settings_apply and the offers among hosts ordered all objects by the platform's revision. The restored store gave version 22 revision 62, the hosts held version 18 under 64. The registry, which orders configurations by the operator's own version, was never asked.

Change: a configuration goes to the registry, and its own version is what hosts compare, offer and pull. An older one is never offered again, so a host that starts gets the newer one from the others while the store has forgotten it. Hosts of earlier builds order by the revision still; the total hash of hosts with a registry has a seed, so that neither counts the other as having the same settings, and each reads for itself until the upgrade is complete.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -201,8 +201,9 @@
 void control_members_leave (struct control_task *task);
 
 /* control_settings.c */
-/** Apply an object if its version is higher than the one known here.  VIA
- * says how it arrived, for the log: "list", "watch", "host NAME", ...
+/** Apply an object if its VERSION is higher than the one known here, or a
+ * configuration if its own version is.  VIA says how it arrived, for the log:
+ * "list", "watch", "host NAME", ...
  * @return whether it was */
 bool control_settings_apply (struct control_task *task, const char *kind,
                              const char *name, uint64_t version,
@@ -229,9 +230,13 @@
 
 /* control_registry.c */
 void control_registry_create (struct control_task *task);
-void control_registry_apply_config (struct control_task *task,
-                                    const char *name, uint64_t version,
-                                    const char *value);
+/** Put a configuration in force.
+ * @return STATUS_REFUSED if it isn't newer than the one in force;
+ * STATUS_INVALID if it can't be used; STATUS_NOT_FOUND for a removal, which
+ * changes nothing, and for other names */
+enum status control_registry_apply_config (struct control_task *task,
+                                           const char *name, uint64_t version,
+                                           const char *value);
 void control_registry_apply_target (struct control_task *task,
                                     const char *name, uint64_t version,
                                     const char *value);
--- a/node/control/control_registry.c
+++ b/node/control/control_registry.c
@@ -53,19 +53,17 @@
   task->registry = registry_create (&options);
 }
 
-void
+enum status
 control_registry_apply_config (struct control_task *task, const char *name,
                                uint64_t version, const char *value)
 {
   if (strcmp (name, PLATFORM_CONFIG_NAME) != 0)
-    return;
-  if (value == NULL)
-    {
-      LOG_WARN ("config-removed", LOG_INT ("version", version),
-                LOG_STR ("in-force", "the previous configuration"));
-      return;
-    }
-  registry_apply_config (task->registry, name, value);
+    return STATUS_NOT_FOUND;
+  if (value != NULL)
+    return registry_apply_config (task->registry, name, value);
+  LOG_WARN ("config-removed", LOG_INT ("version", version),
+            LOG_STR ("in-force", "the previous configuration"));
+  return STATUS_NOT_FOUND;
 }
 
 void
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -143,11 +143,19 @@
     return has_registry ? NULL : apply_service;
   if (strcmp (kind, PLATFORM_KIND_TARGET) == 0)
     return has_registry ? control_registry_apply_target : NULL;
-  if (strcmp (kind, PLATFORM_KIND_CONFIG) == 0)
-    return has_registry ? control_registry_apply_config : NULL;
   return NULL;
 }
 
+/* Lists repeat what is known, but nothing older unless they are stale. */
+static void
+log_outdated (const char *kind, const char *name, uint64_t version,
+              uint64_t known_version, const char *via)
+{
+  LOG_INFO ("setting-ignored", LOG_STR ("kind", kind), LOG_STR ("name", name),
+            LOG_INT ("version", version),
+            LOG_INT ("known_version", known_version), LOG_STR ("via", via));
+}
+
 /* Host records change with each start, and targets have lines of their
    own. */
 static void
@@ -162,14 +170,31 @@
             LOG_INT ("contact_age_ms", control_contact_age_ms (task)));
 }
 
-/* Lists repeat what is known, but nothing older unless they are stale. */
-static void
-log_outdated (const char *kind, const char *name, uint64_t version,
-              uint64_t known_version, const char *via)
+/* Configurations are ordered by their own version, which their author
+   increases.  The platform's version of one may decrease when the platform
+   comes back from a copy. */
+static bool
+apply_config (struct control_task *task, const char *name,
+              uint64_t platform_version, const char *value, const char *via)
 {
-  LOG_INFO ("setting-ignored", LOG_STR ("kind", kind), LOG_STR ("name", name),
-            LOG_INT ("version", version),
-            LOG_INT ("known_version", known_version), LOG_STR ("via", via));
+  const uint64_t key = settings_key (PLATFORM_KIND_CONFIG, name);
+  const struct control_object *known = find_object (task, key);
+  control_pulls_complete (task, key, platform_version);
+  if (value != NULL && known != NULL && strcmp (value, known->value) == 0)
+    return false;
+  const enum status status
+      = control_registry_apply_config (task, name, platform_version, value);
+  if (status == STATUS_REFUSED)
+    log_outdated (PLATFORM_KIND_CONFIG, name, platform_version, known->version,
+                  via);
+  if (status != STATUS_OK)
+    return false;
+  const uint64_t version = registry_config (task->registry)->version;
+  log_arrival (task, PLATFORM_KIND_CONFIG, name, version, via);
+  settings_index_update (task->index, key, version);
+  store_object (task, key, PLATFORM_KIND_CONFIG, name, version, value);
+  offer_object (task, key, version);
+  return true;
 }
 
 bool
@@ -177,8 +202,13 @@
                         const char *name, uint64_t version, const char *value,
                         const char *via)
 {
+  if (strlen (name) >= PEER_NAME_SIZE)
+    return false;
+  if (strcmp (kind, PLATFORM_KIND_CONFIG) == 0)
+    return task->registry != NULL
+           && apply_config (task, name, version, value, via);
   object_handler *handler = find_object_handler (task, kind);
-  if (handler == NULL || strlen (name) >= PEER_NAME_SIZE)
+  if (handler == NULL)
     return false;
   const uint64_t key = settings_key (kind, name);
   const uint64_t known_version = settings_index_version (task->index, key);
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -21,6 +21,11 @@
   SEED_HOSTS_MIN = 3,
 };
 
+/* Builds that order a registry's objects in another way have another value.
+   Their hosts may run side by side, but don't count as having the same
+   settings. */
+static const uint64_t REGISTRY_ORDER = 1;
+
 void
 control_reply (struct control_task *task, const struct control_source *source,
                const struct peer_message *message)
@@ -291,7 +296,8 @@
   task->options = *options;
   task->started_ms = clock_now_ms ();
   task->last_contact_ms = task->started_ms;
-  task->index = settings_index_create ();
+  task->index = settings_index_create (
+      options->settings->modes.has_registry ? REGISTRY_ORDER : 0);
   control_tombstones_create (task);
   ev_timer_init (&task->refresh_timer, refresh_cb, 0, 0);
   task->refresh_timer.data = task;
--- a/node/control/tests/control_registry_test.cc
+++ b/node/control/tests/control_registry_test.cc
@@ -150,6 +150,27 @@
       until ([&] { return all_have_config (5) && all_have_targets ({}); }));
 }
 
+/* Guards against a configuration that is ignored because the platform, which
+   came back from a copy, gives it a lower version than an earlier one had. */
+TEST_F (ControlRegistry, ConfigurationsAreOrderedByTheirOwnVersion)
+{
+  start_registry (3);
+  store.sequence = 50;
+  store.put ("config", "main", config_text (4));
+  ASSERT_TRUE (until ([&] { return all_have_config (4); }));
+  store.sequence = 10;
+  store.put ("config", "main", config_text (5));
+  for (auto &n : nodes)
+    n->platform.forgets_revisions = true;
+  ASSERT_TRUE (until ([&] { return all_have_config (5); }));
+  for (auto &n : nodes)
+    n->platform.forgets_revisions = false;
+  store.sequence = 100;
+  store.put ("config", "main", config_text (4));
+  run_for (0.5);
+  EXPECT_TRUE (all_have_config (5));
+}
+
 /* The platform loses its history and with it the watches: their connections
    stay open and return nothing.  An operator changes a route at that moment.
    Hosts that waited for their long watch to end would route by the old version
--- a/policy/fleet/settings_index.c
+++ b/policy/fleet/settings_index.c
@@ -23,12 +23,15 @@
   struct entry *buckets[SETTINGS_BUCKETS];
   uint64_t bucket_hashes[SETTINGS_BUCKETS];
   uint64_t total_hash;
+  uint64_t hash_seed;
 };
 
 struct settings_index *
-settings_index_create (void)
+settings_index_create (uint64_t hash_seed)
 {
-  return xcalloc (1, sizeof (struct settings_index));
+  struct settings_index *index = xcalloc (1, sizeof *index);
+  index->hash_seed = hash_seed;
+  return index;
 }
 
 void
@@ -150,7 +153,7 @@
 uint64_t
 settings_index_hash (const struct settings_index *index)
 {
-  return index->total_hash;
+  return index->total_hash != 0 ? index->total_hash ^ index->hash_seed : 0;
 }
 
 uint64_t
--- a/policy/fleet/settings_index.h
+++ b/policy/fleet/settings_index.h
@@ -31,7 +31,9 @@
   uint64_t version;
 };
 
-struct settings_index *settings_index_create (void);
+/** @param hash_seed  part of the total hash; hosts that order the same objects
+ * differently have different ones, so that they never agree */
+struct settings_index *settings_index_create (uint64_t hash_seed);
 void settings_index_destroy (struct settings_index *index);
 
 /** Return the key of an object. */
@@ -59,7 +61,7 @@
 size_t settings_index_count (const struct settings_index *index);
 
 /** Return the hash of all keys and versions, which doesn't depend on their
- * order of arrival. */
+ * order of arrival; 0 for an empty index. */
 uint64_t settings_index_hash (const struct settings_index *index);
 /** Return the hash of one bucket. */
 uint64_t settings_index_bucket_hash (const struct settings_index *index,
--- a/policy/fleet/tests/settings_index_test.cc
+++ b/policy/fleet/tests/settings_index_test.cc
@@ -55,8 +55,8 @@
   for (int round = 0; round < 200; round++)
     {
       auto history = make_history (&random);
-      settings_index *first = settings_index_create ();
-      settings_index *second = settings_index_create ();
+      settings_index *first = settings_index_create (0);
+      settings_index *second = settings_index_create (0);
       std::map<uint64_t, uint64_t> reference;
       shuffle (&random, &history);
       for (const auto &d : history)
@@ -83,7 +83,7 @@
 
 TEST (SettingsIndex, ListsEachObjectInItsBucket)
 {
-  settings_index *index = settings_index_create ();
+  settings_index *index = settings_index_create (0);
   for (uint64_t i = 1; i <= 3000; i++)
     settings_index_update (index, i * 7919, i);
   size_t total = 0;
@@ -108,7 +108,7 @@
    While it is kept, a tombstone must still reject the old record. */
 TEST (SettingsIndex, RetiredEntryRejectsOldVersionsButIsNotHashed)
 {
-  settings_index *index = settings_index_create ();
+  settings_index *index = settings_index_create (0);
   const uint64_t removed = settings_key ("host", "gone");
   const uint64_t other = settings_key ("host", "other");
   settings_index_update (index, other, 3);
