wire, control: versions order by the store's era, then by revision

What callers saw after the platform's store came back from an older copy: requests run by the former service of a route, since hosts that had seen the lost revisions watched on from one that had been given out again and missed what lay between; requests at a target for as long as it lived after it had said that it leaves, since its entry had a lower revision than a lost one; and none at a target that had registered again.

Cause: a revision was taken for one sequence that only rises, and for the identity of a state, in the replies of the store and among hosts.

Change: a version holds the era of the response (Store-Era), the revision and a rank, in this order; without eras it is the revision as before. The client of the platform gives them to all it reads. It refuses a watch whose answer is of another era than its revision, a list whose pages are of two eras, and writes whose condition is of another era (nothing is sent, the object is read); what was answered before a restore that it knows of isn't used. Control reads everything again at the first response of a new era, leading relays at once, other hosts spread by the size of the fleet.

What was acknowledged and lost stays in force: a target that said that it leaves stays drained, one whose entry was removed stays away, each in the rank above its entry of the copy, so that all hosts agree on it and a host that starts learns it; what a target writes after the restore has a higher revision and wins. Entries of new targets are missing until they are written again and are kept as after an outage. Each host logs one line, store-restored, and counts restores.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -79,6 +79,7 @@
   struct control_feed feeds[CONTROL_FEEDS_MAX];
   size_t feed_count;
   struct control_registration registration;
+  struct control_restore restore;
   struct freshness freshness;
   struct control_freshness_query freshness_query;
   struct control_delegates delegates;
@@ -246,9 +247,26 @@
  * @return whether it was deferred */
 bool control_removals_defer (struct control_task *task, const char *name,
                              uint64_t version, int64_t recovered_ms);
+/** Let target NAME, whose lost removal was kept, return a while later in the
+ * state VALUE. */
+void control_removals_return_later (struct control_task *task,
+                                    const char *name, uint64_t version,
+                                    const char *value);
 void control_removals_start (struct control_task *task);
 void control_removals_stop (struct control_task *task);
 
+/* control_restore.c: the platform comes back from an older copy */
+void control_restore_start (struct control_task *task);
+/** Replace CHANGE, the first state of a target since a restore, by the state
+ * HELD here if that is a leaving or a removal that the restore lost.
+ * @return whether it was */
+bool control_restore_keep (struct control_task *task,
+                           const struct control_object *held,
+                           struct control_change *change);
+/** A kind of objects has been listed. */
+void control_restore_note_list (struct control_task *task);
+void control_restore_stop (struct control_task *task);
+
 /* control_outcomes.c */
 /** Start reporting the outcomes of attempts here to the hosts of a service's
  * set. */
@@ -335,6 +353,8 @@
 void control_platform_wake (struct control_task *task);
 /** Make the calls in flight again. */
 void control_platform_restart (struct control_task *task);
+/** List again what is watched from a revision of an earlier era. */
+void control_platform_list_again (struct control_task *task);
 /** Whether this host would learn of a change within the time of a call: it is
  * reading the newest state, and no answer is overdue. */
 bool control_platform_is_current (const struct control_task *task);
--- a/node/control/control_platform.c
+++ b/node/control/control_platform.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "wire/platform_version.h"
 
 enum
 {
@@ -34,6 +35,9 @@
   /** A watch after a failure ends at once, so that the failure of a path that
    * stays silent is noticed soon. */
   PROBE_WATCH_MS = 1,
+  /** When the platform has forgotten their revisions, hosts list again spread
+   * over this time for each host of the fleet. */
+  LIST_SPREAD_MS_PER_HOST = 1,
 };
 
 /* The age of the contact is that of the kind of settings that was read the
@@ -219,6 +223,7 @@
   task->has_settings = true;
 }
 
+/* With eras, revisions don't decrease. */
 static void
 note_revision (struct control_feed *feed, const struct platform_reply *reply)
 {
@@ -251,6 +256,7 @@
   update_has_settings (feed->task);
   control_tombstones_note_list (feed->task, feed->kind, reply->revision);
   control_contact_note_read (feed->task);
+  control_restore_note_list (feed->task);
   feed_next (feed);
 }
 
@@ -273,6 +279,24 @@
   ev_timer_start (feed->task->options.loop, &feed->retry);
 }
 
+/* Lists again, since the revision can't be watched from any more.  Hosts that
+   others inform take turns. */
+static void
+list_again (struct control_feed *feed)
+{
+  struct control_task *task = feed->task;
+  const double spread_ms = reads_newest (task)
+                               ? 0
+                               : (double)task->fleet_count
+                                     * LIST_SPREAD_MS_PER_HOST
+                                     * rng_unit (&task->random);
+  feed->is_listed = false;
+  feed->was_refused = true;
+  ev_timer_stop (task->options.loop, &feed->retry);
+  ev_timer_set (&feed->retry, spread_ms / 1000.0, 0);
+  ev_timer_start (task->options.loop, &feed->retry);
+}
+
 static void
 watch_done (void *owner, const struct platform_reply *reply)
 {
@@ -280,23 +304,20 @@
   end_call (feed);
   if (reply->status == STATUS_REFUSED)
     {
-      feed->is_listed = false;
-      feed->was_refused = true;
+      list_again (feed);
+      return;
     }
-  else if (reply->status != STATUS_OK)
+  if (reply->status != STATUS_OK)
     {
       feed_failed (feed, reply);
       return;
     }
-  else
-    {
-      feed_succeeded (feed);
-      note_revision (feed, reply);
-      apply_reply (feed, reply);
-      note_freshness (feed, reply);
-      control_contact_note_read (feed->task);
-    }
-  if (reply->status == STATUS_OK && reply->count > 0)
+  feed_succeeded (feed);
+  note_revision (feed, reply);
+  apply_reply (feed, reply);
+  note_freshness (feed, reply);
+  control_contact_note_read (feed->task);
+  if (reply->count > 0)
     feed_delay (feed);
   else
     feed_next (feed);
@@ -479,6 +500,27 @@
     }
 }
 
+/* Kinds that only relays watch reach the other hosts from them. */
+void
+control_platform_list_again (struct control_task *task)
+{
+  for (size_t i = 0; i < task->feed_count; i++)
+    {
+      struct control_feed *feed = &task->feeds[i];
+      const bool is_watched = feed->is_watched_by_all || task->is_relay;
+      if (!feed->is_listed || !is_watched
+          || platform_version_era (feed->revision)
+                 == task->options.platform->era)
+        continue;
+      if (feed->is_pending)
+        {
+          platform_cancel (task->options.platform, feed);
+          end_call (feed);
+        }
+      list_again (feed);
+    }
+}
+
 static bool
 feed_is_current (const struct control_feed *feed)
 {
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -29,14 +29,27 @@
   char name[PEER_NAME_SIZE];
   uint64_t version;
   char *value; /**< NULL: removed */
+  /** The platform's revision of what a removal removed. */
+  uint64_t removed_revision;
   UT_hash_handle hh;
 };
 
-/** A deferred removal of a target. */
+/** A new state of an object. */
+struct control_change
+{
+  const char *kind;
+  const char *name;
+  uint64_t version;
+  const char *value; /**< NULL: removed */
+  const char *via;   /**< how it arrived, for the log */
+};
+
+/** A deferred removal or return of a target. */
 struct control_removal
 {
   char name[PEER_NAME_SIZE];
   uint64_t version;
+  char *value; /**< of a target that returns; NULL: it is removed */
   int64_t due_ms;
   struct control_removal *prev, *next;
 };
@@ -96,6 +109,20 @@
   struct ev_timer overdue;
 };
 
+/** What this host does once it sees that the platform was restored. */
+struct control_restore
+{
+  struct ev_timer timer; /**< reads everything again */
+  bool is_reading;       /**< not all settings are read again yet */
+  uint64_t from_era;
+  uint64_t from_revision; /**< of the first kind */
+  bool has_kept_config;   /**< the platform has lost the one in force */
+  uint32_t kept_targets;  /**< whose leaving or removal is lost */
+  uint32_t held_removals; /**< of targets whose records are lost */
+  struct counter *era;
+  struct counter *restores_total;
+};
+
 /** This host's own object on the platform. */
 struct control_registration
 {
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -9,6 +9,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "wire/platform_version.h"
 
 static struct control_object *
 find_object (const struct control_task *task, uint64_t key)
@@ -31,8 +32,11 @@
       strncpy (object->name, name, sizeof object->name - 1);
       HASH_ADD (hh, task->objects, key, sizeof object->key, object);
     }
+  char *copy = xstrdup (value);
+  if (value == NULL && object->value != NULL)
+    object->removed_revision = platform_version_revision (object->version);
   free (object->value);
-  object->value = xstrdup (value);
+  object->value = copy;
   object->version = version;
   return object;
 }
@@ -146,7 +150,8 @@
   return NULL;
 }
 
-/* Lists repeat what is known, but nothing older unless they are stale. */
+/* Lists repeat what is known, but nothing older unless they are stale or the
+   platform has lost writes. */
 static void
 log_outdated (const char *kind, const char *name, uint64_t version,
               uint64_t known_version, const char *via)
@@ -174,61 +179,103 @@
    increases.  The platform's version of one may decrease when the platform
    comes back from a copy. */
 static bool
-apply_config (struct control_task *task, const char *name,
-              uint64_t platform_version, const char *value, const char *via)
+apply_config (struct control_task *task, const struct control_change *change)
 {
-  const uint64_t key = settings_key (PLATFORM_KIND_CONFIG, name);
-  const struct control_object *known = find_object (task, key);
-  control_pulls_complete (task, key, platform_version);
-  if (value != NULL && known != NULL && strcmp (value, known->value) == 0)
+  const uint64_t key = settings_key (change->kind, change->name);
+  const struct control_object *held = find_object (task, key);
+  control_pulls_complete (task, key, change->version);
+  if (change->value != NULL && held != NULL
+      && strcmp (change->value, held->value) == 0)
     return false;
-  const enum status status
-      = control_registry_apply_config (task, name, platform_version, value);
+  const enum status status = control_registry_apply_config (
+      task, change->name, change->version, change->value);
   if (status == STATUS_REFUSED)
-    log_outdated (PLATFORM_KIND_CONFIG, name, platform_version, known->version,
-                  via);
+    {
+      log_outdated (change->kind, change->name, change->version,
+                    registry_config (task->registry)->version, change->via);
+      task->restore.has_kept_config = true;
+    }
   if (status != STATUS_OK)
     return false;
   const uint64_t version = registry_config (task->registry)->version;
-  log_arrival (task, PLATFORM_KIND_CONFIG, name, version, via);
+  log_arrival (task, change->kind, change->name, version, change->via);
   settings_index_update (task->index, key, version);
-  store_object (task, key, PLATFORM_KIND_CONFIG, name, version, value);
+  store_object (task, key, change->kind, change->name, version, change->value);
   offer_object (task, key, version);
   return true;
 }
 
-bool
-control_settings_apply (struct control_task *task, const char *kind,
-                        const char *name, uint64_t version, const char *value,
-                        const char *via)
+/* A target whose lost removal was kept: its record is still that of the
+   copy. */
+static bool
+is_kept_removal (const struct control_object *held,
+                 const struct control_change *change)
 {
-  if (strlen (name) >= PEER_NAME_SIZE)
-    return false;
-  if (strcmp (kind, PLATFORM_KIND_CONFIG) == 0)
-    return task->registry != NULL
-           && apply_config (task, name, version, value, via);
-  object_handler *handler = find_object_handler (task, kind);
+  return held != NULL && held->value == NULL && change->value != NULL
+         && platform_version_rank (held->version) == PLATFORM_RANK_KEPT
+         && held->version
+                == platform_version_with_rank (change->version,
+                                               PLATFORM_RANK_KEPT);
+}
+
+static void
+ignore_change (struct control_task *task, const struct control_object *held,
+               const struct control_change *change, uint64_t known_version)
+{
+  if (is_kept_removal (held, change))
+    control_removals_return_later (
+        task, change->name,
+        platform_version_with_rank (change->version, PLATFORM_RANK_RELEASED),
+        change->value);
+  if (change->version < known_version
+      && strcmp (change->kind, PLATFORM_KIND_SERVICE) == 0)
+    log_outdated (change->kind, change->name, change->version, known_version,
+                  change->via);
+}
+
+static bool
+apply_change (struct control_task *task, struct control_change *change)
+{
+  object_handler *handler = find_object_handler (task, change->kind);
   if (handler == NULL)
     return false;
-  const uint64_t key = settings_key (kind, name);
+  const uint64_t key = settings_key (change->kind, change->name);
   const uint64_t known_version = settings_index_version (task->index, key);
-  if (!settings_index_update (task->index, key, version))
+  const struct control_object *held = find_object (task, key);
+  const uint64_t received_version = change->version;
+  if (strcmp (change->kind, PLATFORM_KIND_TARGET) == 0)
+    control_restore_keep (task, held, change);
+  if (!settings_index_update (task->index, key, change->version))
     {
-      if (version < known_version)
-        log_outdated (kind, name, version, known_version, via);
+      ignore_change (task, held, change, known_version);
       return false;
     }
-  log_arrival (task, kind, name, version, via);
-  control_pulls_complete (task, key, version);
-  struct control_object *object
-      = store_object (task, key, kind, name, version, value);
-  if (value == NULL && control_tombstones_apply_to (kind))
+  log_arrival (task, change->kind, change->name, change->version, change->via);
+  control_pulls_complete (task, key, received_version);
+  struct control_object *object = store_object (
+      task, key, change->kind, change->name, change->version, change->value);
+  if (object->value == NULL && control_tombstones_apply_to (change->kind))
     control_tombstones_add (task, object);
-  handler (task, name, version, value);
-  offer_object (task, key, version);
+  handler (task, change->name, object->version, object->value);
+  offer_object (task, key, object->version);
   return true;
 }
 
+bool
+control_settings_apply (struct control_task *task, const char *kind,
+                        const char *name, uint64_t version, const char *value,
+                        const char *via)
+{
+  struct control_change change = {
+    .kind = kind, .name = name, .version = version, .value = value, .via = via
+  };
+  if (strlen (name) >= PEER_NAME_SIZE)
+    return false;
+  if (strcmp (kind, PLATFORM_KIND_CONFIG) == 0)
+    return task->registry != NULL && apply_config (task, &change);
+  return apply_change (task, &change);
+}
+
 static struct peer_message
 digest_message (const struct control_task *task, bool answer_requested,
                 uint64_t buckets[SETTINGS_BUCKETS])
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -326,6 +326,7 @@
   start_timers (task);
   control_seeds_open (task);
   control_delegates_start (task);
+  control_restore_start (task);
   control_platform_start (task);
   control_poison_start (task);
   control_limits_start (task);
@@ -349,6 +350,7 @@
       control_cleanup_stop (task);
       control_freshness_stop (task);
       control_platform_stop (task);
+      control_restore_stop (task);
       control_delegates_stop (task);
       control_registration_stop (task);
       control_removals_stop (task);
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -81,9 +81,9 @@
   ev_timer timer;
 
   fake_platform (struct ev_loop *on, fake_store *from)
-      : base{ &ops, 0 }, loop (on), store (from), is_down (false),
-        forgets_revisions (false), lost_responses (0), writes (0), gets (0),
-        snapshot (nullptr)
+      : base{ &ops, 0, 0, nullptr, nullptr }, loop (on), store (from),
+        is_down (false), forgets_revisions (false), lost_responses (0),
+        writes (0), gets (0), snapshot (nullptr)
   {
     ev_timer_init (&timer, poll, 0, 0.002);
     timer.data = this;
--- a/wire/platform.h
+++ b/wire/platform.h
@@ -1,9 +1,10 @@
 /** @file
  * Interface of the platform's object API.
  *
- * An object has a kind, a name, an increasing version and a JSON text as its
- * value.  Writes are conditional on the version.  Each call completes exactly
- * once, from the event loop, with a reply that has one of these statuses:
+ * An object has a kind, a name, an increasing version (platform_version.h) and
+ * a JSON text as its value.  Writes are conditional on the version.  Each call
+ * completes exactly once, from the event loop, with a reply that has one of
+ * these statuses:
  *  - STATUS_OK;
  *  - STATUS_NOT_FOUND: no such object;
  *  - STATUS_REFUSED: the version didn't match; the reply holds the current
@@ -94,8 +95,9 @@
                uint64_t expected_version, const char *value,
                platform_done *done, void *owner);
   /** Wait for changes of KIND after REVISION.  Completes with the changes,
-   * with none after TIMEOUT_MS, or with STATUS_REFUSED if the platform no
-   * longer has that revision; the owner must list again then. */
+   * with none after TIMEOUT_MS, or with STATUS_REFUSED if the platform doesn't
+   * have that revision or has been restored since; the owner must list again
+   * then. */
   void (*watch) (struct platform *platform, const char *kind,
                  uint64_t revision, uint32_t timeout_ms,
                  enum platform_read_mode mode, platform_done *done,
@@ -108,11 +110,20 @@
   void (*destroy) (struct platform *platform);
 };
 
+/** Called when a response shows that the platform came back from an older
+ * copy, before the response is processed.  It must not make or cancel
+ * calls. */
+typedef void platform_restored (void *owner, uint64_t from_era,
+                                uint64_t to_era);
+
 /** Base of each implementation, embedded as its first member. */
 struct platform
 {
   const struct platform_ops *ops;
   uint64_t calls; /**< number of calls made, for the call budget */
+  uint64_t era;   /**< highest of the responses; 0: the platform has none */
+  platform_restored *restored; /**< NULL: none */
+  void *restored_owner;
 };
 
 static inline void
--- a/wire/platform_http.c
+++ b/wire/platform_http.c
@@ -7,6 +7,7 @@
 
 #include "base/xmalloc.h"
 #include "wire/platform_http_call.h"
+#include "wire/platform_version.h"
 
 enum
 {
@@ -42,8 +43,9 @@
 {
   struct http_call *call
       = platform_http_call_create (platform, CALL_WATCH, kind, done, owner);
-  call->path
-      = call->http->dialect->watch_path (kind, revision, timeout_ms, mode);
+  call->since = revision;
+  call->path = call->http->dialect->watch_path (
+      kind, platform_version_revision (revision), timeout_ms, mode);
   call->timeout_ms += timeout_ms;
   platform_http_call_begin (call);
 }
@@ -61,16 +63,42 @@
   curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, body);
 }
 
+/* In another era the platform may have given the expected revision to another
+   state of the object, and the write would replace that. */
+static bool
+has_outdated_condition (const struct platform *platform, uint64_t expected)
+{
+  return expected != PLATFORM_VERSION_NONE
+         && platform_version_era (expected) != platform->era;
+}
+
+static void
+refuse_put (struct platform *platform, const char *kind, const char *name,
+            platform_done *done, void *owner)
+{
+  struct http_call *call
+      = platform_http_call_create (platform, CALL_GET, kind, done, owner);
+  call->is_refused_write = true;
+  call->path = call->http->dialect->get_path (kind, name);
+  platform_http_call_begin (call);
+}
+
 static void
 put (struct platform *platform, const char *kind, const char *name,
      uint64_t expected_version, const char *value, platform_done *done,
      void *owner)
 {
+  if (has_outdated_condition (platform, expected_version))
+    {
+      refuse_put (platform, kind, name, done, owner);
+      return;
+    }
   struct http_call *call
       = platform_http_call_create (platform, CALL_PUT, kind, done, owner);
   struct platform_http_write write = { 0 };
   call->value = xstrdup (value);
-  call->http->dialect->write (kind, name, expected_version, value, &write);
+  call->http->dialect->write (
+      kind, name, platform_version_revision (expected_version), value, &write);
   call->path = write.path;
   if (write.condition != NULL)
     call->headers = curl_slist_append (call->headers, write.condition);
--- a/wire/platform_http.h
+++ b/wire/platform_http.h
@@ -7,6 +7,12 @@
  * the response, and a write must not be repeated without its owner's
  * knowledge.
  *
+ * Versions and revisions have the era of the response.  What a platform
+ * answered before it was restored isn't passed on once another response has
+ * shown the restore, and neither are the changes since a revision of another
+ * era; a write whose condition is of another era is refused without being
+ * sent.
+ *
  * With several addresses, a call that was certainly not sent is retried at the
  * next one; a write whose response was lost isn't.
  */
--- a/wire/platform_http_call.c
+++ b/wire/platform_http_call.c
@@ -100,6 +100,8 @@
       return;
     }
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http_code);
+  if (code == CURLE_OK && !platform_http_era_accept (call))
+    return;
   if (code != CURLE_OK || http_code >= HTTP_SERVER_ERROR)
     fail_over (call, code, http_code);
   else if (http_code != HTTP_OK)
@@ -119,6 +121,7 @@
   free (call->response_body);
   call->response_body = xstrdup ("");
   call->response_bytes = 0;
+  call->has_era = false;
   call->attempts++;
   http->platform.calls++;
   curl_loop_start (http->cl, call->easy, on_done, call);
@@ -151,6 +154,8 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, platform_http_era_read);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)call->http->connect_timeout_ms);
--- a/wire/platform_http_call.h
+++ b/wire/platform_http_call.h
@@ -30,6 +30,7 @@
   size_t preferred_address; /* the address that calls try first */
   uint32_t timeout_ms;
   uint32_t connect_timeout_ms;
+  bool has_answered; /* the era is that of a response */
   struct http_call *calls;
 };
 
@@ -42,6 +43,11 @@
   struct curl_slist *headers;
   char *path;
   char *object_kind;
+  uint64_t since; /* WATCH: the revision, with its era */
+  /* GET in place of a write whose condition is of an earlier era. */
+  bool is_refused_write;
+  bool has_era;       /* the response has one */
+  uint64_t era;       /* of the response */
   char *value;        /* PUT: NULL removes the object */
   char *request_body; /* PUT: the request body */
   /* LIST: the pages received so far, with their objects. */
@@ -71,6 +77,20 @@
  * page. */
 void platform_http_call_send (struct http_call *call);
 
+/** Note the era of a response.  One from before a restore that other responses
+ * have shown fails the call.
+ * @return whether the response may be used */
+bool platform_http_era_accept (struct http_call *call);
+
+/** Give the objects and the revision of a PARSED response its era.
+ * @return false, with a message, if they are out of range */
+bool platform_http_era_apply (const struct http_call *call,
+                              struct platform_http_reply *parsed);
+
+/** A libcurl header callback that reads the era of a response. */
+size_t platform_http_era_read (char *data, size_t size, size_t count,
+                               void *owner);
+
 /** Destroy the call without a callback. */
 void platform_http_call_destroy (struct http_call *call);
 
--- a/wire/platform_http_dialect.c
+++ b/wire/platform_http_dialect.c
@@ -80,4 +80,5 @@
   .read_object = read_object,
   .read_list = read_list,
   .read_changes = read_list,
+  .era_field = "Store-Era",
 };
--- a/wire/platform_http_dialect.h
+++ b/wire/platform_http_dialect.h
@@ -32,6 +32,7 @@
   /** AFTER is the last name of the previous page; "" for the first page. */
   char *(*list_path) (const char *kind, const char *after,
                       enum platform_read_mode mode);
+  /** Revisions and versions are those of the platform. */
   char *(*watch_path) (const char *kind, uint64_t revision,
                        uint32_t timeout_ms, enum platform_read_mode mode);
   /** EXPECTED_VERSION and VALUE as in platform_put(). */
@@ -48,6 +49,10 @@
                                const char *kind, const char *text,
                                size_t size);
 
+  /** Header field with the era in all responses; a platform without it has
+   * no eras. */
+  const char *era_field;
+
   /** A response with status 503 means that the call had no effect. */
   bool unavailable_has_no_effect;
 };
--- a/wire/platform_http_end.c
+++ b/wire/platform_http_end.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/xmalloc.h"
+#include "wire/platform_version.h"
 
 enum
 {
@@ -42,7 +43,8 @@
   if (call->http->dialect->read_object (&parsed, call->object_kind,
                                         call->response_body,
                                         call->response_bytes)
-      != STATUS_OK)
+          != STATUS_OK
+      || !platform_http_era_apply (call, &parsed))
     {
       platform_http_reply_release (&parsed);
       platform_http_end_failed (
@@ -59,21 +61,58 @@
   platform_http_reply_release (&parsed);
 }
 
+static void
+complete_refused (struct http_call *call,
+                  const struct platform_http_reply *current)
+{
+  const bool exists = current->count > 0 && current->objects[0].value != NULL;
+  const struct platform_reply reply
+      = { .status = STATUS_REFUSED,
+          .message = exists
+                         ? "the object was changed concurrently; read it and "
+                           "retry if the change still applies"
+                         : "the object no longer exists",
+          .objects = current->objects,
+          .count = exists ? 1 : 0 };
+  complete (call, &reply);
+}
+
+/* A restored platform may have given the revision out again, so what changed
+   since is not what follows it. */
+static bool
+is_from_another_era (const struct http_call *call)
+{
+  return call->kind == CALL_WATCH
+         && platform_version_era (call->since) != call->era;
+}
+
 static void
 complete_read (struct http_call *call)
 {
   const struct platform_http_dialect *dialect = call->http->dialect;
   struct platform_http_reply parsed = { 0 };
-  const enum status status = (call->kind == CALL_GET ? dialect->read_object
-                                                     : dialect->read_changes) (
+  if (is_from_another_era (call))
+    {
+      platform_http_end_failed (
+          call, STATUS_REFUSED,
+          "the platform was restored since that revision; list again");
+      return;
+    }
+  enum status status = (call->kind == CALL_GET ? dialect->read_object
+                                               : dialect->read_changes) (
       &parsed, call->object_kind, call->response_body, call->response_bytes);
+  if (status == STATUS_OK && !platform_http_era_apply (call, &parsed))
+    status = STATUS_INVALID;
   const struct platform_reply reply
       = { .status = status,
           .message = status == STATUS_OK ? NULL : status_message (),
           .revision = parsed.revision,
           .objects = parsed.objects,
           .count = parsed.count };
-  complete (call, &reply);
+  if (status == STATUS_OK && call->is_refused_write)
+    complete_refused (call, &parsed);
+  else
+    complete (call, &reply);
   platform_http_reply_release (&parsed);
 }
 
@@ -108,11 +147,20 @@
   *page = (struct platform_http_reply){ 0 };
   if (dialect->read_list (page, call->object_kind, call->response_body,
                           call->response_bytes)
-      != STATUS_OK)
+          != STATUS_OK
+      || !platform_http_era_apply (call, page))
     {
       platform_http_end_failed (call, STATUS_INVALID, status_message ());
       return;
     }
+  if (platform_version_era (page->revision)
+      != platform_version_era (call->pages[0].revision))
+    {
+      platform_http_end_failed (
+          call, STATUS_LOST_ANSWER,
+          "the platform was restored between two pages; list again");
+      return;
+    }
   if (page->continue_after[0] == '\0')
     {
       complete_list (call);
@@ -129,18 +177,13 @@
 complete_conflict (struct http_call *call)
 {
   struct platform_http_reply parsed = { 0 };
-  call->http->dialect->read_object (&parsed, call->object_kind,
-                                    call->response_body, call->response_bytes);
-  const bool exists = parsed.count > 0 && parsed.objects[0].value != NULL;
-  const struct platform_reply reply
-      = { .status = STATUS_REFUSED,
-          .message = exists
-                         ? "the object was changed concurrently; read it and "
-                           "retry if the change still applies"
-                         : "the object no longer exists",
-          .objects = parsed.objects,
-          .count = exists ? 1 : 0 };
-  complete (call, &reply);
+  if (call->http->dialect->read_object (&parsed, call->object_kind,
+                                        call->response_body,
+                                        call->response_bytes)
+          != STATUS_OK
+      || !platform_http_era_apply (call, &parsed))
+    parsed.count = 0;
+  complete_refused (call, &parsed);
   platform_http_reply_release (&parsed);
 }
 
@@ -155,6 +198,11 @@
   switch (code)
     {
     case HTTP_NOT_FOUND:
+      if (call->is_refused_write)
+        {
+          complete_refused (call, &(struct platform_http_reply){ 0 });
+          return;
+        }
       platform_http_end_failed (call, STATUS_NOT_FOUND,
                                 "the platform has no such object");
       return;
