control: hosts write records that the platform has lost again

What operators saw: after the platform's store came back from an older copy, the records of hosts that had registered since were missing for good, and those of hosts that had started again since were of their earlier processes. A host that starts finds others by these records.

Cause: a host learned that its record is gone only from a relay that had known it, and compared the store's revisions, which had gone back. A record of an earlier process was taken for one of the same host.

Change: when a host sees a restore, it reads its record and writes it if it is missing or not its own. The reads and writes of the fleet are spread over 5 ms for each host (200 a second, half of what the store takes here).

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -392,9 +392,12 @@
 void control_registration_start (struct control_task *task);
 /** Write the record again. */
 void control_registration_write (struct control_task *task);
-/** The platform's copy was removed: write it at once, if repeated with
- * back-off. */
-void control_registration_restore (struct control_task *task);
+/** Read the record soon and write it if the platform has lost it. */
+void control_registration_check (struct control_task *task);
+/** The platform has no record, or that of an earlier process, with VERSION:
+ * write it soon, if repeated with back-off. */
+void control_registration_restore (struct control_task *task,
+                                   uint64_t version);
 void control_registration_stop (struct control_task *task);
 /** Start TIMER, which repeats a call to the platform, after a back-off that
  * grows with each failure up to MAX_MS. */
--- a/node/control/control_registration.c
+++ b/node/control/control_registration.c
@@ -6,11 +6,15 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "wire/platform_version.h"
 
 enum
 {
   BACKOFF_MIN_MS = 200,
   BACKOFF_MAX_MS = 5000,
+  /** Hosts whose records the platform has lost at the same time write them
+   * again spread over this time for each host of the fleet. */
+  WRITE_SPREAD_MS_PER_HOST = 5,
 };
 
 void
@@ -64,7 +68,8 @@
   registration->version = version;
   registration->backoff_ms = 0;
   control_members_note_contact (task, clock_now_ms ());
-  LOG_INFO ("registered", LOG_INT ("version", version),
+  LOG_INFO ("registered",
+            LOG_INT ("version", platform_version_revision (version)),
             LOG_STR ("state", task->is_leaving ? "leaving" : "live"));
   control_settings_apply (task, PLATFORM_KIND_HOST, task->self->record.name,
                           version, value, "own record");
@@ -186,11 +191,22 @@
   registration_next (registration);
 }
 
+static void
+write_soon (struct control_registration *registration)
+{
+  struct control_task *task = registration->task;
+  const double spread_ms = (double)task->fleet_count * WRITE_SPREAD_MS_PER_HOST
+                           * rng_unit (&task->random);
+  ev_timer_stop (task->options.loop, &registration->retry);
+  ev_timer_set (&registration->retry, spread_ms / 1000.0, 0);
+  ev_timer_start (task->options.loop, &registration->retry);
+}
+
 /* Another program may keep removing the record.  So that both don't remove and
    write it as fast as they can, only the first removal in a while is reverted
-   at once. */
+   soon. */
 void
-control_registration_restore (struct control_task *task)
+control_registration_restore (struct control_task *task, uint64_t version)
 {
   struct control_registration *registration = &task->registration;
   const int64_t now_ms = clock_now_ms ();
@@ -198,18 +214,27 @@
                         || now_ms - registration->last_removed_ms
                                > 2 * (int64_t)BACKOFF_MAX_MS;
   registration->last_removed_ms = now_ms;
-  registration->version = PLATFORM_VERSION_NONE;
+  registration->version = version;
+  registration->is_registered = false;
   if (is_first)
     {
       registration->restore_backoff_ms = 0;
-      control_registration_write (task);
+      write_soon (registration);
       return;
     }
-  registration->is_registered = false;
   control_retry_later (task, &registration->retry,
                        &registration->restore_backoff_ms);
 }
 
+void
+control_registration_check (struct control_task *task)
+{
+  struct control_registration *registration = &task->registration;
+  registration->is_registered = false;
+  registration->must_read = true;
+  write_soon (registration);
+}
+
 void
 control_registration_start (struct control_task *task)
 {
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -58,24 +58,34 @@
     control_services_enforce (task, spec);
 }
 
-/* Handles another process with the same host name, and a removal of this
-   host's record. */
+/* Handles another process with the same host name, and a platform that lacks
+   this host's record or has that of an earlier process. */
 static void
 apply_own_record (struct control_task *task, uint64_t version,
                   const char *value)
 {
   struct host_record record;
   const char *name = task->self->record.name;
+  const uint64_t incarnation = task->self->record.incarnation;
   task->self->is_listed = value != NULL;
   if (value == NULL)
     {
-      LOG_WARN ("own-record-removed", LOG_INT ("version", version));
-      control_registration_restore (task);
+      LOG_WARN ("own-record-removed",
+                LOG_INT ("version", platform_version_revision (version)));
+      control_registration_restore (task, PLATFORM_VERSION_NONE);
     }
-  else if (host_record_parse (name, value, &record) == STATUS_OK
-           && record.incarnation > task->self->record.incarnation)
+  else if (host_record_parse (name, value, &record) != STATUS_OK)
+    return;
+  else if (record.incarnation > incarnation)
     LOG_WARN ("name-taken", LOG_STR ("host", name),
               LOG_STR ("remedy", "give each host a name of its own"));
+  else if (record.incarnation < incarnation
+           && task->registration.is_registered)
+    {
+      LOG_WARN ("own-record-outdated",
+                LOG_INT ("version", platform_version_revision (version)));
+      control_registration_restore (task, version);
+    }
 }
 
 static void
