control: hosts store blocked requests that the platform has lost again

What operators would see: blocks of requests that crash targets, stored within the seconds that a restore of the platform's store loses, are gone from it; if all hosts stop then, the requests are tried again. Found by reading, as the same cause elsewhere: a write that was acknowledged once was never looked at again.

A block whose removal was lost stays in the store until it expires; hosts that run have it cleared.

--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -317,6 +317,9 @@
 /** Store the first row of ANNOUNCED, or remove it if it is not a block. */
 void control_poison_store_write (struct control_task *task,
                                  const struct bus_poison *announced);
+/** Write the blocks that this host stored again if the platform has lost
+ * them. */
+void control_poison_store_write_again (struct control_task *task);
 /** Remove a cleared block from the platform if this host stored it. */
 void control_poison_store_clear (struct control_task *task,
                                  const struct fingerprint *fingerprint);
--- a/node/control/control_poison_store.c
+++ b/node/control/control_poison_store.c
@@ -28,14 +28,17 @@
   struct control_poison_write *prev, *next;
 };
 
-/** The name of a block that this host has stored or queued for storing. */
+/** A block that this host has stored or queued for storing. */
 struct control_poison_stored_name
 {
   char name[FINGERPRINT_TEXT_SIZE];
+  char *value;
+  bool is_lost; /* a restore may have lost it; to be written again */
   UT_hash_handle hh;
 };
 
 static void start_next_write (struct control_task *task);
+static void queue_lost_blocks (struct control_task *task);
 
 static void
 drop_write (struct control_task *task)
@@ -108,6 +111,8 @@
 start_next_write (struct control_task *task)
 {
   struct control_poison_store *store = &task->poison;
+  if (store->writes == NULL)
+    queue_lost_blocks (task);
   if (store->is_pending || store->writes == NULL
       || ev_is_active (&store->retry))
     return;
@@ -141,23 +146,56 @@
                     struct control_poison_stored_name *name)
 {
   HASH_DEL (store->stored_names, name);
+  free (name->value);
   free (name);
 }
 
 static void
-add_stored_name (struct control_poison_store *store, const char *text)
+add_stored_name (struct control_poison_store *store, const char *text,
+                 const char *value)
 {
   struct control_poison_stored_name *name;
   HASH_FIND_STR (store->stored_names, text, name);
   if (name != NULL)
-    return;
+    {
+      free (name->value);
+      name->value = xstrdup (value);
+      return;
+    }
   if (HASH_COUNT (store->stored_names) == STORED_NAMES_MAX)
     remove_stored_name (store, store->stored_names);
   name = xcalloc (1, sizeof *name);
   snprintf (name->name, sizeof name->name, "%s", text);
+  name->value = xstrdup (value);
   HASH_ADD_STR (store->stored_names, name, name);
 }
 
+/* Queues blocks that a restore may have lost, as far as there is room. */
+static void
+queue_lost_blocks (struct control_task *task)
+{
+  struct control_poison_store *store = &task->poison;
+  struct control_poison_stored_name *name;
+  for (name = store->stored_names;
+       name != NULL && store->write_count < QUEUED_WRITES_MAX;
+       name = name->hh.next)
+    {
+      if (!name->is_lost)
+        continue;
+      name->is_lost = false;
+      add_write (task, name->name, xstrdup (name->value));
+    }
+}
+
+void
+control_poison_store_write_again (struct control_task *task)
+{
+  struct control_poison_stored_name *name;
+  for (name = task->poison.stored_names; name != NULL; name = name->hh.next)
+    name->is_lost = true;
+  queue_lost_blocks (task);
+}
+
 /* Several hosts store the same block, and one may write it after another has
    removed it.  The block would remain on the platform, so each host that has
    stored it removes it. */
@@ -186,10 +224,10 @@
   char name[FINGERPRINT_TEXT_SIZE];
   fingerprint_format (&row->fingerprint, name);
   snprintf (record.service, sizeof record.service, "%s", announced->service);
-  if (row->strikes > 0)
-    add_stored_name (&task->poison, name);
-  add_write (task, name,
-             row->strikes > 0 ? poison_record_format (&record) : NULL);
+  char *value = row->strikes > 0 ? poison_record_format (&record) : NULL;
+  if (value != NULL)
+    add_stored_name (&task->poison, name, value);
+  add_write (task, name, value);
 }
 
 static void
@@ -294,6 +332,7 @@
   while (name != NULL)
     {
       struct control_poison_stored_name *next = name->hh.next;
+      free (name->value);
       free (name);
       name = next;
     }
--- a/node/control/control_restore.c
+++ b/node/control/control_restore.c
@@ -40,6 +40,7 @@
   struct control_task *task = watcher->data;
   control_platform_list_again (task);
   control_registration_check (task);
+  control_poison_store_write_again (task);
   control_restore_note_list (task);
 }
 
--- a/node/control/tests/control_poison_test.cc
+++ b/node/control/tests/control_poison_test.cc
@@ -122,6 +122,27 @@
   EXPECT_TRUE (until ([&] { return stored_count () == 1; }));
 }
 
+/* Guards against a crash of the whole fleet after which requests are no longer
+   blocked, because the platform's restore has lost the stored blocks. */
+TEST_F (ControlPoison, BlocksLostInARestoreAreStoredAgain)
+{
+  const size_t blocks = 100; /* more than are queued at a time */
+  node &host = add ("h0", "d0");
+  host.start (loop);
+  ASSERT_TRUE (until ([&] { return control_has_settings (host.task); }));
+  for (uint64_t number = 0; number < blocks; number++)
+    {
+      announce (host, make_block (number), POISON_TO_RANDOM_FEW, true);
+      ASSERT_TRUE (until ([&] { return stored_count () == number + 1; }));
+    }
+  const auto before = store.kinds[PLATFORM_KIND_POISON];
+  store.kinds.erase (PLATFORM_KIND_POISON);
+  host.platform.begin_next_era ();
+  EXPECT_TRUE (until ([&] { return stored_count () == blocks; }));
+  for (const auto &[name, object] : store.kinds[PLATFORM_KIND_POISON])
+    EXPECT_EQ (object.value, before.at (name).value) << name;
+}
+
 /* A write must be neither lost nor repeated when its response is lost. */
 TEST_F (ControlPoison, WriteIsRetriedAfterLostReply)
 {
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -211,6 +211,14 @@
     return true;
   }
 
+  /* Shows the next era, as the response to any call after a restore does. */
+  void
+  begin_next_era ()
+  {
+    base.era++;
+    base.restored (base.restored_owner, base.era - 1, base.era);
+  }
+
   /* All watches in flight stop returning changes.  When they time out, they
      are refused because their history is gone. */
   void
