soak: the store comes back from older copies

config_soak_test has plans with restores: the store is away for 0.3 to 1.8 s and comes back from a copy up to 5 s old, some restores right after another; the operator writes the newest version again before hosts reach the store, or only the next one. The plans of earlier seeds stay as they are.

--- a/tests/soak/config_fleet.cc
+++ b/tests/soak/config_fleet.cc
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr int64_t copy_interval_ms = 250, copy_age_max_ms = 7000;
 constexpr int services = 7;
 constexpr int relay_last = 60; /* last byte of the relays' addresses */
 constexpr int platform_relay_port = 9541, peer_relay_port = 9544;
@@ -100,18 +101,24 @@
 }
 
 void
-ConfigFleet::write_version ()
+ConfigFleet::configure_version (int number, const ConfigVersion &version)
 {
-  const int number = static_cast<int> (versions_.size ()) + 1;
   std::vector<PlatformRoute> routes;
   std::vector<std::string> names;
-  ConfigVersion version{ now_ms (), 0, routes_of (number) };
   for (const auto &[path, service] : version.services)
     routes.push_back (
         { "r" + path.substr (1, path.size () - 2), path, "safe", service });
   for (int i = 0; i < services; i++)
     names.push_back (service_name (i));
   fleet_.configure_routes (number, routes, names);
+}
+
+void
+ConfigFleet::write_version ()
+{
+  const int number = static_cast<int> (versions_.size ()) + 1;
+  ConfigVersion version{ now_ms (), 0, routes_of (number) };
+  configure_version (number, version);
   version.confirmed_ms = now_ms ();
   versions_.push_back (version);
 }
@@ -315,6 +322,30 @@
   disturbances_.push_back ({ 0, now_ms (), now_ms (), true });
 }
 
+void
+ConfigFleet::keep_copy ()
+{
+  const int64_t at_ms = now_ms ();
+  if (!copies_.empty () && at_ms - copies_.back ().first < copy_interval_ms)
+    return;
+  copies_.emplace_back (at_ms, fleet_.store->copy ());
+  if (at_ms - copies_.front ().first > copy_age_max_ms)
+    copies_.pop_front ();
+}
+
+void
+ConfigFleet::restore_store (int64_t age_ms, bool is_written_again)
+{
+  const int64_t at_ms = now_ms () - age_ms;
+  while (copies_.size () > 1 && copies_.back ().first > at_ms)
+    copies_.pop_back ();
+  fleet_.store->restore (copies_.back ().second);
+  if (is_written_again)
+    configure_version (static_cast<int> (versions_.size ()),
+                       versions_.back ());
+  fail_store (StoreFault::none);
+}
+
 void
 ConfigFleet::silence_peers (int host, bool is_silent)
 {
--- a/tests/soak/config_fleet.h
+++ b/tests/soak/config_fleet.h
@@ -7,6 +7,7 @@
 #define TESTS_SOAK_CONFIG_FLEET_H
 
 #include <atomic>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -52,6 +53,12 @@
   /** A fault of the platform's store for all hosts. */
   void fail_store (StoreFault fault);
   void compact_store ();
+  /** Keep a copy of the store, to be called all the time. */
+  void keep_copy ();
+  /** Bring the store back from a copy about AGE_MS old, and end its fault.
+   * @param is_written_again  the operator writes the newest version before
+   * hosts reach the store, otherwise only the next one */
+  void restore_store (int64_t age_ms, bool is_written_again);
 
   /* What it doesn't excuse. */
   void silence_peers (int host, bool is_silent);
@@ -81,11 +88,14 @@
   void begin_disturbance (int host);
   void end_disturbance (int host);
   void write_version ();
+  void configure_version (int number, const ConfigVersion &version);
 
   ConfigFleetOptions options_;
   PlatformFleet fleet_;
   HostNetwork network_;
   std::vector<ConfigVersion> versions_;
+  /** Copies of the store and when they were taken. */
+  std::deque<std::pair<int64_t, FakeStore::Copy>> copies_;
   std::vector<ConfigDisturbance> disturbances_;
   std::vector<std::unique_ptr<std::atomic<int>>> lifetimes_;
   std::mutex mutex_; /**< of requests_ */
--- a/tests/soak/config_plan.cc
+++ b/tests/soak/config_plan.cc
@@ -9,7 +9,11 @@
 constexpr int hosts_min = 5;
 constexpr int64_t event_interval_ms = 500;
 constexpr int64_t event_min_ms = 300, event_max_ms = 12000,
-                  store_max_ms = 3000;
+                  store_max_ms = 3000, away_max_ms = 1500;
+/** One restore follows another after less or more than the seconds within
+ * which hosts have settled. */
+constexpr int64_t restore_interval_min_ms = 700,
+                  restore_interval_max_ms = 7000;
 constexpr int change_intervals_ms[] = { 300, 700, 1500 };
 
 enum class Concerns
@@ -42,7 +46,8 @@
   static const char *const names[]
       = { "suspend",         "kill",       "terminate",     "reload",
           "silence_from",    "silence_to", "silence_peers", "silence_platform",
-          "refuse_platform", "cut_off",    "store_fault",   "compact" };
+          "refuse_platform", "cut_off",    "store_fault",   "compact",
+          "restore" };
   return names[static_cast<int> (kind)];
 }
 
@@ -82,6 +87,38 @@
   return plan;
 }
 
+ConfigPlan
+config_plan_with_restores (uint64_t seed, int hosts_max, int64_t duration_ms)
+{
+  ConfigPlan plan = config_plan (seed, hosts_max, duration_ms);
+  std::mt19937_64 random (~seed);
+  const auto below = [&] (int64_t limit) {
+    return static_cast<int64_t> (random () % static_cast<uint64_t> (limit));
+  };
+  for (int64_t at_ms = below (restore_interval_max_ms); at_ms < duration_ms;
+       at_ms += restore_interval_min_ms + below (restore_interval_max_ms))
+    {
+      ConfigFaultEvent event{};
+      event.kind = ConfigFaultKind::restore;
+      event.variant = static_cast<int> (below (64));
+      event.from_ms = at_ms;
+      event.to_ms
+          = std::min (duration_ms, at_ms + event_min_ms + below (away_max_ms));
+      plan.events.erase (
+          std::remove_if (plan.events.begin (), plan.events.end (),
+                          [&] (const ConfigFaultEvent &other) {
+                            return conflicts_with (event, other);
+                          }),
+          plan.events.end ());
+      plan.events.push_back (event);
+      at_ms = event.to_ms;
+    }
+  std::stable_sort (
+      plan.events.begin (), plan.events.end (),
+      [] (const auto &a, const auto &b) { return a.from_ms < b.from_ms; });
+  return plan;
+}
+
 std::string
 config_plan_text (const ConfigPlan &plan)
 {
--- a/tests/soak/config_plan.h
+++ b/tests/soak/config_plan.h
@@ -24,13 +24,16 @@
   store_fault,      /**< of the platform for all hosts */
   compact,          /**< the platform drops its history */
   count,
+  /** The platform is away and comes back from an older copy; only in plans
+   * with restores. */
+  restore = count,
 };
 
 struct ConfigFaultEvent
 {
   ConfigFaultKind kind;
   int host;
-  int variant; /**< selects the fault of the store */
+  int variant; /**< selects the fault of the store, or the age of its copy */
   int64_t from_ms;
   int64_t to_ms;
 };
@@ -47,6 +50,10 @@
  */
 ConfigPlan config_plan (uint64_t seed, int hosts_max, int64_t duration_ms);
 
+/** The same with restores of the platform among the events. */
+ConfigPlan config_plan_with_restores (uint64_t seed, int hosts_max,
+                                      int64_t duration_ms);
+
 std::string config_plan_text (const ConfigPlan &plan);
 
 #endif
--- a/tests/soak/config_soak_test.cc
+++ b/tests/soak/config_soak_test.cc
@@ -15,15 +15,15 @@
 
 constexpr int hosts_max = 8;
 constexpr int64_t faults_ms = 20000, calm_ms = 5000;
+constexpr int64_t copy_age_step_ms = 80;
 constexpr size_t lines_shown = 20;
 
 /** One run: executes a plan while the configuration changes. */
 class ConfigSoak
 {
 public:
-  ConfigSoak (uint64_t seed, int most)
-      : plan_ (config_plan (seed, most, faults_ms)),
-        plan_text_ (config_plan_text (plan_)),
+  explicit ConfigSoak (const ConfigPlan &plan)
+      : plan_ (plan), plan_text_ (config_plan_text (plan_)),
         fleet_ ({ plan_.hosts, 3, 2, 1500 })
   {
     for (size_t i = 0; i < plan_.events.size (); i++)
@@ -85,6 +85,7 @@
             fleet_.change ();
             change_ms = fleet_.now_ms () + plan_.change_interval_ms;
           }
+        fleet_.keep_copy ();
         if (start_ms_ > 0)
           execute_due (fleet_.now_ms () - start_ms_);
         const int64_t next_ms = fleet_.now_ms () + tick_ms;
@@ -134,6 +135,9 @@
       case ConfigFaultKind::compact:
         fleet_.compact_store ();
         break;
+      case ConfigFaultKind::restore:
+        fleet_.fail_store (faults[event.variant % 4]);
+        break;
       default:
         set_paths (event, true);
       }
@@ -154,6 +158,10 @@
       case ConfigFaultKind::store_fault:
         fleet_.fail_store (StoreFault::none);
         break;
+      case ConfigFaultKind::restore:
+        fleet_.restore_store (event.variant * copy_age_step_ms,
+                              event.variant % 2 == 0);
+        break;
       case ConfigFaultKind::reload:
       case ConfigFaultKind::compact:
         break;
@@ -204,11 +212,13 @@
 };
 
 void
-run_seed (uint64_t seed, int most = hosts_max)
+run_seed (uint64_t seed, int most = hosts_max, bool has_restores = false)
 {
   SCOPED_TRACE ("seed " + std::to_string (seed));
   std::cout << "seed " << seed << ": ";
-  ConfigSoak soak (seed, most);
+  ConfigSoak soak (has_restores
+                       ? config_plan_with_restores (seed, most, faults_ms)
+                       : config_plan (seed, most, faults_ms));
   soak.run ();
 }
 
@@ -223,19 +233,37 @@
   run_seed (2);
 }
 
-/* Runs COUNT seeds from FROM with up to MOST hosts as the environment has
-   FROM:COUNT:MOST. */
-TEST (ConfigSoakManual, SeedsFromEnvironment)
+/* Guards against configurations that a restore of the store takes out of
+   force or keeps from taking effect, beside the other faults. */
+TEST (ConfigSoakTest, RestoredStore)
+{
+  run_seed (3, hosts_max, true);
+}
+
+/* Runs COUNT seeds from FROM with up to MOST hosts as the environment variable
+   NAME has FROM:COUNT:MOST. */
+void
+run_seeds_of (const char *name, bool has_restores)
 {
-  const char *seeds = getenv ("JAYSTAIR_CONFIG_SOAK");
+  const char *seeds = getenv (name);
   if (seeds == nullptr)
-    GTEST_SKIP () << "set JAYSTAIR_CONFIG_SOAK=FROM:COUNT:MOST to run others";
+    GTEST_SKIP () << "set " << name << "=FROM:COUNT:MOST to run others";
   char *rest = nullptr;
   const uint64_t from = strtoull (seeds, &rest, 10);
   const uint64_t count = *rest == ':' ? strtoull (rest + 1, &rest, 10) : 1;
   const int most = *rest == ':' ? atoi (rest + 1) : hosts_max;
   for (uint64_t seed = from; seed < from + count; seed++)
-    run_seed (seed, most);
+    run_seed (seed, most, has_restores);
+}
+
+TEST (ConfigSoakManual, SeedsFromEnvironment)
+{
+  run_seeds_of ("JAYSTAIR_CONFIG_SOAK", false);
+}
+
+TEST (ConfigSoakManual, SeedsWithRestoresFromEnvironment)
+{
+  run_seeds_of ("JAYSTAIR_CONFIG_SOAK_RESTORES", true);
 }
 
 } // namespace
