floor, ejection: claims that a restore of the platform lost count for a hold time

What operators would see: a service with more targets ejected than its floor allows, after the platform's store came back from an older copy and the owner of its ejections died. Found by reading, as the same cause elsewhere: the next owner took the restored record for all that earlier owners had claimed, and revisions for one sequence.

Change: each host tells its owners of a restore. For the hold time after it, a takeover counts all capacity as ejected, as after a deleted record, and uses an epoch above all that were reported. The present owner reads its record and writes what is missing.

A host that starts within the hold time after a restore doesn't know of it.

--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -81,7 +81,7 @@
   ev_timer timer;
 
   fake_platform (struct ev_loop *on, fake_store *from)
-      : base{ &ops, 0, 0, nullptr, nullptr }, loop (on), store (from),
+      : base{ &ops, 0, 0, 0, nullptr, nullptr }, loop (on), store (from),
         is_down (false), forgets_revisions (false), lost_responses (0),
         writes (0), gets (0), snapshot (nullptr)
   {
--- a/node/ejection/ejection_internal.h
+++ b/node/ejection/ejection_internal.h
@@ -79,6 +79,7 @@
   struct service_spec *spec; /* NULL until in force */
   uint64_t *keys;            /* of its targets */
   struct floor_owner *owner;
+  uint32_t restores; /* of the platform, that the owner knows of */
   struct floor_view *view;
 
   /* The host set. */
--- a/node/ejection/ejection_owner.c
+++ b/node/ejection/ejection_owner.c
@@ -217,12 +217,23 @@
   announce_to_all (service);
 }
 
+static void
+note_restores (struct ejection_service *service)
+{
+  const uint32_t restores = service->task->options.platform->restores;
+  if (service->restores == restores)
+    return;
+  service->restores = restores;
+  floor_owner_note_restored (service->owner, ejection_now_ms (service->task));
+}
+
 void
 ejection_owner_update (struct ejection_service *service)
 {
   if (service->is_updating)
     return;
   service->is_updating = true;
+  note_restores (service);
   floor_owner_tick (service->owner, ejection_now_ms (service->task));
   ejection_calls_start_next (service);
   update_role (service);
--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -49,6 +49,7 @@
   service->task = task;
   snprintf (service->name, sizeof service->name, "%s", name);
   service->owner = create_owner (task);
+  service->restores = task->options.platform->restores;
   service->view = floor_view_create ();
   service->owner_seen_ms = ejection_now_ms (task);
   service->last_outcome_ms = service->owner_seen_ms - OUTSIDER_ACTIVE_MS;
--- a/policy/floor/floor_owner.c
+++ b/policy/floor/floor_owner.c
@@ -184,6 +184,14 @@
   return true;
 }
 
+void
+floor_owner_note_restored (struct floor_owner *owner, int64_t now_ms)
+{
+  owner->lost_claims_end_ms = now_ms + floor_owner_hold_ms (owner);
+  if (owner->role != FLOOR_ROLE_NONE)
+    owner->read_needed = true;
+}
+
 void
 floor_owner_epoch_seen (struct floor_owner *owner, int64_t now_ms,
                         uint64_t epoch)
--- a/policy/floor/floor_owner.h
+++ b/policy/floor/floor_owner.h
@@ -144,6 +144,11 @@
 bool floor_owner_pause (struct floor_owner *owner, int64_t now_ms,
                         bool paused);
 
+/** The platform came back from an older copy.  Claims of an owner that it has
+ * lost may still be enforced, so a new owner counts all capacity as ejected
+ * for the hold time, and the present one reads its record. */
+void floor_owner_note_restored (struct floor_owner *owner, int64_t now_ms);
+
 /** Another host reported EPOCH: if it is higher, reads the record. */
 void floor_owner_epoch_seen (struct floor_owner *owner, int64_t now_ms,
                              uint64_t epoch);
--- a/policy/floor/floor_owner_call.c
+++ b/policy/floor/floor_owner_call.c
@@ -13,8 +13,8 @@
   CONFIRMS_PER_AUTHORITY_PERIOD = 4,
 };
 
-static uint32_t
-hold_ms (const struct floor_owner *owner)
+uint32_t
+floor_owner_hold_ms (const struct floor_owner *owner)
 {
   return owner->options.authority_ms + owner->options.enforce_ms;
 }
@@ -35,16 +35,18 @@
     record->spec_version = owner->spec.version;
 }
 
-/* The record was deleted: the hosts know a higher epoch than a first record
-   would have, and the ejections of its owner are unknown.  So the next epoch
-   is used, and all capacity counts as ejected for the hold time. */
+/* The record was deleted, or the platform was restored: the hosts may know a
+   higher epoch than the record's, and the ejections of its owner are unknown.
+   So the next epoch is used, and all capacity counts as ejected for the hold
+   time. */
 static void
-assume_deleted (struct floor_owner *owner)
+assume_lost (struct floor_owner *owner)
 {
-  owner->claims.epoch = owner->highest_epoch + 1;
+  if (owner->highest_epoch >= owner->claims.epoch)
+    owner->claims.epoch = owner->highest_epoch + 1;
   owner->claims.old_reserve = floor_spec_capacity (&owner->spec);
   owner->claims.settled = false;
-  owner->takeover_hold_ms = hold_ms (owner);
+  owner->takeover_hold_ms = floor_owner_hold_ms (owner);
   owner->takeover_settled = false;
 }
 
@@ -60,10 +62,10 @@
   next->settled = known->epoch == 0;
   owner->takeover_hold_ms = known->hold_ms;
   owner->takeover_settled = known->settled;
-  if (owner->highest_epoch > known->epoch)
-    assume_deleted (owner);
-  if (hold_ms (owner) > next->hold_ms)
-    next->hold_ms = hold_ms (owner);
+  if (owner->highest_epoch > known->epoch || owner->counts_lost_claims)
+    assume_lost (owner);
+  if (floor_owner_hold_ms (owner) > next->hold_ms)
+    next->hold_ms = floor_owner_hold_ms (owner);
   set_owner_fields (owner, next);
   next->reserve = floor_claims_reserve (owner);
 }
@@ -150,6 +152,7 @@
       || owner->role == FLOOR_ROLE_NONE || now_ms < owner->call_not_before_ms)
     return none;
   floor_claims_refresh (owner, now_ms);
+  owner->counts_lost_claims = now_ms < owner->lost_claims_end_ms;
   const bool confirm
       = owner->role == FLOOR_ROLE_OWNER && now_ms >= owner->confirm_at_ms;
   if (owner->read_needed || confirm)
--- a/policy/floor/floor_owner_state.h
+++ b/policy/floor/floor_owner_state.h
@@ -52,8 +52,14 @@
   uint64_t silent_epoch;
   uint64_t highest_epoch; /* reported by a record or another host */
   uint64_t stopped_epoch;
+  /* Until then, claims that a restore of the platform lost may be enforced. */
+  int64_t lost_claims_end_ms;
+  bool counts_lost_claims; /* at the time of the next request */
 };
 
+/* Returns how long claims may still be enforced after a takeover. */
+uint32_t floor_owner_hold_ms (const struct floor_owner *owner);
+
 /* Returns an upper bound of MS as measured by another clock. */
 int64_t floor_drift_adjusted_ms (uint32_t ms);
 
--- a/policy/floor/tests/floor_owner_test.cc
+++ b/policy/floor/tests/floor_owner_test.cc
@@ -403,6 +403,48 @@
   EXPECT_EQ (b.eject (30001, "t0"), FLOOR_EJECT_EJECTED);
 }
 
+// Guards against more ejections than the floor allows after the platform was
+// restored and lost the record of an owner that dies.
+TEST_F (FloorOwner, RestoredRecordCountsAllCapacityAsEjected)
+{
+  platform_record copy;
+  copy.version = at.version;
+  floor_record_assign (&copy.record, &at.record);
+  EXPECT_EQ (a.eject (1, "t0"), FLOOR_EJECT_EJECTED);
+  EXPECT_EQ (a.eject (1, "t1"), FLOOR_EJECT_PLANNED);
+  a.settle (2);
+  ASSERT_EQ (a.ejected (2), "t0 t1 ");
+  at.version += 100;
+  floor_record_assign (&at.record, &copy.record);
+  floor_owner_note_restored (b.owner, 100);
+  b.own (100);
+  EXPECT_EQ (b.eject (100, "t2"), FLOOR_EJECT_BELOW_FLOOR);
+  b.settle (30000);
+  EXPECT_EQ (b.eject (30001, "t2"), FLOOR_EJECT_EJECTED);
+}
+
+// Guards against an owner that loses its claims because the platform was
+// restored.
+TEST_F (FloorOwner, OwnerWritesClaimsThatARestoreLostAgain)
+{
+  platform_record copy;
+  copy.version = at.version;
+  floor_record_assign (&copy.record, &at.record);
+  a.eject (1, "t0");
+  a.eject (1, "t1");
+  a.settle (2);
+  at.version += 100;
+  floor_record_assign (&at.record, &copy.record);
+  floor_owner_note_restored (a.owner, 100);
+  a.settle (100);
+  EXPECT_EQ (a.ejected (100), "t0 ") << "what the lost record doesn't cover";
+  EXPECT_NE (floor_record_find (&at.record, "t0"), nullptr);
+  a.eject (101, "t1");
+  a.settle (5000);
+  EXPECT_EQ (a.ejected (5000), "t0 t1 ");
+  EXPECT_EQ (at.record.claim_count, 2U);
+}
+
 // A target whose capacity grew while it was ejected from the reserve would be
 // counted with too little capacity by the next owner.
 TEST_F (FloorOwner, TargetNotCoveredByTheReserveIsReinstated)
--- a/wire/platform.h
+++ b/wire/platform.h
@@ -120,8 +120,9 @@
 struct platform
 {
   const struct platform_ops *ops;
-  uint64_t calls; /**< number of calls made, for the call budget */
-  uint64_t era;   /**< highest of the responses; 0: the platform has none */
+  uint64_t calls;    /**< number of calls made, for the call budget */
+  uint64_t era;      /**< highest of the responses; 0: the platform has none */
+  uint32_t restores; /**< seen in responses */
   platform_restored *restored; /**< NULL: none */
   void *restored_owner;
 };
--- a/wire/platform_http_era.c
+++ b/wire/platform_http_era.c
@@ -38,7 +38,10 @@
   struct platform *platform = &http->platform;
   const uint64_t before = platform->era;
   platform->era = era;
-  if (http->has_answered && platform->restored != NULL)
+  if (!http->has_answered)
+    return;
+  platform->restores++;
+  if (platform->restored != NULL)
     platform->restored (platform->restored_owner, before, era);
 }
 
