--- a/policy/floor/floor_owner_state.h
+++ b/policy/floor/floor_owner_state.h
@@ -46,6 +46,7 @@
   enum floor_call call_in_flight;
   int64_t call_sent_ms;
   bool read_needed;
+  bool counts_lost_claims; /* the next request is before lost_claims_end_ms */
   int64_t confirm_at_ms; /* when to read the record to renew the authority */
   int64_t call_not_before_ms;
   uint32_t backoff_ms;
@@ -54,7 +55,6 @@
   uint64_t stopped_epoch;
   /* Until then, claims that a restore of the platform lost may be enforced. */
   int64_t lost_claims_end_ms;
-  bool counts_lost_claims; /* at the time of the next request */
 };
 
 /* Returns how long claims may still be enforced after a takeover. */
