--- a/node/control/control_tombstones.c
+++ b/node/control/control_tombstones.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/xmalloc.h"
+#include "wire/platform_version.h"
 
 enum
 {
@@ -107,7 +108,8 @@
    a removed one.  Objects from the platform itself are always accepted, and a
    live host whose record is refused is still known by its heartbeats.  A
    tombstone of an unknown name is refused as well: it has no effect and would
-   be passed on between new hosts forever. */
+   be passed on between new hosts forever.  That of a removal which a restore
+   of the platform lost has one, since the platform lists the object. */
 bool
 control_tombstones_is_outdated (struct control_task *task, const char *kind,
                                 const char *name, uint64_t version,
@@ -118,5 +120,7 @@
     return false;
   if (settings_index_version (task->index, settings_key (kind, name)) != 0)
     return false;
-  return value == NULL || version <= *floor;
+  if (value == NULL)
+    return platform_version_rank (version) != PLATFORM_RANK_KEPT;
+  return version <= *floor;
 }
--- a/policy/floor/floor_owner_state.h
+++ b/policy/floor/floor_owner_state.h
@@ -47,7 +47,7 @@
   int64_t call_sent_ms;
   bool read_needed;
   bool counts_lost_claims; /* the next request is before lost_claims_end_ms */
-  int64_t confirm_at_ms; /* when to read the record to renew the authority */
+  int64_t confirm_at_ms;   /* when to read the record to renew the authority */
   int64_t call_not_before_ms;
   uint32_t backoff_ms;
   uint64_t silent_epoch;
