control: hosts that start learn of lost removals at their first comparison

What callers could see: a host that starts after a restore of the store sends requests to a target whose removal is lost, for 0.1 s or more.

Cause: kept removals were retired from the hashes by which hosts compare their settings, like all tombstones, so a bucket with nothing else looked equal, and a host that starts learned of the removal only half a second later, when its listed entry made the buckets differ.

Change: a kept removal counts in the hashes. An entry of an older build, which has no era, is no longer compared by a rank that it lacks.

--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -67,23 +67,23 @@
   struct host_record record;
   const char *name = task->self->record.name;
   const uint64_t incarnation = task->self->record.incarnation;
+  const int64_t revision = (int64_t)platform_version_revision (version);
   task->self->is_listed = value != NULL;
   if (value == NULL)
     {
-      LOG_WARN ("own-record-removed",
-                LOG_INT ("version", platform_version_revision (version)));
+      LOG_WARN ("own-record-removed", LOG_INT ("version", revision));
       control_registration_restore (task, PLATFORM_VERSION_NONE);
+      return;
     }
-  else if (host_record_parse (name, value, &record) != STATUS_OK)
+  if (host_record_parse (name, value, &record) != STATUS_OK)
     return;
-  else if (record.incarnation > incarnation)
+  if (record.incarnation > incarnation)
     LOG_WARN ("name-taken", LOG_STR ("host", name),
               LOG_STR ("remedy", "give each host a name of its own"));
   else if (record.incarnation < incarnation
            && task->registration.is_registered)
     {
-      LOG_WARN ("own-record-outdated",
-                LOG_INT ("version", platform_version_revision (version)));
+      LOG_WARN ("own-record-outdated", LOG_INT ("version", revision));
       control_registration_restore (task, version);
     }
 }
@@ -223,9 +223,9 @@
 {
   return held != NULL && held->value == NULL && change->value != NULL
          && platform_version_rank (held->version) == PLATFORM_RANK_KEPT
-         && held->version
-                == platform_version_with_rank (change->version,
-                                               PLATFORM_RANK_KEPT);
+         && change->version
+                == platform_version_with_rank (held->version,
+                                               PLATFORM_RANK_STORED);
 }
 
 static void
--- a/node/control/control_tombstones.c
+++ b/node/control/control_tombstones.c
@@ -66,6 +66,7 @@
       && object->version == oldest->version)
     {
       control_tombstones_note_list (task, object->kind, oldest->version);
+      settings_index_retire (task->index, object->key);
       settings_index_drop (task->index, object->key);
       HASH_DEL (task->objects, object);
       free (object);
@@ -74,11 +75,15 @@
   task->tombstone_count--;
 }
 
+/* A host that starts must learn at its first comparison of a removal that a
+   restore of the platform lost, since the platform lists the object.  Such a
+   removal stands for seconds only, so all hosts have it at the same time. */
 void
 control_tombstones_add (struct control_task *task,
                         const struct control_object *object)
 {
-  settings_index_retire (task->index, object->key);
+  if (platform_version_rank (object->version) != PLATFORM_RANK_KEPT)
+    settings_index_retire (task->index, object->key);
   if (task->tombstone_count == TOMBSTONES_MAX)
     remove_oldest (task);
   const size_t end
