fleet tests: a host that hears of a block first knows of the last crash

Traced (a play with the logs of all hosts): host-1 has suspected, own; suspected, heard; then blocked, heard. Host 3 announces the third crash to the set and the block to a few random hosts. Where the block comes first, it is merged with the crash that it was made of, and the announced crash then changes nothing and has no line. All six hosts block the request, as they should: the wait asked for a line that isn't owed.

The wait now takes a host that has blocked the request as one that knows of the crash, and a new check asks that no host has blocked it before the third crash, so a block that is too early still fails.

--- a/tests/fleet/poison_fleet_test.cc
+++ b/tests/fleet/poison_fleet_test.cc
@@ -85,14 +85,44 @@
     return logged ("\"poison-blocked\"", 1, hosts);
   }
 
+  /* A host that hears of the block before it hears of the last crash logs only
+     the block. */
+  bool
+  know_of_crash (int number)
+  {
+    return wait_until (
+        [&] {
+          int count = 0;
+          for (const auto &host : fleet.hosts)
+            count
+                += host->count_lines ({ "\"poison-suspected\"" })
+                               >= (size_t)number
+                           || host->count_lines ({ "\"poison-blocked\"" }) > 0
+                       ? 1
+                       : 0;
+          return count >= set_hosts;
+        },
+        10);
+  }
+
+  size_t
+  block_count ()
+  {
+    size_t count = 0;
+    for (const auto &host : fleet.hosts)
+      count += host->count_lines ({ "\"poison-blocked\"" });
+    return count;
+  }
+
   /* Causes three consecutive crashes, each through a different host. */
   void
   crash_three ()
   {
     for (int i = 1; i <= 3; i++)
       {
+        EXPECT_EQ (block_count (), 0U);
         EXPECT_EQ (send (i), 502);
-        ASSERT_TRUE (logged ("\"poison-suspected\"", (size_t)i, set_hosts));
+        ASSERT_TRUE (know_of_crash (i)) << fleet.logs ();
       }
     ASSERT_TRUE (blocked_everywhere ()) << fleet.logs ();
     ASSERT_EQ (runs (), 3);
