--- a/node/control/control_feed.c
+++ b/node/control/control_feed.c
@@ -32,7 +32,7 @@
   /** A watch after a failure ends at once, so that the failure of a path that
    * stays silent is noticed soon. */
   PROBE_WATCH_MS = 1,
-  /** When the platform has forgotten their revisions, hosts list again spread
+  /** When the platform no longer has their revisions, hosts list again spread
    * over this time for each host of the fleet. */
   LIST_SPREAD_MS_PER_HOST = 1,
 };
--- a/node/control/control_restore.c
+++ b/node/control/control_restore.c
@@ -47,7 +47,7 @@
 /* Whether HELD says that the target leaves and CHANGE that the same process
    doesn't. */
 static bool
-forgets_leaving (const struct control_object *held,
+reverts_leaving (const struct control_object *held,
                  const struct control_change *change)
 {
   struct target_record before;
@@ -63,7 +63,7 @@
 /* A record of the copy is at most as new as the one that was removed.  A later
    one was written after the removal. */
 static bool
-forgets_removal (const struct control_object *held,
+reverts_removal (const struct control_object *held,
                  const struct control_change *change)
 {
   return platform_version_revision (change->version) <= held->removed_revision;
@@ -80,8 +80,8 @@
       || platform_version_rank (change->version) != PLATFORM_RANK_STORED)
     return false;
   const bool is_removal = held->value == NULL;
-  if (!(is_removal ? forgets_removal (held, change)
-                   : forgets_leaving (held, change)))
+  if (!(is_removal ? reverts_removal (held, change)
+                   : reverts_leaving (held, change)))
     return false;
   LOG_INFO (
       "lost-state-kept", LOG_STR ("target", change->name),
--- a/tests/soak/target_soak_test.cc
+++ b/tests/soak/target_soak_test.cc
@@ -249,7 +249,7 @@
   }
 
   static bool
-  forgets_leaving (Process &host, const std::string &id)
+  reverts_leaving (Process &host, const std::string &id)
   {
     bool is_known = false;
     for (const std::string &line :
@@ -276,7 +276,7 @@
             << target.server->id << "\n"
             << lines_about (target.server->id);
         for (const auto &host : hosts)
-          EXPECT_FALSE (forgets_leaving (*host, target.server->id))
+          EXPECT_FALSE (reverts_leaving (*host, target.server->id))
               << lines_about (target.server->id);
       }
     std::cout << targets_.size () << " targets, " << left << " left, "
