control: hosts that start compare their settings before they put them in force

What callers could see: a host that starts after a restore of the store serves by an older configuration, or sends requests to a target that has said that it leaves, until another host has told it: milliseconds in one data centre, 0.3 s for a configuration with 20 ms between hosts.

Cause: a host that starts put the store's list in force as soon as it was read, though the store may have lost what other hosts know. The first comparison with a seed could also be cut short, as the link to the seed was closed at the first heartbeat, and the next one was made half a second later.

Change: on a platform with eras nothing is put in force before the settings have been compared with those of a host that started a second earlier, or of any host if none did. A configuration waits for 0.5 s at the most; meanwhile neighbours are asked every 0.1 s, and requests are answered as at any host that has no configuration yet. Platforms without eras lose nothing, so nothing waits there.

--- a/node/control/control_feed.c
+++ b/node/control/control_feed.c
@@ -170,6 +170,7 @@
   control_tombstones_note_list (feed->task, feed->kind, reply->revision);
   control_contact_note_read (feed->task);
   control_restore_note_list (feed->task);
+  control_startup_check (feed->task);
   control_feed_next (feed);
 }
 
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -80,6 +80,7 @@
   size_t feed_count;
   struct control_registration registration;
   struct control_restore restore;
+  struct control_startup startup;
   struct freshness freshness;
   struct control_freshness_query freshness_query;
   struct control_delegates delegates;
@@ -267,6 +268,22 @@
 void control_restore_note_list (struct control_task *task);
 void control_restore_stop (struct control_task *task);
 
+/* control_startup.c: hosts that start on a platform that may have lost what
+   other hosts know */
+/** Put nothing in force until the settings here have been compared with those
+ * of another host, there is none, or time is up. */
+void control_startup_start (struct control_task *task);
+/** Put the settings in force if that is so. */
+void control_startup_check (struct control_task *task);
+/** HOST has offered the settings in which it differs. */
+void control_startup_note_compared (struct control_task *task,
+                                    const struct control_host *host);
+/** Shortest time between two comparisons. */
+uint32_t control_startup_compare_interval_ms (const struct control_task *task);
+/** The first configuration has been read or received. */
+void control_startup_note_config (struct control_task *task);
+void control_startup_stop (struct control_task *task);
+
 /* control_outcomes.c */
 /** Start reporting the outcomes of attempts here to the hosts of a service's
  * set. */
@@ -438,6 +455,8 @@
 /** VERSION of the object has arrived. */
 void control_pulls_complete (struct control_task *task, uint64_t key,
                              uint64_t version);
+/** Whether an object that was offered is still missing. */
+bool control_pulls_has_open (const struct control_task *task);
 void control_pulls_expire (struct control_task *task, int64_t now_ms);
 void control_pulls_prepare (struct control_task *task);
 void control_pulls_release (struct control_task *task);
--- a/node/control/control_pulls.c
+++ b/node/control/control_pulls.c
@@ -160,6 +160,16 @@
     remove_pull (task, pull);
 }
 
+bool
+control_pulls_has_open (const struct control_task *task)
+{
+  const struct control_pull *pull;
+  for (pull = task->pulls; pull != NULL; pull = pull->hh.next)
+    if (pull->version > settings_index_version (task->index, pull->key))
+      return true;
+  return false;
+}
+
 static struct control_pull *
 find_expired (const struct control_task *task, int64_t now_ms)
 {
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -123,6 +123,16 @@
   struct counter *restores_total;
 };
 
+/** A host that starts puts its settings in force only once another host has
+ * told it what a platform that came back from a copy has lost. */
+struct control_startup
+{
+  struct ev_timer timer;    /**< asks other hosts, and ends the hold */
+  bool is_held;             /**< nothing is put in force */
+  bool is_compared;         /**< the settings, with those of another host */
+  int64_t waiting_since_ms; /**< of the first configuration; 0: none */
+};
+
 /** This host's own object on the platform. */
 struct control_registration
 {
--- a/node/control/control_registry.c
+++ b/node/control/control_registry.c
@@ -60,7 +60,13 @@
   if (strcmp (name, PLATFORM_CONFIG_NAME) != 0)
     return STATUS_NOT_FOUND;
   if (value != NULL)
-    return registry_apply_config (task->registry, name, value);
+    {
+      const enum status status
+          = registry_apply_config (task->registry, name, value);
+      if (status == STATUS_OK)
+        control_startup_note_config (task);
+      return status;
+    }
   LOG_WARN ("config-removed", LOG_INT ("version", version),
             LOG_STR ("in-force", "the previous configuration"));
   return STATUS_NOT_FOUND;
--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -308,11 +308,14 @@
                           const struct control_source *source, uint64_t hash)
 {
   const int64_t now_ms = clock_now_ms ();
-  const uint32_t min_interval_ms = task->options.settings->times.heartbeat_ms;
+  const uint32_t min_interval_ms = control_startup_compare_interval_ms (task);
   if (hash == settings_index_hash (task->index))
     {
       if (hash != 0)
-        task->has_settings = true;
+        {
+          task->has_settings = true;
+          control_startup_note_compared (task, source->host);
+        }
       return;
     }
   if (task->has_settings && now_ms - task->last_compared_ms < min_interval_ms)
@@ -382,7 +385,10 @@
       offer_bucket (&batch, i);
   batch_send (&batch);
   if (!digest->answer_requested)
-    return;
+    {
+      control_startup_note_compared (task, source->host);
+      return;
+    }
   uint64_t buckets[SETTINGS_BUCKETS];
   const struct peer_message message = digest_message (task, false, buckets);
   control_reply (task, source, &message);
@@ -449,6 +455,7 @@
       && control_settings_apply (task, push->kind, push->name, push->version,
                                  push->value, via))
     task->has_settings = true;
+  control_startup_check (task);
 }
 
 void
--- a/node/control/control_task.c
+++ b/node/control/control_task.c
@@ -190,7 +190,8 @@
   control_tombstones_expire (task, now_ms);
   control_pulls_expire (task, now_ms);
   control_hosts_close_idle (task, now_ms);
-  if (task->has_settings && HASH_COUNT (task->hosts) >= SEED_HOSTS_MIN)
+  if (task->has_settings && !task->startup.is_held
+      && HASH_COUNT (task->hosts) >= SEED_HOSTS_MIN)
     control_seeds_close (task);
   control_report_count (task);
 }
@@ -319,6 +320,7 @@
   bus_subscribe (options->bus, BUS_SHUTDOWN, shutdown_cb, task);
   control_freshness_start (task);
   control_registry_create (task);
+  control_startup_start (task);
   control_removals_start (task);
   control_outcomes_start (task);
   control_report_register (task);
@@ -351,6 +353,7 @@
       control_freshness_stop (task);
       control_platform_stop (task);
       control_restore_stop (task);
+      control_startup_stop (task);
       control_delegates_stop (task);
       control_registration_stop (task);
       control_removals_stop (task);
--- a/node/control/incarnation.c
+++ b/node/control/incarnation.c
@@ -26,3 +26,9 @@
   const uint64_t bits = random & ((1u << RANDOM_BITS) - 1);
   return now_ms << RANDOM_BITS | bits;
 }
+
+int64_t
+incarnation_time_ms (uint64_t incarnation)
+{
+  return (int64_t)(incarnation >> RANDOM_BITS);
+}
--- a/node/control/incarnation.h
+++ b/node/control/incarnation.h
@@ -11,4 +11,7 @@
  * probability of one in 2^20.  At most INT64_MAX. */
 uint64_t incarnation_make (void);
 
+/** When INCARNATION was made, in milliseconds since 1970. */
+int64_t incarnation_time_ms (uint64_t incarnation);
+
 #endif
--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -55,6 +55,7 @@
   struct registry_refusal *refusals; /* by name */
   struct registry_service *services; /* by name */
   uint64_t version;                  /* of the newest published spec */
+  bool is_held;                      /* nothing is published */
   ev_timer update_timer;
 };
 
@@ -193,7 +194,7 @@
 {
   struct registry *registry = timer->data;
   struct registry_service *service;
-  if (registry->config == NULL)
+  if (registry->config == NULL || registry->is_held)
     return;
   for (service = registry->services; service != NULL;
        service = service->hh.next)
@@ -206,6 +207,20 @@
   remove_undeclared (registry);
 }
 
+void
+registry_hold (struct registry *registry)
+{
+  registry->is_held = true;
+}
+
+/* The burst that has led to the release may go on. */
+void
+registry_release (struct registry *registry)
+{
+  registry->is_held = false;
+  schedule_update (registry);
+}
+
 void
 registry_publish_pending (struct registry *registry)
 {
--- a/node/registry/registry.h
+++ b/node/registry/registry.h
@@ -56,6 +56,11 @@
 enum status registry_apply_target (struct registry *registry, const char *name,
                                    const char *text);
 
+/** Publish nothing until registry_release(). */
+void registry_hold (struct registry *registry);
+/** Publish what has been applied since registry_hold(). */
+void registry_release (struct registry *registry);
+
 /** Publish what has been applied without waiting for the end of a burst. */
 void registry_publish_pending (struct registry *registry);
 
