--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -270,12 +270,12 @@
 
 /* control_startup.c: hosts that start on a platform that may have lost what
    other hosts know */
-/** Put nothing in force until the settings here have been compared with those
- * of another host, there is none, or time is up. */
+/** Put no settings in force until they have been compared with those of
+ * another host, none is listed, the platform shows no era, or time is up. */
 void control_startup_start (struct control_task *task);
-/** Put the settings in force if that is so. */
+/** Put the settings in force if one of these is so. */
 void control_startup_check (struct control_task *task);
-/** HOST has offered the settings in which it differs. */
+/** HOST has the same settings, or has offered those in which it differs. */
 void control_startup_note_compared (struct control_task *task,
                                     const struct control_host *host);
 /** Shortest time between two comparisons. */
--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -213,7 +213,7 @@
   registry->is_held = true;
 }
 
-/* The burst that has led to the release may go on. */
+/* More changes of the same burst may follow the one that ends the hold. */
 void
 registry_release (struct registry *registry)
 {
