known red: a start right after a restore that lost the records of all hosts

What callers could see: a host that starts in that second serves by the store's older list until its seed answers. Cause, read in the code: control_startup waits for nobody where no other host is listed.

A comment in control_records.h names the reason for the wait. control_startup_test, control_registry_test and two others pass.

--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -123,8 +123,8 @@
   struct counter *restores_total;
 };
 
-/** A host that starts puts its settings in force only once another host has
- * told it what a platform that came back from a copy has lost. */
+/** A host that starts puts its settings in force only once it has compared
+ * them with another host, since the platform may have lost some of them. */
 struct control_startup
 {
   struct ev_timer timer;    /**< asks other hosts, and ends the hold */
