settings: switches for decisions under load, and the platform's terms

Cause: what is built for work under load must take effect only where a deployment asks for it. Nothing in the settings says so: the platform's list of terms in force isn't read.

Change: members `admission` and `placement`, and `platform.terms`, a text with the names of the terms, which the platform adapter converts to these settings. The policy gets them as `struct policy_modes`. Tests of the policy that list all options get the new member, empty; their checks are as before.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -93,6 +93,8 @@
   service->retry = &settings->retry;
   service->prefers_own_dc = settings->modes.prefers_own_dc;
   service->used_percent = settings->retry.used_percent;
+  service->admission = settings->admission;
+  service->placement = settings->placement;
   update_retry_fleet (service);
   service->recorder = detection_recorder_create ();
   ev_timer_init (&service->wake_timer, on_wake, 0., 0.);
@@ -146,6 +148,7 @@
     .attempts = limits->attempts,
     .backup_cost_percent = service->prefers_own_dc ? BACKUP_COST_PERCENT : 0,
     .set_hosts = service->in_set ? (uint32_t)service->host_count : 0,
+    .modes = { .working_set = service->placement.working_set },
     .prefer_faster_detection
     = service->spec->prefer == SERVICE_PREFER_FASTER_DETECTION,
   };
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -75,6 +75,8 @@
   const struct retry_settings *retry;
   bool prefers_own_dc;
   uint32_t used_percent; /**< targets to keep in use; see the policy */
+  struct admission_settings admission;
+  struct placement_settings placement;
   struct retry_fleet retry_fleet; /**< the largest seen */
   struct slot_share share; /**< of the targets' slots, if one is granted */
   struct demand_peak demand;
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -267,6 +267,8 @@
 {
   const uint64_t incarnation = incarnation_make ();
   enum status status = check_interface (host);
+  if (status == STATUS_OK && platform_adapter_of (host) != NULL)
+    platform_adapter_of (host)->apply_terms (&host->settings);
   if (status == STATUS_OK)
     status = create_platform (host);
   if (status == STATUS_OK)
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -88,6 +88,28 @@
   options_end_child (top, &options);
 }
 
+static void
+read_admission (struct options *top, struct admission_settings *admission)
+{
+  struct options options;
+  if (!options_object (top, "admission", false, &options))
+    return;
+  options_bool (&options, "by_route_priority", &admission->by_route_priority);
+  options_bool (&options, "by_workspace", &admission->by_workspace);
+  options_end_child (top, &options);
+}
+
+static void
+read_placement (struct options *top, struct placement_settings *placement)
+{
+  struct options options;
+  if (!options_object (top, "placement", false, &options))
+    return;
+  options_bool (&options, "by_cost", &placement->by_cost);
+  options_bool (&options, "working_set", &placement->working_set);
+  options_end_child (top, &options);
+}
+
 static void
 read_limits (struct options *top, const struct host_resources *resources,
              struct caller_limits *limits)
@@ -280,6 +302,8 @@
                   has_file ? "both" : "neither");
   options_string (&options, "interface", false, settings->interface,
                   sizeof settings->interface);
+  options_string (&options, "terms", false, settings->platform_terms,
+                  sizeof settings->platform_terms);
   options_end_child (top, &options);
 }
 
@@ -392,6 +416,8 @@
   options_uint32 (&top, "relays_per_dc", 1, 16, &settings->relays_per_dc);
   read_modes (&top, &settings->modes);
   read_retry (&top, &settings->retry);
+  read_admission (&top, &settings->admission);
+  read_placement (&top, &settings->placement);
   read_poison (&top, &settings->poison);
   read_access (&top, &settings->access);
   read_limits (&top, &settings->resources, &settings->limits);
@@ -436,6 +462,7 @@
          && strcmp (a->directory_address, b->directory_address) == 0
          && strcmp (a->readiness_address, b->readiness_address) == 0
          && strcmp (a->interface, b->interface) == 0
+         && strcmp (a->platform_terms, b->platform_terms) == 0
          && strcmp (a->caller_advertised, b->caller_advertised) == 0
          && strcmp (a->peer_advertised, b->peer_advertised) == 0
          && strcmp (a->operator_advertised, b->operator_advertised) == 0
@@ -454,6 +481,10 @@
                "poison_settings has padding: compare its members");
 _Static_assert(sizeof (struct retry_settings) == 4 * sizeof (uint32_t),
                "retry_settings has padding: compare its members");
+_Static_assert(sizeof (struct admission_settings) == 2 * sizeof (bool),
+               "admission_settings has padding: compare its members");
+_Static_assert(sizeof (struct placement_settings) == 2 * sizeof (bool),
+               "placement_settings has padding: compare its members");
 _Static_assert(sizeof (struct control_times) == 14 * sizeof (uint32_t),
                "control_times has padding: compare its members");
 
@@ -470,6 +501,8 @@
          && memcmp (&a->modes, &b->modes, sizeof a->modes) == 0
          && memcmp (&a->poison, &b->poison, sizeof a->poison) == 0
          && memcmp (&a->retry, &b->retry, sizeof a->retry) == 0
+         && memcmp (&a->admission, &b->admission, sizeof a->admission) == 0
+         && memcmp (&a->placement, &b->placement, sizeof a->placement) == 0
          && memcmp (&a->access, &b->access, sizeof a->access) == 0
          && memcmp (&a->limits, &b->limits, sizeof a->limits) == 0
          && memcmp (&a->times, &b->times, sizeof a->times) == 0;
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -17,6 +17,7 @@
 #define HOST_NAME_SIZE 64
 #define HOST_ADDRESS_SIZE 56
 #define HOST_PATH_SIZE 256
+#define HOST_TERMS_SIZE 512
 #define HOST_PLATFORM_ADDRESSES_MAX 8
 #define HOST_PEER_SEEDS_MAX 16
 
@@ -61,6 +62,26 @@
   uint32_t used_percent;
 };
 
+/** Who gets room at a service that has too little. */
+struct admission_settings
+{
+  bool by_route_priority; /**< priority of routes decides */
+  /** A workspace's own priority takes precedence over that of the route, and
+   * workspaces share room by the rates of their quotas. */
+  bool by_workspace;
+};
+
+/** How targets are chosen. */
+struct placement_settings
+{
+  /** By the expected work of the request and of each target, at services whose
+   * routes differ. */
+  bool by_cost;
+  /** Unused targets are used by how likely they are healthy, and pauses after
+   * failures grow. */
+  bool working_set;
+};
+
 /** Blocking of requests that crash targets. */
 struct poison_settings
 {
@@ -133,6 +154,9 @@
   /** The interface that platform, callers and targets use; "" is jaystair's
    * own. */
   char interface[HOST_NAME_SIZE];
+  /** Names of the terms of service in force, separated by commas; the adapter
+   * of `interface` converts them to settings. */
+  char platform_terms[HOST_TERMS_SIZE];
   /** Peers that settings are loaded from while the platform is down. */
   char peer_seeds[HOST_PEER_SEEDS_MAX][HOST_ADDRESS_SIZE];
   size_t peer_seed_count;
@@ -143,6 +167,8 @@
   struct fleet_modes modes;
   struct caller_limits limits;
   struct retry_settings retry;
+  struct admission_settings admission;
+  struct placement_settings placement;
   struct access_settings access;
   struct poison_settings poison;
   struct control_times times;
--- a/node/tests/host_settings_test.cc
+++ b/node/tests/host_settings_test.cc
@@ -189,6 +189,9 @@
     { "}}", "},\"secret_file\":\"s\"}" },
     { "}}", "},\"set_hosts_per_dc\":3}" },
     { "}}", "},\"relays_per_dc\":4}" },
+    { "}}", ",\"terms\":\"a,b\"}}" },
+    { "}}", "},\"admission\":{\"by_route_priority\":true}}" },
+    { "}}", "},\"placement\":{\"working_set\":true}}" },
     { "}}", "},\"resources\":{\"cpu_share\":0.5}}" },
     { "}}", "},\"resources\":{\"memory_mb\":500}}" },
     { "}}", "},\"resources\":{\"files\":4000}}" },
@@ -227,6 +230,7 @@
   old.platform_file[sizeof old.platform_file - 1] = '\0';
   old.secret_file[sizeof old.secret_file - 1] = '\0';
   old.interface[sizeof old.interface - 1] = '\0';
+  old.platform_terms[sizeof old.platform_terms - 1] = '\0';
   for (size_t i = 0; i < sizeof old; i++)
     {
       host_settings edited;
--- a/policy/choice/tests/added_routes_test.cc
+++ b/policy/choice/tests/added_routes_test.cc
@@ -169,7 +169,8 @@
                 false,
                 0,
                 0,
-                i < set.hosts ? (uint32_t)set.hosts : 0 };
+                i < set.hosts ? (uint32_t)set.hosts : 0,
+                {} };
         policies.push_back (service_policy_create (&policy_options));
       }
   }
--- a/policy/choice/tests/open_attempts_test.cc
+++ b/policy/choice/tests/open_attempts_test.cc
@@ -115,7 +115,7 @@
   {
     rng_seed (&random, seed);
     const service_policy_options options
-        = { seed, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, 0, 0 };
+        = { seed, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, 0, 0, {} };
     policy = service_policy_create (&options);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < TARGETS; i++)
--- a/policy/choice/tests/path_fault_test.cc
+++ b/policy/choice/tests/path_fault_test.cc
@@ -22,7 +22,7 @@
   start (uint32_t count)
   {
     const service_policy_options options
-        = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, 0, 0 };
+        = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, 0, 0, {} };
     policy = service_policy_create (&options);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
--- a/policy/choice/tests/service_policy_differential_test.cc
+++ b/policy/choice/tests/service_policy_differential_test.cc
@@ -73,7 +73,8 @@
              .prefer_faster_detection = below (2) == 0,
              .backup_cost_percent = (uint32_t)below (3) * 50,
              .used_percent = 0,
-             .set_hosts = 0 };
+             .set_hosts = 0,
+             .modes = {} };
   }
   /* Sometimes a target that left before comes back. */
   uint64_t
--- a/policy/choice/tests/service_policy_fixture.h
+++ b/policy/choice/tests/service_policy_fixture.h
@@ -24,9 +24,9 @@
   start (uint32_t count, uint32_t slots, uint32_t queue = 100,
          uint32_t used_percent = 0)
   {
-    const service_policy_options options = {
-      1, queue, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, used_percent, 0
-    };
+    const service_policy_options options
+        = { 1, queue, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, used_percent,
+            0, {} };
     policy = service_policy_create (&options);
     std::vector<policy_target> targets;
     for (uint32_t i = 0; i < count; i++)
--- a/policy/choice/tests/slot_limit_test.cc
+++ b/policy/choice/tests/slot_limit_test.cc
@@ -120,9 +120,16 @@
       configs.push_back ({ i + 1, share, slots / hosts, 0, false, true, -1 });
     for (int i = 0; i < hosts; i++)
       {
-        const service_policy_options options = {
-          (uint64_t)i + 1, 1000, 1000000, { 20, 3, 0.3, 3 }, 3, false, 0, 0, 0
-        };
+        const service_policy_options options = { (uint64_t)i + 1,
+                                                 1000,
+                                                 1000000,
+                                                 { 20, 3, 0.3, 3 },
+                                                 3,
+                                                 false,
+                                                 0,
+                                                 0,
+                                                 0,
+                                                 {} };
         policies.push_back (service_policy_create (&options));
         service_policy_set_targets (policies[i], now, configs.data (),
                                     configs.size ());
--- a/policy/choice/tests/used_targets_test.cc
+++ b/policy/choice/tests/used_targets_test.cc
@@ -101,7 +101,7 @@
   for (uint32_t i = 0; i < 12; i++)
     targets.push_back ({ i + 1, 3, 0, 0, i >= 2, true, -1 });
   service_policy_options options
-      = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 6 };
+      = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 6, {} };
   service_policy_configure (policy, &options);
   service_policy_set_targets (policy, now, targets.data (), targets.size ());
   std::set<uint32_t> used[3];
@@ -208,7 +208,7 @@
   for (uint32_t i = 0; i < 12; i++)
     targets.push_back ({ i + 1, 3, 0, 0, i >= 4, true, -1 });
   const service_policy_options options
-      = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 3 };
+      = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 3, {} };
   service_policy_configure (policy, &options);
   service_policy_set_targets (policy, now, targets.data (), targets.size ());
   std::set<uint32_t> probed;
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -47,6 +47,19 @@
                              doesn't, and starts slowly if it is new */
 };
 
+/** Decisions that a deployment's settings turn on; all false: none. */
+struct policy_modes
+{
+  /** Requests of a lower `precedence` go first where there is too little
+   * room. */
+  bool by_precedence;
+  /** Targets are chosen by the expected work of requests. */
+  bool by_cost;
+  /** Unused targets are used by how likely they are healthy, and the pauses
+   * after failures grow. */
+  bool working_set;
+};
+
 /** Limits and preferences of the service. */
 struct service_policy_options
 {
@@ -65,8 +78,12 @@
   /** Hosts that divide the targets into subsets, including this one; 0:
    * this host has no subset, or the number isn't known. */
   uint32_t set_hosts;
+  struct policy_modes modes;
 };
 
+/** Keys by which the cost of a request is learned, from the most specific. */
+#define POLICY_COST_KEYS 3
+
 /** A request that needs a decision. */
 struct policy_request
 {
@@ -81,7 +98,9 @@
   uint32_t attempts_max; /**< 0: as in the service's options */
   uint32_t tried[POLICY_TRIED_MAX];
   uint32_t tried_count;
-  bool is_counted; /**< in another host's retry budget */
+  bool is_counted;     /**< in another host's retry budget */
+  uint32_t precedence; /**< 0 goes first; only with `by_precedence` */
+  uint64_t cost_keys[POLICY_COST_KEYS]; /**< 0: unknown */
 };
 
 enum policy_verdict
@@ -114,10 +133,11 @@
   enum policy_reason reason;
   uint32_t target; /**< with POLICY_SEND */
   uint64_t request_id;
-  int64_t expected_wait_us; /**< in the queue; 0 with POLICY_SEND */
-  uint32_t retry_after_ms;  /**< with POLICY_REFUSE: retry delay computed
-                                 from the queue length and the service rate;
-                                 0: unknown */
+  int64_t expected_wait_us;  /**< in the queue; 0 with POLICY_SEND */
+  uint32_t retry_after_ms;   /**< with POLICY_REFUSE: retry delay computed
+                                  from the queue length and the service rate;
+                                  0: unknown */
+  uint32_t expected_cost_us; /**< work of the request; 0: unknown */
 };
 
 /** How an attempt ended. */
