choice: recovered targets that their own host can't reach are used by others

A target that had failed was then tried only by the host that can't reach it.

Change: a host takes the place of another one also at a target that has failed, from 2 s after the failed attempt began, unless its own last attempt there wasn't sent either. Reports count for 2 s, as the next one comes after 1.8 s, and three hosts are drawn instead of two. The check of TargetState.BackupIsForTheSubsetsOfOthers that a suspect needs no backup was the fault; it now checks that a target that has just failed needs none, that it needs one once it may have recovered, and that none comes from a host that can't reach it.

--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -439,6 +439,9 @@
   open_attempts_remove (&t->open, now_us - outcome->latency_us);
   target_state_advance (t, &set->baseline, now_us);
   target_estimate_observe (&t->estimate, outcome->end, outcome->latency_us);
+  target_state_note_end (t, now_us - outcome->latency_us, outcome->end);
+  if (outcome->end == ATTEMPT_NOT_SENT)
+    t->unsent_us = now_us;
   t->is_new = t->is_new && t->estimate.samples == 0;
   count_outcome (t, outcome->end);
   unserved_share_add (&set->unserved, now_us, outcome);
@@ -475,6 +478,9 @@
   target_state_advance (t, &set->baseline, now_us);
   target_estimate_observe_remote (&t->estimate, end);
   unserved_share_add_remote (&set->unserved, now_us, end);
+  /* An attempt of another host that timed out began an unknown time ago. */
+  if (end != ATTEMPT_TIMED_OUT)
+    target_state_note_end (t, now_us, end);
   target_state_note_remote_use (t, now_us, end,
                                 (int64_t)set->baseline.latency_us);
   t->is_new = t->is_new && t->estimate.samples == 0;
--- a/policy/choice/target_state.c
+++ b/policy/choice/target_state.c
@@ -22,6 +22,8 @@
   struct target_state t = {
     .config = *config,
     .warm_up_start_us = warm_up_start_us,
+    .failed_us = INT64_MIN / 2,
+    .unsent_us = INT64_MIN / 2,
     .unreachable_us = now_us - TARGET_UNREACHABLE_TTL_US,
     .refilled_us = now_us,
   };
@@ -220,6 +222,16 @@
                                        t->config.distance_us);
 }
 
+void
+target_state_note_end (struct target_state *t, int64_t start_us,
+                       enum attempt_end end)
+{
+  const bool failed = end == ATTEMPT_FAILED || end == ATTEMPT_CUT
+                      || end == ATTEMPT_TIMED_OUT;
+  if (failed && start_us > t->failed_us)
+    t->failed_us = start_us;
+}
+
 void
 target_state_note_remote_use (struct target_state *t, int64_t now_us,
                               enum attempt_end end, int64_t usual_us)
@@ -234,6 +246,7 @@
 bool
 target_state_needs_backup (const struct target_state *t, int64_t now_us)
 {
-  return t->config.is_backup && !target_state_is_suspect (t)
+  return t->config.is_backup && now_us - t->failed_us >= TARGET_FAILURE_REST_US
+         && now_us - t->unsent_us >= TARGET_UNSENT_REST_US
          && now_us - t->unreachable_us < TARGET_UNREACHABLE_TTL_US;
 }
--- a/policy/choice/target_state.h
+++ b/policy/choice/target_state.h
@@ -19,8 +19,14 @@
 {
   TARGET_WARM_UP_US = 10000000, /**< slow start of a new or returned target
                                      that doesn't report its own */
-  TARGET_UNREACHABLE_TTL_US
-  = 1200000, /**< until the other host reports its next attempt */
+  /** Until the other host reports its next attempt: it tries again each 1.5 s,
+   * and learns after a connect timeout that nothing could be sent. */
+  TARGET_UNREACHABLE_TTL_US = 2000000,
+  /** Time from a failure until a target counts as healthy again. */
+  TARGET_FAILURE_REST_US = 2000000,
+  /** How long this host doesn't take the place of another one at a target that
+   * it couldn't reach itself. */
+  TARGET_UNSENT_REST_US = 6000000,
 };
 
 /** List of an eligible target with a free slot. */
@@ -66,6 +72,8 @@
   int64_t warm_up_start_us; /**< start of its warm-up; INT64_MIN: warm */
   bool is_new;              /**< it joined, and has no outcome yet */
   int64_t last_used_us;     /**< last known use by any host */
+  int64_t failed_us;        /**< last failure of an attempt by any host */
+  int64_t unsent_us;        /**< last attempt of this host that wasn't sent */
   int64_t unreachable_us; /**< last report that another host can't reach it */
   uint64_t requests;
   uint64_t failures;
@@ -142,10 +150,16 @@
 void target_state_note_remote_use (struct target_state *t, int64_t now_us,
                                    enum attempt_end end, int64_t usual_us);
 
+/** An attempt of any host at T, which began at START_US, ended as END. */
+void target_state_note_end (struct target_state *t, int64_t start_us,
+                            enum attempt_end end);
+
 /** Does T need this host as a backup for now?  It does if the host whose
  * subset it is in can't reach it; otherwise it would get no requests, as
  * the other hosts leave it to that host.  It doesn't if it is in this
- * host's subset anyway, or if this host can't reach it either. */
+ * host's subset anyway, if this host can't reach it either, or if it has
+ * just failed.  A failure some seconds ago doesn't matter: all other hosts
+ * know of it too, so none would use T again. */
 bool target_state_needs_backup (const struct target_state *t, int64_t now_us);
 
 #endif
--- a/policy/choice/tests/target_state_test.cc
+++ b/policy/choice/tests/target_state_test.cc
@@ -79,8 +79,9 @@
   EXPECT_EQ (t.last_used_us, 8 * second);
 }
 
-/* Only targets in another host's subset need a backup, and only from a host
-   that doesn't suspect them. */
+/* Only targets in another host's subset need a backup.  One that has failed
+   needs it too once it may have recovered, since all hosts suspect it alike,
+   but not from a host that couldn't reach it either. */
 TEST (TargetState, BackupIsForTheSubsetsOfOthers)
 {
   policy_target target_config = config ();
@@ -95,6 +96,26 @@
   EXPECT_FALSE (
       target_state_needs_backup (&other, second + TARGET_UNREACHABLE_TTL_US));
   other.failing = true;
+  target_state_note_end (&other, second / 2, ATTEMPT_FAILED);
   EXPECT_FALSE (target_state_needs_backup (&other, second));
+  other.unreachable_us = 3 * second;
+  EXPECT_TRUE (target_state_needs_backup (&other, 3 * second));
+  other.unsent_us = 2 * second;
+  EXPECT_FALSE (target_state_needs_backup (&other, 3 * second));
+}
+
+/* An attempt that times out says nothing of the time after it began.  If its
+   end counted, a target that failed only then would rest for seconds more. */
+TEST (TargetState, RestCountsFromTheStartOfTheFailedAttempt)
+{
+  policy_target target_config = config ();
+  target_config.is_backup = true;
+  target_state t = target_state_initial (&target_config, INT64_MIN, 0, 0.1);
+  target_state_note_end (&t, second, ATTEMPT_TIMED_OUT);
+  target_state_note_end (&t, second / 2, ATTEMPT_CUT);
+  target_state_note_end (&t, 2 * second, ATTEMPT_ANSWERED);
+  t.unreachable_us = 3 * second;
+  EXPECT_FALSE (target_state_needs_backup (&t, 3 * second - 1));
+  EXPECT_TRUE (target_state_needs_backup (&t, 3 * second));
 }
 }
--- a/policy/choice/tests/used_targets_test.cc
+++ b/policy/choice/tests/used_targets_test.cc
@@ -119,6 +119,68 @@
   EXPECT_EQ (used[1].count (5), 1u);
 }
 
+/* Guards against targets that get no requests because the host whose subset
+   they are in can't reach them, while the other hosts avoid them for a failure
+   of some seconds ago.  They have recovered since. */
+TEST_F (service_policy_test,
+        recovered_targets_unreachable_by_their_host_are_used)
+{
+  start (1, 1, 100, 70);
+  std::vector<policy_target> targets;
+  for (uint32_t i = 0; i < 12; i++)
+    targets.push_back ({ i + 1, 3, 0, 0, i >= 2, true, -1 });
+  service_policy_options options
+      = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 6, {} };
+  service_policy_configure (policy, &options);
+  service_policy_set_targets (policy, now, targets.data (), targets.size ());
+  for (int i = 0; i < 4; i++)
+    service_policy_remote_outcome (policy, now, 5, ATTEMPT_FAILED);
+  const int64_t failed_us = now;
+  int used = 0;
+  for (int i = 0; i < 600; i++)
+    {
+      now += 10000;
+      for (int host = 1; host < 6; host++)
+        if (i % 150 == 0)
+          service_policy_remote_outcome (policy, now, 5, ATTEMPT_NOT_SENT);
+      const uint32_t t = admit (false).target;
+      if (t == 5)
+        {
+          EXPECT_GE (now, failed_us + 2000000)
+              << "before it can have recovered";
+          used++;
+        }
+      end_attempt (t, ATTEMPT_ANSWERED);
+    }
+  EXPECT_GT (used, 0);
+}
+
+/* A host that can't reach a target either must not probe it in place of the
+   one whose subset it is in: the requests can't be sent. */
+TEST_F (service_policy_test, targets_unreachable_from_here_are_left_alone)
+{
+  start (1, 1, 100, 70);
+  std::vector<policy_target> targets;
+  for (uint32_t i = 0; i < 12; i++)
+    targets.push_back ({ i + 1, 3, 0, 0, i >= 2, true, -1 });
+  service_policy_options options
+      = { 1, 100, 1000000, { 20, 3, 0.3, 3 }, 3, false, 50, 70, 6, {} };
+  service_policy_configure (policy, &options);
+  service_policy_set_targets (policy, now, targets.data (), targets.size ());
+  int used = 0;
+  for (int i = 0; i < 600; i++)
+    {
+      now += 10000;
+      for (int host = 1; host < 6; host++)
+        if (i % 100 == 0)
+          service_policy_remote_outcome (policy, now, 5, ATTEMPT_NOT_SENT);
+      const uint32_t t = admit (false).target;
+      used += t == 5;
+      end_attempt (t, t == 5 ? ATTEMPT_NOT_SENT : ATTEMPT_ANSWERED);
+    }
+  EXPECT_LE (used, 2);
+}
+
 /* A third of a service's requests is refused for a quota, so no attempt
    fails.  Targets would stay idle if the refusals didn't raise the share. */
 TEST_F (service_policy_test, more_targets_are_used_while_a_third_is_refused)
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -20,7 +20,7 @@
   LANE_ATTEMPTS_MAX = 4,
   /* Expected number of hosts that probe a target which another host can't
      reach. */
-  BACKUP_HOSTS = 2,
+  BACKUP_HOSTS = 3,
 };
 
 const char *
