policy: admission by precedence

Cause: the priority of routes and workspaces has no effect. A burst of a less urgent kind fills the first-in, first-out queue, and the urgent requests are refused like it.

Change: with modes.by_precedence, and while requests of several precedence numbers arrive, the queue is served by number, then by expiry. Requests that have waited for half of their time go up to the next number in use. A full queue displaces its last requests of higher numbers (reason displaced). The expected wait counts the requests ahead. Retries of a number leave a quarter of the bucket for each lower number in use, at most three quarters (reason retry-reserved). Otherwise the decisions are as before.

--- a/policy/choice/placement.c
+++ b/policy/choice/placement.c
@@ -4,6 +4,7 @@
 
 #include "policy/choice/chooser.h"
 #include "policy/choice/placement_probe.h"
+#include "policy/choice/precedence.h"
 #include "policy/choice/service_state.h"
 
 enum
@@ -14,9 +15,10 @@
   WAIT_MARGIN = 2,
 };
 
-/* What waiting would mean for a request that joins the end of the queue. */
+/* What waiting would mean for a request that joins the queue. */
 struct wait_estimate
 {
+  uint32_t ahead; /* queued requests that it would wait for */
   double wait_us;
   int64_t expires_us;
   bool fits;
@@ -47,8 +49,9 @@
         d.retry_after_ms = (uint32_t)(rest_us / 1000 + 1);
       return d;
     }
-  const double wait_us
-      = (policy->queue.count + 1) * service_state_mean_interval_us (policy);
+  /* Sent again, it comes after all that are queued now and go before it. */
+  const uint32_t ahead = precedence_ahead (policy, r, ATTEMPT_NO_TIMEOUT);
+  const double wait_us = (ahead + 1) * service_state_mean_interval_us (policy);
   const double wait_ms = ceil (wait_us / 1000);
   d.expected_wait_us = (int64_t)wait_us;
   d.retry_after_ms = (uint32_t)fmin (fmax (wait_ms, 1), RETRY_AFTER_MAX_MS);
@@ -163,17 +166,19 @@
                const struct policy_request *r)
 {
   const double remaining_us = (double)(r->deadline_us - policy->now_us);
-  const double wait_us
-      = (policy->queue.count + 1) * service_state_mean_interval_us (policy);
   /* Reserve at most half of the time for the response.  With a wrong
      estimate all requests would be refused, so it would never be corrected. */
   const double response_us
       = fmin (policy->set.baseline.latency_us, remaining_us / 2);
+  const int64_t expires_us = r->deadline_us - (int64_t)response_us;
+  const uint32_t ahead = precedence_ahead (policy, r, expires_us);
+  const double wait_us = (ahead + 1) * service_state_mean_interval_us (policy);
   return (struct wait_estimate){
+    .ahead = ahead,
     .wait_us = wait_us,
-    .expires_us = r->deadline_us - (int64_t)response_us,
+    .expires_us = expires_us,
     .fits = wait_us * WAIT_MARGIN <= remaining_us - response_us
-            && wait_queue_has_space (&policy->queue, r->queued_bytes),
+            && precedence_has_space (policy, r),
   };
 }
 
@@ -190,12 +195,13 @@
 wait_or_refuse (struct service_policy *policy, const struct policy_request *r,
                 const struct wait_estimate *estimate)
 {
-  if (!wait_queue_has_space (&policy->queue, r->queued_bytes))
+  if (!precedence_has_space (policy, r))
     return placement_refuse (policy, r, POLICY_REASON_QUEUE_FULL);
   if (!estimate->fits)
     return placement_refuse (policy, r, POLICY_REASON_TOO_LATE);
   const int64_t remaining_us = estimate->expires_us - policy->now_us;
-  wait_queue_push (&policy->queue, r, estimate->expires_us,
+  precedence_make_space (policy, r);
+  precedence_push (policy, r, estimate->expires_us,
                    policy->now_us + remaining_us / 2);
   if (has_healthy_slot (policy))
     policy->polled_us = INT64_MIN;
@@ -220,12 +226,12 @@
     return d;
   if (placement_try_unused (policy, r, &d))
     return d;
-  const bool is_first = policy->queue.count == 0;
+  const struct wait_estimate estimate = estimate_wait (policy, r);
+  const bool is_first = estimate.ahead == 0;
   if (is_first && placement_try_rate_limited (policy, r, &d))
     return d;
   if (is_first && try_healthy (policy, r, &d))
     return d;
-  const struct wait_estimate estimate = estimate_wait (policy, r);
   if (try_suspects (policy, r, &estimate, &d))
     return d;
   const bool no_other = !estimate.fits || chooser_all_tried (&policy->set, r);
@@ -238,7 +244,8 @@
 placement_failover (struct service_policy *policy,
                     const struct policy_request *r, struct policy_decision *d)
 {
-  return policy->queue.count == 0 && try_healthy (policy, r, d);
+  return precedence_ahead (policy, r, r->deadline_us) == 0
+         && try_healthy (policy, r, d);
 }
 
 /* A retry waits half of its time for another target than the one that just
--- a/policy/choice/placement_probe.c
+++ b/policy/choice/placement_probe.c
@@ -137,10 +137,10 @@
 static bool
 can_be_retried (struct service_policy *policy, const struct policy_request *r)
 {
+  enum policy_reason reason;
   return r->repeatable && r->attempt == 1
          && service_state_attempts_max (policy, r) > 1
-         && retry_budget_is_available (
-             &policy->budget, &policy->options.retries, policy->now_us);
+         && precedence_may_retry (policy, r, &reason);
 }
 
 static struct use_requirement
--- a/policy/choice/retry_budget.c
+++ b/policy/choice/retry_budget.c
@@ -90,6 +90,16 @@
   return budget->tokens >= 1 - epsilon;
 }
 
+bool
+retry_budget_exceeds (struct retry_budget *budget,
+                      const struct retry_limits *limits, int64_t now_us,
+                      double reserved_share)
+{
+  return retry_budget_is_available (budget, limits, now_us)
+         && (reserved_share <= 0
+             || budget->tokens > reserved_share * limits->max_tokens);
+}
+
 bool
 retry_budget_take (struct retry_budget *budget,
                    const struct retry_limits *limits, int64_t now_us)
--- a/policy/choice/retry_budget.h
+++ b/policy/choice/retry_budget.h
@@ -83,6 +83,12 @@
                                 const struct retry_limits *limits,
                                 int64_t now_us);
 
+/** Is there a token for a retry that has to leave more than RESERVED_SHARE of
+ * the bucket to others?  0: nothing is reserved. */
+bool retry_budget_exceeds (struct retry_budget *budget,
+                           const struct retry_limits *limits, int64_t now_us,
+                           double reserved_share);
+
 /** Consume a token for a retry.
  * @return false if there is none */
 bool retry_budget_take (struct retry_budget *budget,
--- a/policy/choice/service_state.h
+++ b/policy/choice/service_state.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 
 #include "base/rng.h"
+#include "policy/choice/precedence.h"
+#include "policy/choice/precedence_levels.h"
 #include "policy/choice/retry_budget.h"
 #include "policy/choice/service_rate.h"
 #include "policy/choice/target_set.h"
@@ -21,11 +23,14 @@
   struct wait_queue queue;
   struct service_rate rate;
   struct retry_budget budget;
-  double probe_tokens; /**< probe budget: requests that may be sent to
-                            suspects and idle targets */
-  int64_t now_us;      /**< time of the last event */
-  int64_t polled_us;   /**< when no queued request could be decided; reset to
-                            INT64_MIN by events that may change that */
+  struct precedence_levels levels;
+  struct displaced_requests displaced;
+  uint32_t late_cursor; /**< entry to check next for lateness */
+  double probe_tokens;  /**< probe budget: requests that may be sent to
+                             suspects and idle targets */
+  int64_t now_us;       /**< time of the last event */
+  int64_t polled_us;    /**< when no queued request could be decided; reset to
+                             INT64_MIN by events that may change that */
 };
 
 /** Mean time between two ends of attempts while requests wait. */
--- a/policy/choice/wait_queue.c
+++ b/policy/choice/wait_queue.c
@@ -14,11 +14,13 @@
 void
 wait_queue_init (struct wait_queue *queue)
 {
-  *queue = (struct wait_queue){ .free_head = WAIT_QUEUE_NONE };
+  *queue = (struct wait_queue){ .free_head = WAIT_QUEUE_NONE,
+                                .unpromoted_root = ORDER_TREE_NONE };
   for (int i = 0; i < LANE_COUNT; i++)
     {
       queue->oldest[i] = WAIT_QUEUE_NONE;
       queue->newest[i] = WAIT_QUEUE_NONE;
+      queue->ordered_root[i] = ORDER_TREE_NONE;
     }
 }
 
@@ -27,6 +29,8 @@
 {
   free (queue->entries);
   free (queue->heap);
+  free (queue->ordered);
+  free (queue->unpromoted);
   wait_queue_init (queue);
 }
 
@@ -41,6 +45,10 @@
   queue->entries
       = xreallocarray (queue->entries, max_requests, sizeof *queue->entries);
   queue->heap = xreallocarray (queue->heap, max_requests, sizeof *queue->heap);
+  queue->ordered
+      = xreallocarray (queue->ordered, max_requests, sizeof *queue->ordered);
+  queue->unpromoted = xreallocarray (queue->unpromoted, max_requests,
+                                     sizeof *queue->unpromoted);
   for (uint32_t i = queue->capacity; i < max_requests; i++)
     {
       queue->entries[i].next = queue->free_head;
@@ -103,7 +111,40 @@
   heap_put (queue, at, entry);
 }
 
-void
+static struct order_key
+order_key_of (const struct wait_entry *e)
+{
+  return (struct order_key){ .level = e->level,
+                             .time_us = e->expires_us,
+                             .seq = e->seq };
+}
+
+static uint32_t
+count_before (const struct wait_queue *queue, struct order_key key)
+{
+  uint32_t before = 0;
+  for (int i = 0; i < LANE_COUNT; i++)
+    before += order_tree_rank (queue->ordered, queue->ordered_root[i], key);
+  return before;
+}
+
+/* Inserts entry AT into the ordered sets. */
+static void
+add_ordered (struct wait_queue *queue, uint32_t at)
+{
+  struct wait_entry *e = &queue->entries[at];
+  const struct order_key key = order_key_of (e);
+  const struct order_key promotion
+      = { .time_us = e->reuse_tried_us, .seq = e->seq };
+  e->ahead = count_before (queue, key);
+  order_tree_insert (queue->ordered,
+                     &queue->ordered_root[wait_lane_of (&e->request)], at,
+                     key);
+  order_tree_insert (queue->unpromoted, &queue->unpromoted_root, at,
+                     promotion);
+}
+
+uint32_t
 wait_queue_push (struct wait_queue *queue, const struct policy_request *r,
                  int64_t expires_us, int64_t reuse_tried_us)
 {
@@ -119,6 +160,7 @@
     .seq = queue->next_seq++,
     .next = WAIT_QUEUE_NONE,
     .prev = queue->newest[lane],
+    .level = r->precedence,
   };
   if (e->prev != WAIT_QUEUE_NONE)
     queue->entries[e->prev].next = at;
@@ -128,6 +170,95 @@
   queue->bytes += r->queued_bytes;
   queue->heap[queue->count] = at;
   heap_up (queue, queue->count++);
+  add_ordered (queue, at);
+  return at;
+}
+
+void
+wait_queue_promote (struct wait_queue *queue, uint32_t entry, uint32_t level)
+{
+  struct wait_entry *e = &queue->entries[entry];
+  uint32_t *root = &queue->ordered_root[wait_lane_of (&e->request)];
+  if (!e->promoted)
+    order_tree_remove (queue->unpromoted, &queue->unpromoted_root, entry);
+  e->promoted = true;
+  order_tree_remove (queue->ordered, root, entry);
+  e->level = level;
+  e->ahead = count_before (queue, order_key_of (e));
+  order_tree_insert (queue->ordered, root, entry, order_key_of (e));
+}
+
+uint32_t
+wait_queue_next_promotion (const struct wait_queue *queue, int64_t now_us)
+{
+  const uint32_t first
+      = order_tree_at (queue->unpromoted, queue->unpromoted_root, 0);
+  return first != ORDER_TREE_NONE
+                 && queue->entries[first].reuse_tried_us <= now_us
+             ? first
+             : WAIT_QUEUE_NONE;
+}
+
+uint32_t
+wait_queue_ordered (const struct wait_queue *queue, enum wait_lane lane,
+                    uint32_t index)
+{
+  return order_tree_at (queue->ordered, queue->ordered_root[lane], index);
+}
+
+uint32_t
+wait_queue_ordered_last (const struct wait_queue *queue, uint32_t index)
+{
+  uint32_t left[LANE_COUNT];
+  for (int i = 0; i < LANE_COUNT; i++)
+    left[i] = order_tree_count (queue->ordered, queue->ordered_root[i]);
+  uint32_t last = WAIT_QUEUE_NONE;
+  for (uint32_t i = 0; i <= index && i < queue->count; i++)
+    {
+      const uint32_t a = left[LANE_REPEATABLE] > 0 ? wait_queue_ordered (
+                             queue, LANE_REPEATABLE, left[LANE_REPEATABLE] - 1)
+                                                   : WAIT_QUEUE_NONE;
+      const uint32_t b = left[LANE_UNREPEATABLE] > 0
+                             ? wait_queue_ordered (queue, LANE_UNREPEATABLE,
+                                                   left[LANE_UNREPEATABLE] - 1)
+                             : WAIT_QUEUE_NONE;
+      const bool is_b = a == WAIT_QUEUE_NONE
+                        || (b != WAIT_QUEUE_NONE
+                            && order_key_precedes (queue->ordered[a].key,
+                                                   queue->ordered[b].key));
+      last = is_b ? b : a;
+      left[is_b ? LANE_UNREPEATABLE : LANE_REPEATABLE]--;
+    }
+  return index < queue->count ? last : WAIT_QUEUE_NONE;
+}
+
+enum wait_lane
+wait_queue_first_lane (const struct wait_queue *queue)
+{
+  const uint32_t a = wait_queue_ordered (queue, LANE_REPEATABLE, 0);
+  const uint32_t b = wait_queue_ordered (queue, LANE_UNREPEATABLE, 0);
+  if (a == WAIT_QUEUE_NONE)
+    return LANE_UNREPEATABLE;
+  if (b == WAIT_QUEUE_NONE)
+    return LANE_REPEATABLE;
+  return order_key_precedes (queue->ordered[a].key, queue->ordered[b].key)
+             ? LANE_REPEATABLE
+             : LANE_UNREPEATABLE;
+}
+
+uint32_t
+wait_queue_ahead (const struct wait_queue *queue, uint32_t entry)
+{
+  return count_before (queue, order_key_of (&queue->entries[entry]));
+}
+
+uint32_t
+wait_queue_ahead_of_new (const struct wait_queue *queue, uint32_t level,
+                         int64_t expires_us)
+{
+  const struct order_key key
+      = { .level = level, .time_us = expires_us, .seq = queue->next_seq };
+  return count_before (queue, key);
 }
 
 uint32_t
@@ -198,6 +329,9 @@
     queue->entries[e->next].prev = e->prev;
   else
     queue->newest[lane] = e->prev;
+  order_tree_remove (queue->ordered, &queue->ordered_root[lane], entry);
+  if (!e->promoted)
+    order_tree_remove (queue->unpromoted, &queue->unpromoted_root, entry);
   queue->bytes -= e->request.queued_bytes;
   heap_remove (queue, e->heap_index);
   e->next = queue->free_head;
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -37,6 +37,8 @@
     [POLICY_REASON_NO_TARGET] = "no-target",
     [POLICY_REASON_RETRY_BUDGET] = "retry-budget",
     [POLICY_REASON_ATTEMPTS] = "attempts",
+    [POLICY_REASON_DISPLACED] = "displaced",
+    [POLICY_REASON_RETRY_RESERVED] = "retry-reserved",
   };
   return names[reason];
 }
@@ -164,6 +166,22 @@
   unserved_share_add_refused (&policy->set.unserved, now_us);
 }
 
+static struct policy_decision
+admit (struct service_policy *policy, int64_t now_us,
+       const struct policy_request *r)
+{
+  enum policy_reason reason;
+  if (policy->set.eligible == 0)
+    return placement_refuse (policy, r, POLICY_REASON_NO_TARGET);
+  if (r->deadline_us <= now_us)
+    return placement_refuse (policy, r, POLICY_REASON_TOO_LATE);
+  if (is_out_of_attempts (policy, r))
+    return placement_refuse (policy, r, POLICY_REASON_ATTEMPTS);
+  if (costs_retry (r) && !precedence_take_retry (policy, r, &reason))
+    return placement_refuse (policy, r, reason);
+  return placement_admit (policy, r);
+}
+
 struct policy_decision
 service_policy_admit (struct service_policy *policy, int64_t now_us,
                       const struct policy_request *r)
@@ -173,17 +191,10 @@
   if (r->attempt <= 1 && !r->is_counted)
     retry_budget_add_request (&policy->budget, &policy->options.retries,
                               now_us);
-  if (policy->set.eligible == 0)
-    return placement_refuse (policy, r, POLICY_REASON_NO_TARGET);
-  if (r->deadline_us <= now_us)
-    return placement_refuse (policy, r, POLICY_REASON_TOO_LATE);
-  if (is_out_of_attempts (policy, r))
-    return placement_refuse (policy, r, POLICY_REASON_ATTEMPTS);
-  if (costs_retry (r)
-      && !retry_budget_take (&policy->budget, &policy->options.retries,
-                             now_us))
-    return placement_refuse (policy, r, POLICY_REASON_RETRY_BUDGET);
-  return placement_admit (policy, r);
+  precedence_note_arrival (policy, r);
+  const struct policy_decision d = admit (policy, now_us, r);
+  precedence_note_decision (policy, r, &d);
+  return d;
 }
 
 int64_t
@@ -226,17 +237,15 @@
       || attempt_timeout_is_deadline_unlikely (&policy->set.latencies,
                                                remaining_us))
     return false;
-  const struct retry_limits *limits = &policy->options.retries;
-  decision->reason = POLICY_REASON_RETRY_BUDGET;
-  if (costs_retry (r)
-      && !retry_budget_is_available (&policy->budget, limits, now_us))
+  if (costs_retry (r) && !precedence_may_retry (policy, r, &decision->reason))
     return false;
   decision->reason = POLICY_REASON_NO_FREE_SLOT;
   if (!placement_failover (policy, r, decision))
     return false;
   if (!costs_retry (r))
     return true;
-  const bool taken = retry_budget_take (&policy->budget, limits, now_us);
+  const bool taken
+      = retry_budget_take (&policy->budget, &policy->options.retries, now_us);
   assert (taken);
   (void)taken;
   return true;
@@ -322,49 +331,45 @@
 {
   const struct policy_request r = policy->queue.entries[e].request;
   wait_queue_remove (&policy->queue, e);
-  return placement_refuse (policy, &r, reason);
+  const struct policy_decision d = placement_refuse (policy, &r, reason);
+  precedence_note_decision (policy, &r, &d);
+  return d;
 }
 
-/* Try the oldest entry of LANE first.  Entries that are held back for
+/* Try the first entry of LANE first.  Entries that are held back for
    another target are skipped, so that they don't block free slots for the
    others. */
 static bool
 try_lane (struct service_policy *policy, enum wait_lane lane,
           struct policy_decision *d)
 {
-  uint32_t at = wait_queue_oldest (&policy->queue, lane);
-  for (int i = 0; i < LANE_ATTEMPTS_MAX && at != WAIT_QUEUE_NONE; i++)
+  uint32_t at = WAIT_QUEUE_NONE;
+  for (uint32_t i = 0; i < LANE_ATTEMPTS_MAX; i++)
     {
+      at = precedence_entry (policy, lane, i, at);
+      if (at == WAIT_QUEUE_NONE)
+        return false;
       const struct wait_entry *e = &policy->queue.entries[at];
       if (placement_send_queued (policy, e, d))
         {
+          precedence_note_decision (policy, &e->request, d);
           wait_queue_remove (&policy->queue, at);
           return true;
         }
       if (e->request.tried_count == 0)
         return false;
-      at = e->next;
     }
   return false;
 }
 
-/* The request that was queued last may no longer be servable in time,
-   because targets were removed or became slow.  Refusing it now lets the
-   caller retry in time.  The expected wait may be wrong by a factor of two. */
-static bool
-is_too_late (const struct service_policy *policy, const struct wait_entry *e)
-{
-  const double remaining_us = (double)(e->expires_us - policy->now_us);
-  return policy->queue.count * service_state_mean_interval_us (policy)
-         > 2 * remaining_us;
-}
-
 bool
 service_policy_next (struct service_policy *policy, int64_t now_us,
                      struct policy_decision *decision)
 {
   policy->now_us = now_us;
   target_set_refresh (&policy->set, now_us);
+  if (precedence_next_displaced (policy, decision))
+    return true;
   const uint32_t first = wait_queue_next_expiring (&policy->queue);
   if (first == WAIT_QUEUE_NONE)
     return false;
@@ -378,16 +383,21 @@
       *decision = refuse_queued (policy, first, POLICY_REASON_TOO_LATE);
       return true;
     }
-  const uint32_t newest = wait_queue_newest (&policy->queue);
-  if (is_too_late (policy, &policy->queue.entries[newest]))
+  /* Refusing a request that can no longer be served in time, because targets
+     were removed or became slow, lets its caller retry in time. */
+  enum policy_reason reason;
+  const uint32_t late = precedence_next_late (policy, &reason);
+  if (late != WAIT_QUEUE_NONE)
     {
-      *decision = refuse_queued (policy, newest, POLICY_REASON_TOO_LATE);
+      *decision = refuse_queued (policy, late, reason);
       return true;
     }
-  const enum wait_lane older = wait_queue_older_lane (&policy->queue);
+  precedence_promote (policy);
+  const enum wait_lane first_lane = precedence_first_lane (policy);
   const enum wait_lane other
-      = older == LANE_REPEATABLE ? LANE_UNREPEATABLE : LANE_REPEATABLE;
-  if (try_lane (policy, older, decision) || try_lane (policy, other, decision))
+      = first_lane == LANE_REPEATABLE ? LANE_UNREPEATABLE : LANE_REPEATABLE;
+  if (try_lane (policy, first_lane, decision)
+      || try_lane (policy, other, decision))
     return true;
   policy->polled_us = now_us;
   return false;
@@ -396,6 +406,8 @@
 int64_t
 service_policy_wake_us (const struct service_policy *policy)
 {
+  if (policy->displaced.count > 0)
+    return policy->now_us;
   const uint32_t first = wait_queue_next_expiring (&policy->queue);
   if (first == WAIT_QUEUE_NONE)
     return INT64_MAX;
@@ -413,6 +425,7 @@
   const uint32_t e = wait_queue_find (&policy->queue, request_id);
   if (e != WAIT_QUEUE_NONE)
     wait_queue_remove (&policy->queue, e);
+  precedence_cancel_displaced (policy, request_id);
 }
 
 bool
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -98,6 +98,7 @@
   uint32_t attempts_max; /**< 0: as in the service's options */
   uint32_t tried[POLICY_TRIED_MAX];
   uint32_t tried_count;
+  bool keeps_queue;    /**< displaces no queued request, since it won't wait */
   bool is_counted;     /**< in another host's retry budget */
   uint32_t precedence; /**< 0 goes first; only with `by_precedence` */
   uint64_t cost_keys[POLICY_COST_KEYS]; /**< 0: unknown */
@@ -123,6 +124,9 @@
   POLICY_REASON_NO_TARGET, /**< none accepts work */
   POLICY_REASON_RETRY_BUDGET,
   POLICY_REASON_ATTEMPTS,
+  POLICY_REASON_DISPLACED, /**< requests of a lower precedence took its room */
+  POLICY_REASON_RETRY_RESERVED, /**< the last retries are for requests of a
+                                     lower precedence */
 };
 
 const char *policy_reason_name (enum policy_reason reason);
@@ -264,7 +268,7 @@
                                     enum attempt_end end);
 
 /** The next queued request that can be decided now: it is sent, or refused
- * because it can no longer finish in time.
+ * because it can no longer finish in time or others displaced it.
  * @return false if there is none. */
 bool service_policy_next (struct service_policy *policy, int64_t now_us,
                           struct policy_decision *decision);
