--- a/policy/choice/tests/precedence_test.cc
+++ b/policy/choice/tests/precedence_test.cc
@@ -108,6 +108,23 @@
   EXPECT_EQ (next_sent (), third);
 }
 
+/* The earliest deadline goes first only while it can be met: sending a request
+   that has expired would waste the slot. */
+TEST_F (Precedence, ExpiredRequestIsRefusedNotSent)
+{
+  start (100);
+  const uint64_t expired = queue (0, 100 * MS), other = queue (0, 5 * S);
+  now += 101 * MS;
+  end_attempt ();
+  policy_decision d = {};
+  ASSERT_TRUE (service_policy_next (policy, now, &d));
+  EXPECT_EQ (d.request_id, expired);
+  EXPECT_EQ (d.reason, POLICY_REASON_TOO_LATE);
+  ASSERT_TRUE (service_policy_next (policy, now, &d));
+  EXPECT_EQ (d.request_id, other);
+  EXPECT_EQ (d.verdict, POLICY_SEND);
+}
+
 /* A request behind many less urgent ones was refused as too late. */
 TEST_F (Precedence, ExpectedWaitCountsOnlyRequestsAhead)
 {
