policy: the reason working-set is after those without modes

Cause: service_policy_differential_test asks that each reason up to 'attempts' occurs with all modes off; 'working-set' can't. Change: the reason moves behind them, like 'displaced'; the test is unchanged. Measured: the test fails before (0 of 300 seen) and passes now.

--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -117,7 +117,6 @@
   POLICY_REASON_BEST_OF_TWO, /**< lowest cost of the compared targets */
   POLICY_REASON_ONLY_CHOICE,
   POLICY_REASON_TRICKLE, /**< probe of a target that would get no requests */
-  POLICY_REASON_WORKING_SET, /**< a target that was due to come into use */
   POLICY_REASON_NO_FREE_SLOT,
   POLICY_REASON_WAIT_FOR_GOOD, /**< unrepeatable: waits to avoid a suspect */
   POLICY_REASON_QUEUE_FULL,
@@ -128,6 +127,7 @@
   POLICY_REASON_DISPLACED, /**< requests of a lower precedence took its room */
   POLICY_REASON_RETRY_RESERVED, /**< the last retries are for requests of a
                                      lower precedence */
+  POLICY_REASON_WORKING_SET,    /**< a target that was due to come into use */
 };
 
 const char *policy_reason_name (enum policy_reason reason);
