caller: limit the size of trailers of responses

A target could send trailer fields without end. libcurl 7.88 keeps a copy of each for its header interface and limits neither their number nor their size, and the host ignored them, so that one response took 2.3 GB within 10 s.

A response whose trailer exceeds 16 KiB is now broken off and counts as cut. Trailers are not forwarded, so that nothing valid is lost.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -11,6 +11,7 @@
   URL_SIZE = 96,
   STATUS_FINAL_MIN = 200,
   FIELD_LINE_SIZE = 1024,
+  TRAILER_BYTES_MAX = 16 * 1024,
   MS_PER_SECOND = 1000
 };
 
@@ -24,6 +25,7 @@
   struct header_list response_headers;
   bool head_only;
   bool head_reported;
+  size_t trailer_bytes;
   const char *error; /* why the response was rejected */
   bool send_paused;
   bool receive_paused;
@@ -127,6 +129,18 @@
          == STATUS_OK;
 }
 
+/* Trailer fields are not forwarded.  libcurl keeps a copy of each and limits
+   neither their number nor their total size. */
+static bool
+skip_trailer_line (struct target_call *call, size_t size)
+{
+  call->trailer_bytes += size;
+  if (call->trailer_bytes <= TRAILER_BYTES_MAX)
+    return true;
+  call->error = "the answer's trailer is too large";
+  return false;
+}
+
 static size_t
 on_header (char *line, size_t size, size_t count, void *owner)
 {
@@ -135,7 +149,7 @@
   if (call->owner == NULL)
     return 0;
   if (call->head_reported)
-    return total;
+    return skip_trailer_line (call, total) ? total : 0;
   if (total >= 5 && memcmp (line, "HTTP/", 5) == 0)
     header_list_clear (&call->response_headers);
   else if (line[0] == '\r' || line[0] == '\n')
