caller: pass the head on when the buffered body is full

A short response, or one without an announced length, is buffered until it is complete or larger than hold_answer_bytes. When the next piece didn't fit the buffer while less than hold_answer_bytes were in it, the transfer was paused and nothing evaluated the response again: with both limits at 64 KiB, as deployed, a valid body without a length hung until its deadline and ended in 504.

The exchange now runs when its transfer pauses.

--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -79,6 +79,7 @@
   if (stream_buffer_free_bytes (&x->response_body) < size)
     {
       x->attempt.caller_was_slow = true;
+      exchange_schedule_run (x);
       return false;
     }
   stream_buffer_append (&x->response_body, data, size);
