caller: end a body without an announced length at its deadline

A target could send a body, chunks, a chunk extension or a trailer for ever: once the head was passed on, only a pause of the target for the service's timeout (10 s by default) ended the response, and bytes of a chunk extension kept the connection open that long. Such a body now ends at the deadline that its caller stated or its route sets: the caller's connection is closed, with a reset where HTTP/1.0 would take the close for a regular end, and the attempt counts as timed out, or as cancelled if the caller has read nothing for the last 250 ms. Bodies with an announced length, and requests for which nobody stated a deadline, are served as before.

--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -307,6 +307,7 @@
 {
   x->state = EXCHANGE_FORWARDING;
   x->last_progress_us = clock_now_us ();
+  x->last_read_us = x->last_progress_us;
   exchange_schedule_run (x);
 }
 
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -106,6 +106,7 @@
   int64_t deadline_us;
   int64_t goal_us;          /**< a response after this is late; 0: no goal */
   int64_t last_progress_us; /**< when the last bytes of the response came */
+  int64_t last_read_us;     /**< when the caller last took bytes of it */
   ev_timer timer;
   ev_prepare run_watcher; /**< never started, only fed */
 
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "base/clock.h"
 #include "node/caller/caller_server.h"
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_forward.h"
@@ -84,6 +85,7 @@
   const size_t read_bytes = stream_buffer_read (&x->response_body, data, size);
   if (read_bytes > 0)
     {
+      x->last_read_us = clock_now_us ();
       if (x->attempt.caller_was_slow)
         exchange_schedule_run (x);
       return (ssize_t)read_bytes;
--- a/node/caller/exchange_timer.c
+++ b/node/caller/exchange_timer.c
@@ -12,6 +12,7 @@
 {
   US_PER_MS = 1000,
   RAW_CLOSE_DELAY_US = 1000 * US_PER_MS,
+  CALLER_STALL_US = 250 * US_PER_MS,
   SHUTDOWN_RETRY_AFTER_MS = 100,
   TIMEOUT_RETRY_AFTER_MS = 100
 };
@@ -58,24 +59,58 @@
                   SHUTDOWN_RETRY_AFTER_MS);
 }
 
-/* Once a response is forwarded, the deadline has been met.  From then on a
-   target may not stall for longer than the timeout of a whole request. */
+/* A target may send a body without an announced length for ever.  Its caller
+   states how long it waits for a response, and that applies to such a body as
+   a whole.  A deadline that another host passed on may be that host's own
+   default, which isn't a limit; that host ends the response. */
+static bool
+deadline_limits_body (const struct exchange *x)
+{
+  const bool is_stated = x->head.deadline_ms >= 0 || x->has_route_timeout;
+  return is_stated && !x->head.is_forwarded && !x->head.relayed
+         && x->attempt.call != NULL && x->attempt.length_bytes < 0;
+}
+
+/* End the response before its body is complete. */
+static void
+truncate_response (struct exchange *x, enum attempt_end end)
+{
+  exchange_cancel_attempt (x, end);
+  x->response_truncated = true;
+  exchange_schedule_run (x);
+}
+
+/* The target isn't at fault if its bytes wait for the caller. */
+static enum attempt_end
+end_at_deadline (const struct exchange *x, int64_t now_us)
+{
+  const bool caller_stalls
+      = stream_buffer_pending_bytes (&x->response_body) > 0
+        && now_us - x->last_read_us >= CALLER_STALL_US;
+  return caller_stalls ? ATTEMPT_CANCELLED : ATTEMPT_TIMED_OUT;
+}
+
+/* Once a response is forwarded, the deadline has been met, except for a body
+   without an announced length.  From then on a target may not stall for longer
+   than the timeout of a whole request. */
 static void
 check_progress (struct exchange *x)
 {
   const int64_t stall_max_us
       = (int64_t)x->service->spec->limits.timeout_ms * US_PER_MS;
-  const bool stalled
-      = stream_buffer_pending_bytes (&x->response_body) == 0
-        && clock_now_us () - x->last_progress_us >= stall_max_us;
-  if (!stalled)
-    {
-      exchange_set_timer (x, stall_max_us);
-      return;
-    }
-  exchange_cancel_attempt (x, ATTEMPT_TIMED_OUT);
-  x->response_truncated = true;
-  exchange_schedule_run (x);
+  const int64_t now_us = clock_now_us ();
+  const bool stalled = stream_buffer_pending_bytes (&x->response_body) == 0
+                       && now_us - x->last_progress_us >= stall_max_us;
+  const int64_t remaining_us = x->deadline_us - now_us;
+  const bool is_limited = deadline_limits_body (x);
+  if (stalled)
+    truncate_response (x, ATTEMPT_TIMED_OUT);
+  else if (is_limited && remaining_us <= 0)
+    truncate_response (x, end_at_deadline (x, now_us));
+  else
+    exchange_set_timer (x, is_limited && remaining_us < stall_max_us
+                               ? remaining_us
+                               : stall_max_us);
 }
 
 static void
