caller: don't deny an earlier run in refusals by checks

exchange_refuse() always reported "not-run", and a host that received a request from another one learned only with the route whether the request may have run there. A leaving host thus answered 503 with "not-run" to a request that may have run, and so would the checks of quotas, freshness and keys between two attempts. Only repeatable requests are passed on after such an attempt, so that no unrepeatable one was affected.

Both now use the known outcome, which turns 429, 503, 408 and 421 into 502.

--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -295,7 +295,7 @@
                  uint32_t retry_after_ms, const char *message)
 {
   struct local_response response = { .status = status,
-                                     .outcome = REQUEST_OUTCOME_NOT_RUN,
+                                     .outcome = exchange_outcome (x),
                                      .reason = reason,
                                      .retry_after_ms = retry_after_ms };
   snprintf (response.message, sizeof response.message, "%s", message);
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -62,7 +62,6 @@
   x->attempts_max = route->attempts > 0 ? route->attempts : limits->attempts;
   x->has_route_timeout = route->timeout_ms > 0;
   x->attempt_count = x->head.attempts;
-  x->may_have_run = x->head.may_have_run;
   x->needs_key = !route->is_open;
   if (route->latency_goal_ms > 0)
     x->goal_us = x->started_us + (int64_t)route->latency_goal_ms * US_PER_MS;
@@ -229,6 +228,7 @@
                        status_message ());
       return;
     }
+  x->may_have_run = x->head.may_have_run;
   if (refuse_if_leaving (x))
     return;
   x->deadline_us = x->started_us + SETTINGS_WAIT_MAX_US;
--- a/node/caller/tests/forward_test.cc
+++ b/node/caller/tests/forward_test.cc
@@ -217,6 +217,25 @@
   EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
 }
 
+/* The same where the other host refuses the request before it looks at its
+   route: 503 would say that it has not run. */
+TEST_F (ForwardTest, LeavingHostDoesNotDenyEarlierRun)
+{
+  other_settings.times.shutdown_ms = 0;
+  caller_task_begin_leaving (
+      other, [] (void *) {}, nullptr);
+  auto call = make ("GET", "/calendar", "ran");
+  call->url
+      = std::string ("http://") + caller_task_address (other) + "/calendar";
+  call->fields.push_back ("Jaystair-Forwarded: 1");
+  call->fields.push_back ("Jaystair-Attempts: 1");
+  call->fields.push_back ("Jaystair-May-Have-Run: 1");
+  finish (call.get ());
+  EXPECT_EQ (call->status, 502) << call->answer;
+  EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+  EXPECT_NE (call->answer.find ("host-leaves"), std::string::npos);
+}
+
 /* What can't be served is refused at once, not held until its deadline. */
 TEST_F (ForwardTest, RefusedAtOnceWhileNoHostReachesTargets)
 {
