caller: test that a request refused for its late body never runs

408 was sent by no test. PoisonTest.RequestWithLateBodyNeverRuns sends the rest of the body after the refusal; the request runs at no target.

--- a/node/caller/tests/poison_test.cc
+++ b/node/caller/tests/poison_test.cc
@@ -2,6 +2,7 @@
 #include "node/caller/tests/caller_fixture.h"
 
 #include <cstring>
+#include <sys/socket.h>
 
 extern "C"
 {
@@ -145,6 +146,37 @@
   EXPECT_EQ (chunked->status, 200);
 }
 
+/* The body doesn't come before the deadline: 408 says that the request has not
+   run, so that it must not run when the rest of the body comes. */
+TEST_F (PoisonTest, RequestWithLateBodyNeverRuns)
+{
+  start_with (8);
+  const std::string small (3000, 'p');
+  for (int i = 0; i < 5; i++)
+    {
+      auto call = make ("POST", "/crash", "c" + std::to_string (i));
+      call->body = small;
+      finish (call.get ());
+    }
+  ASSERT_GE (block.strikes, 1u);
+  for (target_server *target : targets)
+    target_server_faults (target)->crash = 0;
+  auto raw = connect_raw ();
+  raw->write ("POST /crash HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+              "Content-Length: 3000\r\nX-Request-Id: late\r\n"
+              "Jaystair-Deadline-Ms: 200\r\n\r\n"
+              + small.substr (0, 1000));
+  ASSERT_TRUE (run_until ([&raw] {
+    return raw->received.find (" 408 ") != std::string::npos;
+  })) << raw->received;
+  EXPECT_NE (raw->received.find ("not-run"), std::string::npos);
+  send (raw->fd, small.data (), 2000, MSG_NOSIGNAL);
+  EXPECT_TRUE (run_until ([&raw] { return raw->closed; }));
+  EXPECT_EQ (get ("/calendar", "after")->status, 200);
+  for (target_server *target : targets)
+    EXPECT_EQ (target_server_runs (target, "late"), 0u);
+}
+
 /* A host that observed no crash must enforce a block of another host. */
 TEST_F (PoisonTest, BlockFromAnotherHostIsEnforced)
 {
