platform: a start time beyond all times makes an entry invalid

All later processes of the target then counted as earlier ones, and their entries as outdated: the target wasn't used again until the hosts restarted.

Change: a start time after the year 9999 is refused.

Measured: foreign_entry_test BornBeyondAllTimes fails before and passes after.

--- a/wire/target_record.c
+++ b/wire/target_record.c
@@ -17,6 +17,10 @@
   WARM_UP_MAX_MS = 60 * 60 * 1000,
 };
 
+/* The end of the year 9999.  A later time is one in another unit, and would be
+   later than the starts of all processes to come. */
+static const int64_t STARTED_MAX_MS = INT64_C (253402300799999);
+
 static void
 read_members (struct options *options, struct target_record *record)
 {
@@ -33,7 +37,7 @@
   options_duration (options, "warm_up_ms", 0, WARM_UP_MAX_MS, &warm_up_ms);
   options_string (options, "software", false, record->software,
                   sizeof record->software);
-  options_int (options, "started_ms", 0, INT64_MAX, &record->started_ms);
+  options_int (options, "started_ms", 0, STARTED_MAX_MS, &record->started_ms);
   record->slots = (uint32_t)slots;
   record->state = (enum target_state)state;
   record->warm_up_ms = (uint32_t)warm_up_ms;
