wire: a target's address with port 0 or no IP is invalid

Cause: an entry with port 0, or with the unspecified address, defined a target. Requests to the first always fail; those to the second reach the host itself.

Change: the record of a target refuses both. Addresses in settings may still have them, to listen on.

--- a/wire/target_record.c
+++ b/wire/target_record.c
@@ -1,6 +1,7 @@
 #include "wire/target_record.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <json-c/json.h>
@@ -21,6 +22,26 @@
    later than the starts of all processes to come. */
 static const int64_t STARTED_MAX_MS = INT64_C (253402300799999);
 
+/* No target listens at port 0, and a connection to the unspecified address
+   reaches this host itself. */
+static void
+check_address (struct options *options, const char *address)
+{
+  const char *colon = strrchr (address, ':');
+  if (colon == NULL)
+    return;
+  const size_t ip_length = (size_t)(colon - address);
+  const bool is_unspecified
+      = (ip_length == strlen ("0.0.0.0")
+         && strncmp (address, "0.0.0.0", ip_length) == 0)
+        || (address[0] == '[' && strspn (address + 1, "0:") + 2 == ip_length);
+  if (strtoul (colon + 1, NULL, 10) == 0 || is_unspecified)
+    options_fail (options, "address",
+                  "expected the IP and port of a target, found \"%s\"; "
+                  "write the address at which it listens",
+                  address);
+}
+
 static void
 read_members (struct options *options, struct target_record *record)
 {
@@ -30,6 +51,7 @@
   route_options_name (options, "service", true, record->service);
   options_address (options, "address", true, record->address,
                    sizeof record->address);
+  check_address (options, record->address);
   route_options_name (options, "dc", false, record->dc);
   options_int (options, "slots", 1, SLOTS_MAX, &slots);
   options_enum (options, "state", target_state_names, TARGET_STATE_COUNT,
