base: durations are decimal numbers

Cause: strtod() also reads exponents and hexadecimal numbers, so that an entry with a `ColdLeft` of 0x10ms or 1e3ms defined a target.

Change: duration_parse() refuses both.

Measured: foreign_entry_test ColdLeftIsDecimal fails before and passes after; options_test passes.

--- a/base/duration.c
+++ b/base/duration.c
@@ -11,6 +11,9 @@
   if (!isdigit ((unsigned char)text[0]))
     return false;
   const double number = strtod (text, &unit);
+  /* strtod() also reads exponents and hexadecimal numbers. */
+  if (strspn (text, "0123456789.") != (size_t)(unit - text))
+    return false;
   const bool is_seconds = strcmp (unit, "s") == 0;
   if (!is_seconds && strcmp (unit, "ms") != 0)
     return false;
