--- a/base/options.c
+++ b/base/options.c
@@ -219,6 +219,14 @@
     *value = number;
 }
 
+/* Whether the string NODE ends at its first NUL, as C functions read it. */
+static bool
+is_whole_text (struct json_object *node)
+{
+  return strlen (json_object_get_string (node))
+         == (size_t)json_object_get_string_len (node);
+}
+
 void
 options_duration (struct options *options, const char *key, int64_t min_ms,
                   int64_t max_ms, int64_t *value_ms)
@@ -237,7 +245,8 @@
             "a duration from %lldms to %lldms, as 1500 (ms), "
             "\"1500ms\" or \"1.5s\"",
             (long long)min_ms, (long long)max_ms);
-  if (!duration_parse (json_object_get_string (node), &found_ms)
+  if (!is_whole_text (node)
+      || !duration_parse (json_object_get_string (node), &found_ms)
       || found_ms < min_ms || found_ms > max_ms)
     fail_value (options, key, expected, node);
   else
@@ -293,7 +302,7 @@
   for (size_t i = 0; i < count; i++)
     {
       const char *text = json_object_get_string (node);
-      if (json_object_is_type (node, json_type_string)
+      if (json_object_is_type (node, json_type_string) && is_whole_text (node)
           && strcmp (text, names[i]) == 0)
         {
           *value = (int)i;
