registry: an unreadable entry doesn't make an earlier process the newer one

Cause: the start time of a target's process was forgotten with its record when an unreadable entry replaced it. A delayed write of the process before it then counted as a new target.

Change: what is kept of a rejected entry holds the start time of the last known process, until the entry is removed.

Measured: foreign_entry_test BornOfATargetOutlastsAnUnreadableEntry fails before and passes after; registry_test passes.

--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/registry/service_groups.h"
+#include "node/registry/target_refusals.h"
 #include "wire/platform.h"
 #include "wire/target_record.h"
 
@@ -26,15 +27,6 @@
   UT_hash_handle hh;
 };
 
-/* A rejected target object.  Its hash is kept so that each text is logged
-   once. */
-struct registry_refusal
-{
-  char name[PLATFORM_NAME_SIZE];
-  uint64_t text_hash;
-  UT_hash_handle hh;
-};
-
 /* A service of the configuration. */
 struct registry_service
 {
@@ -52,7 +44,7 @@
   struct fleet_config *config;
   bool config_changed;
   struct registry_target *targets;   /* by name */
-  struct registry_refusal *refusals; /* by name */
+  struct target_refusal *refusals;   /* by name */
   struct registry_service *services; /* by name */
   uint64_t version;                  /* of the newest published spec */
   bool is_held;                      /* nothing is published */
@@ -254,14 +246,7 @@
       free (target);
       target = next;
     }
-  struct registry_refusal *refusal = registry->refusals;
-  HASH_CLEAR (hh, registry->refusals);
-  while (refusal != NULL)
-    {
-      struct registry_refusal *next = refusal->hh.next;
-      free (refusal);
-      refusal = next;
-    }
+  target_refusals_clear (&registry->refusals);
   struct registry_service *service = registry->services;
   HASH_CLEAR (hh, registry->services);
   while (service != NULL)
@@ -373,46 +358,6 @@
          && strcmp (a->address, b->address) == 0 && strcmp (a->dc, b->dc) == 0;
 }
 
-static struct registry_refusal *
-find_refusal (const struct registry *registry, const char *name)
-{
-  struct registry_refusal *refusal;
-  char key[PLATFORM_NAME_SIZE];
-  snprintf (key, sizeof key, "%s", name);
-  HASH_FIND_STR (registry->refusals, key, refusal);
-  return refusal;
-}
-
-static void
-remove_refusal (struct registry *registry, const char *name)
-{
-  struct registry_refusal *refusal = find_refusal (registry, name);
-  if (refusal == NULL)
-    return;
-  HASH_DEL (registry->refusals, refusal);
-  free (refusal);
-}
-
-/* Relays list all objects again every few seconds, so the same rejected text
-   arrives many times. */
-static bool
-is_first_refusal (struct registry *registry, const char *name,
-                  const char *text)
-{
-  struct registry_refusal *refusal = find_refusal (registry, name);
-  const uint64_t hash = hash_string (text);
-  if (refusal != NULL && refusal->text_hash == hash)
-    return false;
-  if (refusal == NULL)
-    {
-      refusal = xcalloc (1, sizeof *refusal);
-      snprintf (refusal->name, sizeof refusal->name, "%s", name);
-      HASH_ADD_STR (registry->refusals, name, refusal);
-    }
-  refusal->text_hash = hash;
-  return true;
-}
-
 /* An object that can't be read may have been written by another program, or
    by the target to announce that it leaves.  Requests sent to the address in
    the last readable record could reach the wrong process, so the target gets
@@ -420,20 +365,21 @@
 static void
 reject_target (struct registry *registry, const char *name, const char *text)
 {
-  if (is_first_refusal (registry, name, text))
+  const struct registry_target *target = find_target (registry, name);
+  const int64_t known_ms = target == NULL ? 0 : target->record.started_ms;
+  if (target_refusals_add (&registry->refusals, name, text, known_ms))
     LOG_WARN ("target-refused", LOG_STR ("target", name),
               LOG_STR ("why", status_message ()));
   remove_target (registry, name);
 }
 
-/* A delayed write of an earlier process of the target can take effect after
-   the record of its successor.  Accepting it would restore an outdated
-   state. */
-static bool
-is_earlier_process (const struct target_record *known,
-                    const struct target_record *received)
+/* Start time of the last known process of the target; 0: unknown. */
+static int64_t
+known_start_ms (const struct registry *registry, const char *name)
 {
-  return received->started_ms < known->started_ms;
+  const struct registry_target *target = find_target (registry, name);
+  return target != NULL ? target->record.started_ms
+                        : target_refusals_known_ms (registry->refusals, name);
 }
 
 static void
@@ -458,7 +404,7 @@
   struct target_record record;
   if (text == NULL)
     {
-      remove_refusal (registry, name);
+      target_refusals_remove (&registry->refusals, name);
       remove_target (registry, name);
       return STATUS_OK;
     }
@@ -468,15 +414,19 @@
       reject_target (registry, name, text);
       return status;
     }
-  remove_refusal (registry, name);
-  struct registry_target *target = find_target (registry, name);
-  if (target != NULL && is_earlier_process (&target->record, &record))
+  const int64_t known_ms = known_start_ms (registry, name);
+  /* A delayed write of an earlier process of the target can take effect after
+     the record of its successor.  Accepting it would restore an outdated
+     state. */
+  if (record.started_ms < known_ms)
     {
       LOG_INFO ("target-outdated", LOG_STR ("target", name),
                 LOG_INT ("started_ms", record.started_ms),
-                LOG_INT ("known_started_ms", target->record.started_ms));
+                LOG_INT ("known_started_ms", known_ms));
       return STATUS_REFUSED;
     }
+  target_refusals_remove (&registry->refusals, name);
+  struct registry_target *target = find_target (registry, name);
   if (target != NULL && is_same_record (&target->record, &record))
     return STATUS_OK;
   store_target (registry, target, &record);
