registry: an entry that lacks the start time is of another writer

Cause: an entry without `born` that replaced one with it counted as that of an earlier process and was ignored, so that its target stayed in use. An entry with a member missing defines no target.

Change: it is refused, and its target isn't used, until an entry with the start time or a removal arrives. Targets that have never reported it are as before.

Measured: foreign_entry_test BornMissesAfterItWasReported fails before and passes after; registry_test passes.

--- a/node/registry/registry.c
+++ b/node/registry/registry.c
@@ -382,6 +382,19 @@
                         : target_refusals_known_ms (registry->refusals, name);
 }
 
+/* A target reports its start time in each record or in none, so one without it
+   is of another writer. */
+static enum status
+check_start_is_reported (const struct target_record *record, int64_t known_ms)
+{
+  if (record->started_ms != 0 || known_ms == 0)
+    return STATUS_OK;
+  return status_set (STATUS_INVALID,
+                     "%s: started_ms: expected the start time, which earlier "
+                     "records had, found nothing; add it",
+                     record->name);
+}
+
 static void
 store_target (struct registry *registry, struct registry_target *target,
               const struct target_record *record)
@@ -408,13 +421,15 @@
       remove_target (registry, name);
       return STATUS_OK;
     }
-  const enum status status = target_record_parse (name, text, &record);
+  const int64_t known_ms = known_start_ms (registry, name);
+  enum status status = target_record_parse (name, text, &record);
+  if (status == STATUS_OK)
+    status = check_start_is_reported (&record, known_ms);
   if (status != STATUS_OK)
     {
       reject_target (registry, name, text);
       return status;
     }
-  const int64_t known_ms = known_start_ms (registry, name);
   /* A delayed write of an earlier process of the target can take effect after
      the record of its successor.  Accepting it would restore an outdated
      state. */
