caller: kept connections aren't used for another process at the address

Cause: libcurl reuses connections by IP and port. When a target restarted under its id and address while its former process still served its connections, all requests over kept connections ran in the former process; what that announced then also counted for the new one.

Change: connections are reused within the pool of one process of a target only (target_call, by the host name in the URL; address, Host and the limit of connections to an address are as before). In exchange_send.c one line names the pool.

--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -124,6 +124,7 @@
     .events = &events,
     .owner = x,
     .address = address,
+    .pool = attempt->is_relay || attempt->is_indirect ? 0 : attempt->key,
     .method = x->head.method,
     .uri = x->uri,
     .headers = &x->head.headers,
--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -1,5 +1,7 @@
 #include "node/caller/target_call.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -21,6 +23,7 @@
   struct curl_loop *curl;
   CURL *easy;
   struct curl_slist *fields;
+  struct curl_slist *connect_to;
   struct header_list response_headers;
   bool head_only;
   bool head_reported;
@@ -163,6 +166,7 @@
 {
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->fields);
+  curl_slist_free_all (call->connect_to);
   header_list_release (&call->response_headers);
   free (call);
 }
@@ -245,6 +249,23 @@
     curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
 }
 
+/* libcurl reuses connections of the same host name in the URL.  The name of
+   the pool is never resolved, since the address to connect to is given, and
+   isn't sent, since the field Host is. */
+static void
+set_pool (struct target_call *call, const struct target_call_options *options)
+{
+  char text[URL_SIZE];
+  snprintf (text, sizeof text, "http://%016" PRIx64 ".invalid/",
+            options->pool);
+  curl_easy_setopt (call->easy, CURLOPT_URL, text);
+  snprintf (text, sizeof text, "::%s", options->address);
+  call->connect_to = curl_slist_append (NULL, text);
+  curl_easy_setopt (call->easy, CURLOPT_CONNECT_TO, call->connect_to);
+  if (header_list_find (options->headers, "Host") == NULL)
+    add_header (call, "Host", options->address);
+}
+
 static void
 set_address (struct target_call *call,
              const struct target_call_options *options)
@@ -253,6 +274,8 @@
   char url[URL_SIZE];
   snprintf (url, sizeof url, "http://%s/", options->address);
   curl_easy_setopt (easy, CURLOPT_URL, url);
+  if (options->pool != 0)
+    set_pool (call, options);
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, options->uri);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)options->connect_timeout_ms);
--- a/node/caller/target_call.h
+++ b/node/caller/target_call.h
@@ -17,6 +17,10 @@
  * per request.  Otherwise `reuse_idle_max_ms` limits the risk of a connection
  * that was closed unnoticed, since targets close connections after a long idle
  * time.
+ *
+ * Kept connections are reused within a `pool` only.  A target may restart at
+ * its address while its former process still serves the connections that it
+ * has: requests sent over these would run in the former process.
  */
 #ifndef NODE_CALLER_TARGET_CALL_H
 #define NODE_CALLER_TARGET_CALL_H
@@ -70,6 +74,8 @@
   const struct target_call_events *events;
   void *owner;
   const char *address; /**< IP:PORT */
+  /** Whose connections may be reused: the key of a target's process, or 0. */
+  uint64_t pool;
   const char *method;
   const char *uri; /**< path and query, as received */
   const struct header_list *headers;
