--- a/wire/target_record.c
+++ b/wire/target_record.c
@@ -1,6 +1,7 @@
 #include "wire/target_record.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <json-c/json.h>
@@ -17,6 +18,30 @@
   WARM_UP_MAX_MS = 60 * 60 * 1000,
 };
 
+/* The end of the year 9999.  A later time is one in another unit, and would be
+   later than the starts of all processes to come. */
+static const int64_t STARTED_MAX_MS = INT64_C (253402300799999);
+
+/* No target listens at port 0, and a connection to the unspecified address
+   reaches this host itself. */
+static void
+check_address (struct options *options, const char *address)
+{
+  const char *colon = strrchr (address, ':');
+  if (colon == NULL)
+    return;
+  const size_t ip_length = (size_t)(colon - address);
+  const bool is_unspecified
+      = (ip_length == strlen ("0.0.0.0")
+         && strncmp (address, "0.0.0.0", ip_length) == 0)
+        || (address[0] == '[' && strspn (address + 1, "0:") + 2 == ip_length);
+  if (strtoul (colon + 1, NULL, 10) == 0 || is_unspecified)
+    options_fail (options, "address",
+                  "expected the IP and port of a target, found \"%s\"; "
+                  "write the address at which it listens",
+                  address);
+}
+
 static void
 read_members (struct options *options, struct target_record *record)
 {
@@ -26,6 +51,7 @@
   route_options_name (options, "service", true, record->service);
   options_address (options, "address", true, record->address,
                    sizeof record->address);
+  check_address (options, record->address);
   route_options_name (options, "dc", false, record->dc);
   options_int (options, "slots", 1, SLOTS_MAX, &slots);
   options_enum (options, "state", target_state_names, TARGET_STATE_COUNT,
@@ -33,7 +59,7 @@
   options_duration (options, "warm_up_ms", 0, WARM_UP_MAX_MS, &warm_up_ms);
   options_string (options, "software", false, record->software,
                   sizeof record->software);
-  options_int (options, "started_ms", 0, INT64_MAX, &record->started_ms);
+  options_int (options, "started_ms", 0, STARTED_MAX_MS, &record->started_ms);
   record->slots = (uint32_t)slots;
   record->state = (enum target_state)state;
   record->warm_up_ms = (uint32_t)warm_up_ms;
