policy: place requests by expected work

Requests of one service differ in work by several times, but a target's load counted only how many are open there, so that short requests waited behind long ones while other targets were about to become free.

A cost model learns the expected work by request class, route and service. With modes.by_cost, the choice adds the remaining work of a target's open attempts, spread over its slots, to the work of the request, and prefers targets at which the request is in time.

--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "policy/choice/target_cost.h"
+
 enum
 {
   DEFAULT_LATENCY_US = 1000, /* latency of a target before any sample */
@@ -52,6 +54,35 @@
   return cost_us * backup_factor / target_state_warm_up_factor (t, now_us);
 }
 
+struct chooser_work_cost
+chooser_cost_by_work (const struct target_set *set,
+                      const struct target_state *t, int64_t now_us,
+                      const struct policy_request *r, double work_us)
+{
+  const double slowness = target_cost_slowness (set, t, now_us);
+  const double open_us = open_attempts_remaining_us (
+      &t->open, cost_model_distribution (set->cost), t->in_flight, work_us,
+      slowness, now_us);
+  const double response_us = (open_us / t->config.slots + work_us) * slowness
+                             + 2.0 * t->config.distance_us;
+  const double failure_rate = fmin (t->failure_rate, max_failure_rate);
+  const double failure_cost
+      = r->repeatable ? FAILURE_COST : FAILURE_COST_UNREPEATABLE;
+  const double expected_failures = failure_rate / (1 - failure_rate);
+  /* A failure costs another attempt or the request, whatever its work, so it
+     isn't cheaper at a target that fails fast. */
+  const double cost_us
+      = response_us + latency_us (set, t) * expected_failures * failure_cost;
+  const double backup_factor
+      = t->config.is_backup ? 1 + set->backup_cost_percent / 100.0 : 1;
+  const int64_t goal_us = r->goal_us > 0 ? r->goal_us : r->deadline_us;
+  return (struct chooser_work_cost){
+    .cost_us
+    = cost_us * backup_factor / target_state_warm_up_factor (t, now_us),
+    .is_late = response_us / (1 - failure_rate) > (double)(goal_us - now_us),
+  };
+}
+
 double
 chooser_expected_response_us (const struct target_set *set,
                               const struct target_state *t)
@@ -133,29 +164,56 @@
   return cost_us * (1 + rng_unit (rng) * cost_jitter);
 }
 
-static double
-jittered_cost_us (const struct target_set *set, struct rng *rng,
-                  uint32_t target, const struct policy_request *r,
-                  int64_t now_us)
-{
-  return add_jitter (
-      chooser_cost_us (set, &set->targets[target], now_us, r->repeatable),
-      rng);
-}
-
 /* The best candidate so far and its cost. */
 struct best_candidate
 {
   uint32_t target;
   double cost_us;
+  bool is_late;
+};
+
+/* A request to choose a target for. */
+struct choice
+{
+  const struct policy_request *request;
+  double work_us; /* 0: unknown, or not to be used */
+  int64_t now_us;
 };
 
+static struct best_candidate
+candidate_of (const struct target_set *set, struct rng *rng, uint32_t target,
+              const struct choice *choice)
+{
+  const struct target_state *t = &set->targets[target];
+  const struct policy_request *r = choice->request;
+  struct best_candidate candidate = { .target = target };
+  if (choice->work_us > 0)
+    {
+      const struct chooser_work_cost cost
+          = chooser_cost_by_work (set, t, choice->now_us, r, choice->work_us);
+      candidate.cost_us = cost.cost_us;
+      candidate.is_late = cost.is_late;
+    }
+  else
+    candidate.cost_us
+        = chooser_cost_us (set, t, choice->now_us, r->repeatable);
+  candidate.cost_us = add_jitter (candidate.cost_us, rng);
+  return candidate;
+}
+
+static bool
+is_better (const struct best_candidate *a, const struct best_candidate *b)
+{
+  if (a->is_late != b->is_late)
+    return b->is_late;
+  return a->cost_us < b->cost_us;
+}
+
 /* Update BEST with the cheapest of a run of candidates from a random start,
    if that costs less; the order of the lists has no meaning. */
 static void
 update_best (const struct candidates *c, struct rng *rng,
-             const struct policy_request *r, int64_t now_us,
-             struct best_candidate *best)
+             const struct choice *choice, struct best_candidate *best)
 {
   if (c->count == 0)
     return;
@@ -165,9 +223,10 @@
   for (uint32_t i = 0; i < compared; i++)
     {
       const uint32_t other = nth_candidate (c, (first + i) % c->count);
-      const double cost_us = jittered_cost_us (c->set, rng, other, r, now_us);
-      if (cost_us < best->cost_us)
-        *best = (struct best_candidate){ .target = other, .cost_us = cost_us };
+      const struct best_candidate candidate
+          = candidate_of (c->set, rng, other, choice);
+      if (is_better (&candidate, best))
+        *best = candidate;
     }
 }
 
@@ -176,14 +235,20 @@
                 const struct policy_request *r, int64_t now_us)
 {
   struct best_candidate best
-      = { .target = POLICY_NO_TARGET, .cost_us = INFINITY };
+      = { .target = POLICY_NO_TARGET, .cost_us = INFINITY, .is_late = true };
+  const struct choice choice = {
+    .request = r,
+    .work_us
+    = set->cost != NULL ? cost_model_expected_us (set->cost, r->cost_keys) : 0,
+    .now_us = now_us,
+  };
   uint32_t count = 0;
   for (int part = 0; part < PART_COUNT; part++)
     {
       const struct candidates c
           = candidates_of (set, (enum target_part)part, tiers, r);
       count += c.count;
-      update_best (&c, rng, r, now_us, &best);
+      update_best (&c, rng, &choice, &best);
     }
   return (struct chooser_pick){ .target = best.target, .is_only = count == 1 };
 }
--- a/policy/choice/chooser.h
+++ b/policy/choice/chooser.h
@@ -46,6 +46,22 @@
                         const struct target_state *t, int64_t now_us,
                         bool repeatable);
 
+/** What a request would cost at a target, from its expected work. */
+struct chooser_work_cost
+{
+  double cost_us;
+  bool is_late; /**< the response is expected after the goal of the request */
+};
+
+/** Like chooser_cost_us(), with the time until R's response instead of the
+ * latency and load: the remaining work of T, spread over its slots, and the
+ * work of R, WORK_US above 0, times T's slowness.  SET has a cost model. */
+struct chooser_work_cost chooser_cost_by_work (const struct target_set *set,
+                                               const struct target_state *t,
+                                               int64_t now_us,
+                                               const struct policy_request *r,
+                                               double work_us);
+
 /** Expected time until a response, including failed attempts; INFINITY if T
  * almost never responds. */
 double chooser_expected_response_us (const struct target_set *set,
--- a/policy/choice/open_attempts.c
+++ b/policy/choice/open_attempts.c
@@ -15,8 +15,41 @@
 void
 open_attempts_add (struct open_attempts *open, int64_t now_us)
 {
-  if (open->count < OPEN_ATTEMPTS_MAX)
-    open->started_us[open->count++] = now_us;
+  if (open->count == OPEN_ATTEMPTS_MAX)
+    return;
+  open->work_us[open->count] = 0;
+  open->started_us[open->count++] = now_us;
+}
+
+void
+open_attempts_set_work (struct open_attempts *open, int64_t started_us,
+                        double work_us)
+{
+  const uint32_t last = open->count - 1;
+  if (open->count > 0 && open->started_us[last] == started_us
+      && open->work_us[last] == 0)
+    open->work_us[last] = work_us;
+}
+
+double
+open_attempts_remaining_us (const struct open_attempts *open,
+                            const struct work_distribution *distribution,
+                            uint32_t count, double unknown_us, double slowness,
+                            int64_t now_us)
+{
+  double sum_us = 0;
+  for (uint32_t i = 0; i < open->count && i < count; i++)
+    {
+      const double work_us
+          = open->work_us[i] > 0 ? open->work_us[i] : unknown_us;
+      const double age_us = (double)(now_us - open->started_us[i]);
+      sum_us += work_us
+                * work_distribution_remaining (distribution,
+                                               age_us / (work_us * slowness));
+    }
+  if (count > open->count)
+    sum_us += (count - open->count) * unknown_us;
+  return sum_us;
 }
 
 void
@@ -39,7 +72,10 @@
     return;
   open->count--;
   for (uint32_t i = nearest; i < open->count; i++)
-    open->started_us[i] = open->started_us[i + 1];
+    {
+      open->started_us[i] = open->started_us[i + 1];
+      open->work_us[i] = open->work_us[i + 1];
+    }
 }
 
 /* Probability that an attempt is still open: it hangs or is just slow. */
--- a/policy/choice/open_attempts.h
+++ b/policy/choice/open_attempts.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "policy/choice/latency_histogram.h"
+#include "policy/cost/work_distribution.h"
 
 enum
 {
@@ -26,6 +27,7 @@
 struct open_attempts
 {
   int64_t started_us[OPEN_ATTEMPTS_MAX]; /**< ascending */
+  double work_us[OPEN_ATTEMPTS_MAX];     /**< expected; 0: unknown */
   uint32_t count;
 };
 
@@ -43,6 +45,20 @@
 /** Record the start of an attempt. */
 void open_attempts_add (struct open_attempts *open, int64_t now_us);
 
+/** Set the expected work of the attempt just added at STARTED_US.  No effect
+ * if the list was full. */
+void open_attempts_set_work (struct open_attempts *open, int64_t started_us,
+                             double work_us);
+
+/** Expected remaining work at NOW_US of COUNT attempts, including those not in
+ * the list.  An attempt of unknown work counts as UNKNOWN_US.
+ * @param slowness of the target: how many times longer work takes there */
+double
+open_attempts_remaining_us (const struct open_attempts *open,
+                            const struct work_distribution *distribution,
+                            uint32_t count, double unknown_us, double slowness,
+                            int64_t now_us);
+
 /** Remove the attempt that started at about STARTED_US. */
 void open_attempts_remove (struct open_attempts *open, int64_t started_us);
 
--- /dev/null
+++ b/policy/choice/target_cost.c
@@ -0,0 +1,48 @@
+#include "policy/choice/target_cost.h"
+
+void
+target_cost_refresh (struct target_set *set)
+{
+  uint32_t used = 0;
+  if (set->cost == NULL)
+    return;
+  for (uint32_t i = 0; i < set->count; i++)
+    {
+      const struct target_state *t = &set->targets[i];
+      if (target_state_is_eligible (t) && t->work.samples > 0)
+        set->scratch[used++] = t->work.ratio;
+    }
+  set->median_work_ratio = target_outlier_median (set->scratch, used);
+}
+
+double
+target_cost_slowness (const struct target_set *set,
+                      const struct target_state *t, int64_t now_us)
+{
+  return target_work_slowness (&t->work, set->median_work_ratio, now_us);
+}
+
+void
+target_cost_learn (struct target_set *set, struct target_state *t,
+                   int64_t now_us, const struct policy_outcome *outcome,
+                   const uint64_t keys[POLICY_COST_KEYS])
+{
+  const bool is_censored = outcome->end == ATTEMPT_TIMED_OUT;
+  const double own_us
+      = (double)outcome->latency_us - 2.0 * t->config.distance_us;
+  if (set->cost == NULL || own_us <= 0
+      || (outcome->end != ATTEMPT_ANSWERED && !is_censored))
+    return;
+  const double expected_us = cost_model_expected_us (set->cost, keys);
+  /* A timed-out attempt at a target that hangs says nothing about the work of
+     the request, so it counts less the more likely the target is unhealthy.
+   */
+  const struct cost_sample sample = {
+    .work_us = own_us / target_cost_slowness (set, t, now_us),
+    .is_censored = is_censored,
+    .weight = is_censored ? 1 - t->p_unhealthy : 1,
+  };
+  if (!is_censored && expected_us > 0)
+    target_work_observe (&t->work, now_us, own_us / expected_us);
+  cost_model_observe (set->cost, now_us, keys, &sample);
+}
--- /dev/null
+++ b/policy/choice/target_cost.h
@@ -0,0 +1,24 @@
+/** @file
+ * The work of requests at the targets of a set; only with a cost model.
+ */
+#ifndef POLICY_CHOICE_TARGET_COST_H
+#define POLICY_CHOICE_TARGET_COST_H
+
+#include <stdint.h>
+
+#include "policy/choice/target_set.h"
+
+/** Measure the median of the targets' work ratios. */
+void target_cost_refresh (struct target_set *set);
+
+/** How many times longer work takes at T than at a target of median speed. */
+double target_cost_slowness (const struct target_set *set,
+                             const struct target_state *t, int64_t now_us);
+
+/** Learn from OUTCOME of an attempt at T of a request with KEYS, before its
+ * health estimates are updated. */
+void target_cost_learn (struct target_set *set, struct target_state *t,
+                        int64_t now_us, const struct policy_outcome *outcome,
+                        const uint64_t keys[POLICY_COST_KEYS]);
+
+#endif
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/xmalloc.h"
+#include "policy/choice/target_cost.h"
 
 /* Averages over about the last twenty failures. */
 static const double hang_share_gain = 0.05;
@@ -116,6 +117,7 @@
     target_state_advance (&set->targets[i], &set->baseline, now_us);
   learn_unhealthy_share (set, elapsed_us);
   measure_baseline (set);
+  target_cost_refresh (set);
   usual_latency_update (&set->usual, set->baseline.latency_us, elapsed_us);
   for (uint32_t i = 0; i < set->count; i++)
     {
@@ -200,6 +202,8 @@
   set->prefer_faster_detection = old.prefer_faster_detection;
   set->backup_cost_percent = old.backup_cost_percent;
   set->baseline = old.baseline;
+  set->cost = old.cost;
+  set->median_work_ratio = old.median_work_ratio;
   set->unhealthy_share_learned_us
       = old.count > 0 ? old.unhealthy_share_learned_us : now_us;
   set->latencies = old.latencies;
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -15,6 +15,7 @@
 #include "policy/choice/unserved_share.h"
 #include "policy/choice/target_outlier.h"
 #include "policy/choice/target_state.h"
+#include "policy/cost/cost_model.h"
 #include "policy/service_policy.h"
 
 enum
@@ -50,6 +51,10 @@
   bool prefer_faster_detection;
   uint32_t backup_cost_percent; /**< of a target outside the subset */
   struct peer_baseline baseline;
+  struct cost_model *cost;  /**< not owned; NULL: targets aren't chosen by the
+                                 work of requests */
+  double median_work_ratio; /**< of the targets, as of the refresh; 0:
+                                 unknown */
   int64_t refreshed_us;
   int64_t unhealthy_share_learned_us; /**< when baseline.unhealthy_share was
                                            last updated, by a forced refresh
--- a/policy/choice/target_state.h
+++ b/policy/choice/target_state.h
@@ -13,6 +13,7 @@
 #include "policy/choice/target_estimate.h"
 #include "policy/choice/target_outlier.h"
 #include "policy/choice/usual_latency.h"
+#include "policy/cost/target_work.h"
 #include "policy/service_policy.h"
 
 enum
@@ -48,6 +49,7 @@
   struct policy_target config;
   struct target_estimate estimate; /**< from attempts that ended */
   struct open_attempts open;
+  struct target_work work; /**< only with `by_cost` */
   double p_unhealthy;  /**< probability that it is unhealthy, including open
                             attempts */
   double failure_rate; /**< expected share of failed attempts, including
--- a/policy/service_policy.c
+++ b/policy/service_policy.c
@@ -8,6 +8,7 @@
 #include "policy/choice/attempt_rules.h"
 #include "policy/choice/attempt_timeout.h"
 #include "policy/choice/placement.h"
+#include "policy/choice/service_cost.h"
 #include "policy/choice/service_state.h"
 
 enum
@@ -60,6 +61,7 @@
 {
   if (policy == NULL)
     return;
+  cost_model_destroy (policy->set.cost);
   target_set_clear (&policy->set);
   wait_queue_clear (&policy->queue);
   free (policy);
@@ -72,6 +74,7 @@
   policy->options = *options;
   policy->set.prefer_faster_detection = options->prefer_faster_detection;
   policy->set.backup_cost_percent = options->backup_cost_percent;
+  service_cost_configure (policy);
   wait_queue_set_limits (&policy->queue, options->queue_requests,
                          options->queue_bytes);
 }
@@ -183,7 +186,9 @@
       && !retry_budget_take (&policy->budget, &policy->options.retries,
                              now_us))
     return placement_refuse (policy, r, POLICY_REASON_RETRY_BUDGET);
-  return placement_admit (policy, r);
+  struct policy_decision d = placement_admit (policy, r);
+  service_cost_note_sent (policy, r, &d);
+  return d;
 }
 
 int64_t
@@ -234,6 +239,7 @@
   decision->reason = POLICY_REASON_NO_FREE_SLOT;
   if (!placement_failover (policy, r, decision))
     return false;
+  service_cost_note_sent (policy, r, decision);
   if (!costs_retry (r))
     return true;
   const bool taken = retry_budget_take (&policy->budget, limits, now_us);
@@ -338,6 +344,7 @@
       const struct wait_entry *e = &policy->queue.entries[at];
       if (placement_send_queued (policy, e, d))
         {
+          service_cost_note_sent (policy, &e->request, d);
           wait_queue_remove (&policy->queue, at);
           return true;
         }
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -252,6 +252,13 @@
 void service_policy_deposit_retries (struct service_policy *policy,
                                      int64_t now_us, uint32_t count);
 
+/** Learn the work of a request with COST_KEYS (see struct policy_request) from
+ * OUTCOME.  Call it before service_policy_outcome(); no effect without
+ * `modes.by_cost`. */
+void service_policy_learn_work (struct service_policy *policy, int64_t now_us,
+                                const struct policy_outcome *outcome,
+                                const uint64_t cost_keys[POLICY_COST_KEYS]);
+
 /** An attempt ended: release its slot and learn from the outcome.  Call
  * service_policy_next() afterwards until it returns false. */
 void service_policy_outcome (struct service_policy *policy, int64_t now_us,
