caller: learn the work of requests and place by it where routes differ

The policy knew nothing of what requests are, so it couldn't tell a lookup from an upload. Requests now carry keys of their class (route, method, workspace, size of the body), route and service, and ended attempts teach the cost model. The mode is on only with the setting placement.by_cost and only at services whose configured routes differ in priority, latency goal, timeout or repeatability; it follows changes of the configuration.

--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -43,6 +43,14 @@
           .help = "Requests passed on whole to another host, since this one "
                   "was cut from all targets.",
           .label_names = { "service" } };
+  const struct counter_family_options expected_work
+      = { .name = "jaystair_expected_work_microseconds_total",
+          .help = "Expected work of the answered attempts.",
+          .label_names = { "service" } };
+  const struct counter_family_options actual_work
+      = { .name = "jaystair_actual_work_microseconds_total",
+          .help = "Time that these attempts took.",
+          .label_names = { "service" } };
   const struct counter_family_options cut_from_targets
       = { .name = "jaystair_cut_from_targets",
           .help = "Whether this host is cut from all targets.",
@@ -77,6 +85,8 @@
   families->poison_blocks = counters_family (counters, &poison_blocks);
   families->target_crashes = counters_family (counters, &target_crashes);
   families->forwards = counters_family (counters, &forwards);
+  families->expected_work = counters_family (counters, &expected_work);
+  families->actual_work = counters_family (counters, &actual_work);
   families->cut_from_targets
       = counter_series (counters_family (counters, &cut_from_targets), NULL);
   families->in_flight
@@ -93,6 +103,14 @@
   counter_add (counter_series (family, labels), 1);
 }
 
+void
+caller_counters_add_amount (struct counter_family *family, const char *first,
+                            int64_t amount)
+{
+  const char *const labels[] = { first, NULL };
+  counter_add (counter_series (family, labels), amount);
+}
+
 void
 caller_counters_observe (struct counter_family *family, const char *first,
                          const char *second, int64_t time_us)
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -20,6 +20,8 @@
   struct counter_family *attempt_times;  /**< by service and end */
   struct counter_histogram *config_age;  /**< of each routed request */
   struct counter_family *forwards;       /**< by service */
+  struct counter_family *expected_work;  /**< by service */
+  struct counter_family *actual_work;    /**< by service */
   struct counter *in_flight;
   struct counter *cut_from_targets;
   struct counter *address_answers;
@@ -34,6 +36,10 @@
 void caller_counters_add (struct counter_family *family, const char *first,
                           const char *second);
 
+/** Add AMOUNT to the series of FAMILY with label FIRST. */
+void caller_counters_add_amount (struct counter_family *family,
+                                 const char *first, int64_t amount);
+
 /** Observe TIME_US in the histogram of FAMILY with labels FIRST and SECOND. */
 void caller_counters_observe (struct counter_family *family, const char *first,
                               const char *second, int64_t time_us);
--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -61,23 +61,6 @@
   ev_timer_start (service->loop, &service->wake_timer);
 }
 
-/* Keeps the largest fleet seen.  In a network partition each host sees a
-   smaller fleet and would take a larger part of the retry reserve, so that
-   together the hosts would use more than all of it.  Therefore a host's part
-   never grows during the lifetime of the process. */
-static void
-update_retry_fleet (struct caller_service *service)
-{
-  struct retry_fleet *fleet = &service->retry_fleet;
-  const uint32_t in_set = (uint32_t)service->host_count;
-  const uint32_t all = (uint32_t)service->fleet_count;
-  fleet->in_set = service->in_set || service->host_count == 0;
-  if (fleet->set_hosts < in_set)
-    fleet->set_hosts = in_set;
-  if (fleet->hosts < all)
-    fleet->hosts = all;
-}
-
 struct caller_service *
 caller_service_create (struct ev_loop *loop, const char *name,
                        const char *own_dc,
@@ -95,7 +78,7 @@
   service->used_percent = settings->retry.used_percent;
   service->admission = settings->admission;
   service->placement = settings->placement;
-  update_retry_fleet (service);
+  caller_share_update_fleet (service);
   service->recorder = detection_recorder_create ();
   ev_timer_init (&service->wake_timer, on_wake, 0., 0.);
   service->wake_timer.data = service;
@@ -148,7 +131,8 @@
     .attempts = limits->attempts,
     .backup_cost_percent = service->prefers_own_dc ? BACKUP_COST_PERCENT : 0,
     .set_hosts = service->in_set ? (uint32_t)service->host_count : 0,
-    .modes = { .working_set = service->placement.working_set },
+    .modes = { .by_cost = service->by_cost,
+               .working_set = service->placement.working_set },
     .prefer_faster_detection
     = service->spec->prefer == SERVICE_PREFER_FASTER_DETECTION,
   };
@@ -293,7 +277,7 @@
   caller_share_update_hosts (service);
   service->in_set = set->self;
   service->fleet_count = set->fleet_count;
-  update_retry_fleet (service);
+  caller_share_update_fleet (service);
   if (service->spec == NULL)
     return;
   const struct service_policy_options options = policy_options (service);
@@ -301,6 +285,18 @@
   apply_targets (service);
 }
 
+void
+caller_service_set_by_cost (struct caller_service *service, bool by_cost)
+{
+  if (service->by_cost == by_cost)
+    return;
+  service->by_cost = by_cost;
+  if (service->policy == NULL)
+    return;
+  const struct service_policy_options options = policy_options (service);
+  service_policy_configure (service->policy, &options);
+}
+
 /* Whether SHARE gives this host other numbers of slots than the share in
    force. */
 static bool
--- a/node/caller/caller_service.h
+++ b/node/caller/caller_service.h
@@ -77,6 +77,7 @@
   uint32_t used_percent; /**< targets to keep in use; see the policy */
   struct admission_settings admission;
   struct placement_settings placement;
+  bool by_cost; /**< targets are chosen by the work of requests */
   struct retry_fleet retry_fleet; /**< the largest seen */
   struct slot_share share; /**< of the targets' slots, if one is granted */
   struct demand_peak demand;
@@ -115,6 +116,9 @@
 void caller_service_set_path_faults (struct caller_service *service,
                                      const struct bus_path_faults *faults);
 
+/** Choose targets by the expected work of requests, or stop doing so. */
+void caller_service_set_by_cost (struct caller_service *service, bool by_cost);
+
 /** Record that target KEY announced that it is leaving, or that it is back. */
 void caller_service_set_leaving (struct caller_service *service, uint64_t key,
                                  bool leaving);
--- a/node/caller/caller_share.c
+++ b/node/caller/caller_share.c
@@ -18,6 +18,23 @@
   SHARE_DEVIATIONS = 2,
 };
 
+/* Keeps the largest fleet seen.  In a network partition each host sees a
+   smaller fleet and would take a larger part of the retry reserve, so that
+   together the hosts would use more than all of it.  Therefore a host's part
+   never grows during the lifetime of the process. */
+void
+caller_share_update_fleet (struct caller_service *service)
+{
+  struct retry_fleet *fleet = &service->retry_fleet;
+  const uint32_t in_set = (uint32_t)service->host_count;
+  const uint32_t all = (uint32_t)service->fleet_count;
+  fleet->in_set = service->in_set || service->host_count == 0;
+  if (fleet->set_hosts < in_set)
+    fleet->set_hosts = in_set;
+  if (fleet->hosts < all)
+    fleet->hosts = all;
+}
+
 void
 caller_share_update_hosts (struct caller_service *service)
 {
--- a/node/caller/caller_share.h
+++ b/node/caller/caller_share.h
@@ -14,6 +14,9 @@
  * have the same weight, since callers distribute their requests evenly. */
 void caller_share_update_hosts (struct caller_service *service);
 
+/** Update the fleet by which the retry reserve is divided. */
+void caller_share_update_fleet (struct caller_service *service);
+
 /** Whether TARGET is outside this host's subset.  A host outside the set has
  * no subset; to it, the targets of other data centres are backups. */
 bool caller_share_is_backup (const struct caller_service *service,
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -12,6 +12,7 @@
 #include "base/rng.h"
 #include "base/xmalloc.h"
 #include "node/caller/caller_context.h"
+#include "node/caller/caller_cost.h"
 #include "node/caller/caller_rows.h"
 #include "node/caller/address_answer.h"
 #include "node/caller/caller_server.h"
@@ -97,6 +98,7 @@
   if (service->spec != NULL && spec->version < service->spec->version)
     return;
   caller_service_set_spec (service, spec);
+  caller_cost_update_services (&task->context);
   route_table_set_service (task->context.routes, spec);
   if (task->context.first_service_us == 0)
     task->context.first_service_us = clock_now_us ();
@@ -131,6 +133,7 @@
   freshness_set_version_in_force (&context->freshness,
                                   context->config->version);
   route_table_set_config (context->routes, config, task->seed);
+  caller_cost_update_services (context);
   exchange_resume_all (context, EXCHANGE_WAIT_SETTINGS);
 }
 
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -61,6 +61,7 @@
   int64_t upload_stall_us; /**< time spent waiting for the caller's body */
   int64_t upload_stall_start_us; /**< 0: not waiting */
   int64_t head_timeout_us;       /**< or ATTEMPT_NO_TIMEOUT */
+  uint32_t expected_us;          /**< work; 0: unknown */
   uint32_t reuse_idle_max_ms;    /**< of the connection that it may use */
   bool is_relay;        /**< sent to another host, which selects the target */
   bool is_forwarded;    /**< passed on whole; is_relay is set as well */
--- a/node/caller/exchange_admit.c
+++ b/node/caller/exchange_admit.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "node/caller/caller_cost.h"
 #include "node/caller/decision_log.h"
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_forward.h"
@@ -46,6 +47,7 @@
     .attempts_max = x->attempts_max,
     .is_counted = x->head.is_counted,
   };
+  caller_cost_keys (x, r.cost_keys);
   for (uint32_t i = 0; i < x->tried_count; i++)
     {
       const uint32_t target
@@ -105,6 +107,7 @@
   switch (decision->verdict)
     {
     case POLICY_SEND:
+      x->attempt.expected_us = decision->expected_cost_us;
       send_unless_blocked (x, decision->target);
       break;
     case POLICY_QUEUE:
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "node/caller/response_check.h"
+#include "node/caller/caller_cost.h"
 #include "node/caller/crash_check.h"
 #include "node/caller/outcome_report.h"
 #include "node/caller/decision_log.h"
@@ -72,7 +73,8 @@
 }
 
 static void
-log_attempt (const struct exchange *x, enum attempt_end end)
+log_attempt (const struct exchange *x, enum attempt_end end,
+             int64_t latency_us)
 {
   const struct exchange_attempt *attempt = &x->attempt;
   const uint32_t index = caller_service_find_target (x->service, attempt->key);
@@ -90,7 +92,9 @@
       LOG_INT ("config_age_ms", exchange_config_age_ms (x)),
       LOG_INT ("attempt", x->attempt_count), LOG_STR ("end", end_name (end)),
       LOG_INT ("status", attempt->head_received ? attempt->status : 0),
-      LOG_INT ("took_us", exchange_attempt_latency_us (attempt)),
+      LOG_INT ("took_us", latency_us),
+      LOG_INT ("expected_us", attempt->expected_us),
+      LOG_INT ("actual_us", is_answered ? latency_us : 0),
       LOG_INT ("believed_failing_permille", failure_permille));
 }
 
@@ -109,21 +113,21 @@
   const bool is_direct = !attempt->is_indirect;
   if (is_direct && (end == ATTEMPT_NOT_SENT || end == ATTEMPT_CUT))
     reach_check_note_failure (x->context->reach_check);
+  const int64_t latency_us = exchange_attempt_latency_us (attempt);
   exchange_indirect_note_end (x, end);
   x->last_attempt_unsent = end == ATTEMPT_NOT_SENT;
   x->unsent_count += (uint32_t)x->last_attempt_unsent;
   caller_counters_add (x->context->counters.attempts, x->service->name,
                        end_name (end));
   caller_counters_observe (x->context->counters.attempt_times,
-                           x->service->name, end_name (end),
-                           exchange_attempt_latency_us (attempt));
+                           x->service->name, end_name (end), latency_us);
   /* What a cut host sees of targets says nothing about them. */
   if (!reach_check_is_cut (x->context->reach_check)
       && outcome_report_is_due (x->service, attempt->key, end))
     announce_outcome (x, end);
-  log_attempt (x, end);
-  caller_service_record_outcome (x->service, attempt->key, end,
-                                 exchange_attempt_latency_us (attempt),
+  log_attempt (x, end, latency_us);
+  caller_cost_learn (x, end, latency_us);
+  caller_service_record_outcome (x->service, attempt->key, end, latency_us,
                                  x->repeatable);
 }
 
--- a/node/caller/route_table.c
+++ b/node/caller/route_table.c
@@ -252,6 +252,40 @@
   return false;
 }
 
+/* A part without weight gets no requests. */
+static bool
+is_in_use_for (const struct route *route, const char *service)
+{
+  for (size_t i = 0; i < route->part_count; i++)
+    if (route->parts[i].weight > 0
+        && strcmp (route->parts[i].service, service) == 0)
+      return true;
+  return false;
+}
+
+bool
+route_table_routes_differ (const struct route_table *table,
+                           const char *service)
+{
+  const struct route *first = NULL;
+  for (const struct bucket *bucket = table->buckets; bucket != NULL;
+       bucket = bucket->hh.next)
+    for (const struct route *route = bucket->routes; route != NULL;
+         route = route->next)
+      {
+        if (!is_in_use_for (route, service))
+          continue;
+        if (first == NULL)
+          first = route;
+        if (route->priority != first->priority
+            || route->latency_goal_ms != first->latency_goal_ms
+            || route->timeout_ms != first->timeout_ms
+            || route->spec.repeatable != first->spec.repeatable)
+          return true;
+      }
+  return false;
+}
+
 const char *
 route_table_find_service_by_host (const struct route_table *table,
                                   const char *host)
--- a/node/caller/route_table.h
+++ b/node/caller/route_table.h
@@ -64,6 +64,11 @@
 /** Whether requests of ROUTE may go to SERVICE. */
 bool route_has_service (const struct route *route, const char *service);
 
+/** Whether the configured routes that lead to SERVICE differ in priority,
+ * latency goal, timeout or repeatability. */
+bool route_table_routes_differ (const struct route_table *table,
+                                const char *service);
+
 /** A service that requests to HOST may be routed to, or NULL: for callers that
  * request addresses by the host name of their requests. */
 const char *route_table_find_service_by_host (const struct route_table *table,
