--- a/policy/choice/target_cost.c
+++ b/policy/choice/target_cost.c
@@ -1,5 +1,12 @@
 #include "policy/choice/target_cost.h"
 
+#include <math.h>
+
+/* Mean over about 32 attempts at all targets: it follows a change common to
+   all of them before each has run a few. */
+static const double recent_ratio_gain = 1 / 32.0;
+static const double max_sample_ratio = 4;
+
 void
 target_cost_refresh (struct target_set *set)
 {
@@ -22,6 +29,23 @@
   return target_work_slowness (&t->work, set->median_work_ratio, now_us);
 }
 
+/* When all targets become slower, each has attempts from before and after the
+   change at other times, so the targets used first would seem slow for as long
+   as the model takes to learn.  Ratios are therefore relative to the attempts
+   at all targets at that time. */
+static void
+learn_slowness (struct target_set *set, struct target_state *t, int64_t now_us,
+                double ratio)
+{
+  double recent = set->recent_work_ratio;
+  if (!(recent > 0))
+    recent = ratio;
+  recent += (fmin (ratio, recent * max_sample_ratio) - recent)
+            * recent_ratio_gain;
+  set->recent_work_ratio = recent;
+  target_work_observe (&t->work, now_us, ratio / recent);
+}
+
 void
 target_cost_learn (struct target_set *set, struct target_state *t,
                    int64_t now_us, const struct policy_outcome *outcome,
@@ -43,6 +67,6 @@
     .weight = is_censored ? 1 - t->p_unhealthy : 1,
   };
   if (!is_censored && expected_us > 0)
-    target_work_observe (&t->work, now_us, own_us / expected_us);
+    learn_slowness (set, t, now_us, own_us / expected_us);
   cost_model_observe (set->cost, now_us, keys, &sample);
 }
--- a/policy/choice/target_set.c
+++ b/policy/choice/target_set.c
@@ -204,6 +204,7 @@
   set->baseline = old.baseline;
   set->cost = old.cost;
   set->median_work_ratio = old.median_work_ratio;
+  set->recent_work_ratio = old.recent_work_ratio;
   set->unhealthy_share_learned_us
       = old.count > 0 ? old.unhealthy_share_learned_us : now_us;
   set->latencies = old.latencies;
--- a/policy/choice/target_set.h
+++ b/policy/choice/target_set.h
@@ -53,6 +53,9 @@
   struct peer_baseline baseline;
   struct cost_model *cost;  /**< not owned; NULL: targets aren't chosen by the
                                  work of requests */
+  double recent_work_ratio; /**< mean time of the last attempts at all targets,
+                                 relative to their expected work; 0: unknown
+                                 */
   double median_work_ratio; /**< of the targets, as of the refresh; 0:
                                  unknown */
   int64_t refreshed_us;
--- a/policy/cost/target_work.h
+++ b/policy/cost/target_work.h
@@ -13,12 +13,13 @@
 /** All zero before any sample. */
 struct target_work
 {
-  double ratio; /**< mean of time to expected work */
+  double ratio; /**< mean of time to expected work, relative */
   uint32_t samples;
   int64_t updated_us;
 };
 
-/** An answered attempt took RATIO times the work expected of it. */
+/** An answered attempt took RATIO times the work expected of it, relative to
+ * those at all targets at that time. */
 void target_work_observe (struct target_work *work, int64_t now_us,
                           double ratio);
 
