policy: test failure cost and order of use with placement by work

Both guards held only by the avoidance of suspects and by concurrent load; without the failure cost, or without ratios relative to recent attempts, one of the new tests fails.

--- a/policy/cost/tests/placement_by_cost_test.cc
+++ b/policy/cost/tests/placement_by_cost_test.cc
@@ -213,6 +213,25 @@
     }
 }
 
+/* Failure: as above, while the target isn't avoided as a suspect yet. */
+TEST_F (PlacementByCost, FailuresCostMoreThanTheWorkLeftElsewhere)
+{
+  create (2, 2);
+  learn (SHORT, 60 * MS, 50);
+  const policy_decision busy = admit (SHORT);
+  target_state *idle = &set ()->targets[1 - busy.target];
+  idle->failure_rate = 0.4;
+  for (const bool repeatable : { true, false })
+    {
+      const policy_request r = request (SHORT, repeatable);
+      EXPECT_GT (cost_at (1 - busy.target, r, 60.0 * MS).cost_us,
+                 cost_at (busy.target, r, 60.0 * MS).cost_us);
+    }
+  /* A failure costs as much for a request of little work. */
+  const policy_request r = request (SHORT);
+  EXPECT_GT (cost_at (1 - busy.target, r, 1.0 * MS).cost_us, 60 * MS);
+}
+
 /* Failure: when all targets become slower together, because of what is behind
    them, some are taken for slow or failing and the rest is overloaded. */
 TEST_F (PlacementByCost, AllTargetsSlowingDownTogetherStayInUse)
@@ -256,6 +275,26 @@
   EXPECT_NEAR (admit (SHORT).expected_cost_us, 200 * MS, 40 * MS);
 }
 
+/* Failure: of targets that become slower together, those used first have the
+   higher mean times for a while, and seem slower than the others. */
+TEST_F (PlacementByCost, OrderOfUseDuringASlowdownIsNotSlowness)
+{
+  create (8, 2);
+  learn (SHORT, 50 * MS, 400);
+  for (int i = 0; i < 400; i++)
+    {
+      learn (SHORT, 200 * MS, 1);
+      for (uint32_t t = 0; t < 8; t++)
+        {
+          const target_state *state = &set ()->targets[t];
+          ASSERT_NEAR (target_work_slowness (
+                           &state->work, set ()->median_work_ratio, now_us),
+                       1, 0.25)
+              << i << " " << t;
+        }
+    }
+}
+
 /* Failure: a time before the previous one makes ages and costs negative, so
    that one target gets all requests. */
 TEST_F (PlacementByCost, ClockJumpsLeaveCostsValid)
