--- a/node/caller/exchange_admit.c
+++ b/node/caller/exchange_admit.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "node/caller/caller_cost.h"
 #include "node/caller/decision_log.h"
 #include "node/caller/exchange_attempt.h"
 #include "node/caller/exchange_forward.h"
@@ -58,6 +59,7 @@
     .is_counted = x->head.is_counted,
     .precedence = exchange_precedence (x),
   };
+  caller_cost_keys (x, r.cost_keys);
   for (uint32_t i = 0; i < x->tried_count; i++)
     {
       const uint32_t target
@@ -117,6 +119,7 @@
   switch (decision->verdict)
     {
     case POLICY_SEND:
+      x->attempt.expected_us = decision->expected_cost_us;
       send_unless_blocked (x, decision->target);
       break;
     case POLICY_QUEUE:
