--- a/node/caller/tests/caller_service_test.cc
+++ b/node/caller/tests/caller_service_test.cc
@@ -2,6 +2,7 @@
 
 extern "C"
 {
+#include "base/clock.h"
 #include "node/caller/outcome_report.h"
 #include "node/caller/caller_service.h"
 #include "node/caller/caller_share.h"
@@ -71,6 +72,60 @@
   EXPECT_EQ (service_policy_target_status (service->policy, 0).failures, 0u);
 }
 
+/* Everything else that is known of a target: the limit and the idle time that
+ * it announced, its rest, its leaving for good, attempts in flight, and what
+ * other hosts report.  None may hold for another process, whether it is
+ * learned before the restart or, from the former process, after it. */
+TEST_F (CallerService, NothingOfAFormerProcessAppliesToTheNewOne)
+{
+  const uint64_t former = service->targets[0].key;
+  const auto observe_former = [&] {
+    caller_service_set_idle_timeout (service, former, 500);
+    caller_service_set_rest (service, former, 3600 * 1000);
+    caller_service_set_left (service, former);
+    for (int i = 0; i < 5; i++)
+      caller_service_record_remote_outcome (service, former, ATTEMPT_CUT);
+  };
+  limit_state_note_answer (&service->targets[0].limit, 1, 1);
+  caller_service_apply_limits (service);
+  EXPECT_TRUE (service_policy_acquire (service->policy, 0, 1));
+  service->targets[0].ejected = service->targets[0].avoided = true;
+  service->targets[0].reported_us = service->targets[0].unsent_reported_us = 1;
+  observe_former ();
+  EXPECT_TRUE (service->targets[0].leaving);
+  EXPECT_TRUE (service_policy_target_status (service->policy, 0).suspect);
+  targets[0].started_ms = 9000;
+  targets[0].warm_up_ms = 0;
+  caller_service_set_spec (service, &spec);
+  for (const bool is_late : { false, true })
+    {
+      if (is_late)
+        observe_former ();
+      const caller_target *target = &service->targets[0];
+      EXPECT_FALSE (target->leaving || target->ejected || target->avoided);
+      EXPECT_EQ (target->idle_timeout_ms, 0U);
+      EXPECT_EQ (target->limit.rate_millis, 0U);
+      EXPECT_EQ (target->limit.sent_us, 0);
+      EXPECT_EQ (target->reported_us + target->unsent_reported_us, 0);
+      const policy_target_status status
+          = service_policy_target_status (service->policy, 0);
+      EXPECT_FALSE (status.suspect || status.ejected || status.warming);
+      EXPECT_LE (
+          status.failure_permille,
+          service_policy_target_status (service->policy, 1).failure_permille);
+      EXPECT_EQ (status.in_flight + status.requests + status.failures, 0U);
+    }
+  /* The target beside it keeps its state. */
+  EXPECT_EQ (service_policy_target_status (service->policy, 1).in_flight, 1U);
+  /* Neither rest nor limit nor leaving keeps requests from it. */
+  EXPECT_TRUE (service_policy_acquire (service->policy, clock_now_us (), 0));
+  EXPECT_TRUE (service_policy_acquire (service->policy, clock_now_us (), 0));
+  /* Attempts of the former process that end late free no slot of it. */
+  caller_service_record_outcome (service, former, ATTEMPT_ANSWERED, 1, true);
+  EXPECT_EQ (service_policy_target_status (service->policy, 0).in_flight, 2U);
+  EXPECT_FALSE (service_policy_acquire (service->policy, clock_now_us (), 0));
+}
+
 /* A change of settings without a restart keeps the state of the target. */
 TEST_F (CallerService, OtherChangesKeepTheStateOfATarget)
 {
