caller: a call over a new connection keeps the kept ones of others

Cause: libcurl 7.88 closes all idle connections that exceed the idle time that the starting call allows, whatever their host. Calls that reuse none (probes of leaving targets every 2 s, attempts through another host, relays) allowed 0, so that each closed the connections of all targets idle for a second or more.

Change: such calls set no limit.

Measured: kept_connection_test fails before (2 connections for 1) and passes after, 3 of 3; at_most_once_test passes. The effect on the deployments' counts of connections isn't measured.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -279,9 +279,12 @@
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, options->uri);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)options->connect_timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
-                    (long)(options->reuse_idle_max_ms / MS_PER_SECOND));
-  if (options->force_new_connection)
+  /* libcurl also closes the connections of all other calls that have been idle
+     for longer, so a call that reuses none must not limit this. */
+  if (!options->force_new_connection)
+    curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
+                      (long)(options->reuse_idle_max_ms / MS_PER_SECOND));
+  else
     {
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
       /* Otherwise each such call would leave one more connection open. */
