ejection: evidence of targets that report their start time counts

Cause: hosts record and report outcomes under the key of a target's process, but the owner knew targets by the key of their name. Where targets report start times, it ignored all evidence, and no target was ever ejected.

Change: both use service_spec_target_key(). The fixture of the tests takes its keys from there, too, and can set start times; its checks are as before.

Measured: EjectionTask.EjectionIsOfAProcess fails before (t2 isn't ejected) and passes after; ejection_task_test, slot_shares_task_test and caller_service_test pass.

--- a/node/caller/caller_service.c
+++ b/node/caller/caller_service.c
@@ -217,18 +217,6 @@
   return POLICY_NO_TARGET;
 }
 
-/* Differs for each process of a target.  If a target restarted under the same
-   name and kept its key, the state of the former process would apply to the
-   new one, which would count as warm, leaving or failing. */
-static uint64_t
-target_process_hash (const struct target_spec *target)
-{
-  const uint64_t name_hash = hash_string (target->name);
-  return target->started_ms == 0
-             ? name_hash
-             : hash_pair (name_hash, (uint64_t)target->started_ms);
-}
-
 /* Return the states of the targets of SPEC, copied for those that the spec in
    force also has. */
 static struct caller_target *
@@ -237,11 +225,10 @@
 {
   struct caller_target *targets
       = xcalloc (spec->target_count + 1, sizeof *targets);
-  const uint64_t service_hash = hash_string (spec->name);
   for (size_t i = 0; i < spec->target_count; i++)
     {
       const uint64_t key
-          = hash_pair (service_hash, target_process_hash (&spec->targets[i]));
+          = service_spec_target_key (spec->name, &spec->targets[i]);
       const uint32_t before = service->spec != NULL
                                   ? caller_service_find_target (service, key)
                                   : POLICY_NO_TARGET;
--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -79,7 +79,11 @@
 uint64_t
 ejection_target_key (const struct ejection_service *service, const char *name)
 {
-  return hash_pair (hash_string (service->name), hash_string (name));
+  for (size_t i = 0; service->spec != NULL && i < service->spec->target_count;
+       i++)
+    if (strcmp (service->spec->targets[i].name, name) == 0)
+      return service->keys[i];
+  return 0;
 }
 
 const char *
@@ -127,7 +131,8 @@
   service->keys = xreallocarray (service->keys, spec->target_count + 1,
                                  sizeof *service->keys);
   for (size_t i = 0; i < spec->target_count; i++)
-    service->keys[i] = ejection_target_key (service, spec->targets[i].name);
+    service->keys[i]
+        = service_spec_target_key (service->name, &spec->targets[i]);
   update_floor_spec (service);
   ejection_owner_update (service);
 }
--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -172,6 +172,8 @@
   uint32_t floor_capacity = 12;
   int set_size = host_count; // number of hosts in the service's set
   uint64_t spec_version = 0;
+  int64_t started_ms = 0; // of the processes of all targets
+  std::map<std::string, uint64_t> target_keys;
 
   fleet ()
   {
@@ -293,12 +295,11 @@
     std::vector<uint64_t> keys;
     for (int k = 0; k < target_count; k++)
       {
-        const std::string n = std::to_string (k);
-        targets += (k > 0 ? "," : "") + std::string ("{\"name\":\"t") + n
+        targets += (k > 0 ? "," : "") + std::string ("{\"name\":\"t")
+                   + std::to_string (k)
                    + "\",\"address\":\"127.0.0.1:" + std::to_string (9001 + k)
                    + "\",\"dc\":\"dc-0\",\"slots\":4,\"capacity\":4,"
                      "\"connections\":9}";
-        keys.push_back (target_key ("t" + n));
       }
     const std::string text
         = std::string ("{\"name\":\"holds\",\"floor_capacity\":")
@@ -306,13 +307,20 @@
           + "],\"routes\":[{\"path_prefix\":\"/\",\"methods\":[\"GET\"]}]}";
     bus_message m = {};
     m.topic = BUS_SERVICE_IN_FORCE;
-    const status parsed = service_spec_parse (
-        "test", text.c_str (), spec_version, &m.service_in_force.spec);
-    if (parsed != STATUS_OK)
+    if (service_spec_parse ("test", text.c_str (), spec_version,
+                            &m.service_in_force.spec)
+        != STATUS_OK)
       {
         fprintf (stderr, "%s\n", status_message ());
         abort ();
       }
+    for (int k = 0; k < target_count; k++)
+      {
+        target_spec &target = m.service_in_force.spec->targets[k];
+        target.started_ms = started_ms;
+        keys.push_back (service_spec_target_key (service_name, &target));
+        target_keys[target.name] = keys.back ();
+      }
     detection_recorder_set_targets (hosts[i].recorder, keys.data (),
                                     keys.size ());
     bus_post (hosts[i].messages, &m);
@@ -328,13 +336,6 @@
         post_spec (i);
   }
 
-  static uint64_t
-  target_key (const std::string &target)
-  {
-    return hash_pair (hash_string (service_name),
-                      hash_string (target.c_str ()));
-  }
-
   // Records a request of each host to each target.  Requests to targets in
   // FAILING fail.
   void
@@ -345,7 +346,7 @@
         {
           const std::string t = "t" + std::to_string (k);
           if (h.ejected.count (t) == 0 && !h.suspended)
-            detection_recorder_record (h.recorder, target_key (t),
+            detection_recorder_record (h.recorder, target_keys.at (t),
                                        failing.count (t)
                                                || h.failing_from_here.count (t)
                                            ? ATTEMPT_FAILED
--- a/node/ejection/tests/ejection_task_test.cc
+++ b/node/ejection/tests/ejection_task_test.cc
@@ -73,6 +73,16 @@
   EXPECT_EQ (f.max_ejected_capacity, 4);
 }
 
+// Targets report their start times.  Hosts keep what they observe by process,
+// so an owner that knows targets by name alone would ignore all of it.
+TEST_F (EjectionTask, EjectionIsOfAProcess)
+{
+  f.started_ms = 5000;
+  f.set_floor (f.floor_capacity);
+  f.run (3000);
+  ASSERT_TRUE (fail_until_ejected ("t2"));
+}
+
 // Targets start to fail one after another.  Each ejection alone is justified,
 // but without the floor too little capacity would remain for the callers.
 TEST_F (EjectionTask, FloorLimitsEjections)
@@ -293,7 +303,7 @@
   f.run (1000);
   EXPECT_TRUE (detection_detector_explain (f.service (0)->detector,
                                            fleet_now_ms * 1000,
-                                           fleet::target_key ("t1"), &e));
+                                           f.target_keys.at ("t1"), &e));
   uint32_t seen = 0;
   for (size_t i = 0; i < e.dc_count; i++)
     seen += e.dcs[i].requests;
--- a/node/ejection/tests/slot_shares_task_test.cc
+++ b/node/ejection/tests/slot_shares_task_test.cc
@@ -31,7 +31,7 @@
   {
     uint32_t sum = 0;
     for (auto &h : f.hosts)
-      sum += slot_share_of (&h.share, fleet::target_key ("t0"), slots);
+      sum += slot_share_of (&h.share, f.target_keys.at ("t0"), slots);
     return sum;
   }
   uint32_t
--- a/wire/service_spec.c
+++ b/wire/service_spec.c
@@ -5,6 +5,7 @@
 
 #include <json-c/json.h>
 
+#include "base/hash.h"
 #include "base/options.h"
 #include "base/xmalloc.h"
 #include "wire/route_options.h"
@@ -256,3 +257,17 @@
       return &spec->targets[i];
   return NULL;
 }
+
+/* If a target restarted under the same name and kept its key, the state of the
+   former process would apply to the new one, which would count as warm,
+   leaving or failing. */
+uint64_t
+service_spec_target_key (const char *service, const struct target_spec *target)
+{
+  const uint64_t name_hash = hash_string (target->name);
+  const uint64_t process_hash
+      = target->started_ms == 0
+            ? name_hash
+            : hash_pair (name_hash, (uint64_t)target->started_ms);
+  return hash_pair (hash_string (service), process_hash);
+}
--- a/wire/service_spec.h
+++ b/wire/service_spec.h
@@ -142,6 +142,11 @@
 struct service_spec *service_spec_copy (const struct service_spec *spec);
 void service_spec_destroy (struct service_spec *spec);
 
+/** The key of the process of TARGET of SERVICE, under which observations of it
+ * are kept and exchanged.  Another process of the target has another key. */
+uint64_t service_spec_target_key (const char *service,
+                                  const struct target_spec *target);
+
 /** Find the target NAME; NULL if there is none. */
 const struct target_spec *service_spec_target (const struct service_spec *spec,
                                                const char *name);
