ejection: an ejection ends with the process that it judged

Cause: claims name targets. After a restart of an ejected target under its name, the next process stayed ejected for its former one, and, as the detector holds nothing against the new process, no trial could end it.

Change: the owner reinstates a target whose process changes, unless an operator ejected it.

--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -120,12 +120,31 @@
   free (targets);
 }
 
+/* An ejection is the owner's judgement of a process.  The next process of the
+   target begins without it, unless an operator has ejected the target. */
+static void
+reinstate_restarted (struct ejection_service *service,
+                     const struct service_spec *spec)
+{
+  service->why = "restarted";
+  for (size_t i = 0; i < spec->target_count; i++)
+    {
+      const struct target_spec *target = &spec->targets[i];
+      const uint64_t former = ejection_target_key (service, target->name);
+      if (former != 0
+          && former != service_spec_target_key (service->name, target))
+        floor_owner_reinstate (service->owner, ejection_now_ms (service->task),
+                               target->name, false);
+    }
+}
+
 void
 ejection_service_set_spec (struct ejection_service *service,
                            const struct service_spec *spec)
 {
   if (service->spec != NULL && spec->version < service->spec->version)
     return;
+  reinstate_restarted (service, spec);
   service_spec_destroy (service->spec);
   service->spec = service_spec_copy (spec);
   service->keys = xreallocarray (service->keys, spec->target_count + 1,
--- a/node/ejection/tests/ejection_task_test.cc
+++ b/node/ejection/tests/ejection_task_test.cc
@@ -74,13 +74,18 @@
 }
 
 // Targets report their start times.  Hosts keep what they observe by process,
-// so an owner that knows targets by name alone would ignore all of it.
+// so an owner that knows targets by name alone would ignore all of it, and one
+// that ejects by name alone would eject the next process for its former one.
 TEST_F (EjectionTask, EjectionIsOfAProcess)
 {
   f.started_ms = 5000;
   f.set_floor (f.floor_capacity);
   f.run (3000);
   ASSERT_TRUE (fail_until_ejected ("t2"));
+  f.started_ms = 9000;
+  f.set_floor (f.floor_capacity);
+  EXPECT_TRUE (f.run_until (3000, [&] { return f.ejected_nowhere ("t2"); }));
+  ASSERT_TRUE (fail_until_ejected ("t2"));
 }
 
 // Targets start to fail one after another.  Each ejection alone is justified,
