--- a/node/ejection/ejection_service.c
+++ b/node/ejection/ejection_service.c
@@ -79,7 +79,11 @@
 uint64_t
 ejection_target_key (const struct ejection_service *service, const char *name)
 {
-  return hash_pair (hash_string (service->name), hash_string (name));
+  for (size_t i = 0; service->spec != NULL && i < service->spec->target_count;
+       i++)
+    if (strcmp (service->spec->targets[i].name, name) == 0)
+      return service->keys[i];
+  return 0;
 }
 
 const char *
@@ -116,18 +120,38 @@
   free (targets);
 }
 
+/* An ejection is the owner's judgement of a process.  The next process of the
+   target begins without it, unless an operator has ejected the target. */
+static void
+reinstate_restarted (struct ejection_service *service,
+                     const struct service_spec *spec)
+{
+  service->why = "restarted";
+  for (size_t i = 0; i < spec->target_count; i++)
+    {
+      const struct target_spec *target = &spec->targets[i];
+      const uint64_t former = ejection_target_key (service, target->name);
+      if (former != 0
+          && former != service_spec_target_key (service->name, target))
+        floor_owner_reinstate (service->owner, ejection_now_ms (service->task),
+                               target->name, false);
+    }
+}
+
 void
 ejection_service_set_spec (struct ejection_service *service,
                            const struct service_spec *spec)
 {
   if (service->spec != NULL && spec->version < service->spec->version)
     return;
+  reinstate_restarted (service, spec);
   service_spec_destroy (service->spec);
   service->spec = service_spec_copy (spec);
   service->keys = xreallocarray (service->keys, spec->target_count + 1,
                                  sizeof *service->keys);
   for (size_t i = 0; i < spec->target_count; i++)
-    service->keys[i] = ejection_target_key (service, spec->targets[i].name);
+    service->keys[i]
+        = service_spec_target_key (service->name, &spec->targets[i]);
   update_floor_spec (service);
   ejection_owner_update (service);
 }
