caller: send no request on a connection with unread bytes

A target that sent more than the announced length after its response was complete left the excess on a kept connection. libcurl 7.88 takes such a connection for alive, so that the next request got the excess as its response: another response than its own, unless targets repeat the request id.

curl_loop now knows the sockets of open connections. Just before a request is sent, a connection with unread bytes is closed and the request is sent on a new one; nothing was sent before, so that this is no second attempt. Bytes that arrive after the request can't be told from its response.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -29,6 +29,8 @@
   const char *error; /* why the response was rejected */
   bool send_paused;
   bool receive_paused;
+  bool has_stale_input; /* the connection had bytes before the request */
+  bool restarted;
   uint32_t send_count;
   char message[CURL_ERROR_SIZE];
 };
@@ -40,6 +42,14 @@
   struct target_call *call = owner;
   if (call->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
+  const struct curl_loop_peer peer
+      = { remote_ip, (uint16_t)remote_port, (uint16_t)local_port };
+  /* Bytes that arrive before the request can't be its response: the target
+     sent more than its last one.  libcurl 7.88 would read them as the
+     response. */
+  call->has_stale_input = curl_loop_has_input (call->curl, call->easy, &peer);
+  if (call->has_stale_input)
+    return CURL_PREREQFUNC_ABORT;
   call->send_count++;
   return CURL_PREREQFUNC_OK;
 }
@@ -181,10 +191,29 @@
   free (call);
 }
 
+static void on_done (void *owner, CURLcode code, CURL *easy);
+
+/* Nothing was sent or read: the call can use a new connection. */
+static void
+restart (struct target_call *call)
+{
+  call->restarted = true;
+  call->has_stale_input = false;
+  call->message[0] = '\0';
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_loop_start (call->curl, call->easy, on_done, call);
+}
+
 static void
 on_done (void *owner, CURLcode code, CURL *easy)
 {
   struct target_call *call = owner;
+  if (call->has_stale_input && call->send_count == 0 && call->owner != NULL
+      && !call->restarted)
+    {
+      restart (call);
+      return;
+    }
   const char *message = call->message;
   if (message[0] == '\0')
     message = curl_easy_strerror (code);
--- a/node/caller/tests/endless_response_test.cc
+++ b/node/caller/tests/endless_response_test.cc
@@ -255,6 +255,25 @@
   EXPECT_EQ (call->field ("content-length"), "4");
 }
 
+/* A repeatable request leaves its connection open for others.  Bytes that come
+   before another request uses it must close it.  Bytes that come later can't
+   be told from a response, except by the request id that responses repeat. */
+TEST_F (EndlessResponse, BytesAfterAResponseOnAKeptConnection)
+{
+  target->start = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+  target->unit = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil";
+  target->block_bytes = target->start.size ();
+  EXPECT_EQ (get ("/calendar", "r1")->answer, "body");
+  const uint64_t expected_bytes = target->start.size () + 100000;
+  ASSERT_TRUE (
+      run_until ([&] { return target->sent_bytes > expected_bytes; }));
+  EXPECT_TRUE (run_until ([this] {
+    EXPECT_EQ (get ("/plain", "other")->answer, "plain");
+    return target->closed == 1;
+  }));
+  EXPECT_EQ (target->requests, 1);
+}
+
 /* A protocol that the host didn't ask for is no response. */
 TEST_F (EndlessResponse, SwitchedProtocol)
 {
--- a/wire/curl_loop.c
+++ b/wire/curl_loop.c
@@ -3,9 +3,13 @@
 #include <assert.h>
 #include <stdbool.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <uthash.h>
 #include <utlist.h>
 
+#include "base/hash.h"
 #include "base/xmalloc.h"
 
 static const double MS_PER_SECOND = 1000.0;
@@ -18,6 +22,7 @@
   void *owner;
   bool added;     /* to the multi handle */
   bool cancelled; /* run_deferred() will call `done` */
+  int fd;         /* of the connection opened for it; -1: none */
   struct curl_transfer *prev;
   struct curl_transfer *next;
 };
@@ -31,6 +36,16 @@
   struct curl_socket *next;
 };
 
+/* An open connection.  libcurl tells the socket of a reused one neither before
+   nor during its transfer. */
+struct curl_connection
+{
+  uint64_t key; /* of its ports and remote address */
+  int fd;
+  UT_hash_handle by_key;
+  UT_hash_handle by_fd;
+};
+
 struct curl_loop
 {
   struct ev_loop *loop;
@@ -41,6 +56,8 @@
   uint32_t running;
   struct curl_transfer *transfers;
   struct curl_socket *sockets;
+  struct curl_connection *connections_by_key;
+  struct curl_connection *connections_by_fd;
 };
 
 static void
@@ -231,6 +248,71 @@
   }
 }
 
+static int
+on_socket_opened (void *data, curl_socket_t fd, curlsocktype purpose)
+{
+  struct curl_transfer *transfer = data;
+  transfer->fd = fd;
+  return CURL_SOCKOPT_OK;
+}
+
+static void
+remove_connection (struct curl_loop *cl, struct curl_connection *connection)
+{
+  HASH_DELETE (by_key, cl->connections_by_key, connection);
+  HASH_DELETE (by_fd, cl->connections_by_fd, connection);
+  free (connection);
+}
+
+static int
+on_socket_close (void *data, curl_socket_t fd)
+{
+  struct curl_loop *cl = data;
+  struct curl_connection *connection;
+  HASH_FIND (by_fd, cl->connections_by_fd, &fd, sizeof fd, connection);
+  if (connection != NULL)
+    remove_connection (cl, connection);
+  return close (fd);
+}
+
+static struct curl_connection *
+find_connection (const struct curl_loop *cl, uint64_t key)
+{
+  struct curl_connection *connection;
+  HASH_FIND (by_key, cl->connections_by_key, &key, sizeof key, connection);
+  return connection;
+}
+
+static struct curl_connection *
+add_connection (struct curl_loop *cl, uint64_t key, int fd)
+{
+  struct curl_connection *connection = find_connection (cl, key);
+  if (connection != NULL)
+    remove_connection (cl, connection);
+  connection = xcalloc (1, sizeof *connection);
+  connection->key = key;
+  connection->fd = fd;
+  HASH_ADD (by_key, cl->connections_by_key, key, sizeof key, connection);
+  HASH_ADD (by_fd, cl->connections_by_fd, fd, sizeof fd, connection);
+  return connection;
+}
+
+bool
+curl_loop_has_input (struct curl_loop *cl, CURL *easy,
+                     const struct curl_loop_peer *peer)
+{
+  const struct curl_transfer *transfer = transfer_of (easy);
+  const uint64_t ports = (uint64_t)peer->local_port << 16 | peer->remote_port;
+  const uint64_t key = hash_pair (ports, hash_string (peer->remote_ip));
+  const struct curl_connection *connection
+      = transfer->fd >= 0 ? add_connection (cl, key, transfer->fd)
+                          : find_connection (cl, key);
+  char byte;
+  return connection != NULL
+         && recv (connection->fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT)
+                > 0;
+}
+
 struct curl_loop *
 curl_loop_create (struct ev_loop *loop,
                   const struct curl_loop_options *options)
@@ -274,6 +356,8 @@
   curl_multi_cleanup (cl->multi);
   while (cl->sockets != NULL)
     remove_socket (cl, cl->sockets);
+  while (cl->connections_by_fd != NULL)
+    remove_connection (cl, cl->connections_by_fd);
   ev_timer_stop (cl->loop, &cl->timer);
   ev_clear_pending (cl->loop, &cl->deferred);
   free (cl);
@@ -303,7 +387,12 @@
   transfer->easy = easy;
   transfer->done = done;
   transfer->owner = owner;
+  transfer->fd = -1;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_opened);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, on_socket_close);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, cl);
   DL_APPEND (cl->transfers, transfer);
   cl->running++;
   if (cl->depth == 0)
--- a/wire/curl_loop.h
+++ b/wire/curl_loop.h
@@ -14,6 +14,7 @@
 #ifndef WIRE_CURL_LOOP_H
 #define WIRE_CURL_LOOP_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <curl/curl.h>
@@ -59,6 +60,19 @@
  * used in place of it outside of EASY's own callbacks. */
 void curl_loop_pause (struct curl_loop *cl, CURL *easy, int bitmask);
 
+/** The connection of a transfer, as CURLOPT_PREREQFUNCTION gives it. */
+struct curl_loop_peer
+{
+  const char *remote_ip;
+  uint16_t remote_port;
+  uint16_t local_port;
+};
+
+/** Return whether unread bytes are waiting on the connection of EASY.  To be
+ * called from its CURLOPT_PREREQFUNCTION, each time that runs. */
+bool curl_loop_has_input (struct curl_loop *cl, CURL *easy,
+                          const struct curl_loop_peer *peer);
+
 /** Number of transfers whose `done` wasn't called yet. */
 uint32_t curl_loop_running (const struct curl_loop *cl);
 
