--- a/node/caller/tests/access_test.cc
+++ b/node/caller/tests/access_test.cc
@@ -355,6 +355,28 @@
   EXPECT_EQ (send ("/open/x", {})->status, 200);
 }
 
+/* Refusals of an unrepeatable request for its quota: it must not run once
+   there are tokens again. */
+TEST_F (QuotaTest, RefusedPostNeverRuns)
+{
+  for (const bool silent : { false, true })
+    {
+      is_silent = silent;
+      remaining_tokens = 0;
+      const std::string id = silent ? "unknown" : "over";
+      auto post = make ("POST", "/holds", id);
+      post->fields.push_back ("Authorization: Bearer key-june");
+      post->fields.push_back ("Jaystair-Deadline-Ms: 1000");
+      finish (post.get ());
+      EXPECT_EQ (post->status, silent ? 503 : 429) << post->answer;
+      EXPECT_EQ (post->field ("jaystair-outcome"), "not-run");
+      is_silent = false;
+      remaining_tokens = 100;
+      ASSERT_TRUE (run_until ([this] { return send_june ()->status == 200; }));
+      EXPECT_EQ (target_server_runs (target, id.c_str ()), 0u);
+    }
+}
+
 /* A retry at another target belongs to the same request and takes no second
    token. */
 TEST_F (QuotaTest, RetryTakesNoToken)
