--- a/node/caller/tests/endless_response_test.cc
+++ b/node/caller/tests/endless_response_test.cc
@@ -199,6 +199,29 @@
   expect_broken (*request ("HTTP/1.1 200 OK\r\n\r\n", "body"), "timed-out");
 }
 
+/* A caller that doesn't read its response holds a bounded part of it, until
+   the deadline.  The target isn't at fault. */
+TEST_F (EndlessResponse, CallerThatDoesNotRead)
+{
+  target->start = "HTTP/1.1 200 OK\r\n\r\n";
+  target->unit = "body";
+  auto caller = connect_raw ();
+  ev_io_stop (loop, &caller->io);
+  caller->write ("POST /holds HTTP/1.1\r\nHost: a\r\nX-Request-Id: h1\r\n"
+                 "Jaystair-Deadline-Ms: 800\r\nContent-Length: 4\r\n\r\n"
+                 "date");
+  const size_t used = memory_in_use ();
+  ASSERT_TRUE (run_until ([&] {
+    const size_t now = memory_in_use ();
+    peak_bytes = now > peak_bytes ? now : peak_bytes;
+    return target->closed == 1;
+  }));
+  EXPECT_LT (peak_bytes, used + MEMORY_MAX_BYTES);
+  EXPECT_EQ (attempts ("cancelled"), 1);
+  EXPECT_EQ (attempts ("timed-out"), 0);
+  caller->hang_up ();
+}
+
 TEST_F (EndlessResponse, Chunks)
 {
   expect_broken (*request (CHUNKED_HEAD, "4\r\nbody\r\n"), "timed-out");
