curl_loop: rely on libcurl to remove closed connections

clang-tidy reported a use after free in the loop that emptied the table of connections. curl_multi_cleanup() closes all of them, which removes them from the table, so that the loop is replaced by an assertion.

--- a/wire/curl_loop.c
+++ b/wire/curl_loop.c
@@ -356,8 +356,8 @@
   curl_multi_cleanup (cl->multi);
   while (cl->sockets != NULL)
     remove_socket (cl, cl->sockets);
-  while (cl->connections_by_fd != NULL)
-    remove_connection (cl, cl->connections_by_fd);
+  /* Closing its connections has removed them from the tables. */
+  assert (cl->connections_by_fd == NULL);
   ev_timer_stop (cl->loop, &cl->timer);
   ev_clear_pending (cl->loop, &cl->deferred);
   free (cl);
