--- a/node/caller/tests/endless_response_test.cc
+++ b/node/caller/tests/endless_response_test.cc
@@ -199,6 +199,29 @@
   expect_broken (*request ("HTTP/1.1 200 OK\r\n\r\n", "body"), "timed-out");
 }
 
+/* A caller that doesn't read its response holds a bounded part of it, until
+   the deadline.  The target isn't at fault. */
+TEST_F (EndlessResponse, CallerThatDoesNotRead)
+{
+  target->start = "HTTP/1.1 200 OK\r\n\r\n";
+  target->unit = "body";
+  auto caller = connect_raw ();
+  ev_io_stop (loop, &caller->io);
+  caller->write ("POST /holds HTTP/1.1\r\nHost: a\r\nX-Request-Id: h1\r\n"
+                 "Jaystair-Deadline-Ms: 800\r\nContent-Length: 4\r\n\r\n"
+                 "date");
+  const size_t used = memory_in_use ();
+  ASSERT_TRUE (run_until ([&] {
+    const size_t now = memory_in_use ();
+    peak_bytes = now > peak_bytes ? now : peak_bytes;
+    return target->closed == 1;
+  }));
+  EXPECT_LT (peak_bytes, used + MEMORY_MAX_BYTES);
+  EXPECT_EQ (attempts ("cancelled"), 1);
+  EXPECT_EQ (attempts ("timed-out"), 0);
+  caller->hang_up ();
+}
+
 TEST_F (EndlessResponse, Chunks)
 {
   expect_broken (*request (CHUNKED_HEAD, "4\r\nbody\r\n"), "timed-out");
@@ -255,6 +278,25 @@
   EXPECT_EQ (call->field ("content-length"), "4");
 }
 
+/* A repeatable request leaves its connection open for others.  Bytes that come
+   before another request uses it must close it.  Bytes that come later can't
+   be told from a response, except by the request id that responses repeat. */
+TEST_F (EndlessResponse, BytesAfterAResponseOnAKeptConnection)
+{
+  target->start = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+  target->unit = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil";
+  target->block_bytes = target->start.size ();
+  EXPECT_EQ (get ("/calendar", "r1")->answer, "body");
+  const uint64_t expected_bytes = target->start.size () + 100000;
+  ASSERT_TRUE (
+      run_until ([&] { return target->sent_bytes > expected_bytes; }));
+  EXPECT_TRUE (run_until ([this] {
+    EXPECT_EQ (get ("/plain", "other")->answer, "plain");
+    return target->closed == 1;
+  }));
+  EXPECT_EQ (target->requests, 1);
+}
+
 /* A protocol that the host didn't ask for is no response. */
 TEST_F (EndlessResponse, SwitchedProtocol)
 {
