policy: take reports of the work that other hosts have left

A host doesn't see what others have open at a target. The policy now takes the sum of the other hosts' remaining work, less what the target's slots have done since, and ignores it after a second. No host sends reports yet.

--- a/policy/choice/chooser.c
+++ b/policy/choice/chooser.c
@@ -60,9 +60,8 @@
                       const struct policy_request *r, double work_us)
 {
   const double slowness = target_cost_slowness (set, t, now_us);
-  const double open_us = open_attempts_remaining_us (
-      &t->open, cost_model_distribution (set->cost), t->in_flight, work_us,
-      slowness, now_us);
+  const double open_us = target_cost_own_work_us (set, t, now_us, work_us)
+                         + target_cost_remote_work_us (t, now_us);
   const double response_us = (open_us / t->config.slots + work_us) * slowness
                              + 2.0 * t->config.distance_us;
   const double failure_rate = fmin (t->failure_rate, max_failure_rate);
--- a/policy/choice/service_cost.c
+++ b/policy/choice/service_cost.c
@@ -41,3 +41,25 @@
   target_cost_learn (&policy->set, &policy->set.targets[outcome->target],
                      now_us, outcome, cost_keys);
 }
+
+void
+service_policy_note_remote_work (struct service_policy *policy, int64_t now_us,
+                                 uint32_t target, int64_t work_us)
+{
+  if (policy->set.cost == NULL || target >= policy->set.count)
+    return;
+  struct target_state *t = &policy->set.targets[target];
+  t->remote_work_us = work_us > 0 ? (double)work_us : 0;
+  t->remote_work_at_us = now_us;
+}
+
+int64_t
+service_policy_open_work_us (const struct service_policy *policy,
+                             int64_t now_us, uint32_t target)
+{
+  if (policy->set.cost == NULL || target >= policy->set.count)
+    return 0;
+  const struct target_state *t = &policy->set.targets[target];
+  return (int64_t)target_cost_own_work_us (&policy->set, t, now_us,
+                                           policy->set.baseline.latency_us);
+}
--- a/policy/choice/target_cost.c
+++ b/policy/choice/target_cost.c
@@ -1,6 +1,7 @@
 #include "policy/choice/target_cost.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 /* Mean over about 32 attempts at all targets: it follows a change common to
    all of them before each has run a few. */
@@ -29,6 +30,26 @@
   return target_work_slowness (&t->work, set->median_work_ratio, now_us);
 }
 
+double
+target_cost_own_work_us (const struct target_set *set,
+                         const struct target_state *t, int64_t now_us,
+                         double unknown_us)
+{
+  return open_attempts_remaining_us (
+      &t->open, cost_model_distribution (set->cost), t->in_flight, unknown_us,
+      target_cost_slowness (set, t, now_us), now_us);
+}
+
+double
+target_cost_remote_work_us (const struct target_state *t, int64_t now_us)
+{
+  /* A report from after NOW_US is from before a jump of the clock. */
+  const int64_t age_us = llabs (now_us - t->remote_work_at_us);
+  if (age_us > TARGET_COST_REPORT_TTL_US)
+    return 0;
+  return fmax (t->remote_work_us - (double)age_us * t->config.slots, 0);
+}
+
 /* When all targets become slower, each has attempts from before and after the
    change at other times, so the targets used first would seem slow for as long
    as the model takes to learn.  Ratios are therefore relative to the attempts
--- a/policy/choice/target_cost.h
+++ b/policy/choice/target_cost.h
@@ -8,6 +8,12 @@
 
 #include "policy/choice/target_set.h"
 
+enum
+{
+  /** Work that was left at a report is mostly done after this time. */
+  TARGET_COST_REPORT_TTL_US = 1000000,
+};
+
 /** Measure the median of the targets' work ratios. */
 void target_cost_refresh (struct target_set *set);
 
@@ -15,6 +21,19 @@
 double target_cost_slowness (const struct target_set *set,
                              const struct target_state *t, int64_t now_us);
 
+/** Expected work left at T: of the open attempts of this host, of which those
+ * of unknown work count as UNKNOWN_US. */
+double target_cost_own_work_us (const struct target_set *set,
+                                const struct target_state *t, int64_t now_us,
+                                double unknown_us);
+
+/** The same of other hosts: as reported, less what the slots of T have done
+ * since, or 0 if the report is older than TARGET_COST_REPORT_TTL_US.  Without
+ * the reduction, reports made every 250 ms worsened the choice: all hosts
+ * avoided targets that had become free. */
+double target_cost_remote_work_us (const struct target_state *t,
+                                   int64_t now_us);
+
 /** Learn from OUTCOME of an attempt at T of a request with KEYS, before its
  * health estimates are updated. */
 void target_cost_learn (struct target_set *set, struct target_state *t,
--- a/policy/choice/target_state.h
+++ b/policy/choice/target_state.h
@@ -50,6 +50,8 @@
   struct target_estimate estimate; /**< from attempts that ended */
   struct open_attempts open;
   struct target_work work; /**< only with `by_cost` */
+  double remote_work_us;   /**< last report of the work left by other hosts */
+  int64_t remote_work_at_us;
   double p_unhealthy;  /**< probability that it is unhealthy, including open
                             attempts */
   double failure_rate; /**< expected share of failed attempts, including
--- a/policy/cost/tests/placement_by_cost_test.cc
+++ b/policy/cost/tests/placement_by_cost_test.cc
@@ -9,6 +9,7 @@
 {
 #include "policy/choice/chooser.h"
 #include "policy/choice/service_cost.h"
+#include "policy/choice/target_cost.h"
 #include "policy/service_policy.h"
 }
 
@@ -350,6 +351,76 @@
     EXPECT_EQ (admit (LONG).target, 0u);
 }
 
+/* Failure: work that other hosts reported stays after it is done, when their
+   reports are lost or the host that sent them is gone. */
+TEST_F (PlacementByCost, RemoteWorkExpiresAfterASecond)
+{
+  create (2, 4);
+  learn (SHORT, 50 * MS, 100);
+  const target_state *t = &set ()->targets[0];
+  const policy_request r = request (SHORT);
+  const double idle_us = cost_at (0, r, 50.0 * MS).cost_us;
+  service_policy_note_remote_work (policy, now_us, 0, 8 * SECOND);
+  EXPECT_EQ (target_cost_remote_work_us (t, now_us), 8 * SECOND);
+  EXPECT_GT (cost_at (0, r, 50.0 * MS).cost_us, idle_us + 1 * SECOND);
+  for (int i = 0; i < 4; i++)
+    EXPECT_EQ (admit (SHORT).target, 1u);
+  now_us += SECOND;
+  EXPECT_EQ (target_cost_remote_work_us (t, now_us), 4 * SECOND);
+  now_us += 1;
+  EXPECT_EQ (target_cost_remote_work_us (t, now_us), 0);
+  service_policy_note_remote_work (policy, now_us, 0, 400 * MS);
+  now_us += 100 * MS;
+  EXPECT_EQ (target_cost_remote_work_us (t, now_us), 0);
+}
+
+/* Failure: a repeated report counts twice, or a delayed one after a jump of
+   the clock for ever. */
+TEST_F (PlacementByCost, RepeatedReportsAndClockJumpsDoNoHarm)
+{
+  create (2, 4);
+  learn (SHORT, 50 * MS, 100);
+  const policy_request r = request (SHORT);
+  const double idle_us = cost_at (0, r, 50.0 * MS).cost_us;
+  service_policy_note_remote_work (policy, now_us, 0, 400 * MS);
+  const double once_us = cost_at (0, r, 50.0 * MS).cost_us;
+  service_policy_note_remote_work (policy, now_us, 0, 400 * MS);
+  EXPECT_EQ (cost_at (0, r, 50.0 * MS).cost_us, once_us);
+  now_us -= 10 * SECOND;
+  EXPECT_NEAR (cost_at (0, r, 50.0 * MS).cost_us, idle_us, 20 * MS);
+  service_policy_note_remote_work (policy, now_us, 0, -5);
+  service_policy_note_remote_work (policy, now_us, 99, 400 * MS);
+  EXPECT_NEAR (cost_at (0, r, 50.0 * MS).cost_us, idle_us, 20 * MS);
+}
+
+/* Failure: the work reported for a process that is gone counts at its
+   successor. */
+TEST_F (PlacementByCost, RestartedTargetHasNoRemoteWork)
+{
+  create (2, 4);
+  learn (SHORT, 50 * MS, 100);
+  service_policy_note_remote_work (policy, now_us, 0, 400 * MS);
+  targets[0].key = 77;
+  put_targets ();
+  EXPECT_EQ (target_cost_remote_work_us (&set ()->targets[0], now_us), 0);
+  EXPECT_EQ (service_policy_open_work_us (policy, now_us, 0), 0);
+}
+
+/* Failure: a host reports nothing of its open attempts, or those of other
+   hosts as its own, so that reports add up without end. */
+TEST_F (PlacementByCost, OpenWorkIsOfThisHostOnly)
+{
+  create (1, 4);
+  learn (LONG, 400 * MS, 50);
+  EXPECT_EQ (service_policy_open_work_us (policy, now_us, 0), 0);
+  service_policy_note_remote_work (policy, now_us, 0, 4000 * MS);
+  EXPECT_EQ (service_policy_open_work_us (policy, now_us, 0), 0);
+  admit (LONG);
+  admit (LONG);
+  EXPECT_NEAR ((double)service_policy_open_work_us (policy, now_us, 0),
+               800.0 * MS, 80.0 * MS);
+}
+
 /* Failure: with more classes than the model keeps, requests have no expected
    work, and are placed as if there were no model. */
 TEST_F (PlacementByCost, EvictedClassesFallBackToTheirRoute)
--- a/policy/cost/tests/placement_comparison_test.cc
+++ b/policy/cost/tests/placement_comparison_test.cc
@@ -38,7 +38,8 @@
 class PolicyDecider : public Decider
 {
 public:
-  PolicyDecider (bool use_cost, uint64_t seed) : by_cost (use_cost)
+  PolicyDecider (bool use_cost, bool use_reports, uint64_t seed)
+      : by_cost (use_cost), reports (use_reports)
   {
     for (uint32_t host = 0; host < HOSTS; host++)
       {
@@ -73,6 +74,8 @@
   const char *
   name () const override
   {
+    if (reports)
+      return "remaining work, reported";
     return by_cost ? "remaining work, own view" : "current load term";
   }
 
@@ -80,6 +83,8 @@
   choose (int64_t now_us, const Request &r,
           const std::vector<Target> &) override
   {
+    if (reports && now_us - reported_us >= 250 * MS)
+      report (now_us);
     policy_request request = {};
     request.id = r.id;
     request.deadline_us = r.arrival_us + KINDS[r.kind].deadline_ms * MS;
@@ -117,6 +122,23 @@
   }
 
 private:
+  /* Each host gets the sum of the others. */
+  void
+  report (int64_t now_us)
+  {
+    reported_us = now_us;
+    for (uint32_t target = 0; target < TARGETS; target++)
+      {
+        int64_t sum_us = 0;
+        for (const service_policy *policy : policies)
+          sum_us += service_policy_open_work_us (policy, now_us, target);
+        for (service_policy *policy : policies)
+          service_policy_note_remote_work (
+              policy, now_us, target,
+              sum_us - service_policy_open_work_us (policy, now_us, target));
+      }
+  }
+
   static uint32_t
   target_of (const policy_decision &d)
   {
@@ -126,6 +148,8 @@
   }
 
   const bool by_cost;
+  const bool reports;
+  int64_t reported_us = 0;
   std::vector<service_policy *> policies;
 };
 
@@ -327,7 +351,7 @@
   }
 };
 
-constexpr int DECIDERS = 5;
+constexpr int DECIDERS = 6;
 
 std::unique_ptr<Decider>
 make_decider (int which, uint64_t seed)
@@ -335,12 +359,14 @@
   switch (which)
     {
     case 0:
-      return std::make_unique<PolicyDecider> (false, seed);
+      return std::make_unique<PolicyDecider> (false, false, seed);
     case 1:
       return std::make_unique<FewestOpenDecider> (seed);
     case 2:
-      return std::make_unique<PolicyDecider> (true, seed);
+      return std::make_unique<PolicyDecider> (true, false, seed);
     case 3:
+      return std::make_unique<PolicyDecider> (true, true, seed);
+    case 4:
       return std::make_unique<SharedWorkDecider> (seed);
     default:
       return std::make_unique<OracleDecider> (seed);
--- a/policy/service_policy.h
+++ b/policy/service_policy.h
@@ -259,6 +259,19 @@
                                 const struct policy_outcome *outcome,
                                 const uint64_t cost_keys[POLICY_COST_KEYS]);
 
+/** WORK_US is the work that the other hosts of the set, all together, have
+ * left at TARGET.  It replaces the previous report and is ignored once it is a
+ * second old, so that lost, late and repeated reports do no lasting harm.  No
+ * effect without `modes.by_cost`. */
+void service_policy_note_remote_work (struct service_policy *policy,
+                                      int64_t now_us, uint32_t target,
+                                      int64_t work_us);
+
+/** The expected work that this host has left at TARGET, for a report to other
+ * hosts; 0 without `modes.by_cost`. */
+int64_t service_policy_open_work_us (const struct service_policy *policy,
+                                     int64_t now_us, uint32_t target);
+
 /** An attempt ended: release its slot and learn from the outcome.  Call
  * service_policy_next() afterwards until it returns false. */
 void service_policy_outcome (struct service_policy *policy, int64_t now_us,
