--- a/node/caller/caller_cost.c
+++ b/node/caller/caller_cost.c
@@ -28,10 +28,10 @@
     return SIZE_CLASS_UNKNOWN;
   uint64_t bytes
       = head->body == REQUEST_BODY_SIZED ? (uint64_t)head->body_bytes : 0;
-  uint64_t class = 0;
+  uint64_t steps = 0;
   for (; bytes > 0; bytes >>= SIZE_CLASS_SHIFT)
-    class ++;
-  return class;
+    steps++;
+  return steps;
 }
 
 void
@@ -46,10 +46,10 @@
   route = hash_pair (route, hash_string (x->route_host));
   /* Routes of one prefix for different methods. */
   route = hash_pair (route, x->repeatable);
-  uint64_t class = hash_pair (route, hash_string (x->head.method));
-  class = hash_pair (class, x->workspace_key);
-  class = hash_pair (class, size_class (&x->head));
-  keys[0] = class;
+  uint64_t request_class = hash_pair (route, hash_string (x->head.method));
+  request_class = hash_pair (request_class, x->workspace_key);
+  request_class = hash_pair (request_class, size_class (&x->head));
+  keys[0] = request_class;
   keys[1] = route;
   keys[2] = service;
 }
