--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -1,5 +1,4 @@
-// Ejection tasks of several hosts in one process, with a simulated platform,
-// network and clock.
+// Ejection tasks in one process; platform, network and clock are simulated.
 #ifndef NODE_EJECTION_TESTS_EJECTION_FLEET_H
 #define NODE_EJECTION_TESTS_EJECTION_FLEET_H
 
