--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -102,9 +102,9 @@
           const std::string after = response.header ("retry-after");
           if (response.status != 200)
             std::this_thread::sleep_for (std::chrono::milliseconds (
-                after.empty () ? 100
-                               : static_cast<int> (atof (after.c_str ())
-                                                   * 1000)));
+                after.empty ()
+                    ? 100
+                    : static_cast<int> (atof (after.c_str ()) * 1000)));
         }
     });
   std::mt19937 random (64);
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -34,7 +34,7 @@
 constexpr int slots = 3;
 constexpr int work_ms = 300;
 constexpr int caller_count = 12;
-constexpr int page = 50;           /* as in the site file */
+constexpr int page = 50; /* as in the site file */
 constexpr int replica_lag_ms = 3000;
 constexpr seconds settle{ 5 }, calm{ 4 }, traffic_after{ 16 };
 /* The bounds `Drain`, `StabilityWindow` and `Heartbeat` of the settings. */
@@ -125,13 +125,13 @@
         {
           const int number = ++sent;
           const Clock::time_point at = Clock::now ();
-          const HttpResponse response = fleet.send_request (
-              1 + number % host_count, "/hold/beach", "POST",
-              "hold-" + std::to_string (number));
+          const HttpResponse response
+              = fleet.send_request (1 + number % host_count, "/hold/beach",
+                                    "POST", "hold-" + std::to_string (number));
           {
             const std::lock_guard<std::mutex> lock (mutex);
-            answers.push_back ({ "hold-" + std::to_string (number), at,
-                                 response.status });
+            answers.push_back (
+                { "hold-" + std::to_string (number), at, response.status });
           }
           if (response.status != 200)
             std::this_thread::sleep_for (milliseconds (100));
@@ -194,15 +194,15 @@
       const auto found = by_attempt.find (run.attempt);
       const Answer *answer
           = found == by_attempt.end () ? nullptr : found->second;
-      const bool is_late
-          = run.arrived > bound && answer != nullptr && answer->sent > in_touch;
+      const bool is_late = run.arrived > bound && answer != nullptr
+                           && answer->sent > in_touch;
       before += run.arrived < removed ? 1 : 0;
       late += is_late ? 1 : 0;
       lost += is_late && !run.answered ? 1 : 0;
       fprintf (record, "%9.3f s  %s reaches %s from %s%s; answered %ld%s\n",
                seconds_of (run.arrived), run.attempt.c_str (),
-               gone.id.c_str (), run.host.c_str (),
-               is_late ? "  DRAIN" : "", answer == nullptr ? 0 : answer->status,
+               gone.id.c_str (), run.host.c_str (), is_late ? "  DRAIN" : "",
+               answer == nullptr ? 0 : answer->status,
                run.answered ? "" : ", it exits meanwhile");
     }
   for (FILE *out : { record, stdout })
--- a/review/common/backend.cc
+++ b/review/common/backend.cc
@@ -65,8 +65,7 @@
   char text[INET_ADDRSTRLEN] = "";
   const MHD_ConnectionInfo *info = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  const auto *in
-      = reinterpret_cast<const sockaddr_in *> (info->client_addr);
+  const auto *in = reinterpret_cast<const sockaddr_in *> (info->client_addr);
   inet_ntop (AF_INET, &in->sin_addr, text, sizeof text);
   return text;
 }
--- a/review/common/raw_backend.cc
+++ b/review/common/raw_backend.cc
@@ -40,8 +40,8 @@
   size_t sent = 0;
   while (sent < text.size ())
     {
-      const ssize_t n = send (fd, text.data () + sent, text.size () - sent,
-                              MSG_NOSIGNAL);
+      const ssize_t n
+          = send (fd, text.data () + sent, text.size () - sent, MSG_NOSIGNAL);
       if (n <= 0)
         return false;
       sent += static_cast<size_t> (n);
@@ -175,8 +175,7 @@
   const std::lock_guard<std::mutex> lock (mutex_);
   answers_++;
   const bool repeated
-      = std::uniform_real_distribution<double> (0, 1) (random_)
-        < garble_;
+      = std::uniform_real_distribution<double> (0, 1) (random_) < garble_;
   repeats_ += repeated ? 1 : 0;
   return repeated;
 }
--- a/review/common/raw_backend.h
+++ b/review/common/raw_backend.h
@@ -34,7 +34,7 @@
     std::string address;
     std::string id;
     int slots = 3;
-    int queue = 2;       /**< requests that wait for a slot */
+    int queue = 2; /**< requests that wait for a slot */
     int work_ms = 300;
     unsigned seed = 1;
   };
--- a/review/common/store_front.cc
+++ b/review/common/store_front.cc
@@ -100,9 +100,9 @@
                     const std::map<std::string, std::string> &query,
                     const std::string &body)
 {
-  const bool is_kind = path.compare (0, objects.size (), objects) == 0
-                       && path.find ('/', objects.size ())
-                              == std::string::npos;
+  const bool is_kind
+      = path.compare (0, objects.size (), objects) == 0
+        && path.find ('/', objects.size ()) == std::string::npos;
   const bool is_old_list = method == "GET" && is_kind
                            && query.count ("Serializable") > 0
                            && query.count ("Watch") == 0;
@@ -110,10 +110,9 @@
     return store_.answer (method, path, query, body);
   const std::lock_guard<std::mutex> lock (mutex_);
   const auto after = query.find ("after");
-  const int lag_ms
-      = lag_ ? lag_ (path.substr (objects.size ()),
-                     after == query.end () ? "" : after->second)
-             : 0;
+  const int lag_ms = lag_ ? lag_ (path.substr (objects.size ()),
+                                  after == query.end () ? "" : after->second)
+                          : 0;
   store_.set_stale_lag (lag_ms);
   const FakeStore::Reply reply = store_.answer (method, path, query, body);
   store_.set_stale_lag (0);
--- a/review/common/store_front.h
+++ b/review/common/store_front.h
@@ -23,8 +23,8 @@
 public:
   /** A list call that may be old: its kind and the name that it continues
    * after.  Returns how far the replica that answers lags behind. */
-  using Lag = std::function<int (const std::string &kind,
-                                 const std::string &after)>;
+  using Lag
+      = std::function<int (const std::string &kind, const std::string &after)>;
 
   StoreFront (FakeStore &store, const std::string &address);
   ~StoreFront ();
