--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -205,6 +205,16 @@
                answer == nullptr ? 0 : answer->status,
                run.answered ? "" : ", it exits meanwhile");
     }
+  fprintf (record, "all requests that were sent, and their answers:\n");
+  for (const Answer &answer : answers)
+    fprintf (record, "%9.3f s  %s is sent; answered %ld\n",
+             seconds_of (answer.sent), answer.attempt.c_str (), answer.status);
+  fprintf (record, "all runs:\n");
+  for (const auto &backend : backends)
+    for (const Backend::Run &run : backend->runs ())
+      fprintf (record, "%9.3f s  %s runs %s%s\n", seconds_of (run.arrived),
+               backend->id.c_str (), run.attempt.c_str (),
+               run.answered ? "" : ", without an answer");
   for (FILE *out : { record, stdout })
     {
       for (const auto &[status, count] : statuses)
