caller: check that an answer is the attempt's own before anything in it is used

Cause: "not run" was believed before the id of the answer was compared, and so were a target's leaving, rest, limit and idle timeout, and other hosts' refusals. A whole foreign answer had also given its connection back to the pool, so that the next request on it got the answer before its own.

Ruled out: bytes that arrive before a request is sent (these are found then), and repeats through other hosts (the case has none).

Change: the origin of an answer is checked once, when its head arrives, for attempts at targets and through other hosts. A foreign answer ends the call, its connection is closed, nothing else of it is used, and the request counts as one that may have run. An answer without an id is accepted only if it is an error and the first one on its connection. Requests without an id, and a second attempt at a target, use new connections, since ids can't tell their answers from late ones. Ids are compared whole; a request with an id of more than 63 bytes had been answered 502.

--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -38,6 +38,11 @@
           .help = "Targets found not to listen any more after the connection "
                   "of a request broke.",
           .label_names = { "service" } };
+  const struct counter_family_options foreign_answers
+      = { .name = "jaystair_foreign_answers_total",
+          .help = "Answers that weren't to the request in flight on their "
+                  "connection, which was closed.",
+          .label_names = { "service" } };
   const struct counter_family_options poison_blocks
       = { .name = "jaystair_poison_blocks_total",
           .help = "Requests blocked because targets crashed while they ran "
@@ -93,6 +98,7 @@
   families->working_set = counters_family (counters, &working_set);
   families->refusals = counters_family (counters, &refusals);
   families->precedence = counters_family (counters, &precedence);
+  families->foreign_answers = counters_family (counters, &foreign_answers);
   families->poison_blocks = counters_family (counters, &poison_blocks);
   families->target_crashes = counters_family (counters, &target_crashes);
   families->forwards = counters_family (counters, &forwards);
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -9,21 +9,22 @@
 /** The metric families; each use looks up a series by its labels. */
 struct caller_counters
 {
-  struct counter_family *requests;       /**< by service and outcome */
-  struct counter_family *attempts;       /**< by service and end */
-  struct counter_family *retries;        /**< by service */
-  struct counter_family *timeouts;       /**< by service and next step */
-  struct counter_family *working_set;    /**< by service */
-  struct counter_family *refusals;       /**< by service and reason */
-  struct counter_family *precedence;     /**< by service and reason */
-  struct counter_family *target_crashes; /**< by service */
-  struct counter_family *poison_blocks;  /**< by source */
-  struct counter_family *request_times;  /**< by service and outcome */
-  struct counter_family *attempt_times;  /**< by service and end */
-  struct counter_histogram *config_age;  /**< of each routed request */
-  struct counter_family *forwards;       /**< by service */
-  struct counter_family *expected_work;  /**< by service */
-  struct counter_family *actual_work;    /**< by service */
+  struct counter_family *requests;        /**< by service and outcome */
+  struct counter_family *attempts;        /**< by service and end */
+  struct counter_family *retries;         /**< by service */
+  struct counter_family *timeouts;        /**< by service and next step */
+  struct counter_family *working_set;     /**< by service */
+  struct counter_family *refusals;        /**< by service and reason */
+  struct counter_family *precedence;      /**< by service and reason */
+  struct counter_family *target_crashes;  /**< by service */
+  struct counter_family *foreign_answers; /**< by service */
+  struct counter_family *poison_blocks;   /**< by source */
+  struct counter_family *request_times;   /**< by service and outcome */
+  struct counter_family *attempt_times;   /**< by service and end */
+  struct counter_histogram *config_age;   /**< of each routed request */
+  struct counter_family *forwards;        /**< by service */
+  struct counter_family *expected_work;   /**< by service */
+  struct counter_family *actual_work;     /**< by service */
   struct counter *in_flight;
   struct counter *cut_from_targets;
   struct counter *address_answers;
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -240,8 +240,6 @@
             LOG_INT ("request", x->id), LOG_STR ("target", target),
             LOG_STR ("end", end_name (end)), LOG_STR ("why", message),
             LOG_STR ("fingerprint", fingerprint));
-  if (end == ATTEMPT_CUT && !x->attempt.is_relay && !x->attempt.is_indirect)
-    crash_checks_add (x->context->crash_checks, x);
   report_outcome (x, end);
   if (x->response_queued)
     {
@@ -253,16 +251,33 @@
   retry_or_fail (x, end, message);
 }
 
+static void
+check_for_crash (struct exchange *x)
+{
+  if (!x->attempt.is_relay && !x->attempt.is_indirect)
+    crash_checks_add (x->context->crash_checks, x);
+}
+
 void
 exchange_attempt_ended (struct exchange *x, enum target_call_end end,
                         const char *message)
 {
-  if (end == TARGET_CALL_COMPLETE)
-    on_response_complete (x);
-  else
-    on_attempt_broken (
-        x, end == TARGET_CALL_BROKEN ? ATTEMPT_CUT : ATTEMPT_NOT_SENT,
-        message);
+  switch (end)
+    {
+    case TARGET_CALL_NOT_SENT:
+      on_attempt_broken (x, ATTEMPT_NOT_SENT, message);
+      break;
+    case TARGET_CALL_BROKEN:
+      check_for_crash (x);
+      on_attempt_broken (x, ATTEMPT_CUT, message);
+      break;
+    case TARGET_CALL_REJECTED:
+      on_attempt_broken (x, ATTEMPT_CUT, message);
+      break;
+    case TARGET_CALL_COMPLETE:
+      on_response_complete (x);
+      break;
+    }
 }
 
 /* A server error can be forwarded, so another target is tried only if the
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -174,14 +174,25 @@
   return response;
 }
 
+/* The id of the request, as targets repeat it; NULL: none. */
+static const char *
+id_to_echo (const struct exchange *x)
+{
+  const struct caller_interface *interface = x->context->interface;
+  return interface->targets_echo_request_id
+             ? header_list_find (&x->head.headers, interface->request_id)
+             : NULL;
+}
+
 static struct MHD_Response *
 create_local_response (const struct exchange *x)
 {
   const struct caller_interface *interface = x->context->interface;
   struct MHD_Response *response = local_response_create (
       &x->local_response, interface, closes_connection (x));
-  if (interface->targets_echo_request_id && x->head.id[0] != '\0')
-    MHD_add_response_header (response, interface->request_id, x->head.id);
+  const char *id = id_to_echo (x);
+  if (id != NULL)
+    MHD_add_response_header (response, interface->request_id, id);
   if (exchange_indirect_is_requested (x))
     MHD_add_response_header (response, exchange_indirect_unreached_field, "1");
   if (x->targets_unreached && x->head.is_forwarded)
@@ -267,8 +278,8 @@
 exchange_send_raw_response (struct exchange *x)
 {
   char text[LOCAL_RESPONSE_TEXT_SIZE];
-  const size_t size = local_response_format (&x->local_response,
-                                             x->context->interface, text);
+  const size_t size = local_response_format (
+      &x->local_response, x->context->interface, id_to_echo (x), text);
   const ssize_t sent = send (x->fd, text, size, MSG_DONTWAIT | MSG_NOSIGNAL);
   (void)sent;
   shutdown (x->fd, SHUT_WR);
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -12,6 +12,7 @@
 #include "node/caller/exchange_indirect.h"
 #include "node/caller/exchange_timeout.h"
 #include "node/caller/reach_check.h"
+#include "node/caller/response_check.h"
 
 enum
 {
@@ -49,11 +50,14 @@
   return is_stalled ? TARGET_CALL_PAUSE : read_bytes;
 }
 
-static void
+static const char *
 on_head (void *owner, const struct target_head *head)
 {
   struct exchange *x = owner;
   struct exchange_attempt *attempt = &x->attempt;
+  const char *error = response_check_origin (x, head);
+  if (error != NULL)
+    return error;
   attempt->head_received = true;
   attempt->response_head_us = clock_now_us ();
   attempt->status = head->status;
@@ -69,6 +73,7 @@
   if (!attempt->is_relay && !attempt->is_indirect)
     reach_check_note_contact (x->context->reach_check);
   exchange_schedule_run (x);
+  return NULL;
 }
 
 static bool
@@ -140,12 +145,32 @@
   attempt->call = target_call_start (&options);
 }
 
+static bool
+has_tried (const struct exchange *x, uint64_t key)
+{
+  for (uint32_t i = 0; i < x->tried_count; i++)
+    if (x->tried_targets[i] == key)
+      return true;
+  return false;
+}
+
+/* Whether a late answer to an earlier request on the connection would be told
+   from the answer to X.  All attempts of a request have the same id. */
+static bool
+is_identifiable (const struct exchange *x, const struct caller_target *target)
+{
+  return !x->context->interface->targets_echo_request_id
+         || (x->head.id[0] != '\0' && !has_tried (x, target->key));
+}
+
 /* The maximum idle time of a connection that may be reused for X.  If the
    target announces an idle timeout, only 3/4 of it are used, because its close
    may cross the request on the way. */
 static uint32_t
 reuse_idle_max (const struct exchange *x, const struct caller_target *target)
 {
+  if (!is_identifiable (x, target))
+    return 0;
   const struct caller_limits *limits = &x->context->settings->limits;
   const uint32_t max_ms
       = x->repeatable ? limits->reuse_idle_ms : limits->reuse_idle_once_ms;
--- a/node/caller/leaving_probe.c
+++ b/node/caller/leaving_probe.c
@@ -34,13 +34,14 @@
   struct pending_probe *pending;
 };
 
-static void
+static const char *
 on_head (void *owner, const struct target_head *head)
 {
   struct pending_probe *pending = owner;
   const char *name = pending->probe->context->interface->leaving;
   const char *leaving = header_list_find (head->headers, name);
   pending->leaving = leaving != NULL && strcmp (leaving, "1") == 0;
+  return NULL;
 }
 
 static bool
--- a/node/caller/local_response.c
+++ b/node/caller/local_response.c
@@ -11,6 +11,7 @@
   NUMBER_SIZE = 24,
   FIELDS_MAX = 4,
   FIELD_LINES_SIZE = 256,
+  ID_LINE_SIZE = 512,
   MS_PER_SECOND = 1000
 };
 
@@ -115,10 +116,11 @@
 size_t
 local_response_format (const struct local_response *local,
                        const struct caller_interface *interface,
-                       char text[LOCAL_RESPONSE_TEXT_SIZE])
+                       const char *id, char text[LOCAL_RESPONSE_TEXT_SIZE])
 {
   char body[BODY_SIZE];
   char lines[FIELD_LINES_SIZE] = "";
+  char id_line[ID_LINE_SIZE] = "";
   struct response_field fields[FIELDS_MAX];
   const size_t size = format_body (local, body);
   const size_t count = response_fields (local, interface, fields);
@@ -126,12 +128,17 @@
   for (size_t i = 0; i < count && used < sizeof lines; i++)
     used += (size_t)snprintf (lines + used, sizeof lines - used, "%s: %s\r\n",
                               fields[i].name, fields[i].value);
+  if (id != NULL
+      && strlen (interface->request_id) + strlen (id) + sizeof ": \r\n"
+             <= sizeof id_line)
+    snprintf (id_line, sizeof id_line, "%s: %s\r\n", interface->request_id,
+              id);
   const int total
       = snprintf (text, LOCAL_RESPONSE_TEXT_SIZE,
                   "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
-                  "Cache-Control: no-store\r\n%sConnection: close\r\n"
+                  "Cache-Control: no-store\r\n%s%sConnection: close\r\n"
                   "Content-Length: %zu\r\n\r\n%s",
                   local->status, MHD_get_reason_phrase_for (local->status),
-                  lines, size, body);
+                  id_line, lines, size, body);
   return (size_t)total < LOCAL_RESPONSE_TEXT_SIZE ? (size_t)total : 0;
 }
--- a/node/caller/local_response.h
+++ b/node/caller/local_response.h
@@ -15,7 +15,7 @@
 enum
 {
   LOCAL_RESPONSE_MESSAGE_SIZE = 256,
-  LOCAL_RESPONSE_TEXT_SIZE = 1024
+  LOCAL_RESPONSE_TEXT_SIZE = 1536
 };
 
 /** What is known about whether the request has run. */
@@ -46,10 +46,13 @@
                        const struct caller_interface *interface, bool close);
 
 /** Format the whole response as bytes, for a connection on which libmicrohttpd
- * can't respond yet.  It always asks the caller to close the connection.
+ * can't respond yet.  It always asks the caller to close the connection.  ID
+ * is the request's, or NULL to leave it out; one that doesn't fit is left out
+ * as well.
  * @return the number of bytes */
 size_t local_response_format (const struct local_response *local,
                               const struct caller_interface *interface,
+                              const char *id,
                               char text[LOCAL_RESPONSE_TEXT_SIZE]);
 
 #endif
--- a/node/caller/response_check.c
+++ b/node/caller/response_check.c
@@ -2,6 +2,7 @@
 
 #include "node/caller/response_check.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -162,30 +163,71 @@
          > x->context->settings->limits.header_bytes;
 }
 
+static void
+log_foreign (const struct exchange *x, const struct target_head *head,
+             const char *id, const char *why)
+{
+  char shown[REQUEST_ID_SIZE];
+  const char *answer_id = shown;
+  snprintf (shown, sizeof shown, "%s", id != NULL ? id : "");
+  LOG_WARN ("answer-rejected", LOG_STR ("id", x->head.id),
+            LOG_INT ("request", x->id), LOG_STR ("service", x->service->name),
+            LOG_STR ("target", x->attempt.target),
+            LOG_INT ("attempt", x->attempt_count),
+            LOG_INT ("status", head->status), LOG_STR ("answer_id", answer_id),
+            LOG_INT ("new_connection", head->is_first_on_connection),
+            LOG_STR ("why", why));
+  caller_counters_add (x->context->counters.foreign_answers, x->service->name,
+                       NULL);
+}
+
+/* Targets answer requests that they can't read without an id.  On a connection
+   that has carried other requests, such an answer may be to one of these. */
+static const char *
+check_id (const struct exchange *x, const struct target_head *head,
+          const char *id)
+{
+  const char *expected
+      = header_list_find (&x->head.headers, x->context->interface->request_id);
+  const bool is_success = head->status < MHD_HTTP_MULTIPLE_CHOICES;
+  if (id == NULL)
+    return is_success || !head->is_first_on_connection
+               ? "the answer doesn't say to which request"
+               : NULL;
+  return expected == NULL || strcmp (id, expected) != 0
+             ? "the answer is another request's"
+             : NULL;
+}
+
 /* Bytes on a reused connection may belong to the response to another request
    or come from no target at all: they arrive late, after their request was
-   cancelled, or after a first response.  Without this check a caller would get
-   another caller's response.  The request id that each response repeats, and
-   the signature that only a target can make, identify the right one. */
+   cancelled, or after a first response. */
 const char *
-response_check_error (const struct exchange *x)
+response_check_origin (const struct exchange *x,
+                       const struct target_head *head)
 {
   const struct caller_interface *interface = x->context->interface;
-  const struct header_list *headers = &x->attempt.headers;
-  const bool is_success = x->attempt.status < MHD_HTTP_MULTIPLE_CHOICES;
+  const char *id = header_list_find (head->headers, interface->request_id);
+  const bool is_success = head->status < MHD_HTTP_MULTIPLE_CHOICES;
+  const char *error = NULL;
   if (interface->targets_echo_request_id)
-    {
-      const char *echo = header_list_find (headers, interface->request_id);
-      if (echo == NULL ? is_success : strcmp (echo, x->head.id) != 0)
-        return "the answer is another request's";
-    }
-  if (is_success && interface->signature != NULL
-      && header_list_find (headers, interface->signature) == NULL)
-    return "the answer bears no signature";
-  if (interface->rejects_content_coding
-      && header_list_find (headers, "Content-Encoding") != NULL)
-    return "the answer's body is coded";
-  return NULL;
+    error = check_id (x, head, id);
+  if (error == NULL && is_success && interface->signature != NULL
+      && header_list_find (head->headers, interface->signature) == NULL)
+    error = "the answer bears no signature";
+  if (error != NULL)
+    log_foreign (x, head, id, error);
+  return error;
+}
+
+const char *
+response_check_error (const struct exchange *x)
+{
+  return x->context->interface->rejects_content_coding
+                 && header_list_find (&x->attempt.headers, "Content-Encoding")
+                        != NULL
+             ? "the answer's body is coded"
+             : NULL;
 }
 
 /* Callers take these statuses for "not run and never will be", which no target
--- a/node/caller/response_check.h
+++ b/node/caller/response_check.h
@@ -9,10 +9,17 @@
 
 #include "node/caller/exchange.h"
 
+/** Check whether the response with HEAD is the one to the attempt of X in
+ * flight.  If it isn't, nothing that it says holds for X or its target, and
+ * the request may have run.
+ * @return NULL, or an error message */
+const char *response_check_origin (const struct exchange *x,
+                                   const struct target_head *head);
+
 /** The target refused the request and states that it has not run it. */
 bool response_check_is_shed (const struct exchange *x);
 
-/** Return an error message if the response head is invalid, or NULL. */
+/** Return an error message if the response can't be forwarded, or NULL. */
 const char *response_check_error (const struct exchange *x);
 
 /** The response would tell the caller that the request was not run, but no
--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -29,7 +29,8 @@
   bool head_only;
   bool head_reported;
   size_t trailer_bytes;
-  const char *error; /* why the response was rejected */
+  const char *error; /* why the response is invalid or was rejected */
+  bool is_rejected;
   bool send_paused;
   bool receive_paused;
   bool has_stale_input; /* the connection had bytes before the request */
@@ -101,6 +102,14 @@
   return is_number (first);
 }
 
+static bool
+has_new_connection (const struct target_call *call)
+{
+  long connects = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
+  return connects > 0;
+}
+
 /* The head of the final response ends with its empty line.  1xx heads before
    it and trailers after the body come through the same callback. */
 static bool
@@ -117,11 +126,14 @@
       return false;
     }
   call->head_reported = true;
-  const struct target_head head = { .status = (uint32_t)status,
-                                    .length_bytes = length,
-                                    .headers = &call->response_headers };
-  call->events->head (call->owner, &head);
-  return true;
+  const struct target_head head
+      = { .status = (uint32_t)status,
+          .length_bytes = length,
+          .is_first_on_connection = has_new_connection (call),
+          .headers = &call->response_headers };
+  call->error = call->events->head (call->owner, &head);
+  call->is_rejected = call->error != NULL;
+  return !call->is_rejected;
 }
 
 static bool
@@ -226,6 +238,8 @@
   enum target_call_end end = TARGET_CALL_BROKEN;
   if (call->send_count == 0)
     end = TARGET_CALL_NOT_SENT;
+  else if (call->is_rejected)
+    end = TARGET_CALL_REJECTED;
   else if (code == CURLE_OK && call->head_reported)
     end = TARGET_CALL_COMPLETE;
   if (call->owner != NULL)
--- a/node/caller/target_call.h
+++ b/node/caller/target_call.h
@@ -39,6 +39,7 @@
 {
   TARGET_CALL_NOT_SENT, /**< no byte of the request was sent */
   TARGET_CALL_BROKEN,   /**< may have been sent; no complete response */
+  TARGET_CALL_REJECTED, /**< `head` rejected the response */
   TARGET_CALL_COMPLETE  /**< the response is complete */
 };
 
@@ -50,6 +51,8 @@
 {
   uint32_t status;
   int64_t length_bytes; /**< as announced; -1: not announced */
+  /** The connection has carried no other request. */
+  bool is_first_on_connection;
   const struct header_list *headers;
 };
 
@@ -60,7 +63,10 @@
   /** Read bytes of the request's body into DATA.
    * @return their number, 0 at the body's end, or TARGET_CALL_PAUSE */
   size_t (*read) (void *owner, char *data, size_t size);
-  void (*head) (void *owner, const struct target_head *head);
+  /** Check the head of the response.
+   * @return NULL, or why it is rejected: a constant, which ends the call and
+   * closes its connection */
+  const char *(*head) (void *owner, const struct target_head *head);
   /** Receive bytes of the response body.
    * @return false to get the same bytes again after target_call_unpause() */
   bool (*body) (void *owner, const char *data, size_t size);
--- a/node/caller/tests/caller_fixture.cc
+++ b/node/caller/tests/caller_fixture.cc
@@ -217,6 +217,7 @@
   options.settings = &settings;
   options.counters = the_counters;
   options.tables = the_tables;
+  options.interface = interface;
   options.seed = 1;
   task = caller_task_create (&options);
   ASSERT_NE (task, nullptr) << status_message ();
--- a/node/caller/tests/caller_fixture.h
+++ b/node/caller/tests/caller_fixture.h
@@ -16,6 +16,7 @@
 extern "C"
 {
 #include "base/log.h"
+#include "node/caller/caller_interface.h"
 #include "node/caller/caller_task.h"
 #include "node/tables.h"
 #include "tests/standins/target_server.h"
@@ -102,6 +103,8 @@
 
   struct ev_loop *loop = nullptr;
   host_settings settings;
+  /** Set before start(); NULL: jaystair's own. */
+  const caller_interface *interface = nullptr;
   bus *the_bus = nullptr;
   counters *the_counters = nullptr;
   tables *the_tables = nullptr;
--- a/node/caller/tests/target_call_test.cc
+++ b/node/caller/tests/target_call_test.cc
@@ -46,10 +46,11 @@
   {
     static const target_call_events events = {
       [] (void *, char *, size_t) -> size_t { return 0; },
-      [] (void *data, const target_head *) {
+      [] (void *data, const target_head *) -> const char * {
         auto *call = static_cast<Owner *> (data);
         if (call->on_head)
           call->on_head ();
+        return nullptr;
       },
       [] (void *, const char *, size_t) { return true; },
       [] (void *data, target_call_end end, const char *) {
