wire: a list has the least revision of its pages

Cause: the list had the revision of its first page. First lists are reads of state that may be old, so a later page may come from a replica that is behind. What changed in between was in neither the list nor the watch from its revision.

Ruled out: events that are ignored (the watch began after them); other hosts that correct it (none knew after a start of all).

Change: the least revision of all pages, for no more calls. What a watch from it repeats can't undo newer objects, as they are ordered by version.

--- a/wire/platform.h
+++ b/wire/platform.h
@@ -84,7 +84,8 @@
 {
   void (*get) (struct platform *platform, const char *kind, const char *name,
                platform_done *done, void *owner);
-  /** List all objects of KIND, with the revision to watch from. */
+  /** List all objects of KIND, with the revision to watch from.  Parts of the
+   * list may be newer than that, so a watch may return changes that it has. */
   void (*list) (struct platform *platform, const char *kind,
                 enum platform_read_mode mode, platform_done *done,
                 void *owner);
--- a/wire/platform_http_end.c
+++ b/wire/platform_http_end.c
@@ -116,8 +116,20 @@
   platform_http_reply_release (&parsed);
 }
 
-/* Reports the revision of the first page: a watch from it also returns what
-   changed between the requests of the pages. */
+/* The least revision of the pages.  With reads of old state, a later page may
+   come from a replica that is behind that of the first one.  A watch from the
+   least revision returns all that changed after any of the pages was read;
+   what a newer page has already is known by its version. */
+static uint64_t
+list_revision (const struct http_call *call)
+{
+  uint64_t revision = call->pages[0].revision;
+  for (size_t i = 1; i < call->page_count; i++)
+    if (call->pages[i].revision < revision)
+      revision = call->pages[i].revision;
+  return revision;
+}
+
 static void
 complete_list (struct http_call *call)
 {
@@ -130,7 +142,7 @@
     for (size_t k = 0; k < call->pages[i].count; k++)
       objects[count++] = call->pages[i].objects[k];
   const struct platform_reply reply = { .status = STATUS_OK,
-                                        .revision = call->pages[0].revision,
+                                        .revision = list_revision (call),
                                         .objects = objects,
                                         .count = count };
   complete (call, &reply);
