caller: use a new connection when tried targets are no longer remembered

A second attempt at a target uses a new connection, as its answer has the id of the first one's. Targets after the eighth aren't remembered, so an attempt at one of these could use a kept connection again. Attempts that were never sent count there, so a request may come so far. Read in the code, not seen; no test sets up nine attempts of which eight were never sent.

--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -145,13 +145,14 @@
   attempt->call = target_call_start (&options);
 }
 
+/* Targets beyond the first ones aren't remembered, so any may have been. */
 static bool
-has_tried (const struct exchange *x, uint64_t key)
+may_have_tried (const struct exchange *x, uint64_t key)
 {
   for (uint32_t i = 0; i < x->tried_count; i++)
     if (x->tried_targets[i] == key)
       return true;
-  return false;
+  return x->tried_count == POLICY_TRIED_MAX;
 }
 
 /* Whether a late answer to an earlier request on the connection would be told
@@ -160,7 +161,7 @@
 is_identifiable (const struct exchange *x, const struct caller_target *target)
 {
   return !x->context->interface->targets_echo_request_id
-         || (x->head.id[0] != '\0' && !has_tried (x, target->key));
+         || (x->head.id[0] != '\0' && !may_have_tried (x, target->key));
 }
 
 /* The maximum idle time of a connection that may be reused for X.  If the
