harness: write the shared secret once, before any host starts

Hosts 1 and 2 had found the secret's file empty ("must have 16 to 256 bytes, not 0").

Cause: the harness wrote the file anew with the settings of each host. That empties it first, while the host started before may be reading it. Found by reading; twelve more plays of the old harness, twelve at a time, didn't show it again.

Change: the fleet's constructor writes it, and nothing writes it again, so no host can find it empty. Four plays of the demo at a time and the 6 cases of command_test, the other user of the secret, pass.

A comment of exchange_send.c is reworded; its object file is the same to the byte as before.

--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -155,8 +155,8 @@
   return x->tried_count == POLICY_TRIED_MAX;
 }
 
-/* Whether a late answer to an earlier request on the connection would be told
-   from the answer to X.  All attempts of a request have the same id. */
+/* Whether the answer to X has another id than late answers to earlier requests
+   on the connection.  All attempts of a request have the same id. */
 static bool
 is_identifiable (const struct exchange *x, const struct caller_target *target)
 {
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -76,6 +76,8 @@
   if (mkdtemp (folder) == nullptr)
     abort ();
   folder_ = folder;
+  if (options_.secret)
+    std::ofstream (folder_ + "/secret") << "a-key-for-this-fleet-only\n";
   hosts.resize (static_cast<size_t> (options_.hosts));
   targets.resize (static_cast<size_t> (options_.targets));
 }
@@ -188,10 +190,7 @@
   out << "],\n\"log\": { \"json\": true, \"repeats_per_second\": 0, "
          "\"warnings_per_second\": 0 },\n";
   if (options_.secret)
-    {
-      std::ofstream (folder_ + "/secret") << "a-key-for-this-fleet-only\n";
-      out << "\"secret_file\": \"" << folder_ << "/secret\",\n";
-    }
+    out << "\"secret_file\": \"" << folder_ << "/secret\",\n";
   if (!options_.settings.empty ())
     out << options_.settings << ",\n";
   out << "\"set_hosts_per_dc\": " << options_.set_hosts_per_dc << ",\n";
