caller: log on which connection an answer came and whether it bears the id

Lines of attempts have new_connection and identified now, and jaystair_target_rejections_total counts rejections by connection.

--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -38,6 +38,11 @@
           .help = "Targets found not to listen any more after the connection "
                   "of a request broke.",
           .label_names = { "service" } };
+  const struct counter_family_options rejections
+      = { .name = "jaystair_target_rejections_total",
+          .help = "Requests that targets rejected without running them, by "
+                  "whether the connection had carried other requests.",
+          .label_names = { "service", "connection" } };
   const struct counter_family_options foreign_answers
       = { .name = "jaystair_foreign_answers_total",
           .help = "Answers that weren't to the request in flight on their "
@@ -98,6 +103,7 @@
   families->working_set = counters_family (counters, &working_set);
   families->refusals = counters_family (counters, &refusals);
   families->precedence = counters_family (counters, &precedence);
+  families->rejections = counters_family (counters, &rejections);
   families->foreign_answers = counters_family (counters, &foreign_answers);
   families->poison_blocks = counters_family (counters, &poison_blocks);
   families->target_crashes = counters_family (counters, &target_crashes);
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -17,6 +17,7 @@
   struct counter_family *refusals;        /**< by service and reason */
   struct counter_family *precedence;      /**< by service and reason */
   struct counter_family *target_crashes;  /**< by service */
+  struct counter_family *rejections;      /**< by service and connection */
   struct counter_family *foreign_answers; /**< by service */
   struct counter_family *poison_blocks;   /**< by source */
   struct counter_family *request_times;   /**< by service and outcome */
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -70,6 +70,8 @@
   bool outcome_pending; /**< not reported to the policy yet */
   bool retry_unavailable; /**< timed out, but no retry was possible */
   bool caller_was_slow;   /**< the response buffer was full */
+  bool on_new_connection; /**< if head_received: it carried no other request */
+  bool is_identified;     /**< if head_received: it has the id of X */
   uint32_t status;
   int64_t length_bytes;
   struct header_list headers;
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -92,6 +92,10 @@
       LOG_INT ("config_age_ms", exchange_config_age_ms (x)),
       LOG_INT ("attempt", x->attempt_count), LOG_STR ("end", end_name (end)),
       LOG_INT ("status", attempt->head_received ? attempt->status : 0),
+      LOG_INT ("new_connection",
+               attempt->head_received ? (int)attempt->on_new_connection : -1),
+      LOG_INT ("identified",
+               attempt->head_received ? (int)attempt->is_identified : -1),
       LOG_INT ("took_us", latency_us),
       LOG_INT ("expected_us", attempt->expected_us),
       LOG_INT ("actual_us", is_answered ? latency_us : 0),
@@ -121,6 +125,9 @@
                        end_name (end));
   caller_counters_observe (x->context->counters.attempt_times,
                            x->service->name, end_name (end), latency_us);
+  if (end == ATTEMPT_SHED)
+    caller_counters_add (x->context->counters.rejections, x->service->name,
+                         attempt->on_new_connection ? "new" : "kept");
   /* What a cut host sees of targets says nothing about them. */
   if (!reach_check_is_cut (x->context->reach_check)
       && outcome_report_is_due (x->service, attempt->key, end))
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -62,6 +62,10 @@
   attempt->response_head_us = clock_now_us ();
   attempt->status = head->status;
   attempt->length_bytes = head->length_bytes;
+  attempt->on_new_connection = head->is_first_on_connection;
+  attempt->is_identified
+      = header_list_find (head->headers, x->context->interface->request_id)
+        != NULL;
   header_list_clear (&attempt->headers);
   for (size_t i = 0; i < head->headers->count; i++)
     {
--- a/node/caller/tests/foreign_answer_test.cc
+++ b/node/caller/tests/foreign_answer_test.cc
@@ -254,6 +254,25 @@
   EXPECT_EQ (numbers[1], 1);
 }
 
+/* Guards against rejections of which operators can't see whether they came on
+   a connection that has carried other requests. */
+TEST_F (ForeignAnswer, RejectionsAreCountedByConnection)
+{
+  const std::string name = "jaystair_target_rejections_total";
+  use_one_target ();
+  get ("/calendar", "open");
+  answer_on_kept_connections (rejection ("hold"));
+  EXPECT_EQ (post ("hold")->status, 200);
+  EXPECT_NE (
+      exposed ().find (name + "{service=\"holds\",connection=\"kept\"} 1"),
+      std::string::npos);
+  first->script
+      = [] (const ScriptedRequest &request) { return rejection (request.id); };
+  EXPECT_EQ (post ("later")->status, 503);
+  EXPECT_NE (exposed ().find (name + "{service=\"holds\",connection=\"new\"}"),
+             std::string::npos);
+}
+
 /* Guards against requests without an id whose answers can't be told from late
    ones on a kept connection. */
 TEST_F (ForeignAnswer, RequestWithoutIdHasANewConnection)
