wire: believe no answer of the platform whose head ended early

A write that may have been carried out was reported as a conflict ("the object no longer exists"), as unreachable (503), as limited (429) or as invalid (an interim response and nothing after it); a read as an object that isn't there or a revision that is gone. The era in a head that never ended, in an interim one or in a trailer was taken for that of the store: a restore that never was.

store_cut_answer_test cuts 11 answers at every byte, closed in order and by reset, on a first and on a kept connection.

response_head knows whether the empty line of the final head came and turns CURLE_OK into an error otherwise. Weighed: the same within curl_loop, which would need no call by its users but has to own their header callbacks, and doesn't serve the operators' program, which has no loop; a check by each user, which is how two of three came to have none. A read whose answer was cut on a kept connection is now "no complete response" and not "can't be reached", and answer-cut in the log tells a cut head from a cut body.

--- a/node/caller/tests/scripted_target.cc
+++ b/node/caller/tests/scripted_target.cc
@@ -82,16 +82,24 @@
   return "";
 }
 
-/* Answers the next request of the input, if all of it is there. */
+static void
+set_reset (int fd)
+{
+  const linger now = { 1, 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
+/* Answers the next request of the input, if all of it is there.  Returns
+   whether the connection goes on. */
 bool
 ScriptedTarget::answer_next (Peer *peer)
 {
-  const size_t end = peer->input.find ("\r\n\r\n");
-  if (end == std::string::npos)
+  const size_t head_end = peer->input.find ("\r\n\r\n");
+  if (head_end == std::string::npos)
     return false;
-  const std::string head = peer->input.substr (0, end + 2);
+  const std::string head = peer->input.substr (0, head_end + 2);
   const size_t size
-      = end + 4
+      = head_end + 4
         + strtoul (field (head, "Content-Length").c_str (), nullptr, 10);
   if (peer->input.size () < size)
     return false;
@@ -102,8 +110,16 @@
           head.substr (path, head.find (' ', path) - path), ++peer->requests };
   received_[request.id]++;
   const std::string bytes = script (request);
-  return bytes.empty ()
-         || send (peer->fd, bytes.data (), bytes.size (), MSG_NOSIGNAL) > 0;
+  if (!bytes.empty ()
+      && send (peer->fd, bytes.data (), bytes.size (), MSG_NOSIGNAL) <= 0)
+    return false;
+  const ScriptedEnd what = end ? end (request) : ScriptedEnd::keep;
+  if (what == ScriptedEnd::keep)
+    return true;
+  if (what == ScriptedEnd::reset)
+    set_reset (peer->fd);
+  drop (peer);
+  return false;
 }
 
 void
--- a/node/caller/tests/scripted_target.h
+++ b/node/caller/tests/scripted_target.h
@@ -20,6 +20,14 @@
   int number;       /**< on its connection, from 1 */
 };
 
+/** What happens to the connection after a response. */
+enum class ScriptedEnd
+{
+  keep,
+  close, /**< in order */
+  reset
+};
+
 class ScriptedTarget
 {
 public:
@@ -34,6 +42,8 @@
 
   /** Returns the bytes to send once a request was received; "": none. */
   std::function<std::string (const ScriptedRequest &)> script;
+  /** Unset: connections are kept. */
+  std::function<ScriptedEnd (const ScriptedRequest &)> end;
   int connections = 0;
 
 private:
--- a/wire/platform_http_call.c
+++ b/wire/platform_http_call.c
@@ -1,3 +1,5 @@
+#define LOG_MODULE "platform"
+
 #include "wire/platform_http_call.h"
 
 #include <stdlib.h>
@@ -5,6 +7,7 @@
 
 #include <utlist.h>
 
+#include "base/log.h"
 #include "base/xmalloc.h"
 
 enum
@@ -55,14 +58,36 @@
 {
   curl_off_t connect_us = 0;
   curl_easy_getinfo (call->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-  return code != CURLE_OK
+  return code != CURLE_OK && call->response_head.part == RESPONSE_NONE
          && (code == CURLE_COULDNT_CONNECT || connect_us == 0);
 }
 
+static void
+log_cut (const struct http_call *call, CURLcode code)
+{
+  if (code == CURLE_OK || call->response_head.part == RESPONSE_NONE)
+    return;
+  LOG_WARN ("answer-cut", LOG_STR ("path", call->path),
+            LOG_STR ("address", call->http->addresses[call->address]),
+            LOG_STR ("what", response_head_describe (&call->response_head)),
+            LOG_STR ("why", curl_easy_strerror (code)));
+}
+
+static const char *
+describe_failure (const struct http_call *call, bool unsent)
+{
+  if (unsent)
+    return "can't be reached";
+  return call->response_head.part == RESPONSE_NONE
+             ? "sent no response"
+             : "sent no complete response";
+}
+
 static void
 fail_over (struct http_call *call, CURLcode code, long http_code)
 {
   struct platform_http *http = call->http;
+  log_cut (call, code);
   const bool unsent = was_not_sent (call, code)
                       || (code == CURLE_OK && http_code == HTTP_UNAVAILABLE
                           && http->dialect->unavailable_has_no_effect);
@@ -79,8 +104,7 @@
   char message[192];
   snprintf (why, sizeof why, "answered %ld", http_code);
   snprintf (message, sizeof message, "the platform at %s %s (%s); %s",
-            http->addresses[call->address],
-            unsent ? "can't be reached" : "sent no response",
+            http->addresses[call->address], describe_failure (call, unsent),
             code == CURLE_OK ? why : curl_easy_strerror (code),
             unsent || call->kind != CALL_PUT
                 ? "wait until it is back, or check platform addresses"
@@ -90,9 +114,11 @@
 }
 
 static void
-on_done (void *owner, CURLcode code, CURL *easy)
+on_done (void *owner, CURLcode transfer_code, CURL *easy)
 {
   struct http_call *call = owner;
+  const CURLcode code
+      = response_head_result (&call->response_head, transfer_code);
   long http_code = 0;
   if (call->done == NULL)
     {
@@ -122,6 +148,7 @@
   call->response_body = xstrdup ("");
   call->response_bytes = 0;
   call->has_era = false;
+  response_head_restart (&call->response_head);
   call->attempts++;
   http->platform.calls++;
   curl_loop_start (http->cl, call->easy, on_done, call);
@@ -154,8 +181,8 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, platform_http_era_read);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  response_head_attach (&call->response_head, easy, platform_http_era_read,
+                        call);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)call->http->connect_timeout_ms);
--- a/wire/platform_http_call.h
+++ b/wire/platform_http_call.h
@@ -11,6 +11,7 @@
 #include "wire/platform_http.h"
 #include "wire/platform_http_dialect.h"
 #include "wire/platform_http_reply.h"
+#include "wire/response_head.h"
 
 enum call_kind
 {
@@ -40,6 +41,7 @@
   enum call_kind kind;
   enum platform_read_mode read_mode; /* LIST */
   CURL *easy;
+  struct response_head response_head;
   struct curl_slist *headers;
   char *path;
   char *object_kind;
@@ -87,9 +89,9 @@
 bool platform_http_era_apply (const struct http_call *call,
                               struct platform_http_reply *parsed);
 
-/** A libcurl header callback that reads the era of a response. */
-size_t platform_http_era_read (char *data, size_t size, size_t count,
-                               void *owner);
+/** A response_head_line() that reads the era of a response. */
+bool platform_http_era_read (void *owner, enum response_line what,
+                             const char *line, size_t size);
 
 /** Destroy the call without a callback. */
 void platform_http_call_destroy (struct http_call *call);
--- a/wire/platform_http_era.c
+++ b/wire/platform_http_era.c
@@ -12,24 +12,33 @@
   ERA_TEXT_SIZE = 24,
 };
 
-size_t
-platform_http_era_read (char *data, size_t size, size_t count, void *owner)
+static void
+read_field (struct http_call *call, const char *line, size_t size)
 {
-  struct http_call *call = owner;
   const char *field = call->http->dialect->era_field;
-  const size_t length = size * count;
-  const size_t name_length = field != NULL ? strlen (field) : 0;
+  const size_t name_size = field != NULL ? strlen (field) : 0;
   char text[ERA_TEXT_SIZE];
-  if (name_length == 0 || length <= name_length || data[name_length] != ':'
-      || strncasecmp (data, field, name_length) != 0)
-    return length;
-  snprintf (text, sizeof text, "%.*s", (int)(length - name_length - 1),
-            data + name_length + 1);
+  if (name_size == 0 || size <= name_size || line[name_size] != ':'
+      || strncasecmp (line, field, name_size) != 0)
+    return;
+  snprintf (text, sizeof text, "%.*s", (int)(size - name_size - 1),
+            line + name_size + 1);
   char *end;
   const unsigned long long era = strtoull (text, &end, 10);
   call->has_era = end != text && era <= PLATFORM_ERA_MAX;
   call->era = call->has_era ? era : 0;
-  return length;
+}
+
+bool
+platform_http_era_read (void *owner, enum response_line what, const char *line,
+                        size_t size)
+{
+  struct http_call *call = owner;
+  if (what == RESPONSE_LINE_STATUS)
+    call->has_era = false;
+  else if (what == RESPONSE_LINE_FIELD)
+    read_field (call, line, size);
+  return true;
 }
 
 static void
