ctl: name a cut answer for what it is

The exit code was right (unknown), since the empty body doesn't parse. A read whose answer was cut is no longer told to give another address.

--- a/ctl/client.c
+++ b/ctl/client.c
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 
 #include "base/xmalloc.h"
+#include "wire/response_head.h"
 
 enum
 {
@@ -122,7 +123,8 @@
    used. */
 static void
 set_options (CURL *curl, const struct call *call, const char *url,
-             struct curl_slist *headers, struct body *body)
+             struct curl_slist *headers, struct response_head *head,
+             struct body *body)
 {
   curl_easy_reset (curl);
   curl_easy_setopt (curl, CURLOPT_URL, url);
@@ -136,6 +138,7 @@
   curl_easy_setopt (
       curl, CURLOPT_TIMEOUT_MS,
       (long)(call->command == NULL ? READ_TIMEOUT_MS : COMMAND_TIMEOUT_MS));
+  response_head_attach (head, curl, NULL, NULL);
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, append_to_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, body);
   if (call->command != NULL)
@@ -157,17 +160,24 @@
 }
 
 static enum status
-transfer_failure (CURL *curl, const struct call *call, CURLcode code)
+transfer_failure (const struct response_head *head, const struct call *call,
+                  CURLcode code)
 {
   long sent_bytes = 0;
-  curl_easy_getinfo (curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  curl_easy_getinfo (head->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
   if (call->command != NULL && sent_bytes > 0)
-    return status_set (
-        STATUS_LOST_ANSWER,
-        "%s received the command and sent no response (%s): it may "
-        "have taken effect; look with \"show\" before sending "
-        "it again",
-        call->address, curl_easy_strerror (code));
+    return status_set (STATUS_LOST_ANSWER,
+                       "%s received the command and sent %s (%s): it may "
+                       "have taken effect; look with \"show\" before sending "
+                       "it again",
+                       call->address,
+                       head->part == RESPONSE_NONE ? "no response"
+                                                   : "no complete response",
+                       curl_easy_strerror (code));
+  if (head->part != RESPONSE_NONE)
+    return status_set (STATUS_UNREACHABLE,
+                       "%s sent no complete response (%s): try again",
+                       call->address, curl_easy_strerror (code));
   return status_set (STATUS_UNREACHABLE,
                      "%s can't be reached (%s): give a host's operator "
                      "address with --host IP:PORT",
@@ -195,15 +205,17 @@
          struct client_reply *reply)
 {
   struct body body = { .text = NULL };
+  struct response_head head;
   char *url = xasprintf ("http://%s%s", call->address, call->path);
   struct curl_slist *headers = make_headers (call);
   *reply = (struct client_reply){ .body = NULL };
-  set_options (client->curl, call, url, headers, &body);
-  const CURLcode code = curl_easy_perform (client->curl);
+  set_options (client->curl, call, url, headers, &head, &body);
+  const CURLcode code
+      = response_head_result (&head, curl_easy_perform (client->curl));
   curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &reply->http_code);
   const enum status status = code == CURLE_OK
                                  ? parse_body (call, &body, reply)
-                                 : transfer_failure (client->curl, call, code);
+                                 : transfer_failure (&head, call, code);
   curl_slist_free_all (headers);
   free (url);
   free (body.text);
--- a/ctl/tests/program_test.cc
+++ b/ctl/tests/program_test.cc
@@ -219,6 +219,38 @@
   EXPECT_EQ (run ("--host 127.0.0.1:1 drain t").code, EXIT_CODE_UNREACHABLE);
 }
 
+/* Guards against a command whose cut answer is taken for that of another
+   server, though the command may have taken effect. */
+TEST (Program, CommandWithCutAnswerIsUnknown)
+{
+  const std::string body = "{\"status\":\"refused\",\"message\":\"no\"}";
+  const std::string length = std::to_string (body.size ());
+  const std::string with_length
+      = "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + body;
+  const std::string in_chunks
+      = "HTTP/1.1 409 Conflict\r\nTransfer-Encoding: chunked\r\n\r\n23\r\n"
+        + body + "\r\n0\r\n\r\n";
+  const std::string after_interim
+      = "HTTP/1.1 102 Processing\r\nX-I: 1\r\n\r\n"
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string &answer : { with_length, in_chunks, after_interim })
+    for (size_t size = 0; size < answer.size (); size += 3)
+      for (const bool is_reset : { false, true })
+        {
+          OneConnectionServer host ([&] (int fd) {
+            const linger now = { is_reset, 0 };
+            send (fd, answer.data (), size, MSG_NOSIGNAL);
+            setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+          });
+          const run_result result
+              = run ("--host " + host.address + " drain t");
+          EXPECT_EQ (result.code, EXIT_CODE_UNKNOWN)
+              << answer.substr (0, size);
+          EXPECT_TRUE (contains (result.text, "may have taken effect"))
+              << answer.substr (0, size) << "\n-> " << result.text;
+        }
+}
+
 TEST (Program, RefusesResponsesOfOtherServers)
 {
   const auto page = [] (int fd) {
