caller: take the end of a target's head from response_head

Attempts knew already whether the head was whole (head_reported); the shared place decides it now, and attempt-broken says how far the answer had come: no answer, a cut head, a cut body. Before, a head that was cut by closing in order was logged as "No error".

cut_head_test cuts 16 heads (8 statuses, with and without the field for "not run") at every byte, closed in order and by reset, on a first and on a kept connection, for unrepeatable and repeatable requests, behind a whole interim response, and heads of the host that a request was passed on to. No case failed on the code before: an unrepeatable request was answered 502 with the outcome unknown and ran once, a repeatable one was tried again, and none of the fields that a target may send (leaving, rest, limit, not run) counted. With the check of the head's end taken out, 6 of the 16 cases fail, all of them closed in order.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -7,12 +7,13 @@
 #include <strings.h>
 
 #include "base/xmalloc.h"
+#include "wire/response_head.h"
 
 enum
 {
   URL_SIZE = 96,
-  STATUS_FINAL_MIN = 200,
   FIELD_LINE_SIZE = 1024,
+  MESSAGE_SIZE = CURL_ERROR_SIZE + 64,
   TRAILER_BYTES_MAX = 16 * 1024,
   MS_PER_SECOND = 1000
 };
@@ -25,9 +26,9 @@
   CURL *easy;
   struct curl_slist *fields;
   struct curl_slist *connect_to;
+  struct response_head response_head;
   struct header_list response_headers;
   bool head_only;
-  bool head_reported;
   size_t trailer_bytes;
   const char *error; /* why the response is invalid or was rejected */
   bool is_rejected;
@@ -110,22 +111,17 @@
   return connects > 0;
 }
 
-/* The head of the final response ends with its empty line.  1xx heads before
-   it and trailers after the body come through the same callback. */
 static bool
 end_of_head (struct target_call *call)
 {
   long status = 0;
   int64_t length = -1;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  if (status < STATUS_FINAL_MIN)
-    return true;
   if (!read_length (call, &length))
     {
       call->error = "the answer contradicts itself on its length";
       return false;
     }
-  call->head_reported = true;
   const struct target_head head
       = { .status = (uint32_t)status,
           .length_bytes = length,
@@ -149,9 +145,12 @@
   while (end > value && strchr ("\r\n \t", end[-1]) != NULL)
     end--;
   const size_t name_size = (size_t)(colon - line);
-  return header_list_add (&call->response_headers, line, name_size, value,
-                          (size_t)(end - value))
-         == STATUS_OK;
+  if (header_list_add (&call->response_headers, line, name_size, value,
+                       (size_t)(end - value))
+      == STATUS_OK)
+    return true;
+  call->error = "the answer's header fields are too large";
+  return false;
 }
 
 /* Trailer fields are not forwarded.  libcurl keeps a copy of each and limits
@@ -166,25 +165,28 @@
   return false;
 }
 
-static size_t
-on_header (char *line, size_t size, size_t count, void *owner)
+static bool
+on_head_line (void *owner, enum response_line what, const char *line,
+              size_t size)
 {
   struct target_call *call = owner;
-  const size_t total = size * count;
   if (call->owner == NULL)
-    return 0;
-  if (call->head_reported)
-    return skip_trailer_line (call, total) ? total : 0;
-  if (total >= 5 && memcmp (line, "HTTP/", 5) == 0)
-    header_list_clear (&call->response_headers);
-  else if (line[0] == '\r' || line[0] == '\n')
-    return end_of_head (call) ? total : 0;
-  else if (!add_field (call, line, total))
+    return false;
+  switch (what)
     {
-      call->error = "the answer's header fields are too large";
-      return 0;
+    case RESPONSE_LINE_STATUS:
+      header_list_clear (&call->response_headers);
+      return true;
+    case RESPONSE_LINE_FIELD:
+      return add_field (call, line, size);
+    case RESPONSE_LINE_INTERIM_END:
+      return true;
+    case RESPONSE_LINE_END:
+      return end_of_head (call);
+    case RESPONSE_LINE_TRAILER:
+      return skip_trailer_line (call, size);
     }
-  return total;
+  return false;
 }
 
 static size_t
@@ -220,30 +222,44 @@
   curl_loop_start (call->curl, call->easy, on_done, call);
 }
 
+/* Says how far the response had come, unless it was rejected here. */
+static const char *
+describe_end (const struct target_call *call, CURLcode code,
+              char text[MESSAGE_SIZE])
+{
+  if (call->error != NULL)
+    return call->error;
+  const char *why
+      = call->message[0] != '\0' ? call->message : curl_easy_strerror (code);
+  if (call->send_count == 0)
+    return why;
+  snprintf (text, MESSAGE_SIZE, "%s: %s",
+            response_head_describe (&call->response_head), why);
+  return text;
+}
+
 static void
-on_done (void *owner, CURLcode code, CURL *easy)
+on_done (void *owner, CURLcode transfer_code, CURL *easy)
 {
   struct target_call *call = owner;
+  const CURLcode code
+      = response_head_result (&call->response_head, transfer_code);
+  char text[MESSAGE_SIZE];
   if (call->has_stale_input && call->send_count == 0 && call->owner != NULL
       && !call->restarted)
     {
       restart (call);
       return;
     }
-  const char *message = call->message;
-  if (message[0] == '\0')
-    message = curl_easy_strerror (code);
-  if (call->error != NULL)
-    message = call->error;
   enum target_call_end end = TARGET_CALL_BROKEN;
   if (call->send_count == 0)
     end = TARGET_CALL_NOT_SENT;
   else if (call->is_rejected)
     end = TARGET_CALL_REJECTED;
-  else if (code == CURLE_OK && call->head_reported)
+  else if (code == CURLE_OK)
     end = TARGET_CALL_COMPLETE;
   if (call->owner != NULL)
-    call->events->end (call->owner, end, message);
+    call->events->end (call->owner, end, describe_end (call, code, text));
   call_destroy (call);
 }
 
@@ -356,8 +372,7 @@
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->message);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  response_head_attach (&call->response_head, easy, on_head_line, call);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
 }
