--- a/tests/harness/kept_connection.cc
+++ b/tests/harness/kept_connection.cc
@@ -1,6 +1,7 @@
 #include "tests/harness/kept_connection.h"
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -154,14 +155,36 @@
   return true;
 }
 
+bool
+KeptConnection::send_all (const std::vector<std::string> &parts, int pause_ms)
+{
+  for (size_t i = 0; i < parts.size (); i++)
+    {
+      if (i > 0)
+        poll (nullptr, 0, pause_ms);
+      const ssize_t sent
+          = ::send (fd_, parts[i].data (), parts[i].size (), MSG_NOSIGNAL);
+      if (sent != static_cast<ssize_t> (parts[i].size ()))
+        return false;
+    }
+  return true;
+}
+
 HttpResponse
 KeptConnection::send (const HttpRequest &request)
+{
+  return send_parts ({ format_request (request) });
+}
+
+HttpResponse
+KeptConnection::send_parts (const std::vector<std::string> &parts,
+                            int pause_ms)
 {
   HttpResponse response;
-  const std::string text = format_request (request);
-  const ssize_t sent = ::send (fd_, text.data (), text.size (), MSG_NOSIGNAL);
-  response.complete = sent == static_cast<ssize_t> (text.size ())
-                      && receive_head (&response) && receive_body (&response);
+  const bool is_sent = send_all (parts, pause_ms);
+  const bool is_received
+      = receive_head (&response) && receive_body (&response);
+  response.complete = is_sent && is_received;
   if (!response.complete)
     response.error = "the kept connection broke";
   if (!response.complete || response.header ("connection") == "close")
--- a/tests/harness/kept_connection.h
+++ b/tests/harness/kept_connection.h
@@ -9,6 +9,7 @@
 #define TESTS_HARNESS_KEPT_CONNECTION_H
 
 #include <string>
+#include <vector>
 
 #include "tests/harness/http.h"
 
@@ -29,7 +30,13 @@
    * the response is incomplete. */
   HttpResponse send (const HttpRequest &request);
 
+  /** The same for the text of a request in PARTS, sent PAUSE_MS after each
+   * other.  A response that comes before the last part is received too. */
+  HttpResponse send_parts (const std::vector<std::string> &parts,
+                           int pause_ms = 0);
+
 private:
+  bool send_all (const std::vector<std::string> &parts, int pause_ms);
   bool receive_until (const std::string &end, size_t from);
   bool receive_bytes (size_t count);
   bool receive_more ();
--- /dev/null
+++ b/tests/soak/promise_target.cc
@@ -0,0 +1,516 @@
+#include "tests/soak/promise_target.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/harness/socket_address.h"
+
+namespace
+{
+
+constexpr int thousand = 1000;
+constexpr int slow_factor = 20;
+constexpr int queue_step_ms = 5;
+constexpr int idle_copy_ms = 4;
+constexpr int default_deadline_ms = 4000;
+constexpr size_t body_max = 3000;
+const char *const line_end = "\r\n";
+
+std::string
+format_response (int status, const std::string &id, const std::string &fields,
+                 const std::string &body)
+{
+  return "HTTP/1.1 " + std::to_string (status) + " Status\r\n" + fields
+         + "X-Attempt-Id: " + id + "\r\nContent-Length: "
+         + std::to_string (body.size ()) + "\r\n\r\n" + body;
+}
+
+size_t
+head_size (const std::string &response)
+{
+  return response.find ("\r\n\r\n") + 4;
+}
+
+} // namespace
+
+int64_t
+promise_now_ms ()
+{
+  using namespace std::chrono;
+  return duration_cast<milliseconds> (steady_clock::now ().time_since_epoch ())
+      .count ();
+}
+
+size_t
+PromiseLedger::begin (const PromiseRun &run)
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  runs_.push_back (run);
+  return runs_.size () - 1;
+}
+
+void
+PromiseLedger::end (size_t number, int status, const std::string &answer)
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  runs_[number].end_ms = promise_now_ms ();
+  runs_[number].status = status;
+  runs_[number].answer = answer;
+}
+
+std::vector<PromiseRun>
+PromiseLedger::runs ()
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  return runs_;
+}
+
+void
+PromiseLedger::count (const std::string &name)
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  counts_[name]++;
+}
+
+std::map<std::string, int>
+PromiseLedger::counts ()
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  return counts_;
+}
+
+struct PromiseTarget::Request
+{
+  std::string head;
+  int64_t deadline_ms = 0;
+
+  std::string
+  field (const std::string &name) const
+  {
+    for (size_t at = head.find (line_end); at != std::string::npos;
+         at = head.find (line_end, at + 2))
+      if (strncasecmp (head.c_str () + at + 2, (name + ": ").c_str (),
+                       name.size () + 2)
+          == 0)
+        {
+          const size_t first = at + 2 + name.size () + 2;
+          return head.substr (first, head.find (line_end, first) - first);
+        }
+    return "";
+  }
+
+  bool
+  is_health_check () const
+  {
+    return head.compare (0, 7, "GET /h ") == 0;
+  }
+};
+
+/** What has been received on a connection, and not used yet. */
+class PromiseTarget::Connection
+{
+public:
+  Connection (int given, std::string from)
+      : fd (given), peer (std::move (from))
+  {
+  }
+
+  bool
+  read_head (Request *request, int idle_ms)
+  {
+    if (!receive_until ("\r\n\r\n", idle_ms))
+      return false;
+    const size_t end = received_.find ("\r\n\r\n");
+    request->head = received_.substr (0, end + 2);
+    received_.erase (0, end + 4);
+    const std::string deadline = request->field ("X-Deadline-Ms");
+    request->deadline_ms = promise_now_ms ()
+                           + (deadline.empty () ? default_deadline_ms
+                                                : atoi (deadline.c_str ()));
+    return true;
+  }
+
+  bool
+  read_body (const Request &request, int idle_ms)
+  {
+    if (request.field ("Transfer-Encoding") != "chunked")
+      return take (
+          strtoul (request.field ("Content-Length").c_str (), nullptr, 10),
+          idle_ms);
+    for (;;)
+      {
+        if (!receive_until (line_end, idle_ms))
+          return false;
+        const size_t size = strtoul (received_.c_str (), nullptr, 16);
+        received_.erase (0, received_.find (line_end) + 2);
+        if (!take (size + 2, idle_ms))
+          return false;
+        if (size == 0)
+          return true;
+      }
+  }
+
+  bool
+  send_all (const std::string &text)
+  {
+    size_t sent = 0;
+    while (sent < text.size ())
+      {
+        const ssize_t n = send (fd, text.data () + sent, text.size () - sent,
+                                MSG_NOSIGNAL);
+        if (n <= 0)
+          return false;
+        sent += static_cast<size_t> (n);
+      }
+    return true;
+  }
+
+  /* The next close() sends a reset. */
+  void
+  reset_at_close ()
+  {
+    const linger now = { 1, 0 };
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  }
+
+  const int fd;
+  const std::string peer;
+
+private:
+  bool
+  receive_more (int idle_ms)
+  {
+    char data[4096];
+    pollfd ready = { fd, POLLIN, 0 };
+    if (poll (&ready, 1, idle_ms) <= 0)
+      return false;
+    const ssize_t n = recv (fd, data, sizeof data, 0);
+    if (n > 0)
+      received_.append (data, static_cast<size_t> (n));
+    return n > 0;
+  }
+
+  bool
+  receive_until (const std::string &end, int idle_ms)
+  {
+    while (received_.find (end) == std::string::npos)
+      if (!receive_more (idle_ms))
+        return false;
+    return true;
+  }
+
+  bool
+  take (size_t bytes, int idle_ms)
+  {
+    while (received_.size () < bytes)
+      if (!receive_more (idle_ms))
+        return false;
+    received_.erase (0, bytes);
+    return true;
+  }
+
+  std::string received_;
+};
+
+PromiseTarget::PromiseTarget (PromiseLedger &ledger,
+                              const PromiseTargetOptions &given)
+    : options (given), ledger_ (ledger), random_ (given.seed)
+{
+  const sockaddr_in address = parse_socket_address (options.address);
+  const int on = 1;
+  listener_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (listener_, reinterpret_cast<const sockaddr *> (&address),
+            sizeof address)
+          != 0
+      || listen (listener_, 128) != 0)
+    {
+      perror (options.address.c_str ());
+      abort ();
+    }
+  acceptor_ = std::thread ([this] { accept_all (); });
+}
+
+PromiseTarget::~PromiseTarget ()
+{
+  {
+    const std::lock_guard<std::mutex> lock (mutex_);
+    stopping_ = true;
+    for (const auto &[fd, is_open] : open_)
+      shutdown (fd, SHUT_RDWR);
+  }
+  changed_.notify_all ();
+  shutdown (listener_, SHUT_RDWR);
+  acceptor_.join ();
+  for (std::thread &thread : threads_)
+    thread.join ();
+  close (listener_);
+}
+
+int
+PromiseTarget::active ()
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  return busy_ + queued_;
+}
+
+void
+PromiseTarget::accept_all ()
+{
+  for (;;)
+    {
+      sockaddr_in from{};
+      socklen_t size = sizeof from;
+      const int fd = accept4 (listener_, reinterpret_cast<sockaddr *> (&from),
+                              &size, SOCK_CLOEXEC);
+      if (fd < 0)
+        return;
+      char text[INET_ADDRSTRLEN] = "";
+      inet_ntop (AF_INET, &from.sin_addr, text, sizeof text);
+      const std::string peer
+          = std::string (text) + ":" + std::to_string (ntohs (from.sin_port));
+      const std::lock_guard<std::mutex> lock (mutex_);
+      if (stopping_
+          || open_.size () >= static_cast<size_t> (options.connections_max))
+        {
+          Connection (fd, peer).reset_at_close ();
+          close (fd);
+          continue;
+        }
+      open_[fd] = true;
+      threads_.emplace_back ([this, fd, peer] { serve (fd, peer); });
+    }
+}
+
+/* Serves one request after the other.  COPY is a second copy of the answer
+   before, sent when the next one is expected. */
+void
+PromiseTarget::serve (int fd, std::string peer)
+{
+  Connection connection (fd, std::move (peer));
+  Request request;
+  std::string copy;
+  while (connection.read_head (&request, options.idle_ms)
+         && answer (connection, request, &copy))
+    if (!copy.empty () && draws (options.faults.copy_while_idle))
+      {
+        wait_ms (below (idle_copy_ms));
+        connection.send_all (copy);
+        copy.clear ();
+      }
+  const std::lock_guard<std::mutex> lock (mutex_);
+  open_.erase (fd);
+  if (stopping_)
+    connection.reset_at_close ();
+  close (fd);
+}
+
+bool
+PromiseTarget::answer (Connection &connection, const Request &request,
+                       std::string *copy)
+{
+  const std::string id = request.field ("X-Attempt-Id");
+  const std::string instance = request.field ("X-Target-Instance");
+  if (!copy->empty () && !connection.send_all (*copy))
+    return false;
+  copy->clear ();
+  const bool begins_at_head = options.runs_at_head;
+  if (!begins_at_head && !connection.read_body (request, options.idle_ms))
+    return false;
+  int status = 503;
+  std::string response;
+  if (!instance.empty () && instance != options.id)
+    {
+      status = 421;
+      response = format_response (421, id, "", "");
+    }
+  else
+    {
+      const Slot slot = take_slot (connection.fd, request.deadline_ms);
+      if (slot == Slot::dropped)
+        return false;
+      if (slot == Slot::taken)
+        {
+          status = run (request, connection.peer, &response);
+          free_slot ();
+        }
+      else
+        response = format_response (503, id, "X-Not-Executed: 1\r\n", "");
+    }
+  ledger_.count (status == 503   ? "rejections"
+                 : status == 421 ? "misdirected"
+                                 : "answers");
+  if (response.empty () || !send_response (connection, response))
+    return false;
+  *copy = late_copy (status, response);
+  return !begins_at_head || connection.read_body (request, options.idle_ms);
+}
+
+/* Runs REQUEST.  The result is the status of the RESPONSE, which stays empty
+   if the target ends meanwhile. */
+int
+PromiseTarget::run (const Request &request, const std::string &peer,
+                    std::string *response)
+{
+  const std::string id = request.field ("X-Attempt-Id");
+  if (request.is_health_check ())
+    {
+      *response = format_response (
+          200, id, "X-Instance-Id: " + options.id + "\r\n", "");
+      return 200;
+    }
+  const size_t number
+      = ledger_.begin ({ id, options.id, peer, promise_now_ms (), 0, 0, "" });
+  const int64_t work_ms
+      = options.work_ms / 2 + below (options.work_ms)
+        + (draws (options.faults.slow) ? options.work_ms * slow_factor : 0);
+  const int64_t left_ms = request.deadline_ms - promise_now_ms ();
+  wait_ms (std::min (work_ms, left_ms));
+  {
+    const std::lock_guard<std::mutex> lock (mutex_);
+    if (stopping_)
+      return 0;
+    run_count_++;
+  }
+  const int status = work_ms > left_ms              ? 504
+                     : draws (options.faults.error) ? 500
+                                                    : 200;
+  const std::string signature
+      = "signed-" + options.id + "-" + std::to_string (number);
+  std::string body = options.id + " ran " + id + " ";
+  body.append (static_cast<size_t> (below (body_max)), 'x');
+  *response = format_response (
+      status, id, "X-Response-Signature: " + signature + "\r\n", body);
+  ledger_.end (number, status, signature + " " + body);
+  return status;
+}
+
+/* Sends a response, or what a fault leaves of it.  False: the connection
+   ends. */
+bool
+PromiseTarget::send_response (Connection &connection,
+                              const std::string &response)
+{
+  const size_t head = head_size (response);
+  size_t end = response.size ();
+  if (draws (options.faults.lost))
+    {
+      lose (connection);
+      return false;
+    }
+  if (draws (options.faults.cut_head))
+    end = 1 + static_cast<size_t> (below (static_cast<int> (head) - 1));
+  else if (draws (options.faults.cut_body) && head < end)
+    end = head + static_cast<size_t> (below (static_cast<int> (end - head)));
+  if (!connection.send_all (response.substr (0, end)))
+    return false;
+  if (end == response.size ())
+    return true;
+  ledger_.count ("cut");
+  if (draws (thousand / 2))
+    {
+      wait_ms (1);
+      connection.reset_at_close ();
+    }
+  return false;
+}
+
+/* Ends a connection without an answer. */
+void
+PromiseTarget::lose (Connection &connection)
+{
+  ledger_.count ("lost");
+  const int form = below (3);
+  if (form == 1)
+    connection.reset_at_close ();
+  if (form == 2)
+    wait_ms (options.idle_ms);
+}
+
+/* The copy of RESPONSE that is sent late; empty: none. */
+std::string
+PromiseTarget::late_copy (int status, const std::string &response)
+{
+  const bool is_rejection = status == 503 || status == 421;
+  if (!draws (is_rejection    ? options.faults.late_rejection
+              : status == 200 ? options.faults.late_success
+                              : options.faults.late_error))
+    return "";
+  ledger_.count (is_rejection    ? "late-rejections"
+                 : status == 200 ? "late-successes"
+                                 : "late-errors");
+  std::string copy = response;
+  if (draws (options.faults.copy_without_id))
+    {
+      const size_t at = copy.find ("X-Attempt-Id: ");
+      copy.erase (at, copy.find (line_end, at) + 2 - at);
+    }
+  if (draws (options.faults.copy_half_head))
+    copy.erase (1
+                + static_cast<size_t> (
+                    below (static_cast<int> (head_size (copy)) - 1)));
+  return copy;
+}
+
+PromiseTarget::Slot
+PromiseTarget::take_slot (int fd, int64_t deadline_ms)
+{
+  std::unique_lock<std::mutex> lock (mutex_);
+  if (busy_ >= options.slots && queued_ >= options.queue)
+    return Slot::full;
+  queued_++;
+  Slot slot = Slot::taken;
+  while (slot == Slot::taken && busy_ >= options.slots)
+    {
+      changed_.wait_for (lock, std::chrono::milliseconds (queue_step_ms));
+      pollfd end = { fd, POLLRDHUP, 0 };
+      if (stopping_ || poll (&end, 1, 0) != 0)
+        slot = Slot::dropped;
+      else if (promise_now_ms () > deadline_ms)
+        slot = Slot::expired;
+    }
+  queued_--;
+  busy_ += slot == Slot::taken ? 1 : 0;
+  return slot;
+}
+
+void
+PromiseTarget::free_slot ()
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  busy_--;
+  changed_.notify_all ();
+}
+
+bool
+PromiseTarget::draws (int thousandths)
+{
+  return below (thousand) < thousandths;
+}
+
+int
+PromiseTarget::below (int limit)
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  return limit <= 0
+             ? 0
+             : static_cast<int> (random_ () % static_cast<uint32_t> (limit));
+}
+
+void
+PromiseTarget::wait_ms (int64_t ms)
+{
+  std::unique_lock<std::mutex> lock (mutex_);
+  const auto end
+      = std::chrono::steady_clock::now () + std::chrono::milliseconds (ms);
+  while (!stopping_ && std::chrono::steady_clock::now () < end)
+    changed_.wait_until (lock, end);
+}
--- /dev/null
+++ b/tests/soak/promise_target.h
@@ -0,0 +1,127 @@
+/** @file
+ * Simulated back end of the platform that writes its answers byte by byte, so
+ * that they can be cut, lost or sent a second time.
+ */
+#ifndef TESTS_SOAK_PROMISE_TARGET_H
+#define TESTS_SOAK_PROMISE_TARGET_H
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/soak/promise_judge.h"
+
+int64_t promise_now_ms ();
+
+/** The runs of all targets. */
+class PromiseLedger
+{
+public:
+  size_t begin (const PromiseRun &run);
+  void end (size_t number, int status, const std::string &answer);
+  std::vector<PromiseRun> runs ();
+  /** Count an event, such as a rejection or a fault, under NAME. */
+  void count (const std::string &name);
+  std::map<std::string, int> counts ();
+
+private:
+  std::mutex mutex_;
+  std::vector<PromiseRun> runs_;
+  std::map<std::string, int> counts_;
+};
+
+/** Faults in thousandths of the answers that they can concern. */
+struct PromiseTargetFaults
+{
+  /** The answer is sent a second time, late. */
+  int late_rejection = 0, late_success = 0, late_error = 0;
+  /** Of these copies: without an id; up to a byte of its head; while no
+   * request is waiting. */
+  int copy_without_id = 0, copy_half_head = 0, copy_while_idle = 0;
+  /** The answer ends early; half of these by a reset. */
+  int cut_head = 0, cut_body = 0;
+  /** Nothing of the answer is sent: closed, reset, or silent. */
+  int lost = 0;
+  /** 500 after a run. */
+  int error = 0;
+  /** The run takes many times as long. */
+  int slow = 0;
+};
+
+struct PromiseTargetOptions
+{
+  std::string address;
+  std::string id;
+  int slots = 3;
+  int queue = 2;
+  int connections_max = 60; /**< further ones are reset */
+  int work_ms = 20;
+  int idle_ms = 2000; /**< idle connections are closed */
+  /** A run begins when its head has been read, not its body. */
+  bool runs_at_head = false;
+  uint32_t seed = 1;
+  PromiseTargetFaults faults;
+};
+
+/** One lifetime of a target: the destructor ends it as a crash does. */
+class PromiseTarget
+{
+public:
+  PromiseTarget (PromiseLedger &ledger, const PromiseTargetOptions &options);
+  ~PromiseTarget ();
+  PromiseTarget (const PromiseTarget &) = delete;
+  PromiseTarget &operator= (const PromiseTarget &) = delete;
+
+  /** Requests that run or wait for a slot. */
+  int active ();
+
+  const PromiseTargetOptions options;
+
+private:
+  struct Request;
+  class Connection;
+  enum class Slot
+  {
+    taken,
+    full,
+    expired, /**< the time budget passed in the queue */
+    dropped, /**< the connection was closed meanwhile */
+  };
+
+  void accept_all ();
+  void serve (int fd, std::string peer);
+  bool answer (Connection &connection, const Request &request,
+               std::string *copy);
+  int run (const Request &request, const std::string &peer,
+           std::string *response);
+  bool send_response (Connection &connection, const std::string &response);
+  void lose (Connection &connection);
+  std::string late_copy (int status, const std::string &response);
+  Slot take_slot (int fd, int64_t deadline_ms);
+  void free_slot ();
+  /** Whether a fault of so many THOUSANDTHS occurs now. */
+  bool draws (int thousandths);
+  int below (int limit);
+  void wait_ms (int64_t ms);
+
+  PromiseLedger &ledger_;
+  int listener_ = -1;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool stopping_ = false;
+  std::map<int, bool> open_; /**< by descriptor */
+  int busy_ = 0;
+  int queued_ = 0;
+  int run_count_ = 0;
+  std::mt19937 random_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+#endif
