caller: show that the head of two answers is taken for one

A target that sends a part of the head of a late answer, and behind it its answer to the request, makes one head: libcurl takes the first status line, target_call.c adds the fields of both, and clears what it has at a second status line. The id is that of the request, so response_check_origin() accepts it. A request that ran counts as rejected (421, or 503 with the field) and is sent again or refused; one that was refused is answered 200.

Not mended yet, so the tests are known red. Hosts of the soak are stopped only once their program runs: a copy of the test process kept its listeners open.

--- a/node/caller/tests/foreign_answer_test.cc
+++ b/node/caller/tests/foreign_answer_test.cc
@@ -254,6 +254,57 @@
   EXPECT_EQ (numbers[1], 1);
 }
 
+/* Guards against a refusal or a success whose head is a part of a late answer
+   to another request and, behind it, the head of the own one: its status is of
+   the first, its id of the second. */
+TEST_F (ForeignAnswer, HeadOfTwoAnswersIsNotTheOwnOne)
+{
+  int number = 0;
+  use_one_target ();
+  const std::string no_id = "X-Not-Run: 1\r\nA: b\r\n";
+  for (const std::string &late :
+       { "HTTP/1.1 503 Service Unavailable\r\n" + no_id,
+         "HTTP/1.1 429 Too Many Requests\r\n" + no_id,
+         std::string ("HTTP/1.1 421 Misdirected Request\r\nA: b\r\n"),
+         "HTTP/1.1 503 Unavailable\r\nX-Request-Id: another\r\n" + no_id })
+    for (size_t size = 1; size <= late.size (); size++)
+      {
+        const std::string id = "hold-" + std::to_string (number++);
+        const std::string part = late.substr (0, size);
+        answer_all ();
+        ASSERT_EQ (get ("/calendar", "open-" + id)->status, 200);
+        first->script = [&] (const ScriptedRequest &request) {
+          return request.number == 1 ? success (request.id)
+                                     : part + success (request.id);
+        };
+        const auto call = post (id);
+        EXPECT_NE (call->field ("jaystair-outcome"), "not-run") << part;
+        EXPECT_TRUE (call->status == 200 || call->status == 502)
+            << call->status << " " << part;
+        EXPECT_EQ (received (id), 1) << part;
+      }
+}
+
+/* Guards against the same for a success that the target has refused. */
+TEST_F (ForeignAnswer, HeadOfASuccessAndARefusalIsNoSuccess)
+{
+  int number = 0;
+  use_one_target ();
+  const std::string late = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nA: b\r\n";
+  for (size_t size = 1; size <= late.size (); size++)
+    {
+      const std::string id = "hold-" + std::to_string (number++);
+      const std::string part = late.substr (0, size);
+      answer_all ();
+      ASSERT_EQ (get ("/calendar", "open-" + id)->status, 200);
+      first->script = [&] (const ScriptedRequest &request) {
+        return request.number == 1 ? rejection (request.id)
+                                   : part + rejection (request.id);
+      };
+      EXPECT_NE (post (id)->status, 200) << part;
+    }
+}
+
 /* Guards against requests without an id whose answers can't be told from late
    ones on a kept connection. */
 TEST_F (ForeignAnswer, RequestWithoutIdHasANewConnection)
--- a/tests/soak/promise_fleet.cc
+++ b/tests/soak/promise_fleet.cc
@@ -151,7 +151,7 @@
     start_target (i, services[i < 4 ? i - 1 : 0]);
   configure ();
   for (int host = 1; host <= plan_.hosts; host++)
-    fleet_.start_host (host);
+    start_host (host);
   for (int host = 1; host <= plan_.hosts; host++)
     if (!fleet_.wait_ready (host))
       return false;
@@ -162,6 +162,15 @@
   return true;
 }
 
+/* Waits until the program runs: before, the process has the descriptors of
+   the test, and would keep them open when it is stopped. */
+void
+PromiseFleet::start_host (int host)
+{
+  fleet_.start_host (host);
+  host_process (host).wait_line ({ "" });
+}
+
 Process &
 PromiseFleet::host_process (int host)
 {
@@ -242,7 +251,7 @@
       host_process (event.number).wait ();
       past_hosts_.push_back (
           std::move (fleet_.hosts[static_cast<size_t> (event.number) - 1]));
-      fleet_.start_host (event.number);
+      start_host (event.number);
       break;
     case PromiseFaultKind::crash_target:
       start_target (event.number,
--- a/tests/soak/promise_fleet.h
+++ b/tests/soak/promise_fleet.h
@@ -53,6 +53,7 @@
   std::string target_address (int number, int port) const;
   void start_target (int number, const std::string &service);
   void stop_target (int number);
+  void start_host (int host);
   void stop_host (int host, int signal);
   void set_cut (const PromiseFaultEvent &event, bool is_cut);
   void configure ();
--- a/tests/soak/promise_soak_test.cc
+++ b/tests/soak/promise_soak_test.cc
@@ -118,16 +118,31 @@
     }
 }
 
+PromiseScope
+without (const std::string &names)
+{
+  PromiseScope scope;
+  scope.without = names;
+  return scope;
+}
+
 /* Guards against promises that a request hasn't run, taken from a late copy of
    another request's rejection. */
 TEST (PromiseSoakTest, FirstSeed)
 {
-  run_seed (1);
+  run_seed (1, without ("half-heads"));
 }
 
 TEST (PromiseSoakTest, SecondSeed)
 {
-  run_seed (2);
+  run_seed (2, without ("half-heads"));
+}
+
+/* Guards against the same where the copy is a part of a head, and the head of
+   the request's own answer comes behind it. */
+TEST (PromiseSoakTest, PartsOfHeads)
+{
+  run_seed (1);
 }
 
 /* Runs COUNT seeds from FROM with up to MOST hosts as the environment has
