response_head: a head that contains another status line is malformed

What callers saw: an unrepeatable request ran twice, or was answered 503 and had run; a request that its target had rejected was answered 200.

Cause: a target may send a part of a late answer's head, and after it its answer to the next request. libcurl joins them into one head: it takes the status of the first and the fields of both, so the id is the request's own and the check of an answer's origin passes. The class is that of the foreign rejections, the meaning of a message is used before its origin is known; here the origin was read from another message than the status.

Change: a line of a head that has no field name, or contains the beginning of a status line, ends the transfer. Nothing of such an answer counts, for any user of libcurl here; the request may have run, the connection is closed. The empty line has to be one: libcurl takes any line that begins with CR for it. Ruled out: rejections on kept connections aren't believed any more, which would answer 502 to each request that a full target rejects properly; and contradictions between fields, which a cut before the first field doesn't show.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -254,7 +254,7 @@
   enum target_call_end end = TARGET_CALL_BROKEN;
   if (call->send_count == 0)
     end = TARGET_CALL_NOT_SENT;
-  else if (call->is_rejected)
+  else if (call->is_rejected || call->response_head.is_malformed)
     end = TARGET_CALL_REJECTED;
   else if (code == CURLE_OK)
     end = TARGET_CALL_COMPLETE;
--- a/wire/response_head.c
+++ b/wire/response_head.c
@@ -1,5 +1,6 @@
 #include "wire/response_head.h"
 
+#include <ctype.h>
 #include <string.h>
 
 enum
@@ -15,6 +16,60 @@
          && memcmp (line, start, sizeof start - 1) == 0;
 }
 
+/* Whether LINE contains "HTTP/1.1 200" or the like. */
+static bool
+contains_status_line (const char *line, size_t size)
+{
+  static const char pattern[] = "HTTP/0.0 000";
+  const size_t length = sizeof pattern - 1;
+  for (size_t at = 0; at + length <= size; at++)
+    {
+      size_t i = 0;
+      while (i < length
+             && (pattern[i] == '0' ? isdigit ((unsigned char)line[at + i]) != 0
+                                   : line[at + i] == pattern[i]))
+        i++;
+      if (i == length)
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_field_line (const char *line, size_t size)
+{
+  const char *colon = memchr (line, ':', size);
+  size_t name_size = colon != NULL ? (size_t)(colon - line) : 0;
+  while (name_size > 0
+         && (line[name_size - 1] == ' ' || line[name_size - 1] == '\t'))
+    name_size--;
+  for (size_t i = 0; i < name_size; i++)
+    if (!isgraph ((unsigned char)line[i]))
+      return false;
+  return name_size > 0;
+}
+
+/* A server may send a part of a head and, after it, its answer to the next
+   request.  libcurl takes the first status and all fields for one head. */
+static bool
+is_well_formed (const struct response_head *head, const char *line,
+                size_t size)
+{
+  if (head->part == RESPONSE_NONE)
+    return is_status_line (line, size)
+           && !contains_status_line (line + 1, size - 1);
+  const bool is_folded = line[0] == ' ' || line[0] == '\t';
+  return (is_folded || is_field_line (line, size))
+         && !contains_status_line (line, size);
+}
+
+static bool
+is_empty_line (const char *line, size_t size)
+{
+  return (size == 2 && line[0] == '\r' && line[1] == '\n')
+         || (size == 1 && line[0] == '\n');
+}
+
 static enum response_line
 end_head (struct response_head *head)
 {
@@ -25,16 +80,26 @@
                                    : RESPONSE_LINE_END;
 }
 
-static enum response_line
-add_line (struct response_head *head, const char *line, size_t size)
+/* Sets WHAT; returns false if the head is malformed. */
+static bool
+add_line (struct response_head *head, const char *line, size_t size,
+          enum response_line *what)
 {
   if (head->part == RESPONSE_BODY)
-    return RESPONSE_LINE_TRAILER;
-  if (line[0] == '\r' || line[0] == '\n')
-    return end_head (head);
+    {
+      *what = RESPONSE_LINE_TRAILER;
+      return true;
+    }
+  if (head->part == RESPONSE_HEAD && is_empty_line (line, size))
+    {
+      *what = end_head (head);
+      return true;
+    }
+  *what = head->part == RESPONSE_NONE ? RESPONSE_LINE_STATUS
+                                      : RESPONSE_LINE_FIELD;
+  head->is_malformed = !is_well_formed (head, line, size);
   head->part = RESPONSE_HEAD;
-  return is_status_line (line, size) ? RESPONSE_LINE_STATUS
-                                     : RESPONSE_LINE_FIELD;
+  return !head->is_malformed;
 }
 
 static size_t
@@ -42,7 +107,9 @@
 {
   struct response_head *head = owner;
   const size_t bytes = size * count;
-  const enum response_line what = add_line (head, line, bytes);
+  enum response_line what;
+  if (!add_line (head, line, bytes, &what))
+    return 0;
   if (head->on_line == NULL || head->on_line (head->owner, what, line, bytes))
     return bytes;
   return 0;
@@ -63,6 +130,7 @@
 response_head_restart (struct response_head *head)
 {
   head->part = RESPONSE_NONE;
+  head->is_malformed = false;
 }
 
 CURLcode
@@ -81,7 +149,8 @@
     case RESPONSE_NONE:
       return "no answer";
     case RESPONSE_HEAD:
-      return "the answer's head is cut";
+      return head->is_malformed ? "the answer's head is malformed"
+                                : "the answer's head is cut";
     case RESPONSE_BODY:
       return "the answer's body is cut";
     }
--- a/wire/response_head.h
+++ b/wire/response_head.h
@@ -44,6 +44,8 @@
   response_head_line *on_line;
   void *owner;
   enum response_part part;
+  bool is_malformed; /**< it has a line that belongs to no head, or the status
+                          line of another one; the transfer is aborted */
 };
 
 /** Follow the responses of EASY.  This sets its header callback; ON_LINE may
@@ -61,7 +63,7 @@
                                CURLcode code);
 
 /** What came of the response of a transfer that failed: "no answer", "the
- * answer's head is cut" or "the answer's body is cut". */
+ * answer's head is cut", "... is malformed" or "the answer's body is cut". */
 const char *response_head_describe (const struct response_head *head);
 
 #endif
