caller: send no request whose attempt was cancelled

An attempt that is cancelled within a callback of libcurl is removed only after libcurl returns. Until then nothing kept it from sending its first byte, though it had been reported as not sent.

Found by reading. No path of the host cancels an attempt within such a callback, and a test that cancels a call on a kept connection there did not provoke it with libcurl 7.88: the callback before the first byte was not called for the cancelled call. The callback now asks for itself.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -44,7 +44,7 @@
                 int local_port)
 {
   struct target_call *call = owner;
-  if (call->send_count > 0)
+  if (call->owner == NULL || call->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
   const struct curl_loop_peer peer
       = { remote_ip, (uint16_t)remote_port, (uint16_t)local_port };
