caller: derive the outcome of a request from its attempts

A request counted as not run unless the path that ended one of its attempts said otherwise, and each local response stated its own outcome. A path that forgot either would have promised "not run" for a request that a target had received.

An attempt now counts as one that may have run from its beginning. It is taken back when its call is gone and no byte was sent, when the target stated that it didn't run the request, or when the host that it was passed on to refused it. Local responses no longer state an outcome: outcome and status come from the record, which also decides whether an unrepeatable request is sent again. No attempt may be in flight when a host responds itself, which is asserted.

No change of behaviour was intended.

--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -2,6 +2,7 @@
 
 #include "node/caller/exchange.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -221,19 +222,6 @@
   exchange_ticket_finish (x);
 }
 
-/* Callers take these statuses for "not run and never will be" and send the
-   request again.  Sent after an attempt was lost, one of them leads to work
-   that is done twice; the code that selects the response may not know of the
-   lost attempt. */
-static bool
-means_not_run (uint32_t status)
-{
-  return status == MHD_HTTP_REQUEST_TIMEOUT
-         || status == MHD_HTTP_MISDIRECTED_REQUEST
-         || status == MHD_HTTP_TOO_MANY_REQUESTS
-         || status == MHD_HTTP_SERVICE_UNAVAILABLE;
-}
-
 int64_t
 exchange_config_age_ms (const struct exchange *x)
 {
@@ -270,12 +258,14 @@
   if (x->service != NULL)
     caller_service_cancel_wait (x->service, &x->waiter);
   stop_waiting (x);
-  if (response->outcome == REQUEST_OUTCOME_NOT_RUN)
-    exchange_quota_refund (x);
+  assert (x->attempt.call == NULL);
   x->local_response = *response;
-  if (x->local_response.outcome == REQUEST_OUTCOME_UNKNOWN
-      && means_not_run (response->status))
-    x->local_response.status = MHD_HTTP_BAD_GATEWAY;
+  x->local_response.outcome = exchange_outcome (x);
+  /* The code that selects the response may not know of a lost attempt. */
+  x->local_response.status
+      = run_record_status (&x->run_record, response->status);
+  if (x->local_response.outcome == REQUEST_OUTCOME_NOT_RUN)
+    exchange_quota_refund (x);
   x->state = EXCHANGE_LOCAL_RESPONSE;
   log_refusal (x);
   caller_counters_add (x->context->counters.refusals, service_name (x),
@@ -295,7 +285,6 @@
                  uint32_t retry_after_ms, const char *message)
 {
   struct local_response response = { .status = status,
-                                     .outcome = exchange_outcome (x),
                                      .reason = reason,
                                      .retry_after_ms = retry_after_ms };
   snprintf (response.message, sizeof response.message, "%s", message);
@@ -323,7 +312,8 @@
 enum request_outcome
 exchange_outcome (const struct exchange *x)
 {
-  return x->may_have_run ? REQUEST_OUTCOME_UNKNOWN : REQUEST_OUTCOME_NOT_RUN;
+  return run_record_may_have_run (&x->run_record) ? REQUEST_OUTCOME_UNKNOWN
+                                                  : REQUEST_OUTCOME_NOT_RUN;
 }
 
 /* The caller disconnected before its response; the line tells operators which
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -28,6 +28,7 @@
 #include "node/caller/request_head.h"
 #include "node/caller/stream_buffer.h"
 #include "node/caller/target_call.h"
+#include "policy/choice/run_record.h"
 
 enum exchange_state
 {
@@ -112,6 +113,7 @@
   ev_prepare run_watcher; /**< never started, only fed */
 
   struct exchange_attempt attempt;
+  struct run_record run_record;
   uint64_t tried_targets[POLICY_TRIED_MAX];
   struct local_response local_response;
 
@@ -147,7 +149,6 @@
   bool last_attempt_unsent; /**< the last attempt is in unsent_count */
   bool is_trial;            /**< trial of a blocked request */
   bool targets_unreached;   /**< refused, since this host is cut from them */
-  bool may_have_run;        /**< a cancelled or failed attempt may have run */
 };
 
 /** Create the exchange of the request that begins on CONNECTION. */
@@ -186,7 +187,8 @@
 /** No response can be sent to the caller any more: cancel all work. */
 void exchange_cancel (struct exchange *x);
 
-/** Respond with RESPONSE instead of a target's response. */
+/** Respond with RESPONSE instead of a target's response.  No attempt may be in
+ * flight.  Outcome and status are set by what is known of X's attempts. */
 void exchange_respond_locally (struct exchange *x,
                                const struct local_response *response);
 
--- a/node/caller/exchange_access.c
+++ b/node/caller/exchange_access.c
@@ -43,7 +43,6 @@
 {
   const enum request_key_state state = x->head.key.state;
   struct local_response response = { .status = MHD_HTTP_UNAUTHORIZED,
-                                     .outcome = exchange_outcome (x),
                                      .reason = key_reason (state),
                                      .has_challenge = true };
   snprintf (response.message, sizeof response.message, "%s",
--- a/node/caller/exchange_admit.c
+++ b/node/caller/exchange_admit.c
@@ -73,9 +73,9 @@
 static void
 refuse_by_policy (struct exchange *x, const struct policy_decision *decision)
 {
+  const bool unknown = run_record_may_have_run (&x->run_record);
   struct local_response response
       = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-          .outcome = exchange_outcome (x),
           .reason = policy_reason_name (decision->reason),
           .retry_after_ms
           = exchange_retry_after_ms (x, decision->retry_after_ms) };
@@ -84,10 +84,8 @@
   if (decision->reason == POLICY_REASON_NO_TARGET
       && decision->retry_after_ms > 0)
     response.retry_after_ms = decision->retry_after_ms;
-  if (response.outcome == REQUEST_OUTCOME_UNKNOWN)
-    response.status = MHD_HTTP_BAD_GATEWAY;
   snprintf (response.message, sizeof response.message, "%s",
-            response.outcome == REQUEST_OUTCOME_UNKNOWN
+            unknown
                 ? "an attempt was lost and none further is allowed: find out "
                   "whether it has run before sending it again"
                 : "the service can't take the request now: come back after "
--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -106,8 +106,6 @@
   if (!attempt->outcome_pending)
     return;
   attempt->outcome_pending = false;
-  if (end == ATTEMPT_CUT || end == ATTEMPT_TIMED_OUT || end == ATTEMPT_FAILED)
-    x->may_have_run = true;
   if (attempt->is_relay)
     return;
   const bool is_direct = !attempt->is_indirect;
@@ -137,11 +135,11 @@
   struct target_call *call = x->attempt.call;
   if (call != NULL)
     {
-      const bool harmless = end == ATTEMPT_SHED || end == ATTEMPT_NOT_SENT;
-      if (!harmless && target_call_may_have_sent (call))
-        x->may_have_run = true;
+      const bool sent = target_call_may_have_sent (call);
       x->attempt.call = NULL;
       target_call_cancel (call);
+      if (!sent)
+        run_record_end (&x->run_record, RUN_PROOF_NEVER_SENT);
     }
   report_outcome (x, end);
 }
@@ -151,11 +149,9 @@
 respond_after_failure (struct exchange *x, enum attempt_end end,
                        const char *message)
 {
-  struct local_response response = { .outcome = exchange_outcome (x) };
-  const bool unknown = response.outcome == REQUEST_OUTCOME_UNKNOWN;
-  response.status
-      = unknown ? MHD_HTTP_BAD_GATEWAY : MHD_HTTP_SERVICE_UNAVAILABLE;
-  response.reason = end_name (end);
+  const bool unknown = run_record_may_have_run (&x->run_record);
+  struct local_response response
+      = { .status = MHD_HTTP_SERVICE_UNAVAILABLE, .reason = end_name (end) };
   response.retry_after_ms
       = unknown ? 0 : exchange_retry_after_ms (x, DEFAULT_RETRY_AFTER_MS);
   snprintf (response.message, sizeof response.message, "%s: %.120s",
@@ -185,10 +181,11 @@
 {
   if (forward_again (x, end))
     return;
-  const bool can_retry = !x->attempt.is_relay
-                         && !exchange_indirect_is_requested (x)
-                         && service_policy_may_retry (end, x->repeatable)
-                         && !x->upload.start_discarded;
+  const bool can_retry
+      = !x->attempt.is_relay && !exchange_indirect_is_requested (x)
+        && service_policy_may_retry (end, x->repeatable)
+        && (x->repeatable || !run_record_may_have_run (&x->run_record))
+        && !x->upload.start_discarded;
   x->attempt.head_received = false;
   if (!can_retry)
     {
@@ -265,6 +262,7 @@
   switch (end)
     {
     case TARGET_CALL_NOT_SENT:
+      run_record_end (&x->run_record, RUN_PROOF_NEVER_SENT);
       on_attempt_broken (x, ATTEMPT_NOT_SENT, message);
       break;
     case TARGET_CALL_BROKEN:
@@ -330,9 +328,11 @@
 }
 
 static void
-discard_response (struct exchange *x, enum attempt_end end, const char *why)
+discard_response (struct exchange *x, enum attempt_end end,
+                  enum run_proof proof, const char *why)
 {
   exchange_cancel_attempt (x, end);
+  run_record_end (&x->run_record, proof);
   retry_or_fail (x, end, why);
 }
 
@@ -342,10 +342,10 @@
   const char *error = response_check_error (x);
   response_check_update_chosen_target (x);
   if (exchange_forward_was_refused (x))
-    discard_response (x, ATTEMPT_NOT_SENT,
+    discard_response (x, ATTEMPT_NOT_SENT, RUN_PROOF_HOST_REFUSED,
                       "the other host is cut from all targets as well");
   else if (error != NULL)
-    discard_response (x, ATTEMPT_CUT, error);
+    discard_response (x, ATTEMPT_CUT, RUN_PROOF_NONE, error);
   else
     exchange_forward_response (x);
 }
@@ -355,7 +355,7 @@
 {
   if (response_check_is_too_large (x))
     {
-      discard_response (x, ATTEMPT_CUT,
+      discard_response (x, ATTEMPT_CUT, RUN_PROOF_NONE,
                         "the target's header fields are too large");
       return;
     }
@@ -372,7 +372,10 @@
   enum attempt_end unreached;
   if (exchange_indirect_is_unreached (x, &unreached))
     {
-      discard_response (x, unreached, "the other host can't reach the target");
+      discard_response (x, unreached,
+                        unreached == ATTEMPT_NOT_SENT ? RUN_PROOF_HOST_REFUSED
+                                                      : RUN_PROOF_NONE,
+                        "the other host can't reach the target");
       return;
     }
   response_check_update_target (x);
@@ -382,14 +385,14 @@
         return;
       target_limits_update_from_answer (x);
       response_check_store_retry_after (x);
-      exchange_cancel_attempt (x, ATTEMPT_SHED);
-      retry_or_fail (x, ATTEMPT_SHED, "the target sheds load");
+      discard_response (x, ATTEMPT_SHED, RUN_PROOF_REJECTED,
+                        "the target sheds load");
       return;
     }
   const char *error = response_check_error (x);
   if (error != NULL || response_check_is_unsigned_refusal (x))
     {
-      discard_response (x, ATTEMPT_CUT,
+      discard_response (x, ATTEMPT_CUT, RUN_PROOF_NONE,
                         error != NULL ? error
                                       : "the target gave no whole answer");
       return;
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -219,9 +219,8 @@
 refuse_large_body (struct exchange *x)
 {
   exchange_cancel_attempt (x, ATTEMPT_CANCELLED);
-  struct local_response response = { .status = MHD_HTTP_CONTENT_TOO_LARGE,
-                                     .outcome = exchange_outcome (x),
-                                     .reason = "body-too-large" };
+  struct local_response response
+      = { .status = MHD_HTTP_CONTENT_TOO_LARGE, .reason = "body-too-large" };
   strcpy (response.message,
           "the body is larger than the service takes: send less");
   exchange_respond_locally (x, &response);
--- a/node/caller/exchange_forward.c
+++ b/node/caller/exchange_forward.c
@@ -71,13 +71,24 @@
   return x->has_quota && x->attempt_count > x->unsent_count;
 }
 
+/* An attempt whose first byte wasn't sent yet is given up first, so only the
+   ones before it count. */
+static bool
+may_have_run (const struct exchange *x)
+{
+  const struct target_call *call = x->attempt.call;
+  return call != NULL && !target_call_may_have_sent (call)
+             ? run_record_may_have_run_before (&x->run_record)
+             : run_record_may_have_run (&x->run_record);
+}
+
 static bool
 may_forward (const struct exchange *x)
 {
   return reach_check_is_cut (x->context->reach_check) && !x->head.is_forwarded
          && !x->head.relayed && !exchange_indirect_is_requested (x)
          && !x->upload.start_discarded && !is_counted_twice (x)
-         && (x->repeatable || !x->may_have_run)
+         && (x->repeatable || !may_have_run (x))
          && x->forward_count < FORWARDS_MAX;
 }
 
--- a/node/caller/exchange_poison.c
+++ b/node/caller/exchange_poison.c
@@ -46,12 +46,9 @@
 void
 exchange_poison_refuse (struct exchange *x, uint32_t remaining_ms)
 {
-  const enum request_outcome outcome = exchange_outcome (x);
-  const bool unknown = outcome == REQUEST_OUTCOME_UNKNOWN;
+  const bool unknown = run_record_may_have_run (&x->run_record);
   struct local_response response
-      = { .status
-          = unknown ? MHD_HTTP_BAD_GATEWAY : MHD_HTTP_SERVICE_UNAVAILABLE,
-          .outcome = outcome,
+      = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
           .reason = "poison-request",
           .retry_after_ms = unknown ? 0 : remaining_ms };
   snprintf (response.message, sizeof response.message, "%s",
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -118,6 +118,7 @@
   attempt->upload_stall_start_us = 0;
   attempt->head_timeout_us = ATTEMPT_NO_TIMEOUT;
   attempt->outcome_pending = true;
+  run_record_begin (&x->run_record);
   attempt->started_us = clock_now_us ();
   const bool rewound = stream_buffer_rewind (&x->upload);
   assert (rewound);
@@ -254,8 +255,6 @@
     credentials = xasprintf ("Authorization: %s", x->head.credentials);
   const char *const extra[]
       = { deadline, ticket, "Jaystair-Relayed: 1", credentials, NULL };
-  /* The issuing host may have run the ticket before. */
-  x->may_have_run = true;
   x->attempt.is_relay = true;
   x->attempt.is_forwarded = false;
   x->attempt.is_indirect = false;
@@ -263,6 +262,8 @@
   snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host);
   decision_log_relay (x, host);
   send_to (x, address, extra);
+  /* The issuing host may have run the ticket before. */
+  run_record_note_host (&x->run_record);
   free (credentials);
 }
 
@@ -281,7 +282,7 @@
                 x->attempt_count - x->unsent_count);
       extra[extra_count++] = attempts;
     }
-  if (x->may_have_run)
+  if (run_record_may_have_run (&x->run_record))
     extra[extra_count++] = "Jaystair-May-Have-Run: 1";
   /* Without workspaces the field is one of the caller's own. */
   if (x->head.credentials != NULL && x->context->workspaces != NULL)
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -229,7 +229,8 @@
                        status_message ());
       return;
     }
-  x->may_have_run = x->head.may_have_run;
+  if (x->head.may_have_run)
+    run_record_note_host (&x->run_record);
   if (refuse_if_leaving (x))
     return;
   x->deadline_us = x->started_us + SETTINGS_WAIT_MAX_US;
@@ -245,7 +246,6 @@
     return false;
   x->targets_unreached = true;
   struct local_response response = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-                                     .outcome = exchange_outcome (x),
                                      .reason = "cut-from-targets",
                                      .retry_after_ms = CUT_RETRY_AFTER_MS };
   strcpy (response.message,
--- a/node/caller/exchange_ticket.c
+++ b/node/caller/exchange_ticket.c
@@ -18,9 +18,8 @@
 respond_unknown (struct exchange *x, uint32_t status, const char *reason,
                  const char *message)
 {
-  struct local_response response = { .status = status,
-                                     .outcome = REQUEST_OUTCOME_UNKNOWN,
-                                     .reason = reason };
+  struct local_response response = { .status = status, .reason = reason };
+  run_record_note_host (&x->run_record);
   snprintf (response.message, sizeof response.message, "%s", message);
   exchange_respond_locally (x, &response);
 }
@@ -29,11 +28,11 @@
 respond_duplicate (struct exchange *x, enum ticket_claim claim,
                    const struct ticket *ticket)
 {
-  struct local_response response = { .status = MHD_HTTP_CONFLICT,
-                                     .outcome = REQUEST_OUTCOME_UNKNOWN,
-                                     .reason = "ticket-duplicate" };
+  struct local_response response
+      = { .status = MHD_HTTP_CONFLICT, .reason = "ticket-duplicate" };
   const uint32_t status
       = ticket_issuer_status (x->context->tickets, ticket->sequence);
+  run_record_note_host (&x->run_record);
   if (claim == TICKET_CLAIM_DUPLICATE_ANSWERED)
     snprintf (response.message, sizeof response.message,
               "this ticket has been run and answered with status %u: don't "
--- a/node/caller/exchange_timer.c
+++ b/node/caller/exchange_timer.c
@@ -17,21 +17,26 @@
   TIMEOUT_RETRY_AFTER_MS = 100
 };
 
-/* Cancel the attempt and respond with the outcome as far as it is known. */
 static void
-fail_pending (struct exchange *x, uint32_t status, const char *reason,
-              uint32_t retry_after_ms)
+cancel_pending (struct exchange *x)
 {
   const bool sent
       = x->attempt.call != NULL && target_call_may_have_sent (x->attempt.call);
   exchange_cancel_attempt (x, sent ? ATTEMPT_TIMED_OUT : ATTEMPT_NOT_SENT);
+}
+
+/* Respond with the outcome as far as it is known.  No attempt is in flight. */
+static void
+fail_pending (struct exchange *x, uint32_t status, const char *reason,
+              uint32_t retry_after_ms)
+{
+  const bool unknown = run_record_may_have_run (&x->run_record);
   struct local_response response
       = { .status = status,
-          .outcome = exchange_outcome (x),
           .reason = reason,
-          .retry_after_ms = x->may_have_run ? 0 : retry_after_ms };
+          .retry_after_ms = unknown ? 0 : retry_after_ms };
   snprintf (response.message, sizeof response.message, "%s",
-            x->may_have_run
+            unknown
                 ? "no target's answer came in time: find out whether the "
                   "request has run before sending it again"
                 : "no target took the request in time: send it again later "
@@ -43,9 +48,9 @@
 static void
 on_deadline (struct exchange *x)
 {
-  const bool sent
-      = x->attempt.call != NULL && target_call_may_have_sent (x->attempt.call);
-  const bool can_retry = x->has_route_timeout && !sent && !x->may_have_run;
+  cancel_pending (x);
+  const bool can_retry
+      = x->has_route_timeout && !run_record_may_have_run (&x->run_record);
   fail_pending (
       x, can_retry ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_GATEWAY_TIMEOUT,
       "deadline", can_retry ? TIMEOUT_RETRY_AFTER_MS : 0);
@@ -54,9 +59,11 @@
 void
 exchange_abort_pending (struct exchange *x)
 {
-  if (x->state == EXCHANGE_WAITING || x->state == EXCHANGE_SENT)
-    fail_pending (x, MHD_HTTP_SERVICE_UNAVAILABLE, "host-stops",
-                  SHUTDOWN_RETRY_AFTER_MS);
+  if (x->state != EXCHANGE_WAITING && x->state != EXCHANGE_SENT)
+    return;
+  cancel_pending (x);
+  fail_pending (x, MHD_HTTP_SERVICE_UNAVAILABLE, "host-stops",
+                SHUTDOWN_RETRY_AFTER_MS);
 }
 
 /* A target may send a body without an announced length for ever.  Its caller
