--- a/tests/soak/promise_fleet.cc
+++ b/tests/soak/promise_fleet.cc
@@ -353,20 +353,28 @@
   std::string text;
   for (const auto &[name, count] : ledger_.counts ())
     text += ", " + std::to_string (count) + " " + name;
-  return text;
+  return text + ", " + std::to_string (count_lines (" verdict=relay "))
+         + " by other hosts, "
+         + std::to_string (count_lines (" answer-rejected ")) + " foreign";
+}
+
+size_t
+PromiseFleet::count_lines (const std::string &text)
+{
+  size_t count = 0;
+  for (const auto *hosts : { &past_hosts_, &fleet_.hosts })
+    for (const auto &host : *hosts)
+      count += host->count_lines ({ text });
+  return count;
 }
 
 std::string
 PromiseFleet::lines_with (const std::string &text)
 {
   std::string found;
-  const auto add = [&] (const std::unique_ptr<Process> &host) {
-    for (const std::string &line : host->lines ({ text }))
-      found += line + "\n";
-  };
-  for (const auto &host : past_hosts_)
-    add (host);
-  for (const auto &host : fleet_.hosts)
-    add (host);
+  for (const auto *hosts : { &past_hosts_, &fleet_.hosts })
+    for (const auto &host : *hosts)
+      for (const std::string &line : host->lines ({ text }))
+        found += line;
   return found;
 }
--- a/tests/soak/promise_fleet.h
+++ b/tests/soak/promise_fleet.h
@@ -38,7 +38,7 @@
   /** Stop the callers and wait until no request is under way anywhere. */
   PromiseVerdict finish ();
 
-  /** Number of rejections, faults and so on. */
+  /** Number of rejections, faults, requests passed on and so on. */
   std::string counts ();
   /** Lines of all hosts that have TEXT. */
   std::string lines_with (const std::string &text);
@@ -61,6 +61,7 @@
   void send_one (KeptConnection &connection, int host, const std::string &id,
                  std::mt19937 &random);
   Process &host_process (int host);
+  size_t count_lines (const std::string &text);
 
   PromisePlan plan_;
   PromiseLedger ledger_;
--- /dev/null
+++ b/tests/soak/promise_ledger.h
@@ -0,0 +1,35 @@
+/** @file
+ * What the simulated back ends of a test ran.
+ */
+#ifndef TESTS_SOAK_PROMISE_LEDGER_H
+#define TESTS_SOAK_PROMISE_LEDGER_H
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "tests/soak/promise_judge.h"
+
+/** Milliseconds of a clock that all records use. */
+int64_t promise_now_ms ();
+
+/** The runs of all targets. */
+class PromiseLedger
+{
+public:
+  size_t begin (const PromiseRun &run);
+  void end (size_t number, int status, const std::string &answer);
+  std::vector<PromiseRun> runs ();
+  /** Count an event, such as a rejection or a fault, under NAME. */
+  void count (const std::string &name);
+  std::map<std::string, int> counts ();
+
+private:
+  std::mutex mutex_;
+  std::vector<PromiseRun> runs_;
+  std::map<std::string, int> counts_;
+};
+
+#endif
--- a/tests/soak/promise_plan.cc
+++ b/tests/soak/promise_plan.cc
@@ -90,6 +90,7 @@
   faults.lost = unless ("endings", below (20));
   faults.error = unless ("endings", below (40));
   faults.slow = below (20);
+  faults.stray = unless ("strays", below (40));
   for (int64_t at_ms = 0; at_ms < duration_ms; at_ms += event_interval_ms)
     for (int n = below (4); n > 0; n--)
       {
--- a/tests/soak/promise_plan.h
+++ b/tests/soak/promise_plan.h
@@ -52,7 +52,7 @@
   int hosts_max = 5;
   int callers = 0; /**< at each host; 0: by the seed */
   /** Names, separated by commas: late-rejections, late-successes, late-errors,
-   * no-ids, half-heads, endings, host-faults, cuts, target-faults,
+   * no-ids, half-heads, strays, endings, host-faults, cuts, target-faults,
    * store-faults. */
   std::string without;
 };
--- a/tests/soak/promise_target.cc
+++ b/tests/soak/promise_target.cc
@@ -4,10 +4,10 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <iterator>
 
 #include <arpa/inet.h>
 #include <poll.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,7 +20,6 @@
 constexpr int slow_factor = 20;
 constexpr int queue_step_ms = 5;
 constexpr int idle_copy_ms = 4;
-constexpr int default_deadline_ms = 4000;
 constexpr size_t body_max = 3000;
 const char *const line_end = "\r\n";
 
@@ -41,185 +40,6 @@
 
 } // namespace
 
-int64_t
-promise_now_ms ()
-{
-  using namespace std::chrono;
-  return duration_cast<milliseconds> (steady_clock::now ().time_since_epoch ())
-      .count ();
-}
-
-size_t
-PromiseLedger::begin (const PromiseRun &run)
-{
-  const std::lock_guard<std::mutex> lock (mutex_);
-  runs_.push_back (run);
-  return runs_.size () - 1;
-}
-
-void
-PromiseLedger::end (size_t number, int status, const std::string &answer)
-{
-  const std::lock_guard<std::mutex> lock (mutex_);
-  runs_[number].end_ms = promise_now_ms ();
-  runs_[number].status = status;
-  runs_[number].answer = answer;
-}
-
-std::vector<PromiseRun>
-PromiseLedger::runs ()
-{
-  const std::lock_guard<std::mutex> lock (mutex_);
-  return runs_;
-}
-
-void
-PromiseLedger::count (const std::string &name)
-{
-  const std::lock_guard<std::mutex> lock (mutex_);
-  counts_[name]++;
-}
-
-std::map<std::string, int>
-PromiseLedger::counts ()
-{
-  const std::lock_guard<std::mutex> lock (mutex_);
-  return counts_;
-}
-
-struct PromiseTarget::Request
-{
-  std::string head;
-  int64_t deadline_ms = 0;
-
-  std::string
-  field (const std::string &name) const
-  {
-    for (size_t at = head.find (line_end); at != std::string::npos;
-         at = head.find (line_end, at + 2))
-      if (strncasecmp (head.c_str () + at + 2, (name + ": ").c_str (),
-                       name.size () + 2)
-          == 0)
-        {
-          const size_t first = at + 2 + name.size () + 2;
-          return head.substr (first, head.find (line_end, first) - first);
-        }
-    return "";
-  }
-
-  bool
-  is_health_check () const
-  {
-    return head.compare (0, 7, "GET /h ") == 0;
-  }
-};
-
-/** What has been received on a connection, and not used yet. */
-class PromiseTarget::Connection
-{
-public:
-  Connection (int given, std::string from)
-      : fd (given), peer (std::move (from))
-  {
-  }
-
-  bool
-  read_head (Request *request, int idle_ms)
-  {
-    if (!receive_until ("\r\n\r\n", idle_ms))
-      return false;
-    const size_t end = received_.find ("\r\n\r\n");
-    request->head = received_.substr (0, end + 2);
-    received_.erase (0, end + 4);
-    const std::string deadline = request->field ("X-Deadline-Ms");
-    request->deadline_ms = promise_now_ms ()
-                           + (deadline.empty () ? default_deadline_ms
-                                                : atoi (deadline.c_str ()));
-    return true;
-  }
-
-  bool
-  read_body (const Request &request, int idle_ms)
-  {
-    if (request.field ("Transfer-Encoding") != "chunked")
-      return take (
-          strtoul (request.field ("Content-Length").c_str (), nullptr, 10),
-          idle_ms);
-    for (;;)
-      {
-        if (!receive_until (line_end, idle_ms))
-          return false;
-        const size_t size = strtoul (received_.c_str (), nullptr, 16);
-        received_.erase (0, received_.find (line_end) + 2);
-        if (!take (size + 2, idle_ms))
-          return false;
-        if (size == 0)
-          return true;
-      }
-  }
-
-  bool
-  send_all (const std::string &text)
-  {
-    size_t sent = 0;
-    while (sent < text.size ())
-      {
-        const ssize_t n = send (fd, text.data () + sent, text.size () - sent,
-                                MSG_NOSIGNAL);
-        if (n <= 0)
-          return false;
-        sent += static_cast<size_t> (n);
-      }
-    return true;
-  }
-
-  /* The next close() sends a reset. */
-  void
-  reset_at_close ()
-  {
-    const linger now = { 1, 0 };
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-  }
-
-  const int fd;
-  const std::string peer;
-
-private:
-  bool
-  receive_more (int idle_ms)
-  {
-    char data[4096];
-    pollfd ready = { fd, POLLIN, 0 };
-    if (poll (&ready, 1, idle_ms) <= 0)
-      return false;
-    const ssize_t n = recv (fd, data, sizeof data, 0);
-    if (n > 0)
-      received_.append (data, static_cast<size_t> (n));
-    return n > 0;
-  }
-
-  bool
-  receive_until (const std::string &end, int idle_ms)
-  {
-    while (received_.find (end) == std::string::npos)
-      if (!receive_more (idle_ms))
-        return false;
-    return true;
-  }
-
-  bool
-  take (size_t bytes, int idle_ms)
-  {
-    while (received_.size () < bytes)
-      if (!receive_more (idle_ms))
-        return false;
-    received_.erase (0, bytes);
-    return true;
-  }
-
-  std::string received_;
-};
-
 PromiseTarget::PromiseTarget (PromiseLedger &ledger,
                               const PromiseTargetOptions &given)
     : options (given), ledger_ (ledger), random_ (given.seed)
@@ -281,7 +101,7 @@
       if (stopping_
           || open_.size () >= static_cast<size_t> (options.connections_max))
         {
-          Connection (fd, peer).reset_at_close ();
+          PromiseConnection (fd, peer).reset_at_close ();
           close (fd);
           continue;
         }
@@ -295,8 +115,8 @@
 void
 PromiseTarget::serve (int fd, std::string peer)
 {
-  Connection connection (fd, std::move (peer));
-  Request request;
+  PromiseConnection connection (fd, std::move (peer));
+  PromiseRequest request;
   std::string copy;
   while (connection.read_head (&request, options.idle_ms)
          && answer (connection, request, &copy))
@@ -314,8 +134,8 @@
 }
 
 bool
-PromiseTarget::answer (Connection &connection, const Request &request,
-                       std::string *copy)
+PromiseTarget::answer (PromiseConnection &connection,
+                       const PromiseRequest &request, std::string *copy)
 {
   const std::string id = request.field ("X-Attempt-Id");
   const std::string instance = request.field ("X-Target-Instance");
@@ -350,14 +170,14 @@
                                  : "answers");
   if (response.empty () || !send_response (connection, response))
     return false;
-  *copy = late_copy (status, response);
+  *copy = late_bytes (status, response);
   return !begins_at_head || connection.read_body (request, options.idle_ms);
 }
 
 /* Runs REQUEST.  The result is the status of the RESPONSE, which stays empty
    if the target ends meanwhile. */
 int
-PromiseTarget::run (const Request &request, const std::string &peer,
+PromiseTarget::run (const PromiseRequest &request, const std::string &peer,
                     std::string *response)
 {
   const std::string id = request.field ("X-Attempt-Id");
@@ -396,7 +216,7 @@
 /* Sends a response, or what a fault leaves of it.  False: the connection
    ends. */
 bool
-PromiseTarget::send_response (Connection &connection,
+PromiseTarget::send_response (PromiseConnection &connection,
                               const std::string &response)
 {
   const size_t head = head_size (response);
@@ -425,7 +245,7 @@
 
 /* Ends a connection without an answer. */
 void
-PromiseTarget::lose (Connection &connection)
+PromiseTarget::lose (PromiseConnection &connection)
 {
   ledger_.count ("lost");
   const int form = below (3);
@@ -460,6 +280,23 @@
   return copy;
 }
 
+/* What is sent late, at the place of the next answer; empty: nothing. */
+std::string
+PromiseTarget::late_bytes (int status, const std::string &response)
+{
+  static const char *const strays[]
+      = { "\r\n",
+          "\r\n\r\n",
+          "0\r\n\r\n",
+          "no answer",
+          "HTTP/1.1 100 Continue\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nX-Not-Executed: 1\r\n\r\n" };
+  if (!draws (options.faults.stray))
+    return late_copy (status, response);
+  ledger_.count ("stray-bytes");
+  return strays[below (static_cast<int> (std::size (strays)))];
+}
+
 PromiseTarget::Slot
 PromiseTarget::take_slot (int fd, int64_t deadline_ms)
 {
--- a/tests/soak/promise_target.h
+++ b/tests/soak/promise_target.h
@@ -15,26 +15,8 @@
 #include <thread>
 #include <vector>
 
-#include "tests/soak/promise_judge.h"
-
-int64_t promise_now_ms ();
-
-/** The runs of all targets. */
-class PromiseLedger
-{
-public:
-  size_t begin (const PromiseRun &run);
-  void end (size_t number, int status, const std::string &answer);
-  std::vector<PromiseRun> runs ();
-  /** Count an event, such as a rejection or a fault, under NAME. */
-  void count (const std::string &name);
-  std::map<std::string, int> counts ();
-
-private:
-  std::mutex mutex_;
-  std::vector<PromiseRun> runs_;
-  std::map<std::string, int> counts_;
-};
+#include "tests/soak/promise_connection.h"
+#include "tests/soak/promise_ledger.h"
 
 /** Faults in thousandths of the answers that they can concern. */
 struct PromiseTargetFaults
@@ -44,6 +26,8 @@
   /** Of these copies: without an id; up to a byte of its head; while no
    * request is waiting. */
   int copy_without_id = 0, copy_half_head = 0, copy_while_idle = 0;
+  /** Bytes that belong to no answer are sent late. */
+  int stray = 0;
   /** The answer ends early; half of these by a reset. */
   int cut_head = 0, cut_body = 0;
   /** Nothing of the answer is sent: closed, reset, or silent. */
@@ -84,8 +68,6 @@
   const PromiseTargetOptions options;
 
 private:
-  struct Request;
-  class Connection;
   enum class Slot
   {
     taken,
@@ -96,13 +78,15 @@
 
   void accept_all ();
   void serve (int fd, std::string peer);
-  bool answer (Connection &connection, const Request &request,
+  bool answer (PromiseConnection &connection, const PromiseRequest &request,
                std::string *copy);
-  int run (const Request &request, const std::string &peer,
+  int run (const PromiseRequest &request, const std::string &peer,
            std::string *response);
-  bool send_response (Connection &connection, const std::string &response);
-  void lose (Connection &connection);
+  bool send_response (PromiseConnection &connection,
+                      const std::string &response);
+  void lose (PromiseConnection &connection);
   std::string late_copy (int status, const std::string &response);
+  std::string late_bytes (int status, const std::string &response);
   Slot take_slot (int fd, int64_t deadline_ms);
   void free_slot ();
   /** Whether a fault of so many THOUSANDTHS occurs now. */
