caller: reset old callers' connections when their host stops

An HTTP/1.0 caller takes the end of the connection for the end of a body whose length isn't announced. A host that was stopped or killed while it passed such a body on closed the connection in order: the caller got 64 of 80 KiB with status 200 and took them for all.

A host that stops resets these connections itself, since the library closes them in order. For one that is killed the kernel does it: closing such a connection is abortive (SO_LINGER) until the body has ended. Weighed: 505 or a whole buffered body for HTTP/1.0, which would take callers their answers or bound them by memory.

--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -212,7 +212,7 @@
   struct exchange *x;
   DL_FOREACH (context->exchanges, x)
   {
-    x->caller_disconnected = true;
+    exchange_abort_response (x);
     exchange_resume_connection (x);
   }
   mhd_loop_destroy (context->mhd_loop);
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -78,6 +78,23 @@
   (void)result;
 }
 
+void
+exchange_abort_response (struct exchange *x)
+{
+  x->caller_disconnected = true;
+  if (x->response_queued && x->head.http_1_0)
+    reset_connection (x);
+}
+
+/* The kernel closes the connections of a process that is killed: with a reset
+   if closing is abortive, otherwise in order. */
+static void
+set_abortive_close (const struct exchange *x, bool is_abortive)
+{
+  const struct linger linger = { .l_onoff = is_abortive };
+  setsockopt (x->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 static ssize_t
 read_response_body (void *owner, uint64_t position, char *data, size_t size)
 {
@@ -97,7 +114,11 @@
       return MHD_CONTENT_READER_END_WITH_ERROR;
     }
   if (x->response_body.is_complete)
-    return MHD_CONTENT_READER_END_OF_STREAM;
+    {
+      if (x->head.http_1_0)
+        set_abortive_close (x, false);
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
   suspend_connection (x);
   return 0;
 }
@@ -112,6 +133,15 @@
   return MHD_SIZE_UNKNOWN;
 }
 
+/* The end of the connection is that of the body. */
+static bool
+ends_with_connection (const struct exchange *x)
+{
+  return x->head.http_1_0 && response_body_bytes (x) == MHD_SIZE_UNKNOWN
+         && strcmp (x->head.method, "HEAD") != 0
+         && x->attempt.status != MHD_HTTP_NOT_MODIFIED;
+}
+
 static void
 add_header (struct MHD_Response *response, const char *name, const char *value)
 {
@@ -170,6 +200,8 @@
     response = MHD_create_response_from_callback (response_body_bytes (x),
                                                   RESPONSE_BLOCK_BYTES,
                                                   read_response_body, x, NULL);
+  if (status != MHD_HTTP_NO_CONTENT && ends_with_connection (x))
+    set_abortive_close (x, true);
   add_headers (response, x);
   return response;
 }
--- a/node/caller/exchange_caller.h
+++ b/node/caller/exchange_caller.h
@@ -20,4 +20,8 @@
  * queue a response before it has read the whole request body. */
 void exchange_send_raw_response (struct exchange *x);
 
+/** The host stops while X has a connection, which the library is going to
+ * close: a part of a response must not look whole. */
+void exchange_abort_response (struct exchange *x);
+
 #endif
--- a/node/caller/tests/caller_fixture.cc
+++ b/node/caller/tests/caller_fixture.cc
@@ -344,9 +344,14 @@
 
 std::unique_ptr<RawCaller>
 CallerTest::connect_raw ()
+{
+  return connect_raw (caller_task_address (task));
+}
+
+std::unique_ptr<RawCaller>
+CallerTest::connect_raw (const std::string &address)
 {
   auto raw = std::make_unique<RawCaller> ();
-  const std::string address = caller_task_address (task);
   sockaddr_in in = {};
   in.sin_family = AF_INET;
   in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
--- a/node/caller/tests/caller_fixture.h
+++ b/node/caller/tests/caller_fixture.h
@@ -95,6 +95,8 @@
                              const std::string &id = "");
 
   std::unique_ptr<RawCaller> connect_raw ();
+  /** The same to a host at ADDRESS. */
+  std::unique_ptr<RawCaller> connect_raw (const std::string &address);
 
   void post_service (const std::string &target_list, const std::string &routes,
                      const std::string &members);
