caller: test cut heads of indirect attempts and of leaving probes

Both pass on the code before. With the check of the head's end taken out, both fail when the connection is closed in order: an unrepeatable request that another host may have passed to its target is answered 503 "not-run", and a leaving target gets requests again.

--- a/node/caller/tests/cut_head_test.cc
+++ b/node/caller/tests/cut_head_test.cc
@@ -227,6 +227,90 @@
         });
 }
 
+/* On connections that carry a single request. */
+class CutHeadOnce : public CutHead
+{
+};
+
+/* Guards against the same where another host makes one attempt at a target. */
+TEST_P (CutHeadOnce, OfAnIndirectAttemptLeavesTheOutcomeUnknown)
+{
+  ScriptedTarget full (loop);
+  full.script = [] (const ScriptedRequest &request) {
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + request.id
+           + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  };
+  bus_message message = {};
+  message.topic = BUS_HOST_SAMPLE;
+  strcpy (message.host_set.service, "other");
+  message.host_set.count = 1;
+  message.host_set.hosts
+      = static_cast<bus_host_entry *> (calloc (1, sizeof (bus_host_entry)));
+  message.host_set.hosts[0] = host ("host-2", scripted->address ());
+  bus_post (the_bus, &message);
+  put_hosts ({ host ("host-1", caller_task_address (task)) });
+  put_targets (the_bus, { { "t1", nowhere }, { "t2", full.address () } });
+  for (const char *status : { "200 OK", "503 Service Unavailable" })
+    for (const char *part :
+         { "HTTP/1.1", "\r\n", "X-Req", "Id: ", "Signature: s", "Unreached",
+           "Unreached: 1", "Unreached: 1\r\n", "Length: 0\r\n" })
+      {
+        std::string id;
+        std::string text;
+        std::unique_ptr<Call> call;
+        ASSERT_TRUE (run_until ([&] {
+          id = "cut-" + std::to_string (next_id++);
+          text = head (status, id, "Jaystair-Unreached: 1\r\n");
+          text.resize (text.find (part) + strlen (part));
+          cut (id, text);
+          call = send ("POST", id);
+          return scripted->received (id) > 0;
+        })) << text;
+        EXPECT_EQ (call->status, 502) << text << "\n-> " << call->answer;
+        EXPECT_EQ (call->field ("jaystair-outcome"), "unknown") << text;
+        EXPECT_EQ (scripted->received (id), 1) << text;
+      }
+}
+
+/* Guards against a leaving target that gets requests again because the head of
+   its answer to a probe, which doesn't say so any more, was cut. */
+TEST_P (CutHeadOnce, OfALeavingProbeIsNoAnswer)
+{
+  ScriptedTarget second (loop);
+  int probes = 0;
+  bool is_leaving = true;
+  second.script
+      = [] (const ScriptedRequest &request) { return success (request.id); };
+  scripted->script = [&] (const ScriptedRequest &request) {
+    if (request.path != "*")
+      {
+        std::string text = success (request.id);
+        return text.insert (text.find ("\r\n") + 2, "Jaystair-Leaving: 1\r\n");
+      }
+    probes++;
+    return std::string ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+           + (is_leaving ? "" : "\r\n");
+  };
+  scripted->end = [] (const ScriptedRequest &request) {
+    return request.path == "*" ? GetParam ().end : ScriptedEnd::keep;
+  };
+  put_targets (the_bus, { { "t1", scripted->address () },
+                          { "t2", second.address () } });
+  int sent = 0;
+  const auto reaches_first = [&] {
+    const std::string id = "read-" + std::to_string (sent++);
+    EXPECT_EQ (send ("GET", id)->status, 200);
+    return scripted->received (id) > 0;
+  };
+  ASSERT_TRUE (run_until (reaches_first));
+  ASSERT_TRUE (run_until ([&] { return probes >= 2; }));
+  for (int i = 0; i < 20; i++)
+    EXPECT_FALSE (reaches_first ()) << i;
+  is_leaving = false;
+  EXPECT_TRUE (run_until (reaches_first));
+  EXPECT_GT (probes, 2);
+}
+
 /* Guards against logs that don't tell a cut head from a cut body or from no
    answer at all. */
 TEST_P (CutHead, LogTellsHowFarTheAnswerCame)
@@ -273,15 +357,22 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P (
-    Ends, CutHead,
-    testing::Values (Cut{ ScriptedEnd::close, false },
-                     Cut{ ScriptedEnd::close, true },
-                     Cut{ ScriptedEnd::reset, false },
-                     Cut{ ScriptedEnd::reset, true }),
-    [] (const auto &of) {
-      return std::string (of.param.is_kept ? "Kept" : "First")
-             + (of.param.end == ScriptedEnd::close ? "Closed" : "Reset");
-    });
+std::string
+cut_name (const testing::TestParamInfo<Cut> &of)
+{
+  return std::string (of.param.is_kept ? "Kept" : "First")
+         + (of.param.end == ScriptedEnd::close ? "Closed" : "Reset");
+}
+
+INSTANTIATE_TEST_SUITE_P (Ends, CutHead,
+                          testing::Values (Cut{ ScriptedEnd::close, false },
+                                           Cut{ ScriptedEnd::close, true },
+                                           Cut{ ScriptedEnd::reset, false },
+                                           Cut{ ScriptedEnd::reset, true }),
+                          cut_name);
+INSTANTIATE_TEST_SUITE_P (Ends, CutHeadOnce,
+                          testing::Values (Cut{ ScriptedEnd::close, false },
+                                           Cut{ ScriptedEnd::reset, false }),
+                          cut_name);
 
 } // namespace
