tests: callers notice a head that ended early

The callers of the fixture and of the process harness judged an answer by libcurl's code, so a host whose own answer ended within its head would have counted as answering whole. They use response_head like the product; CutHeadFailsACallOfTests shows it.

--- a/node/caller/tests/caller_fixture.cc
+++ b/node/caller/tests/caller_fixture.cc
@@ -243,20 +243,20 @@
   return size * count;
 }
 
-static size_t
-on_field (char *data, size_t size, size_t count, void *owner)
+static bool
+on_field (void *owner, enum response_line what, const char *data, size_t size)
 {
-  std::string line (data, size * count);
+  std::string line (data, size);
   const size_t colon = line.find (": ");
   if (colon == std::string::npos)
-    return size * count;
+    return true;
   std::string name = line.substr (0, colon);
   for (char &c : name)
     c = (char)tolower (c);
   while (!line.empty () && (line.back () == '\n' || line.back () == '\r'))
     line.pop_back ();
   static_cast<Call *> (owner)->answer_fields[name] = line.substr (colon + 2);
-  return size * count;
+  return true;
 }
 
 static size_t
@@ -274,7 +274,7 @@
 on_call_done (void *owner, CURLcode code, CURL *easy)
 {
   auto *call = static_cast<Call *> (owner);
-  call->code = code;
+  call->code = response_head_result (&call->head, code);
   call->done = true;
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &call->status);
   curl_easy_cleanup (easy);
@@ -304,8 +304,7 @@
   curl_easy_setopt (call->easy, CURLOPT_URL, call->url.c_str ());
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_answer);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_field);
-  curl_easy_setopt (call->easy, CURLOPT_HEADERDATA, call);
+  response_head_attach (&call->head, call->easy, on_field, call);
   if (call->http_1_0)
     curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION,
                       (long)CURL_HTTP_VERSION_1_0);
--- a/node/caller/tests/caller_fixture.h
+++ b/node/caller/tests/caller_fixture.h
@@ -21,6 +21,7 @@
 #include "node/tables.h"
 #include "tests/standins/target_server.h"
 #include "wire/curl_loop.h"
+#include "wire/response_head.h"
 }
 
 /** A request sent by a caller through libcurl. */
@@ -34,12 +35,13 @@
   std::vector<std::string> fields;
 
   bool done = false;
-  CURLcode code = CURLE_OK;
+  CURLcode code = CURLE_OK; /**< an error if the head wasn't whole */
   long status = 0;
   std::string answer;
   std::map<std::string, std::string> answer_fields; /**< names in lower case */
 
   CURL *easy = nullptr;
+  response_head head = {};
   curl_slist *list = nullptr;
   size_t sent = 0;
 
--- a/node/caller/tests/cut_body_test.cc
+++ b/node/caller/tests/cut_body_test.cc
@@ -294,6 +294,17 @@
       }
 }
 
+/* Guards against tests that take a cut head of a host for a whole answer. */
+TEST_F (CutBody, CutHeadFailsACallOfTests)
+{
+  answer ("HTTP/1.1 200 OK\r\nServer: s\r\n", ScriptedEnd::close);
+  Call call;
+  call.url = "http://" + target->address () + "/";
+  finish (&call);
+  EXPECT_EQ (call.status, 200);
+  EXPECT_EQ (call.code, CURLE_PARTIAL_FILE);
+}
+
 /* Guards against an answer of unknown length that is reset though it is
    whole. */
 TEST_F (CutBody, WholeAnswersLookWhole)
--- a/tests/harness/http.cc
+++ b/tests/harness/http.cc
@@ -7,6 +7,11 @@
 #include <curl/curl.h>
 #include <json-c/json.h>
 
+extern "C"
+{
+#include "wire/response_head.h"
+}
+
 namespace
 {
 
@@ -17,14 +22,15 @@
   return size * count;
 }
 
-size_t
-add_header (char *data, size_t size, size_t count, void *owner)
+bool
+add_header (void *owner, enum response_line what, const char *data,
+            size_t size)
 {
   auto *headers = static_cast<std::map<std::string, std::string> *> (owner);
-  const std::string line (data, size * count);
+  const std::string line (data, size);
   const size_t colon = line.find (':');
   if (colon == std::string::npos)
-    return size * count;
+    return true;
   std::string name = line.substr (0, colon);
   std::transform (name.begin (), name.end (), name.begin (), tolower);
   const size_t first = line.find_first_not_of (" ", colon + 1);
@@ -32,7 +38,7 @@
   (*headers)[name] = first == std::string::npos || first > last
                          ? ""
                          : line.substr (first, last - first + 1);
-  return size * count;
+  return true;
 }
 
 json_object *
@@ -62,6 +68,7 @@
 http (const HttpRequest &request)
 {
   HttpResponse response;
+  response_head head;
   CURL *easy = curl_easy_init ();
   curl_slist *headers = curl_slist_append (nullptr, "Expect:");
   for (const std::string &header : request.headers)
@@ -74,15 +81,14 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, &response.body);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, add_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &response.headers);
+  response_head_attach (&head, easy, add_header, &response.headers);
   if (!request.body.empty () || request.method == "POST")
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE,
                         static_cast<long> (request.body.size ()));
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request.body.data ());
     }
-  const CURLcode code = curl_easy_perform (easy);
+  const CURLcode code = response_head_result (&head, curl_easy_perform (easy));
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &response.status);
   response.complete = code == CURLE_OK;
   response.error = curl_easy_strerror (code);
