--- a/node/caller/tests/caller_fixture.h
+++ b/node/caller/tests/caller_fixture.h
@@ -21,6 +21,7 @@
 #include "node/tables.h"
 #include "tests/standins/target_server.h"
 #include "wire/curl_loop.h"
+#include "wire/response_head.h"
 }
 
 /** A request sent by a caller through libcurl. */
@@ -34,12 +35,13 @@
   std::vector<std::string> fields;
 
   bool done = false;
-  CURLcode code = CURLE_OK;
+  CURLcode code = CURLE_OK; /**< an error if the head wasn't whole */
   long status = 0;
   std::string answer;
   std::map<std::string, std::string> answer_fields; /**< names in lower case */
 
   CURL *easy = nullptr;
+  response_head head = {};
   curl_slist *list = nullptr;
   size_t sent = 0;
 
@@ -95,6 +97,8 @@
                              const std::string &id = "");
 
   std::unique_ptr<RawCaller> connect_raw ();
+  /** The same to a host at ADDRESS. */
+  std::unique_ptr<RawCaller> connect_raw (const std::string &address);
 
   void post_service (const std::string &target_list, const std::string &routes,
                      const std::string &members);
