caller: forget the attempt whose server error is replaced

When a server error was too large to be held and another target was granted, the attempt was cancelled but stayed the exchange's attempt in flight. If the request had been blocked meanwhile, no further attempt began, and the host answered while it still referred to the freed call.

Found by the assertion that no attempt is in flight when a host responds itself. Before, the new test ended with

exchange.c:261: exchange_respond_locally: Assertion `x->attempt.call == NULL' failed.

--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -298,6 +298,7 @@
       decision_log_failure_forwarded (x, &decision);
       return false;
     }
+  x->attempt.call = NULL;
   if (failed != NULL)
     target_call_cancel (failed);
   exchange_apply_decision (x, &decision);
--- a/node/caller/tests/poison_test.cc
+++ b/node/caller/tests/poison_test.cc
@@ -1,5 +1,6 @@
 /* Blocking of requests that crash targets, on a single host. */
 #include "node/caller/tests/caller_fixture.h"
+#include "node/caller/tests/staged_target.h"
 
 #include <cstring>
 #include <sys/socket.h>
@@ -235,6 +236,51 @@
   EXPECT_GE (unknown, 4);
 }
 
+/* Guards against a cancelled attempt that is used after a block, received
+   while its server error arrives, has stopped the next attempt. */
+TEST_F (PoisonTest, BlockBeforeRetryOfServerError)
+{
+  start_with (8);
+  for (int i = 0; i < 5; i++)
+    put ("/crash", "the same");
+  ASSERT_EQ (block.strikes, 1u);
+  caller_task_destroy (task);
+  settings.limits.hold_answer_bytes = 1024;
+  start ();
+  StagedTarget first (loop), second (loop);
+  std::string list;
+  for (const auto *staged : { &first, &second })
+    list += std::string (list.empty () ? "" : ",") + "{ 'name': '"
+            + (list.empty () ? "s1" : "s2") + "', 'address': '"
+            + staged->address ()
+            + "', 'dc': 'dc-a', 'slots': 64, 'connections': 200 }";
+  post_service (list, usual_routes, ", 'limits': { 'retry_percent': 100 }");
+  auto call = make ("PUT", "/crash", "late");
+  call->body = "the same";
+  begin (call.get ());
+  ASSERT_TRUE (run_until ([&] {
+    return (first.received + second.received).find ("the same")
+           != std::string::npos;
+  }));
+  StagedTarget &staged = first.received.empty () ? second : first;
+  staged.write ("HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "1\r\nx\r\n");
+  for (int i = 0; i < 200; i++)
+    {
+      ev_run (loop, EVRUN_NOWAIT);
+      usleep (1000);
+    }
+  receive (block);
+  ASSERT_FALSE (call->done) << call->status << call->answer;
+  const size_t size = settings.limits.hold_answer_bytes + 1;
+  char length[32];
+  snprintf (length, sizeof length, "%zx\r\n", size);
+  staged.write (length + std::string (size, 'x') + "\r\n");
+  ASSERT_TRUE (run_until ([&] { return call->done; }));
+  EXPECT_EQ (call->status, 502) << call->answer;
+  EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+}
+
 /* A block must not persist if the targets were at fault. */
 TEST_F (PoisonTest, SuccessfulTrialLiftsBlock)
 {
