caller: pass on no promise that covers a lost attempt of this host

A cut host passes requests on whole. It tells the other host that an attempt may have run, but passed on whatever came back: a 408, 421, 429 or 503 of a host that knows only its own attempts reached the caller as "not run and never will be". Such a response is now replaced by 502 if an attempt before it may have run; the same holds for requests that are relayed by ticket.

--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -337,6 +337,26 @@
   retry_or_fail (x, end, why);
 }
 
+/* The other host can only promise for itself and for the targets that it
+   tried. */
+static bool
+promises_too_much (const struct exchange *x)
+{
+  return run_status_is_promise (x->attempt.status)
+         && run_record_may_have_run_before (&x->run_record);
+}
+
+/* X was passed on to another host. */
+static void
+evaluate_relay (struct exchange *x)
+{
+  if (promises_too_much (x))
+    discard_response (x, ATTEMPT_CUT, RUN_PROOF_NONE,
+                      "an earlier attempt was lost");
+  else
+    exchange_forward_response (x);
+}
+
 static void
 evaluate_forwarded (struct exchange *x)
 {
@@ -348,7 +368,7 @@
   else if (error != NULL)
     discard_response (x, ATTEMPT_CUT, RUN_PROOF_NONE, error);
   else
-    exchange_forward_response (x);
+    evaluate_relay (x);
 }
 
 void
@@ -367,7 +387,7 @@
     }
   if (x->attempt.is_relay)
     {
-      exchange_forward_response (x);
+      evaluate_relay (x);
       return;
     }
   enum attempt_end unreached;
--- a/node/caller/tests/promise_test.cc
+++ b/node/caller/tests/promise_test.cc
@@ -166,4 +166,33 @@
       }
 }
 
+/* Guards against a refusal of another host that is passed on although this
+   host's own attempt before it may have run. */
+TEST_F (Promise, OfAnotherHostDoesNotCoverEarlierAttempts)
+{
+  StagedTarget lost (loop);
+  ScriptedTarget refusing (loop);
+  refusing.script = [] (const ScriptedRequest &request) {
+    return response ("503 Service Unavailable", request.id);
+  };
+  put_hosts ({ host ("host-1", caller_task_address (task)),
+               host ("host-2", refusing.address ()) });
+  put_targets (the_bus, { { "t1", lost.address () } });
+  auto call = make ("GET", "/calendar", "read");
+  begin (call.get ());
+  ASSERT_TRUE (run_until ([&] { return !lost.received.empty (); }));
+  /* From here on the host can't connect to any target, and finds out. */
+  put_targets (the_bus, { { "t1", lost.address () }, { "t2", nowhere } });
+  lost.refuse ();
+  lost.end (true);
+  ASSERT_TRUE (run_until ([&] { return call->done; }));
+  EXPECT_EQ (refusing.received ("read"), 1);
+  EXPECT_EQ (call->status, 502) << call->answer;
+  EXPECT_EQ (call->field ("jaystair-outcome"), "unknown");
+  curl_loop_destroy (client);
+  client = nullptr;
+  caller_task_destroy (task);
+  task = nullptr;
+}
+
 } // namespace
