caller: a request whose attempt was given up waits for the next one

A host that found itself cut from all targets gave up a request's attempt and checked the request again, which could wait, for a proof of freshness for instance, while the exchange was still in the state of an attempt in flight. Its timer then asked for the attempt that wasn't there, and the host ended.

ForwardTest.RequestWithoutAttemptWaitsForProof, before:

Segmentation fault

An exchange whose attempt was cancelled or lost is now in the state of one that waits.

--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -142,6 +142,8 @@
         run_record_end (&x->run_record, RUN_PROOF_NEVER_SENT);
     }
   report_outcome (x, end);
+  if (x->state == EXCHANGE_SENT)
+    x->state = EXCHANGE_WAITING;
 }
 
 /* There is no response to forward and no further attempt. */
@@ -244,7 +246,7 @@
       exchange_ticket_finish (x);
       return;
     }
-  x->state = EXCHANGE_SENT;
+  x->state = EXCHANGE_WAITING;
   retry_or_fail (x, end, message);
 }
 
--- a/node/caller/tests/forward_test.cc
+++ b/node/caller/tests/forward_test.cc
@@ -8,6 +8,7 @@
 
 extern "C"
 {
+#include "base/clock.h"
 #include "base/digest.h"
 }
 
@@ -296,6 +297,36 @@
   EXPECT_EQ (forged->status, 401) << forged->answer;
 }
 
+/* Guards against a host that ends since the timer of a request asks for the
+   attempt that was given up, while the request waits for a proof. */
+TEST_F (ForwardTest, RequestWithoutAttemptWaitsForProof)
+{
+  const std::string key = "key-june";
+  const digest made = digest_of (key.data (), key.size ());
+  const SilentListener silent;
+  char text[DIGEST_TEXT_SIZE];
+  digest_format (&made, text);
+  settings.access.revoke_ms = 5000;
+  caller_task_destroy (task);
+  start ();
+  put_hosts ({ host ("host-1", caller_task_address (task)),
+               host ("host-2", caller_task_address (other)) });
+  put_target (the_bus, silent.address ());
+  put_config (std::string (", 'workspaces': [{ 'name': 'june', 'keys': [ '")
+              + text + "' ] }]");
+  bus_message message = {};
+  message.topic = BUS_FRESHNESS;
+  message.freshness = { version, clock_now_ms () - 4800 };
+  bus_post (the_bus, &message);
+  auto call = make ("GET", "/calendar", "waits");
+  call->fields.push_back ("Authorization: Bearer " + key);
+  finish (call.get ());
+  EXPECT_TRUE (is_cut ());
+  EXPECT_EQ (call->status, 503) << call->answer;
+  EXPECT_NE (call->answer.find ("config-not-fresh"), std::string::npos)
+      << call->answer;
+}
+
 /* A ticket is claimed at the host that issued it, which then passes the
    request on; sent again, it must not run twice. */
 TEST_F (ForwardTest, TicketRunsOnce)
