--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -149,6 +149,8 @@
         run_record_end (&x->run_record, RUN_PROOF_NEVER_SENT);
     }
   report_outcome (x, end);
+  if (x->state == EXCHANGE_SENT)
+    x->state = EXCHANGE_WAITING;
 }
 
 /* There is no response to forward and no further attempt. */
@@ -251,7 +253,7 @@
       exchange_ticket_finish (x);
       return;
     }
-  x->state = EXCHANGE_SENT;
+  x->state = EXCHANGE_WAITING;
   retry_or_fail (x, end, message);
 }
 
@@ -305,6 +307,7 @@
       decision_log_failure_forwarded (x, &decision);
       return false;
     }
+  x->attempt.call = NULL;
   if (failed != NULL)
     target_call_cancel (failed);
   exchange_apply_decision (x, &decision);
@@ -343,6 +346,26 @@
   retry_or_fail (x, end, why);
 }
 
+/* The other host can only promise for itself and for the targets that it
+   tried. */
+static bool
+promises_too_much (const struct exchange *x)
+{
+  return run_status_is_promise (x->attempt.status)
+         && run_record_may_have_run_before (&x->run_record);
+}
+
+/* X was passed on to another host. */
+static void
+evaluate_relay (struct exchange *x)
+{
+  if (promises_too_much (x))
+    discard_response (x, ATTEMPT_CUT, RUN_PROOF_NONE,
+                      "an earlier attempt was lost");
+  else
+    exchange_forward_response (x);
+}
+
 static void
 evaluate_forwarded (struct exchange *x)
 {
@@ -354,7 +377,7 @@
   else if (error != NULL)
     discard_response (x, ATTEMPT_CUT, RUN_PROOF_NONE, error);
   else
-    exchange_forward_response (x);
+    evaluate_relay (x);
 }
 
 void
@@ -373,7 +396,7 @@
     }
   if (x->attempt.is_relay)
     {
-      exchange_forward_response (x);
+      evaluate_relay (x);
       return;
     }
   enum attempt_end unreached;
