soak: a run with many parts of heads, and what targets sent of each case

A printed case: the target sends "HTTP/1.1 503 Status, X-Not-Executed: 1" and, 38 ms later, the 200 of the request; the host logs shed, 503.

--- a/tests/soak/promise_fleet.cc
+++ b/tests/soak/promise_fleet.cc
@@ -368,6 +368,12 @@
   return count;
 }
 
+std::string
+PromiseFleet::history (const std::string &id)
+{
+  return ledger_.notes (id) + lines_with ("id=" + id + " ");
+}
+
 std::string
 PromiseFleet::lines_with (const std::string &text)
 {
--- a/tests/soak/promise_fleet.h
+++ b/tests/soak/promise_fleet.h
@@ -40,6 +40,8 @@
 
   /** Number of rejections, faults, requests passed on and so on. */
   std::string counts ();
+  /** What targets noted and hosts logged of the attempt ID. */
+  std::string history (const std::string &id);
   /** Lines of all hosts that have TEXT. */
   std::string lines_with (const std::string &text);
 
--- a/tests/soak/promise_ledger.cc
+++ b/tests/soak/promise_ledger.cc
@@ -47,3 +47,17 @@
   const std::lock_guard<std::mutex> lock (mutex_);
   return counts_;
 }
+
+void
+PromiseLedger::note (const std::string &id, const std::string &line)
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  notes_[id] += std::to_string (promise_now_ms ()) + " " + line + "\n";
+}
+
+std::string
+PromiseLedger::notes (const std::string &id)
+{
+  const std::lock_guard<std::mutex> lock (mutex_);
+  return notes_[id];
+}
--- a/tests/soak/promise_ledger.h
+++ b/tests/soak/promise_ledger.h
@@ -25,11 +25,16 @@
   /** Count an event, such as a rejection or a fault, under NAME. */
   void count (const std::string &name);
   std::map<std::string, int> counts ();
+  /** Keep a line of what else happened to the attempt ID. */
+  void note (const std::string &id, const std::string &line);
+  /** The lines about ID. */
+  std::string notes (const std::string &id);
 
 private:
   std::mutex mutex_;
   std::vector<PromiseRun> runs_;
   std::map<std::string, int> counts_;
+  std::map<std::string, std::string> notes_;
 };
 
 #endif
--- a/tests/soak/promise_plan.cc
+++ b/tests/soak/promise_plan.cc
@@ -84,6 +84,8 @@
   faults.late_error = unless ("late-errors", below (200));
   faults.copy_without_id = unless ("no-ids", below (300));
   faults.copy_half_head = unless ("half-heads", below (300));
+  if (scope.half_heads > 0)
+    faults.copy_half_head = scope.half_heads;
   faults.copy_while_idle = below (500);
   faults.cut_head = unless ("endings", below (20));
   faults.cut_body = unless ("endings", below (20));
--- a/tests/soak/promise_plan.h
+++ b/tests/soak/promise_plan.h
@@ -50,7 +50,8 @@
 struct PromiseScope
 {
   int hosts_max = 5;
-  int callers = 0; /**< at each host; 0: by the seed */
+  int callers = 0;    /**< at each host; 0: by the seed */
+  int half_heads = 0; /**< in thousandths of late copies; 0: by the seed */
   /** Names, separated by commas: late-rejections, late-successes, late-errors,
    * no-ids, half-heads, strays, endings, host-faults, cuts, target-faults,
    * store-faults. */
--- a/tests/soak/promise_soak_test.cc
+++ b/tests/soak/promise_soak_test.cc
@@ -71,14 +71,16 @@
     }
 }
 
-/* The first cases with all that hosts logged of them. */
+/* The first cases with all that is known of them. */
 std::string
 describe (PromiseFleet &fleet, const std::vector<std::string> &cases)
 {
+  const size_t id_start = std::string ("id=").size ();
   std::string text;
   for (size_t i = 0; i < std::min (cases_shown, cases.size ()); i++)
     text += cases[i] + "\n"
-            + fleet.lines_with (cases[i].substr (0, cases[i].find (' ') + 1));
+            + fleet.history (
+                cases[i].substr (id_start, cases[i].find (' ') - id_start));
   return text;
 }
 
@@ -142,7 +144,10 @@
    the request's own answer comes behind it. */
 TEST (PromiseSoakTest, PartsOfHeads)
 {
-  run_seed (1);
+  PromiseScope scope;
+  scope.callers = 12;
+  scope.half_heads = 900;
+  run_seed (5, scope);
 }
 
 /* Runs COUNT seeds from FROM with up to MOST hosts as the environment has
@@ -160,6 +165,8 @@
     scope.hosts_max = atoi (rest + 1);
   scope.callers
       = atoi (environment ("JAYSTAIR_PROMISE_SOAK_CALLERS").c_str ());
+  scope.half_heads
+      = atoi (environment ("JAYSTAIR_PROMISE_SOAK_HALF_HEADS").c_str ());
   scope.without = environment ("JAYSTAIR_PROMISE_SOAK_WITHOUT");
   for (uint64_t seed = from; seed < from + count; seed++)
     run_seed (seed, scope);
--- a/tests/soak/promise_target.cc
+++ b/tests/soak/promise_target.cc
@@ -21,6 +21,7 @@
 constexpr int queue_step_ms = 5;
 constexpr int idle_copy_ms = 4;
 constexpr size_t body_max = 3000;
+constexpr size_t note_max = 150;
 const char *const line_end = "\r\n";
 
 std::string
@@ -139,6 +140,10 @@
 {
   const std::string id = request.field ("X-Attempt-Id");
   const std::string instance = request.field ("X-Target-Instance");
+  if (!copy->empty ())
+    ledger_.note (id, options.id + " sent before its answer, to "
+                          + connection.peer + ": "
+                          + copy->substr (0, note_max));
   if (!copy->empty () && !connection.send_all (*copy))
     return false;
   copy->clear ();
@@ -165,6 +170,9 @@
       else
         response = format_response (503, id, "X-Not-Executed: 1\r\n", "");
     }
+  if (status != 200)
+    ledger_.note (id, options.id + " answered " + std::to_string (status)
+                          + " to " + connection.peer);
   ledger_.count (status == 503   ? "rejections"
                  : status == 421 ? "misdirected"
                                  : "answers");
