--- a/tests/soak/promise_plan.h
+++ b/tests/soak/promise_plan.h
@@ -54,7 +54,7 @@
   int half_heads = 0; /**< in thousandths of late copies; 0: by the seed */
   /** Names, separated by commas: late-rejections, late-successes, late-errors,
    * no-ids, half-heads, strays, endings, host-faults, cuts, target-faults,
-   * store-faults. */
+   * store-faults, config-changes. */
   std::string without;
 };
 
