caller: log how a request ended that was passed on to another host

The first host logged that it passed a request on (verdict=relay) but never how that ended, so its log couldn't tell a refusal of the other host from a lost answer. relay-ended has the host, the end and the status.

ForwardTest.EndAtTheOtherHostIsLogged reads the line; forward_test and poison_test pass.

--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -102,6 +102,18 @@
       LOG_INT ("believed_failing_permille", failure_permille));
 }
 
+/* Another host has made the attempts; its log has them under the same id. */
+static void
+log_relay_end (const struct exchange *x, enum attempt_end end)
+{
+  const struct exchange_attempt *attempt = &x->attempt;
+  LOG_INFO ("relay-ended", LOG_STR ("id", x->head.id),
+            LOG_INT ("request", x->id), LOG_STR ("service", x->service->name),
+            LOG_STR ("host", attempt->target), LOG_STR ("end", end_name (end)),
+            LOG_INT ("status", attempt->head_received ? attempt->status : 0),
+            LOG_INT ("took_us", exchange_attempt_latency_us (attempt)));
+}
+
 /* Report the outcome of the attempt to the policy, once. */
 static void
 report_outcome (struct exchange *x, enum attempt_end end)
@@ -111,7 +123,10 @@
     return;
   attempt->outcome_pending = false;
   if (attempt->is_relay)
-    return;
+    {
+      log_relay_end (x, end);
+      return;
+    }
   const bool is_direct = !attempt->is_indirect;
   if (is_direct && (end == ATTEMPT_NOT_SENT || end == ATTEMPT_CUT))
     reach_check_note_failure (x->context->reach_check);
--- a/node/caller/tests/forward_test.cc
+++ b/node/caller/tests/forward_test.cc
@@ -137,6 +137,29 @@
   EXPECT_EQ (target_server_runs (target, "lost"), 1u);
 }
 
+/* Guards against a request that was passed on and of which the log of this
+   host doesn't have the end. */
+TEST_F (ForwardTest, EndAtTheOtherHostIsLogged)
+{
+  FILE *log = tmpfile ();
+  write_log_to (fileno (log));
+  find_cut ();
+  auto call = make ("POST", "/calendar", "logged");
+  finish (call.get ());
+  EXPECT_EQ (call->status, 200) << call->answer;
+  const auto has_end = [&] {
+    std::string text (1 << 20, '\0');
+    rewind (log);
+    text.resize (fread (&text[0], 1, text.size (), log));
+    const size_t at = text.find ("relay-ended id=logged");
+    const std::string line
+        = at == text.npos ? "" : text.substr (at, text.find ('\n', at) - at);
+    return line.find ("host=host-2 end=answered status=200") != line.npos;
+  };
+  EXPECT_TRUE (run_until (has_end));
+  fclose (log);
+}
+
 /* Two cut hosts would pass a request back and forth. */
 TEST_F (ForwardTest, IsPassedOnOnce)
 {
