caller: an answer with the id of another request besides its own is foreign

Only the first of two ids was compared. A 503 with the field for "not run", the request's own id and another one was believed: the target got an unrepeatable request twice, and the caller a 200.

Two ids can't come from a part of a late answer, which brings a second status line; a target has to write both.

Change: each id of an answer has to be the request's. AnswerWithTwoIdsIsNotTheOwnOne before: 200 and 2 requests at the target, now 502 and 1.

--- a/node/caller/response_check.c
+++ b/node/caller/response_check.c
@@ -189,20 +189,31 @@
                        NULL);
 }
 
+static bool
+has_only_id (const struct header_list *headers, const char *name,
+             const char *expected)
+{
+  for (size_t i = 0; i < headers->count; i++)
+    if (strcasecmp (header_list_name (headers, i), name) == 0
+        && strcmp (header_list_value (headers, i), expected) != 0)
+      return false;
+  return true;
+}
+
 /* Targets answer requests that they can't read without an id.  On a connection
    that has carried other requests, such an answer may be to one of these. */
 static const char *
 check_id (const struct exchange *x, const struct target_head *head,
           const char *id)
 {
-  const char *expected
-      = header_list_find (&x->head.headers, x->context->interface->request_id);
+  const char *name = x->context->interface->request_id;
+  const char *expected = header_list_find (&x->head.headers, name);
   const bool is_success = head->status < MHD_HTTP_MULTIPLE_CHOICES;
   if (id == NULL)
     return is_success || !head->is_first_on_connection
                ? "the answer doesn't say to which request"
                : NULL;
-  return expected == NULL || strcmp (id, expected) != 0
+  return expected == NULL || !has_only_id (head->headers, name, expected)
              ? "the answer is another request's"
              : NULL;
 }
