response_head: a 101 is malformed, since no request switches protocols

libcurl 7.88 takes 101 for final and what follows for a body that ends with the connection, response_head took it for interim: no head was reported, the request's own answer was swallowed, and the request waited for its deadline.

Framing.StatusBelow200ThatEndsTheHeadsIs Rejected before: no answer within 10 s for a 101; now 502 at once, 1 request at the target.

--- a/node/caller/tests/framing_test.cc
+++ b/node/caller/tests/framing_test.cc
@@ -208,4 +208,30 @@
         }
 }
 
+/* Guards against a request that waits for its deadline behind a status that
+   libcurl takes for final and response_head for an interim one. */
+TEST_F (Framing, StatusBelow200ThatEndsTheHeadsIsRejected)
+{
+  use_one_target ();
+  for (const char *status : { "101 Switching Protocols", "020 Odd" })
+    {
+      answer_all ();
+      const std::string id = std::string ("hold-") + status[0] + status[1];
+      ASSERT_EQ (get ("/calendar", "open-" + id)->status, 200);
+      first->script = [&] (const ScriptedRequest &request) {
+        return std::string ("HTTP/1.1 ") + status + "\r\n\r\n"
+               + success (request.id);
+      };
+      auto call = make ("POST", "/holds", id);
+      call->body = "date";
+      begin (call.get ());
+      EXPECT_TRUE (run_until ([&] { return call->done; })) << status;
+      if (!call->done)
+        curl_loop_cancel (client, call->easy);
+      ASSERT_TRUE (run_until ([&] { return call->done; }));
+      EXPECT_EQ (call->status, 502) << status;
+      EXPECT_EQ (received (id), 1) << status;
+    }
+}
+
 } // namespace
--- a/wire/response_head.c
+++ b/wire/response_head.c
@@ -5,6 +5,7 @@
 
 enum
 {
+  STATUS_SWITCHING_PROTOCOLS = 101,
   STATUS_FINAL_MIN = 200,
 };
 
@@ -70,11 +71,14 @@
          || (size == 1 && line[0] == '\n');
 }
 
+/* No request here asks for another protocol.  libcurl takes what follows a 101
+   for a body that ends with the connection. */
 static enum response_line
 end_head (struct response_head *head)
 {
   long status = 0;
   curl_easy_getinfo (head->easy, CURLINFO_RESPONSE_CODE, &status);
+  head->is_malformed = status == STATUS_SWITCHING_PROTOCOLS;
   head->part = status < STATUS_FINAL_MIN ? RESPONSE_NONE : RESPONSE_BODY;
   return status < STATUS_FINAL_MIN ? RESPONSE_LINE_INTERIM_END
                                    : RESPONSE_LINE_END;
@@ -93,7 +97,7 @@
   if (head->part == RESPONSE_HEAD && is_empty_line (line, size))
     {
       *what = end_head (head);
-      return true;
+      return !head->is_malformed;
     }
   *what = head->part == RESPONSE_NONE ? RESPONSE_LINE_STATUS
                                       : RESPONSE_LINE_FIELD;
@@ -147,7 +151,8 @@
   switch (head->part)
     {
     case RESPONSE_NONE:
-      return "no answer";
+      return head->is_malformed ? "the answer's head is malformed"
+                                : "no answer";
     case RESPONSE_HEAD:
       return head->is_malformed ? "the answer's head is malformed"
                                 : "the answer's head is cut";
--- a/wire/response_head.h
+++ b/wire/response_head.h
@@ -45,7 +45,8 @@
   void *owner;
   enum response_part part;
   bool is_malformed; /**< it has a line that belongs to no head, or the status
-                          line of another one; the transfer is aborted */
+                          line of another one, or switches protocols; the
+                          transfer is aborted */
 };
 
 /** Follow the responses of EASY.  This sets its header callback; ON_LINE may
