--- a/tests/harness/http.cc
+++ b/tests/harness/http.cc
@@ -7,11 +7,6 @@
 #include <curl/curl.h>
 #include <json-c/json.h>
 
-extern "C"
-{
-#include "wire/response_head.h"
-}
-
 namespace
 {
 
@@ -22,15 +17,26 @@
   return size * count;
 }
 
-bool
-add_header (void *owner, enum response_line what, const char *data,
-            size_t size)
+/* libcurl doesn't tell a response whose head is cut from a whole one. */
+struct ResponseHead
 {
-  auto *headers = static_cast<std::map<std::string, std::string> *> (owner);
-  const std::string line (data, size);
+  std::map<std::string, std::string> headers;
+  bool is_whole = false;
+};
+
+size_t
+add_header (char *data, size_t size, size_t count, void *owner)
+{
+  auto *head = static_cast<ResponseHead *> (owner);
+  std::map<std::string, std::string> *headers = &head->headers;
+  const std::string line (data, size * count);
+  if (line.compare (0, 5, "HTTP/") == 0)
+    head->is_whole = false;
+  if (line == "\r\n" || line == "\n")
+    head->is_whole = true;
   const size_t colon = line.find (':');
   if (colon == std::string::npos)
-    return true;
+    return size * count;
   std::string name = line.substr (0, colon);
   std::transform (name.begin (), name.end (), name.begin (), tolower);
   const size_t first = line.find_first_not_of (" ", colon + 1);
@@ -38,7 +44,7 @@
   (*headers)[name] = first == std::string::npos || first > last
                          ? ""
                          : line.substr (first, last - first + 1);
-  return true;
+  return size * count;
 }
 
 json_object *
@@ -68,7 +74,7 @@
 http (const HttpRequest &request)
 {
   HttpResponse response;
-  response_head head;
+  ResponseHead head;
   CURL *easy = curl_easy_init ();
   curl_slist *headers = curl_slist_append (nullptr, "Expect:");
   for (const std::string &header : request.headers)
@@ -81,17 +87,22 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, &response.body);
-  response_head_attach (&head, easy, add_header, &response.headers);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, add_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &head);
   if (!request.body.empty () || request.method == "POST")
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE,
                         static_cast<long> (request.body.size ()));
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request.body.data ());
     }
-  const CURLcode code = response_head_result (&head, curl_easy_perform (easy));
+  const CURLcode code = curl_easy_perform (easy);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &response.status);
-  response.complete = code == CURLE_OK;
-  response.error = curl_easy_strerror (code);
+  response.headers = head.headers;
+  response.complete
+      = code == CURLE_OK && head.is_whole && response.status >= 200;
+  response.error = code == CURLE_OK && !response.complete
+                       ? "the response's head is cut"
+                       : curl_easy_strerror (code);
   curl_slist_free_all (headers);
   curl_easy_cleanup (easy);
   return response;
