--- a/tests/fleet/daemon_test.cc
+++ b/tests/fleet/daemon_test.cc
@@ -150,6 +150,28 @@
   EXPECT_EQ (host ().wait (), 0) << host ().tail ();
 }
 
+/* Guards against a stop that is announced more than once, as by a supervisor
+   and its group, and breaks off requests at which targets are at work. */
+TEST_F (RunningHost, RepeatedSignalsBreakNoRequestOff)
+{
+  ASSERT_TRUE (
+      fleet.post_control (fleet.target_url (1, "/control/set?delay_ms=700")));
+  Record record;
+  std::thread caller ([&] {
+    record = send_and_classify (fleet.caller_url (1, ""), "slow", true);
+  });
+  ASSERT_TRUE (host ().wait_line ({ "\"route\"", "\"slow\"" }));
+  size_t from = 0;
+  for (int i = 0; i < 3; i++)
+    {
+      host ().signal (SIGTERM);
+      ASSERT_TRUE (host ().wait_line ({ "\"leave\"" }, &from));
+    }
+  caller.join ();
+  EXPECT_EQ (record.outcome, RequestOutcome::ran) << record.detail;
+  EXPECT_EQ (host ().wait (), 0) << host ().tail ();
+}
+
 /* A host receives a second SIGTERM while an unrepeatable request hangs at its
    target.  It must exit soon, and the request must be reported as unknown. */
 TEST_F (RunningHost, SecondSignalEndsHangingRequests)
