caller, daemon, ctl: log why a request ended without its response

The line abandoned was the same for a caller that left, an idle timeout, a connection that the host closed and a host that stopped, and ctl put all down to the caller.

abandoned has why, leave has repeated, left has connections, and response-undelivered tells of a close with unread and undelivered bytes.

--- a/ctl/request_cause.c
+++ b/ctl/request_cause.c
@@ -72,6 +72,14 @@
                        "the deadline had passed" },
         { NULL, "ended the attempt" } };
 
+/* Why a request ended without its response; older hosts don't say. */
+static const struct meaning abandoned_meanings[]
+    = { { "closed-by-host", "the host closed the connection" },
+        { "idle-timeout", "the connection was idle for too long" },
+        { "host-stops", "the host stopped" },
+        { "read-error", "the connection broke" },
+        { NULL, "the caller went away" } };
+
 static const char *
 meaning_of (const struct meaning *meanings, const char *name)
 {
@@ -208,11 +216,11 @@
     print_refusal (out, own, count, refused);
   else if (abandoned != NULL)
     {
-      fprintf (out,
-               "the caller went away while the request was %s, after "
-               "%" PRId64 " attempts",
-               log_line_text (abandoned, "stage"),
-               log_line_number (abandoned, "attempts"));
+      fprintf (
+          out, "%s while the request was %s, after %" PRId64 " attempts",
+          meaning_of (abandoned_meanings, log_line_text (abandoned, "why")),
+          log_line_text (abandoned, "stage"),
+          log_line_number (abandoned, "attempts"));
       print_attempts (out, own, count);
     }
   else if (attempt != NULL)
--- a/ctl/tests/request_timeline_test.cc
+++ b/ctl/tests/request_timeline_test.cc
@@ -130,6 +130,17 @@
               "the caller went away while the request was waiting");
 }
 
+/* Guards against a connection that the host closed and that is put down to the
+   caller. */
+TEST_F (RequestTimeline, ReportsConnectionClosedByTheHost)
+{
+  read ("h1", time_prefix
+                  + "2.000Z warning caller abandoned id=ab12 stage=sent "
+                    "why=host-stops attempts=1\n");
+  EXPECT_HAS (finish_and_print (),
+              "the host stopped while the request was sent");
+}
+
 /* A host suppresses lines beyond its limit.  The missing ones must be listed,
    or an incomplete timeline looks complete. */
 TEST_F (RequestTimeline, ReportsMissingLines)
--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -6,7 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <linux/sockios.h>
 #include <microhttpd.h>
+#include <sys/ioctl.h>
 #include <utlist.h>
 
 #include "base/log.h"
@@ -79,8 +81,7 @@
   struct exchange *x = *state;
   *state = NULL;
   if (x != NULL)
-    exchange_request_completed (x,
-                                code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    exchange_request_completed (x, code);
 }
 
 static void
@@ -91,6 +92,32 @@
   exchange_schedule_run (x);
 }
 
+/* Closing a socket with unread bytes resets the connection, and the kernel
+   discards what it hasn't delivered. */
+static void
+log_undelivered (int fd)
+{
+  int unread_bytes = 0;
+  int undelivered_bytes = 0;
+  if (ioctl (fd, FIONREAD, &unread_bytes) != 0
+      || ioctl (fd, SIOCOUTQ, &undelivered_bytes) != 0 || unread_bytes == 0
+      || undelivered_bytes == 0)
+    return;
+  LOG_WARN ("response-undelivered",
+            LOG_INT ("undelivered_bytes", undelivered_bytes),
+            LOG_INT ("unread_bytes", unread_bytes));
+}
+
+static void
+on_connection_event (void *owner, struct MHD_Connection *connection,
+                     void **state, enum MHD_ConnectionNotificationCode code)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED && info != NULL)
+    log_undelivered (info->connect_fd);
+}
+
 static void
 on_log (void *owner, const char *format, va_list arguments)
 {
@@ -126,7 +153,16 @@
       memory_bytes, MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds (limits),
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
       on_request_line, context, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      context, MHD_OPTION_END);
+      context, MHD_OPTION_NOTIFY_CONNECTION, on_connection_event, context,
+      MHD_OPTION_END);
+}
+
+uint32_t
+caller_server_connection_count (const struct caller_server *server)
+{
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (
+      server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return info != NULL ? info->num_connections : 0;
 }
 
 /* When all connections are in use, for example after the loss of many hosts,
@@ -137,9 +173,7 @@
 bool
 caller_server_is_near_connection_limit (struct caller_server *server)
 {
-  const union MHD_DaemonInfo *info = MHD_get_daemon_info (
-      server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-  const uint64_t used = info != NULL ? info->num_connections : 0;
+  const uint64_t used = caller_server_connection_count (server);
   const uint64_t limit = server->context->settings->limits.connections;
   const bool is_near = used * 100 >= limit * NEAR_CONNECTION_LIMIT_PERCENT;
   if (is_near != server->was_near_limit)
@@ -220,7 +254,7 @@
   struct exchange *next;
   DL_FOREACH_SAFE (context->exchanges, x, next)
   {
-    exchange_request_completed (x, false);
+    exchange_request_completed (x, MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN);
   }
   hangup_watch_destroy (context->hangup);
   free (server);
--- a/node/caller/caller_server.h
+++ b/node/caller/caller_server.h
@@ -5,6 +5,7 @@
 #define NODE_CALLER_CALLER_SERVER_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "base/status.h"
 #include "node/caller/caller_context.h"
@@ -20,6 +21,9 @@
  * theirs. */
 bool caller_server_is_near_connection_limit (struct caller_server *server);
 
+/** Connections that callers have open. */
+uint32_t caller_server_connection_count (const struct caller_server *server);
+
 /** Close all connections, which breaks off the requests in flight. */
 void caller_server_destroy (struct caller_server *server);
 
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -474,6 +474,12 @@
   return task->context.in_flight;
 }
 
+uint32_t
+caller_task_connection_count (const struct caller_task *task)
+{
+  return caller_server_connection_count (task->context.server);
+}
+
 struct detection_recorder *
 caller_task_recorder (struct caller_task *task, const char *name)
 {
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -73,6 +73,9 @@
 /** Accepted requests whose response isn't completely sent. */
 uint32_t caller_task_in_flight (const struct caller_task *task);
 
+/** Connections that callers have open. */
+uint32_t caller_task_connection_count (const struct caller_task *task);
+
 /** The outcomes by target, since they were last drained, of the service called
  * NAME; NULL if no such service is in force. */
 struct detection_recorder *caller_task_recorder (struct caller_task *task,
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -316,10 +316,24 @@
                                                   : REQUEST_OUTCOME_NOT_RUN;
 }
 
-/* The caller disconnected before its response; the line tells operators which
-   stage the request had reached. */
+/* How a request ended whose response wasn't written. */
+static const char *
+termination_name (enum MHD_RequestTerminationCode code)
+{
+  static const char *const names[]
+      = { [MHD_REQUEST_TERMINATED_COMPLETED_OK] = "completed",
+          [MHD_REQUEST_TERMINATED_WITH_ERROR] = "closed-by-host",
+          [MHD_REQUEST_TERMINATED_TIMEOUT_REACHED] = "idle-timeout",
+          [MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN] = "host-stops",
+          [MHD_REQUEST_TERMINATED_READ_ERROR] = "read-error",
+          [MHD_REQUEST_TERMINATED_CLIENT_ABORT] = "caller-left" };
+  return (size_t)code < sizeof names / sizeof names[0] ? names[code] : "other";
+}
+
+/* The request ends before its response; the line tells operators which stage
+   it had reached. */
 static void
-log_abandoned (const struct exchange *x)
+log_abandoned (const struct exchange *x, const char *why)
 {
   static const char *const stages[]
       = { [EXCHANGE_NEW] = "begun",
@@ -334,12 +348,14 @@
   LOG_WARN ("abandoned", LOG_STR ("id", x->head.id),
             LOG_INT ("request", x->id), LOG_STR ("service", service_name (x)),
             LOG_STR ("route", x->route), LOG_STR ("stage", stage),
-            LOG_INT ("attempts", x->attempt_count));
+            LOG_STR ("why", why), LOG_INT ("attempts", x->attempt_count));
 }
 
 void
-exchange_request_completed (struct exchange *x, bool ok)
+exchange_request_completed (struct exchange *x,
+                            enum MHD_RequestTerminationCode code)
 {
+  const bool ok = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
   if (x->hangup_watched)
     hangup_watch_remove (x->context->hangup, x->fd);
   x->hangup_watched = false;
@@ -349,7 +365,7 @@
   if (ok && x->state == EXCHANGE_FORWARDING && x->attempt.call != NULL)
     return;
   if (!ok)
-    log_abandoned (x);
+    log_abandoned (x, termination_name (code));
   exchange_cancel (x);
   count_outcome (x);
   exchange_destroy (x);
@@ -358,7 +374,7 @@
 static void
 handle_disconnect (struct exchange *x)
 {
-  log_abandoned (x);
+  log_abandoned (x, "caller-left");
   exchange_cancel (x);
   x->response_truncated = true;
   if (x->state != EXCHANGE_FORWARDING)
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -179,9 +179,10 @@
 void exchange_wait_for (struct exchange *x, enum exchange_wait what,
                         int64_t limit_us);
 
-/** The library has released the request.  OK: the whole response was written.
- */
-void exchange_request_completed (struct exchange *x, bool ok);
+/** The library has released the request.  CODE: whether the whole response was
+ * written, or why not. */
+void exchange_request_completed (struct exchange *x,
+                                 enum MHD_RequestTerminationCode code);
 
 /** Run exchange_run() from the event loop. */
 void exchange_schedule_run (struct exchange *x);
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -336,8 +336,10 @@
     return;
   host->phase = HOST_STOPPED;
   ev_timer_stop (host->loop, &host->leave_timer);
-  LOG_INFO ("left", LOG_STR ("why", why),
-            LOG_INT ("in_flight", caller_task_in_flight (host->caller)));
+  LOG_INFO (
+      "left", LOG_STR ("why", why),
+      LOG_INT ("in_flight", caller_task_in_flight (host->caller)),
+      LOG_INT ("connections", caller_task_connection_count (host->caller)));
   host->done (host->done_owner);
 }
 
--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -43,6 +43,7 @@
   struct ev_signal on_int;
   struct ev_signal on_hup;
   struct ev_stat settings_stat; /* of the settings file */
+  bool is_leaving;
 };
 
 static void
@@ -69,7 +70,9 @@
 terminate_cb (struct ev_loop *loop, struct ev_signal *watcher, int events)
 {
   struct program *program = watcher->data;
-  LOG_INFO ("leave", LOG_INT ("signal", watcher->signum));
+  LOG_INFO ("leave", LOG_INT ("signal", watcher->signum),
+            LOG_INT ("repeated", program->is_leaving));
+  program->is_leaving = true;
   host_begin_leaving (program->host, host_left_cb, program);
 }
 
