caller: deliver responses before a connection is closed

What callers saw: a success whose body ended early with a reset, or no answer, from a host that was leaving; the target had answered whole.

Cause: libmicrohttpd closes a socket behind a response with `Connection: close`. If bytes of the caller are unread then (a request that it sent ahead, the rest of a body), or come before it has read the response, the kernel resets the connection and discards what it hasn't delivered. A leaving host closes behind each response, so does one near its limit of connections. A stopping host also reset connections that the kernel had accepted and it hadn't.

Change: a connection is closed for writing only, and what its caller still sends is read and discarded until the caller closes, two seconds at the most, for a tenth of the connections at the most (lingering_close). At the end of its time to leave a host first stops listening, serves on for 0.1 s, and then closes its connections in this way (caller_leave, split from caller_task). Connections that are to be reset, since their end would look like the end of a truncated body, are left alone.

CallerTaskTest.LateRequestAtLeavingHostIsRefused sent its late request to a host that had left already and only wasn't ended by the test; a request in flight keeps the host now, and its answer is checked too.

--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -53,6 +53,10 @@
           .help = "Requests blocked because targets crashed while they ran "
                   "them, by where that was learned.",
           .label_names = { "source" } };
+  const struct counter_family_options lingering
+      = { .name = "jaystair_lingering_connections",
+          .help = "Connections that are closed here and not yet by callers.",
+          .kind = COUNTER_GAUGE };
   const struct counter_family_options in_flight
       = { .name = "jaystair_requests_in_flight",
           .help = "Requests taken in and not yet answered to the end.",
@@ -112,6 +116,8 @@
   families->actual_work = counters_family (counters, &actual_work);
   families->cut_from_targets
       = counter_series (counters_family (counters, &cut_from_targets), NULL);
+  families->lingering
+      = counter_series (counters_family (counters, &lingering), NULL);
   families->in_flight
       = counter_series (counters_family (counters, &in_flight), NULL);
   families->address_answers
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -27,6 +27,7 @@
   struct counter_family *expected_work;   /**< by service */
   struct counter_family *actual_work;     /**< by service */
   struct counter *in_flight;
+  struct counter *lingering; /**< closed connections still delivered */
   struct counter *cut_from_targets;
   struct counter *address_answers;
 };
--- /dev/null
+++ b/node/caller/caller_leave.c
@@ -0,0 +1,126 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/caller_leave.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "node/caller/caller_server.h"
+
+static const double CHECK_INTERVAL_S = 0.05;
+
+enum
+{
+  /* For requests on connections that were accepted last. */
+  LAST_REQUESTS_MS = 100,
+  /* For callers to close their ends of the connections. */
+  CLOSE_MAX_MS = 200,
+};
+
+enum leave_phase
+{
+  LEAVE_SERVING,
+  LEAVE_NOT_LISTENING,
+  LEAVE_CLOSING,
+};
+
+struct caller_leave
+{
+  struct caller_context *context;
+  enum leave_phase phase;
+  int64_t phase_ends_ms; /* at the earliest; of closing: at the latest */
+  ev_timer check;
+  caller_leave_done *done;
+  void *owner;
+};
+
+static void
+begin_phase (struct caller_leave *leave, enum leave_phase phase, int64_t ms)
+{
+  leave->phase = phase;
+  leave->phase_ends_ms = clock_now_ms () + ms;
+}
+
+static void
+finish (struct caller_leave *leave)
+{
+  ev_timer_stop (leave->context->loop, &leave->check);
+  LOG_INFO ("left");
+  leave->done (leave->owner);
+}
+
+static void
+on_check (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct caller_leave *leave = timer->data;
+  struct caller_server *server = leave->context->server;
+  const bool is_over = clock_now_ms () >= leave->phase_ends_ms;
+  if (leave->phase == LEAVE_CLOSING)
+    {
+      if (is_over || caller_server_is_closed (server))
+        finish (leave);
+      return;
+    }
+  if (!is_over || leave->context->in_flight > 0)
+    return;
+  if (leave->phase == LEAVE_SERVING)
+    {
+      caller_server_stop_listening (server);
+      begin_phase (leave, LEAVE_NOT_LISTENING, LAST_REQUESTS_MS);
+      return;
+    }
+  LOG_INFO ("closing",
+            LOG_INT ("connections", caller_server_connection_count (server)));
+  caller_server_close_connections (server);
+  begin_phase (leave, LEAVE_CLOSING, CLOSE_MAX_MS);
+}
+
+struct caller_leave *
+caller_leave_create (struct caller_context *context)
+{
+  struct caller_leave *leave = xcalloc (1, sizeof *leave);
+  leave->context = context;
+  ev_timer_init (&leave->check, on_check, 0., CHECK_INTERVAL_S);
+  leave->check.data = leave;
+  return leave;
+}
+
+void
+caller_leave_begin (struct caller_leave *leave, caller_leave_done *done,
+                    void *owner)
+{
+  struct caller_context *context = leave->context;
+  const struct host_settings *settings = context->settings;
+  leave->done = done;
+  leave->owner = owner;
+  if (context->leaving)
+    return;
+  context->leaving = true;
+  context->leaving_since_ms = clock_now_ms ();
+  /* Another host may list this one until it receives the announcement or, at
+     the latest, misses the heartbeats; callers may keep that response for
+     keep_answer_ms. */
+  begin_phase (leave, LEAVE_SERVING,
+               host_settings_keep_answer_ms (settings)
+                   + settings->times.suspect_after_ms);
+  LOG_INFO ("leaving", LOG_INT ("in_flight", context->in_flight));
+  ev_timer_again (context->loop, &leave->check);
+}
+
+void
+caller_leave_hurry (struct caller_leave *leave)
+{
+  if (leave->phase == LEAVE_SERVING)
+    leave->phase_ends_ms = 0;
+}
+
+void
+caller_leave_destroy (struct caller_leave *leave)
+{
+  if (leave == NULL)
+    return;
+  ev_timer_stop (leave->context->loop, &leave->check);
+  free (leave);
+}
--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -5,10 +5,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
-#include <linux/sockios.h>
 #include <microhttpd.h>
-#include <sys/ioctl.h>
 #include <utlist.h>
 
 #include "base/log.h"
@@ -16,6 +15,7 @@
 #include "node/caller/address_answer.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_caller.h"
+#include "node/caller/lingering_close.h"
 
 enum
 {
@@ -23,13 +23,17 @@
   LOG_TEXT_SIZE = 256,
   /* The remaining connections are for callers that connect within one
      iteration of the event loop. */
-  NEAR_CONNECTION_LIMIT_PERCENT = 90
+  NEAR_CONNECTION_LIMIT_PERCENT = 90,
+  /* Descriptors of closing connections, for each of the limit. */
+  LINGERING_CONNECTION_DIVISOR = 10,
 };
 
 struct caller_server
 {
   struct caller_context *context;
-  struct MHD_Daemon *daemon;
+  struct MHD_Daemon *daemon; /* NULL: all connections are closed */
+  struct lingering_close *lingering;
+  bool is_listening;
   bool was_near_limit; /* at the last check */
 };
 
@@ -92,30 +96,15 @@
   exchange_schedule_run (x);
 }
 
-/* Closing a socket with unread bytes resets the connection, and the kernel
-   discards what it hasn't delivered. */
-static void
-log_undelivered (int fd)
-{
-  int unread_bytes = 0;
-  int undelivered_bytes = 0;
-  if (ioctl (fd, FIONREAD, &unread_bytes) != 0
-      || ioctl (fd, SIOCOUTQ, &undelivered_bytes) != 0 || unread_bytes == 0
-      || undelivered_bytes == 0)
-    return;
-  LOG_WARN ("response-undelivered",
-            LOG_INT ("undelivered_bytes", undelivered_bytes),
-            LOG_INT ("unread_bytes", unread_bytes));
-}
-
 static void
 on_connection_event (void *owner, struct MHD_Connection *connection,
                      void **state, enum MHD_ConnectionNotificationCode code)
 {
+  const struct caller_server *server = owner;
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   if (code == MHD_CONNECTION_NOTIFY_CLOSED && info != NULL)
-    log_undelivered (info->connect_fd);
+    lingering_close_add (server->lingering, info->connect_fd);
 }
 
 static void
@@ -136,9 +125,10 @@
 }
 
 static struct MHD_Daemon *
-start_daemon (struct caller_context *context,
+start_daemon (struct caller_server *server,
               const struct sockaddr_storage *address)
 {
+  struct caller_context *context = server->context;
   const struct caller_limits *limits = &context->settings->limits;
   const unsigned int family
       = address->ss_family == AF_INET6 ? MHD_USE_IPv6 : 0;
@@ -153,15 +143,18 @@
       memory_bytes, MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds (limits),
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
       on_request_line, context, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      context, MHD_OPTION_NOTIFY_CONNECTION, on_connection_event, context,
+      context, MHD_OPTION_NOTIFY_CONNECTION, on_connection_event, server,
       MHD_OPTION_END);
 }
 
 uint32_t
 caller_server_connection_count (const struct caller_server *server)
 {
-  const union MHD_DaemonInfo *info = MHD_get_daemon_info (
-      server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  const union MHD_DaemonInfo *info
+      = server->daemon == NULL
+            ? NULL
+            : MHD_get_daemon_info (server->daemon,
+                                   MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
   return info != NULL ? info->num_connections : 0;
 }
 
@@ -200,6 +193,25 @@
             mhd_loop_bound_port (daemon));
 }
 
+static bool
+start (struct caller_server *server, const struct sockaddr_storage *address)
+{
+  struct caller_context *context = server->context;
+  server->daemon = start_daemon (server, address);
+  if (server->daemon == NULL)
+    {
+      status_errno ("can't listen for callers on %s: free the address or "
+                    "choose another",
+                    context->settings->caller_address);
+      return false;
+    }
+  server->is_listening = true;
+  context->hangup
+      = hangup_watch_create (context->loop, on_caller_disconnected);
+  context->mhd_loop = mhd_loop_create (context->loop, server->daemon);
+  return context->hangup != NULL && context->mhd_loop != NULL;
+}
+
 struct caller_server *
 caller_server_create (struct caller_context *context)
 {
@@ -212,35 +224,39 @@
                   address_text);
       return NULL;
     }
-  struct MHD_Daemon *daemon = start_daemon (context, &address);
-  if (daemon == NULL)
-    {
-      status_errno ("can't listen for callers on %s: free the address or "
-                    "choose another",
-                    address_text);
-      return NULL;
-    }
-  context->hangup
-      = hangup_watch_create (context->loop, on_caller_disconnected);
-  context->mhd_loop = mhd_loop_create (context->loop, daemon);
-  if (context->hangup == NULL || context->mhd_loop == NULL)
+  struct caller_server *server = xcalloc (1, sizeof *server);
+  server->context = context;
+  server->lingering = lingering_close_create (
+      context->loop,
+      context->settings->limits.connections / LINGERING_CONNECTION_DIVISOR,
+      context->counters.lingering);
+  if (!start (server, &address))
     {
-      mhd_loop_destroy (context->mhd_loop);
-      hangup_watch_destroy (context->hangup);
-      MHD_stop_daemon (daemon);
+      caller_server_destroy (server);
       return NULL;
     }
-  set_own_address (context, daemon);
-  struct caller_server *server = xcalloc (1, sizeof *server);
-  server->context = context;
-  server->daemon = daemon;
+  set_own_address (context, server->daemon);
   return server;
 }
 
+/* Connections that the kernel has accepted would be reset with the listening
+   socket. */
 void
-caller_server_destroy (struct caller_server *server)
+caller_server_stop_listening (struct caller_server *server)
 {
-  if (server == NULL)
+  if (!server->is_listening)
+    return;
+  server->is_listening = false;
+  MHD_run (server->daemon);
+  const int fd = MHD_quiesce_daemon (server->daemon);
+  if (fd >= 0)
+    close (fd);
+}
+
+void
+caller_server_close_connections (struct caller_server *server)
+{
+  if (server->daemon == NULL)
     return;
   struct caller_context *context = server->context;
   struct exchange *x;
@@ -250,12 +266,30 @@
     exchange_resume_connection (x);
   }
   mhd_loop_destroy (context->mhd_loop);
+  context->mhd_loop = NULL;
   MHD_stop_daemon (server->daemon);
+  server->daemon = NULL;
   struct exchange *next;
   DL_FOREACH_SAFE (context->exchanges, x, next)
   {
     exchange_request_completed (x, MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN);
   }
-  hangup_watch_destroy (context->hangup);
+}
+
+bool
+caller_server_is_closed (const struct caller_server *server)
+{
+  return server->daemon == NULL
+         && lingering_close_count (server->lingering) == 0;
+}
+
+void
+caller_server_destroy (struct caller_server *server)
+{
+  if (server == NULL)
+    return;
+  caller_server_close_connections (server);
+  lingering_close_destroy (server->lingering);
+  hangup_watch_destroy (server->context->hangup);
   free (server);
 }
--- a/node/caller/caller_server.h
+++ b/node/caller/caller_server.h
@@ -24,7 +24,17 @@
 /** Connections that callers have open. */
 uint32_t caller_server_connection_count (const struct caller_server *server);
 
-/** Close all connections, which breaks off the requests in flight. */
+/** Accept no more connections; callers that connect are refused. */
+void caller_server_stop_listening (struct caller_server *server);
+
+/** Close all connections, which breaks off the requests in flight.  What was
+ * written of responses is still delivered until caller_server_destroy(). */
+void caller_server_close_connections (struct caller_server *server);
+
+/** All connections are closed, by their callers too. */
+bool caller_server_is_closed (const struct caller_server *server);
+
+/** Close all connections and end what is still delivered. */
 void caller_server_destroy (struct caller_server *server);
 
 #endif
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -13,6 +13,7 @@
 #include "base/xmalloc.h"
 #include "node/caller/caller_context.h"
 #include "node/caller/caller_cost.h"
+#include "node/caller/caller_leave.h"
 #include "node/caller/caller_rows.h"
 #include "node/caller/address_answer.h"
 #include "node/caller/caller_server.h"
@@ -29,8 +30,6 @@
 #include "node/plain_server.h"
 #include "node/tables.h"
 
-static const double LEAVING_CHECK_INTERVAL_S = 0.05;
-
 enum
 {
   /** A host that has known no target for this long counts as ready. */
@@ -45,10 +44,7 @@
   struct plain_server *address_server; /* NULL: at the caller address only */
   struct leaving_probe *probe;
   uint64_t seed;
-  ev_timer leaving_check;
-  int64_t leave_after_ms;
-  caller_task_left_callback *done;
-  void *done_owner;
+  struct caller_leave *leave;
 };
 
 static struct caller_service *
@@ -249,17 +245,6 @@
     caller_service_set_ejections (service, &message->ejections);
 }
 
-static void
-on_leaving_check (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  struct caller_task *task = timer->data;
-  if (clock_now_ms () < task->leave_after_ms || task->context.in_flight > 0)
-    return;
-  ev_timer_stop (loop, timer);
-  LOG_INFO ("left");
-  task->done (task->done_owner);
-}
-
 static void
 subscribe (struct caller_task *task)
 {
@@ -343,9 +328,7 @@
   if (task->seed == 0)
     rng_secure_bytes (&task->seed, sizeof task->seed);
   init_context (&task->context, options);
-  ev_timer_init (&task->leaving_check, on_leaving_check, 0.,
-                 LEAVING_CHECK_INTERVAL_S);
-  task->leaving_check.data = task;
+  task->leave = caller_leave_create (&task->context);
   task->context.server = caller_server_create (&task->context);
   if (task->context.server == NULL
       || create_address_server (task) != STATUS_OK)
@@ -373,7 +356,7 @@
   bus_unsubscribe (task->bus, task);
   if (task->tables != NULL)
     tables_unregister (task->tables, context);
-  ev_timer_stop (context->loop, &task->leaving_check);
+  caller_leave_destroy (task->leave);
   leaving_probe_destroy (task->probe);
   plain_server_destroy (task->address_server);
   caller_server_destroy (task->context.server);
@@ -407,22 +390,7 @@
 caller_task_begin_leaving (struct caller_task *task,
                            caller_task_left_callback *done, void *owner)
 {
-  struct caller_context *context = &task->context;
-  const struct host_settings *settings = context->settings;
-  task->done = done;
-  task->done_owner = owner;
-  if (context->leaving)
-    return;
-  context->leaving = true;
-  context->leaving_since_ms = clock_now_ms ();
-  /* Another host may list this one until it receives the announcement or, at
-     the latest, misses the heartbeats; callers may keep that response for
-     keep_answer_ms. */
-  task->leave_after_ms = clock_now_ms ()
-                         + host_settings_keep_answer_ms (settings)
-                         + settings->times.suspect_after_ms;
-  LOG_INFO ("leaving", LOG_INT ("in_flight", context->in_flight));
-  ev_timer_again (context->loop, &task->leaving_check);
+  caller_leave_begin (task->leave, done, owner);
 }
 
 void
@@ -431,7 +399,7 @@
   struct exchange *x;
   struct exchange *next;
   LOG_INFO ("giving-up", LOG_INT ("in_flight", task->context.in_flight));
-  task->leave_after_ms = 0;
+  caller_leave_hurry (task->leave);
   DL_FOREACH_SAFE (task->context.exchanges, x, next)
   {
     exchange_abort_pending (x);
--- /dev/null
+++ b/node/caller/lingering_close.c
@@ -0,0 +1,166 @@
+#define LOG_MODULE "caller"
+
+#include "node/caller/lingering_close.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <utlist.h>
+
+#include "base/log.h"
+#include "base/xmalloc.h"
+
+enum
+{
+  LINGER_MAX_MS = 2000,
+  DISCARD_BLOCK_BYTES = 16 * 1024,
+  /* Other connections get their turn in between. */
+  DISCARD_BLOCKS_PER_EVENT = 8,
+};
+
+static const double MS_PER_SECOND = 1000.0;
+
+struct closing_connection
+{
+  struct lingering_close *lingering;
+  int fd;
+  ev_io readable;
+  ev_timer limit;
+  struct closing_connection *prev;
+  struct closing_connection *next;
+};
+
+struct lingering_close
+{
+  struct ev_loop *loop;
+  size_t max;
+  size_t count;
+  struct counter *counter;
+  struct closing_connection *connections; /* the oldest one first */
+};
+
+static void
+update_count (struct lingering_close *lingering, size_t count)
+{
+  lingering->count = count;
+  if (lingering->counter != NULL)
+    counter_set (lingering->counter, (int64_t)count);
+}
+
+static void
+finish (struct closing_connection *connection)
+{
+  struct lingering_close *lingering = connection->lingering;
+  ev_io_stop (lingering->loop, &connection->readable);
+  ev_timer_stop (lingering->loop, &connection->limit);
+  close (connection->fd);
+  DL_DELETE (lingering->connections, connection);
+  update_count (lingering, lingering->count - 1);
+  free (connection);
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct closing_connection *connection = io->data;
+  char discarded[DISCARD_BLOCK_BYTES];
+  for (int i = 0; i < DISCARD_BLOCKS_PER_EVENT; i++)
+    {
+      const ssize_t got
+          = recv (connection->fd, discarded, sizeof discarded, MSG_DONTWAIT);
+      if (got > 0)
+        continue;
+      if (got == 0 || (errno != EAGAIN && errno != EINTR))
+        finish (connection);
+      return;
+    }
+}
+
+static void
+on_limit (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  finish (timer->data);
+}
+
+/* The peer has neither closed nor reset the connection. */
+static bool
+is_open (int fd)
+{
+  char byte;
+  const ssize_t got = recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
+}
+
+static bool
+resets_at_close (int fd)
+{
+  struct linger linger = { 0 };
+  socklen_t size = sizeof linger;
+  return getsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, &size) != 0
+         || linger.l_onoff != 0;
+}
+
+struct lingering_close *
+lingering_close_create (struct ev_loop *loop, size_t max,
+                        struct counter *count)
+{
+  struct lingering_close *lingering = xcalloc (1, sizeof *lingering);
+  lingering->loop = loop;
+  lingering->max = max;
+  lingering->counter = count;
+  return lingering;
+}
+
+void
+lingering_close_add (struct lingering_close *lingering, int fd)
+{
+  if (!is_open (fd) || resets_at_close (fd))
+    return;
+  /* Without a descriptor to spare, the connection just closes. */
+  const int kept = fcntl (fd, F_DUPFD_CLOEXEC, 0);
+  if (kept < 0)
+    {
+      LOG_ERRNO ("linger-refused", LOG_INT ("lingering", lingering->count));
+      return;
+    }
+  if (lingering->count >= lingering->max && lingering->connections != NULL)
+    finish (lingering->connections);
+  shutdown (kept, SHUT_WR);
+  struct closing_connection *connection = xcalloc (1, sizeof *connection);
+  connection->lingering = lingering;
+  connection->fd = kept;
+  ev_io_init (&connection->readable, on_readable, kept, EV_READ);
+  connection->readable.data = connection;
+  ev_io_start (lingering->loop, &connection->readable);
+  ev_now_update (lingering->loop);
+  ev_timer_init (&connection->limit, on_limit, LINGER_MAX_MS / MS_PER_SECOND,
+                 0.);
+  connection->limit.data = connection;
+  ev_timer_start (lingering->loop, &connection->limit);
+  DL_APPEND (lingering->connections, connection);
+  update_count (lingering, lingering->count + 1);
+}
+
+size_t
+lingering_close_count (const struct lingering_close *lingering)
+{
+  return lingering->count;
+}
+
+void
+lingering_close_destroy (struct lingering_close *lingering)
+{
+  if (lingering == NULL)
+    return;
+  struct closing_connection *connection;
+  struct closing_connection *next;
+  DL_FOREACH_SAFE (lingering->connections, connection, next)
+  {
+    finish (connection);
+  }
+  free (lingering);
+}
--- a/node/caller/tests/caller_task_test.cc
+++ b/node/caller/tests/caller_task_test.cc
@@ -326,6 +326,10 @@
       task, [] (void *owner) { *static_cast<bool *> (owner) = true; },
       &has_left);
   EXPECT_EQ (get ("/calendar", "early")->status, 200);
+  /* Keeps the host from ending before the second half. */
+  target_server_faults (target)->delay_ms = 500;
+  auto slow = make ("GET", "/slow", "slow");
+  begin (slow.get ());
   const double second_half_s = ev_now (loop) + 0.25;
   ASSERT_TRUE (run_until ([&] { return ev_now (loop) >= second_half_s; }));
   const auto late = get ("/calendar", "late");
@@ -333,6 +337,10 @@
   EXPECT_EQ (late->field ("jaystair-outcome"), "not-run");
   EXPECT_EQ (late->field ("connection"), "close");
   EXPECT_EQ (target_server_runs (target, "late"), 0u);
+  EXPECT_FALSE (has_left);
+  EXPECT_TRUE (run_until ([&] { return slow->done; }));
+  EXPECT_EQ (slow->status, 200);
+  EXPECT_TRUE (run_until ([&] { return has_left; }));
 }
 
 /* A host is stopped immediately: nothing may be left behind, whatever was in
--- a/node/caller/tests/closing_connection_test.cc
+++ b/node/caller/tests/closing_connection_test.cc
@@ -1,12 +1,19 @@
 #include "caller_fixture.h"
 
+extern "C"
+{
+#include "base/clock.h"
+}
+
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace
 {
 
 constexpr size_t body_bytes = 400000;
-constexpr int small_buffer_bytes = 4096;
+constexpr int small_buffer_bytes = 32768;
 
 class ClosingConnectionTest : public CallerTest
 {
@@ -77,4 +84,39 @@
   raw->hang_up ();
 }
 
+/* Guards against requests that a host accepts while it ends: their connections
+   would be reset. */
+TEST_F (ClosingConnectionTest, LeavingHostClosesItsConnectionsInOrder)
+{
+  settings.limits.keep_answer_ms = 100;
+  settings.times.suspect_after_ms = 100;
+  auto idle = connect_raw ();
+  idle->write (read_of ("/calendar", "before"));
+  ASSERT_TRUE (run_until ([&] { return !idle->received.empty (); }));
+  EXPECT_FALSE (idle->closed);
+  begin_leaving ();
+  const int64_t start_ms = clock_now_ms ();
+  std::unique_ptr<RawCaller> late;
+  EXPECT_TRUE (run_until ([&] {
+    if (late == nullptr && clock_now_ms () >= start_ms + 100)
+      {
+        late = connect_raw ();
+        late->write (read_of ("/calendar", "late"));
+      }
+    return has_left;
+  }));
+  EXPECT_TRUE (late != nullptr && late->closed && !late->reset);
+  EXPECT_NE (late->received.find (" 200 "), std::string::npos);
+  EXPECT_TRUE (idle->closed);
+  EXPECT_FALSE (idle->reset);
+  const int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = {};
+  socklen_t size = sizeof address;
+  getpeername (idle->fd, (sockaddr *)&address, &size);
+  EXPECT_EQ (connect (fd, (sockaddr *)&address, size), -1);
+  close (fd);
+  idle->hang_up ();
+  late->hang_up ();
+}
+
 } // namespace
