daemon: a repeated SIGTERM doesn't break requests off

What callers saw: 502 from a host that was leaving, or a connection that ended, while their targets were at work and had time left to answer.

Cause: a second signal of any kind ended the wait for requests in flight, a third one ended the process. Supervisors, containers of processes and scripts send SIGTERM to a process and to its group, or again while they wait.

Change: SIGTERM only begins the leaving, whose limit counts from the first signal.

--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -379,13 +379,8 @@
 void
 host_begin_leaving (struct host *host, host_done *done, void *owner)
 {
-  if (host->phase == HOST_STOPPED)
-    return;
   if (host->phase != HOST_SERVING)
-    {
-      begin_stopping (host, "second request to leave");
-      return;
-    }
+    return;
   host->phase = HOST_LEAVING;
   host->done = done;
   host->done_owner = owner;
@@ -399,6 +394,13 @@
   caller_task_begin_leaving (host->caller, caller_left_cb, host);
 }
 
+void
+host_stop_waiting (struct host *host)
+{
+  if (host->phase == HOST_LEAVING || host->phase == HOST_STOPPING)
+    begin_stopping (host, "asked not to wait");
+}
+
 void
 host_reload (struct host *host, const struct host_settings *settings)
 {
--- a/node/daemon/host.h
+++ b/node/daemon/host.h
@@ -30,10 +30,14 @@
 typedef void host_done (void *owner);
 
 /** Leave gracefully.  DONE is called once nothing is in flight, or at the
- * latest when the `shutdown_ms` of the settings have passed.  A second call
- * stops the host at once. */
+ * latest when the `shutdown_ms` of the settings have passed since the first
+ * call; later calls change nothing. */
 void host_begin_leaving (struct host *host, host_done *done, void *owner);
 
+/** Break off what a leaving host still waits for; a second call ends it without
+ * waiting for the responses to be written. */
+void host_stop_waiting (struct host *host);
+
 /** Log which of the changed SETTINGS are applied (those of the log) and
  * whether a restart is needed for the others. */
 void host_reload (struct host *host, const struct host_settings *settings);
--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -66,14 +66,20 @@
   ev_break (program->loop, EVBREAK_ALL);
 }
 
+/* Supervisors may send SIGTERM more than once, such as to a process and to its
+   group; only an interrupt from a terminal asks for an end at once. */
 static void
 terminate_cb (struct ev_loop *loop, struct ev_signal *watcher, int events)
 {
   struct program *program = watcher->data;
+  const bool is_repeated = program->is_leaving;
   LOG_INFO ("leave", LOG_INT ("signal", watcher->signum),
-            LOG_INT ("repeated", program->is_leaving));
+            LOG_INT ("repeated", is_repeated));
   program->is_leaving = true;
-  host_begin_leaving (program->host, host_left_cb, program);
+  if (is_repeated && watcher->signum == SIGINT)
+    host_stop_waiting (program->host);
+  else
+    host_begin_leaving (program->host, host_left_cb, program);
 }
 
 static void
@@ -150,8 +156,8 @@
   arg_print_syntax (stdout, table, "\n");
   fputs ("One entry host of a jaystair fleet.\n\n", stdout);
   arg_print_glossary (stdout, table, "  %-22s %s\n");
-  fputs ("\nSignals: TERM leaves gracefully (a second one at once), HUP "
-         "reloads the log settings.\n"
+  fputs ("\nSignals: TERM and INT leave gracefully (INT while it leaves: "
+         "at once), HUP reloads the log settings.\n"
          "Exit codes: 0 left as asked, 1 can't start, 2 wrong usage or "
          "settings.\n",
          stdout);
