caller: close idle connections of a leaving host first, deliver to its end

Change: a leaving host closes connections that are idle for a second from the beginning on, which reads what has come first (caller_connections). All that wait in the kernel are accepted before it stops listening. It ends when all connections are closed, within its time to leave.

--- a/node/caller/caller_leave.c
+++ b/node/caller/caller_leave.c
@@ -9,14 +9,14 @@
 #include "base/xmalloc.h"
 #include "node/caller/caller_server.h"
 
-static const double CHECK_INTERVAL_S = 0.05;
+static const double CHECK_INTERVAL_S = 0.02;
 
 enum
 {
-  /* For requests on connections that were accepted last. */
-  LAST_REQUESTS_MS = 100,
-  /* For callers to close their ends of the connections. */
-  CLOSE_MAX_MS = 200,
+  /* For idle connections to close, and requests on those that were accepted
+     last; a part of the shutdown time at the most. */
+  LAST_REQUESTS_MAX_MS = 1500,
+  LAST_REQUESTS_DIVISOR = 20,
 };
 
 enum leave_phase
@@ -30,7 +30,7 @@
 {
   struct caller_context *context;
   enum leave_phase phase;
-  int64_t phase_ends_ms; /* at the earliest; of closing: at the latest */
+  int64_t phase_ends_ms; /* of serving: at the earliest, else at the latest */
   ev_timer check;
   caller_leave_done *done;
   void *owner;
@@ -43,6 +43,14 @@
   leave->phase_ends_ms = clock_now_ms () + ms;
 }
 
+static int64_t
+last_requests_ms (const struct caller_leave *leave)
+{
+  const int64_t part_ms
+      = leave->context->settings->times.shutdown_ms / LAST_REQUESTS_DIVISOR;
+  return part_ms < LAST_REQUESTS_MAX_MS ? part_ms : LAST_REQUESTS_MAX_MS;
+}
+
 static void
 finish (struct caller_leave *leave)
 {
@@ -63,18 +71,23 @@
         finish (leave);
       return;
     }
-  if (!is_over || leave->context->in_flight > 0)
+  if (leave->context->in_flight > 0)
     return;
   if (leave->phase == LEAVE_SERVING)
     {
+      if (!is_over)
+        return;
       caller_server_stop_listening (server);
-      begin_phase (leave, LEAVE_NOT_LISTENING, LAST_REQUESTS_MS);
+      begin_phase (leave, LEAVE_NOT_LISTENING, last_requests_ms (leave));
       return;
     }
-  LOG_INFO ("closing",
-            LOG_INT ("connections", caller_server_connection_count (server)));
+  const uint32_t open = caller_server_connection_count (server);
+  if (open > 0 && !is_over)
+    return;
+  LOG_INFO ("closing", LOG_INT ("connections", open));
   caller_server_close_connections (server);
-  begin_phase (leave, LEAVE_CLOSING, CLOSE_MAX_MS);
+  begin_phase (leave, LEAVE_CLOSING,
+               leave->context->settings->times.shutdown_ms);
 }
 
 struct caller_leave *
@@ -106,6 +119,7 @@
                host_settings_keep_answer_ms (settings)
                    + settings->times.suspect_after_ms);
   LOG_INFO ("leaving", LOG_INT ("in_flight", context->in_flight));
+  caller_server_close_idle (context->server);
   ev_timer_again (context->loop, &leave->check);
 }
 
--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -2,6 +2,7 @@
 
 #include "node/caller/caller_server.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +14,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/caller/address_answer.h"
+#include "node/caller/caller_connections.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_caller.h"
 #include "node/caller/lingering_close.h"
@@ -26,12 +28,15 @@
   NEAR_CONNECTION_LIMIT_PERCENT = 90,
   /* Descriptors of closing connections, for each of the limit. */
   LINGERING_CONNECTION_DIVISOR = 10,
+  /* The library accepts several connections a round. */
+  ACCEPT_ROUNDS_MAX = 1000,
 };
 
 struct caller_server
 {
   struct caller_context *context;
   struct MHD_Daemon *daemon; /* NULL: all connections are closed */
+  struct caller_connections *connections;
   struct lingering_close *lingering;
   bool is_listening;
   bool was_near_limit; /* at the last check */
@@ -43,6 +48,7 @@
 on_request_line (void *owner, const char *uri,
                  struct MHD_Connection *connection)
 {
+  caller_connections_request_begins (connection);
   return exchange_create (owner, connection, uri);
 }
 
@@ -84,6 +90,7 @@
 {
   struct exchange *x = *state;
   *state = NULL;
+  caller_connections_request_ended (connection);
   if (x != NULL)
     exchange_request_completed (x, code);
 }
@@ -103,7 +110,13 @@
   const struct caller_server *server = owner;
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (code == MHD_CONNECTION_NOTIFY_CLOSED && info != NULL)
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      caller_connections_opened (server->connections, connection, state);
+      return;
+    }
+  caller_connections_closed (server->connections, state);
+  if (info != NULL)
     lingering_close_add (server->lingering, info->connect_fd);
 }
 
@@ -226,6 +239,8 @@
     }
   struct caller_server *server = xcalloc (1, sizeof *server);
   server->context = context;
+  server->connections
+      = caller_connections_create (idle_seconds (&context->settings->limits));
   server->lingering = lingering_close_create (
       context->loop,
       context->settings->limits.connections / LINGERING_CONNECTION_DIVISOR,
@@ -239,18 +254,40 @@
   return server;
 }
 
+void
+caller_server_close_idle (struct caller_server *server)
+{
+  if (server->daemon == NULL)
+    return;
+  caller_connections_close_idle (server->connections);
+  mhd_loop_wake (server->context->mhd_loop);
+}
+
 /* Connections that the kernel has accepted would be reset with the listening
    socket. */
+static void
+accept_pending (struct caller_server *server)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  if (info == NULL)
+    return;
+  struct pollfd listener = { .fd = info->listen_fd, .events = POLLIN };
+  for (int i = 0; i < ACCEPT_ROUNDS_MAX && poll (&listener, 1, 0) > 0; i++)
+    mhd_loop_run (server->context->mhd_loop);
+}
+
 void
 caller_server_stop_listening (struct caller_server *server)
 {
   if (!server->is_listening)
     return;
   server->is_listening = false;
-  MHD_run (server->daemon);
+  accept_pending (server);
   const int fd = MHD_quiesce_daemon (server->daemon);
   if (fd >= 0)
     close (fd);
+  mhd_loop_wake (server->context->mhd_loop);
 }
 
 void
@@ -290,6 +327,7 @@
     return;
   caller_server_close_connections (server);
   lingering_close_destroy (server->lingering);
+  caller_connections_destroy (server->connections);
   hangup_watch_destroy (server->context->hangup);
   free (server);
 }
--- a/node/caller/caller_server.h
+++ b/node/caller/caller_server.h
@@ -24,6 +24,9 @@
 /** Connections that callers have open. */
 uint32_t caller_server_connection_count (const struct caller_server *server);
 
+/** From now on, close connections that are idle for a second. */
+void caller_server_close_idle (struct caller_server *server);
+
 /** Accept no more connections; callers that connect are refused. */
 void caller_server_stop_listening (struct caller_server *server);
 
--- a/node/caller/lingering_close.c
+++ b/node/caller/lingering_close.c
@@ -4,19 +4,23 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <stdbool.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <utlist.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
 
 enum
 {
-  LINGER_MAX_MS = 2000,
+  LINGER_IDLE_MAX_MS = 2000,
+  LINGER_MAX_MS = 30000,
   DISCARD_BLOCK_BYTES = 16 * 1024,
   /* Other connections get their turn in between. */
   DISCARD_BLOCKS_PER_EVENT = 8,
@@ -28,6 +32,8 @@
 {
   struct lingering_close *lingering;
   int fd;
+  int undelivered_bytes; /* at the last check */
+  int64_t ends_ms;       /* at the latest */
   ev_io readable;
   ev_timer limit;
   struct closing_connection *prev;
@@ -80,10 +86,38 @@
     }
 }
 
+/* Bytes that were written and that the peer hasn't confirmed.  The end of the
+   stream counts as one, and many peers confirm it late. */
+static int
+undelivered_bytes (int fd)
+{
+  int bytes = 0;
+  return ioctl (fd, SIOCOUTQ, &bytes) == 0 && bytes > 1 ? bytes - 1 : 0;
+}
+
 static void
 on_limit (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  finish (timer->data);
+  struct closing_connection *connection = timer->data;
+  const int bytes = undelivered_bytes (connection->fd);
+  const bool delivers = bytes > 0 && bytes < connection->undelivered_bytes;
+  if (!delivers || clock_now_ms () >= connection->ends_ms)
+    finish (connection);
+  else
+    connection->undelivered_bytes = bytes;
+}
+
+/* The connection that is missed the least. */
+static struct closing_connection *
+least_needed (const struct lingering_close *lingering)
+{
+  struct closing_connection *connection;
+  DL_FOREACH (lingering->connections, connection)
+  {
+    if (undelivered_bytes (connection->fd) == 0)
+      return connection;
+  }
+  return lingering->connections;
 }
 
 /* The peer has neither closed nor reset the connection. */
@@ -128,17 +162,20 @@
       return;
     }
   if (lingering->count >= lingering->max && lingering->connections != NULL)
-    finish (lingering->connections);
+    finish (least_needed (lingering));
   shutdown (kept, SHUT_WR);
   struct closing_connection *connection = xcalloc (1, sizeof *connection);
   connection->lingering = lingering;
   connection->fd = kept;
+  connection->undelivered_bytes = undelivered_bytes (kept);
+  connection->ends_ms = clock_now_ms () + LINGER_MAX_MS;
   ev_io_init (&connection->readable, on_readable, kept, EV_READ);
   connection->readable.data = connection;
   ev_io_start (lingering->loop, &connection->readable);
   ev_now_update (lingering->loop);
-  ev_timer_init (&connection->limit, on_limit, LINGER_MAX_MS / MS_PER_SECOND,
-                 0.);
+  ev_timer_init (&connection->limit, on_limit,
+                 LINGER_IDLE_MAX_MS / MS_PER_SECOND,
+                 LINGER_IDLE_MAX_MS / MS_PER_SECOND);
   connection->limit.data = connection;
   ev_timer_start (lingering->loop, &connection->limit);
   DL_APPEND (lingering->connections, connection);
--- a/node/caller/lingering_close.h
+++ b/node/caller/lingering_close.h
@@ -4,8 +4,8 @@
  * Closing a socket while bytes of the peer are unread, or still on their way,
  * resets the connection: the kernel discards what it hasn't delivered of the
  * response.  A connection is therefore closed for writing only, and what the
- * caller still sends is read and discarded until the caller closes, or for
- * LINGER_MAX_MS.
+ * caller still sends is read and discarded until the caller closes, or until
+ * two seconds have passed in which nothing was delivered.
  */
 #ifndef NODE_CALLER_LINGERING_CLOSE_H
 #define NODE_CALLER_LINGERING_CLOSE_H
@@ -18,7 +18,8 @@
 
 struct lingering_close;
 
-/** @param max the oldest connection is closed when there are more than MAX
+/** @param max when there would be more than MAX connections, one with nothing
+ * left to deliver is closed, or else the oldest one
  * @param count shows the number of connections */
 struct lingering_close *lingering_close_create (struct ev_loop *loop,
                                                 size_t max,
--- a/node/mhd_loop.c
+++ b/node/mhd_loop.c
@@ -38,8 +38,8 @@
   ev_timer_start (mhd_loop->loop, &mhd_loop->timer);
 }
 
-static void
-run_daemon (struct mhd_loop *mhd_loop)
+void
+mhd_loop_run (struct mhd_loop *mhd_loop)
 {
   MHD_run (mhd_loop->daemon);
   arm_timer (mhd_loop);
@@ -48,13 +48,13 @@
 static void
 on_ready (struct ev_loop *loop, ev_io *io, int events)
 {
-  run_daemon (io->data);
+  mhd_loop_run (io->data);
 }
 
 static void
 on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  run_daemon (timer->data);
+  mhd_loop_run (timer->data);
 }
 
 struct mhd_loop *
--- a/node/mhd_loop.h
+++ b/node/mhd_loop.h
@@ -34,6 +34,10 @@
  * call, so this may be called in the daemon's callbacks. */
 void mhd_loop_wake (struct mhd_loop *mhd_loop);
 
+/** Let the daemon do what is pending now.  Not to be called from a callback of
+ * the daemon. */
+void mhd_loop_run (struct mhd_loop *mhd_loop);
+
 /** The port that DAEMON listens on, also if it was bound to port 0; 0 on
  * failure. */
 uint16_t mhd_loop_bound_port (struct MHD_Daemon *daemon);
