caller: give an answer where the response's head doesn't fit the memory

What callers saw: a request with many or long fields was passed on, the target answered it with a long head, and the caller's connection was closed without any byte of an answer.

Cause: the memory of a connection, twice header_bytes, holds the request's head, a record of 64 bytes for each field, query argument and cookie, up to half of the memory of requests sent ahead, and the response's head. The host compared the response's head with header_bytes alone. Where it doesn't fit, libmicrohttpd writes "failed to create response header" and closes the connection. With 60 request fields of 100 bytes and header_bytes 8192, a response head of 6,000 bytes is enough; with requests sent ahead, 8,000 bytes behind any request. The shipped host.json has 32768, so that it takes heads four times as long there.

Change: a target's head that isn't sure to fit is handled like one above header_bytes, so that the caller gets 502 or another target's answer. A request behind which not even a response of the host's own fits is refused with 431 before it is passed on, written past the library. A price: a response head between about 6,700 and 8,192 bytes (at 15 request fields and header_bytes 8192) is refused although it would fit while the caller sends nothing ahead.

--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -16,6 +16,7 @@
 #include "node/caller/address_answer.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_caller.h"
+#include "node/caller/response_room.h"
 
 enum
 {
@@ -55,6 +56,8 @@
       return address_answer_queue (x->context, connection, method);
     }
   exchange_start (x, method, version);
+  if (x->raw_response_sent)
+    return MHD_NO;
   /* A caller that sent "Expect: 100-continue" gets the response before it
      sends its body. */
   size_t no_body_bytes = 0;
@@ -142,9 +145,7 @@
   const struct caller_limits *limits = &context->settings->limits;
   const unsigned int family
       = address->ss_family == AF_INET6 ? MHD_USE_IPv6 : 0;
-  /* The memory of a connection holds the head of a request and that of its
-     response. */
-  const size_t memory_bytes = (size_t)limits->header_bytes * 2;
+  const size_t memory_bytes = response_room_memory_bytes (limits);
   return MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG | family, 0,
       NULL, NULL, on_access, context, MHD_OPTION_EXTERNAL_LOGGER, on_log,
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -6,6 +6,7 @@
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_access.h"
 #include "node/caller/exchange_admit.h"
+#include "node/caller/exchange_caller.h"
 #include "node/caller/exchange_contact.h"
 #include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
@@ -13,6 +14,7 @@
 #include "node/caller/exchange_quota.h"
 #include "node/caller/exchange_ticket.h"
 #include "node/caller/reach_check.h"
+#include "node/caller/response_room.h"
 
 enum
 {
@@ -216,6 +218,20 @@
   return true;
 }
 
+/* The library couldn't write any response. */
+static bool
+refuse_without_room (struct exchange *x)
+{
+  if (response_room_has_local (x))
+    return false;
+  exchange_refuse (x, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                   "head-too-large", 0,
+                   "the request's head has too many fields, arguments or "
+                   "cookies: send fewer");
+  exchange_send_raw_response (x);
+  return true;
+}
+
 void
 exchange_start (struct exchange *x, const char *method, const char *version)
 {
@@ -223,6 +239,8 @@
   exchange_count_in_flight (x);
   const enum status status = request_head_read (
       &x->head, x->context->interface, x->connection, x->uri, method, version);
+  if (refuse_without_room (x))
+    return;
   if (status != STATUS_OK)
     {
       exchange_refuse (x, MHD_HTTP_BAD_REQUEST, "bad-request", 0,
--- a/node/caller/response_check.c
+++ b/node/caller/response_check.c
@@ -9,6 +9,7 @@
 
 #include "base/decimal.h"
 #include "base/log.h"
+#include "node/caller/response_room.h"
 
 const char response_check_leaving_field[] = "Jaystair-Leaving-Target";
 
@@ -168,7 +169,8 @@
 response_check_is_too_large (const struct exchange *x)
 {
   return x->attempt.headers.used_bytes
-         > x->context->settings->limits.header_bytes;
+             > x->context->settings->limits.header_bytes
+         || !response_room_has_target (x);
 }
 
 static void
