--- a/node/caller/tests/staged_target.h
+++ b/node/caller/tests/staged_target.h
@@ -61,6 +61,14 @@
       send (peers_.back ().fd, bytes.data (), bytes.size (), MSG_NOSIGNAL);
   }
 
+  /** Write BYTES to the oldest connection. */
+  void
+  write_first (const std::string &bytes)
+  {
+    if (!peers_.empty ())
+      send (peers_.front ().fd, bytes.data (), bytes.size (), MSG_NOSIGNAL);
+  }
+
   /** End the newest connection, in order or by a reset. */
   void
   end (bool reset)
