request_head: refuse CONNECT instead of passing it on

What callers saw: on a route for all methods a CONNECT was passed on, ran at a target, and its success came back without Content-Length or chunks, followed by the bytes of the body, which are no part of an HTTP answer.

Cause: a success of CONNECT has no body and makes the connection a tunnel (RFC 9110, 9.3.6), and libmicrohttpd leaves out the length; the host gives it a body all the same.

Change: 400 with the outcome not-run before anything is passed on. CONNECT with an authority as its target was refused already, as it is no path.

--- a/node/caller/request_head.c
+++ b/node/caller/request_head.c
@@ -184,6 +184,10 @@
   if (strlen (method) >= sizeof head->method)
     return status_set (STATUS_INVALID, "the method is too long");
   snprintf (head->method, sizeof head->method, "%s", method);
+  /* A success would make the connection a tunnel (RFC 9110, 9.3.6). */
+  if (strcmp (method, MHD_HTTP_METHOD_CONNECT) == 0)
+    return status_set (STATUS_INVALID,
+                       "CONNECT isn't supported: send the request itself");
   return read_fields (head, interface, uri);
 }
 
