daemon: handle signals from before the first connection on

Connections are accepted from the host's creation on, signals were handled after it: a SIGTERM in between ended the process and reset them. Read in the code and in a trace of system calls, not provoked.

--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -125,14 +125,16 @@
   const struct host_options options
       = { .loop = program.loop, .settings = settings };
   signal (SIGPIPE, SIG_IGN);
+  /* The host accepts connections from its creation on, which a signal to leave
+     must not reset.  It is handled when the loop runs. */
+  watch_signal (&program, &program.on_term, SIGTERM, terminate_cb);
+  watch_signal (&program, &program.on_int, SIGINT, terminate_cb);
+  watch_signal (&program, &program.on_hup, SIGHUP, hangup_cb);
   if (host_create (&options, &program.host) != STATUS_OK)
     {
       fprintf (stderr, "jaystaird: %s\n", status_message ());
       return EXIT_FAILURE;
     }
-  watch_signal (&program, &program.on_term, SIGTERM, terminate_cb);
-  watch_signal (&program, &program.on_int, SIGINT, terminate_cb);
-  watch_signal (&program, &program.on_hup, SIGHUP, hangup_cb);
   ev_stat_init (&program.settings_stat, settings_changed_cb, path,
                 SETTINGS_CHECK_SECONDS);
   program.settings_stat.data = &program;
