platform, wire: read each object of an answer by itself

Hosts: after twelve entries of 1 MB that came in one answer to a watch (12 MB), `platform-failed kind=target status=invalid` several times a second at all hosts alike, and no later entry, removal or drain was learned.

Cause: options_parse() holds its limit of 8 MiB for settings files against the store's answers, of which a call allows 64 MiB. The same way, one entry that json-c rejects (a broken literal, number or escape) made all others of its answer unreadable; only nesting was dealt with.

Taken instead: the dialect finds `items`, `events`, `AtRev` and `HasMore` by json_spans and parses each entry alone, so that memory is the answer, the text of its objects and one entry's tree. A limit of 64 KiB for an entry of a target was weighed too: it would refuse valid entries with large further members, and doesn't bound the time for an answer, which grows with the answer's bytes.

An entry that can't be read keeps its name and version, with a value that every kind refuses, so that it means what any other invalid value means: it ends its target, and leaves the configuration in force. It is logged (`object-unreadable`, at most 16 an answer, then `objects-skipped`) and counted (`jaystair_platform_skipped_total`).

A store that sent the same page again was read without end. A response beyond 64 MiB counted as lost and was tried at the next address; it has a message of its own.

--- a/node/control/control_report.c
+++ b/node/control/control_report.c
@@ -144,6 +144,9 @@
              traffic->refused);
   set_value (task, "jaystair_platform_calls_total", "Calls to the platform",
              COUNTER_SUM, NULL, NULL, (int64_t)task->options.platform->calls);
+  set_value (task, "jaystair_platform_skipped_total",
+             "Objects of lists and watches that couldn't be read", COUNTER_SUM,
+             NULL, NULL, (int64_t)task->options.platform->skipped);
   set_value (task, "jaystair_stale",
              "1: neither platform nor relay was heard for stale_after_ms",
              COUNTER_GAUGE, NULL, NULL, task->is_stale);
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -81,7 +81,7 @@
   ev_timer timer;
 
   fake_platform (struct ev_loop *on, fake_store *from)
-      : base{ &ops, 0, 0, 0, nullptr, nullptr }, loop (on), store (from),
+      : base{ &ops, 0, 0, 0, nullptr, nullptr, 0 }, loop (on), store (from),
         is_down (false), forgets_revisions (false), lost_responses (0),
         writes (0), gets (0), snapshot (nullptr)
   {
@@ -105,8 +105,10 @@
   reply (const call &c, status code, const std::vector<platform_object> &found,
          uint64_t revision)
   {
-    const platform_reply answer = { code, code == STATUS_OK ? nullptr : "fake",
-                                    revision, found.data (), found.size () };
+    const platform_reply answer
+        = { code,          code == STATUS_OK ? nullptr : "fake",
+            revision,      found.data (),
+            found.size (), false };
     c.done (c.owner, &answer);
   }
 
--- a/node/ejection/tests/ejection_fleet.h
+++ b/node/ejection/tests/ejection_fleet.h
@@ -69,8 +69,9 @@
                found->second.value.c_str () };
   const bool has_object = object.value != nullptr
                           && (code == STATUS_OK || code == STATUS_REFUSED);
-  const platform_reply reply = { code, "simulated result", 0,
-                                 has_object ? &object : nullptr, has_object };
+  const platform_reply reply = { code,       "simulated result",
+                                 0,          has_object ? &object : nullptr,
+                                 has_object, false };
   done (owner, &reply);
 }
 
--- a/wire/platform.h
+++ b/wire/platform.h
@@ -13,7 +13,8 @@
  *  - STATUS_LOST_ANSWER: sent, but no response was received.  A write may have
  *    taken effect: it must be read back by its write id, not repeated blindly;
  *  - STATUS_LIMIT: rejected by the platform's rate limit, without effect;
- *  - STATUS_INVALID: an invalid response or a bad request.
+ *  - STATUS_INVALID: an invalid response, or one that exceeds the limit of a
+ *    call, or a bad request.
  *
  * Implementations: platform_http.h (the object API over HTTP and JSON) and
  * platform_file.h (one file, for a single host without a platform).
@@ -63,6 +64,8 @@
   uint64_t revision;   /**< of the kind, for list and watch */
   const struct platform_object *objects; /**< get and put: one, or none */
   size_t count;
+  /** A response began and didn't end, in all attempts of the call. */
+  bool is_partial;
 };
 
 /** Consistency of a read. */
@@ -126,6 +129,7 @@
   uint32_t restores; /**< seen in responses */
   platform_restored *restored; /**< NULL: none */
   void *restored_owner;
+  uint64_t skipped; /**< objects of responses that couldn't be read */
 };
 
 static inline void
--- a/wire/platform_http_call.c
+++ b/wire/platform_http_call.c
@@ -2,6 +2,7 @@
 
 #include "wire/platform_http_call.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -42,7 +43,10 @@
   struct http_call *call = owner;
   const size_t added = size * count;
   if (call->response_bytes + added > RESPONSE_MAX_BYTES)
-    return 0;
+    {
+      call->is_too_large = true;
+      return 0;
+    }
   call->response_body = xreallocarray (call->response_body,
                                        call->response_bytes + added + 1, 1);
   memcpy (call->response_body + call->response_bytes, data, added);
@@ -88,6 +92,8 @@
 {
   struct platform_http *http = call->http;
   log_cut (call, code);
+  call->is_partial
+      = code != CURLE_OK && call->response_head.part != RESPONSE_NONE;
   const bool unsent = was_not_sent (call, code)
                       || (code == CURLE_OK && http_code == HTTP_UNAVAILABLE
                           && http->dialect->unavailable_has_no_effect);
@@ -113,6 +119,19 @@
       call, unsent ? STATUS_UNREACHABLE : STATUS_LOST_ANSWER, message);
 }
 
+/* Another address, or the next attempt, would send the same response.  A write
+   is treated as one without a response, since it may have taken effect. */
+static void
+end_too_large (struct http_call *call)
+{
+  char message[256];
+  snprintf (message, sizeof message,
+            "the response of the platform at %s exceeds the limit of %d bytes "
+            "for a call; remove large objects from the store",
+            call->http->addresses[call->address], RESPONSE_MAX_BYTES);
+  platform_http_end_failed (call, STATUS_INVALID, message);
+}
+
 static void
 on_done (void *owner, CURLcode transfer_code, CURL *easy)
 {
@@ -128,7 +147,9 @@
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http_code);
   if (code == CURLE_OK && !platform_http_era_accept (call))
     return;
-  if (code != CURLE_OK || http_code >= HTTP_SERVER_ERROR)
+  if (call->is_too_large && call->kind != CALL_PUT)
+    end_too_large (call);
+  else if (code != CURLE_OK || http_code >= HTTP_SERVER_ERROR)
     fail_over (call, code, http_code);
   else if (http_code != HTTP_OK)
     platform_http_end_error_status (call, http_code);
@@ -147,6 +168,7 @@
   free (call->response_body);
   call->response_body = xstrdup ("");
   call->response_bytes = 0;
+  call->is_too_large = false;
   call->has_era = false;
   response_head_restart (&call->response_head);
   call->attempts++;
--- a/wire/platform_http_end.c
+++ b/wire/platform_http_end.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/xmalloc.h"
 #include "wire/platform_version.h"
@@ -30,7 +31,9 @@
 platform_http_end_failed (struct http_call *call, enum status status,
                           const char *message)
 {
-  const struct platform_reply reply = { .status = status, .message = message };
+  const struct platform_reply reply = { .status = status,
+                                        .message = message,
+                                        .is_partial = call->is_partial };
   complete (call, &reply);
 }
 
@@ -101,6 +104,7 @@
   enum status status = (call->kind == CALL_GET ? dialect->read_object
                                                : dialect->read_changes) (
       &parsed, call->object_kind, call->response_body, call->response_bytes);
+  call->http->platform.skipped += parsed.skipped;
   if (status == STATUS_OK && !platform_http_era_apply (call, &parsed))
     status = STATUS_INVALID;
   const struct platform_reply reply
@@ -157,10 +161,10 @@
       = xreallocarray (call->pages, call->page_count + 1, sizeof *call->pages);
   struct platform_http_reply *page = &call->pages[call->page_count++];
   *page = (struct platform_http_reply){ 0 };
-  if (dialect->read_list (page, call->object_kind, call->response_body,
-                          call->response_bytes)
-          != STATUS_OK
-      || !platform_http_era_apply (call, page))
+  const enum status status = dialect->read_list (
+      page, call->object_kind, call->response_body, call->response_bytes);
+  call->http->platform.skipped += page->skipped;
+  if (status != STATUS_OK || !platform_http_era_apply (call, page))
     {
       platform_http_end_failed (call, STATUS_INVALID, status_message ());
       return;
@@ -178,9 +182,19 @@
       complete_list (call);
       return;
     }
-  free (call->path);
-  call->path = dialect->list_path (call->object_kind, page->continue_after,
+  char *path = dialect->list_path (call->object_kind, page->continue_after,
                                    call->read_mode);
+  const bool is_same = strcmp (path, call->path) == 0;
+  free (call->path);
+  call->path = path;
+  if (is_same)
+    {
+      platform_http_end_failed (
+          call, STATUS_INVALID,
+          "the platform sent the same page of a list again; check that it "
+          "implements the same API version");
+      return;
+    }
   call->attempts = 0;
   platform_http_call_send (call);
 }
--- a/wire/platform_http_reply.h
+++ b/wire/platform_http_reply.h
@@ -18,6 +18,8 @@
   struct json_object *tree;
   struct platform_object *objects;
   size_t count;
+  size_t capacity; /**< of `objects`, where their number isn't known before */
+  size_t skipped;  /**< objects that can't be read */
   uint64_t revision; /**< of a list; 0 for a single object */
   /** The last name of a page if there are more pages; else "". */
   char continue_after[PLATFORM_NAME_SIZE];
