control: list after a watch whose answer can't be read

Hosts: whatever couldn't be read from a watch (no JSON, no `events`, no revision, more than 64 MiB, or cut each time) was asked for again from the same revision, and answered in the same way, for ever: no later entry, removal or drain was learned.

Weighed: skipping to a later revision would lose the changes between; asking again more and more seldom leaves the host without changes. Taken: a list, whose pages are smaller than what a watch returns, and a watch from its AtRev. It comes after a back-off with jitter (200 ms at first), which grows over the lists in between until a watch can be read again, up to 800 ms at a leading relay, whose lists then stand in for the watch, and 5 s at others, with the spread of list_again() besides. A list that can't be read backs off to 5 s at all hosts, and an answer for another kind doesn't shorten that. A watch that is cut counts after three in a row; one without any response is repeated as before, so that an outage isn't followed by lists.

Counted by `jaystair_platform_unreadable_total{kind}`.

--- a/node/control/control_feed.c
+++ b/node/control/control_feed.c
@@ -35,6 +35,8 @@
   /** When the platform no longer has their revisions, hosts list again spread
    * over this time for each host of the fleet. */
   LIST_SPREAD_MS_PER_HOST = 1,
+  /** Watches in a row whose response is cut, before the feed lists instead. */
+  PARTIAL_WATCHES_MAX = 3,
 };
 
 /* The age of the contact is that of the kind of settings that was read the
@@ -63,13 +65,14 @@
 }
 
 /* Each kind backs off for itself.  Without this, a host could read targets
-   again while it waits for seconds to read the configuration. */
+   again while it waits for seconds to read the configuration.  That another
+   kind is answered doesn't make a response readable. */
 static void
 shorten_other_backoffs (const struct control_feed *feed)
 {
   struct control_task *task = feed->task;
   for (size_t i = 0; i < task->feed_count; i++)
-    if (&task->feeds[i] != feed)
+    if (&task->feeds[i] != feed && !task->feeds[i].is_unreadable)
       shorten_backoff (&task->feeds[i], REGAINED_BACKOFF_MAX_MS);
 }
 
@@ -89,6 +92,7 @@
                 LOG_INT ("revision", feed->revision));
     }
   feed->backoff_ms = 0;
+  feed->is_unreadable = false;
   shorten_other_backoffs (feed);
   note_contact (feed->task);
 }
@@ -124,16 +128,29 @@
     control_delegates_note_failure (feed->task);
 }
 
+/* A list that can't be read is large and stays so until the platform's objects
+   are mended, so that all hosts read it seldom. */
+static uint32_t
+backoff_max_ms (const struct control_feed *feed)
+{
+  const bool is_unreadable_list = feed->is_unreadable && !feed->is_listed;
+  return feed->task->is_leading && !is_unreadable_list
+             ? INFORMED_BY_NOBODY_BACKOFF_MAX_MS
+             : OTHERS_BACKOFF_MAX_MS;
+}
+
 static void
-feed_failed (struct control_feed *feed, const struct platform_reply *reply)
+feed_failed (struct control_feed *feed, const struct platform_reply *reply,
+             bool is_unreadable)
 {
+  feed->is_unreadable = is_unreadable;
+  if (is_unreadable && feed->unreadable != NULL)
+    counter_add (feed->unreadable, 1);
   LOG_WARN ("platform-failed", LOG_STR ("kind", feed->kind),
             LOG_STR ("status", status_name (reply->status)),
             LOG_STR ("why", reply->message));
   control_retry_within (feed->task, &feed->retry, &feed->backoff_ms,
-                        feed->task->is_leading
-                            ? INFORMED_BY_NOBODY_BACKOFF_MAX_MS
-                            : OTHERS_BACKOFF_MAX_MS);
+                        backoff_max_ms (feed));
   if (strcmp (feed->kind, PLATFORM_KIND_HOST) != 0)
     control_delegates_note_failure (feed->task);
 }
@@ -156,7 +173,7 @@
   end_call (feed);
   if (reply->status != STATUS_OK)
     {
-      feed_failed (feed, reply);
+      feed_failed (feed, reply, reply->status == STATUS_INVALID);
       return;
     }
   feed_succeeded (feed);
@@ -194,10 +211,10 @@
   ev_timer_start (feed->task->options.loop, &feed->retry);
 }
 
-/* Lists again, since the revision can't be watched from any more.  Hosts that
-   others inform take turns. */
+/* Lists again after DELAY_S, since the revision can't be watched from any
+   more.  Hosts that others inform take turns. */
 static void
-list_again (struct control_feed *feed)
+list_again_after (struct control_feed *feed, double delay_s)
 {
   struct control_task *task = feed->task;
   const double spread_ms = control_feed_reads_newest (task)
@@ -208,10 +225,41 @@
   feed->is_listed = false;
   feed->was_refused = true;
   ev_timer_stop (task->options.loop, &feed->retry);
-  ev_timer_set (&feed->retry, spread_ms / 1000.0, 0);
+  ev_timer_set (&feed->retry, delay_s + spread_ms / 1000.0, 0);
   ev_timer_start (task->options.loop, &feed->retry);
 }
 
+static void
+list_again (struct control_feed *feed)
+{
+  list_again_after (feed, 0);
+}
+
+/* Whether the response to the same watch would be unreadable again. */
+static bool
+is_unreadable_watch (struct control_feed *feed,
+                     const struct platform_reply *reply)
+{
+  feed->partial_count = reply->is_partial ? feed->partial_count + 1 : 0;
+  return reply->status == STATUS_INVALID
+         || feed->partial_count >= PARTIAL_WATCHES_MAX;
+}
+
+/* The list has all that the watch would have told, in pages.  The back-off
+   grows over the lists in between, which succeed. */
+static void
+list_after_unreadable (struct control_feed *feed,
+                       const struct platform_reply *reply)
+{
+  if (feed->backoff_ms < feed->unreadable_backoff_ms)
+    feed->backoff_ms = feed->unreadable_backoff_ms;
+  feed_failed (feed, reply, true);
+  feed->unreadable_backoff_ms = feed->backoff_ms;
+  feed->partial_count = 0;
+  list_again_after (
+      feed, ev_timer_remaining (feed->task->options.loop, &feed->retry));
+}
+
 static void
 watch_done (void *owner, const struct platform_reply *reply)
 {
@@ -222,11 +270,17 @@
       list_again (feed);
       return;
     }
+  if (is_unreadable_watch (feed, reply))
+    {
+      list_after_unreadable (feed, reply);
+      return;
+    }
   if (reply->status != STATUS_OK)
     {
-      feed_failed (feed, reply);
+      feed_failed (feed, reply, false);
       return;
     }
+  feed->unreadable_backoff_ms = 0;
   feed_succeeded (feed);
   control_feed_note_revision (feed, reply);
   control_feed_apply (feed, reply);
@@ -386,9 +440,25 @@
          && feed->read_mode == PLATFORM_READ_LATEST && has_recent_proof (feed);
 }
 
+static struct counter *
+create_counter (const struct control_feed *feed)
+{
+  const struct counter_family_options unreadable
+      = { .name = "jaystair_platform_unreadable_total",
+          .help = "Lists and watches whose response couldn't be read",
+          .kind = COUNTER_SUM,
+          .label_names = { "kind" } };
+  struct counters *counters = feed->task->options.counters;
+  return counters == NULL
+             ? NULL
+             : counter_series (counters_family (counters, &unreadable),
+                               &feed->kind);
+}
+
 void
 control_feed_start (struct control_feed *feed)
 {
+  feed->unreadable = create_counter (feed);
   ev_timer_init (&feed->retry, retry_cb, 0, 0);
   feed->retry.data = feed;
   ev_timer_init (&feed->overdue, overdue_cb, 0, 0);
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -104,6 +104,11 @@
   int64_t proof_ms;     /**< when the last answered one of these was made */
   int64_t recovered_ms; /**< when a call succeeded after one had failed */
   uint32_t backoff_ms;
+  /** Next back-off after a watch that can't be read; 0 once one could. */
+  uint32_t unreadable_backoff_ms;
+  uint32_t partial_count;     /**< watches in a row whose response was cut */
+  bool is_unreadable;         /**< the last response couldn't be read */
+  struct counter *unreadable; /**< such responses; NULL: not counted */
   struct ev_timer retry;
   bool is_overdue; /**< the call in flight should have been answered */
   struct ev_timer overdue;
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -63,6 +63,10 @@
   int gets;
   int newest_lists = 0;       /* lists of the newest state */
   const fake_store *snapshot; /* an old state that is read instead */
+  int lists = 0;
+  /* Kinds whose watches and lists have responses that can't be read, and whose
+     watches have responses that are cut. */
+  std::string unreadable_watch, unreadable_list, cut_watch;
 
   struct call
   {
@@ -132,6 +136,25 @@
     return found;
   }
 
+  /* Replies to C if its response is cut or can't be read. */
+  bool
+  reply_unreadable (const call &c)
+  {
+    const bool is_cut = c.verb == "watch" && c.kind == cut_watch;
+    if (!is_cut && !(c.verb == "watch" && c.kind == unreadable_watch)
+        && !(c.verb == "list" && c.kind == unreadable_list))
+      return false;
+    const platform_reply answer
+        = { is_cut ? STATUS_LOST_ANSWER : STATUS_INVALID,
+            "fake",
+            0,
+            nullptr,
+            0,
+            is_cut };
+    c.done (c.owner, &answer);
+    return true;
+  }
+
   void
   do_get (const call &c)
   {
@@ -190,6 +213,8 @@
         reply (c, STATUS_REFUSED, {}, 0);
         return true;
       }
+    if (reply_unreadable (c))
+      return true;
     if (is_down)
       reply (c, STATUS_UNREACHABLE, {}, 0);
     else if (c.verb == "get")
@@ -265,6 +290,7 @@
   {
     platform->calls++;
     ((fake_platform *)platform)->removals += c.removes;
+    ((fake_platform *)platform)->lists += c.verb == "list";
     if (c.verb == "list" && c.mode == PLATFORM_READ_LATEST)
       ((fake_platform *)platform)->newest_lists++;
     ((fake_platform *)platform)->calls.push_back (c);
