platform_http: grow the buffer of a response by a factor

The buffer grew with each piece of a response, by a realloc() of its exact size. Where realloc() copies, the time is quadratic in the size: under the address sanitizer, StoreLargeAnswer.AnswerBeyondTheLimitOfTheCall (65 MiB) ran into the call's 20 s before the limit was noticed.

--- a/wire/platform_http_call.c
+++ b/wire/platform_http_call.c
@@ -37,6 +37,19 @@
   free (call);
 }
 
+/* Makes room for ADDED bytes and a NUL.  Growth by a factor keeps the copying
+   of large responses linear in their size. */
+static void
+reserve_body (struct http_call *call, size_t added)
+{
+  const size_t needed = call->response_bytes + added + 1;
+  if (needed <= call->response_capacity)
+    return;
+  call->response_capacity = needed + needed / 2;
+  call->response_body
+      = xreallocarray (call->response_body, call->response_capacity, 1);
+}
+
 static size_t
 append_body (char *data, size_t size, size_t count, void *owner)
 {
@@ -47,8 +60,7 @@
       call->is_too_large = true;
       return 0;
     }
-  call->response_body = xreallocarray (call->response_body,
-                                       call->response_bytes + added + 1, 1);
+  reserve_body (call, added);
   memcpy (call->response_body + call->response_bytes, data, added);
   call->response_bytes += added;
   call->response_body[call->response_bytes] = '\0';
@@ -168,6 +180,7 @@
   free (call->response_body);
   call->response_body = xstrdup ("");
   call->response_bytes = 0;
+  call->response_capacity = 1;
   call->is_too_large = false;
   call->has_era = false;
   response_head_restart (&call->response_head);
--- a/wire/platform_http_call.h
+++ b/wire/platform_http_call.h
@@ -60,6 +60,7 @@
   uint32_t timeout_ms;
   char *response_body;
   size_t response_bytes;
+  size_t response_capacity;
   bool is_too_large;   /* the response exceeds the limit of a call */
   bool is_partial;     /* the last attempt's response began and didn't end */
   platform_done *done; /* NULL once cancelled */
