--- a/node/daemon/host.h
+++ b/node/daemon/host.h
@@ -34,8 +34,8 @@
  * call; later calls change nothing. */
 void host_begin_leaving (struct host *host, host_done *done, void *owner);
 
-/** Break off what a leaving host still waits for; a second call ends it without
- * waiting for the responses to be written. */
+/** Break off what a leaving host still waits for; a second call ends it
+ * without waiting for the responses to be written. */
 void host_stop_waiting (struct host *host);
 
 /** Log which of the changed SETTINGS are applied (those of the log) and
