connection_end_test: a request that waits for a paused host

Red and listed: the library ends connections that are idle for too long before it reads them, so that a host that stood still closes one on which a request has come. Such a request is neither read nor passed on.

--- a/node/caller/tests/connection_end_test.cc
+++ b/node/caller/tests/connection_end_test.cc
@@ -22,7 +22,7 @@
 
 constexpr size_t body_bytes = 400000;
 constexpr int small_buffer_bytes = 32768;
-constexpr useconds_t stall_us = 400000;
+constexpr useconds_t stall_us = 400000, pause_us = 1300000;
 
 class ConnectionEndTest : public CallerTest
 {
@@ -243,6 +243,26 @@
   idle->hang_up ();
 }
 
+/* Guards against the same where the host stands still until the connection
+   counts as idle. */
+TEST_F (ConnectionEndTest, RequestThatWaitsForAPausedHostIsAnswered)
+{
+  begin_host (1000);
+  settings.limits.keep_answer_ms = 5000;
+  auto idle = connect_raw ();
+  idle->write (read_of ("/calendar", "before"));
+  ASSERT_TRUE (run_until ([&] { return !idle->received.empty (); }));
+  begin_leaving ();
+  run_ms (50);
+  idle->received.clear ();
+  idle->write (read_of ("/calendar", "waits"));
+  usleep (pause_us);
+  EXPECT_TRUE (
+      run_until ([&] { return idle->closed || !idle->received.empty (); }));
+  EXPECT_NE (idle->received.find (" 200 "), std::string::npos);
+  idle->hang_up ();
+}
+
 /* Guards against connections that the kernel has accepted and that are reset
    when the host stops listening. */
 TEST_F (ConnectionEndTest, AcceptedConnectionsAreServedWhenListeningEnds)
