caller: log what is read and dropped on connections that this host has closed

A caller's request that comes on a connection after its close, or that the host hadn't read by then, left no line: the exchange doesn't begin, so that neither "abandoned" nor "refused" names it, and the count of lingering connections doesn't tell it from a request behind "Connection: close". "discarded" gives the bytes, the time since the close and how long the connection had been without a request.

--- a/node/caller/caller_connections.c
+++ b/node/caller/caller_connections.c
@@ -5,6 +5,7 @@
 
 #include <utlist.h>
 
+#include "base/clock.h"
 #include "base/xmalloc.h"
 
 enum
@@ -18,6 +19,7 @@
   struct caller_connections *set;
   struct MHD_Connection *connection;
   bool has_request;
+  int64_t idle_since_ms;
   struct caller_connection *prev;
   struct caller_connection *next;
 };
@@ -55,22 +57,26 @@
   struct caller_connection *c = xcalloc (1, sizeof *c);
   c->set = connections;
   c->connection = connection;
+  c->idle_since_ms = clock_now_ms ();
   *state = c;
   DL_APPEND (connections->list, c);
   if (connections->closes_idle)
     set_timeout (c);
 }
 
-void
+int64_t
 caller_connections_closed (struct caller_connections *connections,
                            void **state)
 {
   struct caller_connection *c = *state;
   if (c == NULL)
-    return;
+    return 0;
+  const int64_t idle_ms
+      = c->has_request ? 0 : clock_now_ms () - c->idle_since_ms;
   *state = NULL;
   DL_DELETE (connections->list, c);
   free (c);
+  return idle_ms;
 }
 
 static void
@@ -82,6 +88,7 @@
   if (c == NULL)
     return;
   c->has_request = has_request;
+  c->idle_since_ms = clock_now_ms ();
   if (c->set->closes_idle)
     set_timeout (c);
 }
--- a/node/caller/caller_connections.h
+++ b/node/caller/caller_connections.h
@@ -6,6 +6,7 @@
 #define NODE_CALLER_CALLER_CONNECTIONS_H
 
 #include <stddef.h>
+#include <stdint.h>
 
 #include <microhttpd.h>
 
@@ -18,8 +19,9 @@
 void caller_connections_opened (struct caller_connections *connections,
                                 struct MHD_Connection *connection,
                                 void **state);
-void caller_connections_closed (struct caller_connections *connections,
-                                void **state);
+/** @return how long it had no request, in milliseconds */
+int64_t caller_connections_closed (struct caller_connections *connections,
+                                   void **state);
 
 /** A request begins or has ended on CONNECTION. */
 void caller_connections_request_begins (struct MHD_Connection *connection);
--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -118,9 +118,10 @@
       caller_connections_opened (server->connections, connection, state);
       return;
     }
-  caller_connections_closed (server->connections, state);
+  const int64_t idle_ms
+      = caller_connections_closed (server->connections, state);
   if (info != NULL)
-    lingering_close_add (server->lingering, info->connect_fd);
+    lingering_close_add (server->lingering, info->connect_fd, idle_ms);
 }
 
 static void
--- a/node/caller/lingering_close.c
+++ b/node/caller/lingering_close.c
@@ -33,7 +33,11 @@
   struct lingering_close *lingering;
   int fd;
   int undelivered_bytes; /* at the last check */
-  int64_t ends_ms;       /* at the latest */
+  int64_t closed_ms;
+  int64_t ends_ms; /* at the latest */
+  int64_t idle_ms; /* without a request when it was closed */
+  int64_t discarded_bytes;
+  int64_t first_discarded_ms;
   ev_io readable;
   ev_timer limit;
   struct closing_connection *prev;
@@ -61,6 +65,11 @@
 finish (struct closing_connection *connection)
 {
   struct lingering_close *lingering = connection->lingering;
+  if (connection->discarded_bytes > 0)
+    LOG_INFO ("discarded", LOG_INT ("bytes", connection->discarded_bytes),
+              LOG_INT ("after_close_ms",
+                       connection->first_discarded_ms - connection->closed_ms),
+              LOG_INT ("idle_ms", connection->idle_ms));
   ev_io_stop (lingering->loop, &connection->readable);
   ev_timer_stop (lingering->loop, &connection->limit);
   close (connection->fd);
@@ -69,6 +78,14 @@
   free (connection);
 }
 
+static void
+note_discarded (struct closing_connection *connection, ssize_t bytes)
+{
+  if (connection->discarded_bytes == 0)
+    connection->first_discarded_ms = clock_now_ms ();
+  connection->discarded_bytes += bytes;
+}
+
 static void
 on_readable (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -79,7 +96,10 @@
       const ssize_t got
           = recv (connection->fd, discarded, sizeof discarded, MSG_DONTWAIT);
       if (got > 0)
-        continue;
+        {
+          note_discarded (connection, got);
+          continue;
+        }
       if (got == 0 || (errno != EAGAIN && errno != EINTR))
         finish (connection);
       return;
@@ -150,7 +170,8 @@
 }
 
 void
-lingering_close_add (struct lingering_close *lingering, int fd)
+lingering_close_add (struct lingering_close *lingering, int fd,
+                     int64_t idle_ms)
 {
   if (!is_open (fd) || resets_at_close (fd))
     return;
@@ -168,7 +189,9 @@
   connection->lingering = lingering;
   connection->fd = kept;
   connection->undelivered_bytes = undelivered_bytes (kept);
-  connection->ends_ms = clock_now_ms () + LINGER_MAX_MS;
+  connection->closed_ms = clock_now_ms ();
+  connection->ends_ms = connection->closed_ms + LINGER_MAX_MS;
+  connection->idle_ms = idle_ms;
   ev_io_init (&connection->readable, on_readable, kept, EV_READ);
   connection->readable.data = connection;
   ev_io_start (lingering->loop, &connection->readable);
--- a/node/caller/lingering_close.h
+++ b/node/caller/lingering_close.h
@@ -11,6 +11,7 @@
 #define NODE_CALLER_LINGERING_CLOSE_H
 
 #include <stddef.h>
+#include <stdint.h>
 
 #include <ev.h>
 
@@ -27,8 +28,10 @@
 
 /** Take over the connection FD, which the caller of this function closes next.
  * Nothing is done if the peer has closed, or if closing FD is meant to reset
- * the connection (SO_LINGER). */
-void lingering_close_add (struct lingering_close *lingering, int fd);
+ * the connection (SO_LINGER).
+ * @param idle_ms how long it had no request, for the log */
+void lingering_close_add (struct lingering_close *lingering, int fd,
+                          int64_t idle_ms);
 
 size_t lingering_close_count (const struct lingering_close *lingering);
 
--- a/node/caller/tests/lingering_close_test.cc
+++ b/node/caller/tests/lingering_close_test.cc
@@ -52,7 +52,7 @@
   void
   close_host_end (int fd)
   {
-    lingering_close_add (lingering, fd);
+    lingering_close_add (lingering, fd, 0);
     close (fd);
   }
 
