node: end idle connections only after a look at what has come

What callers saw: a whole request on a kept connection, and a closed connection for an answer, at hosts that were told to leave.

Cause: a leaving host let the library close each connection that had been idle for a second, from the signal on, while callers may use one again for much longer; the library looks at its timeouts before it reads, so that a request which the kernel held while the host wasn't scheduled was closed with its connection; and what a caller sent after the close was read and dropped, so that the caller couldn't know that its request hadn't run. Class: a connection is closed on the clock's word, without a look at what its peer has sent.

Change: http_connections decides about the end of idle connections, for callers, addresses, readiness and operators alike. The library's timeout is off without a request; it is set for the last second and taken back when the kernel has received something. Answers say for how long their connection may be used again (Keep-Alive); a leaving host keeps connections for that long and half a second, which is no longer than it served before. Before all are closed, what has come is read and answered. An idle connection that has nothing left to deliver isn't read after its close. ConnectionEndTest.ConnectionsOfALeavingHostLinger asserted that it is; the test that takes its place asserts an orderly close and that the kernel tells a later writer.

--- a/node/caller/caller_leave.c
+++ b/node/caller/caller_leave.c
@@ -13,8 +13,7 @@
 
 enum
 {
-  /* For idle connections to close, and requests on those that were accepted
-     last; a part of the shutdown time at the most. */
+  /* For connections to close in; a part of the shutdown time at the most. */
   LAST_REQUESTS_MAX_MS = 1500,
   LAST_REQUESTS_DIVISOR = 20,
 };
@@ -30,6 +29,7 @@
 {
   struct caller_context *context;
   enum leave_phase phase;
+  bool is_hurried;
   int64_t phase_ends_ms; /* of serving: at the earliest, else at the latest */
   ev_timer check;
   caller_leave_done *done;
@@ -46,9 +46,13 @@
 static int64_t
 last_requests_ms (const struct caller_leave *leave)
 {
-  const int64_t part_ms
-      = leave->context->settings->times.shutdown_ms / LAST_REQUESTS_DIVISOR;
-  return part_ms < LAST_REQUESTS_MAX_MS ? part_ms : LAST_REQUESTS_MAX_MS;
+  const struct host_settings *settings = leave->context->settings;
+  const int64_t part_ms = settings->times.shutdown_ms / LAST_REQUESTS_DIVISOR;
+  const int64_t slack_ms
+      = part_ms < LAST_REQUESTS_MAX_MS ? part_ms : LAST_REQUESTS_MAX_MS;
+  if (leave->is_hurried)
+    return slack_ms;
+  return host_settings_reuse_max_ms (settings) + slack_ms;
 }
 
 static void
@@ -81,9 +85,12 @@
       begin_phase (leave, LEAVE_NOT_LISTENING, last_requests_ms (leave));
       return;
     }
-  const uint32_t open = caller_server_connection_count (server);
-  if (open > 0 && !is_over)
+  if (caller_server_connection_count (server) > 0 && !is_over)
+    return;
+  caller_server_read_pending (server);
+  if (leave->context->in_flight > 0)
     return;
+  const uint32_t open = caller_server_connection_count (server);
   LOG_INFO ("closing", LOG_INT ("connections", open));
   caller_server_close_connections (server);
   begin_phase (leave, LEAVE_CLOSING,
@@ -112,22 +119,20 @@
     return;
   context->leaving = true;
   context->leaving_since_ms = clock_now_ms ();
-  /* Another host may list this one until it receives the announcement or, at
-     the latest, misses the heartbeats; callers may keep that response for
-     keep_answer_ms. */
-  begin_phase (leave, LEAVE_SERVING,
-               host_settings_keep_answer_ms (settings)
-                   + settings->times.suspect_after_ms);
+  begin_phase (leave, LEAVE_SERVING, host_settings_leave_min_ms (settings));
   LOG_INFO ("leaving", LOG_INT ("in_flight", context->in_flight));
-  caller_server_close_idle (context->server);
+  caller_server_begin_leaving (context->server);
   ev_timer_again (context->loop, &leave->check);
 }
 
 void
 caller_leave_hurry (struct caller_leave *leave)
 {
+  leave->is_hurried = true;
   if (leave->phase == LEAVE_SERVING)
     leave->phase_ends_ms = 0;
+  else if (leave->phase == LEAVE_NOT_LISTENING)
+    begin_phase (leave, LEAVE_NOT_LISTENING, last_requests_ms (leave));
 }
 
 void
--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -14,11 +14,11 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/caller/address_answer.h"
-#include "node/caller/caller_connections.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_caller.h"
 #include "node/caller/lingering_close.h"
 #include "node/caller/response_room.h"
+#include "node/http_connections.h"
 
 enum
 {
@@ -37,7 +37,7 @@
 {
   struct caller_context *context;
   struct MHD_Daemon *daemon; /* NULL: all connections are closed */
-  struct caller_connections *connections;
+  struct http_connections *connections;
   struct lingering_close *lingering;
   bool is_listening;
   bool was_near_limit; /* at the last check */
@@ -49,7 +49,7 @@
 on_request_line (void *owner, const char *uri,
                  struct MHD_Connection *connection)
 {
-  caller_connections_request_begins (connection);
+  http_connections_request_begins (connection);
   return exchange_create (owner, connection, uri);
 }
 
@@ -93,7 +93,7 @@
 {
   struct exchange *x = *state;
   *state = NULL;
-  caller_connections_request_ended (connection);
+  http_connections_request_ended (connection);
   if (x != NULL)
     exchange_request_completed (x, code);
 }
@@ -115,13 +115,16 @@
       connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   if (code == MHD_CONNECTION_NOTIFY_STARTED)
     {
-      caller_connections_opened (server->connections, connection, state);
+      http_connections_opened (server->connections, connection, state);
       return;
     }
-  const int64_t idle_ms
-      = caller_connections_closed (server->connections, state);
-  if (info != NULL)
-    lingering_close_add (server->lingering, info->connect_fd, idle_ms);
+  const struct http_connection_end end
+      = http_connections_closed (server->connections, state);
+  /* Without a response to deliver, what the caller still sends is better left
+     unread: its kernel is then told that the host didn't take it. */
+  if (info != NULL
+      && !(end.is_idle && lingering_close_is_delivered (info->connect_fd)))
+    lingering_close_add (server->lingering, info->connect_fd, end.idle_ms);
 }
 
 static void
@@ -155,10 +158,10 @@
       NULL, NULL, on_access, context, MHD_OPTION_EXTERNAL_LOGGER, on_log,
       context, MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_CONNECTION_LIMIT,
       (unsigned int)limits->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      memory_bytes, MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds (limits),
-      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
-      on_request_line, context, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      context, MHD_OPTION_NOTIFY_CONNECTION, on_connection_event, server,
+      memory_bytes, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+      MHD_OPTION_URI_LOG_CALLBACK, on_request_line, context,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, context,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection_event, server,
       MHD_OPTION_END);
 }
 
@@ -223,7 +226,8 @@
   server->is_listening = true;
   context->hangup
       = hangup_watch_create (context->loop, on_caller_disconnected);
-  context->mhd_loop = mhd_loop_create (context->loop, server->daemon);
+  context->mhd_loop
+      = mhd_loop_create (context->loop, server->daemon, server->connections);
   return context->hangup != NULL && context->mhd_loop != NULL;
 }
 
@@ -241,8 +245,11 @@
     }
   struct caller_server *server = xcalloc (1, sizeof *server);
   server->context = context;
-  server->connections
-      = caller_connections_create (idle_seconds (&context->settings->limits));
+  const struct http_connections_options connections
+      = { .loop = context->loop,
+          .idle_ms = context->settings->limits.idle_timeout_ms,
+          .progress_s = idle_seconds (&context->settings->limits) };
+  server->connections = http_connections_create (&connections);
   server->lingering = lingering_close_create (
       context->loop,
       context->settings->limits.connections / LINGERING_CONNECTION_DIVISOR,
@@ -257,12 +264,11 @@
 }
 
 void
-caller_server_close_idle (struct caller_server *server)
+caller_server_begin_leaving (struct caller_server *server)
 {
-  if (server->daemon == NULL)
-    return;
-  caller_connections_close_idle (server->connections);
-  mhd_loop_wake (server->context->mhd_loop);
+  http_connections_set_idle_ms (
+      server->connections,
+      host_settings_reuse_max_ms (server->context->settings));
 }
 
 /* Connections that the kernel has accepted would be reset with the listening
@@ -292,6 +298,13 @@
   mhd_loop_wake (server->context->mhd_loop);
 }
 
+void
+caller_server_read_pending (struct caller_server *server)
+{
+  if (server->daemon != NULL)
+    mhd_loop_read_pending (server->context->mhd_loop);
+}
+
 void
 caller_server_close_connections (struct caller_server *server)
 {
@@ -304,6 +317,7 @@
     exchange_abort_response (x);
     exchange_resume_connection (x);
   }
+  http_connections_begin_stop (server->connections);
   mhd_loop_destroy (context->mhd_loop);
   context->mhd_loop = NULL;
   MHD_stop_daemon (server->daemon);
@@ -329,7 +343,7 @@
     return;
   caller_server_close_connections (server);
   lingering_close_destroy (server->lingering);
-  caller_connections_destroy (server->connections);
+  http_connections_destroy (server->connections);
   hangup_watch_destroy (server->context->hangup);
   free (server);
 }
--- a/node/caller/caller_server.h
+++ b/node/caller/caller_server.h
@@ -24,12 +24,16 @@
 /** Connections that callers have open. */
 uint32_t caller_server_connection_count (const struct caller_server *server);
 
-/** From now on, close connections that are idle for a second. */
-void caller_server_close_idle (struct caller_server *server);
+/** From now on, close idle connections as soon as their callers don't use them
+ * again, by the `Keep-Alive` that they got. */
+void caller_server_begin_leaving (struct caller_server *server);
 
 /** Accept no more connections; callers that connect are refused. */
 void caller_server_stop_listening (struct caller_server *server);
 
+/** Read the requests that the kernel has received. */
+void caller_server_read_pending (struct caller_server *server);
+
 /** Close all connections, which breaks off the requests in flight.  What was
  * written of responses is still delivered until caller_server_destroy(). */
 void caller_server_close_connections (struct caller_server *server);
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -15,7 +15,8 @@
 enum
 {
   RESPONSE_BLOCK_BYTES = 16 * 1024,
-  HEADER_VALUE_SIZE = 1024
+  HEADER_VALUE_SIZE = 1024,
+  KEEP_ALIVE_SIZE = 32
 };
 
 static void
@@ -166,6 +167,20 @@
          || caller_server_is_near_connection_limit (x->context->server);
 }
 
+static void
+add_connection_header (struct MHD_Response *response, const struct exchange *x)
+{
+  char keep_alive[KEEP_ALIVE_SIZE];
+  const uint32_t seconds = host_settings_keep_alive_s (x->context->settings);
+  if (closes_connection (x))
+    MHD_add_response_header (response, "Connection", "close");
+  else if (seconds > 0)
+    {
+      snprintf (keep_alive, sizeof keep_alive, "timeout=%u", seconds);
+      MHD_add_response_header (response, "Keep-Alive", keep_alive);
+    }
+}
+
 static void
 add_headers (struct MHD_Response *response, struct exchange *x)
 {
@@ -185,8 +200,7 @@
   if (!x->attempt.is_relay && outcome != NULL)
     MHD_add_response_header (response, outcome,
                              request_outcome_name (REQUEST_OUTCOME_RAN));
-  if (closes_connection (x))
-    MHD_add_response_header (response, "Connection", "close");
+  add_connection_header (response, x);
 }
 
 static struct MHD_Response *
@@ -220,8 +234,9 @@
 create_local_response (const struct exchange *x)
 {
   const struct caller_interface *interface = x->context->interface;
-  struct MHD_Response *response = local_response_create (
-      &x->local_response, interface, closes_connection (x));
+  struct MHD_Response *response
+      = local_response_create (&x->local_response, interface, false);
+  add_connection_header (response, x);
   const char *id = id_to_echo (x);
   if (id != NULL)
     MHD_add_response_header (response, interface->request_id, id);
--- a/node/caller/lingering_close.c
+++ b/node/caller/lingering_close.c
@@ -127,6 +127,12 @@
     connection->undelivered_bytes = bytes;
 }
 
+bool
+lingering_close_is_delivered (int fd)
+{
+  return undelivered_bytes (fd) == 0;
+}
+
 /* The connection that is missed the least. */
 static struct closing_connection *
 least_needed (const struct lingering_close *lingering)
--- a/node/caller/tests/connection_end_test.cc
+++ b/node/caller/tests/connection_end_test.cc
@@ -157,9 +157,9 @@
   close_beside (3);
 }
 
-/* Guards against idle connections that the library shuts down in both
-   directions when a host ends, so that they don't linger. */
-TEST_F (ConnectionEndTest, ConnectionsOfALeavingHostLinger)
+/* Guards against requests that a host reads and drops on a connection which it
+   has closed as idle, so that their caller can't know that they didn't run. */
+TEST_F (ConnectionEndTest, IdleConnectionOfALeavingHostIsNotReadAfterItsClose)
 {
   begin_host (1000);
   auto idle = connect_raw ();
@@ -167,7 +167,11 @@
   ASSERT_TRUE (run_until ([&] { return !idle->received.empty (); }));
   begin_leaving ();
   ASSERT_TRUE (run_until ([&] { return idle->closed; }));
-  EXPECT_GE (lingering (), 1);
+  EXPECT_FALSE (idle->reset);
+  EXPECT_EQ (lingering (), 0);
+  idle->write (read_of ("/calendar", "late"));
+  run_ms (20);
+  EXPECT_EQ (send (idle->fd, "x", 1, MSG_NOSIGNAL), -1);
   idle->hang_up ();
 }
 
--- a/node/host_settings.c
+++ b/node/host_settings.c
@@ -15,6 +15,9 @@
   /* Some callers cache a response three times as long as allowed, and the rest
      of the shutdown time is for the requests that they sent last. */
   SHUTDOWN_TO_KEEP_ANSWER_RATIO = 6,
+  MS_PER_SECOND = 1000,
+  /* For a request to arrive that is sent at the end of the time. */
+  KEEP_ALIVE_MARGIN_MS = 500,
 };
 
 static const char *const service_sources[] = { "objects", "registry" };
@@ -378,6 +381,35 @@
   return requested_ms < max_ms ? requested_ms : max_ms;
 }
 
+uint32_t
+host_settings_leave_min_ms (const struct host_settings *settings)
+{
+  return host_settings_keep_answer_ms (settings)
+         + settings->times.suspect_after_ms;
+}
+
+uint32_t
+host_settings_keep_alive_s (const struct host_settings *settings)
+{
+  const uint32_t bounds_ms[]
+      = { host_settings_leave_min_ms (settings),
+          settings->times.shutdown_ms / 2, settings->limits.idle_timeout_ms };
+  uint32_t max_ms = bounds_ms[0];
+  for (size_t i = 1; i < sizeof bounds_ms / sizeof bounds_ms[0]; i++)
+    if (bounds_ms[i] < max_ms)
+      max_ms = bounds_ms[i];
+  return max_ms > KEEP_ALIVE_MARGIN_MS
+             ? (max_ms - KEEP_ALIVE_MARGIN_MS) / MS_PER_SECOND
+             : 0;
+}
+
+uint32_t
+host_settings_reuse_max_ms (const struct host_settings *settings)
+{
+  return host_settings_keep_alive_s (settings) * MS_PER_SECOND
+         + KEEP_ALIVE_MARGIN_MS;
+}
+
 const char *
 host_settings_advertised_address (const char *advertised, const char *bound)
 {
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -186,6 +186,19 @@
  * three times as long as allowed no longer send requests to it. */
 uint32_t host_settings_keep_answer_ms (const struct host_settings *settings);
 
+/** How long a leaving host serves requests at least: another host may list it
+ * until it receives the announcement or, at the latest, misses the heartbeats;
+ * callers may keep that response for keep_answer_ms. */
+uint32_t host_settings_leave_min_ms (const struct host_settings *settings);
+
+/** How long callers may let a connection be idle and use it again, in whole
+ * seconds; 0: there is no such time.  A leaving host serves requests for
+ * longer than that, so that it closes no connection that is used again. */
+uint32_t host_settings_keep_alive_s (const struct host_settings *settings);
+
+/** The same until the request has arrived, in milliseconds. */
+uint32_t host_settings_reuse_max_ms (const struct host_settings *settings);
+
 /** The address to announce to others: ADVERTISED, or BOUND if that is "". */
 const char *host_settings_advertised_address (const char *advertised,
                                               const char *bound);
--- a/node/mhd_loop.c
+++ b/node/mhd_loop.c
@@ -11,7 +11,9 @@
 enum
 {
   ADDRESS_SIZE = 64,
-  PORT_MAX = 65535
+  PORT_MAX = 65535,
+  /* Peers that send without end don't hold the loop. */
+  PENDING_ROUNDS_MAX = 10,
 };
 
 static const double MS_PER_SECOND = 1000.0;
@@ -20,6 +22,7 @@
 {
   struct ev_loop *loop;
   struct MHD_Daemon *daemon;
+  struct http_connections *connections;
   ev_io io;
   ev_timer timer;
 };
@@ -41,6 +44,8 @@
 void
 mhd_loop_run (struct mhd_loop *mhd_loop)
 {
+  if (mhd_loop->connections != NULL)
+    http_connections_keep_readable (mhd_loop->connections);
   MHD_run (mhd_loop->daemon);
   arm_timer (mhd_loop);
 }
@@ -57,8 +62,15 @@
   mhd_loop_run (timer->data);
 }
 
+static void
+on_timeouts_changed (void *owner)
+{
+  mhd_loop_wake (owner);
+}
+
 struct mhd_loop *
-mhd_loop_create (struct ev_loop *loop, struct MHD_Daemon *daemon)
+mhd_loop_create (struct ev_loop *loop, struct MHD_Daemon *daemon,
+                 struct http_connections *connections)
 {
   const union MHD_DaemonInfo *info
       = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -72,6 +84,9 @@
   struct mhd_loop *mhd_loop = xcalloc (1, sizeof *mhd_loop);
   mhd_loop->loop = loop;
   mhd_loop->daemon = daemon;
+  mhd_loop->connections = connections;
+  if (connections != NULL)
+    http_connections_notify (connections, on_timeouts_changed, mhd_loop);
   ev_io_init (&mhd_loop->io, on_ready, info->epoll_fd, EV_READ);
   mhd_loop->io.data = mhd_loop;
   ev_timer_init (&mhd_loop->timer, on_timeout, 0., 0.);
@@ -86,6 +101,8 @@
 {
   if (mhd_loop == NULL)
     return;
+  if (mhd_loop->connections != NULL)
+    http_connections_notify (mhd_loop->connections, NULL, NULL);
   ev_io_stop (mhd_loop->loop, &mhd_loop->io);
   ev_timer_stop (mhd_loop->loop, &mhd_loop->timer);
   free (mhd_loop);
@@ -97,6 +114,16 @@
   ev_feed_event (mhd_loop->loop, &mhd_loop->io, EV_READ);
 }
 
+void
+mhd_loop_read_pending (struct mhd_loop *mhd_loop)
+{
+  const struct http_connections *connections = mhd_loop->connections;
+  for (int i = 0; i < PENDING_ROUNDS_MAX && connections != NULL
+                  && http_connections_have_unread (connections);
+       i++)
+    mhd_loop_run (mhd_loop);
+}
+
 uint16_t
 mhd_loop_bound_port (struct MHD_Daemon *daemon)
 {
--- a/node/mhd_loop.h
+++ b/node/mhd_loop.h
@@ -16,14 +16,17 @@
 #include <microhttpd.h>
 
 #include "base/status.h"
+#include "node/http_connections.h"
 
 struct mhd_loop;
 
 /** Drive DAEMON from LOOP.
+ * @param connections those of the daemon; may be NULL
  * @return NULL if the daemon has no epoll descriptor of its own; the message
  * names the missing flags. */
 struct mhd_loop *mhd_loop_create (struct ev_loop *loop,
-                                  struct MHD_Daemon *daemon);
+                                  struct MHD_Daemon *daemon,
+                                  struct http_connections *connections);
 
 /** Stop driving the daemon; call it before MHD_stop_daemon().  NULL is
  * ignored. */
@@ -38,6 +41,10 @@
  * the daemon. */
 void mhd_loop_run (struct mhd_loop *mhd_loop);
 
+/** Run the daemon while requests have come that it hasn't read.  Called before
+ * all connections are closed. */
+void mhd_loop_read_pending (struct mhd_loop *mhd_loop);
+
 /** The port that DAEMON listens on, also if it was bound to port 0; 0 on
  * failure. */
 uint16_t mhd_loop_bound_port (struct MHD_Daemon *daemon);
--- a/node/operator/operator_task.c
+++ b/node/operator/operator_task.c
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "node/http_connections.h"
 #include "node/mhd_loop.h"
 #include "node/operator/counter_rows.h"
 #include "node/operator/operator_answer.h"
@@ -23,6 +24,7 @@
   CONNECTIONS_MAX = 64,
   CONNECTION_MEMORY_BYTES = 16384,
   CONNECTION_TIMEOUT_S = 30,
+  MS_PER_SECOND = 1000,
   TABLE_NAME_SIZE = 32,
 };
 
@@ -36,6 +38,7 @@
 {
   struct operator_task_options options;
   struct operator_auth auth;
+  struct http_connections *connections;
   struct MHD_Daemon *daemon;
   struct mhd_loop *mhd_loop;
   struct counter_family *requests;
@@ -265,6 +268,7 @@
 {
   struct operator_task *task = owner;
   struct operator_exchange *exchange = *request;
+  http_connections_request_ended (connection);
   if (exchange == NULL)
     return;
   *request = NULL;
@@ -283,18 +287,25 @@
   unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
   if (storage.ss_family == AF_INET6)
     flags |= MHD_USE_IPv6;
+  const struct http_connections_options connections
+      = { .loop = task->options.loop,
+          .idle_ms = CONNECTION_TIMEOUT_S * MS_PER_SECOND,
+          .progress_s = CONNECTION_TIMEOUT_S };
+  task->connections = http_connections_create (&connections);
   task->daemon = MHD_start_daemon (
       flags, 0, NULL, NULL, on_request, task, MHD_OPTION_SOCK_ADDR, &storage,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, task,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CONNECTION_TIMEOUT_S,
-      MHD_OPTION_END);
+      MHD_OPTION_URI_LOG_CALLBACK, http_connections_on_request_line, NULL,
+      MHD_OPTION_NOTIFY_CONNECTION, http_connections_on_event,
+      task->connections, MHD_OPTION_END);
   if (task->daemon == NULL)
     return status_errno ("operator_address %s can't be bound: free the port "
                          "or choose another",
                          address);
-  task->mhd_loop = mhd_loop_create (task->options.loop, task->daemon);
+  task->mhd_loop
+      = mhd_loop_create (task->options.loop, task->daemon, task->connections);
   return task->mhd_loop == NULL ? STATUS_SYSTEM : STATUS_OK;
 }
 
@@ -333,6 +344,8 @@
   if (task == NULL)
     return;
   struct operator_exchange *exchange;
+  if (task->mhd_loop != NULL)
+    mhd_loop_read_pending (task->mhd_loop);
   DL_FOREACH (task->exchanges, exchange)
   {
     operator_exchange_abandon (exchange);
@@ -343,6 +356,7 @@
   mhd_loop_destroy (task->mhd_loop);
   if (task->daemon != NULL)
     MHD_stop_daemon (task->daemon);
+  http_connections_destroy (task->connections);
   free (task);
 }
 
--- a/node/plain_server.c
+++ b/node/plain_server.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/xmalloc.h"
+#include "node/http_connections.h"
 #include "node/mhd_loop.h"
 
 enum
@@ -11,11 +12,13 @@
   CONNECTIONS_MAX = 500,
   CONNECTION_MEMORY_BYTES = 8192,
   CONNECTION_TIMEOUT_S = 30,
+  MS_PER_SECOND = 1000,
 };
 
 struct plain_server
 {
   struct plain_server_options options;
+  struct http_connections *connections;
   struct MHD_Daemon *daemon;
   struct mhd_loop *mhd_loop;
 };
@@ -43,6 +46,13 @@
                                  method);
 }
 
+static void
+on_completed (void *owner, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  http_connections_request_ended (connection);
+}
+
 static struct MHD_Daemon *
 start_daemon (struct plain_server *server,
               const struct sockaddr_storage *address)
@@ -53,8 +63,10 @@
       MHD_USE_EPOLL | family, 0, NULL, NULL, on_request, server,
       MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_CONNECTION_LIMIT,
       (unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned int)CONNECTION_TIMEOUT_S, MHD_OPTION_END);
+      (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_URI_LOG_CALLBACK,
+      http_connections_on_request_line, NULL, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION,
+      http_connections_on_event, server->connections, MHD_OPTION_END);
 }
 
 enum status
@@ -69,15 +81,22 @@
                        options->what, options->address);
   struct plain_server *server = xcalloc (1, sizeof *server);
   server->options = *options;
+  const struct http_connections_options connections
+      = { .loop = options->loop,
+          .idle_ms = CONNECTION_TIMEOUT_S * MS_PER_SECOND,
+          .progress_s = CONNECTION_TIMEOUT_S };
+  server->connections = http_connections_create (&connections);
   server->daemon = start_daemon (server, &address);
   if (server->daemon == NULL)
     {
+      http_connections_destroy (server->connections);
       free (server);
       return status_errno ("can't listen on %s address %s: free the port or "
                            "choose another",
                            options->what, options->address);
     }
-  server->mhd_loop = mhd_loop_create (options->loop, server->daemon);
+  server->mhd_loop
+      = mhd_loop_create (options->loop, server->daemon, server->connections);
   if (server->mhd_loop == NULL)
     {
       plain_server_destroy (server);
@@ -92,8 +111,11 @@
 {
   if (server == NULL)
     return;
+  if (server->mhd_loop != NULL)
+    mhd_loop_read_pending (server->mhd_loop);
   mhd_loop_destroy (server->mhd_loop);
   MHD_stop_daemon (server->daemon);
+  http_connections_destroy (server->connections);
   free (server);
 }
 
--- a/node/tests/mhd_loop_test.cc
+++ b/node/tests/mhd_loop_test.cc
@@ -45,7 +45,7 @@
                           refuse_all, nullptr, MHD_OPTION_END);
   ASSERT_NE (daemon, nullptr);
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  EXPECT_EQ (mhd_loop_create (loop, daemon), nullptr);
+  EXPECT_EQ (mhd_loop_create (loop, daemon, nullptr), nullptr);
   EXPECT_NE (std::string (status_message ()).find ("MHD_USE_EPOLL"),
              std::string::npos);
   mhd_loop_destroy (nullptr);
@@ -109,7 +109,7 @@
                           nullptr, suspend_until_resumed, &server,
                           MHD_OPTION_SOCK_ADDR, &storage, MHD_OPTION_END);
   ASSERT_NE (daemon, nullptr);
-  server.mhd_loop = mhd_loop_create (server.loop, daemon);
+  server.mhd_loop = mhd_loop_create (server.loop, daemon, nullptr);
   ASSERT_NE (server.mhd_loop, nullptr);
   auto *in = reinterpret_cast<struct sockaddr_in *> (&storage);
   in->sin_port = htons (mhd_loop_bound_port (daemon));
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -333,7 +333,7 @@
       return NULL;
     }
   server->runs = run_counts_create ();
-  server->mhd_loop = mhd_loop_create (loop, server->daemon);
+  server->mhd_loop = mhd_loop_create (loop, server->daemon, NULL);
   server->hangup = hangup_watch_create (loop, on_hangup);
   ev_timer_init (&server->crash_timer, on_crash, 0., 0.);
   server->crash_timer.data = server;
