caller: keep the idle timeout of another host apart from the target's

Since answers name the time for which their connection may be used again, an answer that came through another host named that host's time, and the target's connections were kept for that long only: at short times every request opened a new one. Callers saw answers that came later, targets saw a connection for each request.

Cause: update_idle_timeout() didn't ask whose answer it reads, as update_rest() beside it does. Requests that are passed on whole kept their connection to the other host for reuse_idle_ms, past the time after which a leaving host closes it; they keep to three quarters of the time that hosts name now.

--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -17,6 +17,7 @@
 enum
 {
   US_PER_MS = 1000,
+  MS_PER_SECOND = 1000,
   CURL_IDLE_AGE_UNIT_MS = 1000, /* libcurl's unit of idle time */
   IDLE_MARGIN_DENOMINATOR = 4,
   IDLE_MARGIN_NUMERATOR = 3,
@@ -169,9 +170,17 @@
          || (x->head.id[0] != '\0' && !may_have_tried (x, target->key));
 }
 
-/* The maximum idle time of a connection that may be reused for X.  If the
-   target announces an idle timeout, only 3/4 of it are used, because its close
-   may cross the request on the way. */
+/* Only 3/4 of an idle timeout are used, because the close may cross the
+   request on the way. */
+static uint32_t
+reuse_within (uint32_t idle_timeout_ms, uint32_t max_ms)
+{
+  const uint32_t reuse_ms
+      = idle_timeout_ms / IDLE_MARGIN_DENOMINATOR * IDLE_MARGIN_NUMERATOR;
+  return idle_timeout_ms > 0 && reuse_ms < max_ms ? reuse_ms : max_ms;
+}
+
+/* The maximum idle time of a connection that may be reused for X. */
 static uint32_t
 reuse_idle_max (const struct exchange *x, const struct caller_target *target)
 {
@@ -180,11 +189,17 @@
   const struct caller_limits *limits = &x->context->settings->limits;
   const uint32_t max_ms
       = x->repeatable ? limits->reuse_idle_ms : limits->reuse_idle_once_ms;
-  const uint32_t announced_ms = target->idle_timeout_ms
-                                / IDLE_MARGIN_DENOMINATOR
-                                * IDLE_MARGIN_NUMERATOR;
-  return target->idle_timeout_ms > 0 && announced_ms < max_ms ? announced_ms
-                                                              : max_ms;
+  return reuse_within (target->idle_timeout_ms, max_ms);
+}
+
+/* The same for a connection to another host, which names the same time to its
+   callers as this one. */
+static uint32_t
+reuse_idle_max_of_host (const struct exchange *x)
+{
+  const struct host_settings *settings = x->context->settings;
+  return reuse_within (host_settings_keep_alive_s (settings) * MS_PER_SECOND,
+                       settings->limits.reuse_idle_ms);
 }
 
 static void
@@ -298,7 +313,7 @@
   x->attempt.is_forwarded = true;
   x->attempt.is_indirect = false;
   x->attempt.reuse_idle_max_ms
-      = x->repeatable ? x->context->settings->limits.reuse_idle_ms : 0;
+      = x->repeatable ? reuse_idle_max_of_host (x) : 0;
   snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host->name);
   decision_log_forward (x, host->name);
   caller_counters_add (x->context->counters.forwards, x->service->name, NULL);
--- a/node/caller/response_check.c
+++ b/node/caller/response_check.c
@@ -139,10 +139,12 @@
   caller_service_set_rest (x->service, x->attempt.key, rest_ms);
 }
 
-/* Parses `Keep-Alive: timeout=10`, in seconds. */
+/* Parses `Keep-Alive: timeout=10`, in seconds.  Another host names its own. */
 static void
 update_idle_timeout (struct exchange *x)
 {
+  if (x->attempt.is_indirect)
+    return;
   const char *keep_alive
       = header_list_find (&x->attempt.headers, "Keep-Alive");
   const char *timeout
--- a/node/caller/tests/indirect_attempt_test.cc
+++ b/node/caller/tests/indirect_attempt_test.cc
@@ -78,6 +78,33 @@
     }
 }
 
+/* Guards against a target whose connections aren't kept, because the answer of
+   another host named that host's own idle timeout. */
+TEST_F (IndirectAttempt, IdleTimeoutOfTheOtherHostIsNotTheTargets)
+{
+  other_settings.times.shutdown_ms = 3000; /* a second */
+  target_server *direct = target_server_create (loop, "127.0.0.1:0", "t1");
+  const std::string address = target_server_address (direct);
+  target_server_destroy (direct);
+  put_targets (the_bus, { { "t1", address } });
+  learn_that_t1_is_unreachable ();
+  ASSERT_EQ (get ("/calendar", "indirect")->status, 200);
+  ASSERT_EQ (target_server_runs (target, "indirect"), 1U);
+  direct = target_server_create (loop, address.c_str (), "t1");
+  ASSERT_NE (direct, nullptr);
+  const auto run_directly = [&] (uint64_t runs) {
+    EXPECT_TRUE (run_until ([&] {
+      get ("/calendar", "direct");
+      return target_server_counts (direct).runs >= runs;
+    }));
+  };
+  run_directly (1);
+  const uint64_t before = target_server_counts (direct).connections;
+  run_directly (6);
+  EXPECT_EQ (target_server_counts (direct).connections, before);
+  target_server_destroy (direct);
+}
+
 /* An unrepeatable request must not run twice, nor may its caller be told that
    it didn't run, when the other host doesn't know. */
 TEST_F (IndirectAttempt, UnrepeatableRequestRunsOnce)
