host: count the time to leave from the sending of the signal

What callers saw: a host that read SIGTERM late (it stood still, or its loop was busy) took requests up to half of shutdown_ms after its reading, and gave them up with 502 "host-stops" at 0.85 of it. Counted from the sending, which is what callers and supervisors know, these requests were sent in the second half.

Cause: refusing, giving up and ending counted from when the loop handled the signal.

Evidence: late_signal_test (one host, shutdown_ms 6 s, POST each 50 ms from 1.0 to 3.65 s after the signal, work of 2.2, 2.8 and 3.5 s; the host stands still for 0, 100, 350 or 600 ms when the signal is sent).

Weighed: refusing sooner, by a margin before S/2. What is read before E + S/2 was sent before it, so that no margin is needed for the way of a request; a request that is taken too late to end costs its caller a failure, one refused too soon a second try elsewhere. Without figures of how long work lasts, half stays. Not measured.

--- a/node/caller/caller_context.h
+++ b/node/caller/caller_context.h
@@ -77,7 +77,7 @@
   struct caller_server *server; /**< accepts the callers' connections */
   ev_timer limit_refresh_timer;
   bool leaving;
-  int64_t leaving_since_ms;
+  int64_t refuse_from_ms; /**< new requests, while leaving */
 };
 
 /** The service in force called NAME, or NULL. */
--- a/node/caller/caller_leave.c
+++ b/node/caller/caller_leave.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "node/caller/caller_server.h"
+#include "node/leave_times.h"
 
 static const double CHECK_INTERVAL_S = 0.02;
 
@@ -118,7 +119,10 @@
   if (context->leaving)
     return;
   context->leaving = true;
-  context->leaving_since_ms = clock_now_ms ();
+  const int64_t now_ms = clock_now_ms ();
+  context->refuse_from_ms
+      = leave_times_of (settings->times.shutdown_ms, now_ms, now_ms)
+            .refuse_from_ms;
   begin_phase (leave, LEAVE_SERVING, host_settings_leave_min_ms (settings));
   LOG_INFO ("leaving", LOG_INT ("in_flight", context->in_flight));
   caller_server_begin_leaving (context->server);
--- a/node/caller/caller_task.c
+++ b/node/caller/caller_task.c
@@ -393,6 +393,12 @@
   caller_leave_begin (task->leave, done, owner);
 }
 
+void
+caller_task_refuse_from (struct caller_task *task, int64_t at_ms)
+{
+  task->context.refuse_from_ms = at_ms;
+}
+
 void
 caller_task_answer_all_now (struct caller_task *task)
 {
--- a/node/caller/caller_task.h
+++ b/node/caller/caller_task.h
@@ -59,6 +59,11 @@
 void caller_task_begin_leaving (struct caller_task *task,
                                 caller_task_left_callback *done, void *owner);
 
+/** While leaving, refuse new requests from AT_MS on (clock_now_ms()) instead
+ * of in the second half of `shutdown_ms` from caller_task_begin_leaving() on.
+ */
+void caller_task_refuse_from (struct caller_task *task, int64_t at_ms);
+
 /** End leaving when its time is over: respond at once to all requests that
  * wait for a target or its response, with the outcome that is known for
  * certain, so that no caller gets a broken connection.  DONE of
--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -201,16 +201,14 @@
 
 /* Callers that received this host's address earlier still send requests while
    it leaves.  A request that arrives too late to be finished would end in a
-   closed connection without a response when the process exits.  From the
-   second half of the shutdown time on, requests are therefore refused at once,
-   so that they go to other hosts. */
+   closed connection without a response when the process exits.  Requests sent
+   in the second half of the shutdown time are therefore refused at once, so
+   that they go to other hosts. */
 static bool
 refuse_if_leaving (struct exchange *x)
 {
   const struct caller_context *context = x->context;
-  const int64_t half_ms = context->settings->times.shutdown_ms / 2;
-  if (!context->leaving
-      || clock_now_ms () - context->leaving_since_ms < half_ms)
+  if (!context->leaving || clock_now_ms () < context->refuse_from_ms)
     return false;
   exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, "host-leaves",
                    LEAVING_RETRY_AFTER_MS,
--- a/node/control/control_contact.c
+++ b/node/control/control_contact.c
@@ -156,6 +156,12 @@
   bus_subscribe (task->options.bus, BUS_CONTACT_REQUESTED, on_requested, task);
 }
 
+int64_t
+control_signals_since_ms (const struct control_task *task)
+{
+  return task->pause_watch.signals_since_ms;
+}
+
 void
 control_contact_stop (struct control_task *task)
 {
--- a/node/control/control_task.h
+++ b/node/control/control_task.h
@@ -50,6 +50,10 @@
 /** The number of this host's start, which tickets contain. */
 uint64_t control_incarnation (const struct control_task *task);
 
+/** Signals that the event loop handles now were sent after this time
+ * (clock_now_ms()). */
+int64_t control_signals_since_ms (const struct control_task *task);
+
 /** A message from host FROM; valid during the callback only. */
 typedef void control_handler (void *owner, const char *from,
                               const struct peer_message *message);
--- a/node/daemon/host.c
+++ b/node/daemon/host.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/counters.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
@@ -16,6 +17,7 @@
 #include "node/daemon/backend.h"
 #include "node/ejection/control_ejection.h"
 #include "node/ejection/ejection_task.h"
+#include "node/leave_times.h"
 #include "node/operator/operator_task.h"
 #include "node/plain_server.h"
 #include "node/quota/control_quota.h"
@@ -34,10 +36,6 @@
   HOST_STOPPED,
 };
 
-/* Shares of the shutdown time: for requests in flight, and then for the final
-   responses.  The remainder is for the process to exit before it is killed. */
-static const double IN_FLIGHT_TIME_SHARE = 0.85;
-static const double FINAL_RESPONSES_TIME_SHARE = 0.1;
 static const double MS_PER_SECOND = 1000.0;
 
 struct host
@@ -58,6 +56,7 @@
   struct operator_task *operator_task;
   struct plain_server *readiness;
   enum host_phase phase;
+  struct leave_times leave_times;
   struct ev_timer leave_timer;
   host_done *done;
   void *done_owner;
@@ -349,6 +348,18 @@
   finish (owner, "nothing in flight");
 }
 
+static void
+set_leave_timer (struct host *host, int64_t at_ms)
+{
+  const int64_t remaining_ms = at_ms - clock_now_ms ();
+  ev_timer_stop (host->loop, &host->leave_timer);
+  ev_now_update (host->loop);
+  ev_timer_set (&host->leave_timer,
+                remaining_ms > 0 ? (double)remaining_ms / MS_PER_SECOND : 0.,
+                0.);
+  ev_timer_start (host->loop, &host->leave_timer);
+}
+
 /* Requests still in flight get a final response before the host stops, since a
    caller must not wait for a connection that just breaks.  These responses get
    some time to be written. */
@@ -361,12 +372,9 @@
       return;
     }
   host->phase = HOST_STOPPING;
-  ev_timer_stop (host->loop, &host->leave_timer);
-  ev_timer_set (&host->leave_timer,
-                host->settings.times.shutdown_ms * FINAL_RESPONSES_TIME_SHARE
-                    / MS_PER_SECOND,
-                0.);
-  ev_timer_start (host->loop, &host->leave_timer);
+  set_leave_timer (host, leave_times_end_ms (&host->leave_times,
+                                             host->settings.times.shutdown_ms,
+                                             clock_now_ms ()));
   caller_task_answer_all_now (host->caller);
 }
 
@@ -376,6 +384,12 @@
   begin_stopping (watcher->data, "shutdown_ms have passed");
 }
 
+int64_t
+host_signal_late_max_ms (const struct host *host)
+{
+  return clock_now_ms () - control_signals_since_ms (host->control);
+}
+
 void
 host_begin_leaving (struct host *host, host_done *done, void *owner)
 {
@@ -386,12 +400,15 @@
   host->done_owner = owner;
   const struct bus_message message = { .topic = BUS_SHUTDOWN };
   bus_post (host->bus, &message);
-  const double limit_s = host->settings.times.shutdown_ms
-                         * IN_FLIGHT_TIME_SHARE / MS_PER_SECOND;
-  ev_timer_init (&host->leave_timer, leave_timer_cb, limit_s, 0);
+  const int64_t read_ms = clock_now_ms () + 1; /* rounded up */
+  host->leave_times
+      = leave_times_of (host->settings.times.shutdown_ms,
+                        control_signals_since_ms (host->control), read_ms);
+  ev_timer_init (&host->leave_timer, leave_timer_cb, 0., 0.);
   host->leave_timer.data = host;
-  ev_timer_start (host->loop, &host->leave_timer);
+  set_leave_timer (host, host->leave_times.give_up_ms);
   caller_task_begin_leaving (host->caller, caller_left_cb, host);
+  caller_task_refuse_from (host->caller, host->leave_times.refuse_from_ms);
 }
 
 void
--- a/node/daemon/host.h
+++ b/node/daemon/host.h
@@ -29,9 +29,14 @@
 
 typedef void host_done (void *owner);
 
-/** Leave gracefully.  DONE is called once nothing is in flight, or at the
- * latest when the `shutdown_ms` of the settings have passed since the first
- * call; later calls change nothing. */
+/** How long ago a signal that the loop handles now can have been sent at
+ * most, in milliseconds. */
+int64_t host_signal_late_max_ms (const struct host *host);
+
+/** Leave gracefully, asked by a signal that the loop handles now.  DONE is
+ * called once nothing is in flight, or at the latest when the `shutdown_ms` of
+ * the settings have passed since the signal was sent; see leave_times.h.
+ * Later calls change nothing. */
 void host_begin_leaving (struct host *host, host_done *done, void *owner);
 
 /** Break off what a leaving host still waits for; a second call ends it
--- a/node/daemon/main.c
+++ b/node/daemon/main.c
@@ -74,7 +74,8 @@
   struct program *program = watcher->data;
   const bool is_repeated = program->is_leaving;
   LOG_INFO ("leave", LOG_INT ("signal", watcher->signum),
-            LOG_INT ("repeated", is_repeated));
+            LOG_INT ("repeated", is_repeated),
+            LOG_INT ("late_max_ms", host_signal_late_max_ms (program->host)));
   program->is_leaving = true;
   if (is_repeated && watcher->signum == SIGINT)
     host_stop_waiting (program->host);
--- a/node/pause_watch.c
+++ b/node/pause_watch.c
@@ -15,6 +15,8 @@
   struct pause_watch *watch = check->data;
   const int64_t now_ms = clock_now_ms ();
   const int64_t gap_ms = now_ms - watch->last_run_ms;
+  watch->signals_since_ms = watch->previous_run_ms;
+  watch->previous_run_ms = watch->last_run_ms;
   watch->last_run_ms = now_ms;
   if (gap_ms >= PAUSE_MIN_MS)
     watch->options.paused (watch->options.owner, gap_ms);
@@ -31,6 +33,8 @@
 {
   watch->options = *options;
   watch->last_run_ms = clock_now_ms ();
+  watch->previous_run_ms = watch->last_run_ms;
+  watch->signals_since_ms = watch->last_run_ms;
   ev_check_init (&watch->check, check_cb);
   ev_set_priority (&watch->check, EV_MAXPRI);
   watch->check.data = watch;
--- a/node/pause_watch.h
+++ b/node/pause_watch.h
@@ -27,6 +27,11 @@
   struct ev_check check;
   struct ev_timer tick; /**< bounds the time that the loop waits for events */
   int64_t last_run_ms;
+  int64_t previous_run_ms;
+  /** Signals that the loop handles now were sent after this time.  That is two
+   * runs ago: a signal that interrupts the wait for events ends that run, and
+   * is handled by the next one. */
+  int64_t signals_since_ms;
 };
 
 void pause_watch_start (struct pause_watch *watch,
--- a/node/tests/pause_watch_test.cc
+++ b/node/tests/pause_watch_test.cc
@@ -1,16 +1,18 @@
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <poll.h>
 
 extern "C"
 {
+#include "base/clock.h"
 #include "node/pause_watch.h"
 }
 
 namespace
 {
 
-constexpr int pause_ms = 1200;
+constexpr int pause_ms = 1200, busy_ms = 100;
 
 struct Pauses
 {
@@ -79,4 +81,48 @@
   EXPECT_EQ (pauses.count, 0);
 }
 
+struct SignalRead
+{
+  pause_watch *watch;
+  int64_t sent_ms = 0;
+  int64_t since_ms = -1;
+};
+
+void
+send_while_busy (struct ev_loop *, ev_timer *timer, int)
+{
+  poll (nullptr, 0, busy_ms);
+  static_cast<SignalRead *> (timer->data)->sent_ms = clock_now_ms ();
+  raise (SIGUSR1);
+  poll (nullptr, 0, busy_ms);
+}
+
+void
+read_signal (struct ev_loop *loop, ev_signal *watcher, int)
+{
+  auto *read = static_cast<SignalRead *> (watcher->data);
+  read->since_ms = read->watch->signals_since_ms;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Guards against a signal that is taken for a later one, since the loop was
+   busy when it came. */
+TEST_F (PauseWatch, SignalToABusyLoopWasSentAfterTheTimeGiven)
+{
+  SignalRead read{ &watch };
+  ev_signal on_signal;
+  ev_signal_init (&on_signal, read_signal, SIGUSR1);
+  on_signal.data = &read;
+  ev_signal_start (loop, &on_signal);
+  ev_timer timer;
+  ev_timer_init (&timer, send_while_busy, 0.3, 0.);
+  timer.data = &read;
+  ev_timer_start (loop, &timer);
+  const int64_t start_ms = clock_now_ms ();
+  ev_run (loop, 0);
+  ev_signal_stop (loop, &on_signal);
+  EXPECT_GE (read.since_ms, start_ms);
+  EXPECT_LE (read.since_ms, read.sent_ms - busy_ms);
+}
+
 } // namespace
