mhd_loop, plain_server, operator: accept what the kernel has accepted before a server ends

A caller that asked a directory, readiness or operator server for something while the host ended got a reset, though its request had been received in full: only connections that the library knew were looked at, and those that waited in the kernel's queue went with the listening socket. Change: the callers' way of accepting these moves to mhd_loop, and all servers take it. Seen: HttpConnections.EndingPlainServerAnswersWhatHasCome answers 0 of 30 on, 30 of 30 now.

--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -2,7 +2,6 @@
 
 #include "node/caller/caller_server.h"
 
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,8 +28,6 @@
   NEAR_CONNECTION_LIMIT_PERCENT = 90,
   /* Descriptors of closing connections, for each of the limit. */
   LINGERING_CONNECTION_DIVISOR = 10,
-  /* The library accepts several connections a round. */
-  ACCEPT_ROUNDS_MAX = 1000,
 };
 
 struct caller_server
@@ -271,27 +268,13 @@
       host_settings_reuse_max_ms (server->context->settings));
 }
 
-/* Connections that the kernel has accepted would be reset with the listening
-   socket. */
-static void
-accept_pending (struct caller_server *server)
-{
-  const union MHD_DaemonInfo *info
-      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  if (info == NULL)
-    return;
-  struct pollfd listener = { .fd = info->listen_fd, .events = POLLIN };
-  for (int i = 0; i < ACCEPT_ROUNDS_MAX && poll (&listener, 1, 0) > 0; i++)
-    mhd_loop_run (server->context->mhd_loop);
-}
-
 void
 caller_server_stop_listening (struct caller_server *server)
 {
   if (!server->is_listening)
     return;
   server->is_listening = false;
-  accept_pending (server);
+  mhd_loop_accept_pending (server->context->mhd_loop);
   const int fd = MHD_quiesce_daemon (server->daemon);
   if (fd >= 0)
     close (fd);
--- a/node/mhd_loop.c
+++ b/node/mhd_loop.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +15,8 @@
   PORT_MAX = 65535,
   /* Peers that send without end don't hold the loop. */
   PENDING_ROUNDS_MAX = 10,
+  /* The library accepts several connections a round. */
+  ACCEPT_ROUNDS_MAX = 1000,
 };
 
 static const double MS_PER_SECOND = 1000.0;
@@ -124,6 +127,18 @@
     mhd_loop_run (mhd_loop);
 }
 
+void
+mhd_loop_accept_pending (struct mhd_loop *mhd_loop)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (mhd_loop->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  if (info == NULL)
+    return;
+  struct pollfd listener = { .fd = info->listen_fd, .events = POLLIN };
+  for (int i = 0; i < ACCEPT_ROUNDS_MAX && poll (&listener, 1, 0) > 0; i++)
+    mhd_loop_run (mhd_loop);
+}
+
 uint16_t
 mhd_loop_bound_port (struct MHD_Daemon *daemon)
 {
--- a/node/mhd_loop.h
+++ b/node/mhd_loop.h
@@ -45,6 +45,10 @@
  * all connections are closed. */
 void mhd_loop_read_pending (struct mhd_loop *mhd_loop);
 
+/** Let the daemon accept the connections that the kernel has accepted, which
+ * would be reset with the listening socket.  Called before that closes. */
+void mhd_loop_accept_pending (struct mhd_loop *mhd_loop);
+
 /** The port that DAEMON listens on, also if it was bound to port 0; 0 on
  * failure. */
 uint16_t mhd_loop_bound_port (struct MHD_Daemon *daemon);
--- a/node/operator/operator_task.c
+++ b/node/operator/operator_task.c
@@ -345,7 +345,10 @@
     return;
   struct operator_exchange *exchange;
   if (task->mhd_loop != NULL)
-    mhd_loop_read_pending (task->mhd_loop);
+    {
+      mhd_loop_accept_pending (task->mhd_loop);
+      mhd_loop_read_pending (task->mhd_loop);
+    }
   DL_FOREACH (task->exchanges, exchange)
   {
     operator_exchange_abandon (exchange);
--- a/node/plain_server.c
+++ b/node/plain_server.c
@@ -112,7 +112,10 @@
   if (server == NULL)
     return;
   if (server->mhd_loop != NULL)
-    mhd_loop_read_pending (server->mhd_loop);
+    {
+      mhd_loop_accept_pending (server->mhd_loop);
+      mhd_loop_read_pending (server->mhd_loop);
+    }
   mhd_loop_destroy (server->mhd_loop);
   MHD_stop_daemon (server->daemon);
   http_connections_destroy (server->connections);
