http_connections: look at connections with a part of a request before all close

A request whose head the kernel held in full was closed with its connection when a leaving host closed all: the library had read the first 8 KiB, so that the connection counted as one with a request and wasn't looked at, while the request, without its whole head, wasn't in flight yet. Change: what has come on any connection is read before all are closed. Seen: ClosingLook.LongHeadIsAnsweredBeforeAllConnectionsClose gets no byte on, 431 now as at other times.

--- a/node/http_connections.c
+++ b/node/http_connections.c
@@ -238,7 +238,7 @@
 http_connections_have_unread (const struct http_connections *set)
 {
   const struct http_connection *c;
-  for (int phase = CONNECTION_IDLE; phase <= CONNECTION_ENDING; phase++)
+  for (int phase = CONNECTION_IDLE; phase <= CONNECTION_BUSY; phase++)
     DL_FOREACH (set->lists[phase], c)
     {
       if (has_unread (c))
--- a/node/http_connections.h
+++ b/node/http_connections.h
@@ -58,8 +58,7 @@
  * before each run of the library. */
 void http_connections_keep_readable (struct http_connections *connections);
 
-/** Whether the kernel has received something on a connection without a
- * request. */
+/** Whether the kernel has received something on a connection. */
 bool http_connections_have_unread (const struct http_connections *connections);
 
 /** Change the idle time, of connections that are open too.  The library takes
