--- a/node/caller/exchange_start.c
+++ b/node/caller/exchange_start.c
@@ -204,11 +204,16 @@
    closed connection without a response when the process exits.  Requests sent
    in the second half of the shutdown time are therefore refused at once, so
    that they go to other hosts. */
+bool
+exchange_start_refuses_all (const struct caller_context *context)
+{
+  return context->leaving && clock_now_ms () >= context->refuse_from_ms;
+}
+
 static bool
 refuse_if_leaving (struct exchange *x)
 {
-  const struct caller_context *context = x->context;
-  if (!context->leaving || clock_now_ms () < context->refuse_from_ms)
+  if (!exchange_start_refuses_all (x->context))
     return false;
   exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, "host-leaves",
                    LEAVING_RETRY_AFTER_MS,
