--- a/node/tests/http_connections_test.cc
+++ b/node/tests/http_connections_test.cc
@@ -2,7 +2,6 @@
 #include <gtest/gtest.h>
 
 #include <netinet/in.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -125,7 +124,7 @@
         MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_URI_LOG_CALLBACK,
         http_connections_on_request_line, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, nullptr, MHD_OPTION_NOTIFY_CONNECTION, on_event, this,
-        MHD_OPTION_CONNECTION_LIMIT, 20000U, MHD_OPTION_END);
+        MHD_OPTION_END);
     ASSERT_NE (daemon, nullptr);
     server = mhd_loop_create (loop, daemon, connections);
     port = mhd_loop_bound_port (daemon);
@@ -345,57 +344,4 @@
   EXPECT_EQ (answered, 30);
 }
 
-int64_t
-processor_us ()
-{
-  rusage usage;
-  getrusage (RUSAGE_SELF, &usage);
-  return (usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1000000
-         + usage.ru_utime.tv_usec + usage.ru_stime.tv_usec;
-}
-
-/* Prints what a run of the library costs beside many connections. */
-class HttpConnectionsCost : public HttpConnections
-{
-protected:
-  void
-  measure (const std::string &what, int64_t idle_ms, const std::string &sent)
-  {
-    constexpr int count = 4000;
-    constexpr int runs = 1000;
-    begin (idle_ms, 30);
-    std::vector<std::unique_ptr<Peer>> peers;
-    for (int i = 0; i < count; i++)
-      {
-        peers.push_back (std::make_unique<Peer> (port));
-        if (!sent.empty ())
-          peers.back ()->write (sent);
-        if (i % 50 == 0)
-          run_ms (2);
-      }
-    http_connections_set_idle_ms (connections, idle_ms);
-    run_ms (50);
-    const int64_t before_us = processor_us ();
-    int done = 0;
-    const int64_t end_ms = clock_now_ms () + 700;
-    for (; done < runs && clock_now_ms () < end_ms; done++)
-      mhd_loop_run (server);
-    printf ("%s: %d runs, %.1f us of processor a run\n", what.c_str (), done,
-            static_cast<double> (processor_us () - before_us) / done);
-  }
-};
-
-TEST_F (HttpConnectionsCost, Idle)
-{
-  measure ("idle", 30000, "");
-}
-TEST_F (HttpConnectionsCost, Ending)
-{
-  measure ("ending", 1000, "");
-}
-TEST_F (HttpConnectionsCost, Busy)
-{
-  measure ("busy", 30000, "GET / HTTP/1.1\r\nHost: h\r\n");
-}
-
 } // namespace
