http_connections: shut idle connections down for reading, time only slow requests

A request that came while the process stood still within a run of the library, after the look at what has come and before the library's own check of its timeouts, was closed with its connection, unread. So was the rest of a head or a body near the progress timeout.

Cause: the library still decided by its clock for a second after the look, and all the time on connections with a request.

Change: a connection that has been idle for too long, with nothing left to deliver, is shut down for reading. The library reads what the kernel has received and closes the connection behind that, so that there is no moment in which something can come and be closed over. One with a response under delivery keeps the former way, as it has to be read until its peer closes. A request has a timeout of the library only after progress_s, and it starts anew when more has come meanwhile; the library walks all connections with a timeout of their own in each run, which are few now.

The three tests of http_connections_test that failed pass.

--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -18,6 +18,7 @@
 #include "node/caller/lingering_close.h"
 #include "node/caller/response_room.h"
 #include "node/http_connections.h"
+#include "node/socket_queue.h"
 
 enum
 {
@@ -120,7 +121,8 @@
   /* Without a response to deliver, what the caller still sends is better left
      unread: its kernel is then told that the host didn't take it. */
   if (info != NULL
-      && !(end.is_idle && lingering_close_is_delivered (info->connect_fd)))
+      && !(end.is_idle
+           && socket_queue_undelivered_bytes (info->connect_fd) == 0))
     lingering_close_add (server->lingering, info->connect_fd, end.idle_ms);
 }
 
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -11,6 +11,7 @@
 #include "node/caller/exchange_forward.h"
 #include "node/caller/exchange_indirect.h"
 #include "node/caller/response_check.h"
+#include "node/http_connections.h"
 
 enum
 {
@@ -22,9 +23,11 @@
 static void
 suspend_connection (struct exchange *x)
 {
-  if (!x->hangup_watched)
-    hangup_watch_add (x->context->hangup, x->fd, x);
-  x->hangup_watched = true;
+  if (!x->hangup_watched && !http_connections_is_ending (x->connection))
+    {
+      hangup_watch_add (x->context->hangup, x->fd, x);
+      x->hangup_watched = true;
+    }
   x->is_suspended = true;
   MHD_suspend_connection (x->connection);
 }
@@ -163,7 +166,7 @@
 static bool
 closes_connection (const struct exchange *x)
 {
-  return x->context->leaving
+  return x->context->leaving || http_connections_is_ending (x->connection)
          || caller_server_is_near_connection_limit (x->context->server);
 }
 
--- a/node/caller/lingering_close.c
+++ b/node/caller/lingering_close.c
@@ -4,10 +4,8 @@
 
 #include <errno.h>
 #include <fcntl.h>
-#include <linux/sockios.h>
 #include <stdbool.h>
 #include <stdlib.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +14,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "node/socket_queue.h"
 
 enum
 {
@@ -106,20 +105,11 @@
     }
 }
 
-/* Bytes that were written and that the peer hasn't confirmed.  The end of the
-   stream counts as one, and many peers confirm it late. */
-static int
-undelivered_bytes (int fd)
-{
-  int bytes = 0;
-  return ioctl (fd, SIOCOUTQ, &bytes) == 0 && bytes > 1 ? bytes - 1 : 0;
-}
-
 static void
 on_limit (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct closing_connection *connection = timer->data;
-  const int bytes = undelivered_bytes (connection->fd);
+  const int bytes = socket_queue_undelivered_bytes (connection->fd);
   const bool delivers = bytes > 0 && bytes < connection->undelivered_bytes;
   if (!delivers || clock_now_ms () >= connection->ends_ms)
     finish (connection);
@@ -127,12 +117,6 @@
     connection->undelivered_bytes = bytes;
 }
 
-bool
-lingering_close_is_delivered (int fd)
-{
-  return undelivered_bytes (fd) == 0;
-}
-
 /* The connection that is missed the least. */
 static struct closing_connection *
 least_needed (const struct lingering_close *lingering)
@@ -140,7 +124,7 @@
   struct closing_connection *connection;
   DL_FOREACH (lingering->connections, connection)
   {
-    if (undelivered_bytes (connection->fd) == 0)
+    if (socket_queue_undelivered_bytes (connection->fd) == 0)
       return connection;
   }
   return lingering->connections;
@@ -194,7 +178,7 @@
   struct closing_connection *connection = xcalloc (1, sizeof *connection);
   connection->lingering = lingering;
   connection->fd = kept;
-  connection->undelivered_bytes = undelivered_bytes (kept);
+  connection->undelivered_bytes = socket_queue_undelivered_bytes (kept);
   connection->closed_ms = clock_now_ms ();
   connection->ends_ms = connection->closed_ms + LINGER_MAX_MS;
   connection->idle_ms = idle_ms;
--- a/node/caller/lingering_close.h
+++ b/node/caller/lingering_close.h
@@ -10,7 +10,6 @@
 #ifndef NODE_CALLER_LINGERING_CLOSE_H
 #define NODE_CALLER_LINGERING_CLOSE_H
 
-#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -34,9 +33,6 @@
 void lingering_close_add (struct lingering_close *lingering, int fd,
                           int64_t idle_ms);
 
-/** The peer has confirmed all that was written to FD. */
-bool lingering_close_is_delivered (int fd);
-
 size_t lingering_close_count (const struct lingering_close *lingering);
 
 /** Close all connections at once. */
--- a/node/http_connections.c
+++ b/node/http_connections.c
@@ -1,12 +1,13 @@
 #include "node/http_connections.h"
 
 #include <stdlib.h>
-#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <utlist.h>
 
 #include "base/clock.h"
 #include "base/xmalloc.h"
+#include "node/socket_queue.h"
 
 enum
 {
@@ -21,6 +22,8 @@
   CONNECTION_IDLE,
   CONNECTION_ENDING, /* the library closes it unless something comes */
   CONNECTION_BUSY,   /* it has a request */
+  CONNECTION_SLOW,   /* it has had one for long */
+  CONNECTION_PHASE_COUNT,
 };
 
 struct http_connection
@@ -29,7 +32,9 @@
   struct MHD_Connection *connection;
   int fd;
   enum connection_phase phase;
-  int64_t idle_since_ms;
+  bool is_shut;     /* for reading */
+  int unread_bytes; /* at the last look at a slow one */
+  int64_t since_ms; /* without, or with a request */
   struct http_connection *prev;
   struct http_connection *next;
 };
@@ -37,33 +42,35 @@
 struct http_connections
 {
   struct http_connections_options options;
-  struct http_connection *lists[CONNECTION_BUSY + 1]; /* the longest first */
+  struct http_connection *lists[CONNECTION_PHASE_COUNT]; /* oldest first */
   ev_timer expiry;
   void (*changed) (void *owner);
   void *owner;
   bool is_stopping;
 };
 
+/* Without a timeout first, the library counts the new one from the last
+   activity. */
 static void
-set_timeout (const struct http_connection *c, unsigned int seconds)
+restart_timeout (const struct http_connection *c, unsigned int seconds)
 {
-  MHD_set_connection_option (c->connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                             seconds);
+  MHD_set_connection_option (c->connection, MHD_CONNECTION_OPTION_TIMEOUT, 0);
+  if (seconds > 0)
+    MHD_set_connection_option (c->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                               seconds);
 }
 
+/* In each run, the library walks all connections with a timeout of their own,
+   so that only few have one. */
 static void
 begin_phase (struct http_connection *c, enum connection_phase phase)
 {
-  struct http_connections *set = c->set;
+  const unsigned int timeouts_s[CONNECTION_PHASE_COUNT]
+      = { [CONNECTION_ENDING] = ENDING_TIMEOUT_S,
+          [CONNECTION_SLOW] = c->set->options.progress_s };
   c->phase = phase;
-  DL_APPEND (set->lists[phase], c);
-  /* Without a timeout first, the library counts the new one from the last
-     activity. */
-  set_timeout (c, 0);
-  if (phase == CONNECTION_ENDING)
-    set_timeout (c, ENDING_TIMEOUT_S);
-  else if (phase == CONNECTION_BUSY)
-    set_timeout (c, set->options.progress_s);
+  DL_APPEND (c->set->lists[phase], c);
+  restart_timeout (c, timeouts_s[phase]);
 }
 
 static void
@@ -73,30 +80,35 @@
   begin_phase (c, phase);
 }
 
-static bool
-has_unread (const struct http_connection *c)
-{
-  int bytes = 0;
-  return ioctl (c->fd, FIONREAD, &bytes) == 0 && bytes > 0;
-}
-
-/* How long a connection is idle before its timeout is set. */
+/* How long a connection is in PHASE at most. */
 static int64_t
-open_ms (const struct http_connections *set)
+phase_max_ms (const struct http_connections *set, enum connection_phase phase)
 {
-  const int64_t ending_ms = ENDING_TIMEOUT_S * INT64_C (1000);
-  return set->options.idle_ms > ending_ms ? set->options.idle_ms - ending_ms
-                                          : 0;
+  if (phase == CONNECTION_IDLE)
+    return set->options.idle_ms;
+  return set->options.progress_s * INT64_C (1000);
 }
 
 static void
 arm_expiry (struct http_connections *set)
 {
-  const struct http_connection *first = set->lists[CONNECTION_IDLE];
-  if (first == NULL || ev_is_active (&set->expiry))
+  static const enum connection_phase phases[]
+      = { CONNECTION_IDLE, CONNECTION_BUSY };
+  int64_t next_ms = INT64_MAX;
+  if (ev_is_active (&set->expiry))
     return;
-  const int64_t left_ms
-      = first->idle_since_ms + open_ms (set) - clock_now_ms ();
+  for (size_t i = 0; i < sizeof phases / sizeof phases[0]; i++)
+    {
+      const struct http_connection *first = set->lists[phases[i]];
+      const int64_t ends_ms
+          = first != NULL ? first->since_ms + phase_max_ms (set, phases[i])
+                          : INT64_MAX;
+      if (ends_ms < next_ms)
+        next_ms = ends_ms;
+    }
+  if (next_ms == INT64_MAX)
+    return;
+  const int64_t left_ms = next_ms - clock_now_ms ();
   ev_now_update (set->options.loop);
   ev_timer_set (&set->expiry,
                 left_ms > 0 ? (double)left_ms / MS_PER_SECOND : 0., 0.);
@@ -104,25 +116,48 @@
 }
 
 static void
-become_idle (struct http_connection *c)
+begin_timed_phase (struct http_connection *c, enum connection_phase phase)
 {
-  c->idle_since_ms = clock_now_ms ();
-  set_phase (c, CONNECTION_IDLE);
+  c->since_ms = clock_now_ms ();
+  set_phase (c, phase);
   arm_expiry (c->set);
 }
 
+static void
+end_idle (struct http_connection *c)
+{
+  if (socket_queue_unread_bytes (c->fd) > 0)
+    {
+      begin_timed_phase (c, CONNECTION_IDLE);
+      return;
+    }
+  if (socket_queue_undelivered_bytes (c->fd) == 0)
+    {
+      c->is_shut = true;
+      shutdown (c->fd, SHUT_RD);
+    }
+  set_phase (c, CONNECTION_ENDING);
+}
+
 static void
 on_expiry (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct http_connections *set = timer->data;
-  const int64_t expired_ms = clock_now_ms () - open_ms (set);
+  const int64_t now_ms = clock_now_ms ();
   struct http_connection *c;
   struct http_connection *next;
   DL_FOREACH_SAFE (set->lists[CONNECTION_IDLE], c, next)
   {
-    if (c->idle_since_ms > expired_ms)
+    if (c->since_ms + phase_max_ms (set, CONNECTION_IDLE) > now_ms)
       break;
-    set_phase (c, CONNECTION_ENDING);
+    end_idle (c);
+  }
+  DL_FOREACH_SAFE (set->lists[CONNECTION_BUSY], c, next)
+  {
+    if (c->since_ms + phase_max_ms (set, CONNECTION_BUSY) > now_ms)
+      break;
+    c->unread_bytes = 0;
+    set_phase (c, CONNECTION_SLOW);
   }
   arm_expiry (set);
   if (set->changed != NULL)
@@ -145,7 +180,7 @@
   if (set == NULL)
     return;
   ev_timer_stop (set->options.loop, &set->expiry);
-  for (size_t i = 0; i < sizeof set->lists / sizeof set->lists[0]; i++)
+  for (int i = 0; i < CONNECTION_PHASE_COUNT; i++)
     {
       struct http_connection *c;
       struct http_connection *next;
@@ -175,7 +210,7 @@
   c->set = set;
   c->connection = connection;
   c->fd = info != NULL ? info->connect_fd : -1;
-  c->idle_since_ms = clock_now_ms ();
+  c->since_ms = clock_now_ms ();
   *state = c;
   begin_phase (c, CONNECTION_IDLE);
   arm_expiry (set);
@@ -188,8 +223,8 @@
   struct http_connection *c = *state;
   if (c == NULL)
     return end;
-  if (c->phase != CONNECTION_BUSY)
-    end.idle_ms = clock_now_ms () - c->idle_since_ms;
+  if (c->phase < CONNECTION_BUSY)
+    end.idle_ms = clock_now_ms () - c->since_ms;
   end.is_idle = c->phase == CONNECTION_ENDING
                 || (c->phase == CONNECTION_IDLE && set->is_stopping);
   *state = NULL;
@@ -211,7 +246,7 @@
 {
   struct http_connection *c = connection_of (connection);
   if (c != NULL)
-    set_phase (c, CONNECTION_BUSY);
+    begin_timed_phase (c, CONNECTION_BUSY);
 }
 
 void
@@ -219,7 +254,25 @@
 {
   struct http_connection *c = connection_of (connection);
   if (c != NULL)
-    become_idle (c);
+    begin_timed_phase (c, CONNECTION_IDLE);
+}
+
+bool
+http_connections_is_ending (struct MHD_Connection *connection)
+{
+  const struct http_connection *c = connection_of (connection);
+  return c != NULL && c->is_shut;
+}
+
+/* Only what has come since the last look counts as progress: a caller may send
+   requests ahead and never read. */
+static void
+keep_slow (struct http_connection *c)
+{
+  const int bytes = socket_queue_unread_bytes (c->fd);
+  if (bytes > 0 && bytes != c->unread_bytes)
+    restart_timeout (c, c->set->options.progress_s);
+  c->unread_bytes = bytes;
 }
 
 void
@@ -229,8 +282,12 @@
   struct http_connection *next;
   DL_FOREACH_SAFE (set->lists[CONNECTION_ENDING], c, next)
   {
-    if (has_unread (c))
-      become_idle (c);
+    if (socket_queue_unread_bytes (c->fd) > 0)
+      begin_timed_phase (c, CONNECTION_IDLE);
+  }
+  DL_FOREACH (set->lists[CONNECTION_SLOW], c)
+  {
+    keep_slow (c);
   }
 }
 
@@ -238,10 +295,10 @@
 http_connections_have_unread (const struct http_connections *set)
 {
   const struct http_connection *c;
-  for (int phase = CONNECTION_IDLE; phase <= CONNECTION_BUSY; phase++)
+  for (int phase = 0; phase < CONNECTION_PHASE_COUNT; phase++)
     DL_FOREACH (set->lists[phase], c)
     {
-      if (has_unread (c))
+      if (socket_queue_unread_bytes (c->fd) > 0)
         return true;
     }
   return false;
--- a/node/http_connections.h
+++ b/node/http_connections.h
@@ -3,9 +3,11 @@
  *
  * libmicrohttpd looks at its timeouts before it reads, so that it closes a
  * connection on which a request has come while the process wasn't scheduled.
- * Its timeout is therefore off while a connection has no request.  A
- * connection that has been idle for too long gets a short timeout, which is
- * taken back when the kernel has received something.
+ * Its timeout is therefore off while a connection has no request.  One that
+ * has been idle for too long is shut down for reading: the library reads what
+ * the kernel has received by then, and closes it behind that.  If a response
+ * isn't delivered yet, the connection has to be read until its peer closes;
+ * it gets a short timeout, which is taken back when something is received.
  */
 #ifndef NODE_HTTP_CONNECTIONS_H
 #define NODE_HTTP_CONNECTIONS_H
@@ -24,7 +26,7 @@
   /** Connections without a request close after this time; at least 1000. */
   int64_t idle_ms;
   /** Connections whose request or response makes no progress for this time
-   * are closed by the library. */
+   * are closed, by twice the time at the latest. */
   unsigned int progress_s;
 };
 
@@ -54,6 +56,10 @@
 void http_connections_request_begins (struct MHD_Connection *connection);
 void http_connections_request_ended (struct MHD_Connection *connection);
 
+/** CONNECTION ends behind its request: no more is read from it, so that its
+ * peer seems to have closed it. */
+bool http_connections_is_ending (struct MHD_Connection *connection);
+
 /** Take back the end of connections on which something has come; to be called
  * before each run of the library. */
 void http_connections_keep_readable (struct http_connections *connections);
