caller: answer callers that close their connection for writing only

What callers saw: a request, a half-close behind it (SHUT_WR), and a closed connection for an answer, at any time, though its target worked.

Cause: a full close and a half-close are the same segment, and the host took each for a caller that has left, since work has to end within half a second of a close.

Evidence, on loopback: after either both sides see EPOLLRDHUP and CLOSE_WAIT; after a close the first byte written brings EPOLLHUP and EPOLLERR, after a half-close it is acknowledged. Keep-alive probes of TCP tell nothing (3 s). A close after a half-close isn't announced until something is written.

Change: a caller of HTTP/1.1 whose request is whole and whose answer hasn't begun is sent "100 Continue", and counts as gone when the connection is reset, or when nothing is acknowledged for 300 ms; this is repeated every 300 ms until the answer begins. 100 rather than 102: Python's http.client takes 102 for the answer and skips any number of 100. A whole request passes the library once more before it is suspended, so that its answer is taken before the end of the stream is read. Callers of HTTP/1.0, and those that have begun to get the answer, still count as gone: nothing can be written to them that isn't of the answer. `abandoned` tells the cases apart (why), `half-closed` and jaystair_half_closed_requests_total count them.

--- a/node/caller/caller_counters.c
+++ b/node/caller/caller_counters.c
@@ -53,6 +53,11 @@
           .help = "Requests blocked because targets crashed while they ran "
                   "them, by where that was learned.",
           .label_names = { "source" } };
+  const struct counter_family_options half_closed
+      = { .name = "jaystair_half_closed_requests_total",
+          .help = "Requests whose callers ended their sending side before the "
+                  "answer, by what followed.",
+          .label_names = { "service", "then" } };
   const struct counter_family_options lingering
       = { .name = "jaystair_lingering_connections",
           .help = "Connections that are closed here and not yet by callers.",
@@ -109,6 +114,7 @@
   families->precedence = counters_family (counters, &precedence);
   families->rejections = counters_family (counters, &rejections);
   families->foreign_answers = counters_family (counters, &foreign_answers);
+  families->half_closed = counters_family (counters, &half_closed);
   families->poison_blocks = counters_family (counters, &poison_blocks);
   families->target_crashes = counters_family (counters, &target_crashes);
   families->forwards = counters_family (counters, &forwards);
--- a/node/caller/caller_counters.h
+++ b/node/caller/caller_counters.h
@@ -19,6 +19,7 @@
   struct counter_family *target_crashes;  /**< by service */
   struct counter_family *rejections;      /**< by service and connection */
   struct counter_family *foreign_answers; /**< by service */
+  struct counter_family *half_closed;     /**< by service and what followed */
   struct counter_family *poison_blocks;   /**< by source */
   struct counter_family *request_times;   /**< by service and outcome */
   struct counter_family *attempt_times;   /**< by service and end */
--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -16,6 +16,7 @@
 #include "node/caller/address_answer.h"
 #include "node/caller/exchange.h"
 #include "node/caller/exchange_caller.h"
+#include "node/caller/half_close.h"
 #include "node/caller/lingering_close.h"
 #include "node/caller/response_room.h"
 #include "node/http_connections.h"
@@ -99,11 +100,9 @@
 }
 
 static void
-on_caller_disconnected (void *watched)
+on_hangup (void *watched, bool is_reset)
 {
-  struct exchange *x = watched;
-  x->caller_disconnected = true;
-  exchange_schedule_run (x);
+  half_close_begin (watched, is_reset);
 }
 
 static void
@@ -224,8 +223,7 @@
       return false;
     }
   server->is_listening = true;
-  context->hangup
-      = hangup_watch_create (context->loop, on_caller_disconnected);
+  context->hangup = hangup_watch_create (context->loop, on_hangup);
   context->mhd_loop
       = mhd_loop_create (context->loop, server->daemon, server->connections);
   return context->hangup != NULL && context->mhd_loop != NULL;
--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -64,6 +64,7 @@
   x->timer.data = x;
   ev_prepare_init (&x->run_watcher, on_run);
   x->run_watcher.data = x;
+  half_close_init (&x->half_close, x);
   DL_APPEND (context->exchanges, x);
   return x;
 }
@@ -359,6 +360,7 @@
   if (x->hangup_watched)
     hangup_watch_remove (x->context->hangup, x->fd);
   x->hangup_watched = false;
+  half_close_end (x, ok);
   x->connection = NULL;
   /* All of the response is written, but libcurl hasn't reported its end yet.
      Cancelling the attempt now would count a success as cancelled. */
@@ -374,7 +376,8 @@
 static void
 handle_disconnect (struct exchange *x)
 {
-  log_abandoned (x, "caller-left");
+  const char *why = x->half_close.why;
+  log_abandoned (x, why != NULL ? why : "caller-left");
   exchange_cancel (x);
   x->response_truncated = true;
   if (x->state != EXCHANGE_FORWARDING)
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -24,6 +24,7 @@
 #include "node/caller/body_prefix.h"
 #include "node/caller/caller_context.h"
 #include "node/caller/caller_service.h"
+#include "node/caller/half_close.h"
 #include "node/caller/local_response.h"
 #include "node/caller/request_head.h"
 #include "node/caller/stream_buffer.h"
@@ -113,6 +114,7 @@
   int64_t last_read_us;     /**< when the caller last took bytes of it */
   ev_timer timer;
   ev_prepare run_watcher; /**< never started, only fed */
+  struct half_close half_close;
 
   struct exchange_attempt attempt;
   struct run_record run_record;
--- a/node/caller/exchange_caller.c
+++ b/node/caller/exchange_caller.c
@@ -311,6 +311,14 @@
       x->upload_complete = true;
       x->upload.is_complete = true;
       exchange_schedule_run (x);
+      /* A connection that is suspended now would be read when it is resumed,
+         and closed at the end of what its caller sends.  From its next call
+         on, the library takes the response first. */
+      if (!x->raw_response_sent && !has_response (x))
+        {
+          mhd_loop_wake (x->context->mhd_loop);
+          return MHD_YES;
+        }
     }
   if (x->raw_response_sent)
     return MHD_NO;
--- a/node/caller/hangup_watch.c
+++ b/node/caller/hangup_watch.c
@@ -29,7 +29,8 @@
   struct epoll_event events[EVENTS_PER_WAKEUP];
   const int count = epoll_wait (watch->epoll_fd, events, EVENTS_PER_WAKEUP, 0);
   for (int i = 0; i < count; i++)
-    watch->on_hangup (events[i].data.ptr);
+    watch->on_hangup (events[i].data.ptr,
+                      (events[i].events & (EPOLLHUP | EPOLLERR)) != 0);
 }
 
 struct hangup_watch *
@@ -70,6 +71,14 @@
   epoll_ctl (watch->epoll_fd, EPOLL_CTL_ADD, fd, &event);
 }
 
+/* The kernel reports EPOLLHUP and EPOLLERR without a request for them. */
+void
+hangup_watch_await_reset (struct hangup_watch *watch, int fd, void *watched)
+{
+  struct epoll_event event = { .events = EPOLLONESHOT, .data.ptr = watched };
+  epoll_ctl (watch->epoll_fd, EPOLL_CTL_MOD, fd, &event);
+}
+
 void
 hangup_watch_remove (struct hangup_watch *watch, int fd)
 {
--- a/tests/standins/target_server.c
+++ b/tests/standins/target_server.c
@@ -76,7 +76,7 @@
 }
 
 static void
-on_hangup (void *watched)
+on_hangup (void *watched, bool is_reset)
 {
   struct request *request = watched;
   request->disconnected = true;
