--- a/node/caller/tests/half_close_test.cc
+++ b/node/caller/tests/half_close_test.cc
@@ -321,6 +321,32 @@
   raw->hang_up ();
 }
 
+/* Guards against targets that work for callers whose connection is cut. */
+TEST_F (HalfClose, CallerThatAcknowledgesNothingCountsAsOneThatLeft)
+{
+  auto raw = connect_raw ();
+  const int receive_bytes = 4096;
+  ASSERT_EQ (setsockopt (raw->fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                         sizeof receive_bytes),
+             0);
+  ev_io_stop (loop, &raw->io);
+  raw->write ("GET /bytes/300000 HTTP/1.1\r\nHost: a\r\nX-Request-Id: b\r\n"
+              "\r\n");
+  ASSERT_TRUE (
+      run_until ([&] { return target_server_runs (target, "b") == 1; }));
+  wait_in_flight (0);
+  target_server_faults (target)->hang = 100;
+  raw->write (request_of ("GET", "last"));
+  ASSERT_TRUE (
+      run_until ([&] { return target_server_runs (target, "last") == 1; }));
+  expect_cancelled ([&] { end_sending (raw.get ()); });
+  EXPECT_NE (line_of ("abandoned", "last").find ("why=caller-silent"),
+             std::string::npos)
+      << line_of ("abandoned", "last");
+  EXPECT_TRUE (counts ("silent", 1)) << exposed ();
+  raw->hang_up ();
+}
+
 /* Guards against a target that works for a request whose end never comes. */
 TEST_F (HalfClose, RequestThatIsntWholeIsCancelled)
 {
