caller: read a target's answer before a request's timer acts

What callers saw: a host stood still while the target answered, and when it ran again after the deadline it answered 504 though the answer, which had come before the deadline, was in its kernel. Attempt timeouts use the same timer.

Cause: as for giving up when leaving: a timer is handled before the sockets of the same run, and the run that SIGCONT interrupts may see timers only.

Evidence: late_timer_test, 20 requests one after the other with a deadline of 0.6 s and work of 0.3 s, the host stands still from 0.1 to 0.8 s. Why the others were answered before is not traced; the same in one process, without signals, doesn't fail.

Change: when the timer of a request that is at a target expires, the loop runs once more, with the timer at the lowest priority, before it acts.

The cost of the further run isn't measured.

--- a/node/caller/exchange.c
+++ b/node/caller/exchange.c
@@ -61,6 +61,7 @@
   stream_buffer_init (&x->upload, capacity, true);
   stream_buffer_init (&x->response_body, capacity, false);
   ev_timer_init (&x->timer, exchange_timer_expired, 0., 0.);
+  ev_set_priority (&x->timer, EV_MINPRI);
   x->timer.data = x;
   ev_prepare_init (&x->run_watcher, on_run);
   x->run_watcher.data = x;
@@ -167,6 +168,7 @@
 exchange_set_timer (struct exchange *x, int64_t after_us)
 {
   struct ev_loop *loop = x->context->loop;
+  x->has_read_pending = false;
   ev_timer_stop (loop, &x->timer);
   ev_now_update (loop);
   ev_timer_set (&x->timer,
--- a/node/caller/exchange.h
+++ b/node/caller/exchange.h
@@ -112,6 +112,7 @@
   int64_t last_progress_us; /**< when the last bytes of the response came */
   int64_t last_read_us;     /**< when the caller last took bytes of it */
   ev_timer timer;
+  bool has_read_pending;  /**< the loop has run since the timer expired */
   ev_prepare run_watcher; /**< never started, only fed */
 
   struct exchange_attempt attempt;
--- a/node/caller/exchange_timer.c
+++ b/node/caller/exchange_timer.c
@@ -136,10 +136,25 @@
   exchange_set_timer (x, RAW_CLOSE_DELAY_US);
 }
 
+/* If the process stood still, the target's answer may wait in the kernel.  It
+   is read first: the run that a signal such as SIGCONT interrupts sees no
+   events but timers, and in the next one this timer is handled last. */
+static bool
+read_pending_first (struct exchange *x)
+{
+  if (x->state != EXCHANGE_SENT || x->has_read_pending)
+    return false;
+  exchange_set_timer (x, 0);
+  x->has_read_pending = true;
+  return true;
+}
+
 void
 exchange_timer_expired (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct exchange *x = timer->data;
+  if (read_pending_first (x))
+    return;
   const int64_t remaining_us = x->deadline_us - clock_now_us ();
   switch (x->state)
     {
