caller_leave: close connections as soon as a host has given up

Callers waited for a host that could only refuse them.

Cause: the time in which connections close by themselves was given after the time to leave was over, too.

Change: a host that has given up reads what has come once more, refuses it, and closes all connections. A caller that sends later learns at once that its request wasn't read.

--- a/node/caller/caller_leave.c
+++ b/node/caller/caller_leave.c
@@ -51,8 +51,10 @@
   const int64_t part_ms = settings->times.shutdown_ms / LAST_REQUESTS_DIVISOR;
   const int64_t slack_ms
       = part_ms < LAST_REQUESTS_MAX_MS ? part_ms : LAST_REQUESTS_MAX_MS;
+  /* What comes now is better refused by the kernel, so that its caller knows
+     at once, than met by the end of the process. */
   if (leave->is_hurried)
-    return slack_ms;
+    return 0;
   return host_settings_reuse_max_ms (settings) + slack_ms;
 }
 
