--- a/node/http_connections.h
+++ b/node/http_connections.h
@@ -23,7 +23,8 @@
 struct http_connections_options
 {
   struct ev_loop *loop;
-  /** Connections without a request close after this time; at least 1000. */
+  /** Connections without a request close after this time, or up to a second
+   * later. */
   int64_t idle_ms;
   /** Connections whose request or response makes no progress for this time
    * are closed, by twice the time at the latest. */
@@ -67,8 +68,7 @@
 /** Whether the kernel has received something on a connection. */
 bool http_connections_have_unread (const struct http_connections *connections);
 
-/** Change the idle time, of connections that are open too.  The library takes
- * a second to close one at least. */
+/** Change the idle time, of connections that are open too. */
 void http_connections_set_idle_ms (struct http_connections *connections,
                                    int64_t idle_ms);
 
