--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -44,9 +44,9 @@
                                 { "escrowpay" }));
   for (int i = 0; i < backends; i++)
     {
-      servers.push_back (std::make_unique<Backend> (
-          record, "i-" + std::to_string (i + 1), "escrowpay", zones[i],
-          work_ms));
+      servers.push_back (
+          std::make_unique<Backend> (record, "i-" + std::to_string (i + 1),
+                                     "escrowpay", zones[i], work_ms));
       fleet.store.put ("servers", servers.back ()->id,
                        servers.back ()->entry ("ready"));
     }
@@ -81,7 +81,8 @@
 
   for (int i = 0; i < cuts && has_trouble; i++)
     {
-      record.line ("the store cuts off %d watches", fleet.store.cut_watches ());
+      record.line ("the store cuts off %d watches",
+                   fleet.store.cut_watches ());
       if (i + 1 < cuts)
         usleep (cut_interval_us);
     }
@@ -106,14 +107,15 @@
         continue;
       late++;
       lost += statuses[run.id] != 200;
-      record.line ("BROKEN: %s reached %s %lld ms after its entry was removed; "
-                   "its caller got status %d",
-                   run.id.c_str (), leaving.id.c_str (),
-                   static_cast<long long> (after_ms), statuses[run.id]);
+      record.line (
+          "BROKEN: %s reached %s %lld ms after its entry was removed; "
+          "its caller got status %d",
+          run.id.c_str (), leaving.id.c_str (),
+          static_cast<long long> (after_ms), statuses[run.id]);
     }
   for (const Host &host : fleet.hosts)
-    for (const char *word : { "platform-failed kind=target", "removal-held",
-                              "target-gone" })
+    for (const char *word :
+         { "platform-failed kind=target", "removal-held", "target-gone" })
       fleet.quote_log (host, word, 2);
   record.line ("%d requests, %d reached the back end later than Drain, %d of "
                "these weren't answered with success",
--- a/review/common-2/fleet.h
+++ b/review/common-2/fleet.h
@@ -20,7 +20,8 @@
 class Record
 {
 public:
-  explicit Record (const std::string &path) : file_ (fopen (path.c_str (), "w"))
+  explicit Record (const std::string &path)
+      : file_ (fopen (path.c_str (), "w"))
   {
     if (file_ == nullptr)
       {
@@ -37,8 +38,8 @@
     vsnprintf (text, sizeof text, format, arguments);
     va_end (arguments);
     const std::lock_guard<std::mutex> lock (mutex_);
-    fprintf (file_, "%9.3f %s\n", static_cast<double> (now_ms () - start_) / 1e3,
-             text);
+    fprintf (file_, "%9.3f %s\n",
+             static_cast<double> (now_ms () - start_) / 1e3, text);
     fflush (file_);
   }
 
@@ -90,8 +91,9 @@
           all += (all.empty () ? "" : ",") + value.plain_text ();
         return all;
       }
-    return text.size () >= 2 && text[0] == '"' ? text.substr (1, text.size () - 2)
-                                               : text;
+    return text.size () >= 2 && text[0] == '"'
+               ? text.substr (1, text.size () - 2)
+               : text;
   }
 };
 
@@ -181,8 +183,8 @@
     for (size_t i = 0; i < value->items.size (); i++)
       {
         more.back () = &value->items[i].second;
-        fill (inner, more, value->items[i].first, i + 1 == value->items.size (),
-              out);
+        fill (inner, more, value->items[i].first,
+              i + 1 == value->items.size (), out);
       }
   }
 };
@@ -253,8 +255,8 @@
                      { "Ready", s (host.ready) },
                      { "Control", s (host.control) },
                      { "Directory", s (host.directory) } };
-    platform.items = { { "Address", s (host.platform) },
-                       { "form", s ("objects") } };
+    platform.items
+        = { { "Address", s (host.platform) }, { "form", s ("objects") } };
     bounds.items = { { "RetryBudgetRatio", p ("0.2") },
                      { "RetryWindow", s ("10s") },
                      { "RetrySlack", p ("56") },
@@ -272,17 +274,17 @@
                      { "LinkMbps", p ("1000.0") } };
     for (size_t i = 0; i < hosts.size () && i < 3; i++)
       seeds.items.emplace_back (std::to_string (i), s (hosts[i].control));
-    fields.items = { { "NodeName", s (host.name) },
-                     { "Zone", s (host.zone) },
-                     { "Ip", s (host.ip) },
-                     { "Listen", listen },
-                     { "Platform", platform },
-                     { "Seeds", seeds },
-                     { "Contracts",
-                       s ("base,drain,config,cost,retry,recover,health,"
-                          "platform") },
-                     { "Bounds", bounds },
-                     { "Limits", limits } };
+    fields.items
+        = { { "NodeName", s (host.name) },
+            { "Zone", s (host.zone) },
+            { "Ip", s (host.ip) },
+            { "Listen", listen },
+            { "Platform", platform },
+            { "Seeds", seeds },
+            { "Contracts", s ("base,drain,config,cost,retry,recover,health,"
+                              "platform") },
+            { "Bounds", bounds },
+            { "Limits", limits } };
     host.settings = folder_ + "/" + host.name + ".json";
     std::ofstream (host.settings) << Template::fill (text.str (), fields);
   }
@@ -295,8 +297,8 @@
     if (host.pid == 0)
       {
         prctl (PR_SET_PDEATHSIG, SIGKILL);
-        const int log = open (host.log.c_str (),
-                              O_WRONLY | O_CREAT | O_APPEND, 0600);
+        const int log
+            = open (host.log.c_str (), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2 (log, 1);
         dup2 (log, 2);
         if (chdir (root_.c_str ()) != 0)
@@ -395,7 +397,10 @@
     fd_ = listen_on ("127.0.4.1", address);
     thread_ = std::thread ([this] { accept_all (); });
   }
-  ~Backend () { end (); }
+  ~Backend ()
+  {
+    end ();
+  }
 
   const std::string id, service, zone;
   std::string address;
@@ -540,11 +545,10 @@
   const int fd = connect_to (front, 1000);
   if (fd >= 0)
     {
-      std::string text = method + " " + path
-                         + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: "
-                         + id
-                         + "\r\nX-Deadline-Ms: " + std::to_string (deadline_ms)
-                         + "\r\n";
+      std::string text
+          = method + " " + path
+            + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id
+            + "\r\nX-Deadline-Ms: " + std::to_string (deadline_ms) + "\r\n";
       if (method != "GET")
         text += "Content-Length: " + std::to_string (body.size ()) + "\r\n";
       const int64_t until = now_ms () + deadline_ms;
--- a/review/common-2/net.h
+++ b/review/common-2/net.h
@@ -138,7 +138,9 @@
 class Reader
 {
 public:
-  explicit Reader (int fd) : fd_ (fd) {}
+  explicit Reader (int fd) : fd_ (fd)
+  {
+  }
 
   Read
   fill (int64_t until_ms)
@@ -208,8 +210,9 @@
         at = first.find (' ', at);
         at += at != std::string::npos;
       }
-    return at == std::string::npos ? ""
-                                   : first.substr (at, first.find (' ', at) - at);
+    return at == std::string::npos
+               ? ""
+               : first.substr (at, first.find (' ', at) - at);
   }
 };
 
@@ -296,7 +299,8 @@
       }
   if (message.has ("Content-Length"))
     return read_bytes (
-        reader, strtoul (message.field ("Content-Length").c_str (), nullptr, 10),
+        reader,
+        strtoul (message.field ("Content-Length").c_str (), nullptr, 10),
         message.body, until_ms);
   if (!ends_with_connection)
     return Read::ok;
--- a/review/common-2/path.h
+++ b/review/common-2/path.h
@@ -37,8 +37,8 @@
       {
         const int fd
             = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        const int result
-            = connect (fd, reinterpret_cast<const sockaddr *> (&at), sizeof at);
+        const int result = connect (
+            fd, reinterpret_cast<const sockaddr *> (&at), sizeof at);
         (void)result;
         fillers_.push_back (fd);
       }
@@ -95,8 +95,9 @@
     bool is_open[] = { true, true };
     while (!over_ && (is_open[0] || is_open[1]))
       {
-        pollfd wait[] = { { from, static_cast<short> (is_open[0] ? POLLIN : 0), 0 },
-                          { to, static_cast<short> (is_open[1] ? POLLIN : 0), 0 } };
+        pollfd wait[]
+            = { { from, static_cast<short> (is_open[0] ? POLLIN : 0), 0 },
+                { to, static_cast<short> (is_open[1] ? POLLIN : 0), 0 } };
         if (cut_ || poll (wait, 2, 5) <= 0 || cut_)
           {
             usleep (1000);
--- a/review/common-2/store.h
+++ b/review/common-2/store.h
@@ -175,7 +175,8 @@
     const std::string sought = "\"" + key + "\"";
     for (size_t i = 0; i < body.size (); i++)
       {
-        if (!quoted && depth == 1 && body.compare (i, sought.size (), sought) == 0)
+        if (!quoted && depth == 1
+            && body.compare (i, sought.size (), sought) == 0)
           {
             size_t from = body.find (':', i + sought.size ()) + 1;
             while (body[from] == ' ')
@@ -235,8 +236,8 @@
           break;
         items += (count++ > 0 ? "," : "") + text (name, object);
       }
-    return { 200, "{\"items\":[" + items + "],\"HasMore\":"
-                      + (more ? "true" : "false")
+    return { 200, "{\"items\":[" + items
+                      + "],\"HasMore\":" + (more ? "true" : "false")
                       + ",\"AtRev\":" + std::to_string (revision_) + "}" };
   }
 
@@ -258,9 +259,8 @@
                       + ",\"Object\":" + text (event.name, event.object) + "}";
         const int64_t left = until - now_ms ();
         if (!events.empty () || left <= 0)
-          return { 200, "{\"events\":[" + events
-                            + "],\"AtRev\":" + std::to_string (revision_)
-                            + "}" };
+          return { 200, "{\"events\":[" + events + "],\"AtRev\":"
+                            + std::to_string (revision_) + "}" };
         waiting_++;
         changed_.wait_for (lock, std::chrono::milliseconds (left));
         waiting_--;
@@ -273,7 +273,8 @@
   {
     const std::string meta = member (body, "Metadata");
     const bool is_status
-        = name.size () > 7 && name.compare (name.size () - 7, 7, "/status") == 0;
+        = name.size () > 7
+          && name.compare (name.size () - 7, 7, "/status") == 0;
     if (is_status)
       name.resize (name.size () - 7);
     if (method == "POST")
@@ -373,8 +374,8 @@
                        "HTTP/1.1 " + std::to_string (result.status)
                            + " X\r\nContent-Type: application/json\r\n"
                              "Content-Length: "
-                           + std::to_string (result.body.size ())
-                           + "\r\n\r\n" + result.body,
+                           + std::to_string (result.body.size ()) + "\r\n\r\n"
+                           + result.body,
                        now_ms () + 5000))
           break;
       }
