control: hold removals only after an outage in which records can expire

What callers saw: while watches at the platform's store were cut off and answered again at once, requests reached a target for up to 2.5 s after its entry had been removed.

Cause: a single failed call of a kind counted as an outage, and removals of targets were held for 2.3 s from the next answer on. Ruled out: that hosts read the removal late; they log it as held within 0.3 s.

Change: control_outage keeps the newest answer of the platform that is known here, to any call of this host or, by the proofs in heartbeats, to another host. An outage is a time of two heartbeats of targets without one (times.target_heartbeat_ms, from the installation's Heartbeat), at whose end this host's calls fail. A record is removed after three heartbeats without a write, and the last write is at most one older than the outage. The hold is one for all kinds and no longer that of one feed; the same removal is held once. The line removal-held names length and age of the outage.

--- a/node/control/control_feed.c
+++ b/node/control/control_feed.c
@@ -86,17 +86,24 @@
       feed->proof_ms = feed->requested_ms;
     }
   if (feed->backoff_ms > 0)
-    {
-      feed->recovered_ms = now_ms;
-      LOG_INFO ("platform-regained", LOG_STR ("kind", feed->kind),
-                LOG_INT ("revision", feed->revision));
-    }
+    LOG_INFO ("platform-regained", LOG_STR ("kind", feed->kind),
+              LOG_INT ("revision", feed->revision));
   feed->backoff_ms = 0;
   feed->is_unreadable = false;
   shorten_other_backoffs (feed);
   note_contact (feed->task);
 }
 
+/* A response that can't be read doesn't prove that the platform is
+   available. */
+static void
+note_answer (const struct control_feed *feed,
+             const struct platform_reply *reply)
+{
+  if (reply->status == STATUS_OK || reply->status == STATUS_REFUSED)
+    control_outage_note_answer (feed->task, clock_now_ms ());
+}
+
 static void
 end_call (struct control_feed *feed)
 {
@@ -170,6 +177,7 @@
 list_done (void *owner, const struct platform_reply *reply)
 {
   struct control_feed *feed = owner;
+  note_answer (feed, reply);
   end_call (feed);
   if (reply->status != STATUS_OK)
     {
@@ -264,6 +272,7 @@
 watch_done (void *owner, const struct platform_reply *reply)
 {
   struct control_feed *feed = owner;
+  note_answer (feed, reply);
   end_call (feed);
   if (reply->status == STATUS_REFUSED)
     {
--- a/node/control/control_feed_reply.c
+++ b/node/control/control_feed_reply.c
@@ -11,12 +11,12 @@
               const char *value)
 {
   struct control_task *task = feed->task;
-  if (value == NULL && strcmp (feed->kind, PLATFORM_KIND_TARGET) == 0
-      && control_removals_defer (task, name, version, feed->recovered_ms))
-    return;
   const bool is_newest = feed->read_mode == PLATFORM_READ_LATEST;
   const char *via = feed->is_listed ? (is_newest ? "watch" : "stale watch")
                                     : (is_newest ? "list" : "stale list");
+  if (value == NULL && strcmp (feed->kind, PLATFORM_KIND_TARGET) == 0
+      && control_removals_defer (task, name, version, via))
+    return;
   control_settings_apply (task, feed->kind, name, version, value, via);
 }
 
--- a/node/control/control_freshness.c
+++ b/node/control/control_freshness.c
@@ -64,6 +64,7 @@
 {
   const struct freshness_proof before = freshness_get_proof (&task->freshness);
   freshness_add_proof (&task->freshness, proof);
+  control_outage_note_answer (task, proof->time_ms);
   if (proof->version > before.version || proof->time_ms > before.time_ms)
     post_proof (task, proof);
 }
--- a/node/control/control_internal.h
+++ b/node/control/control_internal.h
@@ -79,6 +79,7 @@
   struct control_feed feeds[CONTROL_FEEDS_MAX];
   size_t feed_count;
   struct control_registration registration;
+  struct control_outage outage;
   struct control_restore restore;
   struct control_startup startup;
   struct freshness freshness;
@@ -245,9 +246,10 @@
 
 /* control_removals.c */
 /** Defer the removal of a target if it may be a result of a platform outage.
- * @return whether it was deferred */
+ * VIA says how it arrived, for the log.
+ * @return whether it is deferred */
 bool control_removals_defer (struct control_task *task, const char *name,
-                             uint64_t version, int64_t recovered_ms);
+                             uint64_t version, const char *via);
 /** Let target NAME, whose lost removal was kept, return a while later in the
  * state VALUE. */
 void control_removals_return_later (struct control_task *task,
@@ -256,6 +258,15 @@
 void control_removals_start (struct control_task *task);
 void control_removals_stop (struct control_task *task);
 
+/* control_outage.c */
+/** The platform was available at AT_MS: it has answered a call of this host,
+ * or of another one that says so. */
+void control_outage_note_answer (struct control_task *task, int64_t at_ms);
+/** When the last outage ended; now if one lasts; 0 if there was none. */
+int64_t control_outage_end_ms (const struct control_task *task);
+/** The platform has come back from an older copy. */
+void control_outage_note_restore (struct control_task *task);
+
 /* control_restore.c: the platform comes back from an older copy */
 void control_restore_start (struct control_task *task);
 /** Replace CHANGE, the first state of a target since a restore, by the state
--- a/node/control/control_records.h
+++ b/node/control/control_records.h
@@ -101,8 +101,7 @@
   bool was_refused;          /**< the platform no longer knew the revision */
   enum platform_read_mode read_mode; /**< of the call in flight */
   int64_t last_current_reply_ms;     /**< of the last read of newest state */
-  int64_t proof_ms;     /**< when the last answered one of these was made */
-  int64_t recovered_ms; /**< when a call succeeded after one had failed */
+  int64_t proof_ms; /**< when the last answered one of these was made */
   uint32_t backoff_ms;
   /** Next back-off after a watch that can't be read; 0 once one could. */
   uint32_t unreadable_backoff_ms;
@@ -114,6 +113,16 @@
   struct ev_timer overdue;
 };
 
+/** The last time without the platform in which records of running targets may
+ * have been removed. */
+struct control_outage
+{
+  int64_t answered_ms; /**< last known answer, to any host; 0: none yet */
+  int64_t ended_ms;    /**< 0: none yet */
+  int64_t length_ms;   /**< how long no answer was known */
+  const char *why;     /**< why a removal after it is held */
+};
+
 /** What this host does once it sees that the platform was restored. */
 struct control_restore
 {
--- a/node/control/control_removals.c
+++ b/node/control/control_removals.c
@@ -100,6 +100,20 @@
   schedule_timer (task);
 }
 
+static bool
+is_deferred (const struct control_task *task, const char *name,
+             uint64_t version)
+{
+  const struct control_removal *removal;
+  DL_FOREACH (task->removals, removal)
+  {
+    if (removal->value == NULL && removal->version >= version
+        && strcmp (removal->name, name) == 0)
+      return true;
+  }
+  return false;
+}
+
 /* During a platform outage no heartbeats of targets are accepted, so their
    records expire, and the first response after it shows them removed while
    they still serve.  The service would have no targets for two seconds.  Live
@@ -108,19 +122,28 @@
    once. */
 bool
 control_removals_defer (struct control_task *task, const char *name,
-                        uint64_t version, int64_t recovered_ms)
+                        uint64_t version, const char *via)
 {
-  const int64_t due_ms = recovered_ms + REREGISTER_TIMEOUT_MS;
-  if (recovered_ms == 0 || clock_now_ms () >= due_ms
+  const struct control_outage *outage = &task->outage;
+  const int64_t now_ms = clock_now_ms ();
+  const int64_t ended_ms = control_outage_end_ms (task);
+  const int64_t due_ms = ended_ms + REREGISTER_TIMEOUT_MS;
+  if (ended_ms == 0 || now_ms >= due_ms
       || !registry_target_is_active (task->registry, name))
     return false;
+  if (is_deferred (task, name, version))
+    return true;
   add (task, name, version, NULL, due_ms);
   if (task->restore.is_reading)
     task->restore.held_removals++;
   LOG_INFO ("removal-held", LOG_STR ("target", name),
             LOG_INT ("version", platform_version_revision (version)),
-            LOG_INT ("for_ms", due_ms - clock_now_ms ()),
-            LOG_STR ("why", "the platform was unavailable"));
+            LOG_INT ("for_ms", due_ms - now_ms),
+            LOG_INT ("outage_ms", outage->length_ms),
+            LOG_INT ("outage_age_ms", now_ms - ended_ms), LOG_STR ("via", via),
+            LOG_STR ("why", ended_ms == outage->ended_ms
+                                ? outage->why
+                                : "the platform doesn't answer this host"));
   return true;
 }
 
--- a/node/control/control_restore.c
+++ b/node/control/control_restore.c
@@ -14,7 +14,6 @@
 {
   struct control_task *task = owner;
   struct control_restore *restore = &task->restore;
-  const int64_t now_ms = clock_now_ms ();
   if (!restore->is_reading)
     *restore = (struct control_restore){
       .timer = restore->timer,
@@ -25,8 +24,7 @@
       .restores_total = restore->restores_total
     };
   restore->is_reading = true;
-  for (size_t i = 0; i < task->feed_count; i++)
-    task->feeds[i].recovered_ms = now_ms;
+  control_outage_note_restore (task);
   if (restore->restores_total != NULL)
     counter_add (restore->restores_total, 1);
   ev_timer_stop (task->options.loop, &restore->timer);
--- /dev/null
+++ b/node/control/tests/control_outage_test.cc
@@ -0,0 +1,107 @@
+#include "node/control/tests/registry_fixture.h"
+
+namespace
+{
+
+/* The users' bound `Drain`, in seconds. */
+constexpr double drain_s = 2;
+
+class ControlOutage : public ControlRegistry
+{
+protected:
+  void
+  put_targets ()
+  {
+    store.put ("config", "main", config_text (1));
+    store.put ("target", "t1", target_text ());
+    store.put ("target", "t2", target_text ());
+    ASSERT_TRUE (until ([&] { return all_have_targets ({ "t1", "t2" }); }));
+  }
+
+  /* Cuts off the waiting watches of all hosts COUNT times, and lets them
+     watch again in between. */
+  void
+  cut_watches (int count, double interval_s)
+  {
+    for (int i = 0; i < count; i++)
+      {
+        ASSERT_TRUE (until ([&] {
+          return std::all_of (nodes.begin (), nodes.end (), [] (auto &n) {
+            return n->platform.has_call ("watch", "target",
+                                         PLATFORM_READ_LATEST);
+          });
+        }));
+        for (auto &n : nodes)
+          n->platform.cut_watches ();
+        run_for (interval_s);
+      }
+  }
+
+  /* Removes t1.
+     @return after how many seconds no host has it */
+  double
+  remove_t1 ()
+  {
+    const double start = ev_now (loop);
+    store.remove ("target", "t1");
+    EXPECT_TRUE (until ([&] { return all_have_targets ({ "t2" }); }));
+    return ev_now (loop) - start;
+  }
+};
+
+/* Guards against a removed target that gets requests for longer than Drain
+   because watches were cut off. */
+TEST_F (ControlOutage, RemovalAfterCutWatchesIsAppliedAtOnce)
+{
+  start_registry (1);
+  put_targets ();
+  cut_watches (2, 0.03);
+  EXPECT_LT (remove_t1 (), drain_s);
+}
+
+/* Guards against cuts that add up to an outage although the platform answers
+   between them. */
+TEST_F (ControlOutage, RemovalAfterManyCutsIsAppliedAtOnce)
+{
+  start_with_short_records (1);
+  put_targets ();
+  cut_watches (10, 0.05);
+  EXPECT_LT (remove_t1 (), drain_s);
+}
+
+/* Guards against an outage too short for records to expire that holds
+   removals. */
+TEST_F (ControlOutage, RemovalAfterAShortOutageIsAppliedAtOnce)
+{
+  start_registry (1);
+  put_targets ();
+  nodes[0]->platform.is_down = true;
+  run_for (0.3);
+  nodes[0]->platform.is_down = false;
+  EXPECT_LT (remove_t1 (), drain_s);
+}
+
+/* Guards against failed reads of one kind that hold removals although the
+   platform answers others. */
+TEST_F (ControlOutage, FailureOfOneKindIsNoOutage)
+{
+  start_with_short_records (1);
+  put_targets ();
+  nodes[0]->platform.failing_kind = "target";
+  run_for (2 * expiry_s);
+  nodes[0]->platform.failing_kind = "";
+  EXPECT_LT (remove_t1 (), drain_s);
+}
+
+/* Guards against a host that holds removals because the platform refused it
+   while it served the others. */
+TEST_F (ControlOutage, RefusalOfOneHostIsNoOutage)
+{
+  start_with_short_records (2);
+  put_targets ();
+  nodes[1]->platform.refuses = true;
+  run_for (2 * expiry_s);
+  nodes[1]->platform.refuses = false;
+  EXPECT_LT (remove_t1 (), drain_s);
+}
+} // namespace
--- a/node/control/tests/fake_platform.h
+++ b/node/control/tests/fake_platform.h
@@ -64,6 +64,7 @@
   int newest_lists = 0;       /* lists of the newest state */
   const fake_store *snapshot; /* an old state that is read instead */
   int lists = 0;
+  std::string failing_kind; /* its calls fail */
   /* Kinds whose watches and lists have responses that can't be read, and whose
      watches have responses that are cut. */
   std::string unreadable_watch, unreadable_list, cut_watch;
@@ -77,6 +78,7 @@
     void *owner;
     double end; /* of a watch, on the loop's clock */
     bool is_silent = false;
+    bool is_cut = false;
     platform_read_mode mode = PLATFORM_READ_LATEST;
   };
 
@@ -215,7 +217,9 @@
       }
     if (reply_unreadable (c))
       return true;
-    if (is_down)
+    if (c.is_cut)
+      reply (c, STATUS_LOST_ANSWER, {}, 0);
+    else if (is_down || c.kind == failing_kind)
       reply (c, STATUS_UNREACHABLE, {}, 0);
     else if (c.verb == "get")
       do_get (c);
@@ -255,6 +259,14 @@
       c.is_silent = c.verb == "watch";
   }
 
+  /* The connections of all watches in flight are closed. */
+  void
+  cut_watches ()
+  {
+    for (call &c : calls)
+      c.is_cut = c.verb == "watch";
+  }
+
   bool
   has_call (const std::string &verb) const
   {
@@ -306,7 +318,8 @@
   },
   [] (struct platform *p, const char *kind, platform_read_mode mode,
       platform_done *done, void *owner) {
-    add (p, { "list", kind, "", "", false, 0, done, owner, 0, false, mode });
+    add (p, { "list", kind, "", "", false, 0, done, owner, 0, false, false,
+              mode });
   },
   [] (struct platform *p, const char *kind, const char *name,
       uint64_t expected, const char *value, platform_done *done, void *owner) {
@@ -318,7 +331,7 @@
       void *owner) {
     add (p, { "watch", kind, "", "", false, revision, done, owner,
               ev_now (((fake_platform *)p)->loop) + timeout_ms / 1000.0, false,
-              mode });
+              false, mode });
   },
   [] (struct platform *p, void *owner) {
     ((fake_platform *)p)->calls.remove_if ([=] (const call &c) {
--- a/node/host_settings.h
+++ b/node/host_settings.h
@@ -109,6 +109,9 @@
    * isn't informed by others reads it itself before. */
   uint32_t config_apply_ms;
   uint32_t platform_timeout_ms;
+  /** How often a target renews its record, which the platform removes after
+   * three of these intervals without a write. */
+  uint32_t target_heartbeat_ms;
   uint32_t evidence_ms;    /**< interval of the reports to a service's owner */
   uint32_t shutdown_ms;    /**< how long a leaving host takes at most */
   uint32_t stale_after_ms; /**< without contact to the platform or a relay this
--- a/node/host_settings_compare.c
+++ b/node/host_settings_compare.c
@@ -48,7 +48,7 @@
                "admission_settings has padding: compare its members");
 _Static_assert(sizeof (struct placement_settings) == 2 * sizeof (bool),
                "placement_settings has padding: compare its members");
-_Static_assert(sizeof (struct control_times) == 14 * sizeof (uint32_t),
+_Static_assert(sizeof (struct control_times) == 15 * sizeof (uint32_t),
                "control_times has padding: compare its members");
 
 static bool
