control: hold removals after an outage also if another host passes them on

What callers would see: after an outage a service is without targets for up to two seconds although they run.

Cause: only removals that a host read itself were held. One that another host passed on was applied at once, and that host may not have noticed the outage: its watch waited in silence, or its calls rested.

Change: the removal of a target that a host pushes is held like one that is read here, and counts as received, so that it isn't asked for again. A host that hasn't been answered yet takes the present for the end of the outage.

--- a/node/control/control_settings.c
+++ b/node/control/control_settings.c
@@ -444,14 +444,28 @@
     }
 }
 
+/* Another host may not have noticed the outage in which the record expired. */
+static bool
+defer_pushed_removal (struct control_task *task,
+                      const struct peer_settings_push *push, const char *via)
+{
+  if (push->value != NULL || strcmp (push->kind, PLATFORM_KIND_TARGET) != 0
+      || !control_removals_defer (task, push->name, push->version, via))
+    return false;
+  control_pulls_complete (task, settings_key (push->kind, push->name),
+                          push->version);
+  return true;
+}
+
 static void
 handle_push (struct control_task *task, const struct control_source *source,
              const struct peer_settings_push *push)
 {
   char via[HOST_NAME_SIZE + sizeof "host "];
   snprintf (via, sizeof via, "host %s", source->host->record.name);
-  if (!control_tombstones_is_outdated (task, push->kind, push->name,
-                                       push->version, push->value)
+  if (!defer_pushed_removal (task, push, via)
+      && !control_tombstones_is_outdated (task, push->kind, push->name,
+                                          push->version, push->value)
       && control_settings_apply (task, push->kind, push->name, push->version,
                                  push->value, via))
     task->has_settings = true;
--- a/node/control/tests/control_outage_test.cc
+++ b/node/control/tests/control_outage_test.cc
@@ -109,4 +109,24 @@
   nodes[1]->platform.refuses = false;
   EXPECT_LT (remove_t1 (), drain_s);
 }
+
+/* Guards against running targets that are dropped after an outage because a
+   host that hasn't noticed it passes on the removal of their records. */
+TEST_F (ControlOutage, RemovalFromAnotherHostIsHeldAfterAnOutage)
+{
+  start_with_short_records (2, heartbeat_ms, short_watch_ms);
+  put_targets ();
+  nodes[1]->settings.times.target_heartbeat_ms = 3600 * 1000;
+  for (auto &n : nodes)
+    n->platform.is_down = true;
+  run_for (expiry_s);
+  store.remove ("target", "t1");
+  for (auto &n : nodes)
+    n->platform.is_down = false;
+  const std::vector<std::string> both = { "t1", "t2" }, rest = { "t2" };
+  ASSERT_TRUE (until ([&] { return nodes[1]->targets["holds"] == rest; }));
+  run_for (0.5);
+  EXPECT_EQ (nodes[0]->targets["holds"], both);
+  EXPECT_TRUE (until ([&] { return all_have_targets (rest); }));
+}
 } // namespace
