--- a/node/caller/caller_server.c
+++ b/node/caller/caller_server.c
@@ -224,7 +224,8 @@
   server->is_listening = true;
   context->hangup = hangup_watch_create (context->loop, on_hangup);
   context->mhd_loop
-      = mhd_loop_create (context->loop, server->daemon, server->connections);
+      = mhd_loop_create (context->loop, server->daemon,
+                         http_connections_for_loop (server->connections));
   return context->hangup != NULL && context->mhd_loop != NULL;
 }
 
--- a/node/http_connections.c
+++ b/node/http_connections.c
@@ -41,6 +41,7 @@
 
 struct http_connections
 {
+  struct mhd_connections base;
   struct http_connections_options options;
   struct http_connection *lists[CONNECTION_PHASE_COUNT]; /* oldest first */
   ev_timer expiry;
@@ -164,10 +165,72 @@
     set->changed (set->owner);
 }
 
+/* Only what has come since the last look counts as progress: a caller may send
+   requests ahead and never read. */
+static void
+keep_slow (struct http_connection *c)
+{
+  const int bytes = socket_queue_unread_bytes (c->fd);
+  if (bytes > 0 && bytes != c->unread_bytes)
+    restart_timeout (c, c->set->options.progress_s);
+  c->unread_bytes = bytes;
+}
+
+/* Takes back the end of connections on which something has come. */
+static void
+keep_readable (struct mhd_connections *base)
+{
+  struct http_connections *set = (struct http_connections *)base;
+  struct http_connection *c;
+  struct http_connection *next;
+  DL_FOREACH_SAFE (set->lists[CONNECTION_ENDING], c, next)
+  {
+    if (socket_queue_unread_bytes (c->fd) > 0)
+      begin_timed_phase (c, CONNECTION_IDLE);
+  }
+  DL_FOREACH (set->lists[CONNECTION_SLOW], c)
+  {
+    keep_slow (c);
+  }
+}
+
+static bool
+have_unread (const struct mhd_connections *base)
+{
+  const struct http_connections *set = (const struct http_connections *)base;
+  const struct http_connection *c;
+  for (int phase = 0; phase < CONNECTION_PHASE_COUNT; phase++)
+    DL_FOREACH (set->lists[phase], c)
+    {
+      if (socket_queue_unread_bytes (c->fd) > 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+notify (struct mhd_connections *base, void (*changed) (void *owner),
+        void *owner)
+{
+  struct http_connections *set = (struct http_connections *)base;
+  set->changed = changed;
+  set->owner = owner;
+}
+
+static const struct mhd_connections_ops loop_ops
+    = { keep_readable, have_unread, notify };
+
+struct mhd_connections *
+http_connections_for_loop (struct http_connections *set)
+{
+  return set != NULL ? &set->base : NULL;
+}
+
 struct http_connections *
 http_connections_create (const struct http_connections_options *options)
 {
   struct http_connections *set = xcalloc (1, sizeof *set);
+  set->base.ops = &loop_ops;
   set->options = *options;
   ev_timer_init (&set->expiry, on_expiry, 0., 0.);
   set->expiry.data = set;
@@ -192,14 +255,6 @@
   free (set);
 }
 
-void
-http_connections_notify (struct http_connections *set,
-                         void (*changed) (void *owner), void *owner)
-{
-  set->changed = changed;
-  set->owner = owner;
-}
-
 void
 http_connections_opened (struct http_connections *set,
                          struct MHD_Connection *connection, void **state)
@@ -264,46 +319,6 @@
   return c != NULL && c->is_shut;
 }
 
-/* Only what has come since the last look counts as progress: a caller may send
-   requests ahead and never read. */
-static void
-keep_slow (struct http_connection *c)
-{
-  const int bytes = socket_queue_unread_bytes (c->fd);
-  if (bytes > 0 && bytes != c->unread_bytes)
-    restart_timeout (c, c->set->options.progress_s);
-  c->unread_bytes = bytes;
-}
-
-void
-http_connections_keep_readable (struct http_connections *set)
-{
-  struct http_connection *c;
-  struct http_connection *next;
-  DL_FOREACH_SAFE (set->lists[CONNECTION_ENDING], c, next)
-  {
-    if (socket_queue_unread_bytes (c->fd) > 0)
-      begin_timed_phase (c, CONNECTION_IDLE);
-  }
-  DL_FOREACH (set->lists[CONNECTION_SLOW], c)
-  {
-    keep_slow (c);
-  }
-}
-
-bool
-http_connections_have_unread (const struct http_connections *set)
-{
-  const struct http_connection *c;
-  for (int phase = 0; phase < CONNECTION_PHASE_COUNT; phase++)
-    DL_FOREACH (set->lists[phase], c)
-    {
-      if (socket_queue_unread_bytes (c->fd) > 0)
-        return true;
-    }
-  return false;
-}
-
 void
 http_connections_set_idle_ms (struct http_connections *set, int64_t idle_ms)
 {
--- a/node/http_connections.h
+++ b/node/http_connections.h
@@ -18,6 +18,8 @@
 #include <ev.h>
 #include <microhttpd.h>
 
+#include "node/mhd_loop.h"
+
 struct http_connections;
 
 struct http_connections_options
@@ -42,10 +44,9 @@
 http_connections_create (const struct http_connections_options *options);
 void http_connections_destroy (struct http_connections *connections);
 
-/** Call CHANGED with OWNER when a timeout was set outside the library's
- * callbacks, so that the library is asked for its next timeout. */
-void http_connections_notify (struct http_connections *connections,
-                              void (*changed) (void *owner), void *owner);
+/** What drives the server asks these; NULL for NULL. */
+struct mhd_connections *
+http_connections_for_loop (struct http_connections *connections);
 
 /** CONNECTION was accepted; STATE is its socket context. */
 void http_connections_opened (struct http_connections *connections,
@@ -61,13 +62,6 @@
  * peer seems to have closed it. */
 bool http_connections_is_ending (struct MHD_Connection *connection);
 
-/** Take back the end of connections on which something has come; to be called
- * before each run of the library. */
-void http_connections_keep_readable (struct http_connections *connections);
-
-/** Whether the kernel has received something on a connection. */
-bool http_connections_have_unread (const struct http_connections *connections);
-
 /** Change the idle time, of connections that are open too. */
 void http_connections_set_idle_ms (struct http_connections *connections,
                                    int64_t idle_ms);
--- a/node/mhd_loop.c
+++ b/node/mhd_loop.c
@@ -25,7 +25,7 @@
 {
   struct ev_loop *loop;
   struct MHD_Daemon *daemon;
-  struct http_connections *connections;
+  struct mhd_connections *connections;
   ev_io io;
   ev_timer timer;
 };
@@ -48,7 +48,7 @@
 mhd_loop_run (struct mhd_loop *mhd_loop)
 {
   if (mhd_loop->connections != NULL)
-    http_connections_keep_readable (mhd_loop->connections);
+    mhd_loop->connections->ops->before_run (mhd_loop->connections);
   MHD_run (mhd_loop->daemon);
   arm_timer (mhd_loop);
 }
@@ -73,7 +73,7 @@
 
 struct mhd_loop *
 mhd_loop_create (struct ev_loop *loop, struct MHD_Daemon *daemon,
-                 struct http_connections *connections)
+                 struct mhd_connections *connections)
 {
   const union MHD_DaemonInfo *info
       = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -89,7 +89,7 @@
   mhd_loop->daemon = daemon;
   mhd_loop->connections = connections;
   if (connections != NULL)
-    http_connections_notify (connections, on_timeouts_changed, mhd_loop);
+    connections->ops->notify (connections, on_timeouts_changed, mhd_loop);
   ev_io_init (&mhd_loop->io, on_ready, info->epoll_fd, EV_READ);
   mhd_loop->io.data = mhd_loop;
   ev_timer_init (&mhd_loop->timer, on_timeout, 0., 0.);
@@ -105,7 +105,7 @@
   if (mhd_loop == NULL)
     return;
   if (mhd_loop->connections != NULL)
-    http_connections_notify (mhd_loop->connections, NULL, NULL);
+    mhd_loop->connections->ops->notify (mhd_loop->connections, NULL, NULL);
   ev_io_stop (mhd_loop->loop, &mhd_loop->io);
   ev_timer_stop (mhd_loop->loop, &mhd_loop->timer);
   free (mhd_loop);
@@ -120,9 +120,9 @@
 void
 mhd_loop_read_pending (struct mhd_loop *mhd_loop)
 {
-  const struct http_connections *connections = mhd_loop->connections;
+  const struct mhd_connections *connections = mhd_loop->connections;
   for (int i = 0; i < PENDING_ROUNDS_MAX && connections != NULL
-                  && http_connections_have_unread (connections);
+                  && connections->ops->have_unread (connections);
        i++)
     mhd_loop_run (mhd_loop);
 }
--- a/node/mhd_loop.h
+++ b/node/mhd_loop.h
@@ -9,6 +9,7 @@
 #ifndef NODE_MHD_LOOP_H
 #define NODE_MHD_LOOP_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <sys/socket.h>
 
@@ -16,9 +17,29 @@
 #include <microhttpd.h>
 
 #include "base/status.h"
-#include "node/http_connections.h"
 
 struct mhd_loop;
+struct mhd_connections;
+
+/** What the loop asks of the module that keeps a daemon's connections. */
+struct mhd_connections_ops
+{
+  /** The library runs next. */
+  void (*before_run) (struct mhd_connections *connections);
+  /** Whether the kernel has received something on a connection. */
+  bool (*have_unread) (const struct mhd_connections *connections);
+  /** Call CHANGED with OWNER when a timeout was set outside the library's
+   * callbacks, so that the library is asked for its next timeout; NULL: don't
+   * any more. */
+  void (*notify) (struct mhd_connections *connections,
+                  void (*changed) (void *owner), void *owner);
+};
+
+/** First member of that module's state. */
+struct mhd_connections
+{
+  const struct mhd_connections_ops *ops;
+};
 
 /** Drive DAEMON from LOOP.
  * @param connections those of the daemon; may be NULL
@@ -26,7 +47,7 @@
  * names the missing flags. */
 struct mhd_loop *mhd_loop_create (struct ev_loop *loop,
                                   struct MHD_Daemon *daemon,
-                                  struct http_connections *connections);
+                                  struct mhd_connections *connections);
 
 /** Stop driving the daemon; call it before MHD_stop_daemon().  NULL is
  * ignored. */
--- a/node/operator/operator_task.c
+++ b/node/operator/operator_task.c
@@ -305,7 +305,8 @@
                          "or choose another",
                          address);
   task->mhd_loop
-      = mhd_loop_create (task->options.loop, task->daemon, task->connections);
+      = mhd_loop_create (task->options.loop, task->daemon,
+                         http_connections_for_loop (task->connections));
   return task->mhd_loop == NULL ? STATUS_SYSTEM : STATUS_OK;
 }
 
--- a/node/plain_server.c
+++ b/node/plain_server.c
@@ -96,7 +96,8 @@
                            options->what, options->address);
     }
   server->mhd_loop
-      = mhd_loop_create (options->loop, server->daemon, server->connections);
+      = mhd_loop_create (options->loop, server->daemon,
+                         http_connections_for_loop (server->connections));
   if (server->mhd_loop == NULL)
     {
       plain_server_destroy (server);
--- a/node/tests/http_connections_test.cc
+++ b/node/tests/http_connections_test.cc
@@ -126,7 +126,8 @@
         on_completed, nullptr, MHD_OPTION_NOTIFY_CONNECTION, on_event, this,
         MHD_OPTION_END);
     ASSERT_NE (daemon, nullptr);
-    server = mhd_loop_create (loop, daemon, connections);
+    server = mhd_loop_create (loop, daemon,
+                              http_connections_for_loop (connections));
     port = mhd_loop_bound_port (daemon);
   }
 
