wire: refuse status codes outside 100 to 599

What callers saw: a target's answer of status 600, 700 or 999 as an answer that ran.

Cause: only libcurl looks at the number, and what it accepts depends on its version: here three digits from 100 to 999.

Change: a status line needs a version 1.x and three digits from 100 to 599. It is checked where all users of libcurl read heads, so that the same holds for other hosts, probes and the platform. Anything else is a malformed head.

Result: BadTargetTest.InvalidStatusIsNoAnswer, 18 codes in two versions for POST and GET, fails without the change for 600, 700 and 999 (the caller got that status) and passes with it. cut_head, foreign_answer, framing, message_parts, target_call and store_cut_answer tests pass.

--- a/node/caller/tests/bad_target_test.cc
+++ b/node/caller/tests/bad_target_test.cc
@@ -60,6 +60,33 @@
   EXPECT_EQ (raw->requests, 9);
 }
 
+/* Guards against a status code outside 100 to 599 that passes for that of an
+   answer. */
+TEST_F (BadTargetTest, InvalidStatusIsNoAnswer)
+{
+  const std::string body = "Content-Length: 2\r\n\r\nok";
+  int sent = 0;
+  for (const char *status :
+       { "000", "000 OK", "0 OK", "00 OK", "099 OK", "1 OK", "20 OK",
+         "2000 OK", "0200 OK", "-200 OK", "+200 OK", "600 OK", "700 OK",
+         "999 OK", "200x OK", "2 00 OK", "", "OK" })
+    for (const char *protocol : { "HTTP/1.1 ", "HTTP/1.0 " })
+      {
+        auto call = post (protocol + std::string (status) + "\r\n" + body);
+        EXPECT_EQ (call->code, CURLE_OK) << status;
+        EXPECT_EQ (call->status, 502) << protocol << status;
+        EXPECT_EQ (call->field ("jaystair-outcome"), "unknown") << status;
+        EXPECT_EQ (raw->requests, ++sent) << status;
+        EXPECT_EQ (get ("/calendar", "r")->status, 502) << status;
+        sent = raw->requests;
+      }
+  for (const char *status : { "200 ", "200", "599 Odd", "299 Odd" })
+    EXPECT_EQ (
+        post ("HTTP/1.1 " + std::string (status) + "\r\n" + body)->status,
+        atoi (status))
+        << status;
+}
+
 TEST_F (BadTargetTest, OversizedHeadIsUnknown)
 {
   for (const size_t size : { 9000u, 90000u, 400000u })
--- a/wire/response_head.c
+++ b/wire/response_head.c
@@ -9,12 +9,22 @@
   STATUS_FINAL_MIN = 200,
 };
 
+/* Which status codes libcurl accepts depends on its version.  Codes outside
+   100 to 599 are invalid (RFC 9110, 15). */
 static bool
 is_status_line (const char *line, size_t size)
 {
-  static const char start[] = "HTTP/";
-  return size >= sizeof start - 1
-         && memcmp (line, start, sizeof start - 1) == 0;
+  static const char pattern[] = "HTTP/1.0 000";
+  const size_t length = sizeof pattern - 1;
+  if (size <= length)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    if (pattern[i] == '0' ? !isdigit ((unsigned char)line[i])
+                          : line[i] != pattern[i])
+      return false;
+  const char class = line[length - 3];
+  return class >= '1' && class <= '5'
+         && strchr (" \r\n", line[length]) != NULL;
 }
 
 /* Whether LINE contains "HTTP/1.1 200" or the like. */
