wire: bound trailers and the bodies of all calls to the platform together

What callers would see: a host that runs out of memory ends, and all its requests with it. A store that sends bodies without end lets a host grow to 284 to 298 MB and one that sends a trailer without end to 1,039 MB in 12 s, on a machine with 260 MB. Targets can't do this: 14 to 15 MB with each kind of bytes and 12 callers, 133 MB with 1,500 callers that read nothing.

Cause: only calls to targets had a bound on trailers, of which libcurl keeps a copy; and the bound on bodies was for each call.

Change: response_head bounds the trailer of all responses that are read through it. 64 MiB is the bound of all calls of a platform client in flight, of which each has 4 MiB for itself.

--- a/node/caller/target_call.c
+++ b/node/caller/target_call.c
@@ -14,7 +14,6 @@
   URL_SIZE = 96,
   FIELD_LINE_SIZE = 1024,
   MESSAGE_SIZE = CURL_ERROR_SIZE + 64,
-  TRAILER_BYTES_MAX = 16 * 1024,
   MS_PER_SECOND = 1000
 };
 
@@ -29,7 +28,6 @@
   struct response_head response_head;
   struct header_list response_headers;
   bool head_only;
-  size_t trailer_bytes;
   const char *error; /* why the response is invalid or was rejected */
   bool is_rejected;
   bool send_paused;
@@ -153,18 +151,6 @@
   return false;
 }
 
-/* Trailer fields are not forwarded.  libcurl keeps a copy of each and limits
-   neither their number nor their total size. */
-static bool
-skip_trailer_line (struct target_call *call, size_t size)
-{
-  call->trailer_bytes += size;
-  if (call->trailer_bytes <= TRAILER_BYTES_MAX)
-    return true;
-  call->error = "the answer's trailer is too large";
-  return false;
-}
-
 static bool
 on_head_line (void *owner, enum response_line what, const char *line,
               size_t size)
@@ -179,12 +165,11 @@
       return true;
     case RESPONSE_LINE_FIELD:
       return add_field (call, line, size);
-    case RESPONSE_LINE_INTERIM_END:
-      return true;
     case RESPONSE_LINE_END:
       return end_of_head (call);
-    case RESPONSE_LINE_TRAILER:
-      return skip_trailer_line (call, size);
+    case RESPONSE_LINE_INTERIM_END:
+    case RESPONSE_LINE_TRAILER: /* isn't forwarded */
+      return true;
     }
   return false;
 }
--- a/wire/platform_http_call.c
+++ b/wire/platform_http_call.c
@@ -13,7 +13,10 @@
 
 enum
 {
-  RESPONSE_MAX_BYTES = 64 * 1024 * 1024,
+  /** Of all calls in flight together. */
+  RESPONSES_MAX_BYTES = 64 * 1024 * 1024,
+  /** Of one call whatever the others receive: more than a page of a list. */
+  RESPONSE_RESERVED_BYTES = 4 * 1024 * 1024,
 
   HTTP_OK = 200,
   HTTP_SERVER_ERROR = 500,
@@ -24,6 +27,7 @@
 platform_http_call_destroy (struct http_call *call)
 {
   DL_DELETE (call->http->calls, call);
+  call->http->response_bytes -= call->response_bytes;
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
   for (size_t i = 0; i < call->page_count; i++)
@@ -50,12 +54,20 @@
       = xreallocarray (call->response_body, call->response_capacity, 1);
 }
 
+/* The platform may send without end, to several calls at once. */
+static bool
+has_room (const struct http_call *call, size_t added)
+{
+  return call->http->response_bytes + added <= RESPONSES_MAX_BYTES
+         || call->response_bytes + added <= RESPONSE_RESERVED_BYTES;
+}
+
 static size_t
 append_body (char *data, size_t size, size_t count, void *owner)
 {
   struct http_call *call = owner;
   const size_t added = size * count;
-  if (call->response_bytes + added > RESPONSE_MAX_BYTES)
+  if (!has_room (call, added))
     {
       call->is_too_large = true;
       return 0;
@@ -63,6 +75,7 @@
   reserve_body (call, added);
   memcpy (call->response_body + call->response_bytes, data, added);
   call->response_bytes += added;
+  call->http->response_bytes += added;
   call->response_body[call->response_bytes] = '\0';
   return added;
 }
@@ -139,8 +152,8 @@
   char message[256];
   snprintf (message, sizeof message,
             "the response of the platform at %s exceeds the limit of %d bytes "
-            "for a call; remove large objects from the store",
-            call->http->addresses[call->address], RESPONSE_MAX_BYTES);
+            "for calls in flight; remove large objects from the store",
+            call->http->addresses[call->address], RESPONSES_MAX_BYTES);
   platform_http_end_failed (call, STATUS_INVALID, message);
 }
 
@@ -179,6 +192,7 @@
   free (url);
   free (call->response_body);
   call->response_body = xstrdup ("");
+  http->response_bytes -= call->response_bytes;
   call->response_bytes = 0;
   call->response_capacity = 1;
   call->is_too_large = false;
--- a/wire/platform_http_call.h
+++ b/wire/platform_http_call.h
@@ -31,7 +31,8 @@
   size_t preferred_address; /* the address that calls try first */
   uint32_t timeout_ms;
   uint32_t connect_timeout_ms;
-  bool has_answered; /* the era is that of a response */
+  bool has_answered;     /* the era is that of a response */
+  size_t response_bytes; /* of all calls in flight, without read pages */
   struct http_call *calls;
 };
 
--- a/wire/response_head.c
+++ b/wire/response_head.c
@@ -7,6 +7,7 @@
 {
   STATUS_SWITCHING_PROTOCOLS = 101,
   STATUS_FINAL_MIN = 200,
+  TRAILER_BYTES_MAX = 16 * 1024,
 };
 
 /* Which status codes libcurl accepts depends on its version.  Codes outside
@@ -94,7 +95,17 @@
                                    : RESPONSE_LINE_END;
 }
 
-/* Sets WHAT; returns false if the head is malformed. */
+/* libcurl keeps a copy of each trailer field and limits neither their number
+   nor their total size. */
+static bool
+add_trailer_line (struct response_head *head, size_t size)
+{
+  head->trailer_bytes += size;
+  return head->trailer_bytes <= TRAILER_BYTES_MAX;
+}
+
+/* Sets WHAT; returns false if the head is malformed or the trailer too
+   large. */
 static bool
 add_line (struct response_head *head, const char *line, size_t size,
           enum response_line *what)
@@ -102,7 +113,7 @@
   if (head->part == RESPONSE_BODY)
     {
       *what = RESPONSE_LINE_TRAILER;
-      return true;
+      return add_trailer_line (head, size);
     }
   if (head->part == RESPONSE_HEAD && is_empty_line (line, size))
     {
@@ -145,6 +156,7 @@
 {
   head->part = RESPONSE_NONE;
   head->is_malformed = false;
+  head->trailer_bytes = 0;
 }
 
 CURLcode
@@ -167,7 +179,9 @@
       return head->is_malformed ? "the answer's head is malformed"
                                 : "the answer's head is cut";
     case RESPONSE_BODY:
-      return "the answer's body is cut";
+      return head->trailer_bytes > TRAILER_BYTES_MAX
+                 ? "the answer's trailer is too large"
+                 : "the answer's body is cut";
     }
   return "";
 }
--- a/wire/response_head.h
+++ b/wire/response_head.h
@@ -47,6 +47,7 @@
   bool is_malformed; /**< it has a line that belongs to no head, or the status
                           line of another one, or switches protocols; the
                           transfer is aborted */
+  size_t trailer_bytes; /**< beyond 16 KiB the transfer is aborted */
 };
 
 /** Follow the responses of EASY.  This sets its header callback; ON_LINE may
@@ -64,7 +65,8 @@
                                CURLcode code);
 
 /** What came of the response of a transfer that failed: "no answer", "the
- * answer's head is cut", "... is malformed" or "the answer's body is cut". */
+ * answer's head is cut", "... is malformed", "the answer's body is cut" or
+ * "the answer's trailer is too large". */
 const char *response_head_describe (const struct response_head *head);
 
 #endif
