caller: stop receiving long answers to probes of leaving targets

Cause: a probe drops the body of its answer, and received without end for the two seconds until it is cancelled. A target that sends without end takes a host's processor and link with it.

Change: after 64 KiB of a body a probe receives no more. It ends when it is cancelled, as one without an answer.

--- a/node/caller/leaving_probe.c
+++ b/node/caller/leaving_probe.c
@@ -10,7 +10,8 @@
 
 enum
 {
-  CONNECT_TIMEOUT_MS = 1000
+  CONNECT_TIMEOUT_MS = 1000,
+  BODY_MAX_BYTES = 64 * 1024,
 };
 
 static const double PROBE_INTERVAL_S = 2.0;
@@ -23,6 +24,7 @@
   uint64_t key;
   struct target_call *call;
   bool leaving;
+  size_t body_bytes;
   struct pending_probe *prev;
   struct pending_probe *next;
 };
@@ -44,10 +46,13 @@
   return NULL;
 }
 
+/* A longer body isn't received further, until the probe is cancelled. */
 static bool
 on_body (void *owner, const char *data, size_t size)
 {
-  return true;
+  struct pending_probe *pending = owner;
+  pending->body_bytes += size;
+  return pending->body_bytes <= BODY_MAX_BYTES;
 }
 
 static void
--- a/node/caller/tests/endless_response_test.cc
+++ b/node/caller/tests/endless_response_test.cc
@@ -297,6 +297,22 @@
   EXPECT_EQ (target->requests, 1);
 }
 
+/* Guards against a probe of a leaving target that receives what nobody
+   reads. */
+TEST_F (EndlessResponse, BodyOfAProbe)
+{
+  /* More than the kernel's buffers of the connection. */
+  const uint64_t received_max_bytes = 32 * 1024 * 1024;
+  target->plain = "HTTP/1.1 200 OK\r\nJaystair-Leaving: 1\r\n"
+                  "Content-Length: 5\r\n\r\nplain";
+  target->start = "HTTP/1.1 200 OK\r\n\r\n";
+  target->unit = "body";
+  get ("/plain", "leaving");
+  ASSERT_TRUE (run_until ([&] { return target->closed == 1; }));
+  EXPECT_GE (target->requests, 1);
+  EXPECT_LT (target->sent_bytes, received_max_bytes);
+}
+
 /* A protocol that the host didn't ask for is no response. */
 TEST_F (EndlessResponse, SwitchedProtocol)
 {
--- a/node/caller/tests/endless_target.cc
+++ b/node/caller/tests/endless_target.cc
@@ -76,8 +76,6 @@
     return;
   if (peer->received.find (" /plain ") != std::string::npos)
     {
-      const std::string plain
-          = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain";
       send (peer->fd, plain.data (), plain.size (), MSG_NOSIGNAL);
       peer->received.clear ();
       return;
--- a/node/caller/tests/endless_target.h
+++ b/node/caller/tests/endless_target.h
@@ -21,6 +21,8 @@
 
   std::string address () const;
 
+  /** The response to a request for /plain. */
+  std::string plain = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain";
   std::string start;              /**< sent once after the head of a request */
   std::string unit;               /**< sent repeatedly after START */
   size_t block_bytes = 64 * 1024; /**< maximum of one write */
