caller: keep the beginning of an upload whose attempt is given up

Cause: an attempt that was cancelled to pass its request on to another host left the upload where it was. Queued again, the request made room for the rest of the body by discarding what the attempt had consumed, and the next attempt began there. Only an assert stood in the way, which the build of the deploy file drops.

--- a/node/caller/exchange_attempt.c
+++ b/node/caller/exchange_attempt.c
@@ -2,7 +2,6 @@
 
 #include "node/caller/exchange_attempt.h"
 
-#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -151,6 +150,17 @@
                                  x->repeatable);
 }
 
+/* While a request waits for its next attempt, the rest of an upload arrives.
+   Consumed bytes would be discarded to make space for it, and the next attempt
+   would send a body without its beginning: the caller would get a complete
+   response to half a request.  After the rewind they are pending bytes, which
+   are never discarded. */
+static void
+rewind_upload (struct exchange *x)
+{
+  stream_buffer_rewind (&x->upload);
+}
+
 void
 exchange_cancel_attempt (struct exchange *x, enum attempt_end end)
 {
@@ -164,8 +174,10 @@
         run_record_end (&x->run_record, RUN_PROOF_NEVER_SENT);
     }
   report_outcome (x, end);
-  if (x->state == EXCHANGE_SENT)
-    x->state = EXCHANGE_WAITING;
+  if (x->state != EXCHANGE_SENT)
+    return;
+  x->state = EXCHANGE_WAITING;
+  rewind_upload (x);
 }
 
 /* There is no response to forward and no further attempt. */
@@ -216,14 +228,6 @@
       respond_after_failure (x, end, message);
       return;
     }
-  /* While the request waits for its next attempt, the rest of an upload
-     arrives.  Consumed bytes would be discarded to make space for it, and the
-     next attempt would send a body without its beginning: the caller would get
-     a complete response to half a request.  After the rewind they are pending
-     bytes, which are never discarded. */
-  const bool rewound = stream_buffer_rewind (&x->upload);
-  assert (rewound);
-  (void)rewound;
   exchange_admit (x);
 }
 
@@ -269,6 +273,7 @@
       return;
     }
   x->state = EXCHANGE_WAITING;
+  rewind_upload (x);
   retry_or_fail (x, end, message);
 }
 
--- a/node/caller/exchange_send.c
+++ b/node/caller/exchange_send.c
@@ -1,6 +1,5 @@
 #include "node/caller/exchange_send.h"
 
-#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -26,6 +25,7 @@
   TICKET_FIELD_SIZE = REQUEST_TICKET_SIZE + 32,
   ATTEMPTS_FIELD_SIZE = 32,
   EXTRA_FIELDS_MAX = 6,
+  BODY_RETRY_AFTER_MS = 100,
   /* Another host can be chosen then. */
   FORWARD_CONNECT_TIMEOUT_MS = 300
 };
@@ -110,13 +110,32 @@
 static const struct target_call_events events
     = { .read = on_read, .head = on_head, .body = on_body, .end = on_end };
 
-/* Send X to ADDRESS.  The fields of the attempt that identify the target are
-   set already. */
+/* The beginning of the body isn't held any more, so that no attempt can send
+   the request as it came. */
 static void
+refuse_without_body (struct exchange *x)
+{
+  if (!x->attempt.is_relay)
+    caller_service_record_outcome (x->service, x->attempt.key,
+                                   ATTEMPT_CANCELLED, 0, x->repeatable);
+  exchange_refuse (x, MHD_HTTP_SERVICE_UNAVAILABLE, "body-discarded",
+                   BODY_RETRY_AFTER_MS,
+                   "an attempt was lost after a part of the body had been "
+                   "sent: send the request again if its outcome allows it");
+}
+
+/* Send X to ADDRESS.  The fields of the attempt that identify the target are
+   set already.  Returns false if X was refused. */
+static bool
 send_to (struct exchange *x, const char *address, const char *const *extra)
 {
   struct exchange_attempt *attempt = &x->attempt;
   const struct service_limits *limits = &x->service->spec->limits;
+  if (!stream_buffer_rewind (&x->upload))
+    {
+      refuse_without_body (x);
+      return false;
+    }
   attempt->head_received = false;
   attempt->caller_was_slow = false;
   attempt->upload_stall_us = 0;
@@ -125,9 +144,6 @@
   attempt->outcome_pending = true;
   run_record_begin (&x->run_record);
   attempt->started_us = clock_now_us ();
-  const bool rewound = stream_buffer_rewind (&x->upload);
-  assert (rewound);
-  (void)rewound;
   x->response_body.consumed_bytes = 0;
   x->response_body.used_bytes = 0;
   x->state = EXCHANGE_SENT;
@@ -149,6 +165,7 @@
                                                 : limits->connect_timeout_ms,
   };
   attempt->call = target_call_start (&options);
+  return true;
 }
 
 /* Targets beyond the first ones aren't remembered, so any may have been. */
@@ -258,8 +275,8 @@
   x->attempt_count++;
   if (x->attempt_count > 1)
     caller_counters_add (x->context->counters.retries, x->service->name, NULL);
-  send_to (x, via != NULL ? via->caller_address : target->address, extra);
-  exchange_timeout_start (x);
+  if (send_to (x, via != NULL ? via->caller_address : target->address, extra))
+    exchange_timeout_start (x);
 }
 
 void
@@ -280,9 +297,9 @@
   x->attempt.reuse_idle_max_ms = 0;
   snprintf (x->attempt.target, sizeof x->attempt.target, "%s", host);
   decision_log_relay (x, host);
-  send_to (x, address, extra);
   /* The issuing host may have run the ticket before. */
-  run_record_note_host (&x->run_record);
+  if (send_to (x, address, extra))
+    run_record_note_host (&x->run_record);
   free (credentials);
 }
 
